--- /dev/null
+++ b/bench_test.go
@@ -0,0 +1,86 @@
+package brookferry_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"brookferry"
+)
+
+// BenchmarkStep plays a request, its outcome and now and then an error and a
+// retry. State must not grow with the requests played: see the heap metric.
+func BenchmarkStep(b *testing.B) {
+	lb, err := brookferry.New(settings(), 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	now := time.Hour
+	lb.Step(now, []brookferry.Event{brookferry.List{Kind: brookferry.ListFull, Backends: backends(14)}})
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		playOne(lb, &now, i)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(int64(after.HeapAlloc)-int64(before.HeapAlloc)), "heap-growth-B")
+	runtime.KeepAlive(lb)
+}
+
+// playOne plays request i to its end.
+func playOne(lb *brookferry.Balancer, now *time.Duration, i int) {
+	id := fmt.Sprint("q", i)
+	events := []brookferry.Event{brookferry.Request{ID: id, Class: safe, Left: time.Second}}
+	for n := 0; len(events) > 0; {
+		acts := lb.Step(*now, events)
+		events = nil
+		for _, a := range acts {
+			switch a := a.(type) {
+			case brookferry.Send:
+				*now += 2 * ms
+				o := brookferry.Outcome{Request: id, Attempt: n, Backend: a.Backend, Latency: 2 * ms, Done: true}
+				if n == 0 && i%50 == 0 {
+					o.Result, o.Done = brookferry.Errored, false
+				}
+				n++
+				events = append(events, o)
+			case brookferry.SetTimer:
+				*now += a.After
+				events = append(events, brookferry.TimerFired{Token: a.Token})
+			}
+		}
+	}
+}
+
+// Memory and allocations per request stay bounded over a long run.
+func TestStateIsBounded(t *testing.T) {
+	lb, err := brookferry.New(settings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Hour
+	lb.Step(now, []brookferry.Event{brookferry.List{Kind: brookferry.ListFull, Backends: backends(14)}})
+	heap := func(from, to int) uint64 {
+		for i := from; i < to; i++ {
+			playOne(lb, &now, i)
+		}
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	early := heap(0, 5000)
+	late := heap(5000, 60000)
+	runtime.KeepAlive(lb)
+	if late > early+256<<10 {
+		t.Errorf("the heap grew from %d to %d bytes over 55,000 requests", early, late)
+	}
+	i := 100000
+	if n := testing.AllocsPerRun(2000, func() { playOne(lb, &now, i); i++ }); n > 25 {
+		t.Errorf("%.1f allocations a request", n)
+	}
+}
--- /dev/null
+++ b/cmd/adapter/main.go
@@ -0,0 +1,109 @@
+// Command adapter plays brookferry balancers on the bench's wire: batches of
+// events on standard input, one reply per batch on standard output.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"brookferry"
+	"brookferry/internal/wire"
+)
+
+func main() {
+	debug.SetGCPercent(800) // short-lived garbage and a small heap: collect seldom
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "adapter:", err)
+		os.Exit(1)
+	}
+}
+
+// stepper is what an instance does; in service a *brookferry.Balancer.
+type stepper interface {
+	Step(now time.Duration, events []brookferry.Event) []brookferry.Action
+}
+
+// run answers batches until the input ends.
+func run(in io.Reader, out io.Writer) error {
+	reader, writer := wire.NewReader(in), wire.NewWriter(out)
+	instances := map[int]stepper{}
+	for {
+		batch, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := answer(batch, instances, writer); err != nil {
+			return err
+		}
+		if err := writer.End(); err != nil {
+			return err
+		}
+	}
+}
+
+// answer gives each instance its events of the batch in one step. A start or
+// stop within the batch ends the step before it.
+func answer(batch *wire.Batch, instances map[int]stepper, w *wire.Writer) error {
+	var order []int
+	pending := map[int][]brookferry.Event{}
+	flush := func(agent int) error {
+		events := pending[agent]
+		if len(events) == 0 {
+			return nil
+		}
+		pending[agent] = nil
+		actions, fault := step(instances[agent], batch.Now, events)
+		if fault != "" {
+			w.Broken(agent, fault)
+			return nil
+		}
+		return w.Actions(agent, actions)
+	}
+	for _, e := range batch.Events {
+		if _, seen := pending[e.Agent]; !seen {
+			order = append(order, e.Agent)
+			pending[e.Agent] = nil
+		}
+		switch {
+		case e.Open != nil:
+			if err := flush(e.Agent); err != nil {
+				return err
+			}
+			b, err := brookferry.New(e.Open.Settings, e.Open.Seed)
+			if err != nil {
+				return fmt.Errorf("line %d: OpenInstance: %w", e.Line, err)
+			}
+			instances[e.Agent] = b
+		case instances[e.Agent] == nil:
+			return fmt.Errorf("line %d: instance %d is not open", e.Line, e.Agent)
+		case e.Retire:
+			pending[e.Agent] = nil // killed: what came just before has no one to act on it
+			delete(instances, e.Agent)
+		default:
+			pending[e.Agent] = append(pending[e.Agent], e.Event)
+		}
+	}
+	for _, agent := range order {
+		if err := flush(agent); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// step turns a panic of the decision code into its text.
+func step(b stepper, now time.Duration, events []brookferry.Event) (acts []brookferry.Action, fault string) {
+	defer func() {
+		if p := recover(); p != nil {
+			fault = fmt.Sprint("panic: ", p)
+		}
+	}()
+	return b.Step(now, events), ""
+}
--- /dev/null
+++ b/order_test.go
@@ -0,0 +1,437 @@
+package brookferry_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"brookferry"
+)
+
+// auditor checks the four rules from events and actions alone. It models no
+// backend: it only remembers what the balancer was told and what it did.
+type auditor struct {
+	s        brookferry.Settings
+	now      time.Duration
+	requests map[string]*audited
+	backends map[string]*auditedBackend
+	faults   []string
+}
+
+type audited struct {
+	class    brookferry.Class
+	deadline time.Duration
+	sends    []auditedSend
+	ended    bool
+	left     time.Duration // when the client was told to have left; answers of that step do no harm
+	stream   bool
+}
+
+type auditedSend struct {
+	backend string
+	at      time.Duration
+	out     bool
+	risky   bool // may have run
+}
+
+type auditedBackend struct {
+	brookferry.Backend
+	offAt   time.Duration // when it was told to drain or to be gone
+	started time.Duration // when it was told to have started; 0: warm
+	sends   []time.Duration
+}
+
+func newAuditor(s brookferry.Settings) *auditor {
+	return &auditor{s: s, requests: map[string]*audited{}, backends: map[string]*auditedBackend{}}
+}
+
+func (a *auditor) fault(format string, args ...any) {
+	a.faults = append(a.faults, fmt.Sprintf("at %v: ", a.now)+fmt.Sprintf(format, args...))
+}
+
+func (a *auditor) event(e brookferry.Event) {
+	switch e := e.(type) {
+	case brookferry.Request:
+		if e.Class >= 0 && e.Class < len(a.s.Classes) && a.requests[e.ID] == nil {
+			a.requests[e.ID] = &audited{class: a.s.Classes[e.Class], deadline: a.now + e.Left}
+		}
+	case brookferry.Outcome:
+		r := a.requests[e.Request]
+		if r == nil || e.Attempt < 0 || e.Attempt >= len(r.sends) || !r.sends[e.Attempt].out {
+			return
+		}
+		r.sends[e.Attempt].out = false
+		r.sends[e.Attempt].risky = !e.Result.NeverRan()
+		r.ended = r.ended || e.Done
+	case brookferry.StreamStarted:
+		if r := a.requests[e.Request]; r != nil {
+			r.stream = true
+		}
+	case brookferry.Abandoned:
+		if r := a.requests[e.Request]; r != nil && !r.ended {
+			r.ended, r.left = true, a.now
+		}
+	case brookferry.List:
+		if e.Kind == brookferry.ListFailed {
+			return
+		}
+		listed := map[string]bool{}
+		for _, n := range e.Backends {
+			listed[n.ID] = true
+			b := a.backends[n.ID]
+			if b == nil {
+				b = &auditedBackend{}
+				a.backends[n.ID] = b
+			}
+			if n.Started > b.Started {
+				b.started, b.sends = n.Started, nil
+			}
+			if n.State == brookferry.Up {
+				b.offAt = 0
+			} else if b.Backend.State == brookferry.Up || b.offAt == 0 {
+				b.offAt = a.now
+			}
+			b.Backend = n
+		}
+		if e.Kind != brookferry.ListDelta {
+			for id, b := range a.backends {
+				if !listed[id] && b.offAt == 0 {
+					b.offAt = a.now
+					b.State = brookferry.Gone
+				}
+			}
+		}
+	}
+}
+
+func (a *auditor) action(act brookferry.Action) {
+	switch act := act.(type) {
+	case brookferry.Send:
+		a.send(act)
+	case brookferry.Refuse:
+		r := a.final(act.Request)
+		if r == nil {
+			return
+		}
+		for _, s := range r.sends {
+			free := r.class.Effect == brookferry.Safe ||
+				r.class.Effect == brookferry.Keyed && r.class.Group == brookferry.GroupAll
+			if (s.risky || s.out) && !free {
+				a.fault("%s refused though an attempt may have run", act.Request)
+			}
+		}
+	case brookferry.Fail:
+		a.final(act.Request)
+	case brookferry.SetTimer:
+		if act.After < 0 {
+			a.fault("a timer in the past: %v", act.After)
+		}
+	case brookferry.TellPeer:
+		if !a.s.Peers || len(act.Data) > 256 || act.To < 0 || act.To >= a.s.Balancers || act.To == a.s.Self {
+			a.fault("%d bytes to peer %d", len(act.Data), act.To)
+		}
+	}
+}
+
+func (a *auditor) final(id string) *audited {
+	r := a.requests[id]
+	switch {
+	case r == nil:
+		a.fault("answer for the unknown request %s", id)
+		return nil
+	case r.ended && r.left != a.now:
+		a.fault("%s answered twice", id)
+	case a.now > r.deadline+a.s.AnswerGrace && !r.stream:
+		a.fault("%s answered late", id)
+	}
+	r.ended, r.left = true, 0
+	return r
+}
+
+func (a *auditor) send(act brookferry.Send) {
+	r, b := a.requests[act.Request], a.backends[act.Backend]
+	if r == nil || b == nil {
+		a.fault("send of %q to %q, one of which was never told", act.Request, act.Backend)
+		return
+	}
+	if r.ended && r.left != a.now {
+		a.fault("%s sent after its end", act.Request)
+	}
+	if len(r.sends) >= max(1, a.s.MaxAttempts) {
+		a.fault("%s sent past the attempt limit", act.Request)
+	}
+	if b.offAt > 0 && a.now > b.offAt+a.s.DrainGrace {
+		a.fault("%s sent to %s, told %v ago to drain or be gone", act.Request, act.Backend, a.now-b.offAt)
+	}
+	var anchor *auditedSend
+	for i := range r.sends {
+		s := &r.sends[i]
+		if s.out && !a.s.SecondCopies {
+			a.fault("%s has two attempts out", act.Request)
+		}
+		if anchor == nil && (s.out || s.risky) {
+			anchor = s
+		}
+	}
+	if anchor != nil {
+		from := a.backends[anchor.backend]
+		switch {
+		case r.class.Effect == brookferry.Unsafe:
+			a.fault("%s is unsafe and may have run, sent again", act.Request)
+		case r.class.Effect == brookferry.Keyed && a.now-anchor.at > r.class.Window:
+			a.fault("%s sent again after its window", act.Request)
+		case r.class.Effect == brookferry.Keyed && r.class.Group == brookferry.GroupZone && from.Zone != b.Zone,
+			r.class.Effect == brookferry.Keyed && r.class.Group == brookferry.GroupCell && from.Cell != b.Cell:
+			a.fault("%s sent again outside its group", act.Request)
+		}
+	}
+	r.sends = append(r.sends, auditedSend{backend: act.Backend, at: a.now, out: true})
+	b.sends = append(b.sends, a.now)
+	a.cold(b)
+}
+
+// cold checks this agent's part of a cold backend's load. What a backend can do
+// is not told; what the busiest warm one was sent in the same span bounds what
+// a balancer may hold to be its own measure, and the stated multiple of the
+// cold share of that, with the slack of a few light requests, bounds the cold one.
+func (a *auditor) cold(b *auditedBackend) {
+	if b.started == 0 || a.now-b.started >= a.s.RampTime || a.s.RampTime == 0 {
+		return
+	}
+	span := max(a.s.FallWindow, 1)
+	count := func(b *auditedBackend, span time.Duration) (n int) {
+		for _, at := range b.sends {
+			if a.now-at < span {
+				n++
+			}
+		}
+		return n
+	}
+	most := 0
+	for _, o := range a.backends {
+		if o != b && (o.started == 0 || a.now-o.started >= a.s.RampTime) {
+			most = max(most, count(o, 3*span))
+		}
+	}
+	warmth := a.s.ColdShare + (1-a.s.ColdShare)*max(0, float64(a.now-b.started)/float64(a.s.RampTime))
+	if got := count(b, span); float64(got) > a.s.FallMultiple*warmth*float64(most)+3 {
+		a.fault("%s is cold (%v) and got %d sends in %v, the busiest warm one %d in three times that",
+			b.ID, a.now-b.started, got, span, most)
+	}
+}
+
+// overdue checks that nothing accepted is without its answer past its time.
+func (a *auditor) overdue() {
+	for id, r := range a.requests {
+		if !r.ended && !r.stream && a.now > r.deadline+a.s.AnswerGrace {
+			a.fault("%s got no answer in time", id)
+			r.ended = true
+		}
+	}
+}
+
+// hostile feeds a balancer a legal but unkind order of events and audits it.
+func hostile(t *testing.T, seed uint64, steps int) *auditor {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 1))
+	s := settings()
+	s.Balancers = 1 + rng.IntN(30)
+	s.Self = rng.IntN(s.Balancers)
+	s.Subscribe = rng.IntN(2) == 0
+	s.SecondCopies = rng.IntN(2) == 0
+	s.Peers = rng.IntN(2) == 0
+	s.MaxAttempts = rng.IntN(6)
+	s.CrossZonePrice = float64(rng.IntN(2)) * 0.02
+	if rng.IntN(4) == 0 {
+		s.RampTime, s.FallWindow, s.AskWithin, s.Tick = 0, 0, 0, 0
+	}
+	s.Classes = s.Classes[:1+rng.IntN(len(s.Classes))]
+	for i := range s.Classes {
+		s.Classes[i].Window = time.Duration(rng.IntN(100)) * ms
+	}
+	b, err := brookferry.New(s, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := newAuditor(s)
+	a.now = time.Hour
+	type timer struct {
+		at    time.Duration
+		token int64
+	}
+	var timers []timer
+	var open []brookferry.Outcome // attempts that are out
+	due := map[string]time.Duration{}
+	pool := backends(8)
+	next := 0
+	for range steps {
+		a.now += time.Duration(rng.IntN(30)) * ms / 4
+		var events []brookferry.Event
+		keep := timers[:0]
+		for _, tm := range timers {
+			if tm.at <= a.now {
+				events = append(events, brookferry.TimerFired{Token: tm.token})
+			} else {
+				keep = append(keep, tm)
+			}
+		}
+		timers = keep
+		for range rng.IntN(3) {
+			next++
+			id := fmt.Sprint("q", next)
+			left := time.Duration(1+rng.IntN(1500)) * ms
+			due[id] = a.now + left
+			events = append(events, brookferry.Request{ID: id, Class: rng.IntN(len(s.Classes)), Left: left,
+				Work: time.Duration(rng.IntN(3)*rng.IntN(200)) * ms, Repeat: rng.IntN(5) == 0})
+		}
+		// Every attempt ends by its request's time; some early, with any result.
+		rest := open[:0]
+		for _, o := range open {
+			switch {
+			case due[o.Request] <= a.now:
+				o.Result = brookferry.TimedOut
+			case rng.IntN(8) == 0:
+				o.Result = brookferry.Result(rng.IntN(8))
+			default:
+				rest = append(rest, o)
+				continue
+			}
+			o.Latency = time.Duration(rng.IntN(900)) * ms
+			o.Done = o.Result == brookferry.OK || a.requests[o.Request].ended
+			events = append(events, o)
+			if rng.IntN(10) == 0 {
+				events = append(events, o) // told twice
+			}
+		}
+		open = rest
+		switch rng.IntN(25) {
+		case 0:
+			n := &pool[rng.IntN(len(pool))]
+			n.State = brookferry.BackendState(rng.IntN(3))
+			if rng.IntN(2) == 0 {
+				n.State, n.Started = brookferry.Up, a.now
+			}
+			events = append(events, brookferry.List{Kind: brookferry.ListDelta, Backends: []brookferry.Backend{*n}})
+		case 1:
+			var full []brookferry.Backend // up to none at all
+			for _, n := range pool[:rng.IntN(len(pool)+1)] {
+				n.State = brookferry.Up
+				full = append(full, n)
+			}
+			events = append(events, brookferry.List{Kind: brookferry.ListKind(1 + rng.IntN(2)), Backends: full})
+		case 2:
+			events = append(events, brookferry.List{Kind: brookferry.ListFailed})
+		case 3:
+			if next > 0 {
+				events = append(events, brookferry.Abandoned{Request: fmt.Sprint("q", 1+rng.IntN(next))})
+			}
+		case 4:
+			events = append(events, brookferry.TimerFired{Token: rng.Int64N(1 << 20)},
+				brookferry.Outcome{Request: fmt.Sprint("q", rng.IntN(next+2)), Attempt: rng.IntN(2)*99 - 1},
+				brookferry.ProbeResult{Backend: "x"}, brookferry.PeerMessage{From: 70})
+		case 5:
+			events = append(events, brookferry.PeerMessage{From: rng.IntN(12) - 1,
+				Data: binary.BigEndian.AppendUint64(nil, rng.Uint64())[:rng.IntN(9)]})
+		}
+		rng.Shuffle(len(events), func(i, j int) { events[i], events[j] = events[j], events[i] })
+		for _, e := range events {
+			a.event(e)
+		}
+		for _, act := range b.Step(a.now, events) {
+			a.action(act)
+			switch act := act.(type) {
+			case brookferry.SetTimer:
+				timers = append(timers, timer{a.now + act.After, act.Token})
+			case brookferry.Send:
+				open = append(open, brookferry.Outcome{Request: act.Request, Backend: act.Backend,
+					Attempt: len(a.requests[act.Request].sends) - 1})
+			}
+		}
+		a.overdue()
+	}
+	return a
+}
+
+func TestRulesUnderAnyOrder(t *testing.T) {
+	for seed := uint64(1); seed <= 150; seed++ {
+		a := hostile(t, seed, 600)
+		if len(a.faults) > 0 {
+			t.Fatalf("seed %d: %s", seed, strings.Join(a.faults[:min(3, len(a.faults))], "\n"))
+		}
+	}
+}
+
+func FuzzRulesUnderAnyOrder(f *testing.F) {
+	f.Add(uint64(1))
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		if a := hostile(t, seed, 400); len(a.faults) > 0 {
+			t.Fatal(strings.Join(a.faults[:min(3, len(a.faults))], "\n"))
+		}
+	})
+}
+
+// Each check of the auditor must be able to fail: these recorded actions are bad.
+func TestAuditorRejects(t *testing.T) {
+	send := func(b string) brookferry.Action { return brookferry.Send{Request: "q", Backend: b} }
+	ended := func(n int, res brookferry.Result) brookferry.Event {
+		return brookferry.Outcome{Request: "q", Attempt: n, Result: res, Done: res == brookferry.OK}
+	}
+	refuse, fail := brookferry.Refuse{Request: "q"}, brookferry.Fail{Request: "q"}
+	off := brookferry.List{Kind: brookferry.ListDelta, Backends: []brookferry.Backend{{ID: "a", State: brookferry.Draining}}}
+	empty := brookferry.List{Kind: brookferry.ListFull}
+	cold := brookferry.List{Kind: brookferry.ListDelta, Backends: []brookferry.Backend{{ID: "a", Started: time.Hour}}}
+	tests := []struct {
+		name  string
+		class int
+		play  []any // events, actions, and durations that pass
+		want  string
+	}{
+		{"no answer", safe, []any{2021 * ms}, "got no answer in time"},
+		{"two answers", safe, []any{fail, fail}, "answered twice"},
+		{"answer after being served", safe, []any{send("a"), ended(0, brookferry.OK), refuse}, "answered twice"},
+		{"late answer", safe, []any{2020*ms + 1, fail}, "answered late"},
+		{"send after the answer", safe, []any{fail, send("a")}, "sent after its end"},
+		{"unknown backend", safe, []any{send("zz")}, "never told"},
+		{"past the limit", safe, []any{send("a"), ended(0, brookferry.Errored), send("b"), ended(1, brookferry.Errored),
+			send("a"), ended(2, brookferry.Errored), send("b"), ended(3, brookferry.Errored), send("a")}, "past the attempt limit"},
+		{"second copy", safe, []any{send("a"), send("b")}, "two attempts out"},
+		{"unsafe repeated", unsafe, []any{send("a"), ended(0, brookferry.TimedOut), send("b")}, "is unsafe"},
+		{"unsafe refused", unsafe, []any{send("a"), ended(0, brookferry.Reset), refuse}, "refused though"},
+		{"unsafe refused while out", unsafe, []any{send("a"), refuse}, "refused though"},
+		{"zone refused", keyedZone, []any{send("a"), ended(0, brookferry.Errored), refuse}, "refused though"},
+		{"outside the zone", keyedZone, []any{send("a"), ended(0, brookferry.Errored), send("c")}, "outside its group"},
+		{"outside the cell", keyedCell, []any{send("a"), ended(0, brookferry.Errored), send("d")}, "outside its group"},
+		{"after the window", keyedAll, []any{send("a"), 301 * ms, ended(0, brookferry.Errored), send("b")}, "after its window"},
+		{"drained", safe, []any{off, 501 * ms, send("a")}, "drain or be gone"},
+		{"gone from the list", safe, []any{empty, 501 * ms, send("b")}, "drain or be gone"},
+		{"cold", safe, []any{cold, send("a"), ended(0, brookferry.Full), send("a"), ended(1, brookferry.Full),
+			send("a"), ended(2, brookferry.Full), send("a")}, "is cold"},
+		{"message where none is allowed", safe, []any{brookferry.TellPeer{To: 1, Data: []byte{1}}}, "bytes to peer"},
+		{"timer in the past", safe, []any{brookferry.SetTimer{After: -1}}, "timer in the past"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := newAuditor(settings())
+			a.now = time.Hour
+			a.event(brookferry.List{Kind: brookferry.ListFull, Backends: backends(4)})
+			a.event(brookferry.Request{ID: "q", Class: tt.class, Left: 2000 * ms})
+			for _, p := range tt.play {
+				switch p := p.(type) {
+				case time.Duration:
+					a.now += p
+				case brookferry.Event:
+					a.event(p)
+				case brookferry.Action:
+					a.action(p)
+				}
+			}
+			a.overdue()
+			if got := strings.Join(a.faults, "; "); !strings.Contains(got, tt.want) {
+				t.Errorf("faults %q, want one with %q", got, tt.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/state.go
@@ -0,0 +1,86 @@
+package brookferry
+
+import (
+	"slices"
+	"time"
+)
+
+// The records that the module keeps, and two helpers. Nothing is decided here.
+
+type peer struct {
+	demand float64
+	until  time.Duration // what it told holds until then
+}
+
+type classState struct {
+	Class
+	latency  float64       // running mean of served latency, ns
+	value    float64       // what a unit of work adds to the goal, in this step
+	patience time.Duration // the usual patience of a client's try
+	work     float64       // running mean of the expected work told with requests, ns
+	arrived  float64       // decayed count of requests
+	answered float64       // decayed count of requests answered within the aim
+}
+
+type backend struct {
+	Backend
+	out     []*attempt // oldest first
+	slow    float64    // running mean of its latency over the mean of all
+	key     uint32     // names it in notes to peers
+	rank    uint32     // its place in this agent's own order
+	samples float64    // answers that slow rests on
+	strikes float64
+	silent  int           // time-outs known since its last answer
+	notedAt time.Duration // of the newest note
+	ejected time.Duration // no traffic before this time
+
+	struckAt, fullTill, lastOK time.Duration
+	warmFrom                   time.Duration // when its latest start became known or seen
+	seen                       bool          // has answered this balancer since then
+	down                       bool          // connections failed or broke since the last answer
+	cold                       bool
+	budget                     float64 // work that may be sent while it is cold
+	budgetAt                   time.Duration
+}
+
+type attempt struct {
+	b    *backend
+	sent time.Duration
+	cost float64
+	open bool
+	late bool // found overdue: its delay is already counted
+}
+
+type request struct {
+	id       string
+	class    int
+	aim      time.Duration // answers after this time earn less
+	deadline time.Duration
+	work     float64 // expected work as told, ns; 0: unknown
+	attempts []*attempt
+	open     int      // attempts out
+	risky    int      // attempts that may have run, those out included
+	anchor   *attempt // the first of these: sets the group and the window
+	retries  int
+	failed   *backend // the backend that failed it last
+	timer    int64    // the token of its latest timer; earlier ones are void
+	repeat   bool     // a later try of the client: part of its aim has passed
+	passed   bool     // found no backend in this step
+
+	waiting, holding, stream, ended bool // for its backoff; for room; being answered; done with
+}
+
+// without removes one element, keeping the order.
+func without[T comparable](list []T, x T) []T {
+	if i := slices.Index(list, x); i >= 0 {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
+}
+
+func blend(mean, sample float64) float64 {
+	if mean == 0 {
+		return sample
+	}
+	return mean + smooth*(sample-mean)
+}
