--- /dev/null
+++ b/cmd/vetchhaven/main.go
@@ -0,0 +1,45 @@
+// Command vetchhaven is one agent: it serves the clients of one process until SIGTERM.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"brookferry/internal/agent"
+)
+
+func main() {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	if err := run(log); err != nil {
+		log.Error("vetchhaven", "error", err)
+		os.Exit(1)
+	}
+}
+
+func run(log *slog.Logger) error {
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	cfg, err := agent.LoadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	if cfg.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	}
+	// The heap is small: collect seldom, but well before the memory limit kills the process.
+	debug.SetGCPercent(400)
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+	}
+	a, err := agent.New(cfg, log.With("agent", cfg.Name))
+	if err != nil {
+		return err
+	}
+	return a.Run(stop)
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,119 @@
+// Package agent is the real agent around the decision module: it turns what happens on sockets
+// into the module's events and carries out its actions, in order. It decides nothing about
+// requests: it neither picks backends nor retries, holds or refuses.
+//
+// The loop (loop.go) owns the module; the front (front.go) serves clients, backends.go makes
+// attempts, discovery.go follows the list, peers.go exchanges datagrams with other agents.
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"brookferry"
+)
+
+// Agent is one agent, ready to run.
+type Agent struct {
+	cfg       *Config
+	log       *slog.Logger
+	loop      *loop
+	front     *front
+	backends  *backends
+	discovery *discovery
+	listener  net.Listener
+	accept    time.Duration
+}
+
+// acceptAfterStop is how long new connections are taken after a SIGTERM: clients are told of a
+// planned restart up to 0.4 s late.
+const acceptAfterStop = 450 * time.Millisecond
+
+// drainSlack is what a drain may take past the time that the last clients wait. The platform
+// kills 0.7 s after the longest deadline.
+const drainSlack = 600 * time.Millisecond
+
+// New listens and sets up an agent. Clients are served once Run is called.
+func New(cfg *Config, log *slog.Logger) (*Agent, error) {
+	a := &Agent{cfg: cfg, log: log, backends: newBackends(cfg, log), accept: acceptAfterStop}
+	ck := newClock()
+	var err error
+	if a.loop, err = newLoop(cfg, ck, a.backends, log); err != nil {
+		return nil, err
+	}
+	a.discovery = newDiscovery(cfg, ck, a.loop.post, log)
+	a.loop.watch = a.discovery.subscribe
+	if cfg.Settings.Peers {
+		if a.loop.peers, err = newPeers(cfg, log); err != nil {
+			return nil, err
+		}
+	}
+	a.front = newFront(cfg, a.loop, log)
+	if a.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return a, nil
+}
+
+// Addr is where clients connect.
+func (a *Agent) Addr() net.Addr { return a.listener.Addr() }
+
+// Run serves until stop ends, then finishes what was taken and returns.
+func (a *Agent) Run(stop context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background()) // everything goes on through the drain
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	if a.cfg.Known != nil && len(a.cfg.Known.Servers) > 0 {
+		a.discovery.version = a.cfg.Known.Version
+		a.loop.take(a.discovery.translate(a.cfg.Known, brookferry.ListCached))
+	} else {
+		a.loop.take(listEvent{list: brookferry.List{Kind: brookferry.ListCached}}) // the module asks after it
+	}
+	running.Go(func() { a.loop.run(ctx) })
+	running.Go(func() { a.discovery.run(ctx) })
+	running.Go(func() { a.backends.reap(ctx) })
+	if a.loop.peers != nil {
+		running.Go(func() { a.loop.peers.run(ctx, a.loop.post) })
+	}
+	served := make(chan error, 1)
+	go func() { served <- a.front.server.Serve(a.listener) }()
+	a.log.Info("serving", "listen", a.listener.Addr().String(), "backends", len(a.backends.addrs))
+	select {
+	case err := <-served:
+		return fmt.Errorf("listen: %w", err)
+	case <-stop.Done():
+	}
+	return a.drain(served)
+}
+
+// drain keeps taking connections for a while, closes each once it has its answer, and returns
+// when nothing is open, or when the platform is about to kill.
+func (a *Agent) drain(served <-chan error) error {
+	a.log.Info("stopping")
+	limit, cancel := context.WithTimeout(context.Background(), a.cfg.longest()+drainSlack)
+	defer cancel()
+	// Closes idle connections at once: a client whose request crosses that opens a new connection,
+	// which is still accepted.
+	a.front.server.SetKeepAlivesEnabled(false)
+	select {
+	case err := <-served:
+		return fmt.Errorf("listen: %w", err)
+	case <-time.After(a.accept):
+	}
+	err := a.front.server.Shutdown(limit)
+	if errors.Is(err, context.DeadlineExceeded) && a.front.open.Load() == 0 {
+		err = nil // only connections that never sent anything were left
+	}
+	if cerr := a.front.server.Close(); cerr != nil && !errors.Is(cerr, http.ErrServerClosed) {
+		a.log.Warn("closing", "error", cerr)
+	}
+	a.log.Info("stopped", "unanswered", a.front.open.Load())
+	return err
+}
--- /dev/null
+++ b/internal/agent/config.go
@@ -0,0 +1,147 @@
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"brookferry"
+	"brookferry/internal/wire"
+)
+
+// Config is what an agent is told at its start.
+type Config struct {
+	Name       string
+	Listen     string // where clients connect
+	Discovery  string
+	Seed       uint64
+	Cores      float64
+	MemoryMB   int
+	Sockets    int // file descriptors that the process may hold
+	PeerListen string
+	Peers      []string // addresses by agent number
+	Known      *members // the list of backends as last stored; may be absent
+
+	Settings brookferry.Settings
+	Site     wire.Site
+}
+
+// LoadConfig reads the file that PROXY_CONFIG names. The other variables, where set, go before
+// what the file says. An error names the field that is wrong.
+func LoadConfig(getenv func(string) string) (*Config, error) {
+	path := getenv("PROXY_CONFIG")
+	if path == "" {
+		return nil, errors.New("PROXY_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	c, err := parseConfig(raw, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parseConfig(raw []byte, getenv func(string) string) (*Config, error) {
+	var f struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Cores    float64
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int
+		}
+		PeerListen string `json:"peer_listen"`
+		Peers      []string
+		Known      *members
+		Settings   json.RawMessage
+	}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return nil, err
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Cores: f.Limits.Cores,
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
+		PeerListen: f.PeerListen, Peers: f.Peers, Known: f.Known}
+	for name, field := range map[string]*string{
+		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is not a hexadecimal number of up to 16 digits", f.Seed)
+	}
+	if err := checkAddr("listen", c.Listen); err != nil {
+		return nil, err
+	}
+	if err := checkAddr("discovery", c.Discovery); err != nil {
+		return nil, err
+	}
+	switch {
+	case c.Cores < 0:
+		return nil, fmt.Errorf("limits.cores: %v is negative", c.Cores)
+	case c.MemoryMB < 0:
+		return nil, fmt.Errorf("limits.memory_mb: %v is negative", c.MemoryMB)
+	case c.Sockets < 0 || c.Sockets > 0 && c.Sockets < leastSockets:
+		return nil, fmt.Errorf("limits.sockets: %v is too few, at least %d are needed", c.Sockets, leastSockets)
+	case len(f.Settings) == 0:
+		return nil, errors.New("settings: missing")
+	}
+	if c.Settings, c.Site, err = wire.ParseSettings(f.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	for i, name := range c.Site.Classes {
+		if name == "" {
+			return nil, fmt.Errorf("settings: Profiles[%d].Name: missing", i)
+		}
+	}
+	if c.Settings.ConnectTimeout <= 0 {
+		return nil, errors.New("settings: PolicyLimits.ConnectTimeoutMs: must be positive")
+	}
+	if c.Site.IdleClose <= 0 {
+		return nil, errors.New("settings: PolicyLimits.IdleCloseMs: must be positive")
+	}
+	if c.Settings.Peers {
+		if err := checkAddr("peer_listen", c.PeerListen); err != nil {
+			return nil, err
+		}
+		if len(c.Peers) != c.Settings.Balancers {
+			return nil, fmt.Errorf("peers: %d addresses for %d agents", len(c.Peers), c.Settings.Balancers)
+		}
+		for i, p := range c.Peers {
+			if err := checkAddr(fmt.Sprintf("peers[%d]", i), p); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return c, nil
+}
+
+func checkAddr(field, addr string) error {
+	if addr == "" {
+		return fmt.Errorf("%s: missing", field)
+	}
+	host, _, err := net.SplitHostPort(addr)
+	if err == nil && net.ParseIP(host) == nil {
+		err = fmt.Errorf("%q is not an IP address (there is no DNS)", host)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", field, err)
+	}
+	return nil
+}
+
+// longest is the longest time that any client waits.
+func (c *Config) longest() time.Duration {
+	var d time.Duration
+	for _, class := range c.Settings.Classes {
+		d = max(d, class.Deadline)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/agent/loop.go
@@ -0,0 +1,320 @@
+package agent
+
+import (
+	"container/heap"
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"brookferry"
+)
+
+// clock is the agent's monotonic clock. It does not start at zero, so that backends that started
+// before the agent have a time too.
+type clock struct{ base time.Time }
+
+const clockOffset = time.Hour
+
+func newClock() clock                        { return clock{time.Now()} }
+func (c clock) now() time.Duration           { return c.at(time.Now()) }
+func (c clock) at(t time.Time) time.Duration { return t.Sub(c.base) + clockOffset }
+
+// request is a client's request from when it was taken until its attempts are in. Only the loop
+// touches it after it was posted.
+type request struct {
+	id       string
+	class    int
+	message  *message
+	deadline time.Time // the client stops waiting
+	work     time.Duration
+	repeat   bool
+	reply    chan reply // of one, so that the loop never waits
+
+	done     bool // has its final answer, or its client is gone
+	open     int  // attempts out
+	cancels  []context.CancelCauseFunc
+	timedOut bool // an attempt did
+}
+
+// reply is a final answer. Exactly one field is set, or none: failed.
+type reply struct {
+	served     *answer
+	refused    bool
+	retryAfter time.Duration
+	timedOut   bool // failed, for want of time
+	duplicate  bool // failed: another request with this id is open
+}
+
+// What is posted to the loop, besides listEvent and the module's own ProbeResult and PeerMessage.
+type (
+	arrived struct{ *request }
+	left    struct{ *request } // the client hung up
+	overdue struct{ *request } // the deadline is here and no answer is
+	ended   struct {           // an attempt
+		*request
+		outcome brookferry.Outcome
+		answer  *answer
+	}
+)
+
+// loop owns the balancer, the clock, the timers and the table of open requests. Everything else
+// posts events to it; it never waits for any of them.
+type loop struct {
+	cfg      *Config
+	log      *slog.Logger
+	clock    clock
+	balancer *brookferry.Balancer
+	backends *backends
+	peers    *peers
+	watch    func() // asks discovery for a watch
+
+	events   chan any
+	stopped  chan struct{}
+	ready    atomic.Bool
+	margin   time.Duration
+	requests map[string]*request
+	timers   timerHeap
+	pending  []brookferry.Event
+	probing  map[string]bool // one probe of a backend at a time
+	counts   counts
+}
+
+// counts are what the agent did since its last line about it.
+type counts struct{ requests, served, refused, failed, gone, attempts, late int }
+
+func newLoop(cfg *Config, ck clock, b *backends, log *slog.Logger) (*loop, error) {
+	balancer, err := brookferry.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	return &loop{cfg: cfg, log: log, clock: ck, balancer: balancer, backends: b, watch: func() {},
+		events: make(chan any, 1024), stopped: make(chan struct{}),
+		// An attempt that waits for the client's deadline ends one tick before it: its time-out
+		// reaches the module in time for the client to hear the final answer.
+		margin:   cfg.Settings.Tick,
+		requests: map[string]*request{}, probing: map[string]bool{}}, nil
+}
+
+// post hands an event to the loop. After the loop has stopped it goes nowhere.
+func (l *loop) post(e any) {
+	select {
+	case l.events <- e:
+	case <-l.stopped:
+	}
+}
+
+const summaryEvery = 10 * time.Second
+
+// run steps the balancer with what has come in, no oftener than the tick, until ctx ends.
+func (l *loop) run(ctx context.Context) {
+	defer close(l.stopped)
+	var last time.Duration
+	wake := time.NewTimer(0)
+	summary := time.NewTicker(summaryEvery)
+	defer summary.Stop()
+	for {
+		if len(l.pending) > 0 {
+			wake.Reset(last + l.cfg.Settings.Tick - l.clock.now())
+		} else if len(l.timers) > 0 {
+			wake.Reset(max(l.timers[0].at, last+l.cfg.Settings.Tick) - l.clock.now())
+		} else {
+			wake.Stop()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-l.events:
+			l.take(e)
+			l.drain()
+		case <-wake.C:
+		case <-summary.C:
+			l.summarize()
+		}
+		now := l.clock.now()
+		if now < last+l.cfg.Settings.Tick {
+			continue
+		}
+		l.drain()
+		for len(l.timers) > 0 && l.timers[0].at <= now {
+			l.pending = append(l.pending, brookferry.TimerFired{Token: heap.Pop(&l.timers).(timer).token})
+		}
+		if len(l.pending) == 0 {
+			continue
+		}
+		last = now
+		events := l.pending
+		l.pending = nil
+		for _, a := range l.balancer.Step(now, events) {
+			l.carryOut(a, now)
+		}
+	}
+}
+
+// drain takes what else has come in.
+func (l *loop) drain() {
+	for range len(l.events) {
+		l.take(<-l.events)
+	}
+}
+
+// take books one event and keeps it for the next step. A served request is answered here: the
+// client need not wait for the step.
+func (l *loop) take(e any) {
+	switch e := e.(type) {
+	case arrived:
+		if l.requests[e.id] != nil {
+			e.reply <- reply{duplicate: true} // not for the table: the id belongs to the other one
+			return
+		}
+		l.counts.requests++
+		l.requests[e.id] = e.request
+		l.pending = append(l.pending, brookferry.Request{ID: e.id, Class: e.class,
+			Left: time.Until(e.deadline) - l.margin, Work: e.work, Repeat: e.repeat})
+	case ended:
+		e.open--
+		e.timedOut = e.timedOut || e.outcome.Result == brookferry.TimedOut
+		if e.outcome.Result == brookferry.OK && !e.done {
+			l.finish(e.request, reply{served: e.answer})
+			l.counts.served++
+		}
+		e.outcome.Done = e.done
+		l.pending = append(l.pending, e.outcome)
+		l.forget(e.request)
+	case left:
+		if !e.done {
+			l.counts.gone++
+			l.finish(e.request, reply{})
+			l.pending = append(l.pending, brookferry.Abandoned{Request: e.id})
+			l.forget(e.request)
+		}
+	case overdue:
+		// The module answers every request before its deadline. This keeps the promise to the
+		// client where it does not, and says so.
+		if !e.done {
+			l.log.Error("no final answer by the deadline", "request", e.id, "attempts", len(e.cancels), "open", e.open)
+			l.counts.late++
+			l.finish(e.request, reply{timedOut: true})
+			l.pending = append(l.pending, brookferry.Abandoned{Request: e.id})
+			l.forget(e.request)
+		}
+	case listEvent:
+		l.backends.update(e)
+		l.pending = append(l.pending, e.list)
+		if len(e.list.Backends) > 0 {
+			l.ready.Store(true)
+		}
+	case brookferry.ProbeResult:
+		delete(l.probing, e.Backend)
+		l.pending = append(l.pending, e)
+	case brookferry.PeerMessage:
+		l.pending = append(l.pending, e)
+	}
+}
+
+// finish gives a request its final answer, once.
+func (l *loop) finish(r *request, a reply) {
+	r.done = true
+	r.reply <- a
+}
+
+// forget drops a request that is done with and has nothing out. Until then its id stays taken.
+func (l *loop) forget(r *request) {
+	if r.done && r.open == 0 {
+		delete(l.requests, r.id)
+	}
+}
+
+// carryOut does one action of the module.
+func (l *loop) carryOut(a brookferry.Action, now time.Duration) {
+	switch a := a.(type) {
+	case brookferry.Send:
+		l.send(a)
+	case brookferry.Cancel:
+		if r := l.requests[a.Request]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.cancels) && l.cfg.Settings.MayCancel {
+			r.cancels[a.Attempt](errCancelled)
+		}
+	case brookferry.Refuse:
+		if r := l.requests[a.Request]; r != nil && !r.done {
+			l.counts.refused++
+			l.finish(r, reply{refused: true, retryAfter: a.RetryAfter})
+			l.forget(r)
+		}
+	case brookferry.Fail:
+		if r := l.requests[a.Request]; r != nil && !r.done {
+			l.counts.failed++
+			l.finish(r, reply{timedOut: r.timedOut})
+			l.forget(r)
+		}
+	case brookferry.SetTimer:
+		heap.Push(&l.timers, timer{now + a.After, a.Token})
+	case brookferry.Probe:
+		if l.cfg.Settings.MayProbe && !l.probing[a.Backend] {
+			l.probing[a.Backend] = true
+			go func() { l.post(l.backends.probe(a.Backend)) }()
+		}
+	case brookferry.TellPeer:
+		if l.peers != nil {
+			l.peers.tell(a.To, a.Data)
+		}
+	case brookferry.Subscribe:
+		l.watch()
+	default:
+		l.log.Error("unknown action", "action", a)
+	}
+}
+
+// send starts an attempt. Its goroutine ends by the client's deadline; there are no more of them
+// than MaxAttempts for each request that is open.
+func (l *loop) send(a brookferry.Send) {
+	r := l.requests[a.Request]
+	if r == nil || r.done { // after a final answer nothing more is sent
+		l.pending = append(l.pending, brookferry.Outcome{Request: a.Request, Backend: a.Backend,
+			Result: brookferry.NotSent, Done: true})
+		return
+	}
+	start := time.Now()
+	until := r.deadline.Add(-l.margin)
+	if a.Timeout > 0 && start.Add(a.Timeout).Before(until) {
+		until = start.Add(a.Timeout)
+	}
+	deadline, stop := context.WithDeadlineCause(context.Background(), until, errTimedOut)
+	ctx, cancel := context.WithCancelCause(deadline)
+	n := len(r.cancels)
+	r.cancels = append(r.cancels, cancel)
+	r.open++
+	l.counts.attempts++
+	go func() {
+		defer stop()
+		result, ans, load := l.backends.attempt(ctx, a.Backend, r.message)
+		cancel(nil)
+		l.post(ended{r, brookferry.Outcome{Request: r.id, Attempt: n, Backend: a.Backend, Result: result,
+			Latency: time.Since(start), Load: load}, ans})
+	}()
+}
+
+func (l *loop) summarize() {
+	l.log.Info("summary", "requests", l.counts.requests, "served", l.counts.served, "refused", l.counts.refused,
+		"failed", l.counts.failed, "gone", l.counts.gone, "attempts", l.counts.attempts, "late", l.counts.late,
+		"open", len(l.requests))
+	l.counts = counts{}
+}
+
+// timer is a SetTimer that is pending.
+type timer struct {
+	at    time.Duration
+	token int64
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	*h = (*h)[:last]
+	return t
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"brookferry"
 )
@@ -28,7 +29,8 @@
 	PolicyLimits   struct {
 		TryLimit                                          int
 		SecondCopies, MayProbe, Cancel, RetryAfter, Peers bool
-		MaxRetryAfterMs, ConnectTimeoutMs, MaxOpen        float64
+		MaxRetryAfterMs, ConnectTimeoutMs                 float64
+		IdleCloseMs, MaxOpen                              float64
 	}
 	Contract struct {
 		DrainGraceMs, GraceToAnswerMs, AskWithinMs float64
@@ -36,14 +38,38 @@
 	}
 	Goal   struct{ Whole, WorstWindow, WorstClass float64 }
 	Prices struct{ CrossZone float64 }
+	Dcs    []string
+	Kinds  []string
+	Report struct{ Source string }
 }
 
-// parseSettings translates the settings object. Unknown keys are ignored.
-func parseSettings(raw []byte) (brookferry.Settings, error) {
+// Site is what an agent on sockets needs of the settings object besides what the module takes.
+type Site struct {
+	Classes      []string // names, in the order of the module's classes
+	Zones, Kinds []string
+	IdleClose    time.Duration // a backend closes a connection idle for so long
+	MaxOpen      int           // requests that may be open at once; 0: no limit
+	LoadInline   bool          // answers carry load reports
+	LoadProbed   bool          // probes bring load reports
+}
+
+// ParseSettings translates the settings object. Unknown keys are ignored.
+func ParseSettings(raw []byte) (brookferry.Settings, Site, error) {
 	var f facts
 	if err := json.Unmarshal(raw, &f); err != nil {
-		return brookferry.Settings{}, fmt.Errorf("Facts: %w", err)
+		return brookferry.Settings{}, Site{}, err
+	}
+	s, err := f.settings()
+	site := Site{Zones: f.Dcs, Kinds: f.Kinds, IdleClose: duration(f.PolicyLimits.IdleCloseMs),
+		MaxOpen:    int(f.PolicyLimits.MaxOpen),
+		LoadInline: f.Report.Source == "inline", LoadProbed: f.Report.Source == "on_probe"}
+	for _, p := range f.Profiles {
+		site.Classes = append(site.Classes, p.Name)
 	}
+	return s, site, err
+}
+
+func (f *facts) settings() (brookferry.Settings, error) {
 	s := brookferry.Settings{
 		Balancers:      f.Balancers,
 		Self:           f.Me,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -171,7 +171,9 @@
 			return errors.New("missing RandomSeed or Facts")
 		}
 		e.Open = &Open{Seed: *m.RandomSeed}
-		e.Open.Settings, err = parseSettings(m.Facts)
+		if e.Open.Settings, _, err = ParseSettings(m.Facts); err != nil {
+			err = fmt.Errorf("Facts: %w", err)
+		}
 	case "Retire":
 		e.Retire = true
 	case "View":
@@ -195,7 +197,7 @@
 			return fmt.Errorf("unknown Outcome %q", *m.Outcome)
 		}
 		e.Event = brookferry.Outcome{Request: *m.Job, Attempt: *m.SendNo, Backend: *m.Backend, Result: res,
-			Latency: duration(*m.WaitTimeMs), Done: m.Ended, Load: load(m.Usage)}
+			Latency: duration(*m.WaitTimeMs), Done: m.Ended, Load: Load(m.Usage)}
 	case "ProbeDone":
 		if m.Backend == nil || m.Outcome == nil || m.WaitTimeMs == nil {
 			return errors.New("missing Backend, Outcome or WaitTimeMs")
@@ -205,7 +207,7 @@
 			return fmt.Errorf("unknown Outcome %q", *m.Outcome)
 		}
 		e.Event = brookferry.ProbeResult{Backend: *m.Backend, Result: res,
-			Latency: duration(*m.WaitTimeMs), Load: load(m.Usage)}
+			Latency: duration(*m.WaitTimeMs), Load: Load(m.Usage)}
 	case "Streaming":
 		if m.Job == nil || m.SendNo == nil {
 			return errors.New("missing Job or SendNo")
@@ -294,7 +296,8 @@
 	return brookferry.List{Kind: kind, Backends: list}, nil
 }
 
-func load(usage map[string]float64) brookferry.Load {
+// Load translates a load report. What it does not hold is marked as not reported.
+func Load(usage map[string]float64) brookferry.Load {
 	l := brookferry.Load{Valid: usage != nil, Queue: -1, Service: -1, ErrorsPerSec: -1}
 	if v, ok := usage["backlog"]; ok {
 		l.Queue = v
