Loopback tests for the agent; the module answers a try that comes with hardly any time left

The loop had answered 504 in the module's place. Checked: the module is not silent; it answers in the first step that sees a request. Requests with less than a tick (5 ms) left met the front's timer first, which ran to the deadline itself (front.go, wait). Ruled out: a lost timer of a held request, since timers fire at exactly the time they were set for. Mend: the backstop fires half the stated answer grace after the deadline, and the time left is told to the module as of the step, not of the arrival. Also mended, found by the new tests under -race: the start-up log line read the list that the loop owned by then (agent.go, Run). A request gone before its first step has a test: refreshing its time read it from the table, where it may no longer be. The stop window is a channel now, so that the drain test needs no sleep.

--- /dev/null
+++ b/cmd/vetchhaven/main_test.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 30 * time.Second
+
+// TestMain lets the test binary stand in for the program.
+func TestMain(m *testing.M) {
+	if os.Getenv("VETCHHAVEN_TEST_MAIN") == "1" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func program(t *testing.T, config string) (*exec.Cmd, *bytes.Buffer) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "VETCHHAVEN_TEST_MAIN=1", "PROXY_CONFIG="+path)
+	log := &bytes.Buffer{}
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	return cmd, log
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+const config = `{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+ "known":{"version":1,"full":true,"servers":[{"id":"s","addr":%q,"zone":"a","kind":"m","state":"ready","weight":1}]},
+ "settings":{"Balancers":1,"Dcs":["a"],"Kinds":["m"],"MembershipMode":"subscribe","TickMs":1,
+  "Profiles":[{"Name":"get","AimMs":5000,"DeadlineMs":20000,"Worth":1,"Semantics":"repeatable"}],
+  "PolicyLimits":{"TryLimit":2,"ConnectTimeoutMs":10000,"IdleCloseMs":60000},"Contract":{"AskWithinMs":1000}}}`
+
+func TestBadConfigEndsTheProgram(t *testing.T) {
+	cmd, log := program(t, `{"listen":"nowhere"}`)
+	if err := cmd.Wait(); err == nil || cmd.ProcessState.ExitCode() != 1 || !strings.Contains(log.String(), "seed") {
+		t.Errorf("%v, log %q", err, log)
+	}
+}
+
+// SIGTERM with a request in flight: it gets its answer, and the program ends with status 0.
+func TestSigtermWithARequestInFlight(t *testing.T) {
+	came, hold := make(chan struct{}), make(chan struct{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(came)
+		<-hold
+		fmt.Fprint(w, "done")
+	})}
+	go func() { _ = server.Serve(ln) }()
+	defer server.Close()
+	addr := freeAddr(t)
+	cmd, log := program(t, fmt.Sprintf(config, addr, freeAddr(t), ln.Addr().String()))
+	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+		if resp, err := http.Get("http://" + addr + "/_health"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == 200 {
+				break
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatalf("never ready; log %q", log)
+		}
+	}
+	answered := make(chan string, 1)
+	go func() {
+		req, _ := http.NewRequest("GET", "http://"+addr+"/get/x", nil)
+		req.Header.Set("X-Trace-Id", "1")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		answered <- fmt.Sprint(resp.StatusCode, string(text), err)
+	}()
+	select {
+	case <-came:
+	case <-time.After(patience):
+		t.Fatalf("the request did not arrive; log %q", log)
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	close(hold)
+	if got := <-answered; got != "200done<nil>" {
+		t.Errorf("answer %q", got)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("%v; log %q", err, log)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -28,7 +28,7 @@
 	backends  *backends
 	discovery *discovery
 	listener  net.Listener
-	accept    time.Duration
+	accept    func() <-chan time.Time // ends the time in which a stopping agent takes connections
 }
 
 // acceptAfterStop is how long new connections are taken after a SIGTERM: clients are told of a
@@ -41,7 +41,8 @@
 
 // New listens and sets up an agent. Clients are served once Run is called.
 func New(cfg *Config, log *slog.Logger) (*Agent, error) {
-	a := &Agent{cfg: cfg, log: log, backends: newBackends(cfg, log), accept: acceptAfterStop}
+	a := &Agent{cfg: cfg, log: log, backends: newBackends(cfg, log),
+		accept: func() <-chan time.Time { return time.After(acceptAfterStop) }}
 	ck := newClock()
 	var err error
 	if a.loop, err = newLoop(cfg, ck, a.backends, log); err != nil {
@@ -76,6 +77,7 @@
 	} else {
 		a.loop.take(listEvent{list: brookferry.List{Kind: brookferry.ListCached}}) // the module asks after it
 	}
+	known := len(a.backends.addrs) // from here on the loop owns the list
 	running.Go(func() { a.loop.run(ctx) })
 	running.Go(func() { a.discovery.run(ctx) })
 	running.Go(func() { a.backends.reap(ctx) })
@@ -84,7 +86,7 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- a.front.server.Serve(a.listener) }()
-	a.log.Info("serving", "listen", a.listener.Addr().String(), "backends", len(a.backends.addrs))
+	a.log.Info("serving", "listen", a.listener.Addr().String(), "backends", known)
 	select {
 	case err := <-served:
 		return fmt.Errorf("listen: %w", err)
@@ -105,7 +107,7 @@
 	select {
 	case err := <-served:
 		return fmt.Errorf("listen: %w", err)
-	case <-time.After(a.accept):
+	case <-a.accept():
 	}
 	err := a.front.server.Shutdown(limit)
 	if errors.Is(err, context.DeadlineExceeded) && a.front.open.Load() == 0 {
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -93,7 +93,9 @@
 // wait posts a request and waits for its answer.
 func (f *front) wait(hr *http.Request, r *request) reply {
 	f.loop.post(arrived{r})
-	late := time.NewTimer(time.Until(r.deadline))
+	// A request that comes with less than a tick left is answered by the step that first sees it;
+	// the grace after the deadline is there for this.
+	late := time.NewTimer(time.Until(r.deadline) + f.cfg.Settings.AnswerGrace/2)
 	defer late.Stop()
 	hungUp := hr.Context().Done()
 	for {
@@ -168,7 +170,7 @@
 		return nil, fail
 	}
 	// A client's time runs from when its request was sent, which ends with the last byte.
-	r.deadline = time.Now().Add(wait)
+	r.deadline, r.left = time.Now().Add(wait), wait
 	u := url.URL{Path: hr.URL.Path, RawPath: hr.URL.RawPath, RawQuery: hr.URL.RawQuery, ForceQuery: hr.URL.ForceQuery}
 	header := h.Clone()
 	for _, connection := range h["Connection"] {
@@ -221,6 +223,9 @@
 				h[name] = values
 			}
 		}
+		if _, set := h["Content-Type"]; !set {
+			h["Content-Type"] = nil // keeps net/http from guessing one
+		}
 		h.Set("Content-Length", strconv.Itoa(len(a.served.body)))
 		w.WriteHeader(http.StatusOK)
 		_, _ = w.Write(a.served.body) // a client that is gone needs no answer
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -26,7 +26,8 @@
 	id       string
 	class    int
 	message  *message
-	deadline time.Time // the client stops waiting
+	deadline time.Time     // the client stops waiting
+	left     time.Duration // until then, as the client told it
 	work     time.Duration
 	repeat   bool
 	reply    chan reply // of one, so that the loop never waits
@@ -50,7 +51,7 @@
 type (
 	arrived struct{ *request }
 	left    struct{ *request } // the client hung up
-	overdue struct{ *request } // the deadline is here and no answer is
+	overdue struct{ *request } // its time and half the grace are up and no answer is there
 	ended   struct {           // an attempt
 		*request
 		outcome brookferry.Outcome
@@ -145,6 +146,13 @@
 		last = now
 		events := l.pending
 		l.pending = nil
+		for i, e := range events {
+			// Its time has run on since it came in. It may be gone already: its client may be.
+			if e, ok := e.(brookferry.Request); ok && l.requests[e.ID] != nil {
+				e.Left = l.clock.at(l.requests[e.ID].deadline) - l.margin - now
+				events[i] = e
+			}
+		}
 		for _, a := range l.balancer.Step(now, events) {
 			l.carryOut(a, now)
 		}
@@ -169,8 +177,7 @@
 		}
 		l.counts.requests++
 		l.requests[e.id] = e.request
-		l.pending = append(l.pending, brookferry.Request{ID: e.id, Class: e.class,
-			Left: time.Until(e.deadline) - l.margin, Work: e.work, Repeat: e.repeat})
+		l.pending = append(l.pending, brookferry.Request{ID: e.id, Class: e.class, Work: e.work, Repeat: e.repeat})
 	case ended:
 		e.open--
 		e.timedOut = e.timedOut || e.outcome.Result == brookferry.TimedOut
@@ -192,7 +199,8 @@
 		// The module answers every request before its deadline. This keeps the promise to the
 		// client where it does not, and says so.
 		if !e.done {
-			l.log.Error("no final answer by the deadline", "request", e.id, "attempts", len(e.cancels), "open", e.open)
+			l.log.Error("no final answer by the deadline", "request", e.id, "attempts", len(e.cancels), "open", e.open,
+				"left_on_arrival", e.left)
 			l.counts.late++
 			l.finish(e.request, reply{timedOut: true})
 			l.pending = append(l.pending, brookferry.Abandoned{Request: e.id})
