Module: a keyed repeat keeps a connect time-out clear of the end of its window

On sockets a Send may still have to open a connection, for up to ConnectTimeoutMs (250 ms), and the attempt counts when its last byte has come; the rule allows 50 ms. Lines to blame: mayRepeat, the comparison with Window. Ruled out as a place for the mend: the agent, which may not drop what the module sends.

--- a/brookferry.go
+++ b/brookferry.go
@@ -515,7 +515,8 @@
 	if c.Effect == Safe || r.risky == 0 {
 		return true
 	}
-	if c.Effect == Unsafe || b.now-r.anchor.sent >= c.Window {
+	// A repeat may reach its backend a connect time-out after it is sent: the window must hold then.
+	if c.Effect == Unsafe || b.now+b.s.ConnectTimeout-r.anchor.sent >= c.Window {
 		return false
 	}
 	from := r.anchor.b
--- a/brookferry_test.go
+++ b/brookferry_test.go
@@ -1589,3 +1589,26 @@
 		t.Errorf("%d of 200 were sent though most servers have no queue", sent)
 	}
 }
+
+// A repeat may have to wait for its connection, for the connect time-out at most. It must reach
+// the backend while that still remembers the first: on sockets, one sent at the window's last
+// instant could run twice if its connection had to be opened first.
+func TestRepeatReachesTheBackendWithinTheWindow(t *testing.T) {
+	for _, row := range []struct {
+		failed time.Duration
+		sends  int
+	}{{100 * ms, 2}, {250 * ms, 1}} {
+		s := settings()
+		s.ConnectTimeout = 100 * ms // the window is 300 ms
+		r := newRig(t, s, 1, backends(4))
+		r.request("x", keyedAll)
+		r.now += row.failed
+		acts := append(r.outcome("x", brookferry.Errored, row.failed), r.advance(100*ms)...)
+		if n := len(r.sent["x"]); n != row.sends {
+			t.Errorf("failed after %v: %d sends, want %d", row.failed, n, row.sends)
+		}
+		if got := final("x", acts); (got != "") != (row.sends == 1) {
+			t.Errorf("failed after %v: final answer %q", row.failed, got)
+		}
+	}
+}
