Front: bounded client connections, and silent ones do not hold up a restart

Seen while checking the limits: backends had a cap on descriptors, clients had none, so a flood of client connections would have failed dials to healthy backends; and Shutdown waits for up to 5 s for a connection that has never sent anything (net/http, closeIdleConns). Mend: clients and backends have parts of the limit of their own (sockets.go); a listener takes no connection past the clients' part; a stopping agent closes connections that never sent anything. Ruled out on the way: a plain wrapper round net.Conn hides CloseWrite, and net/http would then reset a connection right after its last answer; limitedConn embeds the TCP connection instead.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -35,6 +35,9 @@
 // planned restart up to 0.4 s late.
 const acceptAfterStop = 450 * time.Millisecond
 
+// silentAfterStop is how long after that a connection may still come up with its first request.
+const silentAfterStop = 250 * time.Millisecond
+
 // drainSlack is what a drain may take past the time that the last clients wait. The platform
 // kills 0.7 s after the longest deadline.
 const drainSlack = 600 * time.Millisecond
@@ -56,9 +59,15 @@
 		}
 	}
 	a.front = newFront(cfg, a.loop, log)
-	if a.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	ln, err := net.ListenTCP("tcp", addr)
+	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	a.listener = newLimitListener(ln, sharedSockets(cfg.Sockets)-backendSockets(cfg.Sockets))
 	return a, nil
 }
 
@@ -109,6 +118,9 @@
 		return fmt.Errorf("listen: %w", err)
 	case <-a.accept():
 	}
+	// A connection that has sent nothing by now most likely never will, and Shutdown would wait for it.
+	silent := time.AfterFunc(silentAfterStop, a.front.closeSilent)
+	defer silent.Stop()
 	err := a.front.server.Shutdown(limit)
 	if errors.Is(err, context.DeadlineExceeded) && a.front.open.Load() == 0 {
 		err = nil // only connections that never sent anything were left
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -30,6 +30,7 @@
 // message is a client's request as it goes on to backends: the same for every attempt.
 type message struct {
 	method string
+	host   string
 	url    *url.URL // path and query only
 	header http.Header
 	body   []byte
@@ -278,7 +279,7 @@
 	c.net.begin()
 	u := *m.url
 	u.Scheme, u.Host = "http", addr
-	req := (&http.Request{Method: m.method, URL: &u, Header: m.header.Clone(), Host: m.header.Get("Host"),
+	req := (&http.Request{Method: m.method, URL: &u, Header: m.header.Clone(), Host: m.host,
 		ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody}).WithContext(ctx)
 	if len(m.body) > 0 {
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(m.body)), int64(len(m.body))
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,8 +25,11 @@
 	server  *http.Server
 	most    int // requests open at once, and connections past which none is kept
 	open    atomic.Int64
-	conns   atomic.Int64
 	classes map[string]int
+
+	mu     sync.Mutex
+	conns  int
+	silent map[net.Conn]bool // have not sent a request yet
 }
 
 const (
@@ -35,7 +39,8 @@
 )
 
 func newFront(cfg *Config, l *loop, log *slog.Logger) *front {
-	f := &front{cfg: cfg, loop: l, most: clientSockets(cfg.Sockets), classes: map[string]int{}}
+	f := &front{cfg: cfg, loop: l, most: clientSockets(cfg.Sockets), classes: map[string]int{},
+		silent: map[net.Conn]bool{}}
 	if cfg.Site.MaxOpen > 0 {
 		f.most = min(f.most, cfg.Site.MaxOpen)
 	}
@@ -50,18 +55,41 @@
 		WriteTimeout:   2*cfg.longest() + headerTimeout,
 		MaxHeaderBytes: maxHeader,
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-		ConnState: func(_ net.Conn, s http.ConnState) {
-			switch s {
-			case http.StateNew:
-				f.conns.Add(1)
-			case http.StateClosed, http.StateHijacked:
-				f.conns.Add(-1)
-			}
-		},
+		ConnState:      f.track,
 	}
 	return f
 }
 
+// track counts connections as they come and go.
+func (f *front) track(c net.Conn, s http.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.silent, c)
+	switch s {
+	case http.StateNew:
+		f.silent[c] = true
+		f.conns++
+	case http.StateClosed:
+		f.conns--
+	}
+}
+
+// crowded reports whether more connections are open than are to be kept.
+func (f *front) crowded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conns > f.most
+}
+
+// closeSilent closes the connections on which nothing was ever sent.
+func (f *front) closeSilent() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.silent {
+		c.Close()
+	}
+}
+
 // ServeHTTP takes one request. There is no mux: it would answer unclean paths with redirects.
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	if hr.URL.Path == "/_health" {
@@ -72,7 +100,7 @@
 		w.WriteHeader(status)
 		return
 	}
-	if f.conns.Load() > int64(f.most) {
+	if f.crowded() {
 		w.Header().Set("Connection", "close") // too many are kept: let this one go after its answer
 	}
 	r, err := f.parse(w, hr)
@@ -184,8 +212,7 @@
 	if _, set := header["User-Agent"]; !set {
 		header["User-Agent"] = nil // keeps net/http from adding its own
 	}
-	header.Set("Host", hr.Host)
-	r.message = &message{method: method, url: &u, header: header, body: body}
+	r.message = &message{method: method, host: hr.Host, url: &u, header: header, body: body}
 	return r, nil
 }
 
