Nothing is sent once a request has ended; a cut-off watch is noticed in time

A loopback test with a held dial shows the late send. - watchSilence was 7 s, but what discovery has to tell counts as told after 6 s and may not be sent to 2 s later; with the module's wait and the call on top, a cut-off agent could be late. Now 4.5 s, two of discovery's empty lines. Backend response headers are bounded like clients' ones.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -251,7 +251,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return b.attempt(ctx, "s", &message{method: http.MethodPost, url: req.URL, body: []byte(body),
+	return b.attempt(ctx, nil, "s", &message{method: http.MethodPost, url: req.URL, body: []byte(body),
 		header: http.Header{"X-Trace-Id": {newID()}, "Idempotency-Key": {"k"}}})
 }
 
@@ -440,7 +440,7 @@
 	<-s.seen
 	done := make(chan brookferry.Result)
 	go func() {
-		r, _, _ := b.attempt(context.Background(), "t", &message{method: "GET", url: &url.URL{Path: "/get/x"}, header: http.Header{}})
+		r, _, _ := b.attempt(context.Background(), nil, "t", &message{method: "GET", url: &url.URL{Path: "/get/x"}, header: http.Header{}})
 		done <- r
 	}()
 	receive(t, "request to t", s.seen)
@@ -479,7 +479,7 @@
 	b := poolFor(t, one.addr)
 	done := make(chan brookferry.Result, 1)
 	go func() {
-		r, _, _ := b.attempt(context.Background(), "s", &message{method: "GET", url: &url.URL{Path: "/get/x"}, header: http.Header{}})
+		r, _, _ := b.attempt(context.Background(), nil, "s", &message{method: "GET", url: &url.URL{Path: "/get/x"}, header: http.Header{}})
 		done <- r
 	}()
 	receive(t, "request", one.seen)
@@ -617,7 +617,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &request{id: "1", reply: make(chan reply, 1), deadline: time.Now()}
+	r := newRequest("1", 0)
+	r.deadline = time.Now()
 	l.take(arrived{r})
 	l.take(overdue{r})
 	l.take(overdue{r}) // once only
@@ -654,19 +655,42 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &request{id: "1", reply: make(chan reply, 1), deadline: time.Now().Add(time.Minute)}
+	r := newRequest("1", 0)
+	r.deadline = time.Now().Add(time.Minute)
 	l.take(arrived{r})
 	l.take(left{r})
 	done := make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { l.run(ctx); close(done) }()
-	next := &request{id: "2", reply: make(chan reply, 1), deadline: time.Now().Add(time.Second)}
+	next := newRequest("2", 0)
+	next.deadline = time.Now().Add(time.Second)
 	l.post(arrived{next})
 	receive(t, "answer to the next request", next.reply)
 	cancel()
 	receive(t, "end of the loop", done)
 }
 
+// A request may end while a connection is being opened for it, as when its client hangs up.
+// Nothing is sent for it then; the connection serves the next one.
+func TestNothingIsSentAfterTheEnd(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	b := poolFor(t, s.addr)
+	over := make(chan struct{})
+	dial := b.transport.DialContext
+	b.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		close(over)
+		return c, err
+	}
+	m := &message{method: "GET", url: &url.URL{Path: "/get/x"}, header: http.Header{}}
+	if r, _, _ := b.attempt(context.Background(), over, "s", m); r != brookferry.NotSent {
+		t.Errorf("result %v", r)
+	}
+	if r, _, _ := b.attempt(context.Background(), nil, "s", m); r != brookferry.OK || len(s.seen) != 1 {
+		t.Errorf("result %v, %d requests reached the backend", r, len(s.seen))
+	}
+}
+
 // A client that hangs up is told to the module as Abandoned, and its request ends; the attempt's
 // outcome still comes.
 func TestHangUp(t *testing.T) {
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -72,7 +72,8 @@
 		keepIdle: cfg.Site.IdleClose * 3 / 4,
 		addrs:    map[string]string{}, idle: map[string][]*conn{}}
 	b.transport = &http.Transport{
-		DisableCompression: true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeader,
 		// The dialled connection goes into the context's slot, which tells what was written on it.
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, network, addr)
@@ -260,8 +261,9 @@
 }
 
 // attempt sends m to a backend once and waits until ctx ends at the latest. The result follows
-// the protocol's table of outcomes; where it is not certain that nothing ran, it says so.
-func (b *backends) attempt(ctx context.Context, id string, m *message) (brookferry.Result, *answer, brookferry.Load) {
+// the protocol's table of outcomes; where it is not certain that nothing ran, it says so. Once
+// over is closed the request has ended, and nothing more is sent for it.
+func (b *backends) attempt(ctx context.Context, over <-chan struct{}, id string, m *message) (brookferry.Result, *answer, brookferry.Load) {
 	none := wire.Load(nil)
 	c, addr, err := b.take(id)
 	if err == nil && c == nil {
@@ -276,6 +278,12 @@
 		}
 		return brookferry.ConnectFailed, nil, none
 	}
+	select {
+	case <-over: // while the connection was being opened
+		b.give(id, c, true)
+		return brookferry.NotSent, nil, none
+	default:
+	}
 	c.net.begin()
 	u := *m.url
 	u.Scheme, u.Host = "http", addr
@@ -339,7 +347,7 @@
 	// The settings name no time-out for probes; one that takes longer than a connect may is no use.
 	ctx, cancel := context.WithTimeoutCause(context.Background(), b.cfg.Settings.ConnectTimeout, errTimedOut)
 	defer cancel()
-	result, a, load := b.attempt(ctx, id, m)
+	result, a, load := b.attempt(ctx, nil, id, m)
 	if a != nil && b.cfg.Site.LoadProbed {
 		load = parseLoad(string(a.body))
 	}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	// Discovery sends an empty line every 2 s while nothing changes. A watch that is silent for
-	// several of these is dead: a machine that is cut off closes nothing.
-	watchSilence = 7 * time.Second
+	// Discovery sends an empty line every 2 s while nothing changes. A watch that misses two of
+	// these is dead: a machine that is cut off closes nothing. A change counts as told after 6 s
+	// even if it did not arrive, so the next watch must be up well before that.
+	watchSilence = 4500 * time.Millisecond
 	// A list line longer than this is no list.
 	maxListLine = 4 << 20
 	// Reconnect waits where lists are pushed: full jitter below a doubling ceiling.
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -171,7 +171,8 @@
 		return nil, &inputError{http.StatusMethodNotAllowed, "this class takes " + method}
 	}
 	h := hr.Header
-	r := &request{id: h.Get("X-Trace-Id"), class: class, reply: make(chan reply, 1), repeat: h.Get("X-Second-Try") == "1"}
+	r := newRequest(h.Get("X-Trace-Id"), class)
+	r.repeat = h.Get("X-Second-Try") == "1"
 	if r.id == "" {
 		return nil, bad("X-Trace-Id: missing")
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -30,7 +30,8 @@
 	left     time.Duration // until then, as the client told it
 	work     time.Duration
 	repeat   bool
-	reply    chan reply // of one, so that the loop never waits
+	reply    chan reply    // of one, so that the loop never waits
+	over     chan struct{} // closed with the final answer
 
 	done     bool // has its final answer, or its client is gone
 	open     int  // attempts out
@@ -38,6 +39,10 @@
 	timedOut bool // an attempt did
 }
 
+func newRequest(id string, class int) *request {
+	return &request{id: id, class: class, reply: make(chan reply, 1), over: make(chan struct{})}
+}
+
 // reply is a final answer. Exactly one field is set, or none: failed.
 type reply struct {
 	served     *answer
@@ -223,6 +228,7 @@
 // finish gives a request its final answer, once.
 func (l *loop) finish(r *request, a reply) {
 	r.done = true
+	close(r.over)
 	r.reply <- a
 }
 
@@ -294,7 +300,7 @@
 	l.counts.attempts++
 	go func() {
 		defer stop()
-		result, ans, load := l.backends.attempt(ctx, a.Backend, r.message)
+		result, ans, load := l.backends.attempt(ctx, r.over, a.Backend, r.message)
 		cancel(nil)
 		l.post(ended{r, brookferry.Outcome{Request: r.id, Attempt: n, Backend: a.Backend, Result: result,
 			Latency: time.Since(start), Load: load}, ans})
