Answers are read by the agent itself; errors strike a backend only beyond the others' share

Checked: a trace of each spoilt answer (noise, heads without colon, ICY, two lengths, chunks of no number, endless heads) and of what stands behind good ones (a second copy, or 52 bytes of noise). To blame: observe() set down on every Reset, so that the next answer took the backend for just started (cold, 31% of its capacity), and strike() ejected at each single error, while all backends fail now and then alike. Also: net/http's ClientConn reads what is unread on a connection as the next answer if that is asked for in the same instant (readLoop peeks only while nothing is expected); two goroutines a connection. Change: attempt goroutines write and read their connection themselves, framing is strict, an answer that stops in its midst is an error after the connect time-out, a connection with anything unread is closed, and each rests 20 ms. A spoilt answer is Errored. The module strikes a backend whose error share is thrice the others', takes one broken connection for what it is, forgets gone backends, names a Retry-After, and refuses before half of the time is over. No socket left is NotSent, not a failed connection.

--- a/brookferry.go
+++ b/brookferry.go
@@ -31,6 +31,8 @@
 	slowBound    = 8.0  // one sample says at most that a backend is so many times slower than the mean
 	strikeHeal   = 0.25 // strikes that a served attempt takes back: one error in five keeps them growing
 	strikeCap    = 5.0  // longest ejection is 2^(cap-1) times the first
+	errsApart    = 3.0  // errors that strike a backend, as a multiple of what the others have
+	errsMost     = 0.25 // most that one of those counts for: it may be a failing one itself
 	strikesBias  = 0.1  // chance of an idle backend that has not healed yet
 	meetAgain    = 4.0  // longest aims within which an agent means to meet a backend again
 	widthLeast   = 3    // idle backends at least among which a choice is made
@@ -117,9 +119,7 @@
 		timers: map[int64]*request{}, watched: map[int64]*attempt{}}
 	b.fits = make([][]float64, len(s.Classes))
 	b.s.MaxAttempts = max(1, s.MaxAttempts)
-	if s.ColdShare == 0 {
-		b.s.ColdShare = 1
-	}
+	b.s.ColdShare = cmp.Or(s.ColdShare, 1)
 	for _, c := range s.Classes {
 		b.period = max(b.period, c.Aim)
 		b.classes = append(b.classes, classState{Class: c, latency: float64(c.Aim) / 4})
@@ -166,13 +166,11 @@
 		return
 	}
 	c := &b.classes[e.Class]
-	r := &request{id: e.ID, class: e.Class, aim: b.now + min(c.Aim, e.Left),
+	r := &request{id: e.ID, class: e.Class, aim: b.now + min(c.Aim, e.Left), half: b.now + e.Left/2,
 		deadline: b.now + e.Left, repeat: e.Repeat}
 	// A client gives its tries a usual patience, its last one all that is left of its deadline.
 	// A try with any other patience therefore tells how long ago the client began.
-	if c.patience == 0 {
-		c.patience = e.Left
-	}
+	c.patience = cmp.Or(c.patience, e.Left)
 	off := e.Left - c.patience
 	if off > 2*b.s.Tick || off < -2*b.s.Tick {
 		r.repeat = true
@@ -324,7 +322,7 @@
 	for i := len(b.held) - 1; i >= 0; i-- {
 		r := b.held[i]
 		need := min(holdMargin*b.expected(r), holdAtMost*float64(b.classes[r.class].Aim))
-		give := min(r.aim, r.deadline) - time.Duration(need)
+		give := min(r.aim-time.Duration(need), r.half-b.s.Tick) // refused later, it costs more
 		r.passed = false
 		if r.repeat || give <= b.now {
 			b.unhold(r)
@@ -406,11 +404,8 @@
 	total, least, mild := 0.0, math.Inf(1), math.Inf(1)
 	wide := b.width()
 	for _, t := range b.backends {
-		if wide <= 0 {
-			break
-		}
 		if t.State != Up || !b.mayRepeat(r, t) || t == r.failed && b.up > 1 || b.now < t.fullTill ||
-			float64(len(t.out)) >= max(1, backCap*b.perBack*b.share) || !b.coldRoom(t, r) {
+			wide <= 0 || float64(len(t.out)) >= max(1, backCap*b.perBack*b.share) || !b.coldRoom(t, r) {
 			continue
 		}
 		if !b.healthy(t, r) {
@@ -448,12 +443,7 @@
 			few, least = t, score
 		}
 	}
-	for _, t := range []*backend{idle, few} {
-		if t != nil {
-			return t
-		}
-	}
-	return last // all are ejected: a first attempt still goes out
+	return cmp.Or(idle, few, last) // last: all are ejected, and a first attempt still goes out
 }
 
 // width is how many idle backends a choice is made among: the first of this agent's own order
@@ -534,7 +524,8 @@
 		if t.down && t.warmFrom < a.sent { // it came back before the list told: treat it as just started
 			b.start(t, b.now)
 		}
-		t.down = false
+		t.down, t.breaks = false, 0
+		t.errs -= smooth * t.errs
 		if !t.cold {
 			b.doneWork = b.decayed() + a.cost
 		}
@@ -571,7 +562,12 @@
 			b.write(note{t.key, noteLate, b.now})
 		}
 	case Errored, ConnectFailed, Reset:
-		t.down = t.down || e.Result != Errored
+		// One connection may break by itself; a process that ends breaks them all.
+		if e.Result != Errored {
+			t.breaks++
+		}
+		t.down = t.down || e.Result == ConnectFailed || t.breaks > 1
+		t.errs += smooth * (1 - t.errs)
 		b.strike(t, a, c)
 	}
 }
@@ -594,9 +590,17 @@
 
 // strike ejects a backend for a while that doubles with each further strike. Departure: one that
 // fails fast is always idle and would draw all traffic. It acts on the first error, since errors
-// are rare where nothing is wrong; what was sent before the last strike adds nothing.
+// are rare where nothing is wrong; what was sent before the last strike adds nothing. Where all
+// backends fail now and then alike, it takes more errors than the others have: else most would
+// be ejected at any time for what none of them can help.
 func (b *Balancer) strike(t *backend, a *attempt, c *classState) {
-	if a.sent >= t.struckAt {
+	others := 0.0
+	for _, o := range b.backends {
+		if o != t && o.State == Up {
+			others += min(o.errs, errsMost) / float64(b.up)
+		}
+	}
+	if a.sent >= t.struckAt && t.errs >= errsApart*others {
 		b.write(note{t.key, noteFailed, b.now})
 		b.eject(t, c.Aim)
 	}
@@ -623,10 +627,8 @@
 // healthy reports whether t may get r as ordinary traffic. After an ejection it gets one attempt
 // at a time until healed, of unsafe requests only where no others came for as long again.
 func (b *Balancer) healthy(t *backend, r *request) bool {
-	if b.now < t.ejected || t.strikes == 0 {
-		return b.now >= t.ejected
-	}
-	return len(t.out) == 0 && (b.classes[r.class].Effect != Unsafe || b.now >= 2*t.ejected-t.struckAt)
+	return b.now >= t.ejected && (t.strikes == 0 ||
+		len(t.out) == 0 && (b.classes[r.class].Effect != Unsafe || b.now >= 2*t.ejected-t.struckAt))
 }
 
 // pace moves the limit on attempts in flight by the latency seen, as a share of the aim: down
@@ -750,11 +752,18 @@
 		t.Backend = n
 	}
 	slices.SortStableFunc(b.backends, func(x, y *backend) int { return cmp.Compare(x.rank, y.rank) })
-	for _, t := range b.backends {
+	b.backends = slices.DeleteFunc(b.backends, func(t *backend) bool {
 		if e.Kind != ListDelta && !listed[t.ID] {
 			t.State = Gone
 		}
-	}
+		if t.State != Gone || len(t.out) > 0 { // the next list finds it, once all its attempts are in
+			return false
+		}
+		if delete(b.byID, t.ID); b.byKey[t.key] == t {
+			delete(b.byKey, t.key)
+		}
+		return true
+	})
 }
 
 // ---- Peers ----
@@ -879,12 +888,22 @@
 	}
 	var answer Action = Fail{Request: r.id}
 	if r.risky == 0 {
-		answer = Refuse{Request: r.id}
+		answer = Refuse{Request: r.id, RetryAfter: b.comeBack(r)}
 	}
 	b.actions = append(b.actions, answer)
 	b.close(r)
 }
 
+// comeBack is when a refused client may try again: spread around the time in which what is held
+// and in flight now is served.
+func (b *Balancer) comeBack(r *request) time.Duration {
+	if !b.s.RetryAfter {
+		return 0
+	}
+	ahead := max(1, float64(b.inFlight+len(b.held))/b.limit())
+	return min(time.Duration((0.5+b.rng.Float64())*ahead*b.classes[r.class].latency), b.s.MaxRetryAfter)
+}
+
 // close forgets a request once it has ended and its attempts are in.
 func (b *Balancer) close(r *request) {
 	r.ended = true
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -1,17 +1,21 @@
 package agent
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
-	"io"
+	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"brookferry"
@@ -24,109 +28,99 @@
 	errTimedOut  = errors.New("timed out")
 	errCancelled = errors.New("cancelled")
 	errNoSocket  = errors.New("no file descriptor left for another connection")
+	errBroke     = errors.New("the connection ended before its answer")
 	errMoved     = errors.New("the backend has no address")
 )
 
-// message is a client's request as it goes on to backends: the same for every attempt.
+// message is a client's request as it goes on to backends: the same for every attempt, but for
+// how long the agent will wait.
 type message struct {
-	method string
-	host   string
-	url    *url.URL // path and query only
-	header http.Header
-	body   []byte
+	head []byte // the request line and headers, without X-Expires-In and the empty line
+	body []byte
 }
 
-// answer is a backend's whole 200 answer.
-type answer struct {
-	header http.Header
-	body   []byte
+// newMessage puts a request into the form in which it is sent.
+func newMessage(method, host string, u *url.URL, header http.Header, body []byte) *message {
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, u.RequestURI(), host)
+	if method != http.MethodGet {
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
+	}
+	_ = header.Write(&head) // a bytes.Buffer takes everything
+	return &message{head: head.Bytes(), body: body}
+}
+
+// on is the whole message as written at an attempt that waits until then.
+func (m *message) on(until time.Time) []byte {
+	text := make([]byte, 0, len(m.head)+len(m.body)+40)
+	text = append(text, m.head...)
+	if !until.IsZero() {
+		text = append(text, "X-Expires-In: "...)
+		text = strconv.AppendFloat(text, max(0, time.Until(until).Seconds()), 'f', 3, 64)
+		text = append(text, "\r\n"...)
+	}
+	text = append(text, "\r\n"...)
+	return append(text, m.body...)
 }
 
 // backends holds the connections to all backends. It makes exactly the attempts it is told to:
 // each is one request written at most once on one connection.
 type backends struct {
-	cfg       *Config
-	log       *slog.Logger
-	transport *http.Transport
-	keepIdle  time.Duration
-	most      int // connections at once
+	cfg      *Config
+	log      *slog.Logger
+	keepIdle time.Duration
+	most     int     // connections at once
+	answers  *budget // bytes of answers that are being read
+	dialer   func(ctx context.Context, network, addr string) (net.Conn, error)
+	readers  sync.Pool // of *bufio.Reader
 
 	mu    sync.Mutex
 	addrs map[string]string  // by backend id
-	idle  map[string][]*conn // by backend id, the latest used last
+	owner map[string]string  // the backend id by address
+	idle  map[string][]*conn // by backend id, the latest used last; none empty
 	open  int                // idle, in use or being dialled
 }
 
 // conn is one connection. It carries one request at a time.
 type conn struct {
-	*http.ClientConn
-	net   *countedConn
+	net.Conn
 	addr  string
 	since time.Time // idle since then
 }
 
+// restTime is how long a connection rests after an answer, if there is another: what a backend
+// wrongly sends behind an answer comes right after it, and must not be read as the next one.
+const restTime = 20 * time.Millisecond
+
 func newBackends(cfg *Config, log *slog.Logger) *backends {
-	b := &backends{cfg: cfg, log: log, most: backendSockets(cfg.Sockets),
+	return &backends{cfg: cfg, log: log, most: backendSockets(cfg.Sockets),
 		// Backends may close an idle connection at IdleClose; a request that crosses that is lost
 		// as a reset that may have run. A quarter of the time is far more than any network takes.
 		keepIdle: cfg.Site.IdleClose * 3 / 4,
-		addrs:    map[string]string{}, idle: map[string][]*conn{}}
-	b.transport = &http.Transport{
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeader,
-		// The dialled connection goes into the context's slot, which tells what was written on it.
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			counted := &countedConn{Conn: c}
-			if slot, ok := ctx.Value(slotKey{}).(*countedSlot); ok {
-				slot.conn = counted
-			}
-			return counted, nil
-		},
-	}
-	return b
-}
-
-type (
-	slotKey     struct{}
-	countedSlot struct{ conn *countedConn }
-)
-
-// countedConn knows what was written of the request it carries. net/http's own word for this
-// can come after RoundTrip has returned; a count under a lock is exact once the connection
-// is closed, since nothing can be written after that.
-type countedConn struct {
-	net.Conn
-	mu     sync.Mutex
-	wrote  int  // bytes of the present request
-	failed bool // a write ended short: the request's last byte was not written
-}
-
-func (c *countedConn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n, err := c.Conn.Write(p)
-	c.wrote += n
-	c.failed = c.failed || err != nil
-	return n, err
-}
-
-func (c *countedConn) begin() {
-	c.mu.Lock()
-	c.wrote, c.failed = 0, false
-	c.mu.Unlock()
+		answers:  newBudget(cfg.bodyMemory()),
+		dialer:   (&net.Dialer{KeepAlive: -1}).DialContext,
+		readers:  sync.Pool{New: func() any { return bufio.NewReader(nil) }},
+		addrs:    map[string]string{}, owner: map[string]string{}, idle: map[string][]*conn{}}
 }
 
-// neverWhole closes the connection and reports whether the request is known not to have been
-// written to its last byte. Writes of one request are in order and end with the first failure.
-func (c *countedConn) neverWhole() bool {
-	c.Conn.Close() // frees a Write that holds the lock
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.wrote == 0 || c.failed
+// clean reports whether an idle connection is open and has nothing to read: there is no answer
+// that bytes on it could belong to.
+func (c *conn) clean() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true // a test's
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && quiet
 }
 
 // update takes a change of the list. Connections to a backend that is gone or has moved are
@@ -147,14 +141,22 @@
 			b.forget(m.ID)
 		}
 		if ok {
-			b.addrs[m.ID] = addr
+			// Another that was there before is gone, though its own entry may still be on the way:
+			// what is meant for it must not reach this one.
+			if old, taken := b.owner[addr]; taken && old != m.ID {
+				b.forget(old)
+			}
+			b.addrs[m.ID], b.owner[addr] = addr, m.ID
 		}
 	}
 }
 
 // forget drops a backend's address and its idle connections. The lock is held.
 func (b *backends) forget(id string) {
-	delete(b.addrs, id)
+	if addr, ok := b.addrs[id]; ok {
+		delete(b.owner, addr)
+		delete(b.addrs, id)
+	}
 	for _, c := range b.idle[id] {
 		b.drop(c)
 	}
@@ -175,14 +177,20 @@
 	if !ok {
 		return nil, "", errMoved
 	}
-	for n := len(b.idle[id]); n > 0; n = len(b.idle[id]) {
-		c := b.idle[id][n-1]
-		b.idle[id] = b.idle[id][:n-1]
-		if c.Err() == nil && time.Since(c.since) < b.keepIdle {
+	list := b.idle[id]
+	for i := len(list) - 1; i >= 0; i-- {
+		c, rested := list[i], time.Since(list[i].since)
+		if rested < restTime {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
+		if rested < b.keepIdle && c.clean() {
+			b.keep(id, list)
 			return c, addr, nil
 		}
 		b.drop(c)
 	}
+	b.keep(id, list)
 	if b.open >= b.most && !b.evict() {
 		return nil, "", errNoSocket
 	}
@@ -190,11 +198,20 @@
 	return nil, addr, nil
 }
 
+// keep stores a backend's idle connections. The lock is held.
+func (b *backends) keep(id string, list []*conn) {
+	if len(list) == 0 {
+		delete(b.idle, id)
+	} else {
+		b.idle[id] = list
+	}
+}
+
 // evict closes the connection that has been idle longest, whosever it is.
 func (b *backends) evict() bool {
 	var oldest string
 	for id, list := range b.idle {
-		if len(list) > 0 && (oldest == "" || list[0].since.Before(b.idle[oldest][0].since)) {
+		if oldest == "" || list[0].since.Before(b.idle[oldest][0].since) {
 			oldest = id
 		}
 	}
@@ -202,7 +219,7 @@
 		return false
 	}
 	b.drop(b.idle[oldest][0])
-	b.idle[oldest] = b.idle[oldest][1:]
+	b.keep(oldest, slices.Delete(b.idle[oldest], 0, 1))
 	return true
 }
 
@@ -210,7 +227,7 @@
 func (b *backends) give(id string, c *conn, reusable bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !reusable || c.Err() != nil || b.addrs[id] != c.addr {
+	if !reusable || b.addrs[id] != c.addr {
 		b.drop(c)
 		return
 	}
@@ -218,7 +235,7 @@
 	b.idle[id] = append(b.idle[id], c)
 }
 
-// reap closes what has been idle for too long, until ctx ends.
+// reap closes what has been idle for too long, or is of no more use, until ctx ends.
 func (b *backends) reap(ctx context.Context) {
 	tick := time.NewTicker(b.keepIdle / 8)
 	defer tick.Stop()
@@ -230,16 +247,13 @@
 		}
 		b.mu.Lock()
 		for id, list := range b.idle {
-			kept := list[:0]
-			for _, c := range list {
-				if c.Err() == nil && time.Since(c.since) < b.keepIdle {
-					kept = append(kept, c)
-				} else {
+			b.keep(id, slices.DeleteFunc(list, func(c *conn) bool {
+				useless := time.Since(c.since) >= b.keepIdle || !c.clean()
+				if useless {
 					b.drop(c)
 				}
-			}
-			clear(list[len(kept):])
-			b.idle[id] = kept
+				return useless
+			}))
 		}
 		b.mu.Unlock()
 	}
@@ -247,17 +261,16 @@
 
 // dial opens a connection within the connect time-out and ctx. Its place is already counted.
 func (b *backends) dial(ctx context.Context, addr string) (*conn, error) {
-	slot := &countedSlot{}
-	ctx, cancel := context.WithTimeout(context.WithValue(ctx, slotKey{}, slot), b.cfg.Settings.ConnectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, b.cfg.Settings.ConnectTimeout)
 	defer cancel()
-	cc, err := b.transport.NewClientConn(ctx, "http", addr)
+	c, err := b.dialer(ctx, "tcp", addr)
 	if err != nil {
 		b.mu.Lock()
 		b.open--
 		b.mu.Unlock()
 		return nil, err
 	}
-	return &conn{ClientConn: cc, net: slot.conn, addr: addr}, nil
+	return &conn{Conn: c, addr: addr}, nil
 }
 
 // attempt sends m to a backend once and waits until ctx ends at the latest. The result follows
@@ -272,6 +285,7 @@
 	if err != nil {
 		if errors.Is(err, errNoSocket) {
 			b.log.Warn("attempt not sent", "error", err, "backend", id)
+			return brookferry.NotSent, nil, none // no fault of the backend
 		}
 		if errors.Is(context.Cause(ctx), errCancelled) {
 			return brookferry.Cancelled, nil, none
@@ -284,66 +298,76 @@
 		return brookferry.NotSent, nil, none
 	default:
 	}
-	c.net.begin()
-	u := *m.url
-	u.Scheme, u.Host = "http", addr
-	req := (&http.Request{Method: m.method, URL: &u, Header: m.header.Clone(), Host: m.host,
-		ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody}).WithContext(ctx)
-	if len(m.body) > 0 {
-		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(m.body)), int64(len(m.body))
-	}
-	if until, ok := ctx.Deadline(); ok {
-		req.Header.Set("X-Expires-In", strconv.FormatFloat(max(0, time.Until(until).Seconds()), 'f', 3, 64))
-	}
-	// ClientConn has no pool behind it and sends a request only once; Transport.RoundTrip would
-	// send it again by itself on a stale connection, unasked and uncounted.
-	resp, err := c.RoundTrip(req)
+	a, whole, err := b.exchange(ctx, c, m)
 	if err != nil {
-		return b.broken(ctx, id, c), nil, none
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	resp.Body.Close()
-	if err != nil {
-		return b.broken(ctx, id, c), nil, none
+		b.give(id, c, false)
+		switch cause := context.Cause(ctx); {
+		case errors.Is(cause, errCancelled):
+			return brookferry.Cancelled, nil, none
+		case cause != nil:
+			return brookferry.TimedOut, nil, none
+		case !whole: // the rest can't follow: the connection is closed
+			return brookferry.ConnectFailed, nil, none
+		case errors.Is(err, errBroke):
+			return brookferry.Reset, nil, none
+		}
+		return brookferry.Errored, nil, none // there is a process, and it answers amiss
 	}
-	b.give(id, c, !resp.Close && len(body) <= maxBody)
+	b.give(id, c, a.reusable)
 	load := none
-	if text := resp.Header.Get("Endpoint-Load-Metrics"); text != "" && b.cfg.Site.LoadInline {
+	if text := a.header.Get("Endpoint-Load-Metrics"); text != "" && b.cfg.Site.LoadInline {
 		load = parseLoad(text)
 	}
 	switch {
-	case resp.StatusCode == http.StatusOK && len(body) <= maxBody:
-		return brookferry.OK, &answer{header: resp.Header, body: body}, load
-	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
-		resp.Header.Get("X-Never-Ran") == "1":
+	case a.status == http.StatusOK:
+		return brookferry.OK, a, load
+	case (a.status == http.StatusServiceUnavailable || a.status == http.StatusGatewayTimeout) &&
+		a.header.Get("X-Never-Ran") == "1":
 		return brookferry.Full, nil, load
 	}
 	return brookferry.Errored, nil, load
 }
 
-// broken tells how an attempt ended that brought no whole answer, and closes its connection.
-func (b *backends) broken(ctx context.Context, id string, c *conn) brookferry.Result {
-	cause := context.Cause(ctx)
-	neverRan := c.net.neverWhole()
-	b.give(id, c, false)
-	switch {
-	case errors.Is(cause, errCancelled):
-		return brookferry.Cancelled
-	case cause != nil:
-		return brookferry.TimedOut
-	case neverRan:
-		return brookferry.ConnectFailed
+// exchange writes m on a connection and reads its answer. It reports whether the last byte of m
+// was written. After an error the connection is of no further use.
+func (b *backends) exchange(ctx context.Context, c *conn, m *message) (a *answer, whole bool, err error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) })
+	defer func() {
+		if !stop() && err == nil {
+			a.reusable = false // its deadline has passed, or is about to
+		}
+	}()
+	until, _ := ctx.Deadline()
+	text := m.on(until)
+	n, err := c.Write(text)
+	if err != nil || n < len(text) {
+		return nil, n == len(text), err
+	}
+	in := b.readers.Get().(*bufio.Reader)
+	defer func() {
+		in.Reset(nil)
+		b.readers.Put(in)
+	}()
+	// What comes of an answer comes at once: one that stops in its midst goes no further.
+	src := &source{ctx: ctx, conn: c.Conn, stall: b.cfg.Settings.ConnectTimeout}
+	in.Reset(src)
+	if a, err = readAnswer(in, src, b.answers); err != nil && src.broke {
+		err = fmt.Errorf("%w: %w", errBroke, err)
+	}
+	if err == nil && a.reusable {
+		err = c.SetReadDeadline(time.Time{})
 	}
-	return brookferry.Reset
+	return a, true, err
 }
 
 // probe examines a backend: with its load report where probes bring one.
 func (b *backends) probe(id string) brookferry.ProbeResult {
 	start := time.Now()
-	m := &message{method: http.MethodGet, url: &url.URL{Path: "/ping"}, header: http.Header{}}
+	path := "/ping"
 	if b.cfg.Site.LoadProbed {
-		m.url.Path = "/_load"
+		path = "/_load"
 	}
+	m := newMessage(http.MethodGet, "probe", &url.URL{Path: path}, nil, nil)
 	// The settings name no time-out for probes; one that takes longer than a connect may is no use.
 	ctx, cancel := context.WithTimeoutCause(context.Background(), b.cfg.Settings.ConnectTimeout, errTimedOut)
 	defer cancel()
@@ -364,7 +388,8 @@
 	text = strings.TrimPrefix(strings.TrimPrefix(text, "Endpoint-Load-Metrics:"), " ")
 	for _, pair := range strings.Split(strings.TrimPrefix(text, "TEXT "), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		if v, err := strconv.ParseFloat(value, 64); err == nil {
+		// Loads are counts and times: what is none says nothing.
+		if v, err := strconv.ParseFloat(value, 64); err == nil && v >= 0 && v <= math.MaxInt32 {
 			if known, ok := loadNames[name]; ok {
 				name = known
 			}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -192,10 +192,7 @@
 	for _, name := range hopHeaders {
 		header.Del(name)
 	}
-	if _, set := header["User-Agent"]; !set {
-		header["User-Agent"] = nil // keeps net/http from adding its own
-	}
-	r.message = &message{method: method, host: hr.Host, url: &u, header: header, body: body}
+	r.message = newMessage(method, hr.Host, &u, header, body)
 	return r, nil
 }
 
--- a/state.go
+++ b/state.go
@@ -30,6 +30,8 @@
 	rank    uint32     // its place in this agent's own order
 	samples float64    // answers that slow rests on
 	strikes float64
+	errs    float64       // running share of attempts that failed
+	breaks  int           // connections that broke or failed since the last answer
 	silent  int           // time-outs known since its last answer
 	notedAt time.Duration // of the newest note
 	ejected time.Duration // no traffic before this time
@@ -56,7 +58,8 @@
 	class    int
 	aim      time.Duration // answers after this time earn less
 	deadline time.Duration
-	work     float64 // expected work as told, ns; 0: unknown
+	half     time.Duration // half of the client's time is over
+	work     float64       // expected work as told, ns; 0: unknown
 	attempts []*attempt
 	open     int      // attempts out
 	risky    int      // attempts that may have run, those out included
