A just ended id is not taken again; Retry-After names a longer time; more tests

Also: a copy of another client's id that arrives just after that one's answer was sent on and could be served; ids are remembered for the longest deadline, bounded by number. Tests: silent and slow clients beside usual ones at the limit, bodies bounded, gone backends forgotten by the module, errors that all backends have.

--- a/brookferry.go
+++ b/brookferry.go
@@ -894,14 +894,14 @@
 	b.close(r)
 }
 
-// comeBack is when a refused client may try again: spread around the time in which what is held
-// and in flight now is served.
+// comeBack is when a refused client may try again: spread over a few times the time in which what
+// is held and in flight now is served. Sooner, repeats would meet the same crowd.
 func (b *Balancer) comeBack(r *request) time.Duration {
 	if !b.s.RetryAfter {
 		return 0
 	}
 	ahead := max(1, float64(b.inFlight+len(b.held))/b.limit())
-	return min(time.Duration((0.5+b.rng.Float64())*ahead*b.classes[r.class].latency), b.s.MaxRetryAfter)
+	return min(time.Duration((2+2*b.rng.Float64())*ahead*b.classes[r.class].latency), b.s.MaxRetryAfter)
 }
 
 // close forgets a request once it has ended and its attempts are in.
--- /dev/null
+++ b/forget_test.go
@@ -0,0 +1,91 @@
+package brookferry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Backends come under ever new ids. What is gone, with nothing out, leaves nothing behind, and one
+// that still has an attempt out is kept until that is in; loops run over all that are kept.
+func TestGoneBackendsAreForgotten(t *testing.T) {
+	b, err := New(Settings{Balancers: 1, MaxAttempts: 2, Tick: time.Millisecond, ColdShare: 1,
+		Classes: []Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Hour
+	step := func(events ...Event) []Action {
+		now += time.Millisecond
+		return b.Step(now, events)
+	}
+	entry := func(id string, s BackendState) List { return List{Backends: []Backend{{ID: id, State: s}}} }
+	step(List{Kind: ListFull, Backends: []Backend{{ID: "first"}}})
+	step(Request{ID: "r", Left: time.Hour})
+	for n := range 5000 {
+		id := fmt.Sprint("b", n)
+		step(entry(id, Up))
+		step(entry(id, Gone))
+	}
+	step(entry("first", Gone))
+	if len(b.backends) != 1 || len(b.byID) != 1 || len(b.byKey) != 1 {
+		t.Errorf("%d backends, %d ids, %d keys; only the one with an attempt out is left", len(b.backends), len(b.byID), len(b.byKey))
+	}
+	step(Outcome{Request: "r", Backend: "first", Result: OK})
+	step(List{Kind: ListFull, Backends: []Backend{{ID: "last"}}})
+	if len(b.backends) != 1 || b.byID["last"] == nil || len(b.byKey) != 1 || len(b.requests) != 0 {
+		t.Errorf("%d backends, %d keys, %d requests", len(b.backends), len(b.byKey), len(b.requests))
+	}
+}
+
+// Where every backend fails now and then alike, none is ejected for a single error; where one
+// fails and the others do not, its first error is enough.
+func TestErrorsThatAllHaveEjectNone(t *testing.T) {
+	for _, all := range []bool{true, false} {
+		b, err := New(Settings{Balancers: 1, MaxAttempts: 1, Tick: time.Millisecond, ColdShare: 1,
+			Classes: []Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Hour
+		var list []Backend
+		for i := range 6 {
+			list = append(list, Backend{ID: fmt.Sprint("b", i)})
+		}
+		b.Step(now, []Event{List{Kind: ListFull, Backends: list}})
+		struck := 0
+		for n := range 1500 {
+			id := fmt.Sprint(n)
+			now += 20 * time.Millisecond
+			for _, a := range b.Step(now, []Event{Request{ID: id, Left: 2 * time.Second}}) {
+				s, ok := a.(Send)
+				if !ok {
+					continue
+				}
+				res := OK
+				if all && n%20 == 0 || s.Backend == "b0" && n > 1000 {
+					res = Errored
+				}
+				now += 10 * time.Millisecond
+				b.Step(now, []Event{Outcome{Request: id, Backend: s.Backend, Result: res, Latency: 10 * time.Millisecond}})
+				if b.byID["b0"].strikes > 0 && n > 1000 {
+					struck++
+				}
+			}
+			if all && n > 200 && n <= 1000 {
+				out := 0
+				for _, t := range b.backends {
+					if now < t.ejected {
+						out++
+					}
+				}
+				if out > 2 {
+					t.Fatalf("%d of 6 ejected for errors that all have", out)
+				}
+			}
+		}
+		if struck == 0 {
+			t.Errorf("all %v: the failing one was never struck", all)
+		}
+	}
+}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -276,7 +276,7 @@
 	case a.refused:
 		f.refuse(w, a.retryAfter)
 	case a.duplicate:
-		http.Error(w, "a request with this X-Trace-Id is open", http.StatusConflict)
+		http.Error(w, "there is, or just was, another request with this X-Trace-Id", http.StatusConflict)
 	case a.timedOut:
 		http.Error(w, "no answer in time", http.StatusGatewayTimeout)
 	default:
--- a/internal/agent/front_test.go
+++ b/internal/agent/front_test.go
@@ -156,6 +156,56 @@
 	if x := receive(t, "first answer", first); x.status != 200 {
 		t.Errorf("first: %+v", x)
 	}
+	// Its end does not free the id at once: a copy must not be sent, let alone served.
+	if x := a.do("GET", "/get/x", "", "X-Trace-Id", "same"); x.status != http.StatusConflict {
+		t.Errorf("after the end: %+v", x)
+	}
+}
+
+// Clients that say nothing, and ones that begin a request and stop, in greater number than there
+// are places: usual clients are served all the same, and every one of the others is sent away.
+func TestSilentAndSlowClientsBesideUsualOnes(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	cfg := testConfig(t, setup{servers: []member{s.member("s")}})
+	cfg.Sockets = leastSockets
+	a := start(t, cfg)
+	var bad []*bufio.Reader
+	for n := range 2 * clientSockets(cfg.Sockets) {
+		bad = append(bad, a.raw(t, []string{
+			"",
+			"GET /get/x HTTP/1.1\r\nHost: a\r\nX-Tr",
+			"POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: half" + fmt.Sprint(n) + "\r\nContent-Length: 100\r\n\r\nhalf",
+		}[n%3]))
+	}
+	for range 5 {
+		if x := a.do("GET", "/get/x", ""); x.status != 200 {
+			t.Errorf("usual client: %+v", x)
+		}
+	}
+	for n, in := range bad {
+		if text, err := io.ReadAll(in); errors.Is(err, os.ErrDeadlineExceeded) || strings.Contains(string(text), " 200 ") {
+			t.Errorf("bad client %d: %q, %v", n, text, err)
+		}
+	}
+	if len(s.seen) != 5 {
+		t.Errorf("%d requests reached the backend", len(s.seen))
+	}
+}
+
+// Bodies are bounded in sum: past that a request is refused, and what was booked comes back.
+func TestBodiesAreBounded(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	a := start(t, testConfig(t, setup{servers: []member{s.member("s")}}))
+	whole := a.front.bodies.left.Load()
+	a.front.bodies.left.Store(1000)
+	if x := a.do("POST", "/pay/x", strings.Repeat("x", 1001)); x.status != http.StatusServiceUnavailable {
+		t.Errorf("past the bound: %+v", x)
+	}
+	if x := a.do("POST", "/pay/x", strings.Repeat("x", 1000)); x.status != 200 {
+		t.Errorf("within the bound: %+v", x)
+	}
+	waitFor(t, "the booked bytes", func() bool { return a.front.bodies.left.Load() == 1000 })
+	a.front.bodies.left.Store(whole)
 }
 
 // SIGTERM with a request in flight: it is answered, connections between requests are closed,
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"hash/maphash"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -49,7 +50,7 @@
 	refused    bool
 	retryAfter time.Duration
 	timedOut   bool // failed, for want of time
-	duplicate  bool // failed: another request with this id is open
+	duplicate  bool // failed: another request with this id is open, or was just now
 }
 
 // What is posted to the loop, besides listEvent and the module's own ProbeResult and PeerMessage.
@@ -80,6 +81,7 @@
 	ready    atomic.Bool
 	margin   time.Duration
 	requests map[string]*request
+	recent   recent // ids of requests that have ended
 	timers   timerHeap
 	pending  []brookferry.Event
 	probing  map[string]bool // one probe of a backend at a time
@@ -99,6 +101,7 @@
 		// An attempt that waits for the client's deadline ends one tick before it: its time-out
 		// reaches the module in time for the client to hear the final answer.
 		margin:   cfg.Settings.Tick,
+		recent:   newRecent(cfg.longest()),
 		requests: map[string]*request{}, probing: map[string]bool{}}, nil
 }
 
@@ -176,8 +179,10 @@
 func (l *loop) take(e any) {
 	switch e := e.(type) {
 	case arrived:
-		if l.requests[e.id] != nil {
-			e.reply <- reply{duplicate: true} // not for the table: the id belongs to the other one
+		// Not for the table: the id belongs to the other one. Each request has a new id, so one that
+		// has just ended is no better: backends may still know it.
+		if l.requests[e.id] != nil || l.recent.has(e.id, l.clock.now()) {
+			e.reply <- reply{duplicate: true}
 			return
 		}
 		l.counts.requests++
@@ -236,9 +241,43 @@
 func (l *loop) forget(r *request) {
 	if r.done && r.open == 0 {
 		delete(l.requests, r.id)
+		l.recent.add(r.id, l.clock.now())
 	}
 }
 
+// recent remembers ids for a while: by a hash, since ids may be long, and no more than so many.
+type recent struct {
+	seed     maphash.Seed
+	span     time.Duration
+	now, old map[uint64]struct{}
+	since    time.Duration // of now
+}
+
+const recentMost = 16 << 10 // ids in each half: about half a megabyte
+
+func newRecent(span time.Duration) recent {
+	return recent{seed: maphash.MakeSeed(), span: span}
+}
+
+func (r *recent) turn(now time.Duration) {
+	if now-r.since >= r.span || len(r.now) >= recentMost {
+		r.now, r.old, r.since = make(map[uint64]struct{}, len(r.now)), r.now, now
+	}
+}
+
+func (r *recent) add(id string, now time.Duration) {
+	r.turn(now)
+	r.now[maphash.String(r.seed, id)] = struct{}{}
+}
+
+func (r *recent) has(id string, now time.Duration) bool {
+	r.turn(now)
+	h := maphash.String(r.seed, id)
+	_, fresh := r.now[h]
+	_, older := r.old[h]
+	return fresh || older
+}
+
 // carryOut does one action of the module.
 func (l *loop) carryOut(a brookferry.Action, now time.Duration) {
 	switch a := a.(type) {
--- a/internal/agent/loop_test.go
+++ b/internal/agent/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -117,3 +118,18 @@
 	cancel()
 	receive(t, "end of the loop", done)
 }
+
+// The ids that are remembered stay bounded, by time and by number.
+func TestRecentIDsAreBounded(t *testing.T) {
+	r := newRecent(time.Second)
+	const all = 5*recentMost + 10
+	for n := range all {
+		r.add(fmt.Sprint(n), 2*time.Second)
+	}
+	if n := len(r.now) + len(r.old); n > 2*recentMost {
+		t.Errorf("%d ids are kept", n)
+	}
+	if last := fmt.Sprint(all - 1); !r.has(last, 2*time.Second) || r.has(last, 3*time.Second) == r.has(last, 5*time.Second) {
+		t.Error("the last id is not known, or known for ever")
+	}
+}
