A broken connection is no restart; how long a connection may stand idle is learnt

To blame: observe() took two Resets in a row for a process that had ended, so that most backends were cold most of the time; keepIdle trusted the settings' idle time.

--- a/brookferry.go
+++ b/brookferry.go
@@ -524,7 +524,7 @@
 		if t.down && t.warmFrom < a.sent { // it came back before the list told: treat it as just started
 			b.start(t, b.now)
 		}
-		t.down, t.breaks = false, 0
+		t.down = false
 		t.errs -= smooth * t.errs
 		if !t.cold {
 			b.doneWork = b.decayed() + a.cost
@@ -562,11 +562,8 @@
 			b.write(note{t.key, noteLate, b.now})
 		}
 	case Errored, ConnectFailed, Reset:
-		// One connection may break by itself; a process that ends breaks them all.
-		if e.Result != Errored {
-			t.breaks++
-		}
-		t.down = t.down || e.Result == ConnectFailed || t.breaks > 1
+		// Connections break by themselves too; a process that has ended takes no new ones.
+		t.down = t.down || e.Result == ConnectFailed
 		t.errs += smooth * (1 - t.errs)
 		b.strike(t, a, c)
 	}
--- a/forget_test.go
+++ b/health_test.go
@@ -89,3 +89,27 @@
 		}
 	}
 }
+
+// A connection that breaks is no process that has ended: where many break by themselves, backends
+// were taken for just started, and held to a cold one's part, over and over.
+func TestBrokenConnectionIsNoRestart(t *testing.T) {
+	for res, cold := range map[Result]bool{Reset: false, ConnectFailed: true} {
+		b, err := New(Settings{Balancers: 1, MaxAttempts: 1, Tick: time.Millisecond, ColdShare: 0.3, RampTime: time.Minute,
+			Classes: []Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Hour
+		b.Step(now, []Event{List{Kind: ListFull, Backends: []Backend{{ID: "b"}}}})
+		for n, r := range []Result{OK, res, res, OK} {
+			now += 10 * time.Second
+			id := fmt.Sprint(n)
+			b.Step(now, []Event{Request{ID: id, Left: 2 * time.Second}})
+			now += 10 * time.Millisecond
+			b.Step(now, []Event{Outcome{Request: id, Backend: "b", Result: r, Latency: 10 * time.Millisecond}})
+		}
+		if b.byID["b"].cold != cold {
+			t.Errorf("after outcome %v and an answer: cold %v", res, b.byID["b"].cold)
+		}
+	}
+}
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -66,26 +66,30 @@
 // backends holds the connections to all backends. It makes exactly the attempts it is told to:
 // each is one request written at most once on one connection.
 type backends struct {
-	cfg      *Config
-	log      *slog.Logger
-	keepIdle time.Duration
-	most     int     // connections at once
-	answers  *budget // bytes of answers that are being read
-	dialer   func(ctx context.Context, network, addr string) (net.Conn, error)
-	readers  sync.Pool // of *bufio.Reader
+	cfg     *Config
+	log     *slog.Logger
+	longest time.Duration // for which a connection may stand idle by the settings
+	most    int           // connections at once
+	answers *budget       // bytes of answers that are being read
+	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
+	readers sync.Pool // of *bufio.Reader
 
 	mu    sync.Mutex
-	addrs map[string]string  // by backend id
-	owner map[string]string  // the backend id by address
-	idle  map[string][]*conn // by backend id, the latest used last; none empty
-	open  int                // idle, in use or being dialled
+	addrs map[string]string // by backend id
+	owner map[string]string // the backend id by address
+	// keepIdle is for how long one is kept: shorter than longest where those that stood idle were
+	// found to be dead.
+	keepIdle time.Duration
+	idle     map[string][]*conn // by backend id, the latest used last; none empty
+	open     int                // idle, in use or being dialled
 }
 
 // conn is one connection. It carries one request at a time.
 type conn struct {
 	net.Conn
 	addr  string
-	since time.Time // idle since then
+	since time.Time     // idle since then
+	stood time.Duration // how long it stood idle before its present use
 }
 
 // restTime is how long a connection rests after an answer, if there is another: what a backend
@@ -96,11 +100,11 @@
 	return &backends{cfg: cfg, log: log, most: backendSockets(cfg.Sockets),
 		// Backends may close an idle connection at IdleClose; a request that crosses that is lost
 		// as a reset that may have run. A quarter of the time is far more than any network takes.
-		keepIdle: cfg.Site.IdleClose * 3 / 4,
-		answers:  newBudget(cfg.bodyMemory()),
-		dialer:   (&net.Dialer{KeepAlive: -1}).DialContext,
-		readers:  sync.Pool{New: func() any { return bufio.NewReader(nil) }},
-		addrs:    map[string]string{}, owner: map[string]string{}, idle: map[string][]*conn{}}
+		longest: cfg.Site.IdleClose * 3 / 4, keepIdle: cfg.Site.IdleClose * 3 / 4,
+		answers: newBudget(cfg.bodyMemory()),
+		dialer:  (&net.Dialer{KeepAlive: -1}).DialContext,
+		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
+		addrs:   map[string]string{}, owner: map[string]string{}, idle: map[string][]*conn{}}
 }
 
 // clean reports whether an idle connection is open and has nothing to read: there is no answer
@@ -185,6 +189,7 @@
 		}
 		list = slices.Delete(list, i, i+1)
 		if rested < b.keepIdle && c.clean() {
+			c.stood = rested
 			b.keep(id, list)
 			return c, addr, nil
 		}
@@ -237,7 +242,7 @@
 
 // reap closes what has been idle for too long, or is of no more use, until ctx ends.
 func (b *backends) reap(ctx context.Context) {
-	tick := time.NewTicker(b.keepIdle / 8)
+	tick := time.NewTicker(b.longest / 8)
 	defer tick.Stop()
 	for {
 		select {
@@ -309,10 +314,12 @@
 		case !whole: // the rest can't follow: the connection is closed
 			return brookferry.ConnectFailed, nil, none
 		case errors.Is(err, errBroke):
+			b.learnIdle(c.stood, false)
 			return brookferry.Reset, nil, none
 		}
 		return brookferry.Errored, nil, none // there is a process, and it answers amiss
 	}
+	b.learnIdle(c.stood, true)
 	b.give(id, c, a.reusable)
 	load := none
 	if text := a.header.Get("Endpoint-Load-Metrics"); text != "" && b.cfg.Site.LoadInline {
@@ -328,6 +335,21 @@
 	return brookferry.Errored, nil, load
 }
 
+// learnIdle learns from how a connection served that had stood idle. Backends, and what stands
+// before them, may drop idle connections sooner than they should, and without a word; a request
+// written to one is lost as a reset that may have run.
+func (b *backends) learnIdle(stood time.Duration, served bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch safe := stood * 3 / 4; {
+	case stood == 0: // a new one says nothing
+	case served && stood > b.keepIdle/2:
+		b.keepIdle = min(b.longest, b.keepIdle+b.keepIdle/100)
+	case !served && safe < b.keepIdle:
+		b.keepIdle = max(b.longest/64, b.keepIdle-(b.keepIdle-safe)/4)
+	}
+}
+
 // exchange writes m on a connection and reads its answer. It reports whether the last byte of m
 // was written. After an error the connection is of no further use.
 func (b *backends) exchange(ctx context.Context, c *conn, m *message) (a *answer, whole bool, err error) {
--- a/internal/agent/backends_test.go
+++ b/internal/agent/backends_test.go
@@ -457,3 +457,25 @@
 		t.Error("the old one's end took the new one's address")
 	}
 }
+
+// Where connections that stood idle turn out to be dead, they are kept for a shorter time, and for
+// longer again once those that stood for long serve. One that broke while young changes little.
+func TestIdleTimeIsLearnt(t *testing.T) {
+	b := poolFor(t, "127.0.0.1:9")
+	for range 20 {
+		b.learnIdle(b.longest/10, false)
+	}
+	if b.keepIdle > b.longest/8 || b.keepIdle < b.longest/64 {
+		t.Errorf("kept for %v of %v after many found dead", b.keepIdle, b.longest)
+	}
+	for range 2000 {
+		b.learnIdle(b.keepIdle*3/4, true)
+	}
+	if b.keepIdle != b.longest {
+		t.Errorf("kept for %v of %v after many that served", b.keepIdle, b.longest)
+	}
+	b.learnIdle(0, false)
+	if b.keepIdle != b.longest {
+		t.Error("a new connection that broke changed it")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -31,7 +31,6 @@
 	samples float64    // answers that slow rests on
 	strikes float64
 	errs    float64       // running share of attempts that failed
-	breaks  int           // connections that broke or failed since the last answer
 	silent  int           // time-outs known since its last answer
 	notedAt time.Duration // of the newest note
 	ejected time.Duration // no traffic before this time
