A connection that broke before the request was whole is told apart from a refused one

To blame: the agent told these as ConnectFailed, and the module took each for the end of a process, so that its next answer made the backend cold. Change: a result of its own, Broke: never ran, but no sign of a restart.

--- a/api.go
+++ b/api.go
@@ -176,10 +176,11 @@
 	Reset                       // the connection broke; may have run
 	Cancelled                   // withdrawn; may have run
 	NotSent                     // never sent
+	Broke                       // a connection was there, and broke before the request was whole; never ran
 )
 
 // NeverRan reports whether the result proves that the attempt had no effect.
-func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == NotSent }
+func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == NotSent || r == Broke }
 
 // Action is something the agent must do now, in the order given. The present module
 // sends no Cancel and no Probe; agents should carry them out all the same.
--- a/brookferry.go
+++ b/brookferry.go
@@ -561,7 +561,7 @@
 			b.learnSpeed(t, lat/a.cost) // at least so slow
 			b.write(note{t.key, noteLate, b.now})
 		}
-	case Errored, ConnectFailed, Reset:
+	case Errored, ConnectFailed, Reset, Broke:
 		// Connections break by themselves too; a process that has ended takes no new ones.
 		t.down = t.down || e.Result == ConnectFailed
 		t.errs += smooth * (1 - t.errs)
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -312,7 +312,8 @@
 		case cause != nil:
 			return brookferry.TimedOut, nil, none
 		case !whole: // the rest can't follow: the connection is closed
-			return brookferry.ConnectFailed, nil, none
+			b.learnIdle(c.stood, false)
+			return brookferry.Broke, nil, none
 		case errors.Is(err, errBroke):
 			b.learnIdle(c.stood, false)
 			return brookferry.Reset, nil, none
