A connection reset while it is dialled is no ended process

The probe (every 250 ms, not committed) shows at 2.5 s the first of 9 backends cold, from 5.5 s all 9 (warm 0), and until 14 s nearly every refusal for 'pick nil: coldRoom', with 0 to 2 in flight, a limit of 11 to 19, 93 to 100 tokens, no backend down or ejected, and 0 to 10 connections open. Before that, limit() is cut with capacity and load meets the few that are still warm: 212 time-outs, nearly all first tries that waited out the client's 490 ms behind 4 to 8 others. Ruled out by the probe: descriptors (130 of 384), errNoSocket and NotSent (0), errMoved (0), refused dials (0), dials ended by their own deadline (0), tokens (68 at the least), counts that drift (inFlight = sum of out at all times, 0 when nothing is out; open = idle + inFlight), ejections (5 of 9 once, for 250 ms; mostly 0 or 1), repeats taken wrongly (they follow the refusals). To blame: backends.attempt(), 'return brookferry.ConnectFailed' for any failed dial. Whether a reset new connection fails in the dial or in the first write is chance; only the second was Broke. Change: a reset dial is Broke: never ran, counts against the backend, no sign of a restart. Tests: both fail without the change, one on the pool, one with a whole agent.

--- a/api.go
+++ b/api.go
@@ -176,7 +176,7 @@
 	Reset                       // the connection broke; may have run
 	Cancelled                   // withdrawn; may have run
 	NotSent                     // never sent
-	Broke                       // a connection was there, and broke before the request was whole; never ran
+	Broke                       // a connection broke, or the attempt's time was up, before the request was whole; never ran
 )
 
 // NeverRan reports whether the result proves that the attempt had no effect.
--- a/internal/agent/backends.go
+++ b/internal/agent/backends.go
@@ -295,6 +295,15 @@
 		if errors.Is(context.Cause(ctx), errCancelled) {
 			return brookferry.Cancelled, nil, none
 		}
+		// ConnectFailed tells the module that the process has ended: its next answer counts as that
+		// of a cold one, for the whole ramp. A connection that is reset, even before dial has returned,
+		// had somebody at its other end; and that an attempt's own time is up says nothing of a
+		// process. Covers also proxies, full accept queues and firewalls that answer with resets.
+		// It could hurt where something in front of a process takes its connections while it
+		// restarts: the restart then shows only in the list.
+		if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ECONNABORTED) || ctx.Err() != nil {
+			return brookferry.Broke, nil, none
+		}
 		return brookferry.ConnectFailed, nil, none
 	}
 	select {
--- a/internal/agent/backends_test.go
+++ b/internal/agent/backends_test.go
@@ -127,6 +127,31 @@
 	}
 }
 
+// A new connection that the backend resets before dial has returned, and a dial that the attempt's
+// own end cuts short, prove that nothing ran, and not that a process has ended. Whether a reset is
+// found by the dial or by the first write is chance, so the dialer here waits for it.
+func TestOutcomeBrokenWhileDialling(t *testing.T) {
+	ln := resetting(t)
+	b := poolFor(t, ln.Addr().String())
+	b.dialer = dialUntilReset
+	if result, _, _ := attemptAt(t, b, context.Background(), ""); result != brookferry.Broke {
+		t.Errorf("reset: result %v", result)
+	}
+	b.dialer = func(ctx context.Context, _, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }
+	ctx, cancel := context.WithCancelCause(context.Background())
+	cancel(errTimedOut)
+	if result, _, _ := attemptAt(t, b, ctx, ""); result != brookferry.Broke {
+		t.Errorf("out of time: result %v", result)
+	}
+	b.cfg.Settings.ConnectTimeout = time.Millisecond // never up, with time left: nobody is there
+	if result, _, _ := attemptAt(t, b, context.Background(), ""); result != brookferry.ConnectFailed {
+		t.Errorf("never up: result %v", result)
+	}
+	if b.open != 0 {
+		t.Errorf("%d connections counted as open", b.open)
+	}
+}
+
 // A backend that takes the request and says nothing: the attempt ends when the agent stops
 // waiting, may have run, and its connection is not used again.
 func TestOutcomeTimedOut(t *testing.T) {
--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -238,6 +238,39 @@
 	return b
 }
 
+// resetting is a listener that resets each connection at once.
+func resetting(t *testing.T) net.Listener {
+	t.Helper()
+	ln := listen(t)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			reset(c)
+		}
+	}()
+	return ln
+}
+
+// reset closes a connection with a reset in place of an end.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+// dialUntilReset dials, and returns once the other side has reset the connection: with that error.
+func dialUntilReset(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := new(net.Dialer).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	_, err = c.Read(make([]byte, 1))
+	return nil, err
+}
+
 func (b *backend) member(id string) member {
 	return member{ID: id, Addr: b.addr, Zone: "a", Kind: "m1", State: "ready", Weight: 1}
 }
