A fleet without warm backends gets some work

To blame: coldRoom(), whose rate comes from warm backends alone. Change: where no warm backend is there, or all that are warm are down, a cold one gets its warmth's part of the least that may be in flight (floorPerBack, by this agent's share). Tried first: this as a floor at all times. TestColdShareUnderOverload and TestRevivalIsCold failed: beside warm ones a cold one got more than its share.

--- a/brookferry.go
+++ b/brookferry.go
@@ -85,6 +85,7 @@
 	perBack  float64 // attempts that all agents may have in flight together, per backend that is up
 	share    float64 // this agent's part of them
 	up, warm int     // backends that the list says are up, and those of them that are not cold
+	sound    int     // of the warm ones, those that are not down
 	capacity float64 // their number, each counted by its warmth
 	delay    float64 // running mean of latency over aim
 
@@ -670,7 +671,7 @@
 
 // measure sums up what the backends that are up, and not ejected or down, can do.
 func (b *Balancer) measure() {
-	b.up, b.warm, b.capacity, b.stuck = 0, 0, 0, 0
+	b.up, b.warm, b.sound, b.capacity, b.stuck = 0, 0, 0, 0, 0
 	for _, t := range b.backends {
 		warmth := b.warmth(t)
 		if t.State == Up {
@@ -678,6 +679,9 @@
 			if !t.cold {
 				b.warm++
 			}
+			if !t.cold && !t.down {
+				b.sound++
+			}
 		}
 		if t.State == Up && !t.down && b.now >= t.ejected {
 			b.capacity += warmth
@@ -689,7 +693,11 @@
 
 // coldRoom reports whether a cold backend may get this request: each agent sends it no more
 // work than a warm one serves for it, times warmth, times the root of the stated multiple: as
-// far below the multiple as above the sure capacity, since most have more than that.
+// far below the multiple as above the sure capacity, since most have more than that. Where none
+// is warm, or those that are have failed, there is nothing to measure by: each then gets its
+// warmth's part of the least that may be in flight, or none would serve until the ramp is over.
+// That covers a fleet that restarts as a whole, and one that is cold by mistake; it could hurt
+// where even that part, a few at once, is more than a cold one can do.
 func (b *Balancer) coldRoom(t *backend, r *request) bool {
 	w := b.warmth(t)
 	if !t.cold {
@@ -697,8 +705,11 @@
 	}
 	mean := b.classes[r.class].latency
 	rate := b.decayed() / float64(b.s.FallWindow+1) / float64(max(b.warm, 1))
-	share := w * math.Sqrt(max(1, b.s.FallMultiple))
-	t.budget = min(t.budget+share*rate*float64(b.now-t.budgetAt), mean)
+	share := w * rate * math.Sqrt(max(1, b.s.FallMultiple))
+	if b.sound == 0 {
+		share = w * floorPerBack * b.share
+	}
+	t.budget = min(t.budget+share*float64(b.now-t.budgetAt), mean)
 	t.budgetAt = b.now
 	return t.budget > 0 && b.expected(r) <= heavy*mean
 }
--- a/health_test.go
+++ b/health_test.go
@@ -113,3 +113,51 @@
 		}
 	}
 }
+
+// Where every backend is cold there are no warm ones to measure by. Each gets some work all the
+// same, within what a cold one can surely do, and more as it warms up.
+func TestAllColdStillServes(t *testing.T) {
+	b, err := New(Settings{Balancers: 2, MaxAttempts: 1, Tick: time.Millisecond, ColdShare: 0.3, RampTime: 10 * time.Second,
+		FallMultiple: 2.5, FallWindow: time.Second,
+		Classes: []Class{{Aim: 200 * time.Millisecond, Deadline: time.Second, Worth: 1}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Hour
+	now := start
+	b.Step(now, []Event{List{Kind: ListFull, Backends: []Backend{{ID: "a", Started: now}, {ID: "b", Started: now}, {ID: "c", Started: now}}}})
+	const latency = 40 * time.Millisecond
+	type out struct {
+		Send
+		at time.Duration
+	}
+	var pending []out
+	var sent [10]map[string]float64 // work by second and backend
+	for i := range sent {
+		sent[i] = map[string]float64{}
+	}
+	for n := 0; now < start+9900*time.Millisecond; n++ {
+		now += 2 * time.Millisecond // 500 a second, 20 at once: more than all three can do
+		events := []Event{Request{ID: fmt.Sprint(n), Left: time.Second}}
+		for len(pending) > 0 && now >= pending[0].at+latency {
+			events = append(events, Outcome{Request: pending[0].Request, Backend: pending[0].Backend, Result: OK, Latency: latency})
+			pending = pending[1:]
+		}
+		for _, a := range b.Step(now, events) {
+			if s, ok := a.(Send); ok {
+				pending = append(pending, out{s, now})
+				sent[(now-start)/time.Second][s.Backend] += latency.Seconds()
+			}
+		}
+	}
+	for i, by := range sent {
+		for _, id := range []string{"a", "b", "c"} {
+			// Two agents send it this much each; it has two cores at least, and falls over at 2.5
+			// times what it can do.
+			sure := 0.3 + 0.7*float64(i)/10
+			if by[id] < 0.5*sure || i < 9 && 2*by[id] > 2.5*2*(sure+0.07) {
+				t.Errorf("second %d: backend %s got %.2f of work, it can surely do %.2f a core", i, id, by[id], sure)
+			}
+		}
+	}
+}
--- a/internal/agent/service_test.go
+++ b/internal/agent/service_test.go
@@ -12,6 +12,50 @@
 // again at once, as before. It once took each reset for the end of a process, so that all were cold
 // to it; a cold one gets work by what warm ones serve, and with none warm nobody got any.
 func TestServesAfterNewConnectionsWereReset(t *testing.T) {
+	bad := resetting(t).Addr().String()
+	a, broken := withBrokenDials(t, func(ctx context.Context) (net.Conn, error) { return dialUntilReset(ctx, "tcp", bad) })
+	const resets = 6
+	for round := range 3 {
+		broken.Store(resets)
+		for n := range 10 * resets {
+			a.dropIdle()
+			if x := a.do("GET", "/get/x", ""); x.status != 200 && n >= resets { // each of the first has met one at least
+				t.Fatalf("round %d, request %d: %+v", round, n, x)
+			}
+		}
+	}
+}
+
+// A fleet whose processes have all ended and come back is cold as a whole. The agent then serves
+// at a cold fleet's pace; it once sent nothing until the whole ramp was over, since what a cold one
+// may get followed from what warm ones serve.
+func TestServesAfterAllWereRefused(t *testing.T) {
+	dead := deadAddr(t)
+	a, broken := withBrokenDials(t, func(ctx context.Context) (net.Conn, error) { return new(net.Dialer).DialContext(ctx, "tcp", dead) })
+	for range 20 {
+		a.do("GET", "/get/x", "")
+	}
+	broken.Store(30)
+	for broken.Load() > 0 {
+		a.dropIdle()
+		a.do("GET", "/get/x", "")
+	}
+	served := 0
+	for end := time.Now().Add(patience); served < 20 && time.Now().Before(end); {
+		a.dropIdle()
+		if x := a.do("GET", "/get/x", ""); x.status == 200 {
+			served++
+		}
+	}
+	if served < 20 {
+		t.Errorf("served %d requests since all were back", served)
+	}
+}
+
+// withBrokenDials runs an agent with three backends. The counter tells how many of the next
+// dials end as broken says. What is cold does not become warm in a test's time.
+func withBrokenDials(t *testing.T, broken func(context.Context) (net.Conn, error)) (*running, *atomic.Int64) {
+	t.Helper()
 	var servers []member
 	for _, id := range []string{"s", "t", "u"} {
 		b := serveRaw(t, func(int) string { return ok200 })
@@ -22,33 +66,26 @@
 		servers = append(servers, b.member(id))
 	}
 	cfg := testConfig(t, setup{servers: servers})
-	cfg.Settings.RampTime = time.Hour // a cold one would not become warm in this test
-	cfg.Settings.ColdShare = 0.1
+	cfg.Settings.RampTime, cfg.Settings.ColdShare = time.Hour, 0.1
 	a := start(t, cfg)
-	bad := resetting(t).Addr().String()
-	var broken atomic.Int64 // new connections that are still to be reset
-	dial := a.backends.dialer
+	left, dial := new(atomic.Int64), a.backends.dialer
 	a.backends.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		if broken.Add(-1) >= 0 {
-			return dialUntilReset(ctx, network, bad)
+		if left.Add(-1) >= 0 {
+			return broken(ctx)
 		}
 		return dial(ctx, network, addr)
 	}
-	const resets = 6
-	for round := range 3 {
-		broken.Store(resets)
-		for n := range 10 * resets {
-			a.backends.mu.Lock() // each request on a new connection
-			for id := range a.backends.idle {
-				for _, c := range a.backends.idle[id] {
-					a.backends.drop(c)
-				}
-				delete(a.backends.idle, id)
-			}
-			a.backends.mu.Unlock()
-			if x := a.do("GET", "/get/x", ""); x.status != 200 && n >= resets { // each of the first has met one at least
-				t.Fatalf("round %d, request %d: %+v", round, n, x)
-			}
+	return a, left
+}
+
+// dropIdle makes the next request need a new connection.
+func (r *running) dropIdle() {
+	r.backends.mu.Lock()
+	defer r.backends.mu.Unlock()
+	for id, list := range r.backends.idle {
+		for _, c := range list {
+			r.backends.drop(c)
 		}
+		delete(r.backends.idle, id)
 	}
 }
