No more than a quarter of the places is kept for clients' connections after their answers

A temporary probe of the gate: idle 13 -> 128 connections within 0.75 s at 2.5 s, then 128 for as long as none was quiet for 2 s, of 154 to 175 open; 11 new silent ones a quarter of a second; the gate never full then (216), 0 to 3 requests open. 128 is a third of the 384 descriptors, the clients' own bound for requests: they had no connection left to ask on. Ruled out: the module (no refusals), backends (delay 0.14 of the aim), bodies booked (8.38 of 8.39 MB free), requests past MaxOpen (0), CPU (0.2). To blame: gate.crowded() and makeRoom() looked at all open connections alone: answers ended theirs from 189 of 216 on, quiet ones went from 162 on. Change: at a quarter of the places kept after answers, answers end theirs, and those quiet for 2 s go; decided when the answer goes out, not when the request came.

--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -65,9 +65,6 @@
 		w.WriteHeader(status)
 		return
 	}
-	if f.gate.crowded() {
-		w.Header().Set("Connection", "close") // too many are kept: let this one go after its answer
-	}
 	r, err := f.parse(w, hr)
 	if err != nil {
 		// What is left of a body is not read, and must not be taken for the next request. Nor does a
@@ -80,11 +77,16 @@
 	// Past what the limits let an agent hold, a request is turned away before anything has run.
 	if f.open.Add(1) > int64(f.most) {
 		f.open.Add(-1)
+		w.Header().Set("Connection", "close") // as where the gate is crowded
 		f.refuse(w, 0)
 		return
 	}
 	defer f.open.Add(-1)
-	f.answer(w, f.wait(hr, r))
+	a := f.wait(hr, r)
+	if f.gate.crowded() {
+		w.Header().Set("Connection", "close") // too many are kept: let this one go after its answer
+	}
+	f.answer(w, a)
 }
 
 // wait posts a request and waits for its answer.
--- a/internal/agent/front_test.go
+++ b/internal/agent/front_test.go
@@ -416,6 +416,49 @@
 	}
 }
 
+// Clients that ask once on each connection and keep it for good may have a bound of their own, far
+// below the gate's. Once many are kept, answers end their connections, so that there are always
+// some left to ask on; and those that are kept go once they have been quiet for long.
+func TestKeptConnectionsAreFew(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	cfg := testConfig(t, setup{servers: []member{s.member("s")}})
+	cfg.Sockets = leastSockets
+	a := start(t, cfg)
+	most := clientSockets(cfg.Sockets)
+	kept := func() int {
+		a.gate.mu.Lock()
+		defer a.gate.mu.Unlock()
+		return a.gate.idle.Len()
+	}
+	closed := 0
+	for range most {
+		in := a.raw(t, fmt.Sprintf("GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\n\r\n", newID()))
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%+v, %v", resp, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatal(err)
+		}
+		if resp.Close {
+			closed++
+			if _, err := in.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("not closed after its answer: %v", err)
+			}
+			continue
+		}
+		waitFor(t, "the connection to be quiet", func() bool { return a.gate.quietOnes() == a.gate.count() })
+	}
+	if n := kept(); n > most/3 || closed == 0 {
+		t.Errorf("%d of %d are kept, %d were closed after their answers", n, most, closed)
+	}
+	now := time.Now().Add(quietLeast)
+	a.gate.makeRoom(now)
+	if n := kept(); n >= a.gate.kept {
+		t.Errorf("%d are kept that were quiet for long, fewer than %d should be", n, a.gate.kept)
+	}
+}
+
 // A full gate takes no connection until a place is free, and counts each place once.
 func TestGateLimit(t *testing.T) {
 	g, _ := gateFor(t, 1, 0)
--- a/internal/agent/sockets.go
+++ b/internal/agent/sockets.go
@@ -46,9 +46,14 @@
 // for new ones. Where it is full all the same, one that has had an answer goes at once, since a
 // client that meets the close with a further request sends that again elsewhere; one that has yet
 // to send its first is left its time, and new ones wait in the kernel's queue.
+//
+// Clients have bounds of their own: those that ask once and keep each connection for good have none
+// left for the next request long before the gate is full. So no more than a quarter are kept
+// after their answers, whoever keeps them, and past that quiet ones go as they do past the mark. It
+// could hurt where a burst of many requests at once comes every few seconds: it connects anew.
 type gate struct {
 	*net.TCPListener
-	most, mark int
+	most, mark, kept int
 
 	mu    sync.Mutex
 	conns map[*clientConn]bool
@@ -60,7 +65,7 @@
 }
 
 func newGate(l *net.TCPListener, most int) *gate {
-	return &gate{TCPListener: l, most: most, mark: most * 3 / 4, conns: map[*clientConn]bool{},
+	return &gate{TCPListener: l, most: most, mark: most * 3 / 4, kept: max(1, most/4), conns: map[*clientConn]bool{},
 		fresh: list.New(), idle: list.New(), freed: make(chan struct{}, 1), done: make(chan struct{})}
 }
 
@@ -112,7 +117,7 @@
 	defer g.mu.Unlock()
 	wait := quietLeast
 	for _, l := range []*list.List{g.idle, g.fresh} {
-		for e := l.Front(); e != nil && len(g.conns) >= g.mark; e = l.Front() {
+		for e := l.Front(); e != nil && (len(g.conns) >= g.mark || l == g.idle && l.Len() >= g.kept); e = l.Front() {
 			c := e.Value.(*clientConn)
 			if young := quietLeast - now.Sub(c.since); young > 0 {
 				wait = min(wait, young)
@@ -173,11 +178,11 @@
 	}
 }
 
-// crowded reports whether so many are open that none should be kept after its answer.
+// crowded reports whether so many are open, or kept, that none should be kept after its answer.
 func (g *gate) crowded() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.conns) >= g.most-g.most/8
+	return len(g.conns) >= g.most-g.most/8 || g.idle.Len() >= g.kept
 }
 
 // closeSilent closes the connections on which no request was ever sent.
