Handover keeps sockets non-blocking and hands the in-flight limit on; herd of real daemons

exec puts the files that net.Listener.File gives into blocking mode, for every copy of the socket: an accept that began then waited in the kernel past a stop. Descriptors are now copied raw, and stay as they are (TestSocketsStayNonBlocking fails without). Fresh copies refused tries at their starting limit: in a handover, not after a pause, the limit goes over. Rehearsals on sockets can drive fleet daemons, also naive ones; tools/fleet has herd and handover.

--- a/cmd/vetchhaven/main_test.go
+++ b/cmd/vetchhaven/main_test.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -20,6 +22,12 @@
 // TestMain lets the test binary stand in for the program.
 func TestMain(m *testing.M) {
 	if os.Getenv("VETCHHAVEN_TEST_MAIN") == "1" {
+		if n, err := strconv.ParseUint(os.Getenv("VETCHHAVEN_TEST_FILE_LIMIT"), 10, 64); err == nil {
+			signal.Ignore(syscall.SIGXFSZ) // writes past the limit then fail as they do on a full disk
+			if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: n, Max: n}); err != nil {
+				panic(err)
+			}
+		}
 		os.Exit(execute())
 	}
 	os.Exit(m.Run())
--- a/cmd/vetchhaven/serve_test.go
+++ b/cmd/vetchhaven/serve_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -83,6 +85,9 @@
 	s.cmd = exec.Command(os.Args[0], "serve", "--config", s.path)
 	s.cmd.Env = append(append(os.Environ(), "VETCHHAVEN_TEST_MAIN=1"), env...)
 	s.cmd.Stderr = s.log
+	if len(env) > 0 {
+		s.cmd.Stderr = io.MultiWriter(s.log) // not the file itself: a limit on files would hold for it
+	}
 	if err := s.cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
@@ -251,14 +256,7 @@
 	_, list := form(t)
 	s := serveFleet(t, list.Addr())
 	state := filepath.Join(s.dir, "state", "last.state")
-	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
-		if _, err := os.Stat(state); err == nil {
-			break
-		}
-		if time.Now().After(end) {
-			t.Fatal("no state is saved")
-		}
-	}
+	s.untilFile(state)
 	list.SetDown(true)
 	_ = s.cmd.Process.Kill()
 	<-s.gone
@@ -283,3 +281,166 @@
 		t.Errorf("%d %s", status, errs)
 	}
 }
+
+// A successor that is killed while it starts leaves the old one serving, and a further handover works.
+func TestSuccessorKilledWhileItStarts(t *testing.T) {
+	_, list := form(t)
+	s := serveFleet(t, list.Addr())
+	before, _ := s.status()
+	// It reads its configuration from a pipe into which nobody writes: so far, and no further, it gets.
+	kept := s.path + ".kept"
+	if err := os.Rename(s.path, kept); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(s.path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	asked := make(chan string, 1)
+	go func() {
+		resp, err := s.client("admin").Post("http://x/handover", "", nil)
+		if err != nil {
+			asked <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		asked <- fmt.Sprint(resp.StatusCode, " ", string(body))
+	}()
+	killed := false
+	for end := time.Now().Add(patience); !killed && time.Now().Before(end); {
+		for _, pid := range children(t, before.PID) {
+			killed = syscall.Kill(pid, syscall.SIGKILL) == nil
+		}
+	}
+	got := <-asked
+	if !killed {
+		t.Fatal("no successor was seen")
+	}
+	if !strings.Contains(got, "ended before it was ready") {
+		t.Errorf("%s", got)
+	}
+	if st, ok := s.status(); !ok || st.PID != before.PID || st.State != "serving" {
+		t.Errorf("%+v", st)
+	}
+	if err := os.Rename(kept, s.path); err != nil {
+		t.Fatal(err)
+	}
+	if status, _, err := s.get(1); err != nil || status != 200 {
+		t.Errorf("%d %v", status, err)
+	}
+	resp, err := s.client("admin").Post("http://x/handover", "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("a further handover: %d", resp.StatusCode)
+	}
+	s.until("another process", func(st fleet.Status) bool { return st.PID != before.PID && st.Ready == 1 })
+}
+
+// children are the processes that a process has started.
+func children(t *testing.T, pid int) []int {
+	t.Helper()
+	paths, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", pid))
+	var all []int
+	for _, p := range paths {
+		text, err := os.ReadFile(p)
+		if err != nil {
+			continue
+		}
+		for _, f := range strings.Fields(string(text)) {
+			if n, err := strconv.Atoi(f); err == nil {
+				all = append(all, n)
+			}
+		}
+	}
+	return all
+}
+
+// Writes that fail part way, as on a full disk, leave the last whole state in place; it is said once, and
+// the daemon serves on.
+func TestDiskFull(t *testing.T) {
+	f, list := form(t)
+	s := serveFleet(t, list.Addr())
+	state := filepath.Join(s.dir, "state", "last.state")
+	s.untilFile(state)
+	_ = s.cmd.Process.Signal(syscall.SIGTERM)
+	<-s.gone // it has written its last
+	whole, err := os.ReadFile(state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.start("VETCHHAVEN_TEST_FILE_LIMIT=64") // bytes: less than a state has
+	s.until("ready", func(st fleet.Status) bool { return st.Ready == 1 })
+	other := f.Member("draining") // a server that drains is saved at once
+	for range 3 {
+		list.Set(other)
+		list.Set(f.Member("ready"))
+	}
+	s.until("a write has failed", func(st fleet.Status) bool { return st.Saving != "" })
+	if now, err := os.ReadFile(state); err != nil || !bytes.Equal(now, whole) {
+		t.Errorf("the last state is now %d bytes, %v", len(now), err)
+	}
+	if left, _ := filepath.Glob(filepath.Join(s.dir, "state", "*.tmp")); len(left) > 0 {
+		t.Errorf("left behind: %v", left)
+	}
+	if status, _, err := s.get(1); err != nil || status != 200 {
+		t.Errorf("%d %v", status, err)
+	}
+}
+
+func (s *served) untilFile(path string) {
+	s.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+		if _, err := os.Stat(path); err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			s.t.Fatal("there is no ", path)
+		}
+	}
+}
+
+// Handing descriptors to a process leaves the sockets of this one non-blocking: else an accept begun
+// while the successor starts would wait in the kernel, where a stop does not reach it.
+func TestSocketsStayNonBlocking(t *testing.T) {
+	_, list := form(t)
+	s := serveFleet(t, list.Addr())
+	before, _ := s.status()
+	list.SetDown(true)
+	if err := s.cmd.Process.Signal(syscall.SIGUSR2); err != nil {
+		t.Fatal(err)
+	}
+	seen := 0
+	for over := false; !over; {
+		select {
+		case <-s.gone:
+			over = true
+		default:
+		}
+		dir := fmt.Sprintf("/proc/%d/fd", before.PID)
+		all, _ := os.ReadDir(dir)
+		for _, e := range all {
+			to, err := os.Readlink(filepath.Join(dir, e.Name()))
+			if err != nil || !strings.HasPrefix(to, "socket:") {
+				continue
+			}
+			text, err := os.ReadFile(fmt.Sprintf("/proc/%d/fdinfo/%s", before.PID, e.Name()))
+			if err != nil {
+				continue
+			}
+			for line := range strings.Lines(string(text)) {
+				if f := strings.Fields(line); len(f) == 2 && f[0] == "flags:" {
+					n, _ := strconv.ParseUint(f[1], 8, 64)
+					if seen++; n&syscall.O_NONBLOCK == 0 {
+						t.Fatalf("descriptor %s (%s) is in blocking mode", e.Name(), to)
+					}
+				}
+			}
+		}
+	}
+	if seen == 0 {
+		t.Fatal("no socket was seen")
+	}
+}
--- a/decide/learnt.go
+++ b/decide/learnt.go
@@ -3,10 +3,13 @@
 import "time"
 
 // Learnt is what a balancer may take over from one that ran before it: how long things take. It
-// holds no budgets, tokens, strikes or limits: what they allowed or forbade was for that moment.
+// holds no budgets, tokens or strikes: what they allowed or forbade was for that moment.
 type Learnt struct {
 	Classes  []LearntClass // by class
 	Backends []LearntBackend
+	// Limit is what may be in flight, for all agents together per backend. It is for one that takes over
+	// at that very moment, with the same clients; after a pause it says nothing, and 0 leaves it out.
+	Limit float64
 }
 
 // LearntClass is a class's running means, in nanoseconds.
@@ -21,7 +24,7 @@
 
 // Learnt tells what this balancer has learnt.
 func (b *Balancer) Learnt() Learnt {
-	var l Learnt
+	l := Learnt{Limit: b.perBack}
 	for _, c := range b.classes {
 		l.Classes = append(l.Classes, LearntClass{c.latency, c.work})
 	}
@@ -43,6 +46,9 @@
 			b.classes[i].latency, b.classes[i].work = c.Latency, c.Work
 		}
 	}
+	if l.Limit >= floorPerBack && l.Limit <= restoredMost {
+		b.perBack = l.Limit
+	}
 	b.restored = map[string]LearntBackend{}
 	for _, r := range l.Backends {
 		if r.Slow > 0 && r.Slow <= slowBound {
--- /dev/null
+++ b/decide/learnt_limit_test.go
@@ -0,0 +1,36 @@
+package decide_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"vetchhaven/decide"
+)
+
+// A balancer that takes over goes on with the limit that was found, and not with one that makes no sense.
+func TestLimitGoesOver(t *testing.T) {
+	for _, c := range []struct {
+		limit float64
+		same  bool // as one that was told nothing
+	}{{0, true}, {20, false}, {1, true}, {1e9, true}, {math.NaN(), true}, {math.Inf(1), true}} {
+		sent := func(limit float64) int {
+			b, err := decide.New(settings(), 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Restore(decide.Learnt{Limit: limit})
+			r := &rig{t: t, b: b, now: time.Hour, sent: map[string][]string{}}
+			r.step(decide.List{Kind: decide.ListFull, Backends: []decide.Backend{{ID: "a"}, {ID: "b"}, {ID: "c"}}})
+			for i := range 200 {
+				r.request(fmt.Sprint(i), safe)
+			}
+			return len(r.sent)
+		}
+		fresh, got := sent(0), sent(c.limit)
+		if c.same && got != fresh || !c.same && got < 2*fresh {
+			t.Errorf("limit %v: %d went out at once, %d from a fresh one", c.limit, got, fresh)
+		}
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -252,8 +252,10 @@
 func (a *Agent) Ready() bool { return a.loop.ready.Load() }
 
 // Memory is what an agent may leave to the next one under its name: how long things take, by the
-// names and the real times that both know. Budgets, tokens and limits are not among it.
+// names and the real times that both know. Budgets and tokens are not among it.
 type Memory struct {
+	// Limit is on what is in flight, for one that takes over at once; see decide.Learnt. 0: none.
+	Limit   float64                `json:"limit,omitempty"`
 	Classes map[string]ClassMemory `json:"classes"`
 	Servers []ServerMemory         `json:"servers"`
 }
@@ -291,7 +293,7 @@
 	case <-limit.C:
 		return nil, false
 	}
-	m := &Memory{Classes: map[string]ClassMemory{}, Servers: []ServerMemory{}}
+	m := &Memory{Limit: l.Limit, Classes: map[string]ClassMemory{}, Servers: []ServerMemory{}}
 	for i, c := range l.Classes {
 		m.Classes[a.cfg.Site.Classes[i]] = ClassMemory{c.Latency, c.Work}
 	}
@@ -307,7 +309,7 @@
 
 // learnt puts a memory into the module's terms.
 func (m *Memory) learnt(cfg *Config, ck clock) decide.Learnt {
-	var l decide.Learnt
+	l := decide.Learnt{Limit: m.Limit}
 	for _, name := range cfg.Site.Classes {
 		c := m.Classes[name]
 		l.Classes = append(l.Classes, decide.LearntClass{Latency: c.Latency, Work: c.Work})
--- a/internal/emulate/sockets/agent.go
+++ b/internal/emulate/sockets/agent.go
@@ -6,9 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"os/exec"
-	"path/filepath"
 	"strconv"
 	"sync"
 	"syscall"
@@ -103,21 +101,15 @@
 	if a.g.outside() {
 		return nil
 	}
-	text, err := a.config()
+	cmd, err := a.command()
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(a.dir, fmt.Sprintf("n%d.json", a.n))
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return err
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.cmd != nil {
 		return nil
 	}
-	cmd := a.g.o.Agent()
-	cmd.Env = append(os.Environ(), append(cmd.Env, "PROXY_CONFIG="+path, "PROXY_NAME=", "PROXY_LISTEN=", "PROXY_DISCOVERY=")...)
 	cmd.Stderr = a.g.o.Log
 	cmd.SysProcAttr = childProcess()
 	if err := cmd.Start(); err != nil {
--- a/internal/emulate/sockets/list.go
+++ b/internal/emulate/sockets/list.go
@@ -150,6 +150,11 @@
 		defer one.Unlock()
 		out := make(chan emulate.Tell, 64)
 		g.mu.Lock()
+		if !g.started() { // the model's time stands still, and its waits with it: the first list comes at once
+			version, entries := g.world.List.Snapshot()
+			out <- emulate.Tell{Agent: agent, Version: version, Full: true, Entries: entries}
+			since = version
+		}
 		if g.watches[agent] == nil {
 			g.watches[agent] = &watch{names: map[int]string{}}
 		}
--- a/internal/emulate/sockets/sockets.go
+++ b/internal/emulate/sockets/sockets.go
@@ -38,7 +38,11 @@
 	Scenario *emulate.Scenario
 	Seed     uint64
 	Agent    func() *exec.Cmd // runs one agent, told its configuration by PROXY_CONFIG
-	Log      io.Writer        // what agents write; may be nil
+	// Daemon, if set, runs a fleet daemon of one instance in each agent's place, told its file. Naive ones
+	// spread nothing over time and know no warming up of servers.
+	Daemon func(config string) *exec.Cmd
+	Naive  bool
+	Log    io.Writer // what agents write; may be nil
 	// ListAt and AgentsAt put the stand-ins round agents that run already, such as a fleet daemon's
 	// instances: the list listens at ListAt, clients ask at AgentsAt, one address for each agent in
 	// place of the scenario's count. All agents then reach servers at the same addresses, by the ways
@@ -46,6 +50,9 @@
 	ListAt   string
 	AgentsAt []string
 	Progress func(now time.Duration, d *tally.Day)
+	// Trace, if set, is told what each server has every 100 ms: what it holds and, while it is cold, its
+	// load as a multiple of what it can do.
+	Trace func(now time.Duration, server string, held int, pressure float64)
 }
 
 // Played is how it went.
@@ -84,6 +91,9 @@
 // now is the scenario's time.
 func (g *stage) now() time.Duration { return max(0, time.Since(g.base)-time.Duration(g.begun.Load())) }
 
+// started reports whether the scenario's time runs.
+func (g *stage) started() bool { return g.begun.Load() != math.MaxInt64/2 }
+
 // wall is the real time of a scenario's time.
 func (g *stage) wall(t time.Duration) time.Time { return g.base.Add(time.Duration(g.begun.Load()) + t) }
 
@@ -264,19 +274,30 @@
 		}
 		if now >= sample {
 			g.sample(now)
-			sample = now + 250*time.Millisecond
+			sample = now + g.every()
 		}
 	}
 	clients.Wait() // each ends by its deadline, and at once when ctx ends
 	return cut
 }
 
+// every is how long it is from one sample to the next.
+func (g *stage) every() time.Duration {
+	if g.o.Trace != nil {
+		return 100 * time.Millisecond
+	}
+	return 250 * time.Millisecond
+}
+
 func (g *stage) sample(now time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.world.Procs {
 		if !p.Dead {
 			g.day.Sample(now, p.Spec, p.Held(), p.Pressure(now))
+			if g.o.Trace != nil {
+				g.o.Trace(now, p.Name, p.Held(), p.Pressure(now))
+			}
 		}
 	}
 	g.judge.Advance(now)
--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"vetchhaven/internal/agent"
@@ -104,7 +105,8 @@
 // restore takes over the last state, as far as it may be believed.
 func (d *Daemon) restore() {
 	data, from := d.o.State, "the daemon before"
-	if data == nil {
+	saved := data == nil
+	if saved {
 		if data, from = d.store.read(); data == nil {
 			return
 		}
@@ -114,6 +116,9 @@
 		d.log.Warn("the last state is not used", "from", from, "error", err)
 		return
 	}
+	if saved {
+		s.AfterPause()
+	}
 	for list, m := range s.Sources {
 		d.given[list] = m
 	}
@@ -184,14 +189,34 @@
 	return net.FileListener(f)
 }
 
+// fileOf is a copy of the socket's descriptor. The listener's own File would do, but for what exec makes
+// of it: it hands such a file on in blocking mode, which holds for every copy, and an accept that begins
+// then waits in the kernel, where closing its descriptor does not wake it.
 func fileOf(ln net.Listener) (*os.File, error) {
-	switch ln := ln.(type) {
-	case *net.TCPListener:
-		return ln.File()
-	case *net.UnixListener:
-		return ln.File()
+	sc, ok := ln.(syscall.Conn)
+	if !ok {
+		return nil, fmt.Errorf("%T has no descriptor", ln)
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var copied int
+	var fail error
+	err = raw.Control(func(fd uintptr) {
+		syscall.ForkLock.RLock() // no child is started before it is marked
+		defer syscall.ForkLock.RUnlock()
+		if copied, fail = syscall.Dup(int(fd)); fail == nil {
+			syscall.CloseOnExec(copied)
+		}
+	})
+	if err == nil {
+		err = os.NewSyscallError("dup", fail)
+	}
+	if err != nil {
+		return nil, err
 	}
-	return nil, fmt.Errorf("%T has no file", ln)
+	return os.NewFile(uintptr(copied), ln.Addr().String()), nil
 }
 
 // closeSocket gives an address up for good.
--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -67,11 +66,6 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	// Handing descriptors to a process puts their sockets into blocking mode, and with them every copy:
-	// an accept would then wait in the kernel, where closing its descriptor does not wake it.
-	for _, f := range sockets {
-		_ = syscall.SetNonblock(int(f.Fd()), true)
-	}
 	_ = tell.Close() // the successor's copy is the last: its end ends the pipe
 	said := make(chan error, 1)
 	go func() {
--- a/internal/laststate/laststate.go
+++ b/internal/laststate/laststate.go
@@ -2,9 +2,10 @@
 // believe of it. It is free of I/O; the file's form is here, the file is not.
 //
 // What may be restored: the last good list, which holds until the list service is heard, and how
-// long things take. What must not: retry tokens, budgets for cold servers, strikes and ejections,
-// limits on what is in flight. They allowed or forbade something at that moment; restored, each
-// could break a rule (a cold budget spent before would be spent again) or keep a healed server out.
+// long things take. What must not: retry tokens, budgets for cold servers, strikes and ejections. They
+// allowed or forbade something at that moment; restored, each could break a rule (a cold budget spent
+// before would be spent again) or keep a healed server out. The limit on what is in flight goes over in a
+// handover, where the same clients are served on at once, and not after a pause of unknown length.
 package laststate
 
 import (
@@ -26,6 +27,15 @@
 	Instances map[string]*agent.Memory    `json:"instances"` // by name
 }
 
+// AfterPause leaves out what holds only for a daemon that goes on at once where the last one stopped.
+func (s *State) AfterPause() {
+	for _, m := range s.Instances {
+		if m != nil {
+			m.Limit = 0
+		}
+	}
+}
+
 // Why a saved state is not believed.
 var (
 	ErrForeign = errors.New("not a state of vetchhaven")
--- /dev/null
+++ b/tools/fleet/herd.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"vetchhaven/internal/emulate"
+	"vetchhaven/internal/emulate/sockets"
+	"vetchhaven/internal/scenario"
+)
+
+// program builds the daemon into dir.
+func program(dir string) (string, error) {
+	path := filepath.Join(dir, "vetchhaven")
+	out, err := exec.Command("go", "build", "-o", path, "./cmd/vetchhaven").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("building the daemon: %w\n%s", err, out)
+	}
+	return path, nil
+}
+
+// step is what one server had at one time.
+type step struct {
+	held     int
+	pressure float64
+}
+
+// herd plays a scenario round real daemons, as they are and then naive, and prints what the server
+// that joins had every 100 ms.
+func herd(path string) error {
+	s, err := scenario.Load(path)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "fleet")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	bin, err := program(dir)
+	if err != nil {
+		return err
+	}
+	cold, joins := "", time.Duration(0)
+	for _, c := range s.Timeline {
+		if op, ok := c.What.(emulate.Start); ok {
+			cold, joins = op.Server.Name, c.At
+		}
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	ways := []string{"vetchhaven", "naive"}
+	traces := make([]map[time.Duration]step, len(ways))
+	fmt.Println("| start | asked | in time | late | refused | failed | refusals | service | worst 5 s | rules broken | cold: most held | cold: most load | fell |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for i, way := range ways {
+		trace := map[time.Duration]step{}
+		traces[i] = trace
+		log := &lastLines{}
+		p, err := sockets.Play(ctx, sockets.Options{Scenario: s, Seed: 1, Log: log, Naive: way == "naive",
+			Daemon: func(config string) *exec.Cmd { return exec.Command(bin, "serve", "--config", config) },
+			Trace: func(now time.Duration, server string, held int, pressure float64) {
+				if server == cold {
+					at := now.Truncate(100 * time.Millisecond)
+					trace[at] = step{max(held, trace[at].held), max(pressure, trace[at].pressure)}
+				}
+			}})
+		if err != nil {
+			return fmt.Errorf("%w\n%s", err, log)
+		}
+		if p.CutShort {
+			return context.Canceled
+		}
+		most := step{}
+		for _, v := range trace {
+			most = step{max(most.held, v.held), max(most.pressure, v.pressure)}
+		}
+		fell := "no"
+		for _, v := range p.Day.Servers {
+			if v.Name == cold && v.Fell {
+				fell = "yes"
+				most.pressure = max(most.pressure, v.Pressure)
+			}
+		}
+		t := p.Day.Total
+		worst, _ := p.Day.Worst()
+		fmt.Printf("| %s | %d | %d | %d | %d | %d | %d | %.1f%% | %.1f%% | %d | %d | %.2f | %s |\n", way, t.Offered, t.InTime, t.Late,
+			t.Refused, t.Failed, t.Refusals, 100*t.Service(), 100*worst, len(p.Judge.Breaches()), most.held, most.pressure, fell)
+	}
+	fmt.Printf("\n%s joins at %v. What it held, and its load over what it could do while cold, by 100 ms (rows where all is 0 left out):\n\n", cold, joins)
+	fmt.Println("| after | held | load | naive: held | load |\n| --- | --- | --- | --- | --- |")
+	var all []time.Duration
+	for _, t := range traces {
+		for at := range t {
+			if !slices.Contains(all, at) && at < joins+12*time.Second {
+				all = append(all, at)
+			}
+		}
+	}
+	slices.Sort(all)
+	for _, at := range all {
+		a, b := traces[0][at], traces[1][at]
+		if a != (step{}) || b != (step{}) {
+			fmt.Printf("| %.1f s | %d | %.2f | %d | %.2f |\n", (at - joins).Seconds(), a.held, a.pressure, b.held, b.pressure)
+		}
+	}
+	return nil
+}
+
+// lastLines keeps the end of what processes write.
+type lastLines struct {
+	mu  sync.Mutex
+	buf []byte
+}
+
+func (l *lastLines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.buf = append(l.buf, p...)
+	if over := len(l.buf) - 4<<10; over > 0 {
+		l.buf = l.buf[over:]
+	}
+	return len(p), nil
+}
+
+func (l *lastLines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return string(bytes.TrimSpace(l.buf))
+}
--- a/tools/fleet/main.go
+++ b/tools/fleet/main.go
@@ -3,6 +3,8 @@
 //	go run ./tools/fleet instances [-n 1000]    one process with n quiet instances, against n list readers
 //	go run ./tools/fleet cost [-seconds 5]      cost and latency of a request: direct, reverse proxy, this agent
 //	go run ./tools/fleet steps                  cost of a decision by the number of servers
+//	go run ./tools/fleet herd [-file F]         a herd of real daemons beside one that starts naively
+//	go run ./tools/fleet handover               a real daemon handed over three times under 500 requests a second
 package main
 
 import (
@@ -41,11 +43,12 @@
 
 func run(args []string) error {
 	if len(args) < 1 {
-		return errors.New("instances, cost or steps is needed")
+		return errors.New("instances, cost, steps, herd or handover is needed")
 	}
 	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	n := f.Int("n", 1000, "instances")
 	seconds := f.Int("seconds", 5, "seconds of each run")
+	file := f.String("file", "scenarios/herd.toml", "the scenario of herd")
 	if err := f.Parse(args[1:]); err != nil {
 		return err
 	}
@@ -56,8 +59,12 @@
 		return cost(time.Duration(*seconds) * time.Second)
 	case "steps":
 		return steps()
+	case "herd":
+		return herd(*file)
+	case "handover":
+		return handover()
 	}
-	return fmt.Errorf("%q is none of instances, cost, steps", args[0])
+	return fmt.Errorf("%q is none of instances, cost, steps, herd, handover", args[0])
 }
 
 const head = `admin = "unix:%[1]s/admin.sock"
