--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -60,6 +60,7 @@
 	overdueAt    = 0.6  // of the aim: an attempt out for so long is overdue
 	overdueCost  = 3.0  // or this many times the expected latency, if that is later
 	lateSlow     = 3.0  // slowness that an overdue attempt counts for
+	patienceSlop = 1.0 / 256 // of the aim: what told patiences of one length differ by, with no tick either
 	repeatValue  = 0.1  // value of a client's repeat against a first try: most of its aim has passed
 )
 
@@ -177,13 +178,13 @@
 	// A client gives its tries a usual patience, its last one all that is left of its deadline.
 	// A try with any other patience therefore tells how long ago the client began.
 	c.patience = cmp.Or(c.patience, e.Left)
-	off := e.Left - c.patience
-	if off > 2*b.s.Tick || off < -2*b.s.Tick {
+	off, jitter := e.Left-c.patience, max(b.s.Tick, time.Duration(patienceSlop*float64(c.Aim)))
+	if off > 2*jitter || off < -2*jitter {
 		r.repeat = true
 		r.aim -= max(0, c.Deadline-e.Left)
 	}
 	if !e.Repeat {
-		c.patience += min(max(off, -b.s.Tick/4), b.s.Tick/4) // towards the median
+		c.patience += min(max(off, -jitter/4), jitter/4) // towards the median
 	}
 	if r.work = float64(e.Work); r.work > 0 {
 		c.work = blend(c.work, r.work)
