--- a/cmd/vetchhaven/run.go
+++ b/cmd/vetchhaven/run.go
@@ -12,7 +12,8 @@
 
 	"github.com/spf13/cobra"
 
-	"vetchhaven/internal/agent"
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/http1"
 )
 
 func runCommand() *cobra.Command {
@@ -42,7 +43,7 @@
 	// Caught from the very start: the default of SIGHUP is to end the process.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	cfg, err := agent.LoadConfig(os.Getenv)
+	cfg, err := core.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -54,7 +55,7 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 	}
-	a, err := agent.New(cfg, log.With("agent", cfg.Name))
+	a, err := http1.New(cfg, log.With("agent", cfg.Name), core.Parts{})
 	if err != nil {
 		return err
 	}
@@ -64,9 +65,9 @@
 
 // reload reads the configuration again at each SIGHUP. Those that come meanwhile count as one. A
 // file that makes no sense changes nothing.
-func reload(a *agent.Agent, hup <-chan os.Signal, log *slog.Logger) {
+func reload(a *core.Agent, hup <-chan os.Signal, log *slog.Logger) {
 	for range hup {
-		cfg, err := agent.ReloadConfig(os.Getenv)
+		cfg, err := core.ReloadConfig(os.Getenv)
 		if err != nil {
 			log.Error("configuration not reloaded, the old one holds", "error", err)
 			continue
--- a/decide/api.go
+++ b/decide/api.go
@@ -122,6 +122,7 @@
 		Left   time.Duration // until this client stops waiting
 		Work   time.Duration // expected work; 0: unknown
 		Repeat bool          // the client says that it tries again
+		Only   string        // the one backend that may get it; empty: any
 	}
 	// Outcome ends one attempt. The agent passes on exactly one for each Send.
 	Outcome struct {
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -38,30 +38,30 @@
 	crossBias    = 0.25 // chance of an idle backend in another zone, if crossing is priced
 	heavy        = 2.0  // a cold backend gets no request of more than so many times the mean work
 
-	aimedDelay   = 0.35 // mean latency, as a share of the aim, above which less is kept in flight
-	aimedAlone   = 0.6  // the same for a thin agent without peers: full servers met by chance count as delay
-	limitCut     = 0.9  // one cut of the in-flight limit
-	limitGrow    = 0.7  // and its growth, in attempts per backend for each round of answers
-	thinPart     = 3.0  // an even part of the limit below this is kept by credit, not by counting
-	thinBurst    = 4.0  // mean requests that may go out ahead of the credit
-	thinMost     = 2.0  // what a first try brings at most, in its own work: retries need some too
-	startPerBack = 6.0  // in-flight limit at the start, for all agents together per backend
-	floorPerBack = 4.0  // and the least it falls to: less would leave cores idle
-	restoredMost = 60.0 // a limit of more, left by another balancer, is not believed
-	backCap      = 3.0  // no backend holds more than so many mean shares of the limit
-	holdMargin   = 2.0  // a held request leaves when fewer than so many mean latencies remain to its aim
-	holdAtMost   = 0.75 // of the aim; a request may always be held for the rest of it
-	headShare    = 0.25 // part of the limit that is shared out by head count, the rest by traffic
-	tellFan      = 8    // peers told each time: all at a small site, as many at random at a large one
-	tellMissed   = 4.0  // a peer that misses so many tells has stopped; one never heard counts as a mean one
-	passEvery    = 2    // outcomes for each message with notes: half the price of one a request
-	notesKept    = 96   // about two messages' worth
-	silentNotes  = 8    // time-outs in a row, here or told by peers, that are taken for silence
-	overdueAt    = 0.6  // of the aim: an attempt out for so long is overdue
-	overdueCost  = 3.0  // or this many times the expected latency, if that is later
-	lateSlow     = 3.0  // slowness that an overdue attempt counts for
-	patienceSlop = 1.0 / 256 // of the aim: what told patiences of one length differ by, with no tick either
-	repeatValue  = 0.1  // value of a client's repeat against a first try: most of its aim has passed
+	aimedDelay   = 0.35  // mean latency, as a share of the aim, above which less is kept in flight
+	aimedAlone   = 0.6   // the same for a thin agent without peers: full servers met by chance count as delay
+	limitCut     = 0.9   // one cut of the in-flight limit
+	limitGrow    = 0.7   // and its growth, in attempts per backend for each round of answers
+	thinPart     = 3.0   // an even part of the limit below this is kept by credit, not by counting
+	thinBurst    = 4.0   // mean requests that may go out ahead of the credit
+	thinMost     = 2.0   // what a first try brings at most, in its own work: retries need some too
+	startPerBack = 6.0   // in-flight limit at the start, for all agents together per backend
+	floorPerBack = 4.0   // and the least it falls to: less would leave cores idle
+	restoredMost = 60.0  // a limit of more, left by another balancer, is not believed
+	backCap      = 3.0   // no backend holds more than so many mean shares of the limit
+	holdMargin   = 2.0   // a held request leaves when fewer than so many mean latencies remain to its aim
+	holdAtMost   = 0.75  // of the aim; a request may always be held for the rest of it
+	headShare    = 0.25  // part of the limit that is shared out by head count, the rest by traffic
+	tellFan      = 8     // peers told each time: all at a small site, as many at random at a large one
+	tellMissed   = 4.0   // a peer that misses so many tells has stopped; one never heard counts as a mean one
+	passEvery    = 2     // outcomes for each message with notes: half the price of one a request
+	notesKept    = 96    // about two messages' worth
+	silentNotes  = 8     // time-outs in a row, here or told by peers, that are taken for silence
+	overdueAt    = 0.6   // of the aim: an attempt out for so long is overdue
+	overdueCost  = 3.0   // or this many times the expected latency, if that is later
+	lateSlow     = 3.0   // slowness that an overdue attempt counts for
+	patienceSlop = 0.004 // of the aim: told patiences of one length differ by so much, with no tick too
+	repeatValue  = 0.1   // value of a client's repeat against a first try: most of its aim has passed
 )
 
 // Balancer decides for one agent. See the package comment for its use.
@@ -174,7 +174,7 @@
 	}
 	c := &b.classes[e.Class]
 	r := &request{id: e.ID, class: e.Class, aim: b.now + min(c.Aim, e.Left), half: b.now + e.Left/2,
-		deadline: b.now + e.Left, repeat: e.Repeat}
+		deadline: b.now + e.Left, repeat: e.Repeat, only: e.Only}
 	// A client gives its tries a usual patience, its last one all that is left of its deadline.
 	// A try with any other patience therefore tells how long ago the client began.
 	c.patience = cmp.Or(c.patience, e.Left)
@@ -203,6 +203,10 @@
 		b.demand += b.expected(r)
 		b.earn(r)
 	}
+	if t := b.byID[r.only]; r.only != "" && (t == nil || t.State != Up) {
+		b.finish(r) // no other may have it, and waiting brings nothing
+		return
+	}
 	b.hold(r)
 }
 
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -27,6 +27,9 @@
 
 // mayRepeat is the repeat rule: whether a (further) attempt of r may go to t.
 func (b *Balancer) mayRepeat(r *request, t *backend) bool {
+	if r.only != "" && t.ID != r.only {
+		return false
+	}
 	if r.ended || r.stream || len(r.attempts) >= b.s.MaxAttempts || r.open > 0 && !b.s.SecondCopies {
 		return false
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -62,6 +62,7 @@
 type request struct {
 	id       string
 	class    int
+	only     string        // the one backend that may get it; empty: any
 	aim      time.Duration // answers after this time earn less
 	deadline time.Duration
 	half     time.Duration // half of the client's time is over
--- a/internal/agent/agent.go
+++ b/internal/core/agent.go
@@ -1,12 +1,7 @@
-// Package agent is the real agent around the decision module: it turns what happens on sockets
-// into the module's events and carries out its actions, in order. It decides nothing about
-// requests: it neither picks backends nor retries, holds or refuses.
-//
-// The loop (loop.go) owns the module; the front (front.go) serves clients, backends.go makes
-// attempts, discovery.go follows the list, peers.go exchanges datagrams with other agents.
-package agent
+package core
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -24,11 +19,10 @@
 type Agent struct {
 	cfg       *Config
 	log       *slog.Logger
-	loop      *loop
-	front     *front
-	backends  *backends
+	loop      *Loop
+	protocol  Protocol
 	discovery *discovery
-	gate      *gate
+	gate      *Gate
 	hub       *catalog.Hub
 	hubMu     sync.Mutex
 	leave     func()                  // the hub that it follows; nil: none
@@ -47,6 +41,10 @@
 	// ListWait is how long the agent waits for a list before it takes connections: until then they
 	// wait in the kernel's queue, where they would be refused for want of servers.
 	ListWait time.Duration
+	// AcceptAfterStop, where it is set, ends the time in which a stopping agent still takes connections;
+	// else that is 450 ms.
+	AcceptAfterStop <-chan time.Time
+	Silence         time.Duration // a watch of the list that brings nothing for so long is dead; 0: catalog.Silence
 }
 
 // acceptAfterStop is how long new connections are taken after a SIGTERM: clients are told of a
@@ -60,23 +58,27 @@
 // kills 0.7 s after the longest deadline.
 const drainSlack = 600 * time.Millisecond
 
-// New listens and sets up an agent. Clients are served once Run is called.
-func New(cfg *Config, log *slog.Logger) (*Agent, error) { return NewOf(cfg, log, Parts{}) }
-
-// NewOf sets up an agent with what it is given.
-func NewOf(cfg *Config, log *slog.Logger, p Parts) (*Agent, error) {
-	a := &Agent{cfg: cfg, log: log, backends: newBackends(cfg, log), hub: p.Hub, listWait: p.ListWait, faults: make(chan error, 1),
+// New sets up an agent with what it is given, or listens by itself. Clients are served once Run is
+// called. The protocol is made with the loop to which it gives requests.
+func New(cfg *Config, log *slog.Logger, p Parts, protocol func(*Loop) Protocol) (*Agent, error) {
+	a := &Agent{cfg: cfg, log: log, hub: p.Hub, listWait: p.ListWait, faults: make(chan error, 1),
 		accept: func() <-chan time.Time { return time.After(acceptAfterStop) }}
+	if p.AcceptAfterStop != nil {
+		a.accept = func() <-chan time.Time { return p.AcceptAfterStop }
+	}
 	if p.NoLateConnections {
 		a.accept = nil
 	}
 	ck := newClock()
 	var err error
-	if a.loop, err = newLoop(cfg, ck, a.backends, log); err != nil {
+	if a.loop, err = newLoop(cfg, ck, nil, log); err != nil {
 		return nil, err
 	}
 	a.loop.guard = a.guard
+	a.protocol = protocol(a.loop)
+	a.loop.protocol = a.protocol
 	a.discovery = newDiscovery(cfg, ck, a.loop.post, log)
+	a.discovery.silence = cmp.Or(p.Silence, a.discovery.silence)
 	if p.Hub == nil {
 		a.loop.watch = a.discovery.subscribe
 	}
@@ -95,11 +97,13 @@
 			return nil, fmt.Errorf("listen: %w", err)
 		}
 	}
-	a.gate = newGate(ln, clientSockets(cfg.Sockets))
-	a.front = newFront(cfg, a.loop, a.gate, newBudget(cfg.bodyMemory()), log)
+	a.gate = NewGate(ln, ClientSockets(cfg.Sockets))
 	return a, nil
 }
 
+// Gate is through where its clients' connections come.
+func (a *Agent) Gate() *Gate { return a.gate }
+
 // Addr is where clients connect.
 func (a *Agent) Addr() net.Addr { return a.gate.Addr() }
 
@@ -114,19 +118,22 @@
 func (a *Agent) Run(stop context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background()) // everything goes on through the drain
 	var running sync.WaitGroup
-	defer a.backends.shut()
+	defer a.protocol.Shut()
 	defer running.Wait()
 	defer cancel()
 	if a.cfg.Known != nil && len(a.cfg.Known.Servers) > 0 {
 		a.discovery.version = a.cfg.Known.Version
 		a.loop.take(a.discovery.translate(a.cfg.Known, decide.ListCached))
 	} else {
-		a.loop.take(listEvent{list: decide.List{Kind: decide.ListCached}}) // the module asks after it
+		a.loop.take(List{List: decide.List{Kind: decide.ListCached}}) // the module asks after it
+	}
+	known := 0
+	if a.cfg.Known != nil {
+		known = len(a.cfg.Known.Servers)
 	}
-	known := len(a.backends.addrs) // from here on the loop owns the list
 	spawn := func(f func()) { running.Go(func() { a.guard(f) }) }
 	spawn(func() { a.loop.run(ctx) })
-	spawn(func() { a.backends.reap(ctx) })
+	spawn(func() { a.protocol.Reap(ctx) })
 	if a.hub != nil {
 		a.Follow(a.hub)
 		defer a.Follow(nil)
@@ -147,7 +154,7 @@
 		}
 	}
 	served := make(chan error, 1)
-	go func() { served <- a.front.server.Serve(a.gate) }()
+	go func() { served <- a.protocol.Serve(a.gate) }()
 	a.log.Info("serving", "listen", a.gate.Addr().String(), "backends", known)
 	select {
 	case err := <-served:
@@ -184,16 +191,16 @@
 // lost.
 func (a *Agent) wait(ctx context.Context, served <-chan error) error {
 	_ = a.gate.Close()
-	a.front.draining.Store(true)
+	a.protocol.Drain()
 	select {
 	case <-served: // every accepted connection is in the gate's books now
 	case <-ctx.Done():
 	}
 	// A connection that has sent nothing by now most likely never will.
-	silent := time.AfterFunc(silentAfterStop, a.gate.closeSilent)
+	silent := time.AfterFunc(silentAfterStop, a.gate.CloseSilent)
 	defer silent.Stop()
 	err := a.gate.empty(ctx)
-	if e := a.front.server.Close(); e != nil && !errors.Is(e, net.ErrClosed) {
+	if e := a.protocol.Close(); e != nil && !errors.Is(e, net.ErrClosed) {
 		a.log.Warn("closing", "error", e)
 	}
 	return err
@@ -203,7 +210,7 @@
 // failed, which promises nothing, before its connections close.
 func (a *Agent) collapse(cancel func(), served <-chan error) {
 	cancel() // the loop ends, and with it every wait for an answer
-	limit, stop := context.WithTimeout(context.Background(), headTime)
+	limit, stop := context.WithTimeout(context.Background(), HeadTime)
 	defer stop()
 	if err := a.wait(limit, served); err != nil {
 		a.log.Error("ending with connections open", "error", err)
@@ -241,7 +248,7 @@
 func (a *Agent) Totals() Totals {
 	t := &a.loop.totals
 	return Totals{t.requests.Load(), t.served.Load(), t.refused.Load(), t.failed.Load(), t.gone.Load(), t.attempts.Load(),
-		t.late.Load(), a.front.open.Load()}
+		t.late.Load(), a.protocol.Open()}
 }
 
 // Inject has f called with the agent's totals at each of its loop's steps: a test's way to make it
@@ -328,13 +335,13 @@
 // when nothing is open, or when the platform is about to kill.
 func (a *Agent) drain(served <-chan error) error {
 	a.log.Info("stopping")
-	limit, cancel := context.WithTimeout(context.Background(), a.cfg.longest()+drainSlack)
+	limit, cancel := context.WithTimeout(context.Background(), a.cfg.Longest()+drainSlack)
 	defer cancel()
 	// Closes idle connections at once: a client whose request crosses that opens a new connection,
 	// which is still accepted.
 	if a.accept != nil {
-		a.front.draining.Store(true)
-		a.gate.closeIdle()
+		a.protocol.Drain()
+		a.gate.CloseIdle()
 		select {
 		case err := <-served:
 			return fmt.Errorf("listen: %w", err)
@@ -342,7 +349,7 @@
 		}
 	}
 	err := a.wait(limit, served)
-	if open := a.front.open.Load(); err != nil && open > 0 {
+	if open := a.protocol.Open(); err != nil && open > 0 {
 		a.log.Error("stopping with requests unanswered", "open", open, "error", err)
 	}
 	a.log.Info("stopped")
--- a/internal/agent/config.go
+++ b/internal/core/config.go
@@ -1,4 +1,4 @@
-package agent
+package core
 
 import (
 	"encoding/json"
@@ -7,9 +7,11 @@
 	"net"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"vetchhaven/decide"
+	"vetchhaven/internal/catalog"
 	"vetchhaven/internal/wire"
 )
 
@@ -23,8 +25,8 @@
 	MemoryMB   int
 	Sockets    int // file descriptors that the process may hold
 	PeerListen string
-	Peers      []string // addresses by agent number
-	Known      *members // the list of backends as last stored; may be absent
+	Peers      []string         // addresses by agent number
+	Known      *catalog.Members // the list of backends as last stored; may be absent
 
 	Settings decide.Settings
 	Site     wire.Site
@@ -50,7 +52,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
 	}
-	c, err := parseConfig(raw, getenv)
+	c, err := ParseConfig(raw, getenv)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -68,7 +70,8 @@
 	})
 }
 
-func parseConfig(raw []byte, getenv func(string) string) (*Config, error) {
+// ParseConfig reads a configuration in JSON, under the variables that getenv gives.
+func ParseConfig(raw []byte, getenv func(string) string) (*Config, error) {
 	var f struct {
 		Name, Listen, Discovery, Seed string
 		Limits                        struct {
@@ -78,7 +81,7 @@
 		}
 		PeerListen string `json:"peer_listen"`
 		Peers      []string
-		Known      *members
+		Known      *catalog.Members
 		Settings   json.RawMessage
 	}
 	if err := json.Unmarshal(raw, &f); err != nil {
@@ -157,9 +160,9 @@
 	return nil
 }
 
-// bodyMemory is how many bytes of bodies are kept at once, of clients and again of backends: an
+// BodyMemory is how many bytes of bodies are kept at once, of clients and again of backends: an
 // eighth of the memory limit.
-func (c *Config) bodyMemory() int {
+func (c *Config) BodyMemory() int {
 	if c.BodyBytes > 0 {
 		return c.BodyBytes
 	}
@@ -171,11 +174,38 @@
 
 const defaultMemoryMB = 192
 
-// longest is the longest time that any client waits.
-func (c *Config) longest() time.Duration {
+// Longest is the longest time that any client waits.
+func (c *Config) Longest() time.Duration {
 	var d time.Duration
 	for _, class := range c.Settings.Classes {
 		d = max(d, class.Deadline)
 	}
 	return d
 }
+
+// Budget bounds the bytes that are kept at once, by those that ask it.
+type Budget struct {
+	left atomic.Int64
+}
+
+// NewBudget has so many bytes.
+func NewBudget(bytes int) *Budget {
+	b := &Budget{}
+	b.left.Store(int64(bytes))
+	return b
+}
+
+// Take books bytes, if so many are left.
+func (b *Budget) Take(n int) bool {
+	if b.left.Add(-int64(n)) >= 0 {
+		return true
+	}
+	b.Put(n)
+	return false
+}
+
+// Put gives booked bytes back.
+func (b *Budget) Put(n int) { b.left.Add(int64(n)) }
+
+// Left is how many bytes are not booked.
+func (b *Budget) Left() int64 { return b.left.Load() }
--- a/internal/agent/config_test.go
+++ b/internal/core/config_test.go
@@ -1,42 +1,21 @@
-package agent
+package core
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"vetchhaven/decide"
+	"vetchhaven/internal/testkit"
 )
 
-func toLine(t *testing.T, version int64, servers ...member) string {
-	t.Helper()
-	raw, err := json.Marshal(members{Version: version, Servers: servers})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(raw)
-}
-
-// recorder is a ResponseWriter that keeps the status.
-type recorder struct {
-	header http.Header
-	status int
-}
-
-func newRecorder() *recorder                    { return &recorder{header: http.Header{}} }
-func (r *recorder) Header() http.Header         { return r.header }
-func (r *recorder) WriteHeader(status int)      { r.status = status }
-func (r *recorder) Write(p []byte) (int, error) { return len(p), nil }
-
 // A start-up error names the field that is wrong.
 func TestBadConfig(t *testing.T) {
 	base := map[string]string{"listen": `"127.0.0.1:0"`, "discovery": `"127.0.0.1:1"`, "seed": `"1f"`,
-		"limits": `{}`, "settings": fmt.Sprintf(settings, "automatic", 1000)}
+		"limits": `{}`, "settings": fmt.Sprintf(testkit.Settings, "automatic", 1000)}
 	build := func(field, value string) []byte {
 		var parts []string
 		for k, v := range base {
@@ -50,7 +29,7 @@
 		return []byte("{" + strings.Join(parts, ",") + "}")
 	}
 	none := func(string) string { return "" }
-	if _, err := parseConfig(build("", ""), none); err != nil {
+	if _, err := ParseConfig(build("", ""), none); err != nil {
 		t.Fatal(err)
 	}
 	change := func(old, new string) string {
@@ -76,7 +55,7 @@
 		{"settings", change(`"IdleCloseMs": 60000`, `"IdleCloseMs": 0`), "IdleCloseMs"},
 		{"settings", change(`"Goal"`, `"PolicyLimits": {"Peers": true}, "Goal"`), "peer_listen"},
 	} {
-		_, err := parseConfig(build(row.field, row.value), none)
+		_, err := ParseConfig(build(row.field, row.value), none)
 		if err == nil || !strings.Contains(err.Error(), row.names) {
 			t.Errorf("%s = %s: error %v does not name %s", row.field, row.value, err, row.names)
 		}
@@ -93,7 +72,7 @@
 	if _, err := LoadConfig(getenv); err == nil || !strings.Contains(err.Error(), "PROXY_CONFIG") {
 		t.Errorf("no file: %v", err)
 	}
-	raw := fmt.Sprintf(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ff","settings":%s}`, fmt.Sprintf(settings, "subscribe", 1000))
+	raw := fmt.Sprintf(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ff","settings":%s}`, fmt.Sprintf(testkit.Settings, "subscribe", 1000))
 	if err := os.WriteFile(env["PROXY_CONFIG"], []byte(raw), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -109,7 +88,7 @@
 
 // The module's peer messages travel as datagrams, with the sender known by its address.
 func TestPeers(t *testing.T) {
-	cfg := testConfig(t, setup{})
+	cfg := testConfig(t, testkit.Setup{})
 	cfg.PeerListen = "127.0.0.1:0"
 	other, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
@@ -117,7 +96,7 @@
 	}
 	defer other.Close()
 	cfg.Peers = []string{"127.0.0.1:9", other.LocalAddr().String()}
-	p, err := newPeers(cfg, quiet)
+	p, err := newPeers(cfg, testkit.Quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -134,7 +113,7 @@
 	if _, err := other.WriteTo([]byte("yes"), p.conn.LocalAddr()); err != nil {
 		t.Fatal(err)
 	}
-	if m, ok := receive(t, "message", got).(decide.PeerMessage); !ok || m.From != 1 || string(m.Data) != "yes" {
+	if m, ok := testkit.Receive(t, "message", got).(decide.PeerMessage); !ok || m.From != 1 || string(m.Data) != "yes" {
 		t.Errorf("%+v", m)
 	}
 }
--- a/internal/agent/discovery.go
+++ b/internal/core/discovery.go
@@ -1,4 +1,4 @@
-package agent
+package core
 
 import (
 	"context"
@@ -18,18 +18,6 @@
 	reconnectFirst, reconnectMost = 100 * time.Millisecond, 3 * time.Second
 )
 
-// members and member are the list as discovery writes it.
-type (
-	members = catalog.Members
-	member  = catalog.Member
-)
-
-// listEvent is one message of discovery in the module's terms, with the addresses that go with it.
-type listEvent struct {
-	list  decide.List
-	addrs map[string]string // by id; gone backends have none
-}
-
 // discovery follows the list of backends. In ask mode the module says when to watch and when to
 // try again after a failure; where lists are pushed there is nobody to ask, and it reconnects
 // by itself.
@@ -110,7 +98,7 @@
 		if fails == 1 || fails%20 == 0 { // not a line for every try while it is down
 			d.log.Warn("discovery watch ended", "error", err, "failures", fails)
 		}
-		d.post(listEvent{list: decide.List{Kind: decide.ListFailed}})
+		d.post(List{List: decide.List{Kind: decide.ListFailed}})
 	}
 }
 
@@ -154,7 +142,7 @@
 			err = errMoving
 		}
 	}()
-	return catalog.Watch(ctx, d.client, addr, d.version, d.silence, func(m *members) {
+	return catalog.Watch(ctx, d.client, addr, d.version, d.silence, func(m *catalog.Members) {
 		d.version = m.Version
 		kind := decide.ListDelta
 		if m.Full {
@@ -166,12 +154,12 @@
 
 // translate puts a list into the module's terms. An entry that makes no sense is left out and
 // logged: the others still count.
-func (d *discovery) translate(m *members, kind decide.ListKind) listEvent {
+func (d *discovery) translate(m *catalog.Members, kind decide.ListKind) List {
 	return translate(d.cfg, d.clock, d.log, m, kind)
 }
 
-func translate(cfg *Config, ck clock, log *slog.Logger, m *members, kind decide.ListKind) listEvent {
-	e := listEvent{list: decide.List{Kind: kind}, addrs: map[string]string{}}
+func translate(cfg *Config, ck clock, log *slog.Logger, m *catalog.Members, kind decide.ListKind) List {
+	e := List{List: decide.List{Kind: kind}, Addrs: map[string]string{}}
 	for _, s := range m.Servers {
 		state, ok := map[string]decide.BackendState{
 			"ready": decide.Up, "draining": decide.Draining, "gone": decide.Gone}[s.State]
@@ -184,14 +172,14 @@
 				log.Warn("list entry left out", "id", s.ID, "error", err)
 				continue
 			}
-			e.addrs[s.ID] = s.Addr
+			e.Addrs[s.ID] = s.Addr
 		}
 		b := decide.Backend{ID: s.ID, State: state, Zone: slices.Index(cfg.Site.Zones, s.Zone),
 			Kind: slices.Index(cfg.Site.Kinds, s.Kind), Cell: s.Cell, Weight: s.Weight}
 		if s.Started > 0 {
 			b.Started = ck.started(s.Started)
 		}
-		e.list.Backends = append(e.list.Backends, b)
+		e.Backends = append(e.Backends, b)
 	}
 	return e
 }
--- /dev/null
+++ b/internal/core/discovery_test.go
@@ -0,0 +1,161 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"vetchhaven/decide"
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/testkit"
+)
+
+// follow runs a discovery client on c and returns what it posts.
+func follow(t *testing.T, cfg *Config, tune func(*discovery)) (*discovery, chan List) {
+	t.Helper()
+	events := make(chan List, 100)
+	d := newDiscovery(cfg, newClock(), func(e any) { events <- e.(List) }, testkit.Quiet)
+	d.version, d.silence = 41, 2*testkit.Patience
+	if tune != nil {
+		tune(d)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { d.run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); testkit.Receive(t, "end of discovery", done) })
+	return d, events
+}
+
+func line(version int, full bool, state string) string {
+	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[{"id":"s","addr":"127.0.0.1:9","zone":"b","kind":"m2","cell":3,"state":%q,"weight":1.5,"started_ms":0}]}`, version, full, state)
+}
+
+// The watch goes on from the last version after a failure, and each failure is told.
+func TestWatchReconnects(t *testing.T) {
+	c := testkit.NewCatalog(t)
+	_, events := follow(t, testConfig(t, testkit.Setup{Discovery: c.Addr}), nil)
+	w := testkit.Receive(t, "watch", c.Watch)
+	if w.Since != "41" {
+		t.Errorf("since %q", w.Since)
+	}
+	w.Lines <- line(42, true, "ready")
+	e := testkit.Receive(t, "list", events)
+	want := decide.Backend{ID: "s", Zone: 1, Kind: 1, Cell: 3, Weight: 1.5}
+	if e.Kind != decide.ListFull || len(e.Backends) != 1 || e.Backends[0] != want || e.Addrs["s"] != "127.0.0.1:9" {
+		t.Errorf("%+v", e)
+	}
+	w.Lines <- "" // nothing has changed
+	w.Lines <- line(43, false, "draining")
+	if e := testkit.Receive(t, "change", events); e.Kind != decide.ListDelta || e.Backends[0].State != decide.Draining {
+		t.Errorf("%+v", e)
+	}
+	w.Lines <- line(44, false, "gone")
+	if e := testkit.Receive(t, "change", events); e.Backends[0].State != decide.Gone || len(e.Addrs) != 0 {
+		t.Errorf("%+v", e)
+	}
+	close(w.Lines)
+	if e := testkit.Receive(t, "failure", events); e.Kind != decide.ListFailed {
+		t.Errorf("%+v", e)
+	}
+	w = testkit.Receive(t, "second watch", c.Watch)
+	if w.Since != "44" {
+		t.Errorf("since %q", w.Since)
+	}
+	close(w.Fail)
+	if e := testkit.Receive(t, "failure", events); e.Kind != decide.ListFailed {
+		t.Errorf("%+v", e)
+	}
+	w = testkit.Receive(t, "third watch", c.Watch)
+	w.Lines <- "{no list"
+	if e := testkit.Receive(t, "failure", events); e.Kind != decide.ListFailed {
+		t.Errorf("%+v", e)
+	}
+	testkit.Receive(t, "fourth watch", c.Watch)
+}
+
+// Where discovery is asked, the module says when: the agent does not call by itself.
+func TestWatchIsAskedFor(t *testing.T) {
+	c := testkit.NewCatalog(t)
+	d, events := follow(t, testConfig(t, testkit.Setup{Mode: "subscribe", Discovery: c.Addr}), nil)
+	d.subscribe()
+	close(testkit.Receive(t, "watch", c.Watch).Fail)
+	testkit.Receive(t, "failure", events)
+	if len(c.Watch) != 0 {
+		t.Error("asked again unasked")
+	}
+	d.subscribe()
+	testkit.Receive(t, "second watch", c.Watch)
+}
+
+// A discovery that is cut off closes nothing: a watch that misses its empty lines is dead.
+func TestSilentWatchIsDead(t *testing.T) {
+	c := testkit.NewCatalog(t)
+	_, events := follow(t, testConfig(t, testkit.Setup{Discovery: c.Addr}), func(d *discovery) { d.silence = 50 * time.Millisecond })
+	testkit.Receive(t, "watch", c.Watch)
+	if e := testkit.Receive(t, "failure", events); e.Kind != decide.ListFailed {
+		t.Errorf("%+v", e)
+	}
+	testkit.Receive(t, "second watch", c.Watch)
+}
+
+func TestStartTimes(t *testing.T) {
+	cfg := testConfig(t, testkit.Setup{})
+	ck := newClock()
+	d := newDiscovery(cfg, ck, nil, testkit.Quiet)
+	at := time.Now().Add(-3 * time.Second)
+	e := d.translate(&catalog.Members{Servers: []catalog.Member{
+		{ID: "new", Addr: "127.0.0.1:9", State: "ready", Started: at.UnixMilli()},
+		{ID: "old", Addr: "127.0.0.1:9", State: "ready"},
+		{ID: "odd", Addr: "nowhere", State: "ready"},
+		{ID: "", Addr: "127.0.0.1:9", State: "ready"},
+		{ID: "what", Addr: "127.0.0.1:9", State: "asleep"},
+	}}, decide.ListFull)
+	if len(e.Backends) != 2 {
+		t.Fatalf("%+v", e.Backends)
+	}
+	// Started before the agent: it may still be cold and must not count as started long ago.
+	age := ck.now() - e.Backends[0].Started
+	if e.Backends[0].Started <= 0 || age < 3*time.Second || age > 3*time.Second+testkit.Patience {
+		t.Errorf("started %v ago", age)
+	}
+	if e.Backends[1].Started != 0 || e.Backends[1].Zone != -1 {
+		t.Errorf("%+v", e.Backends[1])
+	}
+}
+
+// A reload moves the watch at once, also while the module waits to ask, and asks for the whole
+// list; the module hears of no failure. The same address again changes nothing.
+func TestWatchMoves(t *testing.T) {
+	for _, mode := range []string{"subscribe", "automatic"} {
+		t.Run(mode, func(t *testing.T) {
+			one, two, three := testkit.NewCatalog(t), testkit.NewCatalog(t), testkit.NewCatalog(t)
+			d, events := follow(t, testConfig(t, testkit.Setup{Mode: mode, Discovery: one.Addr}), nil)
+			if mode == "subscribe" {
+				d.subscribe()
+			}
+			w := testkit.Receive(t, "watch", one.Watch)
+			w.Lines <- line(42, true, "ready")
+			testkit.Receive(t, "list", events)
+			d.move(one.Addr)
+			d.move(two.Addr)
+			w = testkit.Receive(t, "watch at the new address", two.Watch)
+			if w.Since != "0" {
+				t.Errorf("since %q: the versions of another service", w.Since)
+			}
+			w.Lines <- line(7, true, "draining")
+			if e := testkit.Receive(t, "list of the new address", events); e.Kind != decide.ListFull || e.Backends[0].State != decide.Draining {
+				t.Errorf("%+v", e)
+			}
+			close(w.Lines)
+			if e := testkit.Receive(t, "failure", events); e.Kind != decide.ListFailed {
+				t.Errorf("%+v", e)
+			}
+			d.move(three.Addr)
+			testkit.Receive(t, "watch at the third address", three.Watch)
+			if len(one.Watch) != 0 {
+				t.Error("the first address was asked again")
+			}
+		})
+	}
+}
--- a/internal/agent/sockets.go
+++ b/internal/core/gate.go
@@ -1,11 +1,10 @@
-package agent
+package core
 
 import (
 	"container/list"
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -27,22 +26,22 @@
 	return limit - OwnSockets
 }
 
-// backendSockets is how many connections to backends are open at once.
-func backendSockets(limit int) int { return sharedSockets(limit) * 2 / 5 }
+// BackendSockets is how many connections to backends are open at once.
+func BackendSockets(limit int) int { return sharedSockets(limit) * 2 / 5 }
 
-// clientSockets is how many client connections are open at once.
-func clientSockets(limit int) int { return sharedSockets(limit) - backendSockets(limit) }
+// ClientSockets is how many client connections are open at once.
+func ClientSockets(limit int) int { return sharedSockets(limit) - BackendSockets(limit) }
 
 const (
 	// quietLeast is how long a connection without an open request is left alone at the least: a
 	// client may be about to send its first request on it.
 	quietLeast = 2 * time.Second
-	// headTime is what a client has from connecting, or from the first byte of a later request,
+	// HeadTime is what a client has from connecting, or from the first byte of a later request,
 	// until the head has come, and again for the body.
-	headTime = quietLeast + 200*time.Millisecond
+	HeadTime = quietLeast + 200*time.Millisecond
 )
 
-// gate accepts clients' connections, no more than so many at once: running out of descriptors
+// Gate accepts clients' connections, no more than so many at once: running out of descriptors
 // would fail attempts at healthy backends too. A connection that carries no request holds its
 // place only while there is room. Past the mark, those that have been quiet for long are closed
 // for new ones. Where it is full all the same, one that has had an answer goes at once, since a
@@ -53,7 +52,7 @@
 // left for the next request long before the gate is full. So no more than a quarter are kept
 // after their answers, whoever keeps them, and past that quiet ones go as they do past the mark. It
 // could hurt where a burst of many requests at once comes every few seconds: it connects anew.
-type gate struct {
+type Gate struct {
 	net.Listener
 	most, mark, kept int
 
@@ -66,8 +65,9 @@
 	once  sync.Once
 }
 
-func newGate(l net.Listener, most int) *gate {
-	return &gate{Listener: l, most: most, mark: most * 3 / 4, kept: max(1, most/4), conns: map[*clientConn]bool{},
+// NewGate accepts no more than so many connections at once.
+func NewGate(l net.Listener, most int) *Gate {
+	return &Gate{Listener: l, most: most, mark: most * 3 / 4, kept: max(1, most/4), conns: map[*clientConn]bool{},
 		fresh: list.New(), idle: list.New(), freed: make(chan struct{}, 1), done: make(chan struct{})}
 }
 
@@ -81,13 +81,13 @@
 // once after a last answer, and a reset could overtake it.
 type clientConn struct {
 	streamConn
-	gate  *gate
+	gate  *Gate
 	place *list.Element // in gate.fresh or gate.idle; nil while a request is open
 	since time.Time     // quiet since then
 	used  bool          // has sent a request
 }
 
-func (g *gate) Accept() (net.Conn, error) {
+func (g *Gate) Accept() (net.Conn, error) {
 	for {
 		wait := g.makeRoom(time.Now())
 		if wait == 0 {
@@ -125,7 +125,7 @@
 
 // makeRoom closes what has been quiet for long enough, down to the mark. It returns 0 if there
 // is room for one more, else how long to wait for it at the most.
-func (g *gate) makeRoom(now time.Time) time.Duration {
+func (g *Gate) makeRoom(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	wait := quietLeast
@@ -150,7 +150,7 @@
 
 // drop closes a connection and frees its place. The lock is held; closing a socket does not
 // block, and a second close does no harm.
-func (g *gate) drop(c *clientConn) {
+func (g *Gate) drop(c *clientConn) {
 	if !g.conns[c] {
 		return
 	}
@@ -163,7 +163,7 @@
 	}
 }
 
-func (g *gate) unquiet(c *clientConn) {
+func (g *Gate) unquiet(c *clientConn) {
 	if c.place != nil {
 		g.fresh.Remove(c.place) // no more than looks, where it is in the other
 		g.idle.Remove(c.place)
@@ -171,19 +171,21 @@
 	}
 }
 
-// track is told by net/http where each connection stands.
-func (g *gate) track(nc net.Conn, s http.ConnState) {
-	c, ok := nc.(*clientConn)
-	if !ok {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	switch s {
-	case http.StateActive:
+// Busy says that a request is open on a connection that the gate has accepted.
+func (g *Gate) Busy(nc net.Conn) {
+	if c, ok := nc.(*clientConn); ok {
+		g.mu.Lock()
+		defer g.mu.Unlock()
 		c.used = true
 		g.unquiet(c)
-	case http.StateIdle:
+	}
+}
+
+// Idle says that none is open on it any more.
+func (g *Gate) Idle(nc net.Conn) {
+	if c, ok := nc.(*clientConn); ok {
+		g.mu.Lock()
+		defer g.mu.Unlock()
 		if g.conns[c] && c.place == nil {
 			c.since = time.Now()
 			c.place = g.idle.PushBack(c)
@@ -191,15 +193,23 @@
 	}
 }
 
-// crowded reports whether so many are open, or kept, that none should be kept after its answer.
-func (g *gate) crowded() bool {
+// Crowded reports whether so many are open, or kept, that none should be kept after its answer.
+func (g *Gate) Crowded() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return len(g.conns) >= g.most-g.most/8 || g.idle.Len() >= g.kept
 }
 
-// closeIdle closes the connections that are kept after their answers.
-func (g *gate) closeIdle() {
+// Counts are how many connections are open, and how many of these have sent no request yet, and
+// how many are between requests.
+func (g *Gate) Counts() (open, fresh, idle int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns), g.fresh.Len(), g.idle.Len()
+}
+
+// CloseIdle closes the connections that are kept after their answers.
+func (g *Gate) CloseIdle() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for e := g.idle.Front(); e != nil; e = g.idle.Front() {
@@ -208,11 +218,11 @@
 }
 
 // empty waits until no connection is open. Those that are kept after their answers go.
-func (g *gate) empty(ctx context.Context) error {
+func (g *Gate) empty(ctx context.Context) error {
 	again := time.NewTicker(20 * time.Millisecond)
 	defer again.Stop()
 	for {
-		g.closeIdle()
+		g.CloseIdle()
 		g.mu.Lock()
 		n := len(g.conns)
 		g.mu.Unlock()
@@ -228,8 +238,8 @@
 	}
 }
 
-// closeSilent closes the connections on which no request was ever sent.
-func (g *gate) closeSilent() {
+// CloseSilent closes the connections on which no request was ever sent.
+func (g *Gate) CloseSilent() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.conns {
@@ -239,7 +249,7 @@
 	}
 }
 
-func (g *gate) Close() error {
+func (g *Gate) Close() error {
 	g.once.Do(func() { close(g.done) })
 	return g.Listener.Close()
 }
--- /dev/null
+++ b/internal/core/gate_test.go
@@ -0,0 +1,226 @@
+package core
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"vetchhaven/internal/testkit"
+)
+
+// pair is a gate's end and a client's end of one connection that is kept after an answer.
+func pair(t *testing.T) (g *Gate, kept *clientConn, client net.Conn) {
+	t.Helper()
+	ln := testkit.Listen(t)
+	g = NewGate(ln, 10)
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	c, err := g.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept = c.(*clientConn)
+	t.Cleanup(func() { kept.Close() })
+	kept.used = true
+	g.mu.Lock()
+	g.unquiet(kept)
+	kept.place = g.idle.PushBack(kept)
+	g.mu.Unlock()
+	return g, kept, client
+}
+
+// The first byte of a request makes a kept connection busy: draining does not close it any more. A
+// request that was read and then cut off would be handled, and asked again elsewhere.
+func TestAFirstByteMakesAConnectionBusy(t *testing.T) {
+	g, kept, client := pair(t)
+	if _, err := client.Write([]byte("G")); err != nil {
+		t.Fatal(err)
+	}
+	one := make([]byte, 1)
+	if n, err := kept.Read(one); n != 1 || err != nil {
+		t.Fatal(n, err)
+	}
+	g.CloseIdle()
+	if _, err := kept.Write([]byte("x")); err != nil {
+		t.Errorf("closed though a request has begun: %v", err)
+	}
+	if _, err := io.ReadFull(client, one); err != nil {
+		t.Error(err)
+	}
+}
+
+// One that was closed first brings nothing, though the bytes were there.
+func TestAClosedConnectionBringsNothing(t *testing.T) {
+	g, kept, client := pair(t)
+	if _, err := client.Write([]byte("G")); err != nil {
+		t.Fatal(err)
+	}
+	read := kept.streamConn // reads past the gate, as a read that is under way at the close has
+	one := make([]byte, 1)
+	if _, err := io.ReadFull(read, one); err != nil {
+		t.Fatal(err)
+	}
+	kept.streamConn = stale{read}
+	g.CloseIdle()
+	if n, err := kept.Read(one); n != 0 || !errors.Is(err, net.ErrClosed) {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
+
+// stale has read a byte just before it was closed.
+type stale struct{ streamConn }
+
+func (s stale) Read(p []byte) (int, error) { p[0] = 'G'; return 1, nil }
+
+// gateFor is a gate on loopback whose clock the test turns, with so many client connections open.
+func gateFor(t *testing.T, most, open int) (*Gate, []net.Conn) {
+	t.Helper()
+	g := NewGate(testkit.Listen(t), most)
+	t.Cleanup(func() { g.Close() })
+	var conns []net.Conn
+	for range open {
+		conns = append(conns, dialGate(t, g))
+		if _, err := g.Accept(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return g, conns
+}
+
+func dialGate(t *testing.T, g *Gate) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", g.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func (g *Gate) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns)
+}
+
+func (g *Gate) quietOnes() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fresh.Len() + g.idle.Len()
+}
+
+// Clients that connect and say nothing once filled the listener for as long as they liked, and
+// nobody else came in. Past the mark those testkit.Quiet longest go, but none before its time: a client
+// may be about to send its first request. Those with an open request stay.
+func TestQuietConnectionsMakeRoom(t *testing.T) {
+	g, conns := gateFor(t, 8, 8)
+	g.mu.Lock()
+	var all []*clientConn
+	for e := g.fresh.Front(); e != nil; e = e.Next() {
+		all = append(all, e.Value.(*clientConn))
+	}
+	g.mu.Unlock()
+	g.Busy(all[0])
+	now := all[7].since
+	if wait := g.makeRoom(now); wait <= 0 || wait > quietLeast || g.count() != 8 {
+		t.Fatalf("full of young ones: wait %v, %d open", wait, g.count())
+	}
+	if wait := g.makeRoom(now.Add(quietLeast)); wait != 0 || g.count() != g.mark-1 {
+		t.Fatalf("wait %v, %d open, mark %d", wait, g.count(), g.mark)
+	}
+	if !g.conns[all[0]] || g.conns[all[1]] || g.conns[all[3]] || !g.conns[all[4]] {
+		t.Error("not those testkit.Quiet longest were closed")
+	}
+	if err := conns[1].SetReadDeadline(time.Now().Add(testkit.Patience)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conns[1].Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the client was not told: %v", err)
+	}
+	// Quiet again after its answer; then its last answer is out and only the client's reading is
+	// waited for, which is the first to end.
+	g.Idle(all[0])
+	if g.idle.Back().Value != all[0] {
+		t.Error("after its answer it is not idle")
+	}
+	g.Busy(all[4])
+	if err := all[4].CloseWrite(); err != nil || g.idle.Front().Value != all[4] {
+		t.Errorf("%v; one that is being closed is not the first to go", err)
+	}
+	// Full once more: clients that ask now and then, and so are never idle for long, must not keep
+	// all others out. Those that have had an answer go at once, those still silent do not.
+	g.most = g.count()
+	if wait := g.makeRoom(time.Now()); wait != 0 || g.conns[all[4]] || !g.conns[all[0]] {
+		t.Errorf("wait %v; kept: closing %v, idle %v", wait, g.conns[all[4]], g.conns[all[0]])
+	}
+	g.most = g.count()
+	if wait := g.makeRoom(time.Now()); wait != 0 || g.conns[all[0]] {
+		t.Errorf("wait %v; the idle one was kept", wait)
+	}
+	g.most = g.count()
+	if wait := g.makeRoom(all[5].since); wait == 0 || !g.conns[all[5]] {
+		t.Errorf("wait %v; a silent one was not left its time", wait)
+	}
+}
+
+// A full gate takes no connection until a place is free, and counts each place once.
+func TestGateLimit(t *testing.T) {
+	g, _ := gateFor(t, 1, 0)
+	got := make(chan net.Conn, 2)
+	ended := make(chan error, 1)
+	go func() {
+		for {
+			c, err := g.Accept()
+			if err != nil {
+				ended <- err
+				return
+			}
+			g.Busy(c)
+			got <- c
+		}
+	}()
+	dialGate(t, g)
+	one := testkit.Receive(t, "first connection", got)
+	dialGate(t, g)
+	if g.count() != 1 || len(got) != 0 {
+		t.Errorf("%d connections past the limit", len(got))
+	}
+	one.Close()
+	one.Close()
+	testkit.Receive(t, "second connection", got)
+	if g.count() != 1 {
+		t.Errorf("%d counted, one is open", g.count())
+	}
+	g.Close()
+	if err := testkit.Receive(t, "end", ended); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("%v", err)
+	}
+}
+
+// Those that are kept after their answers go, past a quarter, once they have been quiet for long.
+func TestKeptOnesGoOnceQuietForLong(t *testing.T) {
+	g, _ := gateFor(t, 20, 8)
+	g.mu.Lock()
+	var all []*clientConn
+	for e := g.fresh.Front(); e != nil; e = e.Next() {
+		all = append(all, e.Value.(*clientConn))
+	}
+	g.mu.Unlock()
+	for _, c := range all {
+		g.Busy(c)
+		g.Idle(c)
+	}
+	g.makeRoom(time.Now())
+	if _, _, idle := g.Counts(); idle != 8 {
+		t.Errorf("%d are kept, none was quiet for long", idle)
+	}
+	g.makeRoom(time.Now().Add(quietLeast))
+	if _, _, idle := g.Counts(); idle >= g.kept {
+		t.Errorf("%d are kept that were quiet for long, fewer than %d should be", idle, g.kept)
+	}
+}
--- a/internal/agent/loop.go
+++ b/internal/core/loop.go
@@ -1,9 +1,10 @@
-package agent
+package core
 
 import (
 	"cmp"
 	"container/heap"
 	"context"
+	"errors"
 	"hash/maphash"
 	"log/slog"
 	"sync/atomic"
@@ -27,58 +28,33 @@
 // started is the time of a start that the list tells in milliseconds of Unix time, above 0.
 func (c clock) started(ms int64) time.Duration { return max(0, c.at(time.UnixMilli(ms))) }
 
-// request is a client's request from when it was taken until its attempts are in. Only the loop
-// touches it after it was posted.
-type request struct {
-	id       string
-	class    int
-	message  *message
-	deadline time.Time     // the client stops waiting
-	left     time.Duration // until then, as the client told it
-	work     time.Duration
-	repeat   bool
-	reply    chan reply    // of one, so that the loop never waits
-	over     chan struct{} // closed with the final answer
-
-	done     bool // has its final answer, or its client is gone
-	open     int  // attempts out
-	cancels  []context.CancelCauseFunc
-	timedOut bool // an attempt did
-}
-
-func newRequest(id string, class int) *request {
-	return &request{id: id, class: class, reply: make(chan reply, 1), over: make(chan struct{})}
-}
-
-// reply is a final answer. Exactly one field is set, or none: failed.
-type reply struct {
-	served     *answer
-	refused    bool
-	retryAfter time.Duration
-	timedOut   bool // failed, for want of time
-	duplicate  bool // failed: another request with this id is open, or was just now
-}
-
-// What is posted to the loop, besides listEvent and the module's own ProbeResult and PeerMessage.
+// What is posted to the loop, besides List and the module's own ProbeResult and PeerMessage.
 type (
-	arrived struct{ *request }
-	left    struct{ *request } // the client hung up
-	overdue struct{ *request } // its time and half the grace are up and no answer is there
+	arrived struct{ *Request }
+	left    struct{ *Request } // the client hung up
+	overdue struct{ *Request } // its time and half the grace are up and no answer is there
+	began   struct{ *Attempt } // a part of its answer is about to reach the client
 	ended   struct {           // an attempt
-		*request
+		*Attempt
 		outcome decide.Outcome
-		answer  *answer
+		answer  any
 	}
 )
 
-// loop owns the balancer, the clock, the timers and the table of open requests. Everything else
+// Why an attempt's context has ended, besides by the end of the agent.
+var (
+	ErrTimedOut  = errors.New("timed out")
+	ErrCancelled = errors.New("cancelled")
+)
+
+// Loop owns the balancer, the clock, the timers and the table of open requests. Everything else
 // posts events to it; it never waits for any of them.
-type loop struct {
+type Loop struct {
 	cfg      *Config
 	log      *slog.Logger
 	clock    clock
 	balancer *decide.Balancer
-	backends *backends
+	protocol Protocol
 	peers    *peers
 	watch    func() // asks discovery for a watch
 
@@ -87,7 +63,7 @@
 	ready    atomic.Bool
 	listed   chan struct{} // closed once a list has named servers
 	margin   time.Duration
-	requests map[string]*request
+	requests map[string]*Request
 	recent   recent // ids of requests that have ended
 	timers   timerHeap
 	pending  []decide.Event
@@ -108,7 +84,7 @@
 // counts are what the agent did since its last line about it.
 type counts struct{ requests, served, refused, failed, gone, attempts, late int }
 
-func newLoop(cfg *Config, ck clock, b *backends, log *slog.Logger) (*loop, error) {
+func newLoop(cfg *Config, ck clock, p Protocol, log *slog.Logger) (*Loop, error) {
 	balancer, err := decide.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
@@ -116,27 +92,49 @@
 	if cfg.Memory != nil {
 		balancer.Restore(cfg.Memory.learnt(cfg, ck))
 	}
-	return &loop{cfg: cfg, log: log, guard: func(f func()) { f() }, clock: ck, balancer: balancer, backends: b, watch: func() {},
+	return &Loop{cfg: cfg, log: log, guard: func(f func()) { f() }, clock: ck, balancer: balancer, protocol: p, watch: func() {},
 		events: make(chan any, 1024), stopped: make(chan struct{}), listed: make(chan struct{}),
 		// An attempt that waits for the client's deadline ends one tick before it: its time-out
 		// reaches the module in time for the client to hear the final answer.
 		margin:   cmp.Or(cfg.Margin, cfg.Settings.Tick),
-		recent:   newRecent(cfg.longest()),
-		requests: map[string]*request{}, probing: map[string]bool{}}, nil
+		recent:   newRecent(cfg.Longest()),
+		requests: map[string]*Request{}, probing: map[string]bool{}}, nil
 }
 
 // post hands an event to the loop. After the loop has stopped it goes nowhere.
-func (l *loop) post(e any) {
+func (l *Loop) post(e any) {
 	select {
 	case l.events <- e:
 	case <-l.stopped:
 	}
 }
 
+// Take gives a request to the loop, which owes it one final answer. After the loop has stopped there is
+// none: see Stopped.
+func (l *Loop) Take(r *Request) {
+	// A request that comes with less than a tick left is answered by the step that first sees it; the grace
+	// after the deadline is there for this.
+	r.late = time.AfterFunc(time.Until(r.Deadline)+l.cfg.Settings.AnswerGrace/2, func() { l.post(overdue{r}) })
+	l.post(arrived{r})
+}
+
+// Leave says that a request's client is gone, or wants no answer: none is owed any more. Its attempts
+// count as out until they end.
+func (l *Loop) Leave(r *Request) { l.post(left{r}) }
+
+// Stopped is closed when the loop has ended. What was taken and is not answered by then has failed.
+func (l *Loop) Stopped() <-chan struct{} { return l.stopped }
+
+// Known reports whether any server is known.
+func (l *Loop) Known() bool { return l.ready.Load() }
+
+// Guard runs f and keeps a panic in it to this agent, which ends by it.
+func (l *Loop) Guard(f func()) { l.guard(f) }
+
 const summaryEvery = 10 * time.Second
 
 // run steps the balancer with what has come in, no oftener than the tick, until ctx ends.
-func (l *loop) run(ctx context.Context) {
+func (l *Loop) run(ctx context.Context) {
 	defer close(l.stopped)
 	l.base = ctx
 	var last time.Duration
@@ -181,7 +179,7 @@
 		for i, e := range events {
 			// Its time has run on since it came in. It may be gone already: its client may be.
 			if e, ok := e.(decide.Request); ok && l.requests[e.ID] != nil {
-				e.Left = l.clock.at(l.requests[e.ID].deadline) - l.margin - now
+				e.Left = l.clock.at(l.requests[e.ID].Deadline) - l.margin - now
 				events[i] = e
 			}
 		}
@@ -192,7 +190,7 @@
 }
 
 // drain takes what else has come in.
-func (l *loop) drain() {
+func (l *Loop) drain() {
 	for range len(l.events) {
 		l.take(<-l.events)
 	}
@@ -200,54 +198,68 @@
 
 // take books one event and keeps it for the next step. A served request is answered here: the
 // client need not wait for the step.
-func (l *loop) take(e any) {
+func (l *Loop) take(e any) {
 	switch e := e.(type) {
 	case arrived:
 		// Not for the table: the id belongs to the other one. Each request has a new id, so one that
-		// has just ended is no better: backends may still know it.
-		if l.requests[e.id] != nil || l.recent.has(e.id, l.clock.now()) {
-			e.reply <- reply{duplicate: true}
+		// has just ended is no better: servers may still know it.
+		if l.requests[e.ID] != nil || l.recent.has(e.ID, l.clock.now()) {
+			e.late.Stop()
+			e.reply(Answer{Duplicate: true})
 			return
 		}
 		l.counts.requests++
 		l.totals.requests.Add(1)
-		l.requests[e.id] = e.request
-		l.pending = append(l.pending, decide.Request{ID: e.id, Class: e.class, Work: e.work, Repeat: e.repeat})
+		l.requests[e.ID] = e.Request
+		l.pending = append(l.pending, decide.Request{ID: e.ID, Class: e.Class, Work: e.Work, Repeat: e.Repeat, Only: e.Only})
+	case began:
+		// What else is out can't come to anything any more.
+		l.pending = append(l.pending, decide.StreamStarted{Request: e.ID, Attempt: e.N})
+		for _, o := range e.attempts {
+			if o != e.Attempt {
+				o.cancel(ErrCancelled)
+			}
+		}
 	case ended:
 		e.open--
 		e.timedOut = e.timedOut || e.outcome.Result == decide.TimedOut
 		if e.outcome.Result == decide.OK && !e.done {
-			l.finish(e.request, reply{served: e.answer})
-			l.counts.served++
-			l.totals.served.Add(1)
+			if by := e.stream.Load(); by > 0 && by != int32(e.N)+1 {
+				// Another attempt's answer is on its way to the client: this one is not the final answer.
+				e.outcome.Result = decide.Cancelled
+			} else {
+				l.finish(e.Request, Answer{Served: e.answer})
+				l.counts.served++
+				l.totals.served.Add(1)
+			}
 		}
 		e.outcome.Done = e.done
 		l.pending = append(l.pending, e.outcome)
-		l.forget(e.request)
+		l.forget(e.Request)
 	case left:
 		if !e.done {
 			l.counts.gone++
 			l.totals.gone.Add(1)
-			l.finish(e.request, reply{})
-			l.pending = append(l.pending, decide.Abandoned{Request: e.id})
-			l.forget(e.request)
+			l.finish(e.Request, Answer{})
+			l.pending = append(l.pending, decide.Abandoned{Request: e.ID})
+			l.forget(e.Request)
 		}
 	case overdue:
 		// The module answers every request before its deadline. This keeps the promise to the
 		// client where it does not, and says so.
 		if !e.done {
-			l.log.Error("no final answer by the deadline", "request", e.id, "attempts", len(e.cancels), "open", e.open,
-				"left_on_arrival", e.left)
+			l.log.Error("no final answer by the deadline", "request", e.ID, "attempts", len(e.attempts), "open", e.open,
+				"left_on_arrival", e.Left)
 			l.counts.late++
 			l.totals.late.Add(1)
-			l.finish(e.request, reply{timedOut: true})
-			l.pending = append(l.pending, decide.Abandoned{Request: e.id})
-			l.forget(e.request)
+			l.finish(e.Request, Answer{TimedOut: true})
+			l.pending = append(l.pending, decide.Abandoned{Request: e.ID})
+			l.forget(e.Request)
 		}
-	case listEvent:
-		l.backends.update(e)
-		l.pending = append(l.pending, e.list)
-		if len(e.list.Backends) > 0 {
+	case List:
+		l.protocol.Update(e)
+		l.pending = append(l.pending, e.List)
+		if len(e.Backends) > 0 {
 			if !l.ready.Swap(true) {
 				close(l.listed)
 			}
@@ -263,17 +275,21 @@
 }
 
 // finish gives a request its final answer, once.
-func (l *loop) finish(r *request, a reply) {
+func (l *Loop) finish(r *Request, a Answer) {
 	r.done = true
+	r.stream.CompareAndSwap(0, -1) // no part of another answer begins from now on
+	if r.late != nil {
+		r.late.Stop()
+	}
 	close(r.over)
-	r.reply <- a
+	r.reply(a)
 }
 
 // forget drops a request that is done with and has nothing out. Until then its id stays taken.
-func (l *loop) forget(r *request) {
+func (l *Loop) forget(r *Request) {
 	if r.done && r.open == 0 {
-		delete(l.requests, r.id)
-		l.recent.add(r.id, l.clock.now())
+		delete(l.requests, r.ID)
+		l.recent.add(r.ID, l.clock.now())
 	}
 }
 
@@ -311,26 +327,26 @@
 }
 
 // carryOut does one action of the module.
-func (l *loop) carryOut(a decide.Action, now time.Duration) {
+func (l *Loop) carryOut(a decide.Action, now time.Duration) {
 	switch a := a.(type) {
 	case decide.Send:
 		l.send(a)
 	case decide.Cancel:
-		if r := l.requests[a.Request]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.cancels) && l.cfg.Settings.MayCancel {
-			r.cancels[a.Attempt](errCancelled)
+		if r := l.requests[a.Request]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) && l.cfg.Settings.MayCancel {
+			r.attempts[a.Attempt].cancel(ErrCancelled)
 		}
 	case decide.Refuse:
 		if r := l.requests[a.Request]; r != nil && !r.done {
 			l.counts.refused++
 			l.totals.refused.Add(1)
-			l.finish(r, reply{refused: true, retryAfter: a.RetryAfter})
+			l.finish(r, Answer{Refused: true, RetryAfter: a.RetryAfter})
 			l.forget(r)
 		}
 	case decide.Fail:
 		if r := l.requests[a.Request]; r != nil && !r.done {
 			l.counts.failed++
 			l.totals.failed.Add(1)
-			l.finish(r, reply{timedOut: r.timedOut})
+			l.finish(r, Answer{TimedOut: r.timedOut})
 			l.forget(r)
 		}
 	case decide.SetTimer:
@@ -338,7 +354,7 @@
 	case decide.Probe:
 		if l.cfg.Settings.MayProbe && !l.probing[a.Backend] {
 			l.probing[a.Backend] = true
-			go l.guard(func() { l.post(l.backends.probe(a.Backend)) })
+			go l.guard(func() { l.post(l.protocol.Probe(a.Backend)) })
 		}
 	case decide.TellPeer:
 		if l.peers != nil {
@@ -353,7 +369,7 @@
 
 // send starts an attempt. Its goroutine ends by the client's deadline; there are no more of them
 // than MaxAttempts for each request that is open.
-func (l *loop) send(a decide.Send) {
+func (l *Loop) send(a decide.Send) {
 	r := l.requests[a.Request]
 	if r == nil || r.done { // after a final answer nothing more is sent
 		l.pending = append(l.pending, decide.Outcome{Request: a.Request, Backend: a.Backend,
@@ -361,33 +377,31 @@
 		return
 	}
 	start := time.Now()
-	until := r.deadline.Add(-l.margin)
+	until := r.Deadline.Add(-l.margin)
 	if a.Timeout > 0 && start.Add(a.Timeout).Before(until) {
 		until = start.Add(a.Timeout)
 	}
-	deadline, stop := context.WithDeadlineCause(l.base, until, errTimedOut)
-	ctx, cancel := context.WithCancelCause(deadline)
-	n := len(r.cancels)
-	r.cancels = append(r.cancels, cancel)
+	deadline, stop := context.WithDeadlineCause(l.base, until, ErrTimedOut)
+	t := &Attempt{Request: r, N: len(r.attempts), Server: a.Backend, loop: l}
+	t.Context, t.cancel = context.WithCancelCause(deadline)
+	r.attempts = append(r.attempts, t)
 	r.open++
 	l.counts.attempts++
 	l.totals.attempts.Add(1)
 	go func() {
 		defer stop()
-		defer cancel(nil)
+		defer t.cancel(nil)
 		// Whatever becomes of it, its outcome is told: the module waits for it.
-		e := ended{r, decide.Outcome{Request: r.id, Attempt: n, Backend: a.Backend, Result: decide.Errored}, nil}
+		e := ended{t, decide.Outcome{Request: r.ID, Attempt: t.N, Backend: a.Backend, Result: decide.Errored}, nil}
 		defer func() {
 			e.outcome.Latency = time.Since(start)
 			l.post(e)
 		}()
-		l.guard(func() {
-			e.outcome.Result, e.answer, e.outcome.Load = l.backends.attempt(ctx, r.over, a.Backend, r.message)
-		})
+		l.guard(func() { e.outcome.Result, e.answer, e.outcome.Load = l.protocol.Attempt(t) })
 	}()
 }
 
-func (l *loop) summarize() {
+func (l *Loop) summarize() {
 	l.log.Info("summary", "requests", l.counts.requests, "served", l.counts.served, "refused", l.counts.refused,
 		"failed", l.counts.failed, "gone", l.counts.gone, "attempts", l.counts.attempts, "late", l.counts.late,
 		"open", len(l.requests))
--- /dev/null
+++ b/internal/core/loop_test.go
@@ -0,0 +1,73 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"vetchhaven/decide"
+	"vetchhaven/internal/testkit"
+)
+
+// Where the module says nothing, the loop itself keeps the promise of one final answer.
+func TestSilentModule(t *testing.T) {
+	cfg := testConfig(t, testkit.Setup{})
+	l, err := newLoop(cfg, newClock(), none{}, testkit.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := asked("1")
+	r.Deadline = time.Now()
+	l.take(arrived{r.Request})
+	l.take(overdue{r.Request})
+	l.take(overdue{r.Request}) // once only
+	l.take(left{r.Request})
+	if a := testkit.Receive(t, "final answer", r.reply); !a.TimedOut {
+		t.Errorf("%+v", a)
+	}
+	if len(l.requests) != 0 || len(r.reply) != 0 {
+		t.Errorf("%d requests, %d more answers", len(l.requests), len(r.reply))
+	}
+	if want := (decide.Abandoned{Request: "1"}); !slices.Contains(l.pending, decide.Event(want)) {
+		t.Error("the module was not told")
+	}
+}
+
+// A request may be gone before the step that would have told the module how long it has left.
+func TestGoneBeforeItsFirstStep(t *testing.T) {
+	cfg := testConfig(t, testkit.Setup{})
+	l, err := newLoop(cfg, newClock(), none{}, testkit.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := asked("1")
+	r.Deadline = time.Now().Add(time.Minute)
+	l.take(arrived{r.Request})
+	l.take(left{r.Request})
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { l.run(ctx); close(done) }()
+	next := asked("2")
+	next.Deadline = time.Now().Add(time.Second)
+	l.post(arrived{next.Request})
+	testkit.Receive(t, "answer to the next request", next.reply)
+	cancel()
+	testkit.Receive(t, "end of the loop", done)
+}
+
+// The ids that are remembered stay bounded, by time and by number.
+func TestRecentIDsAreBounded(t *testing.T) {
+	r := newRecent(time.Second)
+	const all = 5*recentMost + 10
+	for n := range all {
+		r.add(fmt.Sprint(n), 2*time.Second)
+	}
+	if n := len(r.now) + len(r.old); n > 2*recentMost {
+		t.Errorf("%d ids are kept", n)
+	}
+	if last := fmt.Sprint(all - 1); !r.has(last, 2*time.Second) || r.has(last, 3*time.Second) == r.has(last, 5*time.Second) {
+		t.Error("the last id is not known, or known for ever")
+	}
+}
--- a/internal/agent/peers.go
+++ b/internal/core/peers.go
@@ -1,4 +1,4 @@
-package agent
+package core
 
 import (
 	"context"
--- /dev/null
+++ b/internal/core/protocol.go
@@ -0,0 +1,115 @@
+// Package core is an agent around the decision module, whatever protocol it speaks: it turns what
+// happens into the module's events and carries out its actions, in order. It decides nothing about
+// requests: it neither picks servers nor retries, holds or refuses.
+//
+// The Loop (loop.go) owns the balancer, the clock, the timers and the requests. An Agent (agent.go) runs
+// it with the list of servers (discovery.go, or a daemon's hub), the gate through which clients come
+// (gate.go), and a Protocol: internal/http1 and internal/ldap are two.
+package core
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"vetchhaven/decide"
+)
+
+// Protocol takes clients' requests and makes attempts at servers, as it is told. It gives each request
+// to the loop (Loop.Take) and its final answer to the client.
+type Protocol interface {
+	// Serve takes clients' connections until the gate is closed.
+	Serve(g *Gate) error
+	// Drain has each connection end once all that was taken on it is answered.
+	Drain()
+	// Close ends what is left of clients' connections.
+	Close() error
+	// Open is how many requests are open.
+	Open() int64
+
+	// Attempt sends a request to a server, once, and returns its end. It returns soon after the attempt's
+	// context has ended, and sends nothing once the request is over. Whatever it returns besides OK
+	// follows decide's table of outcomes: where it is not certain that nothing ran, it says so. The
+	// answer, of an OK, becomes Answer.Served.
+	Attempt(a *Attempt) (decide.Result, any, decide.Load)
+	// Probe examines a server outside any request.
+	Probe(server string) decide.ProbeResult
+	// Update takes a change of the list. It is called by the loop, and must not wait.
+	Update(l List)
+	// Reap closes connections to servers that have stood idle for too long, until ctx ends.
+	Reap(ctx context.Context)
+	// Shut closes the connections to servers, and keeps none from now on.
+	Shut()
+}
+
+// List is a list of servers, or a change of it, in the module's terms, with the addresses that go with it.
+type List struct {
+	decide.List
+	Addrs map[string]string // by id; servers that are gone have none
+}
+
+// Request is a client's request from when it was taken until its attempts are in. Only the loop touches
+// what is not exported, once it was taken.
+type Request struct {
+	ID       string // new for each request of an agent
+	Class    int
+	Message  any           // the protocol's own
+	Deadline time.Time     // the client stops waiting
+	Left     time.Duration // until then, as the client told it
+	Work     time.Duration // expected, as told; 0: unknown
+	Repeat   bool          // the client says that it tries again
+	Only     string        // the one server that may get it; empty: any
+
+	reply  func(Answer)
+	over   chan struct{} // closed with the final answer
+	stream atomic.Int32  // 0: nothing of an answer is out; n+1: attempt n streams; -1: final answer given
+
+	done     bool // has its final answer, or its client is gone
+	open     int  // attempts out
+	attempts []*Attempt
+	timedOut bool // an attempt did
+	late     *time.Timer
+}
+
+// NewRequest is a request whose final answer is given by reply. That is called at most once, by the
+// loop, and must not wait.
+func NewRequest(id string, class int, reply func(Answer)) *Request {
+	return &Request{ID: id, Class: class, reply: reply, over: make(chan struct{})}
+}
+
+// Over is closed when the request has its final answer, or its client is gone: nothing is sent for it
+// any more.
+func (r *Request) Over() <-chan struct{} { return r.over }
+
+// Answer is a final answer. Exactly one of the first fields is set, or none: failed.
+type Answer struct {
+	Served     any // what the attempt returned
+	Refused    bool
+	TimedOut   bool          // failed, for want of time
+	Duplicate  bool          // failed: another request with this id is open, or was just now
+	RetryAfter time.Duration // of Refused: when to come back; 0: no advice
+}
+
+// Attempt is one attempt of a request at a server.
+type Attempt struct {
+	*Request
+	N       int // attempts of a request count from 0
+	Server  string
+	Context context.Context // ends when the attempt has to; its cause is ErrTimedOut or ErrCancelled
+
+	cancel context.CancelCauseFunc
+	loop   *Loop
+	begun  sync.Once
+}
+
+// Begin says that a part of the attempt's answer is about to reach the client. It reports false where
+// that must not be: another attempt's answer has begun, or the request has its final answer. After a
+// true one there is no other attempt, and the request's final answer is this one's end.
+func (a *Attempt) Begin() bool {
+	if !a.stream.CompareAndSwap(0, int32(a.N)+1) && a.stream.Load() != int32(a.N)+1 {
+		return false
+	}
+	a.begun.Do(func() { a.loop.post(began{a}) })
+	return true
+}
--- a/internal/emulate/sockets/sockets_test.go
+++ b/internal/emulate/sockets/sockets_test.go
@@ -18,8 +18,9 @@
 
 	"go.uber.org/goleak"
 
-	real "vetchhaven/internal/agent"
+	real "vetchhaven/internal/core"
 	"vetchhaven/internal/emulate"
+	"vetchhaven/internal/http1"
 	"vetchhaven/internal/scenario"
 	"vetchhaven/internal/tally"
 )
@@ -309,7 +310,7 @@
 	}
 	stop, cancel := signalContext()
 	defer cancel()
-	a, err := real.New(cfg, quiet())
+	a, err := http1.New(cfg, quiet(), real.Parts{})
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/admin.go
+++ b/internal/fleet/admin.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"vetchhaven/internal/agent"
+	"vetchhaven/internal/core"
 	"vetchhaven/internal/catalog"
 )
 
@@ -27,7 +27,7 @@
 	Down      int                `json:"down"`    // left down
 	Reloads   int                `json:"reloads"`
 	Memory    uint64             `json:"heap_bytes"`
-	Totals    agent.Totals       `json:"totals"`
+	Totals    core.Totals       `json:"totals"`
 	Lists     []catalog.HubState `json:"lists"`
 	Instances []InstanceStatus   `json:"instances"`
 	Saving    string             `json:"saving,omitempty"` // why the state is not being saved
@@ -40,7 +40,7 @@
 	State    string       `json:"state"` // ready, starting, waiting, down
 	Failures int          `json:"failures,omitempty"`
 	Reason   string       `json:"reason,omitempty"`
-	Totals   agent.Totals `json:"totals"`
+	Totals   core.Totals `json:"totals"`
 }
 
 // Status tells how the daemon stands.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -18,7 +18,7 @@
 	"time"
 
 	"vetchhaven/decide"
-	"vetchhaven/internal/agent"
+	"vetchhaven/internal/core"
 	"vetchhaven/internal/supervise"
 	"vetchhaven/internal/tomlfile"
 	"vetchhaven/internal/wire"
@@ -55,7 +55,7 @@
 	Name   string
 	Listen Address
 	Source string
-	Agent  agent.Config // but for seed and memory
+	Agent  core.Config // but for seed and memory
 }
 
 // same reports whether nothing but the source of its list differs: that can change in place.
@@ -354,7 +354,7 @@
 				c.fail(at("classes"), "none is named")
 			}
 		}
-		cfg.Instances = append(cfg.Instances, Instance{Name: in.Name, Listen: listen, Source: in.Source, Agent: agent.Config{
+		cfg.Instances = append(cfg.Instances, Instance{Name: in.Name, Listen: listen, Source: in.Source, Agent: core.Config{
 			Name: in.Name, Settings: s, Site: site, Margin: cmp.Or(s.Tick, tickless), Weight: cmp.Or(in.Weight, 1)}})
 	}
 	for i, in := range f.Instance {
@@ -416,7 +416,7 @@
 	}
 	for i := range cfg.Instances {
 		a := &cfg.Instances[i].Agent
-		a.Sockets = sockets[i] + agent.OwnSockets
+		a.Sockets = sockets[i] + core.OwnSockets
 		a.BodyBytes = memory[i] << 10 / 4
 	}
 }
--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -13,7 +13,8 @@
 	"syscall"
 	"time"
 
-	"vetchhaven/internal/agent"
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/http1"
 	"vetchhaven/internal/catalog"
 	"vetchhaven/internal/laststate"
 	"vetchhaven/internal/supervise"
@@ -31,7 +32,7 @@
 	// this daemon can't hand over.
 	Upgrade func(ctx context.Context, sockets map[Address]*os.File, state []byte) error
 	// Fault may make an instance panic: tests do.
-	Fault func(name string) func(agent.Totals)
+	Fault func(name string) func(core.Totals)
 }
 
 // Daemon is a fleet of instances. One goroutine, Run's, owns all of it.
@@ -47,7 +48,7 @@
 	parts   map[string]*part
 	sup     *supervise.Supervisor
 	store   *store
-	memory  map[string]*agent.Memory // from the last state
+	memory  map[string]*core.Memory // from the last state
 	given   map[string]*catalog.Members
 	running sync.WaitGroup // instances, draining ones too
 	others  sync.WaitGroup
@@ -67,10 +68,10 @@
 // part is one instance, running or not.
 type part struct {
 	spec  Instance
-	agent *agent.Agent
+	agent *core.Agent
 	end   context.CancelFunc
 	life  int // copies so far: what an earlier one tells is not this one's end
-	past  agent.Totals
+	past  core.Totals
 }
 
 // readyWait is how long a start waits for lists: the list service may be down, and the saved one, or
@@ -81,7 +82,7 @@
 func New(o Options) (*Daemon, error) {
 	d := &Daemon{o: o, cfg: o.Config, log: o.Log, base: time.Now(), calls: make(chan func(), 64), done: make(chan struct{}),
 		sockets: map[Address]net.Listener{}, hubs: map[string]*hub{}, parts: map[string]*part{},
-		memory: map[string]*agent.Memory{}, given: map[string]*catalog.Members{},
+		memory: map[string]*core.Memory{}, given: map[string]*catalog.Members{},
 		seed: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	d.sup = supervise.New(o.Config.Supervise, d.seed.Uint64())
 	d.store = newStore(o.Config.StateDir, o.Log)
@@ -458,7 +459,7 @@
 	cfg := p.spec.Agent
 	cfg.Seed = d.seed.Uint64()
 	cfg.Memory = d.memory[p.spec.Name]
-	a, err := agent.NewOf(&cfg, d.log.With("instance", p.spec.Name), agent.Parts{Listener: ln, Hub: d.hubs[p.spec.Source].Hub, NoLateConnections: true, ListWait: readyWait})
+	a, err := http1.New(&cfg, d.log.With("instance", p.spec.Name), core.Parts{Listener: ln, Hub: d.hubs[p.spec.Source].Hub, NoLateConnections: true, ListWait: readyWait})
 	if err != nil {
 		_ = ln.Close()
 		return err
@@ -482,7 +483,7 @@
 }
 
 // ended takes note of the end of a copy of an instance.
-func (d *Daemon) ended(name string, life int, a *agent.Agent, err error, told bool) {
+func (d *Daemon) ended(name string, life int, a *core.Agent, err error, told bool) {
 	p := d.parts[name]
 	if p == nil || p.life != life {
 		return // it was removed or replaced, and has drained
@@ -666,7 +667,7 @@
 	return err
 }
 
-func sum(a, b agent.Totals) agent.Totals {
+func sum(a, b core.Totals) core.Totals {
 	a.Requests += b.Requests
 	a.Served += b.Served
 	a.Refused += b.Refused
--- a/internal/fleet/daemon_test.go
+++ b/internal/fleet/daemon_test.go
@@ -20,7 +20,7 @@
 
 	"go.uber.org/goleak"
 
-	"vetchhaven/internal/agent"
+	"vetchhaven/internal/core"
 	"vetchhaven/internal/catalog"
 	"vetchhaven/internal/laststate"
 	"vetchhaven/internal/standin"
@@ -287,11 +287,11 @@
 	y := newYard(t, s.Member("ready"))
 	y.config(y.instance("bad", "good"))
 	var blow atomic.Bool
-	r := y.start(Options{Fault: func(name string) func(agent.Totals) {
+	r := y.start(Options{Fault: func(name string) func(core.Totals) {
 		if name != "bad" {
 			return nil
 		}
-		return func(agent.Totals) {
+		return func(core.Totals) {
 			if blow.CompareAndSwap(true, false) {
 				panic("brought about")
 			}
@@ -357,8 +357,8 @@
 	y.config(y.instance("bad", "good"))
 	var sick atomic.Bool
 	sick.Store(true)
-	r := y.start(Options{Fault: func(name string) func(agent.Totals) {
-		return func(agent.Totals) {
+	r := y.start(Options{Fault: func(name string) func(core.Totals) {
+		return func(core.Totals) {
 			if name == "bad" && sick.Load() {
 				panic("every time")
 			}
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"vetchhaven/internal/agent"
+	"vetchhaven/internal/core"
 	"vetchhaven/internal/catalog"
 	"vetchhaven/internal/laststate"
 )
@@ -24,7 +24,7 @@
 
 // state is what would be saved now.
 func (d *Daemon) state() *laststate.State {
-	s := &laststate.State{Saved: time.Now().UnixMilli(), Sources: map[string]*catalog.Members{}, Instances: map[string]*agent.Memory{}}
+	s := &laststate.State{Saved: time.Now().UnixMilli(), Sources: map[string]*catalog.Members{}, Instances: map[string]*core.Memory{}}
 	for _, h := range d.hubs {
 		if m := h.Snapshot(); m != nil {
 			s.Sources[h.source.List] = m
--- a/internal/agent/answer.go
+++ b/internal/http1/answer.go
@@ -1,4 +1,4 @@
-package agent
+package http1
 
 import (
 	"bufio"
@@ -14,6 +14,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"vetchhaven/internal/core"
 )
 
 // answer is a backend's whole answer.
@@ -71,7 +73,7 @@
 // readAnswer reads one answer whole. The framing is read here, and more strictly than
 // http.ReadResponse does it: an answer that tells its end twice, or not at all, can't be told
 // from a part of one.
-func readAnswer(in *bufio.Reader, src *source, room *budget) (*answer, error) {
+func readAnswer(in *bufio.Reader, src *source, room *core.Budget) (*answer, error) {
 	src.left = maxAnswerHead
 	text := textproto.NewReader(in)
 	a := &answer{}
@@ -123,27 +125,27 @@
 	return int(status), nil
 }
 
-func readLength(in *bufio.Reader, length string, room *budget) ([]byte, error) {
+func readLength(in *bufio.Reader, length string, room *core.Budget) ([]byte, error) {
 	n, err := strconv.ParseUint(length, 10, 63)
 	switch {
 	case err != nil:
 		return nil, err
 	case n > maxBody:
 		return nil, errTooLong
-	case !room.take(int(n)):
+	case !room.Take(int(n)):
 		return nil, errNoRoom
 	}
-	defer room.put(int(n))
+	defer room.Put(int(n))
 	body := make([]byte, n)
 	_, err = io.ReadFull(in, body)
 	return body, err
 }
 
-func readChunked(in *bufio.Reader, text *textproto.Reader, room *budget) ([]byte, error) {
-	if !room.take(maxBody) {
+func readChunked(in *bufio.Reader, text *textproto.Reader, room *core.Budget) ([]byte, error) {
+	if !room.Take(maxBody) {
 		return nil, errNoRoom
 	}
-	defer room.put(maxBody)
+	defer room.Put(maxBody)
 	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(in), maxBody+1))
 	if err == nil && len(body) > maxBody {
 		err = errTooLong
--- a/internal/agent/backends.go
+++ b/internal/http1/backends.go
@@ -1,4 +1,4 @@
-package agent
+package http1
 
 import (
 	"bufio"
@@ -19,17 +19,16 @@
 	"time"
 
 	"vetchhaven/decide"
+	"vetchhaven/internal/core"
 	"vetchhaven/internal/wire"
 )
 
 const maxBody = 64 << 10 // the protocol's limit on bodies, both ways
 
 var (
-	errTimedOut  = errors.New("timed out")
-	errCancelled = errors.New("cancelled")
-	errNoSocket  = errors.New("no file descriptor left for another connection")
-	errBroke     = errors.New("the connection ended before its answer")
-	errMoved     = errors.New("the backend has no address")
+	errNoSocket = errors.New("no file descriptor left for another connection")
+	errBroke    = errors.New("the connection ended before its answer")
+	errMoved    = errors.New("the backend has no address")
 )
 
 // message is a client's request as it goes on to backends: the same for every attempt, but for
@@ -66,11 +65,11 @@
 // backends holds the connections to all backends. It makes exactly the attempts it is told to:
 // each is one request written at most once on one connection.
 type backends struct {
-	cfg     *Config
+	cfg     *core.Config
 	log     *slog.Logger
 	longest time.Duration // for which a connection may stand idle by the settings
 	most    int           // connections at once
-	answers *budget       // bytes of answers that are being read
+	answers *core.Budget  // bytes of answers that are being read
 	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
 	readers sync.Pool // of *bufio.Reader
 
@@ -97,12 +96,12 @@
 // wrongly sends behind an answer comes right after it, and must not be read as the next one.
 const restTime = 20 * time.Millisecond
 
-func newBackends(cfg *Config, log *slog.Logger) *backends {
-	return &backends{cfg: cfg, log: log, most: backendSockets(cfg.Sockets),
+func newBackends(cfg *core.Config, log *slog.Logger) *backends {
+	return &backends{cfg: cfg, log: log, most: core.BackendSockets(cfg.Sockets),
 		// Backends may close an idle connection at IdleClose; a request that crosses that is lost
 		// as a reset that may have run. A quarter of the time is far more than any network takes.
 		longest: cfg.Site.IdleClose * 3 / 4, keepIdle: cfg.Site.IdleClose * 3 / 4,
-		answers: newBudget(cfg.bodyMemory()),
+		answers: core.NewBudget(cfg.BodyMemory()),
 		dialer:  (&net.Dialer{KeepAlive: -1}).DialContext,
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		addrs:   map[string]string{}, owner: map[string]string{}, idle: map[string][]*conn{}}
@@ -130,18 +129,18 @@
 
 // update takes a change of the list. Connections to a backend that is gone or has moved are
 // closed: under its new address another process answers.
-func (b *backends) update(e listEvent) {
+func (b *backends) update(e core.List) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e.list.Kind != decide.ListDelta && e.list.Kind != decide.ListFailed {
+	if e.Kind != decide.ListDelta && e.Kind != decide.ListFailed {
 		for id := range b.addrs {
-			if _, listed := e.addrs[id]; !listed {
+			if _, listed := e.Addrs[id]; !listed {
 				b.forget(id)
 			}
 		}
 	}
-	for _, m := range e.list.Backends {
-		addr, ok := e.addrs[m.ID]
+	for _, m := range e.Backends {
+		addr, ok := e.Addrs[m.ID]
 		if !ok || b.addrs[m.ID] != addr {
 			b.forget(m.ID)
 		}
@@ -306,7 +305,7 @@
 			b.log.Warn("attempt not sent", "error", err, "backend", id)
 			return decide.NotSent, nil, none // no fault of the backend
 		}
-		if errors.Is(context.Cause(ctx), errCancelled) {
+		if errors.Is(context.Cause(ctx), core.ErrCancelled) {
 			return decide.Cancelled, nil, none
 		}
 		// ConnectFailed tells the module that the process has ended: its next answer counts as that
@@ -326,7 +325,7 @@
 		return decide.NotSent, nil, none
 	case <-ctx.Done(): // the same: its time is up, or the agent has ended and answered for it
 		b.give(id, c, true)
-		if cause := context.Cause(ctx); errors.Is(cause, errCancelled) {
+		if cause := context.Cause(ctx); errors.Is(cause, core.ErrCancelled) {
 			return decide.Cancelled, nil, none
 		}
 		return decide.Broke, nil, none
@@ -336,7 +335,7 @@
 	if err != nil {
 		b.give(id, c, false)
 		switch cause := context.Cause(ctx); {
-		case errors.Is(cause, errCancelled):
+		case errors.Is(cause, core.ErrCancelled):
 			return decide.Cancelled, nil, none
 		case cause != nil:
 			return decide.TimedOut, nil, none
@@ -421,7 +420,7 @@
 	}
 	m := newMessage(http.MethodGet, "probe", &url.URL{Path: path}, nil, nil)
 	// The settings name no time-out for probes; one that takes longer than a connect may is no use.
-	ctx, cancel := context.WithTimeoutCause(context.Background(), b.cfg.Settings.ConnectTimeout, errTimedOut)
+	ctx, cancel := context.WithTimeoutCause(context.Background(), b.cfg.Settings.ConnectTimeout, core.ErrTimedOut)
 	defer cancel()
 	result, a, load := b.attempt(ctx, nil, id, m)
 	if a != nil && b.cfg.Site.LoadProbed {
--- a/internal/agent/backends_test.go
+++ b/internal/http1/backends_test.go
@@ -1,4 +1,4 @@
-package agent
+package http1
 
 import (
 	"bufio"
@@ -14,6 +14,8 @@
 	"time"
 
 	"vetchhaven/decide"
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/testkit"
 	"vetchhaven/internal/wire"
 )
 
@@ -41,9 +43,9 @@
 
 func poolFor(t *testing.T, addr string) *backends {
 	t.Helper()
-	b := newBackends(testConfig(t, setup{}), quiet)
-	b.update(listEvent{list: decide.List{Kind: decide.ListFull, Backends: []decide.Backend{{ID: "s"}}},
-		addrs: map[string]string{"s": addr}})
+	b := newBackends(testConfig(t, testkit.Setup{}), testkit.Quiet)
+	b.update(core.List{List: decide.List{Kind: decide.ListFull, Backends: []decide.Backend{{ID: "s"}}},
+		Addrs: map[string]string{"s": addr}})
 	return b
 }
 
@@ -97,7 +99,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := serveRaw(t, func(int) string { return row.answer })
-			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 			defer cancel()
 			b := poolFor(t, s.addr)
 			result, a, _ := attemptAt(t, b, ctx, "body")
@@ -110,7 +112,7 @@
 			if result == decide.Errored && a == nil && strings.HasPrefix(row.answer, "HTTP/1.1 200") && b.open != 0 {
 				t.Error("a connection that brought a spoilt answer was kept")
 			}
-			if b.answers.left.Load() != int64(b.cfg.bodyMemory()) {
+			if b.answers.Left() != int64(b.cfg.BodyMemory()) {
 				t.Error("bytes of the answer stay booked")
 			}
 		})
@@ -118,7 +120,7 @@
 }
 
 func TestOutcomeConnectionRefused(t *testing.T) {
-	b := poolFor(t, deadAddr(t))
+	b := poolFor(t, testkit.DeadAddr(t))
 	if result, _, _ := attemptAt(t, b, context.Background(), ""); result != decide.ConnectFailed {
 		t.Errorf("result %v", result)
 	}
@@ -139,7 +141,7 @@
 	}
 	b.dialer = func(ctx context.Context, _, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }
 	ctx, cancel := context.WithCancelCause(context.Background())
-	cancel(errTimedOut)
+	cancel(core.ErrTimedOut)
 	if result, _, _ := attemptAt(t, b, ctx, ""); result != decide.Broke {
 		t.Errorf("out of time: result %v", result)
 	}
@@ -160,7 +162,7 @@
 	s := serveRaw(t, func(int) string { <-hold; return "" })
 	b := poolFor(t, s.addr)
 	ctx, cancel := context.WithCancelCause(context.Background())
-	go func() { <-s.seen; cancel(errTimedOut) }()
+	go func() { <-s.seen; cancel(core.ErrTimedOut) }()
 	if result, _, _ := attemptAt(t, b, ctx, ""); result != decide.TimedOut {
 		t.Errorf("result %v", result)
 	}
@@ -174,7 +176,7 @@
 	defer close(hold)
 	s := serveRaw(t, func(int) string { <-hold; return "" })
 	ctx, cancel := context.WithCancelCause(context.Background())
-	go func() { <-s.seen; cancel(errCancelled) }()
+	go func() { <-s.seen; cancel(core.ErrCancelled) }()
 	if result, _, _ := attemptAt(t, poolFor(t, s.addr), ctx, ""); result != decide.Cancelled {
 		t.Errorf("result %v", result)
 	}
@@ -199,7 +201,7 @@
 // A connection that breaks before the request's last byte is written proves that nothing ran;
 // one byte later it proves nothing.
 func TestOutcomeBrokenWrite(t *testing.T) {
-	ln := listen(t)
+	ln := testkit.Listen(t)
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -271,8 +273,8 @@
 	s := serveRaw(t, func(int) string { return ok200 })
 	other := serveRaw(t, func(int) string { <-hold; return ok200 })
 	b := poolFor(t, s.addr)
-	b.update(listEvent{list: decide.List{Kind: decide.ListDelta, Backends: []decide.Backend{{ID: "t"}}},
-		addrs: map[string]string{"t": other.addr}})
+	b.update(core.List{List: decide.List{Kind: decide.ListDelta, Backends: []decide.Backend{{ID: "t"}}},
+		Addrs: map[string]string{"t": other.addr}})
 	b.most = 1
 	attemptAt(t, b, context.Background(), "")
 	done := make(chan decide.Result)
@@ -280,7 +282,7 @@
 		r, _, _ := b.attempt(context.Background(), nil, "t", newMessage("GET", "a", &url.URL{Path: "/get/x"}, nil, nil))
 		done <- r
 	}()
-	receive(t, "request to t", other.seen)
+	testkit.Receive(t, "request to t", other.seen)
 	if len(b.idle["s"]) != 0 {
 		t.Error("no idle connection made room")
 	}
@@ -288,7 +290,7 @@
 		t.Errorf("past the limit: %v", r)
 	}
 	close(hold)
-	if r := receive(t, "result", done); r != decide.OK {
+	if r := testkit.Receive(t, "result", done); r != decide.OK {
 		t.Errorf("held attempt: %v", r)
 	}
 }
@@ -299,8 +301,8 @@
 	two := serveRaw(t, func(int) string { return ok200 })
 	b := poolFor(t, one.addr)
 	attemptAt(t, b, context.Background(), "")
-	b.update(listEvent{list: decide.List{Kind: decide.ListDelta, Backends: []decide.Backend{{ID: "s"}}},
-		addrs: map[string]string{"s": two.addr}})
+	b.update(core.List{List: decide.List{Kind: decide.ListDelta, Backends: []decide.Backend{{ID: "s"}}},
+		Addrs: map[string]string{"s": two.addr}})
 	if b.open != 0 {
 		t.Errorf("%d connections to the old address are open", b.open)
 	}
@@ -319,11 +321,11 @@
 		r, _, _ := b.attempt(context.Background(), nil, "s", newMessage("GET", "a", &url.URL{Path: "/get/x"}, nil, nil))
 		done <- r
 	}()
-	receive(t, "request", one.seen)
-	b.update(listEvent{list: decide.List{Kind: decide.ListDelta, Backends: []decide.Backend{{ID: "s"}}},
-		addrs: map[string]string{"s": deadAddr(t)}})
+	testkit.Receive(t, "request", one.seen)
+	b.update(core.List{List: decide.List{Kind: decide.ListDelta, Backends: []decide.Backend{{ID: "s"}}},
+		Addrs: map[string]string{"s": testkit.DeadAddr(t)}})
 	close(hold)
-	if r := receive(t, "result", done); r != decide.OK || b.open != 0 {
+	if r := testkit.Receive(t, "result", done); r != decide.OK || b.open != 0 {
 		t.Errorf("result %v, %d connections kept", r, b.open)
 	}
 }
@@ -376,7 +378,7 @@
 // rests a while, if there is another.
 func TestMoreThanTheAnswer(t *testing.T) {
 	more := make(chan string)
-	ln := listen(t)
+	ln := testkit.Listen(t)
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -427,7 +429,7 @@
 	}
 	first := b.idle["s"][0]
 	more <- ok200 // while it is idle
-	waitFor(t, "the second copy", func() bool { return !first.clean() })
+	testkit.WaitFor(t, "the second copy", func() bool { return !first.clean() })
 	rested(b)
 	ask("")
 	more <- ""
@@ -463,21 +465,21 @@
 	b := poolFor(t, s.addr)
 	for n := range 3000 {
 		id, addr := fmt.Sprint("b", n), fmt.Sprintf("127.0.0.1:%d", 1+n%50)
-		b.update(listEvent{list: decide.List{Backends: []decide.Backend{{ID: id}}}, addrs: map[string]string{id: addr}})
-		b.update(listEvent{list: decide.List{Backends: []decide.Backend{{ID: id, State: decide.Gone}}}})
+		b.update(core.List{List: decide.List{Backends: []decide.Backend{{ID: id}}}, Addrs: map[string]string{id: addr}})
+		b.update(core.List{List: decide.List{Backends: []decide.Backend{{ID: id, State: decide.Gone}}}})
 	}
 	if len(b.addrs) != 1 || len(b.owner) != 1 || len(b.idle) != 0 {
 		t.Errorf("%d addresses, %d owners, %d lists of connections", len(b.addrs), len(b.owner), len(b.idle))
 	}
 	attemptAt(t, b, context.Background(), "")
-	b.update(listEvent{list: decide.List{Backends: []decide.Backend{{ID: "new"}}}, addrs: map[string]string{"new": s.addr}})
+	b.update(core.List{List: decide.List{Backends: []decide.Backend{{ID: "new"}}}, Addrs: map[string]string{"new": s.addr}})
 	if b.addrs["s"] != "" || b.addrs["new"] != s.addr || b.open != 0 {
 		t.Errorf("addresses %v, %d connections", b.addrs, b.open)
 	}
 	if result, _, _ := attemptAt(t, b, context.Background(), ""); result != decide.ConnectFailed || len(s.seen) != 1 {
 		t.Errorf("result %v, %d requests reached the new one", result, len(s.seen))
 	}
-	b.update(listEvent{list: decide.List{Backends: []decide.Backend{{ID: "s", State: decide.Gone}}}})
+	b.update(core.List{List: decide.List{Backends: []decide.Backend{{ID: "s", State: decide.Gone}}}})
 	if b.addrs["new"] != s.addr || b.owner[s.addr] != "new" {
 		t.Error("the old one's end took the new one's address")
 	}
--- a/internal/agent/front.go
+++ b/internal/http1/front.go
@@ -1,9 +1,10 @@
-package agent
+package http1
 
 import (
 	"io"
 	"log/slog"
 	"math"
+	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -13,17 +14,18 @@
 	"time"
 
 	"vetchhaven/decide"
+	"vetchhaven/internal/core"
 )
 
 // front takes clients' requests and gives them the loop's answers.
 type front struct {
-	cfg     *Config
-	loop    *loop
+	cfg     *core.Config
+	loop    *core.Loop
 	server  *http.Server
-	gate    *gate
+	gate    *core.Gate
 	most    int // requests open at once
 	open    atomic.Int64
-	bodies  *budget
+	bodies  *core.Budget
 	classes map[string]int
 	// draining has connections end with their next answer. http.Server.SetKeepAlivesEnabled also closes
 	// idle ones, and with them some whose request it has just read.
@@ -37,8 +39,8 @@
 	maxID       = 256 // bytes of an id or a key
 )
 
-func newFront(cfg *Config, l *loop, g *gate, bodies *budget, log *slog.Logger) *front {
-	f := &front{cfg: cfg, loop: l, gate: g, bodies: bodies, most: clientSockets(cfg.Sockets), classes: map[string]int{}}
+func newFront(cfg *core.Config, l *core.Loop, log *slog.Logger) *front {
+	f := &front{cfg: cfg, loop: l, bodies: core.NewBudget(cfg.BodyMemory()), most: core.ClientSockets(cfg.Sockets), classes: map[string]int{}}
 	if cfg.Site.MaxOpen > 0 {
 		f.most = min(f.most, cfg.Site.MaxOpen)
 	}
@@ -47,17 +49,27 @@
 	}
 	f.server = &http.Server{
 		Handler:           f,
-		ReadHeaderTimeout: headTime,
+		ReadHeaderTimeout: core.HeadTime,
 		IdleTimeout:       idleTimeout,
 		// No ReadTimeout: it would go on running while the answer is awaited and pass for a hang-up.
-		WriteTimeout:   2*cfg.longest() + headTime,
+		WriteTimeout:   2*cfg.Longest() + core.HeadTime,
 		MaxHeaderBytes: maxHeader,
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-		ConnState:      g.track,
+		ConnState:      f.track,
 	}
 	return f
 }
 
+// track tells the gate where each connection stands.
+func (f *front) track(c net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateActive:
+		f.gate.Busy(c)
+	case http.StateIdle:
+		f.gate.Idle(c)
+	}
+}
+
 // ServeHTTP takes one request. There is no mux: it would answer unclean paths with redirects. A
 // panic ends the agent, and is no reason to leave this client without an answer.
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
@@ -67,7 +79,7 @@
 			http.Error(w, "failed", http.StatusBadGateway) // does nothing after a head
 		}
 	}()
-	f.loop.guard(func() {
+	f.loop.Guard(func() {
 		f.serve(w, hr)
 		whole = true
 	})
@@ -79,7 +91,7 @@
 	}
 	if hr.URL.Path == "/_health" {
 		status := http.StatusOK
-		if !f.loop.ready.Load() {
+		if !f.loop.Known() {
 			status = http.StatusServiceUnavailable
 		}
 		w.WriteHeader(status)
@@ -93,7 +105,7 @@
 		http.Error(w, err.text, err.status)
 		return
 	}
-	defer f.bodies.put(len(r.message.body))
+	defer f.bodies.Put(len(r.Message.(*message).body))
 	// Past what the limits let an agent hold, a request is turned away before anything has run.
 	if f.open.Add(1) > int64(f.most) {
 		f.open.Add(-1)
@@ -103,19 +115,15 @@
 	}
 	defer f.open.Add(-1)
 	a := f.wait(hr, r)
-	if f.gate.crowded() || f.draining.Load() {
+	if f.gate.Crowded() || f.draining.Load() {
 		w.Header().Set("Connection", "close") // too many are kept: let this one go after its answer
 	}
 	f.answer(w, a)
 }
 
-// wait posts a request and waits for its answer.
-func (f *front) wait(hr *http.Request, r *request) reply {
-	f.loop.post(arrived{r})
-	// A request that comes with less than a tick left is answered by the step that first sees it;
-	// the grace after the deadline is there for this.
-	late := time.NewTimer(time.Until(r.deadline) + f.cfg.Settings.AnswerGrace/2)
-	defer late.Stop()
+// wait gives a request to the loop and waits for its answer.
+func (f *front) wait(hr *http.Request, r *taken) core.Answer {
+	f.loop.Take(r.Request)
 	hungUp := hr.Context().Done()
 	for {
 		select {
@@ -127,16 +135,25 @@
 		case a := <-r.reply:
 			return a
 		case <-hungUp:
-			f.loop.post(left{r})
+			f.loop.Leave(r.Request)
 			hungUp = nil
-		case <-late.C:
-			f.loop.post(overdue{r})
-		case <-f.loop.stopped:
-			return reply{}
+		case <-f.loop.Stopped():
+			return core.Answer{}
 		}
 	}
 }
 
+// taken is a request with the way back for its answer.
+type taken struct {
+	*core.Request
+	reply chan core.Answer // of one, so that the loop never waits
+}
+
+func newTaken(id string, class int) *taken {
+	reply := make(chan core.Answer, 1)
+	return &taken{core.NewRequest(id, class, func(a core.Answer) { reply <- a }), reply}
+}
+
 // inputError is an answer to a request that can't be taken. Its status says 'failed', never
 // that another try is harmless.
 type inputError struct {
@@ -151,7 +168,7 @@
 	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "X-Expires-In"}
 
 // parse reads a request whole and checks it.
-func (f *front) parse(w http.ResponseWriter, hr *http.Request) (*request, *inputError) {
+func (f *front) parse(w http.ResponseWriter, hr *http.Request) (*taken, *inputError) {
 	// net/http takes a chunked body that comes with a Content-Length and drops the latter unseen.
 	// Such a message may hide a second request from one of the two sides (RFC 9112, 11.2), so that
 	// no chunked body is taken at all: a length told beforehand also bounds what is kept.
@@ -176,8 +193,8 @@
 		return nil, bad("this class has no body")
 	}
 	h := hr.Header
-	r := newRequest(h.Get("X-Trace-Id"), class)
-	r.repeat = h.Get("X-Second-Try") == "1"
+	r := newTaken(h.Get("X-Trace-Id"), class)
+	r.Repeat = h.Get("X-Second-Try") == "1"
 	needed := []string{"X-Trace-Id"}
 	if settings.Effect == decide.Keyed {
 		needed = append(needed, "Idempotency-Key")
@@ -200,14 +217,14 @@
 		if err != nil || !(us >= 0) || us > math.MaxInt32 {
 			return nil, bad("X-Size-Hint: not a number of microseconds")
 		}
-		r.work = time.Duration(us * float64(time.Microsecond))
+		r.Work = time.Duration(us * float64(time.Microsecond))
 	}
 	body, fail := f.readBody(w, hr)
 	if fail != nil {
 		return nil, fail
 	}
 	// A client's time runs from when its request was sent, which ends with the last byte.
-	r.deadline, r.left = time.Now().Add(wait), wait
+	r.Deadline, r.Left = time.Now().Add(wait), wait
 	u := url.URL{Path: hr.URL.Path, RawPath: hr.URL.RawPath, RawQuery: hr.URL.RawQuery, ForceQuery: hr.URL.ForceQuery}
 	header := h.Clone()
 	for _, connection := range h["Connection"] {
@@ -218,7 +235,7 @@
 	for _, name := range hopHeaders {
 		header.Del(name)
 	}
-	r.message = newMessage(method, hr.Host, &u, header, body)
+	r.Message = newMessage(method, hr.Host, &u, header, body)
 	return r, nil
 }
 
@@ -238,12 +255,12 @@
 		return nil, nil
 	case n > maxBody:
 		return nil, &inputError{http.StatusRequestEntityTooLarge, "the body is larger than 64 KiB"}
-	case !f.bodies.take(n):
+	case !f.bodies.Take(n):
 		return nil, &inputError{http.StatusServiceUnavailable, "too many large bodies at once"}
 	}
 	// A body that stops coming must not hold the connection for ever.
 	rc := http.NewResponseController(w)
-	err := rc.SetReadDeadline(time.Now().Add(headTime))
+	err := rc.SetReadDeadline(time.Now().Add(core.HeadTime))
 	body := make([]byte, n)
 	if err == nil {
 		_, err = io.ReadFull(hr.Body, body)
@@ -256,40 +273,20 @@
 		err = rc.SetReadDeadline(time.Time{})
 	}
 	if err != nil {
-		f.bodies.put(n)
+		f.bodies.Put(n)
 		return nil, bad("the body can't be read")
 	}
 	return body, nil
 }
 
-// budget bounds the bytes of bodies that are kept at once.
-type budget struct {
-	left atomic.Int64
-}
-
-func newBudget(bytes int) *budget {
-	b := &budget{}
-	b.left.Store(int64(bytes))
-	return b
-}
-
-func (b *budget) take(n int) bool {
-	if b.left.Add(-int64(n)) >= 0 {
-		return true
-	}
-	b.put(n)
-	return false
-}
-
-func (b *budget) put(n int) { b.left.Add(int64(n)) }
-
 // answer writes a final answer. If it can't be written whole, net/http closes the connection
 // short of its Content-Length, so that the client can tell.
-func (f *front) answer(w http.ResponseWriter, a reply) {
+func (f *front) answer(w http.ResponseWriter, a core.Answer) {
+	served, _ := a.Served.(*answer)
 	switch {
-	case a.served != nil:
+	case served != nil:
 		h := w.Header()
-		for name, values := range a.served.header {
+		for name, values := range served.header {
 			if !slices.Contains(hopHeaders, name) {
 				h[name] = values
 			}
@@ -297,14 +294,14 @@
 		if _, set := h["Content-Type"]; !set {
 			h["Content-Type"] = nil // keeps net/http from guessing one
 		}
-		h.Set("Content-Length", strconv.Itoa(len(a.served.body)))
+		h.Set("Content-Length", strconv.Itoa(len(served.body)))
 		w.WriteHeader(http.StatusOK)
-		_, _ = w.Write(a.served.body) // a client that is gone needs no answer
-	case a.refused:
-		f.refuse(w, a.retryAfter)
-	case a.duplicate:
+		_, _ = w.Write(served.body) // a client that is gone needs no answer
+	case a.Refused:
+		f.refuse(w, a.RetryAfter)
+	case a.Duplicate:
 		http.Error(w, "there is, or just was, another request with this X-Trace-Id", http.StatusConflict)
-	case a.timedOut:
+	case a.TimedOut:
 		http.Error(w, "no answer in time", http.StatusGatewayTimeout)
 	default:
 		http.Error(w, "failed", http.StatusBadGateway)
--- a/internal/agent/front_test.go
+++ b/internal/http1/front_test.go
@@ -1,4 +1,4 @@
-package agent
+package http1
 
 import (
 	"bufio"
@@ -12,10 +12,14 @@
 	"strings"
 	"testing"
 	"time"
+
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/testkit"
 )
 
 func TestServesUnchanged(t *testing.T) {
-	ln := listen(t)
+	ln := testkit.Listen(t)
 	got := make(chan *http.Request, 1)
 	body := make(chan string, 1)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -28,12 +32,12 @@
 	go func() { _ = server.Serve(ln) }()
 	t.Cleanup(func() { server.Close() })
 	b := &backend{addr: ln.Addr().String()}
-	a := start(t, testConfig(t, setup{servers: []member{b.member("s")}}))
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{b.member("s")}}))
 	x := a.do("POST", "/put//x%2Fy?q=1;2&z", "form", "Idempotency-Key", "k1", "Cookie", "sid=1", "Connection", "X-Hop", "X-Hop", "1", "X-Expires-In", "40.5")
 	if x.status != 200 || x.body != "stored" || x.header.Get("X-Store") != "7" {
 		t.Fatalf("answer %+v", x)
 	}
-	r := receive(t, "request", got)
+	r := testkit.Receive(t, "request", got)
 	if r.RequestURI != "/put//x%2Fy?q=1;2&z" || r.Method != "POST" || <-body != "form" {
 		t.Errorf("%s %s", r.Method, r.RequestURI)
 	}
@@ -48,7 +52,7 @@
 }
 
 func TestRetryAfter(t *testing.T) {
-	cfg := testConfig(t, setup{})
+	cfg := testConfig(t, testkit.Setup{})
 	for _, row := range []struct {
 		shown bool
 		after time.Duration
@@ -56,7 +60,7 @@
 	}{{true, 250 * time.Millisecond, "0.250"}, {true, time.Minute, "1.500"}, {true, 0, ""}, {false, time.Second, ""}} {
 		cfg.Settings.RetryAfter = row.shown
 		w := newRecorder()
-		(&front{cfg: cfg}).answer(w, reply{refused: true, retryAfter: row.after})
+		(&front{cfg: cfg}).answer(w, core.Answer{Refused: true, RetryAfter: row.after})
 		if w.status != 503 || w.header.Get("Retry-After") != row.want {
 			t.Errorf("%+v: %d %q", row, w.status, w.header.Get("Retry-After"))
 		}
@@ -68,7 +72,7 @@
 func TestHangUp(t *testing.T) {
 	hold := make(chan struct{})
 	s := serveRaw(t, func(int) string { <-hold; return ok200 })
-	a := start(t, testConfig(t, setup{servers: []member{s.member("s")}}))
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
 	ctx, cancel := context.WithCancel(context.Background())
 	req, err := a.request(ctx, "GET", "/get/x", "")
 	if err != nil {
@@ -76,12 +80,12 @@
 	}
 	gone := make(chan error)
 	go func() { _, err := http.DefaultClient.Do(req); gone <- err }()
-	receive(t, "request", s.seen)
+	testkit.Receive(t, "request", s.seen)
 	cancel()
-	if err := receive(t, "end of the client", gone); err == nil {
+	if err := testkit.Receive(t, "end of the client", gone); err == nil {
 		t.Error("the client got an answer")
 	}
-	waitFor(t, "request to be given up", func() bool { return a.front.open.Load() == 0 })
+	testkit.WaitFor(t, "request to be given up", func() bool { return a.front.open.Load() == 0 })
 	close(hold)
 	if x := a.do("GET", "/get/y", ""); x.status != 200 {
 		t.Errorf("next request: %+v", x)
@@ -92,7 +96,7 @@
 // say that another try is harmless.
 func TestBadInput(t *testing.T) {
 	s := serveRaw(t, func(int) string { return ok200 })
-	a := start(t, testConfig(t, setup{servers: []member{s.member("s")}}))
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
 	for name, row := range map[string]struct {
 		method, path, body string
 		headers            []string
@@ -148,15 +152,15 @@
 func TestDuplicateID(t *testing.T) {
 	hold := make(chan struct{})
 	s := serveRaw(t, func(int) string { <-hold; return ok200 })
-	a := start(t, testConfig(t, setup{servers: []member{s.member("s")}}))
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
 	first := make(chan exchange, 1)
 	go func() { first <- a.do("GET", "/get/x", "", "X-Trace-Id", "same") }()
-	receive(t, "first request", s.seen)
+	testkit.Receive(t, "first request", s.seen)
 	if x := a.do("GET", "/get/x", "", "X-Trace-Id", "same"); x.status != http.StatusConflict {
 		t.Errorf("second: %+v", x)
 	}
 	close(hold)
-	if x := receive(t, "first answer", first); x.status != 200 {
+	if x := testkit.Receive(t, "first answer", first); x.status != 200 {
 		t.Errorf("first: %+v", x)
 	}
 	// Its end does not free the id at once: a copy must not be sent, let alone served.
@@ -169,11 +173,11 @@
 // are places: usual clients are served all the same, and every one of the others is sent away.
 func TestSilentAndSlowClientsBesideUsualOnes(t *testing.T) {
 	s := serveRaw(t, func(int) string { return ok200 })
-	cfg := testConfig(t, setup{servers: []member{s.member("s")}})
-	cfg.Sockets = leastSockets
+	cfg := testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}})
+	cfg.Sockets = 64
 	a := start(t, cfg)
 	var bad []*bufio.Reader
-	for n := range 2 * clientSockets(cfg.Sockets) {
+	for n := range 2 * core.ClientSockets(cfg.Sockets) {
 		bad = append(bad, a.raw(t, []string{
 			"",
 			"GET /get/x HTTP/1.1\r\nHost: a\r\nX-Tr",
@@ -198,17 +202,17 @@
 // Bodies are bounded in sum: past that a request is refused, and what was booked comes back.
 func TestBodiesAreBounded(t *testing.T) {
 	s := serveRaw(t, func(int) string { return ok200 })
-	a := start(t, testConfig(t, setup{servers: []member{s.member("s")}}))
-	whole := a.front.bodies.left.Load()
-	a.front.bodies.left.Store(1000)
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
+	whole := a.front.bodies.Left()
+	a.front.bodies.Take(int(whole) - 1000)
 	if x := a.do("POST", "/pay/x", strings.Repeat("x", 1001)); x.status != http.StatusServiceUnavailable {
 		t.Errorf("past the bound: %+v", x)
 	}
 	if x := a.do("POST", "/pay/x", strings.Repeat("x", 1000)); x.status != 200 {
 		t.Errorf("within the bound: %+v", x)
 	}
-	waitFor(t, "the booked bytes", func() bool { return a.front.bodies.left.Load() == 1000 })
-	a.front.bodies.left.Store(whole)
+	testkit.WaitFor(t, "the booked bytes", func() bool { return a.front.bodies.Left() == 1000 })
+	a.front.bodies.Put(int(whole) - 1000)
 }
 
 // SIGTERM with a request in flight: it is answered, connections between requests are closed,
@@ -222,7 +226,7 @@
 		return ok200
 	})
 	accept := make(chan time.Time)
-	a := startUntil(t, testConfig(t, setup{servers: []member{s.member("s")}}), accept)
+	a := startUntil(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}), accept)
 	idle, err := net.Dial("tcp", a.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -245,9 +249,9 @@
 	<-s.seen
 	inFlight := make(chan exchange, 1)
 	go func() { inFlight <- a.do("GET", "/get/x", "") }()
-	receive(t, "request in flight", s.seen)
+	testkit.Receive(t, "request in flight", s.seen)
 	a.stop()
-	if err := idle.SetReadDeadline(time.Now().Add(patience)); err != nil {
+	if err := idle.SetReadDeadline(time.Now().Add(testkit.Patience)); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := in.ReadByte(); !errors.Is(err, io.EOF) {
@@ -255,15 +259,15 @@
 	}
 	lateOne := make(chan exchange, 1)
 	go func() { lateOne <- a.do("GET", "/get/x", "") }()
-	receive(t, "request after the stop", s.seen)
+	testkit.Receive(t, "request after the stop", s.seen)
 	close(accept)
 	close(hold)
 	for _, ch := range []chan exchange{inFlight, lateOne} {
-		if x := receive(t, "answer", ch); x.status != 200 {
+		if x := testkit.Receive(t, "answer", ch); x.status != 200 {
 			t.Errorf("%+v", x)
 		}
 	}
-	if err := receive(t, "end of the agent", a.done); err != nil {
+	if err := testkit.Receive(t, "end of the agent", a.done); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 }
@@ -273,25 +277,28 @@
 func TestSilentConnectionsAreClosed(t *testing.T) {
 	hold := make(chan struct{})
 	s := serveRaw(t, func(int) string { <-hold; return ok200 })
-	a := start(t, testConfig(t, setup{servers: []member{s.member("s")}}))
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
 	busy := make(chan exchange, 1)
 	go func() { busy <- a.do("GET", "/get/x", "") }()
-	receive(t, "request", s.seen)
+	testkit.Receive(t, "request", s.seen)
 	c, err := net.Dial("tcp", a.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
-	waitFor(t, "one silent connection", func() bool { return a.gate.count() == 2 && a.gate.quietOnes() == 1 })
-	a.gate.closeSilent()
-	if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil {
+	testkit.WaitFor(t, "one silent connection", func() bool {
+		open, fresh, idle := a.Gate().Counts()
+		return open == 2 && fresh+idle == 1
+	})
+	a.Gate().CloseSilent()
+	if err := c.SetReadDeadline(time.Now().Add(testkit.Patience)); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("the silent connection was not closed: %v", err)
 	}
 	close(hold)
-	if x := receive(t, "answer", busy); x.status != 200 {
+	if x := testkit.Receive(t, "answer", busy); x.status != 200 {
 		t.Errorf("%+v", x)
 	}
 }
@@ -301,12 +308,12 @@
 func TestCrowdedFront(t *testing.T) {
 	hold := make(chan struct{})
 	s := serveRaw(t, func(int) string { <-hold; return ok200 })
-	cfg := testConfig(t, setup{servers: []member{s.member("s")}})
+	cfg := testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}})
 	cfg.Site.MaxOpen = 1
 	a := start(t, cfg)
 	first := make(chan exchange, 1)
 	go func() { first <- a.do("GET", "/get/x", "") }()
-	receive(t, "first request", s.seen)
+	testkit.Receive(t, "first request", s.seen)
 	c, err := net.Dial("tcp", a.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -320,7 +327,7 @@
 		t.Errorf("%+v, %v", resp, err)
 	}
 	close(hold)
-	if x := receive(t, "first answer", first); x.status != 200 {
+	if x := testkit.Receive(t, "first answer", first); x.status != 200 {
 		t.Errorf("%+v", x)
 	}
 	if len(s.seen) != 0 {
@@ -328,110 +335,18 @@
 	}
 }
 
-// gateFor is a gate on loopback whose clock the test turns, with so many client connections open.
-func gateFor(t *testing.T, most, open int) (*gate, []net.Conn) {
-	t.Helper()
-	g := newGate(listen(t), most)
-	t.Cleanup(func() { g.Close() })
-	var conns []net.Conn
-	for range open {
-		conns = append(conns, dialGate(t, g))
-		if _, err := g.Accept(); err != nil {
-			t.Fatal(err)
-		}
-	}
-	return g, conns
-}
-
-func dialGate(t *testing.T, g *gate) net.Conn {
-	t.Helper()
-	c, err := net.Dial("tcp", g.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	return c
-}
-
-func (g *gate) count() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.conns)
-}
-
-func (g *gate) quietOnes() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.fresh.Len() + g.idle.Len()
-}
-
-// Clients that connect and say nothing once filled the listener for as long as they liked, and
-// nobody else came in. Past the mark those quiet longest go, but none before its time: a client
-// may be about to send its first request. Those with an open request stay.
-func TestQuietConnectionsMakeRoom(t *testing.T) {
-	g, conns := gateFor(t, 8, 8)
-	g.mu.Lock()
-	var all []*clientConn
-	for e := g.fresh.Front(); e != nil; e = e.Next() {
-		all = append(all, e.Value.(*clientConn))
-	}
-	g.mu.Unlock()
-	g.track(all[0], http.StateActive)
-	now := all[7].since
-	if wait := g.makeRoom(now); wait <= 0 || wait > quietLeast || g.count() != 8 {
-		t.Fatalf("full of young ones: wait %v, %d open", wait, g.count())
-	}
-	if wait := g.makeRoom(now.Add(quietLeast)); wait != 0 || g.count() != g.mark-1 {
-		t.Fatalf("wait %v, %d open, mark %d", wait, g.count(), g.mark)
-	}
-	if !g.conns[all[0]] || g.conns[all[1]] || g.conns[all[3]] || !g.conns[all[4]] {
-		t.Error("not those quiet longest were closed")
-	}
-	if err := conns[1].SetReadDeadline(time.Now().Add(patience)); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := conns[1].Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
-		t.Errorf("the client was not told: %v", err)
-	}
-	// Quiet again after its answer; then its last answer is out and only the client's reading is
-	// waited for, which is the first to end.
-	g.track(all[0], http.StateIdle)
-	if g.idle.Back().Value != all[0] {
-		t.Error("after its answer it is not idle")
-	}
-	g.track(all[4], http.StateActive)
-	if err := all[4].CloseWrite(); err != nil || g.idle.Front().Value != all[4] {
-		t.Errorf("%v; one that is being closed is not the first to go", err)
-	}
-	// Full once more: clients that ask now and then, and so are never idle for long, must not keep
-	// all others out. Those that have had an answer go at once, those still silent do not.
-	g.most = g.count()
-	if wait := g.makeRoom(time.Now()); wait != 0 || g.conns[all[4]] || !g.conns[all[0]] {
-		t.Errorf("wait %v; kept: closing %v, idle %v", wait, g.conns[all[4]], g.conns[all[0]])
-	}
-	g.most = g.count()
-	if wait := g.makeRoom(time.Now()); wait != 0 || g.conns[all[0]] {
-		t.Errorf("wait %v; the idle one was kept", wait)
-	}
-	g.most = g.count()
-	if wait := g.makeRoom(all[5].since); wait == 0 || !g.conns[all[5]] {
-		t.Errorf("wait %v; a silent one was not left its time", wait)
-	}
-}
-
 // Clients that ask once on each connection and keep it for good may have a bound of their own, far
 // below the gate's. Once many are kept, answers end their connections, so that there are always
-// some left to ask on; and those that are kept go once they have been quiet for long.
+// some left to ask on; and those that are kept go once they have been testkit.Quiet for long.
 func TestKeptConnectionsAreFew(t *testing.T) {
 	s := serveRaw(t, func(int) string { return ok200 })
-	cfg := testConfig(t, setup{servers: []member{s.member("s")}})
-	cfg.Sockets = leastSockets
+	cfg := testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}})
+	cfg.Sockets = 64
 	a := start(t, cfg)
-	most := clientSockets(cfg.Sockets)
+	most := core.ClientSockets(cfg.Sockets)
 	kept := func() int {
-		a.gate.mu.Lock()
-		defer a.gate.mu.Unlock()
-		return a.gate.idle.Len()
+		_, _, idle := a.Gate().Counts()
+		return idle
 	}
 	closed := 0
 	for range most {
@@ -450,57 +365,21 @@
 			}
 			continue
 		}
-		waitFor(t, "the connection to be quiet", func() bool { return a.gate.quietOnes() == a.gate.count() })
+		testkit.WaitFor(t, "the connection to be testkit.Quiet", func() bool {
+			open, fresh, idle := a.Gate().Counts()
+			return fresh+idle == open
+		})
 	}
 	if n := kept(); n > most/3 || closed == 0 {
 		t.Errorf("%d of %d are kept, %d were closed after their answers", n, most, closed)
 	}
-	now := time.Now().Add(quietLeast)
-	a.gate.makeRoom(now)
-	if n := kept(); n >= a.gate.kept {
-		t.Errorf("%d are kept that were quiet for long, fewer than %d should be", n, a.gate.kept)
-	}
-}
-
-// A full gate takes no connection until a place is free, and counts each place once.
-func TestGateLimit(t *testing.T) {
-	g, _ := gateFor(t, 1, 0)
-	got := make(chan net.Conn, 2)
-	ended := make(chan error, 1)
-	go func() {
-		for {
-			c, err := g.Accept()
-			if err != nil {
-				ended <- err
-				return
-			}
-			g.track(c, http.StateActive)
-			got <- c
-		}
-	}()
-	dialGate(t, g)
-	one := receive(t, "first connection", got)
-	dialGate(t, g)
-	if g.count() != 1 || len(got) != 0 {
-		t.Errorf("%d connections past the limit", len(got))
-	}
-	one.Close()
-	one.Close()
-	receive(t, "second connection", got)
-	if g.count() != 1 {
-		t.Errorf("%d counted, one is open", g.count())
-	}
-	g.Close()
-	if err := receive(t, "end", ended); !errors.Is(err, net.ErrClosed) {
-		t.Errorf("%v", err)
-	}
 }
 
 // Where a message tells its end twice, what one side takes for a body the other may take for a
 // further request. Nothing of it reaches a backend, and the connection is closed.
 func TestHiddenRequest(t *testing.T) {
 	s := serveRaw(t, func(int) string { return ok200 })
-	a := start(t, testConfig(t, setup{servers: []member{s.member("s")}}))
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
 	hidden := "GET /get/hidden HTTP/1.1\r\nHost: a\r\nX-Trace-Id: hidden\r\n\r\n"
 	chunk := "0\r\n\r\n" + hidden
 	for name, text := range map[string]string{
--- a/internal/agent/helpers_test.go
+++ b/internal/http1/helpers_test.go
@@ -1,99 +1,41 @@
-package agent
+package http1
 
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
-)
-
-// patience is how long a test waits for what must come: far more than it takes anywhere.
-const patience = 30 * time.Second
-
-var quiet = slog.New(slog.DiscardHandler)
-
-// settings has one class of each effect and deadlines long enough for a slow machine.
-const settings = `{
- "Balancers": 1, "Me": 0, "Zone": 0, "Dcs": ["a", "b"], "Kinds": ["m1", "m2"], "MembershipMode": "%s",
- "TickMs": 1, "CountedBy": "request",
- "Profiles": [
-  {"Name": "get", "AimMs": 5000, "DeadlineMs": %[2]d, "Worth": 1, "Semantics": "repeatable"},
-  {"Name": "put", "AimMs": 5000, "DeadlineMs": %[2]d, "Worth": 1, "Semantics": "by_key", "Group": "all", "WindowMs": 60000},
-  {"Name": "pay", "AimMs": 5000, "DeadlineMs": %[2]d, "Worth": 1, "Semantics": "once"}],
- "PolicyLimits": {"TryLimit": 3, "ConnectTimeoutMs": 10000, "IdleCloseMs": 60000, "MaxOpen": 1000,
-  "RetryAfter": true, "MaxRetryAfterMs": 1500, "MayProbe": true, "Cancel": true, "SecondCopies": true},
- "Contract": {"AskWithinMs": 1000, "DrainGraceMs": 1000, "GraceToAnswerMs": 20, "ColdFrom": 0.5, "RampTimeMs": 1000, "FallMultiple": 3, "FallMs": 1000},
- "Goal": {"Whole": 1}, "Report": {"Source": "inline"}}`
 
-type setup struct {
-	mode      string // of discovery; "" is automatic
-	deadline  int    // of all classes, ms; 0: 60 s
-	discovery string
-	servers   []member
-}
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/testkit"
+)
 
-func testConfig(t *testing.T, s setup) *Config {
+func testConfig(t *testing.T, s testkit.Setup) *core.Config {
 	t.Helper()
-	if s.mode == "" {
-		s.mode = "automatic"
-	}
-	if s.deadline == 0 {
-		s.deadline = 60000
-	}
-	if s.discovery == "" {
-		s.discovery = deadAddr(t)
-	}
-	raw, err := json.Marshal(map[string]any{
-		"name": "n0", "listen": "127.0.0.1:0", "discovery": s.discovery, "seed": "8c1f30d27a5be964",
-		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"known":    members{Version: 41, Full: true, Servers: s.servers},
-		"settings": json.RawMessage(fmt.Sprintf(settings, s.mode, s.deadline)),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	cfg, err := parseConfig(raw, func(string) string { return "" })
+	cfg, err := core.ParseConfig(testkit.Config(t, s), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
 	return cfg
 }
 
-// deadAddr is an address at which nothing listens.
-func deadAddr(t *testing.T) string {
-	t.Helper()
-	ln := listen(t)
-	ln.Close()
-	return ln.Addr().String()
-}
-
-func listen(t *testing.T) net.Listener {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	return ln
-}
-
 // running is an agent under test.
 type running struct {
-	*Agent
+	*core.Agent
+	*protocol
 	base string
 	stop context.CancelFunc
 	done chan error
 }
 
-func start(t *testing.T, cfg *Config) *running {
+func start(t *testing.T, cfg *core.Config) *running {
 	t.Helper()
 	now := make(chan time.Time)
 	close(now)
@@ -101,22 +43,20 @@
 }
 
 // startUntil runs an agent that, once stopped, takes connections until accept is closed.
-func startUntil(t *testing.T, cfg *Config, accept <-chan time.Time) *running {
+func startUntil(t *testing.T, cfg *core.Config, accept <-chan time.Time) *running {
 	t.Helper()
-	a, err := New(cfg, quiet)
+	a, own, err := newAgent(cfg, testkit.Quiet, core.Parts{AcceptAfterStop: accept, Silence: 2 * testkit.Patience}) // a slow machine is no dead discovery
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &running{Agent: a, base: "http://" + a.Addr().String(), stop: cancel, done: make(chan error, 1)}
-	a.discovery.silence = 2 * patience // a slow machine is no dead discovery
-	a.accept = func() <-chan time.Time { return accept }
+	r := &running{Agent: a, protocol: own, base: "http://" + a.Addr().String(), stop: cancel, done: make(chan error, 1)}
 	go func() { r.done <- a.Run(ctx); close(r.done) }()
 	t.Cleanup(func() {
 		cancel()
 		select {
 		case <-r.done:
-		case <-time.After(2 * patience):
+		case <-time.After(2 * testkit.Patience):
 			t.Error("the agent did not stop")
 		}
 	})
@@ -158,7 +98,7 @@
 }
 
 func (r *running) do(method, path, body string, headers ...string) exchange {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
 	defer cancel()
 	req, err := r.request(ctx, method, path, body, headers...)
 	if err != nil {
@@ -182,7 +122,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
+	if err := c.SetDeadline(time.Now().Add(testkit.Patience)); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := io.WriteString(c, text); err != nil {
@@ -201,7 +141,7 @@
 // byte. An empty answer closes the connection.
 func serveRaw(t *testing.T, answer func(n int) string) *backend {
 	t.Helper()
-	ln := listen(t)
+	ln := testkit.Listen(t)
 	b := &backend{addr: ln.Addr().String(), seen: make(chan string, 100)}
 	var mu sync.Mutex
 	n := 0
@@ -241,7 +181,7 @@
 // resetting is a listener that resets each connection at once.
 func resetting(t *testing.T) net.Listener {
 	t.Helper()
-	ln := listen(t)
+	ln := testkit.Listen(t)
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -271,29 +211,19 @@
 	return nil, err
 }
 
-func (b *backend) member(id string) member {
-	return member{ID: id, Addr: b.addr, Zone: "a", Kind: "m1", State: "ready", Weight: 1}
+func (b *backend) member(id string) catalog.Member {
+	return catalog.Member{ID: id, Addr: b.addr, Zone: "a", Kind: "m1", State: "ready", Weight: 1}
 }
 
 const ok200 = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
 
-func receive[T any](t *testing.T, what string, ch <-chan T) T {
-	t.Helper()
-	select {
-	case v := <-ch:
-		return v
-	case <-time.After(patience):
-		t.Fatalf("no %s", what)
-		panic("unreachable")
-	}
+// recorder is a ResponseWriter that keeps the status.
+type recorder struct {
+	header http.Header
+	status int
 }
 
-// waitFor polls what has no channel to wait on.
-func waitFor(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("waited in vain for %s", what)
-		}
-	}
-}
+func newRecorder() *recorder                    { return &recorder{header: http.Header{}} }
+func (r *recorder) Header() http.Header         { return r.header }
+func (r *recorder) WriteHeader(status int)      { r.status = status }
+func (r *recorder) Write(p []byte) (int, error) { return len(p), nil }
--- /dev/null
+++ b/internal/http1/loop_test.go
@@ -0,0 +1,72 @@
+package http1
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/testkit"
+)
+
+// A truncated 200 of a backend is never passed on as a whole one. A request that may not be
+// repeated fails; a safe one is tried again by the module.
+func TestTruncatedAnswer(t *testing.T) {
+	cut := "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nTRUNCATED"
+	s := serveRaw(t, func(n int) string { return []string{cut, cut, ok200}[n] })
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
+	if x := a.do("POST", "/pay/x", ""); x.status != http.StatusBadGateway || strings.Contains(x.body, "TRUNCATED") {
+		t.Errorf("unsafe: %+v", x)
+	}
+	if x := a.do("GET", "/get/x", ""); x.status != 200 || x.body != "hello" {
+		t.Errorf("safe: %+v", x)
+	}
+}
+
+// An unsafe request that may have run is neither sent again nor refused.
+func TestUnsafeRequestIsNotRepeated(t *testing.T) {
+	s := serveRaw(t, func(int) string { return "" })
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
+	if x := a.do("POST", "/pay/x", ""); x.status != http.StatusBadGateway {
+		t.Errorf("%+v", x)
+	}
+	if len(s.seen) != 1 {
+		t.Errorf("%d attempts", len(s.seen))
+	}
+}
+
+// What never ran may be refused.
+func TestRefusal(t *testing.T) {
+	cfg := testConfig(t, testkit.Setup{Servers: []catalog.Member{{ID: "s", Addr: testkit.DeadAddr(t), Zone: "a", Kind: "m1", State: "ready"}}})
+	a := start(t, cfg)
+	if x := a.do("POST", "/pay/x", ""); x.status != http.StatusServiceUnavailable {
+		t.Errorf("%+v", x)
+	}
+}
+
+// A request whose backend is silent is answered before its client stops waiting, and says that
+// it failed.
+func TestDeadline(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	s := serveRaw(t, func(int) string { <-hold; return "" })
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
+	if x := a.do("GET", "/get/x", "", "X-Expires-In", "2"); x.status != http.StatusGatewayTimeout {
+		t.Errorf("%+v", x)
+	}
+}
+
+// A client's last try may have less time left than a step is away. The module answers it all the
+// same, with a refusal, since nothing ran; the loop once failed it first, at the deadline itself.
+func TestTryWithHardlyAnyTimeLeft(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	cfg := testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}})
+	cfg.Settings.Tick, cfg.Settings.AnswerGrace = 100*time.Millisecond, 2*testkit.Patience
+	a := start(t, cfg)
+	for range 3 { // the first may meet a step that is due
+		if x := a.do("GET", "/get/x", "", "X-Expires-In", "0.000001"); x.status != http.StatusServiceUnavailable {
+			t.Errorf("%+v", x)
+		}
+	}
+}
--- a/internal/agent/panic_test.go
+++ b/internal/http1/panic_test.go
@@ -1,4 +1,4 @@
-package agent
+package http1
 
 import (
 	"context"
@@ -8,25 +8,29 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/testkit"
 )
 
 // After a panic what was taken is answered failed, and nothing is sent for it any more: not even by
 // an attempt whose connection comes up later.
 func TestNothingIsSentAfterAPanic(t *testing.T) {
-	server := listen(t)
-	cfg := testConfig(t, setup{servers: []member{{ID: "s", Addr: server.Addr().String(), Zone: "a", Kind: "m1", State: "ready"}}})
-	a, err := New(cfg, quiet)
+	server := testkit.Listen(t)
+	cfg := testConfig(t, testkit.Setup{Servers: []catalog.Member{{ID: "s", Addr: server.Addr().String(), Zone: "a", Kind: "m1", State: "ready"}}})
+	a, own, err := newAgent(cfg, testkit.Quiet, core.Parts{})
 	if err != nil {
 		t.Fatal(err)
 	}
 	dialled, release := make(chan struct{}), make(chan struct{})
-	a.backends.dialer = func(_ context.Context, network, addr string) (net.Conn, error) {
+	own.dialer = func(_ context.Context, network, addr string) (net.Conn, error) {
 		close(dialled)
 		<-release // a connection that comes up late, though its attempt has been given up
 		return net.Dial(network, addr)
 	}
 	var blow atomic.Bool
-	a.Inject(func(Totals) {
+	a.Inject(func(core.Totals) {
 		if blow.Load() {
 			panic("brought about")
 		}
@@ -52,7 +56,7 @@
 	go func() { status <- ask("1") }()
 	select {
 	case <-dialled:
-	case <-time.After(patience):
+	case <-time.After(testkit.Patience):
 		t.Fatal("no attempt")
 	}
 	blow.Store(true)
@@ -62,15 +66,15 @@
 		if got != http.StatusBadGateway {
 			t.Errorf("answered %d, want it failed", got)
 		}
-	case <-time.After(patience):
+	case <-time.After(testkit.Patience):
 		t.Fatal("what was taken is not answered")
 	}
 	select {
 	case err := <-ended:
-		if !errors.Is(err, ErrPanic) {
+		if !errors.Is(err, core.ErrPanic) {
 			t.Errorf("it ended with %v", err)
 		}
-	case <-time.After(patience):
+	case <-time.After(testkit.Patience):
 		t.Fatal("it does not end")
 	}
 	close(release)
@@ -79,7 +83,7 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(testkit.Patience)); err != nil {
 		t.Fatal(err)
 	}
 	var buf [64]byte
--- a/internal/agent/service_test.go
+++ b/internal/http1/service_test.go
@@ -1,4 +1,4 @@
-package agent
+package http1
 
 import (
 	"context"
@@ -8,6 +8,9 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/testkit"
 )
 
 // Backends that reset new connections, all alike, and then take them again: the agent sends to them
@@ -32,7 +35,7 @@
 // at a cold fleet's pace; it once sent nothing until the whole ramp was over, since what a cold one
 // may get followed from what warm ones serve.
 func TestServesAfterAllWereRefused(t *testing.T) {
-	dead := deadAddr(t)
+	dead := testkit.DeadAddr(t)
 	a, broken := withBrokenDials(t, func(ctx context.Context) (net.Conn, error) { return new(net.Dialer).DialContext(ctx, "tcp", dead) })
 	for range 20 {
 		a.do("GET", "/get/x", "")
@@ -43,7 +46,7 @@
 		a.do("GET", "/get/x", "")
 	}
 	served := 0
-	for end := time.Now().Add(patience); served < 20 && time.Now().Before(end); {
+	for end := time.Now().Add(testkit.Patience); served < 20 && time.Now().Before(end); {
 		a.dropIdle()
 		if x := a.do("GET", "/get/x", ""); x.status == 200 {
 			served++
@@ -59,7 +62,7 @@
 func TestSpoiltAnswersOfAllLeaveNoneOut(t *testing.T) {
 	var mu sync.Mutex
 	total, spoilt, again := 0, []string{}, 0
-	var servers []member
+	var servers []catalog.Member
 	for _, id := range []string{"s", "t", "u", "v"} {
 		b := serveRaw(t, func(int) string {
 			mu.Lock()
@@ -79,7 +82,7 @@
 		}()
 		servers = append(servers, b.member(id))
 	}
-	cfg := testConfig(t, setup{servers: servers})
+	cfg := testConfig(t, testkit.Setup{Servers: servers})
 	cfg.Settings.Classes[2].Aim = time.Hour // about for so long a backend is left out
 	a := start(t, cfg)
 	for range 400 {
@@ -98,7 +101,7 @@
 // dials end as broken says. What is cold does not become warm in a test's time.
 func withBrokenDials(t *testing.T, broken func(context.Context) (net.Conn, error)) (*running, *atomic.Int64) {
 	t.Helper()
-	var servers []member
+	var servers []catalog.Member
 	for _, id := range []string{"s", "t", "u"} {
 		b := serveRaw(t, func(int) string { return ok200 })
 		go func() {
@@ -107,7 +110,7 @@
 		}()
 		servers = append(servers, b.member(id))
 	}
-	cfg := testConfig(t, setup{servers: servers})
+	cfg := testConfig(t, testkit.Setup{Servers: servers})
 	cfg.Settings.RampTime, cfg.Settings.ColdShare = time.Hour, 0.1
 	a := start(t, cfg)
 	left, dial := new(atomic.Int64), a.backends.dialer
--- a/internal/laststate/laststate.go
+++ b/internal/laststate/laststate.go
@@ -16,7 +16,7 @@
 	"hash/crc64"
 	"time"
 
-	"vetchhaven/internal/agent"
+	"vetchhaven/internal/core"
 	"vetchhaven/internal/catalog"
 )
 
@@ -24,7 +24,7 @@
 type State struct {
 	Saved     int64                       `json:"saved_ms"`  // Unix time
 	Sources   map[string]*catalog.Members `json:"sources"`   // by the list's address
-	Instances map[string]*agent.Memory    `json:"instances"` // by name
+	Instances map[string]*core.Memory    `json:"instances"` // by name
 }
 
 // AfterPause leaves out what holds only for a daemon that goes on at once where the last one stopped.
--- /dev/null
+++ b/internal/testkit/testkit.go
@@ -0,0 +1,164 @@
+// Package testkit is what tests of several packages share.
+package testkit
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"vetchhaven/internal/catalog"
+)
+
+// Patience is how long a test waits for what must come: far more than it takes anywhere.
+const Patience = 30 * time.Second
+
+// Quiet writes nothing.
+var Quiet = slog.New(slog.DiscardHandler)
+
+// Settings is a platform's settings object: the mode of the list and all deadlines in milliseconds go in.
+// It has one class of each effect, and deadlines long enough for a slow machine.
+const Settings = `{
+ "Balancers": 1, "Me": 0, "Zone": 0, "Dcs": ["a", "b"], "Kinds": ["m1", "m2"], "MembershipMode": "%s",
+ "TickMs": 1, "CountedBy": "request",
+ "Profiles": [
+  {"Name": "get", "AimMs": 5000, "DeadlineMs": %[2]d, "Worth": 1, "Semantics": "repeatable"},
+  {"Name": "put", "AimMs": 5000, "DeadlineMs": %[2]d, "Worth": 1, "Semantics": "by_key", "Group": "all", "WindowMs": 60000},
+  {"Name": "pay", "AimMs": 5000, "DeadlineMs": %[2]d, "Worth": 1, "Semantics": "once"}],
+ "PolicyLimits": {"TryLimit": 3, "ConnectTimeoutMs": 10000, "IdleCloseMs": 60000, "MaxOpen": 1000,
+  "RetryAfter": true, "MaxRetryAfterMs": 1500, "MayProbe": true, "Cancel": true, "SecondCopies": true},
+ "Contract": {"AskWithinMs": 1000, "DrainGraceMs": 1000, "GraceToAnswerMs": 20, "ColdFrom": 0.5, "RampTimeMs": 1000, "FallMultiple": 3, "FallMs": 1000},
+ "Goal": {"Whole": 1}, "Report": {"Source": "inline"}}`
+
+// Setup is what a test's agent is told.
+type Setup struct {
+	Mode      string // of discovery; "" is automatic
+	Deadline  int    // of all classes, ms; 0: 60 s
+	Discovery string
+	Servers   []catalog.Member
+}
+
+// Config is a platform's configuration file.
+func Config(t testing.TB, s Setup) []byte {
+	t.Helper()
+	if s.Mode == "" {
+		s.Mode = "automatic"
+	}
+	if s.Deadline == 0 {
+		s.Deadline = 60000
+	}
+	if s.Discovery == "" {
+		s.Discovery = DeadAddr(t)
+	}
+	raw, err := json.Marshal(map[string]any{
+		"name": "n0", "listen": "127.0.0.1:0", "discovery": s.Discovery, "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":    catalog.Members{Version: 41, Full: true, Servers: s.Servers},
+		"settings": json.RawMessage(fmt.Sprintf(Settings, s.Mode, s.Deadline)),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// Listen listens on a free port of loopback until the test ends.
+func Listen(t testing.TB) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+// DeadAddr is an address at which nothing listens.
+func DeadAddr(t testing.TB) string {
+	t.Helper()
+	ln := Listen(t)
+	ln.Close()
+	return ln.Addr().String()
+}
+
+// Receive waits for what must come on a channel.
+func Receive[T any](t testing.TB, what string, ch <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(Patience):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+// WaitFor polls what has no channel to wait on.
+func WaitFor(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// Catalog is a list service that hands each watch to the test, which writes to it line by line.
+type Catalog struct {
+	Addr  string
+	Watch chan *Watcher
+}
+
+// Watcher is one watch of a Catalog.
+type Watcher struct {
+	Since string
+	Lines chan string // closed: the watch ends
+	Fail  chan struct{}
+}
+
+// NewCatalog runs one until the test ends.
+func NewCatalog(t testing.TB) *Catalog {
+	t.Helper()
+	ln := Listen(t)
+	c := &Catalog{Addr: ln.Addr().String(), Watch: make(chan *Watcher, 10)}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/catalog/members" || r.URL.Query().Get("follow") != "1" {
+			t.Errorf("discovery was asked for %s", r.URL)
+		}
+		me := &Watcher{Since: r.URL.Query().Get("since"), Lines: make(chan string), Fail: make(chan struct{})}
+		c.Watch <- me
+		for {
+			select {
+			case <-me.Fail:
+				http.Error(w, "overloaded", http.StatusServiceUnavailable)
+				return
+			case line, more := <-me.Lines:
+				if !more {
+					return
+				}
+				fmt.Fprintln(w, line)
+				if err := http.NewResponseController(w).Flush(); err != nil {
+					return
+				}
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { server.Close() })
+	return c
+}
+
+// ToLine is a change of the list as a watch brings it.
+func ToLine(t testing.TB, version int64, servers ...catalog.Member) string {
+	t.Helper()
+	raw, err := json.Marshal(catalog.Members{Version: version, Servers: servers})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
