LDAPv3 on the core: sessions, identities, streams, TLS, and a stand-in directory

Directory traffic gets the care that HTTP has: internal/ldapmsg frames messages without decoding what needs none, internal/ldap runs many operations on a client connection, on server connections of the one identity bound there; searches stream and are then not begun anew; what may have run stands in a table test. internal/standin/directory keeps a ledger of what ran, and does wrong what its script says. Found on the way: a list whose first server is of an unknown kind made the decision module panic; mended.

--- a/decide/health.go
+++ b/decide/health.go
@@ -73,10 +73,11 @@
 // fit is how much slower than the mean backends of this kind serve a class. Departure: a quiet
 // agent pools what it learns, since it has few answers for each backend, class by class.
 func (b *Balancer) fit(kind, class int) *float64 {
+	kind = max(kind, 0) // the list may name a kind that is not known
 	for len(b.fits[class]) <= kind {
 		b.fits[class] = append(b.fits[class], 1)
 	}
-	return &b.fits[class][max(kind, 0)]
+	return &b.fits[class][kind]
 }
 
 // strike ejects a backend for a while that doubles with each further strike. Departure: one that
--- a/decide/only_test.go
+++ b/decide/only_test.go
@@ -62,3 +62,18 @@
 		}
 	}
 }
+
+// A list may name kinds and zones that the settings do not know: a module that met one first panicked.
+func TestUnknownKind(t *testing.T) {
+	b, err := decide.New(settings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Step(time.Hour, []decide.Event{decide.List{Kind: decide.ListFull, Backends: []decide.Backend{{ID: "a", Kind: -1, Zone: -1}}}})
+	for _, a := range b.Step(time.Hour, []decide.Event{decide.Request{ID: "1", Class: safe, Left: 5 * time.Second}}) {
+		if s, ok := a.(decide.Send); ok && s.Backend == "a" {
+			return
+		}
+	}
+	t.Error("nothing was sent")
+}
--- a/internal/fleet/admin.go
+++ b/internal/fleet/admin.go
@@ -12,8 +12,8 @@
 	"strings"
 	"time"
 
-	"vetchhaven/internal/core"
 	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/core"
 )
 
 // Status is how a daemon stands.
@@ -27,7 +27,7 @@
 	Down      int                `json:"down"`    // left down
 	Reloads   int                `json:"reloads"`
 	Memory    uint64             `json:"heap_bytes"`
-	Totals    core.Totals       `json:"totals"`
+	Totals    core.Totals        `json:"totals"`
 	Lists     []catalog.HubState `json:"lists"`
 	Instances []InstanceStatus   `json:"instances"`
 	Saving    string             `json:"saving,omitempty"` // why the state is not being saved
@@ -35,11 +35,11 @@
 
 // InstanceStatus is how one instance stands.
 type InstanceStatus struct {
-	Name     string       `json:"name"`
-	Listen   string       `json:"listen"`
-	State    string       `json:"state"` // ready, starting, waiting, down
-	Failures int          `json:"failures,omitempty"`
-	Reason   string       `json:"reason,omitempty"`
+	Name     string      `json:"name"`
+	Listen   string      `json:"listen"`
+	State    string      `json:"state"` // ready, starting, waiting, down
+	Failures int         `json:"failures,omitempty"`
+	Reason   string      `json:"reason,omitempty"`
 	Totals   core.Totals `json:"totals"`
 }
 
--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -13,9 +13,9 @@
 	"syscall"
 	"time"
 
+	"vetchhaven/internal/catalog"
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/http1"
-	"vetchhaven/internal/catalog"
 	"vetchhaven/internal/laststate"
 	"vetchhaven/internal/supervise"
 )
--- a/internal/fleet/daemon_test.go
+++ b/internal/fleet/daemon_test.go
@@ -20,8 +20,8 @@
 
 	"go.uber.org/goleak"
 
-	"vetchhaven/internal/core"
 	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/core"
 	"vetchhaven/internal/laststate"
 	"vetchhaven/internal/standin"
 )
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"vetchhaven/internal/core"
 	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/core"
 	"vetchhaven/internal/laststate"
 )
 
--- a/internal/laststate/laststate.go
+++ b/internal/laststate/laststate.go
@@ -16,15 +16,15 @@
 	"hash/crc64"
 	"time"
 
-	"vetchhaven/internal/core"
 	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/core"
 )
 
 // State is what is saved.
 type State struct {
 	Saved     int64                       `json:"saved_ms"`  // Unix time
 	Sources   map[string]*catalog.Members `json:"sources"`   // by the list's address
-	Instances map[string]*core.Memory    `json:"instances"` // by name
+	Instances map[string]*core.Memory     `json:"instances"` // by name
 }
 
 // AfterPause leaves out what holds only for a daemon that goes on at once where the last one stopped.
--- /dev/null
+++ b/internal/ldap/helpers_test.go
@@ -0,0 +1,158 @@
+package ldap
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	client "github.com/go-ldap/ldap/v3"
+
+	"vetchhaven/decide"
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/standin/directory"
+	"vetchhaven/internal/testkit"
+)
+
+const aim, deadline = 5 * time.Second, 60 * time.Second
+
+func testConfig(t testing.TB, servers ...*directory.Directory) *core.Config {
+	t.Helper()
+	var members []catalog.Member
+	for _, s := range servers {
+		members = append(members, s.Member("ready"))
+	}
+	cfg, err := core.ParseConfig(testkit.Config(t, testkit.Setup{Servers: members}), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Settings.Tick, cfg.Margin = 0, 5*time.Millisecond
+	cfg.Settings.MayProbe, cfg.Settings.SecondCopies = false, false
+	cfg.Site.Classes = []string{"search", "modify"}
+	cfg.Settings.Classes = []decide.Class{
+		{Aim: aim, Deadline: deadline, Worth: 1, Effect: decide.Safe},
+		{Aim: aim, Deadline: deadline, Worth: 1, Effect: decide.Unsafe},
+	}
+	return cfg
+}
+
+// running is an agent under test.
+type running struct {
+	*core.Agent
+	p    *protocol
+	stop context.CancelFunc
+	done chan error
+	log  *logs
+}
+
+// logs keeps what an agent writes.
+type logs struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+func (l *logs) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text = append(l.text, p...)
+	return len(p), nil
+}
+
+func (l *logs) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return string(l.text)
+}
+
+func start(t testing.TB, cfg *core.Config, o Options) *running {
+	t.Helper()
+	log := &logs{}
+	a, p, err := newAgent(cfg, o, slog.New(slog.NewTextHandler(log, nil)), core.Parts{NoLateConnections: true, Silence: 2 * testkit.Patience})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Agent: a, p: p, stop: cancel, done: make(chan error, 1), log: log}
+	go func() { r.done <- a.Run(ctx); close(r.done) }()
+	t.Cleanup(func() {
+		cancel()
+		if t.Failed() {
+			t.Log(log.String())
+		}
+		select {
+		case <-r.done:
+		case <-time.After(2 * testkit.Patience):
+			t.Error("the agent did not stop")
+		}
+	})
+	return r
+}
+
+// dir starts a directory with a few entries.
+func dir(t testing.TB, id string, o directory.Options) *directory.Directory {
+	t.Helper()
+	d, err := directory.New(id, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	for _, n := range []string{"a", "b", "c", "d", "e"} {
+		d.Add("cn="+n+",dc=ward", map[string][]string{"cn": {n}, "on": {id}})
+	}
+	d.Add("dc=ward", map[string][]string{"dc": {"ward"}})
+	d.Password("cn=admin", "secret-1")
+	d.Password("cn=other", "secret-2")
+	return d
+}
+
+func (r *running) dial(t testing.TB) *client.Conn {
+	t.Helper()
+	c, err := client.DialURL("ldap://" + r.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetTimeout(testkit.Patience)
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// raw is a connection to the agent without a library.
+func (r *running) raw(t testing.TB) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", r.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if err := c.SetDeadline(time.Now().Add(testkit.Patience)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func search(base string, scope int) *client.SearchRequest {
+	return client.NewSearchRequest(base, scope, client.NeverDerefAliases, 0, 0, false, "(objectClass=*)", nil, nil)
+}
+
+var whole = func() *client.SearchRequest { return search("dc=ward", client.ScopeWholeSubtree) }
+var one = func() *client.SearchRequest { return search("cn=a,dc=ward", client.ScopeBaseObject) }
+
+func modify(value string) *client.ModifyRequest {
+	m := client.NewModifyRequest("cn=a,dc=ward", nil)
+	m.Replace("description", []string{value})
+	return m
+}
+
+// code is the result code of an error; 0: none.
+func code(err error) int {
+	if err == nil {
+		return 0
+	}
+	if e, ok := err.(*client.Error); ok {
+		return int(e.ResultCode)
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/ldap/ldap.go
@@ -0,0 +1,272 @@
+// Package ldap is LDAPv3 (RFC 4511) on the core: clients' connections (client.go), on which many
+// operations run at once, and connections to directory servers (server.go), each of which serves the one
+// identity that is bound on it. Which server gets an operation, whether it is tried again and what is
+// turned away is decided by the decision module alone.
+package ldap
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"vetchhaven/decide"
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/ldapmsg"
+)
+
+// protocol is LDAP as the core knows it.
+type protocol struct {
+	cfg     *core.Config
+	o       Options
+	log     *slog.Logger
+	loop    *core.Loop
+	gate    *core.Gate
+	classes [kinds]int
+	servers *servers
+	tls     *tls.Config // towards clients; nil: none
+	secret  [32]byte    // names of identities are made with it
+	lastID  atomic.Uint64
+	open    atomic.Int64
+	most    int
+
+	mu       sync.Mutex
+	sessions map[*session]bool
+	draining bool
+	ended    bool
+	running  sync.WaitGroup
+}
+
+// kind is what an operation is for the purpose of classes. A class of the kind's name is taken where the
+// file has one, else that of the kind named behind it.
+type kind int
+
+const (
+	kindSearch kind = iota
+	kindModify
+	kindBind
+	kindLookup // a search whose scope is its base
+	kindCompare
+	kindAdd
+	kindDelete
+	kindModDN
+	kindPassword
+	kindExtended
+	kinds
+)
+
+var kindNames = [kinds]string{"search", "modify", "bind", "lookup", "compare", "add", "delete", "moddn", "password", "extended"}
+
+var kindElse = [kinds]kind{kindSearch, kindModify, kindSearch, kindSearch, kindSearch, kindModify, kindModify, kindModify, kindModify, kindModify}
+
+// safeKinds have no effect, and may be repeated by what the protocol says.
+var safeKinds = [kinds]bool{kindSearch: true, kindBind: true, kindLookup: true, kindCompare: true}
+
+// Needed are the classes that every instance has.
+var Needed = []string{kindNames[kindSearch], kindNames[kindModify]}
+
+// Known reports whether a name is that of a class of operations.
+func Known(name string) bool {
+	for _, n := range kindNames {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// classesOf finds each kind's class.
+func classesOf(names []string) (all [kinds]int) {
+	find := func(k kind) int {
+		for i, n := range names {
+			if n == kindNames[k] {
+				return i
+			}
+		}
+		return -1
+	}
+	for k := range kinds {
+		if all[k] = find(k); all[k] < 0 {
+			all[k] = max(0, find(kindElse[k]))
+		}
+	}
+	return all
+}
+
+// New sets up an agent that speaks LDAP, with what it is given.
+func New(cfg *core.Config, o Options, log *slog.Logger, parts core.Parts) (*core.Agent, error) {
+	a, _, err := newAgent(cfg, o, log, parts)
+	return a, err
+}
+
+func newAgent(cfg *core.Config, o Options, log *slog.Logger, parts core.Parts) (*core.Agent, *protocol, error) {
+	clients, servers, err := o.tlsConfigs()
+	if err != nil {
+		return nil, nil, err
+	}
+	orElse(&o.MostMessage, mostMessage)
+	orElse(&o.MostOpen, mostOpen)
+	orElse(&o.Shared, sharedMost)
+	if o.Idle == 0 {
+		o.Idle = idleMost
+	}
+	p := &protocol{cfg: cfg, o: o, log: log, tls: clients, classes: classesOf(cfg.Site.Classes), sessions: map[*session]bool{},
+		most: 4 * core.ClientSockets(cfg.Sockets)}
+	if cfg.Site.MaxOpen > 0 {
+		p.most = cfg.Site.MaxOpen
+	}
+	if _, err := rand.Read(p.secret[:]); err != nil {
+		return nil, nil, err
+	}
+	p.servers = newServers(cfg, &p.o, servers, log)
+	a, err := core.New(cfg, log, parts, func(l *core.Loop) core.Protocol {
+		p.loop = l
+		return p
+	})
+	return a, p, err
+}
+
+func orElse(v *int, instead int) {
+	if *v == 0 {
+		*v = instead
+	}
+}
+
+// Serve takes clients' connections until the gate is closed.
+func (p *protocol) Serve(g *core.Gate) error {
+	p.gate = g
+	go func() {
+		<-p.loop.Stopped()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.ended = true
+		for s := range p.sessions {
+			go s.failAll() // what was taken, and the loop has not answered
+		}
+	}()
+	for {
+		nc, err := g.Accept()
+		if err != nil {
+			return err
+		}
+		if g.Crowded() {
+			p.makeRoom()
+		}
+		// Its place is the session's to give up, with a word to the client: not the gate's.
+		g.Busy(nc)
+		p.running.Go(func() { p.loop.Guard(func() { p.serve(nc) }) })
+	}
+}
+
+// makeRoom ends the connections on which nothing has been asked for longest: an eighth of all, and none
+// that was heard of just now.
+func (p *protocol) makeRoom() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.sessions)/8 + 1
+	for range n {
+		var oldest *session
+		for s := range p.sessions {
+			if s.quietFor() > quietLeast && (oldest == nil || s.quietFor() > oldest.quietFor()) && s.idle() {
+				oldest = s
+			}
+		}
+		if oldest == nil {
+			return
+		}
+		delete(p.sessions, oldest)
+		go oldest.end(ldapmsg.Unavailable, "too many connections: this one was quiet for longest")
+	}
+}
+
+const quietLeast = 2 * time.Second
+
+// Drain has each connection end once all that was taken on it is answered.
+func (p *protocol) Drain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.draining = true
+	for s := range p.sessions {
+		go s.drain()
+	}
+}
+
+// Close ends what is left of clients' connections.
+func (p *protocol) Close() error {
+	p.mu.Lock()
+	for s := range p.sessions {
+		_ = s.raw.Close()
+	}
+	p.mu.Unlock()
+	p.running.Wait()
+	return nil
+}
+
+// Open is how many operations are open.
+func (p *protocol) Open() int64 { return p.open.Load() }
+
+// Probe examines a server: by a connection, as anybody, on which it is asked for nothing.
+func (p *protocol) Probe(server string) decide.ProbeResult {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.Settings.ConnectTimeout)
+	defer cancel()
+	result := decide.OK
+	if c, err := p.servers.dial(ctx, server); err != nil {
+		result = decide.ConnectFailed
+	} else {
+		c.retire()
+	}
+	return decide.ProbeResult{Backend: server, Result: result, Latency: time.Since(start), Load: decide.Load{Queue: -1, Service: -1, ErrorsPerSec: -1}}
+}
+
+// Update takes a change of the list.
+func (p *protocol) Update(l core.List) { p.servers.update(l) }
+
+// Reap closes connections to servers that have stood idle for too long.
+func (p *protocol) Reap(ctx context.Context) { p.servers.reap(ctx) }
+
+// Shut closes the connections to servers.
+func (p *protocol) Shut() { p.servers.shut() }
+
+// kindOf is what an operation is, and what it says of its time. An error is an answer to its client.
+func kindOf(m *ldapmsg.Message) (k kind, limit time.Duration, err error) {
+	switch m.Op {
+	case ldapmsg.SearchRequest:
+		s, err := ldapmsg.ParseSearch(m.Content)
+		if err != nil {
+			return 0, 0, err
+		}
+		if s.Base {
+			return kindLookup, time.Duration(s.TimeLimit) * time.Second, nil
+		}
+		return kindSearch, time.Duration(s.TimeLimit) * time.Second, nil
+	case ldapmsg.CompareRequest:
+		return kindCompare, 0, nil
+	case ldapmsg.AddRequest:
+		return kindAdd, 0, nil
+	case ldapmsg.DelRequest:
+		return kindDelete, 0, nil
+	case ldapmsg.ModDNRequest:
+		return kindModDN, 0, nil
+	case ldapmsg.ExtRequest:
+		name, _, err := ldapmsg.ExtendedName(m.Content)
+		switch {
+		case err != nil:
+			return 0, 0, err
+		case name == ldapmsg.OIDWhoAmI:
+			return kindLookup, 0, nil
+		case name == ldapmsg.OIDPasswordModify:
+			return kindPassword, 0, nil
+		}
+		return kindExtended, 0, nil
+	}
+	return kindModify, 0, nil
+}
+
+// loopbackName is what is logged of a client: where it is, never what it said.
+func loopbackName(c net.Conn) string { return strings.TrimSpace(c.RemoteAddr().String()) }
--- /dev/null
+++ b/internal/standin/directory/directory.go
@@ -0,0 +1,648 @@
+// Package directory is a small in-memory LDAP directory on loopback (RFC 4511), for tests and tools: it
+// keeps a ledger of what truly ran, and does wrong what a script tells it to.
+package directory
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	ber "github.com/go-asn1-ber/asn1-ber"
+
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/ldapmsg"
+)
+
+// Fault is what a script has the directory do with an operation.
+type Fault struct {
+	Stall       <-chan struct{} // nothing happens until it is closed
+	Wait        time.Duration   // before it is begun
+	KillBefore  bool            // the connection is reset before anything ran
+	KillAfter   bool            // it ran, and then the connection is reset
+	KillBetween int             // of a search: reset after so many entries
+	Code        int             // answered with this, and nothing ran
+	WrongID     bool            // the answer has an id that was not asked
+	Double      bool            // the answer comes twice
+	WrongTag    bool            // the answer is of another operation
+	Garbage     bool            // bytes that are no message, in place of the answer
+	Notice      bool            // a Notice of Disconnection, in place of the answer
+	Drip        time.Duration   // between the bytes of the answer
+}
+
+// Op is an operation as it came.
+type Op struct {
+	Kind string // bind, search, lookup, modify, add, delete, moddn, compare, extended
+	DN   string
+	Who  string // as whom its connection is bound
+	ID   int64
+	N    int // operations of this directory so far
+}
+
+// Directory is one server.
+type Directory struct {
+	ID string
+
+	listener net.Listener
+	tls      *tls.Config
+	ldaps    bool
+
+	mu        sync.Mutex
+	entries   map[string]map[string][]string
+	passwords map[string]string
+	ran       map[string]int // the ledger: how often each effect was done, by kind, DN and value
+	binds     int
+	script    func(Op) Fault
+	n         int
+	conns     map[net.Conn]bool
+	down      bool
+	abandoned int
+	open      int
+	mostOpen  int
+	served    map[string]int // operations answered, by kind
+}
+
+// Options of a directory; the zero value is plain LDAP.
+type Options struct {
+	TLS   *tls.Config // for StartTLS, or LDAPS
+	LDAPS bool
+	Addr  string // empty: a free port of loopback
+}
+
+// New starts one.
+func New(id string, o Options) (*Directory, error) {
+	if o.Addr == "" {
+		o.Addr = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", o.Addr)
+	if err != nil {
+		return nil, err
+	}
+	d := &Directory{ID: id, listener: ln, tls: o.TLS, ldaps: o.LDAPS, entries: map[string]map[string][]string{}, passwords: map[string]string{},
+		ran: map[string]int{}, conns: map[net.Conn]bool{}, served: map[string]int{}, script: func(Op) Fault { return Fault{} }}
+	go d.accept()
+	return d, nil
+}
+
+// Member is its entry on a list.
+func (d *Directory) Member(state string) catalog.Member {
+	return catalog.Member{ID: d.ID, Addr: d.listener.Addr().String(), Zone: "a", Kind: "k", State: state, Weight: 1}
+}
+
+// Addr is where it listens.
+func (d *Directory) Addr() string { return d.listener.Addr().String() }
+
+// Close ends it, with its connections.
+func (d *Directory) Close() {
+	d.mu.Lock()
+	d.down = true
+	d.mu.Unlock()
+	_ = d.listener.Close()
+	d.Kill()
+}
+
+// Kill resets all its connections, as the end of a process does. It goes on accepting.
+func (d *Directory) Kill() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.conns {
+		reset(c)
+	}
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// Script has f say what is done with each operation.
+func (d *Directory) Script(f func(Op) Fault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.script = f
+}
+
+// Add puts an entry there.
+func (d *Directory) Add(dn string, attributes map[string][]string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entries[strings.ToLower(dn)] = attributes
+}
+
+// Password lets a name bind.
+func (d *Directory) Password(dn, password string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.passwords[strings.ToLower(dn)] = password
+}
+
+// Ran is a copy of the ledger: how often each effect was done here.
+func (d *Directory) Ran() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := map[string]int{}
+	for k, n := range d.ran {
+		all[k] = n
+	}
+	return all
+}
+
+// Served is how many operations of a kind were answered.
+func (d *Directory) Served(kind string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.served[kind]
+}
+
+// Binds, Abandoned and Conns are how many binds came, how many operations were abandoned, and how many
+// connections are open.
+func (d *Directory) Binds() int     { d.mu.Lock(); defer d.mu.Unlock(); return d.binds }
+func (d *Directory) Abandoned() int { d.mu.Lock(); defer d.mu.Unlock(); return d.abandoned }
+func (d *Directory) Conns() int     { d.mu.Lock(); defer d.mu.Unlock(); return len(d.conns) }
+
+func (d *Directory) accept() {
+	for {
+		c, err := d.listener.Accept()
+		if err != nil {
+			return
+		}
+		if d.ldaps {
+			c = tls.Server(c, d.tls)
+		}
+		d.mu.Lock()
+		if d.down {
+			d.mu.Unlock()
+			_ = c.Close()
+			return
+		}
+		d.conns[c] = true
+		d.mu.Unlock()
+		l := &link{d: d, conn: c, top: c, live: map[int64]chan struct{}{}, paged: map[string][]string{}}
+		go l.run()
+	}
+}
+
+// link is one connection.
+type link struct {
+	d    *Directory
+	top  net.Conn // as accepted
+	conn net.Conn
+
+	mu    sync.Mutex // of writing, and what follows
+	who   string
+	live  map[int64]chan struct{} // closed when abandoned or cancelled
+	paged map[string][]string     // what is left of paged searches, by cookie
+	pages int
+}
+
+func (l *link) run() {
+	defer func() {
+		_ = l.conn.Close()
+		l.d.mu.Lock()
+		delete(l.d.conns, l.top)
+		l.d.mu.Unlock()
+	}()
+	in := ldapmsg.NewReader(l.conn, 1<<20)
+	for {
+		raw, err := in.Next()
+		if err != nil {
+			return
+		}
+		raw = append([]byte(nil), raw...) // operations run beside each other
+		p, err := ber.DecodePacketErr(raw)
+		if err != nil || len(p.Children) < 2 {
+			return
+		}
+		m, err := ldapmsg.Parse(raw)
+		if err != nil {
+			return
+		}
+		id, op := int64(m.ID), p.Children[1]
+		switch m.Op {
+		case ldapmsg.UnbindRequest:
+			return
+		case ldapmsg.AbandonRequest:
+			if what, err := ldapmsg.ParseAbandon(m.Content); err == nil {
+				l.stop(int64(what))
+			}
+			continue
+		case ldapmsg.BindRequest:
+			l.handle(id, m, op) // alone
+			continue
+		case ldapmsg.ExtRequest:
+			if name, _, _ := ldapmsg.ExtendedName(m.Content); name == ldapmsg.OIDStartTLS {
+				if l.d.tls == nil {
+					l.write(ldapmsg.Response(m.ID, ldapmsg.ExtResponse, ldapmsg.ProtocolErrorCode, "no TLS here"), 0)
+					continue
+				}
+				l.write(ldapmsg.Response(m.ID, ldapmsg.ExtResponse, ldapmsg.Success, ""), 0)
+				c := tls.Server(l.conn, l.d.tls)
+				if c.Handshake() != nil {
+					return
+				}
+				l.mu.Lock()
+				l.conn = c
+				l.mu.Unlock()
+				in = ldapmsg.NewReader(c, 1<<20)
+				continue
+			}
+		}
+		gone := make(chan struct{})
+		l.mu.Lock()
+		l.live[id] = gone
+		l.mu.Unlock()
+		go l.handle(id, m, op)
+	}
+}
+
+func (l *link) stop(id int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	gone := l.live[id]
+	if gone == nil {
+		return false
+	}
+	delete(l.live, id)
+	close(gone)
+	l.d.mu.Lock()
+	l.d.abandoned++
+	l.d.mu.Unlock()
+	return true
+}
+
+func (l *link) write(text []byte, drip time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if drip == 0 {
+		_, _ = l.conn.Write(text)
+		return
+	}
+	for i := range text {
+		time.Sleep(drip)
+		if _, err := l.conn.Write(text[i : i+1]); err != nil {
+			return
+		}
+	}
+}
+
+// text is a packet's value as a string.
+func text(p *ber.Packet) string {
+	if p.Data == nil {
+		return ""
+	}
+	return p.Data.String()
+}
+
+func kindName(m *ldapmsg.Message) string {
+	switch m.Op {
+	case ldapmsg.BindRequest:
+		return "bind"
+	case ldapmsg.SearchRequest:
+		if s, err := ldapmsg.ParseSearch(m.Content); err == nil && s.Base {
+			return "lookup"
+		}
+		return "search"
+	case ldapmsg.ModifyRequest:
+		return "modify"
+	case ldapmsg.AddRequest:
+		return "add"
+	case ldapmsg.DelRequest:
+		return "delete"
+	case ldapmsg.ModDNRequest:
+		return "moddn"
+	case ldapmsg.CompareRequest:
+		return "compare"
+	}
+	return "extended"
+}
+
+// handle does one operation, as the script says.
+func (l *link) handle(id int64, m ldapmsg.Message, op *ber.Packet) {
+	d := l.d
+	kind, dn := kindName(&m), ""
+	switch {
+	case m.Op == ldapmsg.DelRequest:
+		dn = string(m.Content)
+	case m.Op == ldapmsg.BindRequest && len(op.Children) > 1:
+		dn = text(op.Children[1])
+	case len(op.Children) > 0:
+		dn = text(op.Children[0])
+	}
+	l.mu.Lock()
+	gone, who := l.live[id], l.who
+	l.mu.Unlock()
+	d.mu.Lock()
+	d.n++
+	d.open++
+	d.mostOpen = max(d.mostOpen, d.open)
+	f := d.script(Op{Kind: kind, DN: dn, Who: who, ID: id, N: d.n})
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		d.open--
+		d.mu.Unlock()
+		l.mu.Lock()
+		delete(l.live, id)
+		l.mu.Unlock()
+	}()
+	if f.Stall != nil {
+		select {
+		case <-f.Stall:
+		case <-gone:
+			return
+		}
+	}
+	if f.Wait > 0 {
+		time.Sleep(f.Wait)
+	}
+	if f.KillBefore {
+		reset(l.conn)
+		return
+	}
+	answer := ldapmsg.ResponseTo(m.Op)
+	var out []byte
+	if f.Code != 0 {
+		out = ldapmsg.Response(m.ID, answer, f.Code, "by the script")
+	} else {
+		out = l.do(m, op, kind, dn, f, gone)
+	}
+	if out == nil {
+		return
+	}
+	if f.KillAfter {
+		reset(l.conn)
+		return
+	}
+	switch {
+	case f.Garbage:
+		out = []byte("\x30\x80 this is no message of LDAP")
+	case f.Notice:
+		out = ldapmsg.Disconnection(ldapmsg.Unavailable, "by the script")
+	case f.WrongID:
+		got, _ := ldapmsg.Parse(out)
+		out = ldapmsg.WithID(m.ID+1000, got.Rest)
+	case f.WrongTag:
+		out = ldapmsg.Response(m.ID, ldapmsg.CompareResponse, 6, "")
+	}
+	select {
+	case <-gone: // abandoned: it has no answer
+		return
+	default:
+	}
+	d.mu.Lock()
+	d.served[kind]++
+	d.mu.Unlock()
+	l.write(out, f.Drip)
+	if f.Double {
+		l.write(out, 0)
+	}
+	if f.Garbage || f.Notice {
+		_ = l.conn.Close()
+	}
+}
+
+// do carries an operation out, and returns its last message; nil: none.
+func (l *link) do(m ldapmsg.Message, op *ber.Packet, kind, dn string, f Fault, gone chan struct{}) []byte {
+	d := l.d
+	result := func(code int, text string) []byte {
+		return ldapmsg.Response(m.ID, ldapmsg.ResponseTo(m.Op), code, text)
+	}
+	key := strings.ToLower(dn)
+	switch kind {
+	case "bind":
+		return l.bind(m, key, result)
+	case "search", "lookup":
+		return l.search(m, op, key, f, gone)
+	case "compare":
+		return result(6, "") // compareTrue
+	}
+	if kind == "extended" {
+		name, value, _ := ldapmsg.ExtendedName(m.Content)
+		switch name {
+		case ldapmsg.OIDCancel:
+			what, _ := ldapmsg.ParseCancel(value)
+			l.mu.Lock()
+			open := l.live[int64(what)] != nil
+			l.mu.Unlock()
+			if !open {
+				return result(ldapmsg.NoSuchOperation, "")
+			}
+			l.stop(int64(what))
+			l.write(ldapmsg.Response(what, ldapmsg.SearchDone, ldapmsg.Canceled, ""), 0)
+			return result(ldapmsg.Success, "")
+		case ldapmsg.OIDWhoAmI:
+			l.mu.Lock()
+			who := l.who
+			l.mu.Unlock()
+			p := ber.Encode(ber.ClassApplication, ber.TypeConstructed, 24, nil, "")
+			p.AppendChild(ber.NewInteger(ber.ClassUniversal, ber.TypePrimitive, ber.TagEnumerated, 0, ""))
+			p.AppendChild(ber.NewString(ber.ClassUniversal, ber.TypePrimitive, ber.TagOctetString, "", ""))
+			p.AppendChild(ber.NewString(ber.ClassUniversal, ber.TypePrimitive, ber.TagOctetString, "", ""))
+			authz := ""
+			if who != "" {
+				authz = "dn:" + who
+			}
+			p.AppendChild(ber.NewString(ber.ClassContext, ber.TypePrimitive, 11, authz, ""))
+			return ldapmsg.WithID(m.ID, p.Bytes())
+		case ldapmsg.OIDPasswordModify:
+			d.note("password")
+			return result(ldapmsg.Success, "")
+		}
+		d.note("extended " + name)
+		return result(ldapmsg.Success, "")
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch kind {
+	case "add":
+		d.ran["add "+key]++
+		if d.entries[key] != nil {
+			return result(68, "") // entryAlreadyExists
+		}
+		d.entries[key] = attributes(op.Children[1])
+	case "delete":
+		d.ran["delete "+key]++
+		if d.entries[key] == nil {
+			return result(32, "") // noSuchObject
+		}
+		delete(d.entries, key)
+	case "modify":
+		for _, change := range op.Children[1].Children {
+			d.ran["modify "+key+" "+strings.Join(values(change.Children[1]), ",")]++
+		}
+	case "moddn":
+		d.ran["moddn "+key]++
+	}
+	return result(ldapmsg.Success, "")
+}
+
+func (d *Directory) note(what string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ran[what]++
+}
+
+func attributes(list *ber.Packet) map[string][]string {
+	all := map[string][]string{}
+	for _, a := range list.Children {
+		if len(a.Children) == 2 {
+			all[text(a.Children[0])] = values(a)
+		}
+	}
+	return all
+}
+
+func values(attribute *ber.Packet) (all []string) {
+	if len(attribute.Children) < 2 {
+		return nil
+	}
+	for _, v := range attribute.Children[1].Children {
+		all = append(all, text(v))
+	}
+	return all
+}
+
+// bind takes simple binds, and a SASL exchange of two steps of the mechanism "TWO-STEP", whose second
+// step names the one who binds.
+func (l *link) bind(m ldapmsg.Message, key string, result func(int, string) []byte) []byte {
+	b, err := ldapmsg.ParseBind(m.Content)
+	if err != nil {
+		return result(ldapmsg.ProtocolErrorCode, "")
+	}
+	l.d.mu.Lock()
+	l.d.binds++
+	want, known := l.d.passwords[key]
+	l.d.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !b.Simple {
+		if b.Mechanism != "TWO-STEP" {
+			return result(ldapmsg.AuthMethodNotSupported, "")
+		}
+		if l.who != "half" {
+			l.who = "half"
+			return result(ldapmsg.SASLBindInProgress, "")
+		}
+		l.who = "sasl"
+		return result(ldapmsg.Success, "")
+	}
+	l.who = ""
+	if len(b.Name) == 0 && len(b.Password) == 0 {
+		return result(ldapmsg.Success, "")
+	}
+	if !known || want != string(b.Password) {
+		return result(ldapmsg.InvalidCredentials, "")
+	}
+	l.who = key
+	return result(ldapmsg.Success, "")
+}
+
+// search answers with what lies at or below its base. Filters are not looked at.
+func (l *link) search(m ldapmsg.Message, op *ber.Packet, key string, f Fault, gone chan struct{}) []byte {
+	scope, _ := op.Children[1].Value.(int64)
+	cookie, paged := ldapmsg.PagedCookie(m.Controls)
+	var names []string
+	l.d.mu.Lock()
+	for dn := range l.d.entries {
+		if dn == key || scope > 0 && (key == "" || strings.HasSuffix(dn, ","+key)) {
+			names = append(names, dn)
+		}
+	}
+	l.d.mu.Unlock()
+	sort.Strings(names)
+	next := ""
+	if paged {
+		if len(cookie) > 0 {
+			l.mu.Lock()
+			left, known := l.paged[string(cookie)]
+			delete(l.paged, string(cookie))
+			l.mu.Unlock()
+			if !known { // it belongs to another connection
+				return ldapmsg.Response(m.ID, ldapmsg.SearchDone, ldapmsg.UnwillingToPerform, "unknown cookie")
+			}
+			names = left
+		}
+		size := pageSize(m.Controls)
+		if size > 0 && len(names) > size {
+			l.mu.Lock()
+			l.pages++
+			next = l.d.ID + "/" + strconv.Itoa(l.pages) + fmt.Sprintf("/%p", l)
+			l.paged[next] = names[size:]
+			l.mu.Unlock()
+			names = names[:size]
+		}
+	}
+	for i, dn := range names {
+		if f.KillBetween > 0 && i == f.KillBetween {
+			reset(l.conn)
+			return nil
+		}
+		select {
+		case <-gone:
+			return nil
+		default:
+		}
+		l.d.mu.Lock()
+		attributes := l.d.entries[dn]
+		l.d.mu.Unlock()
+		l.write(ldapmsg.WithID(m.ID, entry(dn, attributes)), f.Drip)
+	}
+	done := ldapmsg.Response(m.ID, ldapmsg.SearchDone, ldapmsg.Success, "")
+	if !paged {
+		return done
+	}
+	got, _ := ldapmsg.Parse(done)
+	return ldapmsg.WithID(m.ID, append(append([]byte(nil), got.Rest...), pagedControl(next)...))
+}
+
+func pageSize(controls []byte) int {
+	value, found := ldapmsg.Control(controls, ldapmsg.OIDPagedResults)
+	if !found {
+		return 0
+	}
+	p, err := ber.DecodePacketErr(value)
+	if err != nil || len(p.Children) < 1 {
+		return 0
+	}
+	n, _ := p.Children[0].Value.(int64)
+	return int(n)
+}
+
+func pagedControl(cookie string) []byte {
+	value := ber.Encode(ber.ClassUniversal, ber.TypeConstructed, ber.TagSequence, nil, "")
+	value.AppendChild(ber.NewInteger(ber.ClassUniversal, ber.TypePrimitive, ber.TagInteger, 0, ""))
+	value.AppendChild(ber.NewString(ber.ClassUniversal, ber.TypePrimitive, ber.TagOctetString, cookie, ""))
+	c := ber.Encode(ber.ClassUniversal, ber.TypeConstructed, ber.TagSequence, nil, "")
+	c.AppendChild(ber.NewString(ber.ClassUniversal, ber.TypePrimitive, ber.TagOctetString, ldapmsg.OIDPagedResults, ""))
+	c.AppendChild(ber.NewString(ber.ClassUniversal, ber.TypePrimitive, ber.TagOctetString, string(value.Bytes()), ""))
+	all := ber.Encode(ber.ClassContext, ber.TypeConstructed, 0, nil, "")
+	all.AppendChild(c)
+	return all.Bytes()
+}
+
+func entry(dn string, attributes map[string][]string) []byte {
+	p := ber.Encode(ber.ClassApplication, ber.TypeConstructed, 4, nil, "")
+	p.AppendChild(ber.NewString(ber.ClassUniversal, ber.TypePrimitive, ber.TagOctetString, dn, ""))
+	list := ber.Encode(ber.ClassUniversal, ber.TypeConstructed, ber.TagSequence, nil, "")
+	for name, all := range attributes {
+		a := ber.Encode(ber.ClassUniversal, ber.TypeConstructed, ber.TagSequence, nil, "")
+		a.AppendChild(ber.NewString(ber.ClassUniversal, ber.TypePrimitive, ber.TagOctetString, name, ""))
+		set := ber.Encode(ber.ClassUniversal, ber.TypeConstructed, ber.TagSet, nil, "")
+		for _, v := range all {
+			set.AppendChild(ber.NewString(ber.ClassUniversal, ber.TypePrimitive, ber.TagOctetString, v, ""))
+		}
+		a.AppendChild(set)
+		list.AppendChild(a)
+	}
+	p.AppendChild(list)
+	return p.Bytes()
+}
