--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"net"
+	"os"
 	"path/filepath"
 	"reflect"
 	"slices"
@@ -19,6 +20,7 @@
 
 	"vetchhaven/decide"
 	"vetchhaven/internal/core"
+	"vetchhaven/internal/ldap"
 	"vetchhaven/internal/supervise"
 	"vetchhaven/internal/tomlfile"
 	"vetchhaven/internal/wire"
@@ -55,7 +57,8 @@
 	Name   string
 	Listen Address
 	Source string
-	Agent  core.Config // but for seed and memory
+	Agent  core.Config   // but for seed and memory
+	LDAP   *ldap.Options // where it speaks LDAP; else HTTP/1.1
 }
 
 // same reports whether nothing but the source of its list differs: that can change in place.
@@ -83,6 +86,7 @@
 	Site     site
 	Rules    rules
 	Class    []class
+	LDAP     ldapTable `toml:"ldap"`
 	Defaults instance
 	Instance []instance
 	Template []template
@@ -128,15 +132,30 @@
 	Window   tomlfile.Duration
 }
 
+// ldapTable is for all instances that speak LDAP.
+type ldapTable struct {
+	MaxMessage    int `toml:"max_message"`
+	MaxOperations int `toml:"max_operations"`
+	PerConnection int `toml:"per_connection"`
+	Idle          tomlfile.Duration
+	Certificate   string
+	Key           string
+	LDAPS         bool   `toml:"ldaps"`
+	ServerTLS     string `toml:"server_tls"`
+	ServerCA      string `toml:"server_ca"`
+	ServerName    string `toml:"server_name"`
+}
+
 type instance struct {
-	Name    string
-	Listen  string
-	Source  string
-	Zone    string
-	Classes []string
-	Tick    tomlfile.Duration
-	MaxOpen int `toml:"max_open"`
-	Weight  float64
+	Name     string
+	Protocol string
+	Listen   string
+	Source   string
+	Zone     string
+	Classes  []string
+	Tick     tomlfile.Duration
+	MaxOpen  int `toml:"max_open"`
+	Weight   float64
 }
 
 // template stands for many instances: {n} counts from first, {port} from port.
@@ -304,9 +323,11 @@
 
 func (c *checker) instances(f *file, cfg *Config, settings decide.Settings, classes []string) {
 	seen, listens := map[string]string{}, map[Address]string{}
+	options := c.ldap(f)
 	add := func(key string, in instance) {
 		at := func(field string) string { return key + "." + field }
 		d := &f.Defaults
+		in.Protocol = cmp.Or(in.Protocol, d.Protocol, "http")
 		in.Source, in.Zone, in.MaxOpen, in.Weight = cmp.Or(in.Source, d.Source), cmp.Or(in.Zone, d.Zone), cmp.Or(in.MaxOpen, d.MaxOpen), cmp.Or(in.Weight, d.Weight)
 		if in.Classes == nil {
 			in.Classes = d.Classes
@@ -344,6 +365,18 @@
 		h.Write([]byte(in.Name))
 		s.Self = int(h.Sum32() % uint32(s.Balancers))
 		site.Classes = classes
+		var speaks *ldap.Options
+		switch in.Protocol {
+		case "http":
+		case "ldap":
+			speaks = options
+			if in.Classes == nil {
+				in.Classes = slices.DeleteFunc(slices.Clone(classes), func(n string) bool { return !ldap.Known(n) })
+			}
+			c.operations(at("classes"), in.Classes, f)
+		default:
+			c.fail(at("protocol"), "%q is none of http, ldap", in.Protocol)
+		}
 		if in.Classes != nil {
 			site.Classes, s.Classes = nil, nil
 			for _, name := range in.Classes {
@@ -354,7 +387,7 @@
 				c.fail(at("classes"), "none is named")
 			}
 		}
-		cfg.Instances = append(cfg.Instances, Instance{Name: in.Name, Listen: listen, Source: in.Source, Agent: core.Config{
+		cfg.Instances = append(cfg.Instances, Instance{Name: in.Name, Listen: listen, Source: in.Source, LDAP: speaks, Agent: core.Config{
 			Name: in.Name, Settings: s, Site: site, Margin: cmp.Or(s.Tick, tickless), Weight: cmp.Or(in.Weight, 1)}})
 	}
 	for i, in := range f.Instance {
@@ -387,6 +420,60 @@
 	slices.SortFunc(cfg.Instances, func(a, b Instance) int { return strings.Compare(a.Name, b.Name) })
 }
 
+// operations checks the classes of an instance that speaks LDAP.
+func (c *checker) operations(key string, names []string, f *file) {
+	for _, n := range ldap.Needed {
+		if !slices.Contains(names, n) {
+			c.fail(key, "an instance that speaks LDAP needs a class %q", n)
+		}
+	}
+	for _, n := range names {
+		if !ldap.Known(n) {
+			c.fail(key, "%q is no class of operations of LDAP", n)
+		}
+		for _, k := range f.Class {
+			if k.Name == n && k.Repeats == "keyed" {
+				c.fail(key, "%q is keyed: operations of LDAP have no key", n)
+			}
+		}
+	}
+}
+
+// ldap reads the table of those that speak LDAP. Its files are read too, so that what can't be used is
+// found before anything changes.
+func (c *checker) ldap(f *file) *ldap.Options {
+	t := &f.LDAP
+	path := func(p string) string {
+		if p == "" || filepath.IsAbs(p) {
+			return p
+		}
+		return filepath.Join(filepath.Dir(c.Path), p)
+	}
+	o := &ldap.Options{MostMessage: t.MaxMessage, MostOpen: t.MaxOperations, Shared: t.PerConnection, Idle: c.wait("ldap.idle", t.Idle, 0),
+		Certificate: path(t.Certificate), Key: path(t.Key), LDAPS: t.LDAPS, ServerTLS: t.ServerTLS, ServerCA: path(t.ServerCA), ServerName: t.ServerName}
+	for key, v := range map[string]int{"ldap.max_message": t.MaxMessage, "ldap.max_operations": t.MaxOperations, "ldap.per_connection": t.PerConnection} {
+		if v < 0 {
+			c.fail(key, "%d is negative", v)
+		}
+	}
+	if err := o.Check(); err != nil {
+		c.fail("ldap", "%v", err)
+		return o
+	}
+	sum := fnv.New64a()
+	for _, p := range []string{o.Certificate, o.Key, o.ServerCA} {
+		if p != "" {
+			text, err := os.ReadFile(p)
+			if err != nil {
+				c.fail("ldap", "%v", err)
+			}
+			_, _ = sum.Write(text)
+		}
+	}
+	o.Loaded = strconv.FormatUint(sum.Sum64(), 16)
+	return o
+}
+
 // shares splits the process's sockets and memory: a floor for each, the rest by weight.
 func (c *checker) shares(f *file, cfg *Config) {
 	if cfg.Sockets = f.Limits.Sockets; cfg.Sockets == 0 {
--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -17,6 +17,7 @@
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/http1"
 	"vetchhaven/internal/laststate"
+	"vetchhaven/internal/ldap"
 	"vetchhaven/internal/supervise"
 )
 
@@ -459,7 +460,13 @@
 	cfg := p.spec.Agent
 	cfg.Seed = d.seed.Uint64()
 	cfg.Memory = d.memory[p.spec.Name]
-	a, err := http1.New(&cfg, d.log.With("instance", p.spec.Name), core.Parts{Listener: ln, Hub: d.hubs[p.spec.Source].Hub, NoLateConnections: true, ListWait: readyWait})
+	log, parts := d.log.With("instance", p.spec.Name), core.Parts{Listener: ln, Hub: d.hubs[p.spec.Source].Hub, NoLateConnections: true, ListWait: readyWait}
+	var a *core.Agent
+	if p.spec.LDAP != nil {
+		a, err = ldap.New(&cfg, *p.spec.LDAP, log, parts)
+	} else {
+		a, err = http1.New(&cfg, log, parts)
+	}
 	if err != nil {
 		_ = ln.Close()
 		return err
--- /dev/null
+++ b/internal/fleet/ldap_test.go
@@ -0,0 +1,132 @@
+package fleet
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	goldap "github.com/go-ldap/ldap/v3"
+
+	"vetchhaven/internal/standin/directory"
+)
+
+const operations = `[[class]]
+name = "search"
+repeats = "safe"
+aim = "5s"
+deadline = "60s"
+worth = 1.0
+[[class]]
+name = "modify"
+aim = "5s"
+deadline = "60s"
+worth = 1.0
+`
+
+func ldapInstance(y *yard, more string) string {
+	return operations + fmt.Sprintf("[[instance]]\nname = \"dir\"\nprotocol = \"ldap\"\nlisten = \"unix:%s\"\n", y.sock("dir")) + more
+}
+
+// An instance that speaks LDAP beside ones that speak HTTP/1.1, and its change under load: what is taken
+// is answered, then the client is told, and the next connection finds the new copy.
+func TestLDAPInstance(t *testing.T) {
+	d, err := directory.New("one", directory.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	d.Add("cn=a", map[string][]string{"cn": {"a"}})
+	hold, came := make(chan struct{}), make(chan struct{}, 1)
+	d.Script(func(o directory.Op) directory.Fault {
+		if o.Kind == "modify" {
+			came <- struct{}{}
+			return directory.Fault{Stall: hold}
+		}
+		return directory.Fault{}
+	})
+	y := newYard(t, d.Member("ready"))
+	y.config(ldapInstance(y, ""))
+	r := y.start(Options{})
+	dial := func() *goldap.Conn {
+		t.Helper()
+		c, err := goldap.DialURL("ldapi://" + y.sock("dir"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetTimeout(patience)
+		return c
+	}
+	lookup := func(c *goldap.Conn) error {
+		got, err := c.Search(goldap.NewSearchRequest("cn=a", goldap.ScopeBaseObject, goldap.NeverDerefAliases, 0, 0, false, "(objectClass=*)", nil, nil))
+		if err == nil && len(got.Entries) != 1 {
+			return fmt.Errorf("%d entries", len(got.Entries))
+		}
+		return err
+	}
+	c := dial()
+	defer c.Close()
+	if err := lookup(c); err != nil {
+		t.Fatal(err)
+	}
+	answered := make(chan error, 1)
+	go func() {
+		m := goldap.NewModifyRequest("cn=a", nil)
+		m.Replace("d", []string{"x"})
+		answered <- c.Modify(m)
+	}()
+	select {
+	case <-came:
+	case <-time.After(patience):
+		t.Fatal("the modify did not arrive")
+	}
+	y.config(ldapInstance(y, "max_open = 77\n"))
+	if got, err := r.Reload(); err != nil || got.Replaced != 1 {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	again := dial()
+	defer again.Close()
+	if err := lookup(again); err != nil {
+		t.Errorf("after the change: %v", err)
+	}
+	close(hold)
+	select {
+	case err := <-answered:
+		if err != nil {
+			t.Errorf("taken by the old copy: %v", err)
+		}
+	case <-time.After(patience):
+		t.Fatal("no answer")
+	}
+	eventually(t, "the old connection to end", func() bool { return c.IsClosing() })
+}
+
+// What makes no sense of an instance that speaks LDAP is said with its line.
+func TestLDAPConfig(t *testing.T) {
+	dir := t.TempDir()
+	inst := "[[instance]]\nname = \"dir\"\nprotocol = \"ldap\"\nlisten = \"127.0.0.1:7055\"\n"
+	for want, text := range map[string]string{
+		"needs a class \"search\"": good + inst,
+		"none of http, ldap":       good + strings.Replace(inst, "\"ldap\"", "\"smtp\"", 1),
+		"no class of operations":   good + operations + inst + "classes = [\"search\", \"modify\", \"get\"]\n",
+		"is keyed":                 good + strings.Replace(operations, "\"modify\"", "\"modify\"\nrepeats = \"keyed\"\nwindow = \"1s\"", 1) + inst,
+		"go together":              good + operations + inst + "[ldap]\ncertificate = \"x\"\n",
+		"none of starttls, ldaps":  good + operations + inst + "[ldap]\nserver_tls = \"some\"\n",
+		"no such file":             good + operations + inst + "[ldap]\nserver_tls = \"ldaps\"\nserver_ca = \"none.pem\"\n",
+		"ldap.max_message":         good + operations + inst + "[ldap]\nmax_message = -1\n",
+	} {
+		if _, err := Load(writeFile(t, dir, text)); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), filepath.Join(dir, "")) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+	cfg, err := Load(writeFile(t, dir, good+operations+inst))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, i := range cfg.Instances {
+		if i.Name == "dir" && (i.LDAP == nil || fmt.Sprint(i.Agent.Site.Classes) != "[search modify]") || i.Name == "one" && i.LDAP != nil {
+			t.Errorf("%+v", i)
+		}
+	}
+}
