--- a/tools/fleet/main.go
+++ b/tools/fleet/main.go
@@ -21,6 +21,8 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
+	"runtime/pprof"
 	"slices"
 	"strings"
 	"sync"
@@ -48,6 +50,7 @@
 	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	n := f.Int("n", 1000, "instances")
 	seconds := f.Int("seconds", 5, "seconds of each run")
+	profile := f.String("profile", "", "cost: write a CPU profile of the agent at full speed to this file")
 	file := f.String("file", "scenarios/herd.toml", "the scenario of herd")
 	if err := f.Parse(args[1:]); err != nil {
 		return err
@@ -56,7 +59,7 @@
 	case "instances":
 		return instances(*n)
 	case "cost":
-		return cost(time.Duration(*seconds) * time.Second)
+		return cost(time.Duration(*seconds)*time.Second, *profile)
 	case "steps":
 		return steps()
 	case "herd":
@@ -166,7 +169,8 @@
 
 // cost compares a direct client, the standard library's reverse proxy and this agent: all in this
 // process, in turn, each asked by the same clients.
-func cost(length time.Duration) error {
+func cost(length time.Duration, profile string) error {
+	debug.SetGCPercent(400) // as serve has it; for all ways alike
 	dir, err := os.MkdirTemp("", "fleet")
 	if err != nil {
 		return err
@@ -222,7 +226,18 @@
 	fmt.Println("| --- | --- | --- | --- | --- | --- |")
 	for _, w := range ways {
 		paced, c1, bad1 := load(w.c, w.host, 32, 1000, length)
+		if profile != "" && w.name == ways[len(ways)-1].name {
+			out, err := os.Create(profile)
+			if err != nil {
+				return err
+			}
+			defer out.Close()
+			if err := pprof.StartCPUProfile(out); err != nil {
+				return err
+			}
+		}
 		full, c2, bad2 := load(w.c, w.host, 32, 0, length)
+		pprof.StopCPUProfile()
 		fmt.Printf("| %s | %.2f ms | %.2f ms | %.0f us | %.0f | %.0f us |", w.name, at(paced, 0.5), at(paced, 0.99),
 			float64(c1.Microseconds())/float64(len(paced)), float64(len(full))/length.Seconds(), float64(c2.Microseconds())/float64(len(full)))
 		if bad1+bad2 > 0 {
