--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -171,14 +171,26 @@
 	}
 }
 
-// Busy says that a request is open on a connection that the gate has accepted.
-func (g *Gate) Busy(nc net.Conn) {
-	if c, ok := nc.(*clientConn); ok {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		c.used = true
-		g.unquiet(c)
+// Busy says that a request is open on a connection that the gate has accepted. It reports false where
+// the gate has closed it.
+func (g *Gate) Busy(nc net.Conn) bool {
+	c, ok := nc.(*clientConn)
+	if !ok {
+		return false
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.used = true
+	g.unquiet(c)
+	return g.conns[c]
+}
+
+// Alive reports whether the gate has not closed a connection.
+func (g *Gate) Alive(nc net.Conn) bool {
+	c, ok := nc.(*clientConn)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return ok && g.conns[c]
 }
 
 // Idle says that none is open on it any more.
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -367,6 +367,15 @@
 	}
 }
 
+// limited is a context that knows when its timer ends it. One of context's own would need two, each
+// booked with the base that all attempts share.
+type limited struct {
+	context.Context
+	until time.Time
+}
+
+func (l limited) Deadline() (time.Time, bool) { return l.until, true }
+
 // send starts an attempt. Its goroutine ends by the client's deadline; there are no more of them
 // than MaxAttempts for each request that is open.
 func (l *Loop) send(a decide.Send) {
@@ -381,16 +390,17 @@
 	if a.Timeout > 0 && start.Add(a.Timeout).Before(until) {
 		until = start.Add(a.Timeout)
 	}
-	deadline, stop := context.WithDeadlineCause(l.base, until, ErrTimedOut)
 	t := &Attempt{Request: r, N: len(r.attempts), Server: a.Backend, loop: l}
-	t.Context, t.cancel = context.WithCancelCause(deadline)
+	ctx, cancel := context.WithCancelCause(l.base)
+	t.Context, t.cancel = limited{ctx, until}, cancel
+	timer := time.AfterFunc(until.Sub(start), func() { cancel(ErrTimedOut) })
 	r.attempts = append(r.attempts, t)
 	r.open++
 	l.counts.attempts++
 	l.totals.attempts.Add(1)
 	go func() {
-		defer stop()
-		defer t.cancel(nil)
+		defer cancel(nil)
+		defer timer.Stop()
 		// Whatever becomes of it, its outcome is told: the module waits for it.
 		e := ended{t, decide.Outcome{Request: r.ID, Attempt: t.N, Backend: a.Backend, Result: decide.Errored}, nil}
 		defer func() {
--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
-	"net/textproto"
 	"os"
 	"strconv"
 	"strings"
@@ -21,7 +20,10 @@
 // answer is a backend's whole answer.
 type answer struct {
 	status   int
-	header   http.Header
+	lines    []byte // the header lines that are passed on, each with its end
+	dated    bool   // one of them is a Date
+	load     string // Endpoint-Load-Metrics
+	neverRan bool   // X-Never-Ran: 1
 	body     []byte
 	reusable bool // the connection may carry another request
 }
@@ -75,45 +77,111 @@
 // from a part of one.
 func readAnswer(in *bufio.Reader, src *source, room *core.Budget) (*answer, error) {
 	src.left = maxAnswerHead
-	text := textproto.NewReader(in)
 	a := &answer{}
+	var h answerHead
 	for a.status < 200 { // 1xx ones come ahead of the answer
-		line, err := text.ReadLine()
+		line, err := readLine(in)
 		if err != nil {
 			return nil, err
 		}
-		if a.status, err = parseStatus(line); err != nil {
+		if a.status, err = parseStatus(string(line)); err != nil {
 			return nil, err
 		}
-		header, err := text.ReadMIMEHeader()
-		if err != nil {
+		if h, err = a.readHeader(in); err != nil {
 			return nil, err
 		}
-		a.header = http.Header(header)
 	}
 	src.left += maxBody
 	var err error
-	coding, lengths := a.header["Transfer-Encoding"], a.header["Content-Length"]
 	switch {
 	case a.status == http.StatusNoContent || a.status == http.StatusNotModified:
-	case len(coding) == 1 && strings.EqualFold(coding[0], "chunked") && len(lengths) == 0:
+	case h.codings == 1 && h.chunked && h.lengths == 0:
 		src.left += maxFraming
-		a.body, err = readChunked(in, text, room)
-	case len(coding) == 0 && len(lengths) == 1:
-		a.body, err = readLength(in, lengths[0], room)
+		a.body, err = readChunked(in, room)
+	case h.codings == 0 && h.lengths == 1:
+		a.body, err = readLength(in, h.length, room)
 	default:
 		err = errNoFraming
 	}
 	if err != nil {
 		return nil, err
 	}
-	a.reusable = in.Buffered() == 0
-	for _, v := range a.header["Connection"] {
-		a.reusable = a.reusable && !strings.Contains(strings.ToLower(v), "close")
-	}
+	a.reusable = in.Buffered() == 0 && !h.closes
 	return a, nil
 }
 
+// answerHead is what an answer's head says of its end and its connection.
+type answerHead struct {
+	codings, lengths int
+	chunked, closes  bool
+	length           string
+}
+
+var errField = errors.New("a header line that is none")
+
+// readHeader reads the header lines, up to the empty one.
+func (a *answer) readHeader(in *bufio.Reader) (h answerHead, err error) {
+	a.lines, a.dated, a.load, a.neverRan = a.lines[:0], false, "", false
+	for {
+		line, err := readLine(in)
+		if err != nil {
+			return h, err
+		}
+		if len(line) == 0 {
+			return h, nil
+		}
+		f, ok := parseField(line)
+		if !ok {
+			return h, fmt.Errorf("%w: %.40q", errField, line)
+		}
+		switch {
+		case f.is("Transfer-Encoding"):
+			h.codings++
+			h.chunked = strings.EqualFold(string(f.value), "chunked")
+			continue
+		case f.is("Content-Length"):
+			h.lengths++
+			h.length = string(f.value)
+			continue
+		case f.is("Connection"):
+			h.closes = h.closes || strings.Contains(strings.ToLower(string(f.value)), "close")
+			continue
+		case f.is("Keep-Alive"), f.is("Proxy-Connection"), f.is("Te"), f.is("Trailer"), f.is("Upgrade"), f.is("Expect"), f.is("X-Expires-In"):
+			continue // they end here (RFC 9110, 7.6.1)
+		case f.is("Endpoint-Load-Metrics"):
+			if a.load == "" {
+				a.load = string(f.value)
+			}
+		case f.is("X-Never-Ran"):
+			a.neverRan = a.neverRan || string(f.value) == "1"
+		case f.is("Date"):
+			a.dated = true
+		}
+		a.lines = append(append(a.lines, line...), "\r\n"...)
+	}
+}
+
+// readLine reads one line, without its end. It is good until the next read.
+func readLine(in *bufio.Reader) ([]byte, error) {
+	one, err := in.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) { // a long one: what a source may send bounds it
+		long := append([]byte(nil), one...)
+		for errors.Is(err, bufio.ErrBufferFull) {
+			one, err = in.ReadSlice('\n')
+			long = append(long, one...)
+		}
+		one = long
+	}
+	if err != nil {
+		return nil, err
+	}
+	one = one[:len(one)-1]
+	if n := len(one); n > 0 && one[n-1] == '\r' {
+		one = one[:n-1]
+	}
+	return one, nil
+}
+
 // parseStatus reads a status line of HTTP/1.1.
 func parseStatus(line string) (int, error) {
 	version, rest, _ := strings.Cut(line, " ")
@@ -141,7 +209,7 @@
 	return body, err
 }
 
-func readChunked(in *bufio.Reader, text *textproto.Reader, room *core.Budget) ([]byte, error) {
+func readChunked(in *bufio.Reader, room *core.Budget) ([]byte, error) {
 	if !room.Take(maxBody) {
 		return nil, errNoRoom
 	}
@@ -150,8 +218,8 @@
 	if err == nil && len(body) > maxBody {
 		err = errTooLong
 	}
-	if err == nil {
-		_, err = text.ReadMIMEHeader() // the trailers: of no use, but they belong to the answer
+	if err == nil { // the trailers: of no use, but they belong to the answer
+		_, err = (&answer{}).readHeader(in)
 	}
 	return body, err
 }
--- a/internal/http1/backends.go
+++ b/internal/http1/backends.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -181,12 +182,11 @@
 	if !ok {
 		return nil, "", errMoved
 	}
-	list := b.idle[id]
-	for i := len(list) - 1; i >= 0; i-- {
-		c, rested := list[i], time.Since(list[i].since)
-		if rested < restTime {
-			continue
-		}
+	// They lie in the order in which they were put back: under load those used last have not rested yet.
+	list, now := b.idle[id], time.Now()
+	first := sort.Search(len(list), func(i int) bool { return now.Sub(list[i].since) < restTime })
+	for i := first - 1; i >= 0; i-- {
+		c, rested := list[i], now.Sub(list[i].since)
 		list = slices.Delete(list, i, i+1)
 		if rested < b.keepIdle && c.clean() {
 			c.stood = rested
@@ -351,14 +351,14 @@
 	b.learnIdle(c.stood, true)
 	b.give(id, c, a.reusable)
 	load := none
-	if text := a.header.Get("Endpoint-Load-Metrics"); text != "" && b.cfg.Site.LoadInline {
-		load = parseLoad(text)
+	if a.load != "" && b.cfg.Site.LoadInline {
+		load = parseLoad(a.load)
 	}
 	switch {
 	case a.status == http.StatusOK:
 		return decide.OK, a, load
 	case (a.status == http.StatusServiceUnavailable || a.status == http.StatusGatewayTimeout) &&
-		a.header.Get("X-Never-Ran") == "1":
+		a.neverRan:
 		return decide.Full, nil, load
 	}
 	return decide.Errored, nil, load
--- /dev/null
+++ b/internal/http1/conn.go
@@ -0,0 +1,461 @@
+package http1
+
+import (
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"vetchhaven/decide"
+	"vetchhaven/internal/core"
+)
+
+// clientConn is one client's connection. Its reader takes requests, one at a time, and its writer gives
+// their answers: a client that hangs up shows while an answer is awaited, and nothing is started or
+// set up for a request alone. net/http's server did this, at twice the price; what it is strict about,
+// this is too.
+type clientConn struct {
+	f          *front
+	nc         net.Conn
+	buf        []byte
+	start, end int
+	fields     []field
+	out        []byte
+	turn       chan struct{}    // of one: no answer is awaited
+	replies    chan core.Answer // of one, so that the loop never waits
+	gone       chan struct{}    // closed when the reader has ended
+
+	mu     sync.Mutex
+	open   *core.Request // awaits its answer
+	booked int           // bytes of its body
+	more   bool          // bytes of a next request have come
+	ending bool          // takes no further request
+}
+
+const (
+	headMost  = maxHeader + 4<<10 // as net/http counts it
+	firstRead = 2 << 10
+	// lingerTime is what a client has to read its last answer before its connection closes: closed with
+	// something unread on it, it would be reset, and the answer lost.
+	lingerTime = 500 * time.Millisecond
+)
+
+// serve reads requests until the connection ends.
+func (c *clientConn) serve() {
+	defer func() {
+		p := recover()
+		if p != nil { // it ends the agent, and is no reason to leave this client without an answer
+			c.send(c.f.appendError(nil, http.StatusBadGateway, "failed", "", true))
+		}
+		close(c.gone)
+		c.hungUp()
+		if p != nil {
+			defer panic(p)
+		}
+		_ = c.nc.Close() // nothing can be done about a socket that does not close
+	}()
+	c.turn <- struct{}{}
+	for first := true; ; first = false {
+		end, err := c.readHead(first)
+		if errors.Is(err, errHead) {
+			if c.await() {
+				c.fail(&inputError{status: http.StatusRequestHeaderFieldsTooLarge, text: "the head is too large"})
+			} else {
+				c.linger()
+			}
+			return
+		}
+		if err != nil || !c.await() {
+			if c.isEnding() {
+				c.linger()
+			}
+			return
+		}
+		if first {
+			go c.f.loop.Guard(c.write)
+		}
+		if fail := c.take(c.buf[c.start : c.start+end]); fail != nil {
+			c.fail(fail)
+			return
+		}
+	}
+}
+
+// await waits until the answer before is out. It reports false where that was the last.
+func (c *clientConn) await() bool {
+	<-c.turn
+	return !c.isEnding()
+}
+
+func (c *clientConn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
+// readHead reads until a head is whole, and returns its length behind c.start.
+func (c *clientConn) readHead(first bool) (int, error) {
+	if c.start == c.end {
+		c.start, c.end = 0, 0
+		if len(c.buf) > 2*firstRead {
+			c.buf = nil // a connection that rests keeps little
+		}
+	}
+	began := false
+	if first {
+		// From connecting on, whatever comes of it.
+		if err := c.nc.SetReadDeadline(time.Now().Add(core.HeadTime)); err != nil {
+			return 0, err
+		}
+		began = true
+	}
+	for {
+		for c.start < c.end && (c.buf[c.start] == '\r' || c.buf[c.start] == '\n') {
+			c.start++ // empty lines ahead of a request line are passed over (RFC 9112, 2.2)
+		}
+		if n := headEnd(c.buf[c.start:c.end]); n > 0 {
+			if n > headMost {
+				return 0, errHead
+			}
+			return n, nil
+		}
+		if c.end-c.start >= headMost {
+			return 0, errHead
+		}
+		if c.start > 0 {
+			copy(c.buf, c.buf[c.start:c.end])
+			c.start, c.end = 0, c.end-c.start
+		}
+		if c.end == len(c.buf) {
+			grown := make([]byte, max(firstRead, 2*len(c.buf)))
+			copy(grown, c.buf[:c.end])
+			c.buf = grown
+		}
+		if c.end > 0 && !began {
+			began = true
+			if err := c.nc.SetReadDeadline(time.Now().Add(core.HeadTime)); err != nil {
+				return 0, err
+			}
+		}
+		n, err := c.nc.Read(c.buf[c.end:])
+		if n > 0 {
+			c.end += n
+			if !c.came() {
+				return 0, net.ErrClosed
+			}
+			continue
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+}
+
+// came says that bytes of a next request are there. It reports false where the gate has closed the
+// connection: what came is then not handled, since its client asks again elsewhere.
+func (c *clientConn) came() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.more = true
+	if c.open != nil {
+		return true
+	}
+	return c.f.gate.Alive(c.nc)
+}
+
+// take reads the rest of a request and gives it to the loop. An error is the client's last answer.
+func (c *clientConn) take(text []byte) *inputError {
+	f := c.f
+	if !f.gate.Busy(c.nc) {
+		return &inputError{} // closed meanwhile: nobody reads an answer
+	}
+	h, err := parseHead(text, c.fields)
+	c.fields = h.fields
+	if err != nil {
+		return &inputError{status: http.StatusBadRequest, text: err.Error()}
+	}
+	if h.old || h.closes {
+		c.mu.Lock()
+		c.ending = true
+		c.mu.Unlock()
+	}
+	first, target, host, err := h.route()
+	if err != nil {
+		return &inputError{status: http.StatusBadRequest, text: "the target can't be read"}
+	}
+	if rest, ok := strings.CutPrefix(target, "/_health"); ok && (rest == "" || rest[0] == '?') {
+		status := http.StatusOK
+		if !f.loop.Known() {
+			status = http.StatusServiceUnavailable
+		}
+		c.start += len(text)
+		if h.length > 0 || h.coded {
+			return &inputError{status: http.StatusBadRequest, text: "no body is taken here"}
+		}
+		c.out = f.appendStatus(c.out[:0], status, c.ends())
+		c.out = append(c.out, "Content-Length: 0\r\n\r\n"...)
+		return c.done(c.out)
+	}
+	r, body, fail := c.parse(&h, first)
+	if fail != nil {
+		return fail
+	}
+	c.start += len(text)
+	if body != nil {
+		if fail := c.readBody(&h, body); fail != nil {
+			f.bodies.Put(len(body))
+			return fail
+		}
+	}
+	// A client's time runs from when its request was sent, which ends with the last byte.
+	r.Deadline = time.Now().Add(r.Left)
+	r.Message = h.message(target, host, body)
+	// Past what the limits let an agent hold, a request is turned away before anything has run.
+	if f.open.Add(1) > int64(f.most) {
+		f.open.Add(-1)
+		f.bodies.Put(len(body))
+		c.mu.Lock()
+		c.ending = true // as where the gate is crowded
+		c.mu.Unlock()
+		c.out = f.appendRefusal(c.out[:0], 0, true)
+		return c.done(c.out)
+	}
+	c.mu.Lock()
+	c.open, c.booked, c.more = r, len(body), c.start < c.end
+	c.mu.Unlock()
+	if err := c.nc.SetReadDeadline(time.Time{}); err != nil { // while its answer is awaited a client may be silent
+		c.hungUp()
+	}
+	f.loop.Take(r)
+	return nil
+}
+
+// done writes an answer that needed nobody, and goes on to the next request. An error ends the reader.
+func (c *clientConn) done(text []byte) *inputError {
+	if !c.send(text) {
+		return &inputError{}
+	}
+	c.mu.Lock()
+	c.more = c.start < c.end
+	c.mu.Unlock()
+	c.next()
+	return nil
+}
+
+// ends reports whether the answer that is written now is the last one.
+func (c *clientConn) ends() bool {
+	last := c.f.draining.Load() || c.f.gate.Crowded()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = c.ending || last
+	return c.ending
+}
+
+// next has the connection wait for its next request, or end, after an answer.
+func (c *clientConn) next() {
+	c.mu.Lock()
+	ending := c.ending
+	if !ending && !c.more {
+		_ = c.nc.SetReadDeadline(time.Now().Add(idleTimeout)) // a dead connection shows by its read
+		c.f.gate.Idle(c.nc)
+	}
+	c.mu.Unlock()
+	if ending {
+		// The reader learns it from its read, and lets the client read this answer.
+		if w, ok := c.nc.(interface{ CloseWrite() error }); ok {
+			_ = w.CloseWrite()
+		}
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+	c.turn <- struct{}{}
+}
+
+// fail writes a last answer to a request that can't be taken. What is left of a body is not read, and
+// must not be taken for the next request. Nor does such a client keep a place that others wait for.
+func (c *clientConn) fail(e *inputError) {
+	if e.status == 0 {
+		return
+	}
+	c.mu.Lock()
+	c.ending = true
+	c.mu.Unlock()
+	if c.send(c.f.appendError(c.out[:0], e.status, e.text, e.allow, true)) {
+		if w, ok := c.nc.(interface{ CloseWrite() error }); ok {
+			_ = w.CloseWrite()
+		}
+		c.linger()
+	}
+}
+
+// linger reads what a client still sends, so that the close is no reset, until it closes too.
+func (c *clientConn) linger() {
+	buf := make([]byte, 1024)
+	for end := time.Now().Add(lingerTime); c.nc.SetReadDeadline(end) == nil; {
+		if _, err := c.nc.Read(buf); err != nil {
+			return
+		}
+	}
+}
+
+func (c *clientConn) send(text []byte) bool {
+	if c.nc.SetWriteDeadline(time.Now().Add(c.f.writeTime)) != nil {
+		return false
+	}
+	_, err := c.nc.Write(text)
+	return err == nil
+}
+
+// hungUp tells the loop that nobody waits for the open answer.
+func (c *clientConn) hungUp() {
+	c.mu.Lock()
+	r := c.open
+	c.mu.Unlock()
+	if r != nil {
+		c.f.loop.Leave(r)
+	}
+}
+
+// write gives answers, until the reader has ended and none is awaited.
+func (c *clientConn) write() {
+	for {
+		var a core.Answer
+		select {
+		case a = <-c.replies:
+		case <-c.f.loop.Stopped():
+			select { // what the loop said last goes before its end
+			case a = <-c.replies:
+			default:
+			}
+			c.mu.Lock()
+			none := c.open == nil
+			c.mu.Unlock()
+			if none {
+				select {
+				case <-c.gone:
+					return
+				case <-time.After(time.Millisecond): // one may be on its way to the loop
+					continue
+				}
+			}
+		case <-c.gone:
+			c.mu.Lock()
+			none := c.open == nil
+			c.mu.Unlock()
+			if none {
+				return
+			}
+			select { // it was told that its client is gone: its end comes
+			case a = <-c.replies:
+			case <-c.f.loop.Stopped():
+			}
+		}
+		last := c.ends()
+		text := c.f.appendAnswer(c.out[:0], a, last)
+		c.mu.Lock()
+		c.open = nil
+		c.f.bodies.Put(c.booked)
+		c.booked = 0
+		c.mu.Unlock()
+		c.f.open.Add(-1)
+		ok := c.send(text)
+		if cap(text) <= 16<<10 {
+			c.out = text
+		} else {
+			c.out = nil
+		}
+		if !ok {
+			c.mu.Lock()
+			c.ending = true
+			c.mu.Unlock()
+			_ = c.nc.Close()
+		}
+		c.next()
+	}
+}
+
+// parse checks a request. body is the room for its body, booked.
+func (c *clientConn) parse(h *head, first string) (r *core.Request, body []byte, fail *inputError) {
+	f := c.f
+	// A chunked body that comes with a Content-Length may hide a second request from one of the two sides
+	// (RFC 9112, 11.2); no chunked body is taken at all: a length told beforehand also bounds what is kept.
+	if h.coded {
+		return nil, nil, &inputError{status: http.StatusLengthRequired, text: "a body needs a Content-Length"}
+	}
+	if h.otherExpect {
+		return nil, nil, &inputError{status: http.StatusExpectationFailed, text: "what is expected is not known here"}
+	}
+	class, ok := f.classes[first]
+	if !ok {
+		return nil, nil, &inputError{status: http.StatusNotFound, text: "no such class of requests"}
+	}
+	settings := &f.cfg.Settings.Classes[class]
+	method := http.MethodPost
+	if settings.Effect == decide.Safe {
+		method = http.MethodGet
+	}
+	if string(h.method) != method {
+		return nil, nil, &inputError{status: http.StatusMethodNotAllowed, text: "this class takes " + method, allow: method}
+	}
+	if method == http.MethodGet && h.length != 0 {
+		return nil, nil, bad("this class has no body")
+	}
+	if h.ids != 1 || len(h.id) == 0 || len(h.id) > maxID {
+		return nil, nil, bad("X-Trace-Id: one of 1 to 256 bytes is needed")
+	}
+	if settings.Effect == decide.Keyed && (h.keys != 1 || len(h.key) == 0 || len(h.key) > maxID) {
+		return nil, nil, bad("Idempotency-Key: one of 1 to 256 bytes is needed")
+	}
+	wait := settings.Deadline
+	if len(h.expires) > 0 {
+		s, err := parseDecimal(string(h.expires))
+		if err != nil || !(s > 0) {
+			return nil, nil, bad("X-Expires-In: not a number of seconds above 0")
+		}
+		wait = min(wait, time.Duration(min(s, wait.Seconds())*float64(time.Second)))
+	}
+	r = core.NewRequest(string(h.id), class, func(a core.Answer) { c.replies <- a })
+	r.Left, r.Repeat = wait, h.second
+	if len(h.hint) > 0 {
+		us, err := parseDecimal(string(h.hint))
+		if err != nil || !(us >= 0) || us > math.MaxInt32 {
+			return nil, nil, bad("X-Size-Hint: not a number of microseconds")
+		}
+		r.Work = time.Duration(us * float64(time.Microsecond))
+	}
+	switch {
+	case h.length == 0:
+		return r, nil, nil
+	case h.length > maxBody:
+		return nil, nil, &inputError{status: http.StatusRequestEntityTooLarge, text: "the body is larger than 64 KiB"}
+	case !f.bodies.Take(int(h.length)):
+		return nil, nil, &inputError{status: http.StatusServiceUnavailable, text: "too many large bodies at once"}
+	}
+	return r, make([]byte, h.length), nil
+}
+
+// readBody reads a body of the told length. One that stops coming must not hold the connection for ever.
+// The head stays where it is, since the message is yet to be made of it.
+func (c *clientConn) readBody(h *head, body []byte) *inputError {
+	n := copy(body, c.buf[c.start:c.end])
+	c.start += n
+	if n == len(body) {
+		return nil
+	}
+	if h.wantsContinue && !c.send([]byte("HTTP/1.1 100 Continue\r\n\r\n")) {
+		return &inputError{}
+	}
+	if err := c.nc.SetReadDeadline(time.Now().Add(core.HeadTime)); err != nil {
+		return &inputError{}
+	}
+	if _, err := io.ReadFull(c.nc, body[n:]); err != nil {
+		return bad("the body can't be read")
+	}
+	return nil
+}
+
+func appendInt(b []byte, n int) []byte { return strconv.AppendInt(b, int64(n), 10) }
--- a/internal/http1/front_test.go
+++ b/internal/http1/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -59,10 +60,10 @@
 		want  string
 	}{{true, 250 * time.Millisecond, "0.250"}, {true, time.Minute, "1.500"}, {true, 0, ""}, {false, time.Second, ""}} {
 		cfg.Settings.RetryAfter = row.shown
-		w := newRecorder()
-		(&front{cfg: cfg}).answer(w, core.Answer{Refused: true, RetryAfter: row.after})
-		if w.status != 503 || w.header.Get("Retry-After") != row.want {
-			t.Errorf("%+v: %d %q", row, w.status, w.header.Get("Retry-After"))
+		text := (&front{cfg: cfg}).appendAnswer(nil, core.Answer{Refused: true, RetryAfter: row.after}, false)
+		resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(text)), nil)
+		if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") != row.want {
+			t.Errorf("%+v: %+v, %v", row, resp, err)
 		}
 	}
 }
--- /dev/null
+++ b/internal/http1/head_test.go
@@ -0,0 +1,160 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/testkit"
+)
+
+// Heads of anybody: nothing panics, and what is taken goes on as one request that another parser reads
+// alike, with nothing behind it.
+func FuzzHead(f *testing.F) {
+	f.Add([]byte("GET /get/x?a=1 HTTP/1.1\r\nHost: a\r\nX-Trace-Id: 1\r\n\r\n"))
+	f.Add([]byte("POST /put//x%2Fy HTTP/1.1\nHost: a\nX-Trace-Id: 1\nContent-Length: 4\nConnection: X-Hop, close\nX-Hop: 1\n\n"))
+	f.Add([]byte("GET http://b/get/x HTTP/1.0\r\nX-Trace-Id: 1\r\nExpect: 100-continue\r\n\r\n"))
+	f.Add([]byte("GET /get HTTP/1.1\r\nHost: a\r\n folded: x\r\n\r\n"))
+	f.Add([]byte("GET /get HTTP/1.1\r\nHost: a\r\nX: a\rb\r\nTransfer-Encoding : chunked\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		n := headEnd(raw)
+		if n == 0 {
+			return
+		}
+		h, err := parseHead(raw[:n], nil)
+		if err != nil || h.coded || h.length > 100 {
+			return
+		}
+		first, target, host, err := h.route()
+		if err != nil {
+			return
+		}
+		body := bytes.Repeat([]byte("b"), int(h.length))
+		if string(h.method) == http.MethodGet {
+			body = nil
+		}
+		m := h.message(target, host, body)
+		in := bufio.NewReader(bytes.NewReader(m.on(time.Time{})))
+		got, err := http.ReadRequest(in)
+		if err != nil {
+			if string(h.method) == http.MethodGet || string(h.method) == http.MethodPost {
+				t.Errorf("%q went on as %q: %v", raw, m.head, err)
+			}
+			return
+		}
+		rest, err := io.ReadAll(got.Body)
+		if err != nil || !bytes.Equal(rest, body) || len(got.TransferEncoding) > 0 {
+			t.Errorf("%q went on as %q: body %q, %v", raw, m.head, rest, err)
+		}
+		if _, err := in.ReadByte(); err == nil {
+			t.Errorf("%q went on as %q: something is behind it", raw, m.head)
+		}
+		if h.ids == 1 && !h.named(&field{name: []byte("X-Trace-Id")}) && got.Header.Get("X-Trace-Id") != string(h.id) {
+			t.Errorf("%q: id %q became %q", raw, h.id, got.Header.Get("X-Trace-Id"))
+		}
+		part, _, _ := strings.Cut(strings.TrimPrefix(got.URL.Path, "/"), "/")
+		if part != first {
+			t.Errorf("%q: classed by %q, read as %q", raw, first, part)
+		}
+	})
+}
+
+// ask writes on a connection and reads one answer.
+func ask(t *testing.T, c net.Conn, in *bufio.Reader, text string) *http.Response {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(body))
+	return resp
+}
+
+// A connection is kept after its answer, takes pieces and requests that come before their turn, and says
+// when it will not be kept.
+func TestConnectionIsKept(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
+	c, err := net.Dial("tcp", a.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(testkit.Patience)); err != nil {
+		t.Fatal(err)
+	}
+	in := bufio.NewReader(c)
+	get := func() string { return fmt.Sprintf("GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\n\r\n", newID()) }
+	for range 3 {
+		if resp := ask(t, c, in, get()); resp.StatusCode != 200 || resp.Close {
+			t.Fatalf("%+v", resp)
+		}
+	}
+	// Byte by byte, after empty lines.
+	for _, b := range []byte("\r\n\r\n" + get()) {
+		if _, err := c.Write([]byte{b}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if resp := ask(t, c, in, ""); resp.StatusCode != 200 {
+		t.Errorf("%+v", resp)
+	}
+	// Three at once: one answer each, in their order.
+	post := fmt.Sprintf("POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\nContent-Length: 3\r\n\r\nabc", newID())
+	if resp := ask(t, c, in, get()+post+get()); resp.StatusCode != 200 {
+		t.Errorf("%+v", resp)
+	}
+	for range 2 {
+		if resp := ask(t, c, in, ""); resp.StatusCode != 200 {
+			t.Errorf("%+v", resp)
+		}
+	}
+	// A body for which the client waits to be asked.
+	if _, err := fmt.Fprintf(c, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n", newID()); err != nil {
+		t.Fatal(err)
+	}
+	if line, err := in.ReadString('\n'); err != nil || !strings.HasPrefix(line, "HTTP/1.1 100") {
+		t.Fatalf("%q, %v", line, err)
+	}
+	if line, err := in.ReadString('\n'); err != nil || line != "\r\n" {
+		t.Fatalf("%q, %v", line, err)
+	}
+	if resp := ask(t, c, in, "abc"); resp.StatusCode != 200 {
+		t.Errorf("%+v", resp)
+	}
+	last := strings.Replace(get(), "Host: a", "Host: a\r\nConnection: close", 1)
+	if resp := ask(t, c, in, last); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("%+v", resp)
+	}
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("not closed after its last answer: %v", err)
+	}
+}
+
+// HTTP/1.0 is answered, and its connection ends.
+func TestOldVersion(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
+	in := a.raw(t, "GET /get/x HTTP/1.0\r\nX-Trace-Id: "+newID()+"\r\n\r\n")
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil || resp.StatusCode != 200 || !resp.Close {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+	if rest, err := io.ReadAll(in); err != nil || string(rest) != "hello" {
+		t.Errorf("%q, %v", rest, err)
+	}
+}
--- a/internal/http1/helpers_test.go
+++ b/internal/http1/helpers_test.go
@@ -216,14 +216,3 @@
 }
 
 const ok200 = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
-
-// recorder is a ResponseWriter that keeps the status.
-type recorder struct {
-	header http.Header
-	status int
-}
-
-func newRecorder() *recorder                    { return &recorder{header: http.Header{}} }
-func (r *recorder) Header() http.Header         { return r.header }
-func (r *recorder) WriteHeader(status int)      { r.status = status }
-func (r *recorder) Write(p []byte) (int, error) { return len(p), nil }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -1,4 +1,4 @@
-// Package http1 is HTTP/1.1 on the core: the front (front.go) serves clients, backends.go makes attempts
+// Package http1 is HTTP/1.1 on the core: the front (front.go, conn.go, head.go) serves clients, backends.go makes attempts
 // on connections that it keeps, answer.go reads what servers say.
 package http1
 
@@ -33,15 +33,14 @@
 
 // Serve takes clients' connections until the gate is closed.
 func (p *protocol) Serve(g *core.Gate) error {
-	p.front.gate = g
-	return p.server.Serve(g)
+	return p.front.serve(g)
 }
 
 // Drain has each connection end with its next answer.
 func (p *protocol) Drain() { p.draining.Store(true) }
 
 // Close ends what is left of clients' connections.
-func (p *protocol) Close() error { return p.server.Close() }
+func (p *protocol) Close() error { return p.front.close() }
 
 // Open is how many requests are open.
 func (p *protocol) Open() int64 { return p.front.open.Load() }
