--- a/internal/ldap/client.go
+++ b/internal/ldap/client.go
@@ -57,10 +57,11 @@
 
 // session is one client connection.
 type session struct {
-	p    *protocol
-	raw  net.Conn // as the gate gave it
-	in   *ldapmsg.Reader
-	last atomic.Int64 // when something came, Unix nanoseconds
+	p     *protocol
+	raw   net.Conn // as the gate gave it
+	in    *ldapmsg.Reader
+	last  atomic.Int64 // when something came, Unix nanoseconds
+	asked atomic.Bool  // a message has come
 
 	mu       sync.Mutex
 	conn     net.Conn // raw, or TLS on it
@@ -172,7 +173,7 @@
 	}
 	s.reader()
 	if draining {
-		s.drain()
+		go s.drain()
 	}
 	for {
 		raw, err := s.in.Next()
@@ -181,6 +182,7 @@
 			return
 		}
 		s.heard()
+		s.asked.Store(true)
 		m, err := ldapmsg.Parse(raw)
 		if err == nil && m.Op != ldapmsg.BindRequest {
 			err = ldapmsg.CheckDepth(raw)
@@ -734,8 +736,17 @@
 	return err
 }
 
-// drain ends the connection once all that was taken is answered.
+// drain ends the connection once all that was taken is answered. One that has asked nothing yet is
+// served on for a moment: it was accepted just before the next copy would have.
 func (s *session) drain() {
+	if !s.asked.Load() {
+		wait := time.NewTimer(s.p.fresh)
+		defer wait.Stop()
+		select {
+		case <-s.quiet:
+		case <-wait.C:
+		}
+	}
 	s.end(ldapmsg.Unavailable, "this agent stops: ask again on a new connection")
 }
 
--- a/internal/ldap/ldap.go
+++ b/internal/ldap/ldap.go
@@ -34,6 +34,7 @@
 	lastID  atomic.Uint64
 	open    atomic.Int64
 	most    int
+	fresh   time.Duration // for how long a connection that has asked nothing is served on while this copy ends
 
 	mu       sync.Mutex
 	sessions map[*session]bool
@@ -115,7 +116,7 @@
 	if o.Idle == 0 {
 		o.Idle = idleMost
 	}
-	p := &protocol{cfg: cfg, o: o, log: log, tls: clients, classes: classesOf(cfg.Site.Classes), sessions: map[*session]bool{},
+	p := &protocol{cfg: cfg, o: o, log: log, tls: clients, classes: classesOf(cfg.Site.Classes), sessions: map[*session]bool{}, fresh: freshTime,
 		most: 4 * core.ClientSockets(cfg.Sockets)}
 	if cfg.Site.MaxOpen > 0 {
 		p.most = cfg.Site.MaxOpen
@@ -184,7 +185,10 @@
 	}
 }
 
-const quietLeast = 2 * time.Second
+const (
+	quietLeast = 2 * time.Second
+	freshTime  = 250 * time.Millisecond
+)
 
 // Drain has each connection end once all that was taken on it is answered.
 func (p *protocol) Drain() {
--- a/internal/ldap/ldap_test.go
+++ b/internal/ldap/ldap_test.go
@@ -647,13 +647,32 @@
 		return directory.Fault{Stall: hold}
 	})
 	a := start(t, testConfig(t, d), Options{})
-	busy, quiet := a.raw(t), a.raw(t)
+	a.p.fresh = 2 * testkit.Patience
+	busy, quiet, fresh := a.raw(t), a.raw(t), a.raw(t) // the last is accepted, and yet to ask
+	nothing := ldapmsg.Extended(1, ldapmsg.OIDCancel, []byte{0x30, 3, 2, 1, 9})
+	ask := func(c net.Conn) {
+		t.Helper()
+		if _, err := c.Write(nothing); err != nil {
+			t.Fatal(err)
+		}
+		raw, err := ldapmsg.NewReader(c, 1<<20).Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m, _ := ldapmsg.Parse(raw); m.ID != 1 {
+			t.Errorf("%+v", m)
+		}
+	}
+	ask(quiet)
 	if _, err := busy.Write(rawSearch(1, 0)); err != nil {
 		t.Fatal(err)
 	}
 	testkit.Receive(t, "the search", came)
-	testkit.WaitFor(t, "both connections", func() bool { a.p.mu.Lock(); defer a.p.mu.Unlock(); return len(a.p.sessions) == 2 })
+	testkit.WaitFor(t, "all connections", func() bool { a.p.mu.Lock(); defer a.p.mu.Unlock(); return len(a.p.sessions) == 3 })
 	a.stop()
+	testkit.WaitFor(t, "the stop", func() bool { a.p.mu.Lock(); defer a.p.mu.Unlock(); return a.p.draining })
+	ask(fresh) // what a connection asks first, just after the copy began to end, is answered
+	fresh.Close()
 	read := func(c net.Conn) (ops []byte) {
 		in := ldapmsg.NewReader(c, 1<<20)
 		for {
