--- a/cmd/vetchhaven/main.go
+++ b/cmd/vetchhaven/main.go
@@ -36,7 +36,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(runCommand(), rehearseCommand(), serveCommand())
+	root.AddCommand(runCommand(), rehearseCommand(), serveCommand(), membersCommand())
 	root.AddCommand(askCommands()...)
 	err := root.Execute()
 	var e exit
--- /dev/null
+++ b/cmd/vetchhaven/members.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/fleet"
+	"vetchhaven/internal/membership"
+)
+
+func membersCommand() *cobra.Command {
+	var config, source string
+	var watch bool
+	var wait time.Duration
+	c := &cobra.Command{
+		Use:   "members",
+		Short: "Print the servers that a fleet's sources name, and why each is in or out",
+		Long: "members reads each source of the file as a daemon would, by itself, and prints the merged view: once, when\n" +
+			"all parts have been heard or the wait is over (status 1), or with --watch with each change.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return members(config, source, watch, wait, c.OutOrStdout()) },
+	}
+	c.Flags().StringVar(&config, "config", defaultFleet, "the fleet's file")
+	c.Flags().StringVar(&source, "source", "", "only this source")
+	c.Flags().BoolVar(&watch, "watch", false, "print each change, until Ctrl-C")
+	c.Flags().DurationVar(&wait, "wait", 5*time.Second, "for the parts of a source")
+	return c
+}
+
+func members(config, only string, watch bool, wait time.Duration, out io.Writer) error {
+	cfg, err := fleet.Load(config)
+	if err != nil {
+		return exit{2, err}
+	}
+	var names []string
+	for n := range cfg.Sources {
+		if only == "" || n == only {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+	if len(names) == 0 {
+		return exit{2, fmt.Errorf("%s: there is no source %q", config, only)}
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn}))
+	changed := make(chan string, 64)
+	mergers := map[string]*fleet.Merger{}
+	for _, n := range names {
+		s := cfg.Sources[n]
+		hub := catalog.NewHub(catalog.HubOptions{Log: log})
+		var list *catalog.Hub
+		if s.List != "" {
+			list = catalog.NewHub(catalog.HubOptions{Addr: s.List, ConnectTimeout: wait, Log: log})
+		}
+		m := fleet.NewMerger(s, hub, nil, log, func([]membership.Member) {
+			select {
+			case changed <- n:
+			default:
+			}
+		})
+		mergers[n] = m
+		go m.Run(ctx, list)
+	}
+	limit := time.After(wait)
+	whole := false
+	look := time.NewTicker(10 * time.Millisecond)
+	defer look.Stop()
+	for over := false; !over && !whole; {
+		select {
+		case <-look.C:
+			whole = true
+			for _, m := range mergers {
+				_, w := m.Members()
+				whole = whole && w
+			}
+		case <-limit:
+			over = true
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	for _, n := range names {
+		list, w := mergers[n].Members()
+		if err := printMembers(out, n, list, w); err != nil {
+			return exit{1, err}
+		}
+	}
+	if !watch {
+		if !whole {
+			return exit{status: 1}
+		}
+		return nil
+	}
+	for {
+		select {
+		case n := <-changed:
+			list, w := mergers[n].Members()
+			fmt.Fprintf(out, "\n%s\n", time.Now().Format(time.TimeOnly))
+			if err := printMembers(out, n, list, w); err != nil {
+				return exit{1, err}
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func printMembers(out io.Writer, name string, list []membership.Member, whole bool) error {
+	note := ""
+	if !whole {
+		note = " (not all of its parts have been heard)"
+	}
+	fmt.Fprintf(out, "source %s: %d servers%s\n", name, len(list), note)
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, strings.Join([]string{"", "server", "address", "zone", "pod", "kind", "weight", "why"}, "\t"))
+	for _, v := range list {
+		in := "out"
+		switch {
+		case v.In && v.State == membership.Up:
+			in = "in"
+		case v.In:
+			in = "drains"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%g\t%s\n", in, v.ID, v.Addr, v.Zone, v.Pod, v.Kind, v.Weight, v.Why)
+	}
+	return w.Flush()
+}
--- a/internal/catalog/hub.go
+++ b/internal/catalog/hub.go
@@ -77,6 +77,9 @@
 	h.take(&full, 0)
 }
 
+// Apply tells what another than the list service has found: a whole list, or a change.
+func (h *Hub) Apply(m *Members) { h.take(m, m.Version) }
+
 // Run follows the list until ctx ends.
 func (h *Hub) Run(ctx context.Context) {
 	fails := 0
--- /dev/null
+++ b/internal/dnssource/dnssource.go
@@ -0,0 +1,432 @@
+// Package dnssource reads servers from DNS: SRV records (RFC 2782), and services announced by DNS-SD over
+// unicast DNS (RFC 6763). What it finds is reported to membership, which decides what it is worth.
+package dnssource
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"vetchhaven/internal/membership"
+)
+
+// Options of a source.
+type Options struct {
+	Name      string        // of the source, in reports
+	SRV       []string      // names such as _form._tcp.example.org
+	Browse    []string      // service types whose instances are browsed, such as _form._tcp.example.org
+	Resolvers []string      // IP and port; asked in turn until one answers
+	Floor     time.Duration // lifetimes are taken for at least so long; 0: 5 s
+	Ceiling   time.Duration // and at the most; 0: 5 min
+	Timeout   time.Duration // of one query; 0: 1 s
+	Log       *slog.Logger
+	Rand      func() float64 // in [0, 1); nil: a random one
+	// Exchange asks one resolver once; nil: by the network, "udp" or "tcp".
+	Exchange func(ctx context.Context, q *dns.Msg, network, resolver string) (*dns.Msg, error)
+}
+
+// Source reads one set of names.
+type Source struct {
+	o      Options
+	warned map[string]bool // TXT records that make no sense, said once
+	fails  int
+	asked  int
+}
+
+const (
+	chainMost    = 8    // aliases that are followed
+	recordsMost  = 5000 // of one answer
+	backoffFirst = time.Second
+	backoffMost  = 30 * time.Second
+)
+
+// Why a look-up brought nothing. Only errNone is an answer: the name is there, or not, and has no such
+// record.
+var (
+	errNone    = errors.New("no such record")
+	errLoop    = errors.New("aliases go round, or too far")
+	errForeign = errors.New("an answer to another question")
+	errServer  = errors.New("the resolver fails")
+	errCut     = errors.New("cut short, also over TCP")
+)
+
+// New is a source that has not asked yet.
+func New(o Options) *Source {
+	if o.Floor == 0 {
+		o.Floor = 5 * time.Second
+	}
+	if o.Ceiling == 0 {
+		o.Ceiling = 5 * time.Minute
+	}
+	if o.Timeout == 0 {
+		o.Timeout = time.Second
+	}
+	if o.Rand == nil {
+		o.Rand = rand.Float64
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Exchange == nil {
+		o.Exchange = func(ctx context.Context, q *dns.Msg, network, resolver string) (*dns.Msg, error) {
+			c := dns.Client{Net: network, Timeout: o.Timeout, UDPSize: 1232}
+			r, _, err := c.ExchangeContext(ctx, q, resolver)
+			return r, err
+		}
+	}
+	return &Source{o: o, warned: map[string]bool{}}
+}
+
+// Run reads until ctx ends, and reports each view and each failure. Between two readings lies the least
+// lifetime of what was read, less a random tenth, so that many agents do not ask together; after a
+// failure a wait that doubles. No name is asked for oftener than the floor or the first wait.
+func (s *Source) Run(ctx context.Context, report func(membership.Report)) {
+	for ctx.Err() == nil {
+		servers, ttl, err := s.Read(ctx)
+		var wait time.Duration
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			if s.fails++; s.fails == 1 || s.fails%20 == 0 {
+				s.o.Log.Warn("names not read", "source", s.o.Name, "error", err, "failures", s.fails)
+			}
+			report(membership.Failed{Source: s.o.Name})
+			ceiling := min(backoffFirst<<min(s.fails-1, 10), backoffMost)
+			wait = ceiling/2 + time.Duration(s.o.Rand()*float64(ceiling)/2)
+		} else {
+			if s.fails > 0 {
+				s.o.Log.Info("names read again", "source", s.o.Name, "failures", s.fails)
+			}
+			s.fails = 0
+			report(membership.View{Source: s.o.Name, Servers: servers})
+			ttl = min(max(ttl, s.o.Floor), s.o.Ceiling)
+			wait = max(s.o.Floor, ttl-time.Duration(s.o.Rand()*float64(ttl)/10))
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Read asks for everything once. A part that can't be had is a failure of the whole: a smaller fleet is
+// never read out of it.
+func (s *Source) Read(ctx context.Context) (servers []membership.Server, ttl time.Duration, err error) {
+	ttl = s.o.Ceiling
+	seen := map[string]bool{}
+	add := func(all []membership.Server, life time.Duration) {
+		for _, v := range all {
+			if !seen[v.ID] {
+				seen[v.ID] = true
+				servers = append(servers, v)
+			}
+		}
+		ttl = min(ttl, life)
+	}
+	for _, name := range s.o.SRV {
+		all, life, err := s.service(ctx, name, nil)
+		if err != nil {
+			return nil, 0, err
+		}
+		add(all, life)
+	}
+	for _, name := range s.o.Browse {
+		found, life, err := s.lookup(ctx, name, dns.TypePTR)
+		if err != nil && !errors.Is(err, errNone) {
+			return nil, 0, err
+		}
+		ttl = min(ttl, life)
+		for _, rr := range found {
+			p, ok := rr.(*dns.PTR)
+			if !ok {
+				continue
+			}
+			texts, life, err := s.lookup(ctx, p.Ptr, dns.TypeTXT)
+			if err != nil && !errors.Is(err, errNone) {
+				return nil, 0, err
+			}
+			ttl = min(ttl, life)
+			var keys []string
+			for _, rr := range texts {
+				if t, ok := rr.(*dns.TXT); ok {
+					keys = append(keys, t.Txt...)
+				}
+			}
+			all, life, err := s.service(ctx, p.Ptr, keys)
+			if err != nil {
+				return nil, 0, err
+			}
+			add(all, life)
+		}
+	}
+	return servers, ttl, nil
+}
+
+// service is the servers of one SRV name, with what a TXT record says of them.
+func (s *Source) service(ctx context.Context, name string, keys []string) (servers []membership.Server, ttl time.Duration, err error) {
+	found, ttl, extra, err := s.ask(ctx, name, dns.TypeSRV)
+	if errors.Is(err, errNone) {
+		return nil, ttl, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, rr := range found {
+		v, ok := rr.(*dns.SRV)
+		if !ok {
+			continue
+		}
+		if v.Target == "." { // decidedly not available (RFC 2782)
+			continue
+		}
+		addrs, life, err := s.addresses(ctx, v.Target, extra)
+		if errors.Is(err, errNone) {
+			s.say("target "+v.Target, "a target has no address", v.Target)
+			continue
+		}
+		if err != nil {
+			return nil, 0, err
+		}
+		ttl = min(ttl, life)
+		host := strings.ToLower(strings.TrimSuffix(v.Target, "."))
+		for i, a := range addrs {
+			id := host + ":" + strconv.Itoa(int(v.Port))
+			if i > 0 {
+				id += "#" + a // a further address of the same name is another server
+			}
+			server := membership.Server{ID: id, Addr: net.JoinHostPort(a, strconv.Itoa(int(v.Port))), Weight: float64(v.Weight),
+				Priority: int(v.Priority), State: membership.Up}
+			s.describe(&server, name, keys)
+			servers = append(servers, server)
+		}
+	}
+	return servers, ttl, nil
+}
+
+// describe takes the keys of a TXT record (RFC 6763, 6). One that makes no sense is left out, and said
+// once; the others hold.
+func (s *Source) describe(v *membership.Server, name string, keys []string) {
+	for _, text := range keys {
+		key, value, ok := strings.Cut(text, "=")
+		if !ok || key == "" {
+			continue // no value: none of ours
+		}
+		var err error
+		switch strings.ToLower(key) {
+		case "id":
+			if value == "" {
+				err = errors.New("empty")
+			} else {
+				v.ID = value
+			}
+		case "pod":
+			var n uint64
+			if n, err = strconv.ParseUint(value, 10, 31); err == nil {
+				v.Pod = int(n)
+			}
+		case "zone":
+			v.Zone = value
+		case "kind":
+			v.Kind = value
+		case "weight":
+			var w float64
+			if w, err = strconv.ParseFloat(value, 64); err == nil && !(w >= 0 && w <= 1e6) {
+				err = errors.New("no weight")
+			} else if err == nil {
+				v.Weight = w
+			}
+		case "state":
+			switch value {
+			case "ready":
+			case "draining":
+				v.State = membership.Draining
+			case "gone":
+				v.State = membership.Gone
+			default:
+				err = errors.New("none of ready, draining, gone")
+			}
+		case "started":
+			var n int64
+			if n, err = strconv.ParseInt(value, 10, 64); err == nil && n > 0 {
+				v.Started = n
+			}
+		}
+		if err != nil {
+			s.say(name+" "+text, "a TXT key makes no sense: "+err.Error(), name, "key", key)
+		}
+	}
+}
+
+// say logs a thing once.
+func (s *Source) say(key, text, name string, more ...any) {
+	if s.warned[key] || len(s.warned) > 1000 {
+		return
+	}
+	s.warned[key] = true
+	s.o.Log.Warn(text, append([]any{"source", s.o.Name, "name", name}, more...)...)
+}
+
+// addresses are a target's, by what came with the answer or by asking.
+func (s *Source) addresses(ctx context.Context, target string, extra []dns.RR) (addrs []string, ttl time.Duration, err error) {
+	ttl = s.o.Ceiling
+	collect := func(all []dns.RR) {
+		for _, rr := range all {
+			if !strings.EqualFold(rr.Header().Name, target) && len(extra) > 0 {
+				continue
+			}
+			var ip net.IP
+			switch a := rr.(type) {
+			case *dns.A:
+				ip = a.A
+			case *dns.AAAA:
+				ip = a.AAAA
+			default:
+				continue
+			}
+			ttl = min(ttl, time.Duration(rr.Header().Ttl)*time.Second)
+			if text := ip.String(); !slices.Contains(addrs, text) {
+				addrs = append(addrs, text)
+			}
+		}
+	}
+	collect(extra)
+	if len(addrs) == 0 {
+		extra = nil
+		none := 0
+		for _, kind := range []uint16{dns.TypeA, dns.TypeAAAA} {
+			all, life, err := s.lookup(ctx, target, kind)
+			if errors.Is(err, errNone) {
+				none++
+				continue
+			}
+			if err != nil {
+				return nil, 0, err
+			}
+			ttl = min(ttl, life)
+			collect(all)
+		}
+		if none == 2 {
+			return nil, ttl, errNone
+		}
+	}
+	slices.Sort(addrs)
+	return addrs, ttl, nil
+}
+
+// lookup is the records of a name and type, behind its aliases.
+func (s *Source) lookup(ctx context.Context, name string, kind uint16) ([]dns.RR, time.Duration, error) {
+	all, ttl, _, err := s.ask(ctx, name, kind)
+	return all, ttl, err
+}
+
+// ask asks the resolvers in turn. Its error is errNone where one of them says that there is no such
+// record.
+func (s *Source) ask(ctx context.Context, name string, kind uint16) (found []dns.RR, ttl time.Duration, extra []dns.RR, err error) {
+	name = dns.CanonicalName(name)
+	ttl = s.o.Ceiling
+	for range chainMost {
+		r, err := s.query(ctx, name, kind)
+		if err != nil {
+			return nil, 0, nil, err
+		}
+		if r.Rcode == dns.RcodeNameError || len(r.Answer) == 0 {
+			for _, rr := range r.Ns { // its lifetime (RFC 2308)
+				if soa, ok := rr.(*dns.SOA); ok {
+					ttl = min(ttl, time.Duration(min(soa.Hdr.Ttl, soa.Minttl))*time.Second)
+				}
+			}
+			return nil, ttl, nil, errNone
+		}
+		// Aliases within the answer, then the records behind the last.
+		next := name
+		for range chainMost + 1 {
+			alias := ""
+			for _, rr := range r.Answer {
+				life := time.Duration(rr.Header().Ttl) * time.Second
+				switch {
+				case !strings.EqualFold(rr.Header().Name, next):
+				case rr.Header().Rrtype == kind:
+					found = append(found, rr)
+					ttl = min(ttl, life)
+				case rr.Header().Rrtype == dns.TypeCNAME:
+					alias = dns.CanonicalName(rr.(*dns.CNAME).Target)
+					ttl = min(ttl, life)
+				}
+			}
+			if len(found) > 0 {
+				if len(found) > recordsMost {
+					return nil, 0, nil, fmt.Errorf("%s: %d records are too many", name, len(found))
+				}
+				return found, ttl, r.Extra, nil
+			}
+			if alias == "" {
+				break
+			}
+			next = alias
+		}
+		if next == name {
+			return nil, 0, nil, fmt.Errorf("%w: %s", errForeign, name) // records, and none of what was asked
+		}
+		name = next
+	}
+	return nil, 0, nil, fmt.Errorf("%w: %s", errLoop, name)
+}
+
+// query asks each resolver until one answers: over UDP, and over TCP where that answer is cut short.
+func (s *Source) query(ctx context.Context, name string, kind uint16) (*dns.Msg, error) {
+	var last error
+	for _, resolver := range s.o.Resolvers {
+		r, err := s.one(ctx, name, kind, resolver)
+		if err == nil {
+			return r, nil
+		}
+		last = fmt.Errorf("%s of %s at %s: %w", dns.TypeToString[kind], name, resolver, err)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if last == nil {
+		last = errors.New("no resolver is set")
+	}
+	return nil, last
+}
+
+func (s *Source) one(ctx context.Context, name string, kind uint16, resolver string) (*dns.Msg, error) {
+	q := new(dns.Msg)
+	q.SetQuestion(name, kind)
+	q.SetEdns0(1232, false)
+	for _, network := range []string{"udp", "tcp"} {
+		s.asked++
+		one, cancel := context.WithTimeout(ctx, s.o.Timeout)
+		r, err := s.o.Exchange(one, q, network, resolver)
+		cancel()
+		if err != nil && (r == nil || !r.Truncated) {
+			return nil, err
+		}
+		// A foreign answer, by mistake or by intent, is none.
+		if r.Id != q.Id || !r.Response || len(r.Question) != 1 || !strings.EqualFold(r.Question[0].Name, name) || r.Question[0].Qtype != kind {
+			return nil, errForeign
+		}
+		if r.Truncated {
+			continue
+		}
+		if r.Rcode != dns.RcodeSuccess && r.Rcode != dns.RcodeNameError {
+			return nil, fmt.Errorf("%w: %s", errServer, dns.RcodeToString[r.Rcode])
+		}
+		return r, nil
+	}
+	return nil, errCut
+}
+
+// Asked is how many queries were sent.
+func (s *Source) Asked() int { return s.asked }
--- /dev/null
+++ b/internal/dnssource/dnssource_test.go
@@ -0,0 +1,239 @@
+package dnssource
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"vetchhaven/internal/membership"
+	standin "vetchhaven/internal/standin/dns"
+)
+
+const service = "_form._tcp.example.org"
+
+func server(t *testing.T) *standin.Server {
+	t.Helper()
+	s, err := standin.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	set(t, s, service, "SRV", srv(60, 0, 5, 8001, "one"), srv(30, 10, 1, 8002, "two"))
+	set(t, s, "one.example.org", "A", "one.example.org. 60 IN A 10.0.0.1")
+	set(t, s, "two.example.org", "AAAA", "two.example.org. 60 IN AAAA 2001:db8::2")
+	return s
+}
+
+func srv(ttl, priority, weight, port int, host string) string {
+	return fmt.Sprintf("%s. %d IN SRV %d %d %d %s.example.org.", service, ttl, priority, weight, port, host)
+}
+
+func set(t *testing.T, s *standin.Server, name, kind string, records ...string) {
+	t.Helper()
+	if err := s.Set(name, kind, records...); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func source(s *standin.Server, more ...string) *Source {
+	return New(Options{Name: "r", SRV: []string{service}, Resolvers: append([]string{s.Addr()}, more...), Timeout: 5 * time.Second})
+}
+
+func TestSRV(t *testing.T) {
+	s := server(t)
+	all, ttl, err := source(s).Read(t.Context())
+	if err != nil || len(all) != 2 || ttl != 30*time.Second {
+		t.Fatalf("%+v, %v, %v", all, ttl, err)
+	}
+	one := membership.Server{ID: "one.example.org:8001", Addr: "10.0.0.1:8001", Weight: 5, State: membership.Up}
+	two := membership.Server{ID: "two.example.org:8002", Addr: "[2001:db8::2]:8002", Weight: 1, Priority: 10, State: membership.Up}
+	if all[0] != one || all[1] != two {
+		t.Errorf("%+v", all)
+	}
+}
+
+// Each way in which an answer can be bad is a failure, never a smaller fleet; and what says that there is
+// none is an answer.
+func TestBadAnswers(t *testing.T) {
+	for name, row := range map[string]struct {
+		fault func(name, kind, network string) standin.Fault
+		err   error // nil: any
+		ok    bool
+		n     int
+	}{
+		"cut short over UDP": {func(_, _, network string) standin.Fault { return standin.Fault{Truncate: network == "udp"} }, nil, true, 2},
+		"cut short over TCP": {func(_, _, network string) standin.Fault { return standin.Fault{Truncate: true, CutTCP: true} }, errCut, false, 0},
+		"SERVFAIL":           {func(string, string, string) standin.Fault { return standin.Fault{Rcode: dns.RcodeServerFailure} }, errServer, false, 0},
+		"REFUSED":            {func(string, string, string) standin.Fault { return standin.Fault{Rcode: dns.RcodeRefused} }, errServer, false, 0},
+		"wrong name":         {func(string, string, string) standin.Fault { return standin.Fault{WrongName: true} }, errForeign, false, 0},
+		"foreign records":    {func(string, string, string) standin.Fault { return standin.Fault{Foreign: true} }, errForeign, false, 0},
+		"an address fails": {func(_, kind, _ string) standin.Fault {
+			if kind == "A" {
+				return standin.Fault{Rcode: dns.RcodeServerFailure}
+			}
+			return standin.Fault{}
+		}, errServer, false, 0},
+		"NXDOMAIN": {func(string, string, string) standin.Fault { return standin.Fault{Rcode: dns.RcodeNameError} }, nil, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := server(t)
+			s.Script(row.fault)
+			all, _, err := source(s).Read(t.Context())
+			if row.ok != (err == nil) || len(all) != row.n || row.err != nil && !errors.Is(err, row.err) {
+				t.Errorf("%+v, %v", all, err)
+			}
+		})
+	}
+	// What never comes, or is no message: the next resolver is asked.
+	good := server(t)
+	for name, f := range map[string]standin.Fault{"drop": {Drop: true}, "garbage": {Garbage: true}, "wrong id": {WrongID: true}, "SERVFAIL": {Rcode: dns.RcodeServerFailure}} {
+		t.Run(name, func(t *testing.T) {
+			s := server(t)
+			s.Script(func(string, string, string) standin.Fault { return f })
+			o := source(s, good.Addr())
+			o.o.Timeout = 50 * time.Millisecond
+			good2 := o.o.Exchange
+			o.o.Exchange = func(ctx context.Context, q *dns.Msg, network, resolver string) (*dns.Msg, error) {
+				if resolver == good.Addr() { // on a slow machine that one has its time
+					ctx = context.Background()
+					c := dns.Client{Net: network, Timeout: 20 * time.Second}
+					r, _, err := c.ExchangeContext(ctx, q, resolver)
+					return r, err
+				}
+				return good2(ctx, q, network, resolver)
+			}
+			if all, _, err := o.Read(t.Context()); err != nil || len(all) != 2 {
+				t.Errorf("%+v, %v", all, err)
+			}
+		})
+	}
+}
+
+func TestAliases(t *testing.T) {
+	s := server(t)
+	set(t, s, service, "SRV")
+	set(t, s, service, "CNAME", service+". 20 IN CNAME real.example.org.")
+	set(t, s, "real.example.org", "SRV", "real.example.org. 60 IN SRV 0 0 80 one.example.org.")
+	all, ttl, err := source(s).Read(t.Context())
+	if err != nil || len(all) != 1 || ttl != 20*time.Second {
+		t.Errorf("%+v, %v, %v", all, ttl, err)
+	}
+	set(t, s, "real.example.org", "SRV")
+	set(t, s, "real.example.org", "CNAME", "real.example.org. 60 IN CNAME "+service+".")
+	if _, _, err := source(s).Read(t.Context()); !errors.Is(err, errLoop) {
+		t.Errorf("round and round: %v", err)
+	}
+}
+
+func TestManyServersComeOverTCP(t *testing.T) {
+	s := server(t)
+	var all []string
+	for i := range 500 {
+		host := fmt.Sprint("h", i)
+		all = append(all, srv(60, 0, 1, 80, host))
+		set(t, s, host+".example.org", "A", fmt.Sprintf("%s.example.org. 60 IN A 10.1.%d.%d", host, i/250, i%250))
+	}
+	set(t, s, service, "SRV", all...)
+	if got, _, err := source(s).Read(t.Context()); err != nil || len(got) != 500 {
+		t.Errorf("%d, %v", len(got), err)
+	}
+}
+
+// A service that is browsed, with what its text says; keys that make no sense are said once, one by one.
+func TestBrowse(t *testing.T) {
+	s := server(t)
+	inst := `kathmandu\ one._form._tcp.example.org.`
+	set(t, s, service, "PTR", service+". 60 IN PTR "+inst)
+	set(t, s, inst, "SRV", inst+" 60 IN SRV 0 0 8001 one.example.org.")
+	set(t, s, inst, "TXT", inst+` 40 IN TXT "pod=3" "zone=a" "kind=k" "state=draining" "weight=soon" "started=17" "id=formserver-1" "=x" "other"`)
+	var log bytes.Buffer
+	o := New(Options{Name: "r", Browse: []string{service}, Resolvers: []string{s.Addr()}, Timeout: 5 * time.Second, Log: slog.New(slog.NewTextHandler(&log, nil))})
+	for range 2 {
+		all, ttl, err := o.Read(t.Context())
+		want := membership.Server{ID: "formserver-1", Addr: "10.0.0.1:8001", Zone: "a", Kind: "k", Pod: 3, State: membership.Draining, Started: 17}
+		if err != nil || len(all) != 1 || all[0] != want || ttl != 40*time.Second {
+			t.Errorf("%+v, %v, %v", all, ttl, err)
+		}
+	}
+	if n := strings.Count(log.String(), "makes no sense"); n != 1 {
+		t.Errorf("%d lines: %s", n, log.String())
+	}
+}
+
+// By lifetimes, in virtual time: read again as they end, within their bounds; after failures with waits
+// that grow; and never oftener than bounded, though all fails.
+func TestLifetimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		var mu sync.Mutex
+		var asked []time.Duration
+		var ttl atomic.Uint32
+		var broken atomic.Bool
+		ttl.Store(100)
+		o := New(Options{Name: "r", SRV: []string{service}, Resolvers: []string{"x"}, Rand: func() float64 { return 0.5 },
+			Exchange: func(_ context.Context, q *dns.Msg, _, _ string) (*dns.Msg, error) {
+				r := new(dns.Msg)
+				r.SetReply(q)
+				if q.Question[0].Qtype == dns.TypeSRV {
+					mu.Lock()
+					asked = append(asked, time.Since(start))
+					mu.Unlock()
+					if broken.Load() {
+						r.Rcode = dns.RcodeServerFailure
+						return r, nil
+					}
+					rr, _ := dns.NewRR(fmt.Sprintf("%s. %d IN SRV 0 0 80 one.example.org.", service, ttl.Load()))
+					a, _ := dns.NewRR("one.example.org. 3600 IN A 10.0.0.1")
+					r.Answer, r.Extra = []dns.RR{rr}, []dns.RR{a}
+				}
+				return r, nil
+			}})
+		ctx, cancel := context.WithCancel(t.Context())
+		var views, failures atomic.Int32
+		count := func() int { mu.Lock(); defer mu.Unlock(); return len(asked) }
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			o.Run(ctx, func(r membership.Report) {
+				switch r.(type) {
+				case membership.View:
+					views.Add(1)
+				case membership.Failed:
+					failures.Add(1)
+				}
+			})
+		}()
+		time.Sleep(200 * time.Second)
+		synctest.Wait()
+		mu.Lock()
+		if len(asked) != 3 || asked[1] != 95*time.Second || views.Load() != 3 {
+			t.Errorf("asked at %v, %d views", asked, views.Load())
+		}
+		mu.Unlock()
+		ttl.Store(0)
+		time.Sleep(185 * time.Second) // the last one read holds for 85 s more
+		synctest.Wait()
+		if n := count() - 3; n < 18 || n > 22 { // at the floor
+			t.Errorf("lifetimes of 0: asked %d times in the 100 s after", n)
+		}
+		broken.Store(true)
+		before := count()
+		time.Sleep(10 * time.Minute)
+		synctest.Wait()
+		if n := count() - before; n < 20 || n > 40 || failures.Load() < 20 {
+			t.Errorf("all fails: asked %d times in 10 minutes, %d failures", n, failures.Load())
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -47,9 +47,24 @@
 
 // Source is a list of servers.
 type Source struct {
-	List   string
+	Name   string
+	List   string // of a list service; may be empty where there are records
 	Spread time.Duration
 	First  time.Duration
+	// SRV names and service types to browse, over unicast DNS at these resolvers.
+	SRV, Browse, Resolvers []string
+	Hold                   time.Duration // how long the records last read hold where none can be had
+}
+
+// Records reports whether names are read besides, or in place of, a list.
+func (s Source) Records() bool { return len(s.SRV)+len(s.Browse) > 0 }
+
+// Key names a source's list in what is saved.
+func (s Source) Key() string {
+	if !s.Records() {
+		return s.List
+	}
+	return strings.Join(append(append([]string{s.List, "dns"}, s.SRV...), s.Browse...), " ")
 }
 
 // Instance is one agent.
@@ -93,10 +108,14 @@
 }
 
 type source struct {
-	Name   string
-	List   string
-	Spread tomlfile.Duration
-	First  tomlfile.Duration
+	Name      string
+	List      string
+	Spread    tomlfile.Duration
+	First     tomlfile.Duration
+	SRV       []string `toml:"srv"`
+	Browse    []string
+	Resolvers []string
+	Hold      tomlfile.Duration
 }
 
 type site struct {
@@ -243,8 +262,27 @@
 		if _, twice := cfg.Sources[s.Name]; twice || s.Name == "" {
 			c.fail(at("name"), "%q is empty or named twice", s.Name)
 		}
-		c.hostPort(at("list"), s.List)
-		cfg.Sources[s.Name] = Source{List: s.List, Spread: c.wait(at("spread"), s.Spread, 300*time.Millisecond),
+		if s.List != "" || len(s.SRV)+len(s.Browse) == 0 {
+			c.hostPort(at("list"), s.List)
+		}
+		for _, names := range []struct {
+			key string
+			all []string
+		}{{"srv", s.SRV}, {"browse", s.Browse}} {
+			for _, n := range names.all {
+				if !strings.HasPrefix(n, "_") || strings.ContainsAny(n, " /:") {
+					c.fail(at(names.key), "%q: a name such as _form._tcp.example.org is needed", n)
+				}
+			}
+		}
+		for _, r := range s.Resolvers {
+			c.hostPort(at("resolvers"), r)
+		}
+		if len(s.SRV)+len(s.Browse) > 0 && len(s.Resolvers) == 0 {
+			c.fail(at("resolvers"), "missing: names are asked of resolvers")
+		}
+		cfg.Sources[s.Name] = Source{Name: s.Name, SRV: s.SRV, Browse: s.Browse, Resolvers: s.Resolvers, Hold: c.span(at("hold"), s.Hold, time.Hour),
+			List: s.List, Spread: c.wait(at("spread"), s.Spread, 300*time.Millisecond),
 			First: c.wait(at("first"), s.First, 500*time.Millisecond)}
 	}
 	if len(f.Source) == 0 {
--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"reflect"
 	"slices"
 	"sync"
 	"syscall"
@@ -400,25 +401,36 @@
 func (d *Daemon) follow(cfg *Config) (dropped []*hub) {
 	for name, s := range cfg.Sources {
 		old := d.hubs[name]
-		if old != nil && old.source == s {
+		if old != nil && reflect.DeepEqual(old.source, s) {
 			continue
 		}
 		h := &hub{source: s}
-		h.Hub = catalog.NewHub(catalog.HubOptions{Addr: s.List, Spread: s.Spread, First: s.First,
+		options := catalog.HubOptions{Addr: s.List, Spread: s.Spread, First: s.First,
 			ConnectTimeout: cfg.Instances[0].Agent.Settings.ConnectTimeout, Log: d.log,
-			Urgent: func() { go d.later(d.save) }})
+			Urgent: func() { go d.later(d.save) }}
+		h.Hub = catalog.NewHub(options)
+		saved := d.given[s.Key()]
 		if old != nil {
 			dropped = append(dropped, old)
 			// What the old list said goes on to hold until the new one is heard.
-			if m := old.Snapshot(); m != nil {
-				h.Give(m)
-			}
-		} else if m := d.given[s.List]; m != nil {
-			h.Give(m)
+			saved = old.Snapshot()
+		}
+		if saved != nil {
+			h.Give(saved)
 		}
 		ctx, end := context.WithCancel(context.Background())
 		h.end = end
-		d.others.Go(func() { h.Run(ctx) })
+		if s.Records() {
+			var list *catalog.Hub
+			if s.List != "" {
+				options.Spread, options.Urgent = 0, nil // the merged list is spread, not its parts
+				list = catalog.NewHub(options)
+			}
+			m := NewMerger(s, h.Hub, saved, d.log, nil)
+			d.others.Go(func() { m.Run(ctx, list) })
+		} else {
+			d.others.Go(func() { h.Run(ctx) })
+		}
 		d.hubs[name] = h
 	}
 	for name, h := range d.hubs {
@@ -585,7 +597,7 @@
 			}
 		default:
 			moved := d.hubs[spec.Source].Hub != nil && (p.spec.Source != spec.Source || slices.ContainsFunc(dropped, func(h *hub) bool {
-				return old.Sources[p.spec.Source] == h.source && cfg.Sources[spec.Source] != h.source
+				return reflect.DeepEqual(old.Sources[p.spec.Source], h.source) && !reflect.DeepEqual(cfg.Sources[spec.Source], h.source)
 			}))
 			p.spec = spec
 			switch st := d.sup.State(spec.Name); {
--- /dev/null
+++ b/internal/fleet/merge.go
@@ -0,0 +1,175 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/dnssource"
+	"vetchhaven/internal/membership"
+)
+
+// Names of a source's parts in what membership says.
+const (
+	fromList    = "the list"
+	fromRecords = "records"
+	fromSaved   = "the saved list"
+)
+
+const (
+	guardTime  = 30 * time.Second
+	settleTime = 12 * time.Second // the window of a pod's keyed requests
+	forGood    = 100 * 365 * 24 * time.Hour
+)
+
+// Merger makes one list of what a source's list service and its records say, and tells it to a hub.
+type Merger struct {
+	source  Source
+	log     *slog.Logger
+	out     *catalog.Hub
+	module  *membership.Module
+	began   time.Time
+	reports chan membership.Report
+
+	mu      sync.Mutex
+	list    []membership.Member
+	heard   map[string]bool
+	version int64
+	told    map[string]catalog.Member
+	saved   bool
+	changed func([]membership.Member) // may be nil
+}
+
+// NewMerger sets one up. saved is the list of before, and may be nil. Changed, which may be nil, is called
+// with each new list.
+func NewMerger(s Source, out *catalog.Hub, saved *catalog.Members, log *slog.Logger, changed func([]membership.Member)) *Merger {
+	var parts []membership.Source
+	if s.List != "" {
+		parts = append(parts, membership.Source{Name: fromList, Exact: true, Hold: forGood}) // the list's own rule: the last one holds
+	}
+	parts = append(parts, membership.Source{Name: fromRecords, Hold: s.Hold}, membership.Source{Name: fromSaved, Hold: s.Hold})
+	m := &Merger{source: s, log: log, out: out, began: time.Now(), reports: make(chan membership.Report, 16), heard: map[string]bool{},
+		told: map[string]catalog.Member{}, changed: changed,
+		module: membership.New(membership.Settings{Sources: parts, Guard: guardTime, Settle: settleTime})}
+	if saved != nil {
+		m.saved = true
+		m.take(membership.View{Source: fromSaved, Servers: servers(saved)})
+		m.take(membership.Failed{Source: fromSaved})
+	}
+	return m
+}
+
+func servers(m *catalog.Members) (all []membership.Server) {
+	for _, s := range m.Servers {
+		state, ok := map[string]membership.State{"ready": membership.Up, "draining": membership.Draining, "gone": membership.Gone}[s.State]
+		if ok && s.ID != "" {
+			all = append(all, membership.Server{ID: s.ID, Addr: s.Addr, Zone: s.Zone, Kind: s.Kind, Pod: s.Cell, Weight: s.Weight, State: state, Started: s.Started})
+		}
+	}
+	return all
+}
+
+// Run reads the parts until ctx ends.
+func (m *Merger) Run(ctx context.Context, list *catalog.Hub) {
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	post := func(r membership.Report) {
+		select {
+		case m.reports <- r:
+		case <-ctx.Done():
+		}
+	}
+	if list != nil {
+		leave := list.Join(func(v *catalog.Members) {
+			if v.Full {
+				post(membership.View{Source: fromList, Servers: servers(v)})
+			} else {
+				post(membership.Change{Source: fromList, Servers: servers(v)})
+			}
+		})
+		defer leave()
+		parts.Go(func() { list.Run(ctx) })
+	}
+	d := dnssource.New(dnssource.Options{Name: fromRecords, SRV: m.source.SRV, Browse: m.source.Browse, Resolvers: m.source.Resolvers, Log: m.log})
+	parts.Go(func() { d.Run(ctx, post) })
+	tick := time.NewTicker(time.Second) // what is held back for a while
+	defer tick.Stop()
+	for {
+		select {
+		case r := <-m.reports:
+			m.take(r)
+		case <-tick.C:
+			m.take(nil)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// take hands a report to the module, and tells the hub what has changed.
+func (m *Merger) take(r membership.Report) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Since(m.began)
+	var all []membership.Report
+	switch r := r.(type) {
+	case nil:
+	case membership.View:
+		m.heard[r.Source] = true
+		all = append(all, r)
+	default:
+		all = append(all, r)
+	}
+	if m.saved && m.heard[fromRecords] && (m.heard[fromList] || m.source.List == "") { // all speak for themselves
+		m.saved = false
+		all = append(all, membership.Forget{Source: fromSaved})
+	}
+	list, changed := m.module.Step(now, all...)
+	for _, line := range m.module.Logs() {
+		m.log.Info(line, "source", m.source.Name)
+	}
+	m.list = list
+	if len(m.heard) == 0 || !changed && m.version > 0 {
+		return
+	}
+	next := map[string]catalog.Member{}
+	for _, v := range list {
+		if !v.In {
+			continue
+		}
+		state := "ready"
+		if v.State == membership.Draining {
+			state = "draining"
+		}
+		next[v.ID] = catalog.Member{ID: v.ID, Addr: v.Addr, Zone: v.Zone, Kind: v.Kind, Cell: v.Pod, State: state, Weight: v.Weight, Started: v.Started}
+	}
+	out := &catalog.Members{Version: m.version + 1, Full: m.version == 0, Servers: []catalog.Member{}}
+	for id, v := range next {
+		if m.told[id] != v {
+			out.Servers = append(out.Servers, v)
+		}
+	}
+	for id, v := range m.told {
+		if _, in := next[id]; !in {
+			v.State = "gone"
+			out.Servers = append(out.Servers, v)
+		}
+	}
+	if len(out.Servers) > 0 || out.Full {
+		m.version++
+		m.told = next
+		m.out.Apply(out)
+	}
+	if m.changed != nil {
+		m.changed(list)
+	}
+}
+
+// Members is the list as it is now, with the reasons, and whether every part has been heard.
+func (m *Merger) Members() (list []membership.Member, whole bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list, m.heard[fromRecords] && (m.heard[fromList] || m.source.List == "")
+}
--- /dev/null
+++ b/internal/fleet/merge_test.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"vetchhaven/internal/standin"
+	"vetchhaven/internal/standin/dns"
+)
+
+// A list and SRV records that contradict each other, over sockets: nothing new goes to what either had drain
+// or gone, a failing resolver and a truncated answer take nobody away, and a server that only the records
+// know is served by.
+func TestListAndRecords(t *testing.T) {
+	both, listed, recorded := standin.NewForm("both", nil), standin.NewForm("listed", nil), standin.NewForm("recorded", nil)
+	for _, f := range []*standin.Form{both, listed, recorded} {
+		defer f.Close()
+	}
+	names, err := dns.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer names.Close()
+	const service = "_form._tcp.example.org"
+	publish := func(all ...*standin.Form) {
+		t.Helper()
+		var records []string
+		for i, f := range all {
+			host, port, _ := net.SplitHostPort(f.Member("ready").Addr)
+			records = append(records, fmt.Sprintf("%s. 1 IN SRV 0 0 %s h%d.example.org.", service, port, i))
+			if err := names.Set(fmt.Sprintf("h%d.example.org", i), "A", fmt.Sprintf("h%d.example.org. 1 IN A %s", i, host)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := names.Set(service, "SRV", records...); err != nil {
+			t.Fatal(err)
+		}
+	}
+	publish(both, recorded)
+	y := newYard(t, both.Member("ready"), listed.Member("ready"))
+	text := y.config(y.instance("a"))
+	data := strings.Replace(mustRead(t, text), "name = \"main\"\n", fmt.Sprintf("name = \"main\"\nsrv = [%q]\nresolvers = [%q]\n", service, names.Addr()), 1)
+	writeFile(t, y.dir, data)
+	y.start(Options{})
+	// got is who answers among many requests.
+	got := func() map[string]bool {
+		t.Helper()
+		seen := map[string]bool{}
+		for range 60 {
+			status, body, err := ask(client(y.sock("a"), false), "get")
+			if err != nil || status != 200 {
+				t.Fatalf("%d %q %v", status, body, err)
+			}
+			seen[body] = true
+		}
+		return seen
+	}
+	eventually(t, "all three to be served by", func() bool { s := got(); return s["both"] && s["listed"] && s["recorded"] })
+	y.list.Set(both.Member("gone")) // the record still advertises it
+	eventually(t, "the gone one to be left", func() bool { return !got()["both"] })
+	names.Script(func(string, string, string) dns.Fault { return dns.Fault{Rcode: 2} })
+	asked := names.Asked()
+	eventually(t, "the resolver to fail", func() bool { return names.Asked() > asked })
+	names.Script(func(string, string, string) dns.Fault { return dns.Fault{Truncate: true, CutTCP: true} })
+	asked = names.Asked()
+	eventually(t, "the answer to be cut", func() bool { return names.Asked() > asked })
+	n := both.Got()
+	if s := got(); !s["listed"] || !s["recorded"] || both.Got() != n {
+		t.Errorf("served by %v", s)
+	}
+	y.list.SetDown(true)
+	if s := got(); !s["listed"] || !s["recorded"] || both.Got() != n {
+		t.Errorf("with both sources away: served by %v", s)
+	}
+}
+
+// Merged anew after a restart with all sources away: the saved list serves, with its drains.
+func TestMergerStartsFromTheSavedList(t *testing.T) {
+	f := standin.NewForm("s", nil)
+	defer f.Close()
+	y := newYard(t, f.Member("ready"))
+	y.extra = `state_dir = "state"`
+	path := y.config(y.instance("a"))
+	data := strings.Replace(mustRead(t, path), "name = \"main\"\n", fmt.Sprintf("name = \"main\"\nsrv = [\"_form._tcp.example.org\"]\nresolvers = [%q]\n", deadPort(t)), 1)
+	writeFile(t, y.dir, data)
+	r := y.start(Options{})
+	y.wantServed("a")
+	r.do(r.save)
+	if err := r.end(); err != nil {
+		t.Fatal(err)
+	}
+	y.list.SetDown(true)
+	y.start(Options{})
+	y.wantServed("a")
+}
+
+func deadPort(t *testing.T) string {
+	t.Helper()
+	ln, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.LocalAddr().String()
+}
+
+func TestRecordsConfig(t *testing.T) {
+	dir := t.TempDir()
+	with := func(more string) string { return strings.Replace(good, "list = \"127.0.0.1:8500\"\n", more, 1) }
+	for want, text := range map[string]string{
+		"missing: names are asked": with("srv = [\"_form._tcp.example.org\"]\n"),
+		"a name such as":           with("srv = [\"example.org\"]\nresolvers = [\"127.0.0.1:53\"]\n"),
+		"source[0].resolvers":      with("browse = [\"_form._tcp.example.org\"]\nresolvers = [\"ns.example.org:53\"]\n"),
+		"source[0].list":           with(""),
+	} {
+		if _, err := Load(writeFile(t, dir, text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+	cfg, err := Load(writeFile(t, dir, with("srv = [\"_form._tcp.example.org\"]\nresolvers = [\"127.0.0.1:53\"]\nhold = \"10m\"\n")))
+	if err != nil || cfg.Sources["main"].Hold != 10*time.Minute || !cfg.Sources["main"].Records() {
+		t.Errorf("%+v, %v", cfg, err)
+	}
+}
+
+func mustRead(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -27,7 +27,7 @@
 	s := &laststate.State{Saved: time.Now().UnixMilli(), Sources: map[string]*catalog.Members{}, Instances: map[string]*core.Memory{}}
 	for _, h := range d.hubs {
 		if m := h.Snapshot(); m != nil {
-			s.Sources[h.source.List] = m
+			s.Sources[h.source.Key()] = m
 		}
 	}
 	limit := time.Now().Add(memoryWait)
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,483 @@
+// Package membership makes one list of servers of what several sources say. It is free of I/O, clock and
+// randomness: reports and the time go in, the list and the reasons come out. The rule stands as one table
+// in docs/design/membership.md, and as a table test.
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// State is what a source says of a server, and what comes of it.
+type State uint8
+
+// States. A source that does not name a server says Absent.
+const (
+	Absent State = iota
+	Up
+	Draining
+	Gone
+)
+
+func (s State) String() string { return [...]string{"absent", "up", "draining", "gone"}[s] }
+
+// Server is one server as a source describes it.
+type Server struct {
+	ID       string
+	Addr     string // IP and port
+	Zone     string
+	Kind     string
+	Pod      int
+	Weight   float64
+	Priority int // RFC 2782: those of a higher number stand by while one of a lower is up
+	State    State
+	Started  int64 // Unix time in ms; 0: not told
+}
+
+// Source is how far a source is believed.
+type Source struct {
+	Name string
+	// Exact sources say what they leave out: a server that is missing from a whole view is gone. Records
+	// are not exact: one that is missing has been withdrawn, which another source may know better.
+	Exact bool
+	Hold  time.Duration // how long the last good view of a source that fails holds
+}
+
+// Settings say how much is believed, and for how long.
+type Settings struct {
+	Sources []Source // the first that tells a thing is believed
+	// Guard is how long servers stay that a whole view of records has suddenly lost: more than half, and
+	// more than two. A further view so much later that lacks them too is believed.
+	Guard time.Duration
+	// Settle is the least time between two changes of a server's pod that take effect.
+	Settle time.Duration
+}
+
+// What sources say.
+type (
+	// View is all that a source knows.
+	View struct {
+		Source  string
+		Servers []Server
+	}
+	// Change is part of it: what has come, changed or gone.
+	Change struct {
+		Source  string
+		Servers []Server
+	}
+	// Forget takes back all that a source has said.
+	Forget struct{ Source string }
+	// Failed says that a source could not be asked, or that its answer was no good.
+	Failed struct{ Source string }
+)
+
+// Report is one of them.
+type Report interface{ report() }
+
+func (View) report()   {}
+func (Change) report() {}
+func (Failed) report() {}
+func (Forget) report() {}
+
+// Member is a server of the merged list, in it or not.
+type Member struct {
+	Server
+	In  bool
+	Why string
+}
+
+// Module merges. It belongs to one goroutine.
+type Module struct {
+	s       Settings
+	sources []*source
+	// gone are those of which a source said that they drain or are gone, by address and by ID: that holds
+	// until there is newer evidence.
+	gone []*verdict
+	pods map[string]*pod // by ID
+	last map[string]Member
+	now  time.Duration
+	logs []string
+}
+
+type source struct {
+	Source
+	known   bool
+	failing bool
+	since   time.Duration // failing since then
+	entries map[string]*entry
+	viewAt  time.Duration
+}
+
+type entry struct {
+	Server
+	announced time.Duration // when it last came
+	lost      bool          // a whole view suddenly lacks it, and is not believed yet
+	lostAt    time.Duration
+}
+
+type verdict struct {
+	id, addr string
+	state    State
+	by       string
+	at       time.Duration
+	started  int64
+}
+
+type pod struct {
+	pod     int
+	changed time.Duration
+
+	set  bool
+	said bool
+}
+
+// New merges nothing yet.
+func New(s Settings) *Module {
+	m := &Module{s: s, pods: map[string]*pod{}, last: map[string]Member{}}
+	for _, o := range s.Sources {
+		m.sources = append(m.sources, &source{Source: o, entries: map[string]*entry{}})
+	}
+	return m
+}
+
+// Step takes reports that came by now, and returns the list as it is: every server that any source
+// names, in it or not, by ID. Without reports, time alone has passed. changed tells whether it differs
+// from the list before.
+func (m *Module) Step(now time.Duration, reports ...Report) (list []Member, changed bool) {
+	m.now = max(now, m.now)
+	for _, r := range reports {
+		switch r := r.(type) {
+		case View:
+			if s := m.source(r.Source); s != nil {
+				m.view(s, r.Servers)
+			}
+		case Change:
+			if s := m.source(r.Source); s != nil {
+				s.heard(m.now)
+				for _, v := range r.Servers {
+					m.entry(s, v)
+				}
+			}
+		case Forget:
+			if s := m.source(r.Source); s != nil {
+				s.entries, s.known = map[string]*entry{}, false
+				m.gone = slices.DeleteFunc(m.gone, func(g *verdict) bool { return g.by == s.Name })
+			}
+		case Failed:
+			if s := m.source(r.Source); s != nil && !s.failing {
+				s.failing, s.since = true, m.now
+			}
+		}
+	}
+	list = m.merge()
+	next := map[string]Member{}
+	for _, v := range list {
+		next[v.ID] = v
+		old, known := m.last[v.ID]
+		if !known || old != v {
+			changed = changed || !known || old.In != v.In || old.Server != v.Server
+		}
+	}
+	changed = changed || len(next) != len(m.last)
+	m.last = next
+	return list, changed
+}
+
+// Logs are what an operator should read, once each.
+func (m *Module) Logs() []string {
+	l := m.logs
+	m.logs = nil
+	return l
+}
+
+func (m *Module) source(name string) *source {
+	for _, s := range m.sources {
+		if s.Name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+func (s *source) heard(now time.Duration) { s.known, s.failing, s.viewAt = true, false, now }
+
+// view takes a whole view of a source.
+func (m *Module) view(s *source, servers []Server) {
+	named := map[string]bool{}
+	for _, v := range servers {
+		named[v.ID] = true
+	}
+	missing := 0
+	for id, e := range s.entries {
+		if !named[id] && !e.lost {
+			missing++
+		}
+	}
+	sudden := !s.Exact && missing > 2 && 2*missing > len(s.entries)
+	if sudden {
+		m.logs = append(m.logs, fmt.Sprintf("%s lacks %d of %d servers at once: they stay for %v", s.Name, missing, len(s.entries), m.s.Guard))
+	}
+	for id, e := range s.entries {
+		switch {
+		case named[id]:
+		case s.Exact:
+			m.judge(s, e, Gone)
+			delete(s.entries, id)
+		case sudden && !e.lost:
+			e.lost, e.lostAt = true, m.now
+		case e.lost && m.now-e.lostAt < m.s.Guard:
+		default:
+			delete(s.entries, id)
+		}
+	}
+	for _, v := range servers {
+		m.entry(s, v)
+	}
+	s.heard(m.now)
+}
+
+// entry takes what a source says of one server.
+func (m *Module) entry(s *source, v Server) {
+	e := s.entries[v.ID]
+	if e == nil {
+		e = &entry{Server: v, announced: m.now}
+		if v.State == Gone || v.State == Absent {
+			m.judge(s, e, v.State)
+			return
+		}
+		s.entries[v.ID] = e
+	}
+	old := e.State
+	e.Server, e.lost = v, false
+	switch {
+	case v.State == Gone:
+		m.judge(s, e, Gone)
+		delete(s.entries, v.ID)
+	case v.State == Absent:
+		delete(s.entries, v.ID)
+	case v.State == Draining:
+		m.judge(s, e, Draining)
+	case old != Up: // it came back by the word of the very source that had it drain
+		e.announced = m.now
+	}
+	if v.State == Up {
+		m.gone = slices.DeleteFunc(m.gone, func(g *verdict) bool { return g.same(v) && g.by == s.Name })
+	}
+}
+
+// judge notes that a source says a server drains, or is gone.
+func (m *Module) judge(s *source, e *entry, state State) {
+	if state != Draining && state != Gone {
+		return
+	}
+	for _, g := range m.gone {
+		if g.same(e.Server) && g.by == s.Name {
+			g.state, g.at = state, m.now // said again, it is as new as that
+			g.started = max(g.started, e.Started)
+			return
+		}
+	}
+	m.gone = append(m.gone, &verdict{e.ID, e.Addr, state, s.Name, m.now, e.Started})
+	if len(m.gone) > verdictsMost {
+		m.gone = m.gone[1:] // the oldest: of thousands, no record advertises it any more
+	}
+}
+
+const verdictsMost = 20000
+
+// same reports whether a verdict is of a server: by its ID, or by its address. A process that started
+// later is another.
+func (g *verdict) same(v Server) bool { return g.id == v.ID || g.addr != "" && g.addr == v.Addr }
+
+// overruled reports whether what a source says of a server is newer than the verdict: a later start, or a
+// withdrawal and a new announcement after it.
+func (g *verdict) overruled(e *entry) bool {
+	if e.State != Up || e.lost {
+		return false
+	}
+	if e.Started > 0 && g.started > 0 {
+		return e.Started > g.started
+	}
+	return e.announced > g.at
+}
+
+// fresh reports whether a source has a say: it has been heard, and does not fail for too long.
+func (m *Module) fresh(s *source) bool {
+	return s.known && (!s.failing || m.now-s.since <= s.Hold)
+}
+
+// group is one server, by all that sources say of it.
+type group struct {
+	entries []*entry
+	by      []*source
+}
+
+// merge makes the list.
+func (m *Module) merge() []Member {
+	var groups []*group
+	byID, byAddr := map[string]*group{}, map[string]*group{}
+	for _, s := range m.sources {
+		for _, id := range sorted(s.entries) {
+			e := s.entries[id]
+			g := byID[e.ID]
+			if g == nil && e.Addr != "" {
+				if o := byAddr[e.Addr]; o != nil && !o.another(e) {
+					g = o
+				}
+			}
+			if g == nil {
+				g = &group{}
+				groups = append(groups, g)
+			}
+			g.entries, g.by = append(g.entries, e), append(g.by, s)
+			byID[e.ID] = g
+			if e.Addr != "" {
+				if o := byAddr[e.Addr]; o == nil || o.another(e) && e.Started > o.started() {
+					byAddr[e.Addr] = g
+				}
+			}
+		}
+	}
+	var list []Member
+	for _, g := range groups {
+		list = append(list, m.decide(g, byAddr))
+	}
+	// Failures alone never empty the fleet: with nobody left, what a silent source last said still holds.
+	if !slices.ContainsFunc(list, func(v Member) bool { return v.In }) {
+		for i := range list {
+			if list[i].State == Up && strings.HasPrefix(list[i].Why, silent) {
+				list[i].In, list[i].Why = true, "kept: nothing else is known"
+			}
+		}
+	}
+	best := map[string]int{}
+	for i := range list {
+		if list[i].In && list[i].State == Up {
+			if b, ok := best[""]; !ok || list[i].Priority < b {
+				best[""] = list[i].Priority
+			}
+		}
+	}
+	for i := range list {
+		if list[i].In && list[i].State == Up && list[i].Priority > best[""] {
+			list[i].In, list[i].Why = false, fmt.Sprintf("stands by: one of priority %d is up", best[""])
+		}
+	}
+	if len(m.pods) > 4*len(list)+1000 { // of those that nobody names any more
+		known := map[string]bool{}
+		for _, v := range list {
+			known[v.ID] = true
+		}
+		for id := range m.pods {
+			if !known[id] {
+				delete(m.pods, id)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+const silent = "its sources are silent"
+
+// another reports whether an entry is of a process that took over the group's address, or had it before.
+func (g *group) another(e *entry) bool {
+	s := g.started()
+	return s > 0 && e.Started > 0 && s != e.Started
+}
+
+func (g *group) started() (s int64) {
+	for _, e := range g.entries {
+		s = max(s, e.Started)
+	}
+	return s
+}
+
+// decide says what comes of one server.
+func (m *Module) decide(g *group, byAddr map[string]*group) Member {
+	v := Member{Server: g.entries[0].Server}
+	for _, e := range g.entries[1:] { // the first that tells a thing is believed
+		v.Zone, v.Kind = or(v.Zone, e.Zone), or(v.Kind, e.Kind)
+		v.Pod, v.Weight, v.Started = or(v.Pod, e.Pod), or(v.Weight, e.Weight), max(v.Started, e.Started)
+	}
+	v.Pod = m.podOf(v.ID, v.Pod)
+	var up, said []string
+	stale := 0
+	for i, e := range g.entries {
+		switch {
+		case !m.fresh(g.by[i]):
+			stale++
+		case e.State == Up:
+			up = append(up, g.by[i].Name)
+		}
+		said = append(said, g.by[i].Name)
+	}
+	v.State = Up
+	// Drained or gone by any source wins and holds, also by one that is silent by now, until there is newer
+	// evidence.
+	var worst *verdict
+	for _, d := range m.gone {
+		hit, overruled := false, false
+		for _, e := range g.entries {
+			hit = hit || d.same(e.Server)
+			overruled = overruled || d.overruled(e)
+		}
+		if hit && !overruled && (worst == nil || d.state > worst.state) {
+			worst = d
+		}
+	}
+	switch {
+	case worst != nil:
+		v.State = worst.state
+		v.In = worst.state == Draining // decide hears of it, and sends nothing new
+		v.Why = fmt.Sprintf("%s by %s", worst.state, worst.by)
+	case v.Addr != "" && byAddr[v.Addr] != g && byAddr[v.Addr] != nil:
+		v.State, v.Why = Gone, "another process has its address"
+	case len(up) == 0 && stale > 0:
+		v.Why = silent + ": " + strings.Join(said, ", ")
+	case len(up) > 0:
+		v.In, v.Why = true, "up by "+strings.Join(up, ", ")
+	default:
+		v.State, v.Why = Absent, "nobody says that it is up"
+	}
+	return v
+}
+
+// podOf is the pod that counts: a change takes effect at once, and the next one not before it has settled.
+func (m *Module) podOf(id string, said int) int {
+	p := m.pods[id]
+	if p == nil {
+		m.pods[id] = &pod{pod: said, set: true, changed: m.now - m.s.Settle}
+		return said
+	}
+	switch {
+	case said == p.pod:
+		p.said = false
+	case m.now-p.changed >= m.s.Settle:
+		m.logs = append(m.logs, fmt.Sprintf("%s moves from pod %d to pod %d", id, p.pod, said))
+		p.pod, p.changed, p.said = said, m.now, false
+	case !p.said:
+		m.logs = append(m.logs, fmt.Sprintf("%s is said to be in pod %d so soon after its last move: it stays in pod %d for now", id, said, p.pod))
+		p.said = true
+	}
+	return p.pod
+}
+
+func sorted(entries map[string]*entry) []string {
+	var ids []string
+	for id := range entries {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func or[T comparable](a, b T) T {
+	var zero T
+	if a == zero {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,347 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	hold   = time.Hour
+	guard  = 30 * time.Second
+	settle = 12 * time.Second
+)
+
+func module(names ...string) *Module {
+	s := Settings{Guard: guard, Settle: settle}
+	for i, n := range names {
+		s.Sources = append(s.Sources, Source{Name: n, Exact: i == 0, Hold: hold})
+	}
+	return New(s)
+}
+
+func up(ids ...string) (all []Server) {
+	for i, id := range ids {
+		all = append(all, Server{ID: id, Addr: fmt.Sprintf("10.0.0.%d:80", i+1), State: Up})
+	}
+	return all
+}
+
+func find(t testing.TB, list []Member, id string) Member {
+	t.Helper()
+	for _, v := range list {
+		if v.ID == id {
+			return v
+		}
+	}
+	return Member{}
+}
+
+// serves reports whether new work may go to a server.
+func (v Member) serves() bool { return v.In && v.State == Up }
+
+// The rule, for every pair and every triple of what sources can say of one server. "silent" is a source
+// whose last word is older than its hold, "failing" one that fails for less.
+func TestTheRule(t *testing.T) {
+	states := []string{"absent", "up", "draining", "gone", "silent", "failing"}
+	var combos [][]string
+	for _, a := range states {
+		for _, b := range states {
+			combos = append(combos, []string{a, b})
+			for _, c := range states {
+				combos = append(combos, []string{a, b, c})
+			}
+		}
+	}
+	for _, combo := range combos {
+		var names []string
+		for i := range combo {
+			names = append(names, fmt.Sprint("s", i))
+		}
+		names = append(names, "other")
+		m := module(names...)
+		x := Server{ID: "x", Addr: "10.0.0.9:80", State: Up}
+		keep := Server{ID: "keep", Addr: "10.0.0.8:80", State: Up}
+		now := time.Duration(0)
+		m.Step(now, View{"other", []Server{keep}})
+		for i, c := range combo {
+			switch c {
+			case "silent", "failing":
+				m.Step(now, View{names[i], []Server{x}})
+			}
+		}
+		for i, c := range combo {
+			if c == "silent" {
+				m.Step(now, Failed{names[i]})
+			}
+		}
+		if slices.Contains(combo, "silent") {
+			now += hold + time.Second
+		}
+		for i, c := range combo {
+			said := x
+			switch c {
+			case "absent":
+				m.Step(now, View{names[i], nil})
+			case "up":
+				m.Step(now, View{names[i], []Server{x}})
+			case "failing":
+				m.Step(now, Failed{names[i]})
+			case "draining":
+				said.State = Draining
+				m.Step(now, Change{names[i], []Server{said}})
+			case "gone":
+				m.Step(now, View{names[i], []Server{x}})
+				said.State = Gone
+				m.Step(now, Change{names[i], []Server{said}})
+			}
+		}
+		list, _ := m.Step(now)
+		got := find(t, list, "x")
+		bad := slices.Contains(combo, "draining") || slices.Contains(combo, "gone")
+		alive := slices.Contains(combo, "up") || slices.Contains(combo, "failing")
+		if want := alive && !bad; got.serves() != want {
+			t.Errorf("%v: serves %v (%s), want %v", combo, got.serves(), got.Why, want)
+		}
+		if !find(t, list, "keep").serves() {
+			t.Errorf("%v: a server that nobody else names is out", combo)
+		}
+	}
+}
+
+// What a record still advertises after the list reported it gone stays out, until there is newer evidence.
+func TestNewerEvidence(t *testing.T) {
+	fresh := func() *Module {
+		m := module("list", "records")
+		m.Step(0, View{"list", up("a", "x")}, View{"records", up("a", "x")})
+		m.Step(time.Second, View{"list", up("a")})
+		return m
+	}
+	serves := func(m *Module, at time.Duration, r ...Report) bool {
+		t.Helper()
+		list, _ := m.Step(at, r...)
+		return find(t, list, "x").serves()
+	}
+	m := fresh()
+	if serves(m, 2*time.Second, View{"records", up("a", "x")}) || serves(m, time.Hour, View{"records", up("a", "x")}) {
+		t.Error("the same record brought it back")
+	}
+	if serves(m, time.Hour+time.Second, View{"records", up("a")}) {
+		t.Error("withdrawn, and back")
+	}
+	if !serves(m, time.Hour+2*time.Second, View{"records", up("a", "x")}) {
+		t.Error("withdrawn and announced again after the list's report: that is newer")
+	}
+	m = fresh()
+	if !serves(m, 3*time.Second, View{"list", up("a", "x")}) {
+		t.Error("the list that had it gone has it again")
+	}
+	m = module("list", "records")
+	old := up("a", "x")
+	old[1].Started = 1000
+	m.Step(0, View{"list", old}, View{"records", old})
+	m.Step(time.Second, View{"list", old[:1]})
+	next := slices.Clone(old)
+	if next[1].Started = 1000; serves(m, 2*time.Second, View{"records", next[:1]}, View{"records", next}) {
+		t.Error("announced again with the start that was reported gone")
+	}
+	next = slices.Clone(next)
+	if next[1].Started = 2000; !serves(m, 3*time.Second, View{"records", next}) {
+		t.Error("a new start is newer evidence")
+	}
+}
+
+// Failures never shrink the fleet before the hold is over, nor empty it afterwards; and a sudden empty
+// answer is not believed at once, though a drain is.
+func TestFailuresAndSuddenLoss(t *testing.T) {
+	m := module("list", "records")
+	m.Step(0, View{"records", up("a", "b", "c", "d")})
+	count := func(at time.Duration, r ...Report) (n int) {
+		list, _ := m.Step(at, r...)
+		for _, v := range list {
+			if v.serves() {
+				n++
+			}
+		}
+		return n
+	}
+	if n := count(time.Minute, Failed{"records"}, Failed{"list"}); n != 4 {
+		t.Errorf("%d after a failure", n)
+	}
+	if n := count(3 * hold); n != 4 {
+		t.Errorf("%d long after: failures emptied the fleet", n)
+	}
+	at := 3*hold + time.Second
+	if n := count(at, View{"records", nil}); n != 4 {
+		t.Errorf("%d after a sudden empty answer", n)
+	}
+	b := up("a", "b")[1]
+	b.State = Draining
+	if n := count(at+time.Second, Change{"list", []Server{b}}); n != 3 {
+		t.Errorf("%d: the guard overruled a drain", n)
+	}
+	if n := count(at+guard/2, View{"records", nil}); n != 3 {
+		t.Errorf("%d: a second answer too soon", n)
+	}
+	if n := count(at+guard+time.Second, View{"records", nil}); n != 0 {
+		t.Errorf("%d: the second answer is not believed", n)
+	}
+	m = module("list", "records")
+	m.Step(0, View{"records", up("a", "b", "c", "d")})
+	if n := count(time.Second, View{"records", up("a", "b", "c")}); n != 3 {
+		t.Errorf("%d: one that is withdrawn goes at once", n)
+	}
+}
+
+// One server under two names is one, two that have an address in turn are two.
+func TestIdentity(t *testing.T) {
+	m := module("list", "records")
+	named := Server{ID: "formserver-7", Addr: "10.0.0.7:80", State: Up, Zone: "a", Pod: 3}
+	record := Server{ID: "formserver-7.example.org:80", Addr: "10.0.0.7:80", State: Up, Weight: 5}
+	list, _ := m.Step(0, View{"list", []Server{named}}, View{"records", []Server{record}})
+	if len(list) != 1 || list[0].ID != "formserver-7" || list[0].Weight != 5 || list[0].Pod != 3 {
+		t.Errorf("%+v", list)
+	}
+	gone := named
+	gone.State = Gone
+	if list, _ = m.Step(time.Second, Change{"list", []Server{gone}}); find(t, list, record.ID).serves() {
+		t.Errorf("the same server by its other name: %+v", list)
+	}
+	m = module("list", "records")
+	first, second := named, Server{ID: "other", Addr: named.Addr, State: Up}
+	first.Started, second.Started = 1000, 2000
+	list, _ = m.Step(0, View{"list", []Server{first}}, View{"records", []Server{second}})
+	if len(list) != 2 || find(t, list, "formserver-7").serves() || !find(t, list, "other").serves() {
+		t.Errorf("%+v", list)
+	}
+}
+
+// A changed pod takes effect at once, a flapping one seldom, and each is said once.
+func TestPodsAreDamped(t *testing.T) {
+	m := module("list")
+	at := func(now time.Duration, p int) int {
+		x := Server{ID: "x", Addr: "10.0.0.1:80", State: Up, Pod: p}
+		list, _ := m.Step(now, View{"list", []Server{x}})
+		return find(t, list, "x").Pod
+	}
+	if at(0, 1) != 1 || at(time.Minute, 2) != 2 {
+		t.Error("a first move does not take effect at once")
+	}
+	m.Logs()
+	moves := 0
+	last := 2
+	for i := range 120 { // it flaps every second
+		if p := at(time.Minute+time.Duration(i+1)*time.Second, 1+i%2); p != last {
+			moves++
+			last = p
+		}
+	}
+	if moves > 10 || moves == 0 {
+		t.Errorf("%d moves in two minutes", moves)
+	}
+	if n := len(m.Logs()); n > 80 {
+		t.Errorf("%d lines about it", n)
+	}
+}
+
+// RFC 2782: those of a higher number stand by.
+func TestPriorities(t *testing.T) {
+	m := module("list", "records")
+	all := up("a", "b", "c")
+	all[2].Priority = 10
+	list, _ := m.Step(0, View{"records", all})
+	if find(t, list, "c").serves() || !find(t, list, "a").serves() {
+		t.Errorf("%+v", list)
+	}
+	for i := range 2 {
+		all[i].State = Draining
+	}
+	if list, _ = m.Step(time.Second, Change{"list", all[:2]}); !find(t, list, "c").serves() {
+		t.Errorf("%+v", list)
+	}
+}
+
+// Whatever the order of reports: nothing serves of which a source said that it drains or is gone, without
+// newer evidence; and failures alone change nothing before the hold is over.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"list", "srv", "sd"}
+		m := module(names...)
+		ids := []string{"a", "b", "c", "d", "e"}
+		bad := map[string]map[string]int{}     // by server, by source: the step of its last bad word
+		lastUp := map[string]map[string]bool{} // by source: whom it has up
+		renewed := map[string]int{}            // by server: the step of its last announcement after not being there
+		for _, n := range names {
+			lastUp[n] = map[string]bool{}
+		}
+		now := time.Duration(0)
+		steps := rapid.IntRange(1, 30).Draw(t, "steps")
+		for step := 1; step <= steps; step++ {
+			now += time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond
+			by := rapid.SampledFrom(names).Draw(t, "by")
+			before, _ := m.Step(now)
+			if rapid.IntRange(0, 3).Draw(t, "fails") == 0 {
+				after, _ := m.Step(now, Failed{by})
+				if fmt.Sprint(serving(before)) != fmt.Sprint(serving(after)) {
+					t.Fatalf("a failure of %s made %v of %v", by, serving(after), serving(before))
+				}
+				continue
+			}
+			var said []Server
+			for i, id := range ids {
+				s := rapid.SampledFrom([]State{Absent, Up, Up, Draining, Gone}).Draw(t, id)
+				v := Server{ID: id, Addr: fmt.Sprintf("10.0.0.%d:80", i+1), State: s}
+				if s != Absent {
+					said = append(said, v)
+				}
+				switch {
+				case s == Up:
+					if bad[id] != nil {
+						delete(bad[id], by)
+					}
+					if !lastUp[by][id] {
+						renewed[id] = step
+					}
+				case s == Draining || s == Gone || s == Absent && by == "list" && lastUp[by][id]:
+					if bad[id] == nil {
+						bad[id] = map[string]int{}
+					}
+					bad[id][by] = step
+				}
+				lastUp[by][id] = s == Up
+			}
+			list, _ := m.Step(now, View{by, said})
+			for _, v := range list {
+				for source, at := range bad[v.ID] {
+					if v.serves() && renewed[v.ID] <= at {
+						t.Fatalf("step %d: %s serves (%s), and %s said otherwise at step %d", step, v.ID, v.Why, source, at)
+					}
+				}
+			}
+		}
+	})
+}
+
+func serving(list []Member) (ids []string) {
+	for _, v := range list {
+		if v.serves() {
+			ids = append(ids, v.ID)
+		}
+	}
+	return ids
+}
+
+func BenchmarkMergeThreeOfAThousand(b *testing.B) {
+	m := module("list", "srv", "sd")
+	var all []Server
+	for i := range 1000 {
+		all = append(all, Server{ID: fmt.Sprint("s-", i), Addr: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), State: Up, Pod: i % 7})
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		m.Step(time.Duration(n)*time.Second, View{"list", all}, View{"srv", all}, View{"sd", all})
+	}
+}
--- /dev/null
+++ b/internal/standin/dns/dns.go
@@ -0,0 +1,154 @@
+// Package dns is a stand-in name server on loopback, over UDP and TCP, that answers by its records and does
+// wrong what its script tells it to.
+package dns
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+
+	"github.com/miekg/dns"
+)
+
+// Fault is what is done with a query.
+type Fault struct {
+	Rcode     int  // answered with this
+	Drop      bool // no answer
+	Truncate  bool // over UDP: cut short
+	CutTCP    bool // over TCP too
+	WrongID   bool
+	WrongName bool // the answer is to another question
+	Foreign   bool // records of another name
+	Garbage   bool // bytes that are no message
+}
+
+// Server is a name server.
+type Server struct {
+	udp, tcp *dns.Server
+	addr     string
+
+	mu      sync.Mutex
+	records map[string][]dns.RR // by name and type
+	script  func(name, kind, network string) Fault
+	asked   int
+}
+
+// New starts one on a free port.
+func New() (*Server, error) {
+	for range 20 { // both must have the same port
+		pc, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		ln, err := net.Listen("tcp", pc.LocalAddr().String())
+		if err != nil {
+			_ = pc.Close()
+			continue
+		}
+		s := &Server{addr: pc.LocalAddr().String(), records: map[string][]dns.RR{}, script: func(string, string, string) Fault { return Fault{} }}
+		s.udp = &dns.Server{PacketConn: pc, Handler: s.handler("udp")}
+		s.tcp = &dns.Server{Listener: ln, Handler: s.handler("tcp")}
+		go func() { _ = s.udp.ActivateAndServe() }()
+		go func() { _ = s.tcp.ActivateAndServe() }()
+		return s, nil
+	}
+	return nil, fmt.Errorf("no port that is free for UDP and TCP")
+}
+
+// Addr is where it listens.
+func (s *Server) Addr() string { return s.addr }
+
+// Close ends it.
+func (s *Server) Close() {
+	_ = s.udp.PacketConn.Close()
+	_ = s.tcp.Listener.Close()
+}
+
+// Set puts the records of a name and type there, in the form of zone files, in place of those before.
+func (s *Server) Set(name, kind string, records ...string) error {
+	var all []dns.RR
+	for _, text := range records {
+		rr, err := dns.NewRR(text)
+		if err != nil {
+			return err
+		}
+		all = append(all, rr)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records[key(name, kind)] = all
+	return nil
+}
+
+// Script has f say what is done with each query.
+func (s *Server) Script(f func(name, kind, network string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.script = f
+}
+
+// Asked is how many queries came.
+func (s *Server) Asked() int { s.mu.Lock(); defer s.mu.Unlock(); return s.asked }
+
+func key(name, kind string) string { return strings.ToLower(dns.Fqdn(name)) + " " + kind }
+
+func (s *Server) handler(network string) dns.Handler {
+	return dns.HandlerFunc(func(w dns.ResponseWriter, q *dns.Msg) {
+		if len(q.Question) != 1 {
+			return
+		}
+		name, kind := q.Question[0].Name, dns.TypeToString[q.Question[0].Qtype]
+		s.mu.Lock()
+		s.asked++
+		f := s.script(name, kind, network)
+		found, known := s.records[key(name, kind)]
+		if alias := s.records[key(name, "CNAME")]; len(found) == 0 && len(alias) > 0 {
+			found, known = alias, true
+		}
+		there := known
+		for k := range s.records {
+			there = there || strings.HasPrefix(k, strings.ToLower(name)+" ")
+		}
+		s.mu.Unlock()
+		r := new(dns.Msg)
+		r.SetReply(q)
+		r.Answer = found
+		switch {
+		case f.Drop:
+			return
+		case f.Garbage:
+			_, _ = w.Write([]byte("\x00\x01 this is no message of DNS"))
+			return
+		case f.Rcode != 0:
+			r.Rcode, r.Answer = f.Rcode, nil
+		case !there:
+			r.Rcode = dns.RcodeNameError
+		}
+		if f.Foreign {
+			rr, _ := dns.NewRR("foreign.example.org. 60 IN A 10.9.9.9")
+			r.Answer = []dns.RR{rr}
+		}
+		if f.WrongName {
+			r.Question[0].Name = "another.example.org."
+		}
+		if f.WrongID {
+			r.Id++
+		}
+		if network == "udp" {
+			size := 512
+			if o := q.IsEdns0(); o != nil {
+				size = int(o.UDPSize())
+			}
+			r.Truncate(size)
+			if f.Truncate {
+				r.Truncated = true
+				r.Answer = r.Answer[:len(r.Answer)/2]
+			}
+		} else if f.CutTCP {
+			r.Truncated = true
+			r.Answer = r.Answer[:len(r.Answer)/2]
+		}
+		_ = w.WriteMsg(r)
+	})
+}
