DNS-SD over multicast DNS, against a given address on loopback

A cache by RFC 6762 (lifetimes, refreshes at 80 to 95%, goodbyes, cache-flush, known answers over several packets), free of I/O; a goodbye is told as gone at once, everybody's silence as a failure. Sources take multicast and group, off by default. A stand-in responder announces and takes back; fuzzed.

--- /dev/null
+++ b/internal/dnssource/mdns_test.go
@@ -0,0 +1,219 @@
+package dnssource
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"vetchhaven/internal/membership"
+	standin "vetchhaven/internal/standin/dns"
+	"vetchhaven/internal/testkit"
+)
+
+const local = "_form._tcp.local."
+
+func rr(t testing.TB, text string) dns.RR {
+	t.Helper()
+	r, err := dns.NewRR(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func message(records ...dns.RR) *dns.Msg {
+	m := new(dns.Msg)
+	m.Response = true
+	m.Answer = records
+	return m
+}
+
+// Lifetimes, refreshes at 80 to 95%, goodbyes, cache-flush and known answers, by the RFC's figures.
+func TestCache(t *testing.T) {
+	var c cache
+	ptr := "_form._tcp.local. 100 IN PTR one._form._tcp.local."
+	c.take(0, message(rr(t, ptr)))
+	q := dns.Question{Name: local, Qtype: dns.TypePTR, Qclass: dns.ClassINET}
+	for _, row := range []struct {
+		at  time.Duration
+		ask int
+	}{{79, 0}, {80, 1}, {81, 0}, {85, 1}, {90, 1}, {95, 1}, {99, 0}} {
+		if got := c.due(row.at * time.Second); len(got) != row.ask {
+			t.Errorf("at %d s: %v", row.at, got)
+		}
+	}
+	if len(c.known(q, 49*time.Second)) != 1 || len(c.known(q, 51*time.Second)) != 0 {
+		t.Error("known answers are those with more than half of their lifetime")
+	}
+	if c.expire(99*time.Second) || !c.expire(100*time.Second) {
+		t.Error("it does not end with its lifetime")
+	}
+	c.take(200*time.Second, message(rr(t, ptr)))
+	c.take(250*time.Second, message(rr(t, ptr))) // heard again
+	if c.expire(320 * time.Second) {
+		t.Error("it ends though it was heard again")
+	}
+	if byes := c.take(321*time.Second, message(rr(t, "_form._tcp.local. 0 IN PTR one._form._tcp.local."))); len(byes) != 1 {
+		t.Errorf("goodbyes %v", byes)
+	}
+	if c.expire(321*time.Second+999*time.Millisecond) || !c.expire(322*time.Second) {
+		t.Error("a goodbye's record lives for one second")
+	}
+	// Cache-flush: what is older than a second goes, what came with it stays.
+	var f cache
+	f.take(0, message(rr(t, "one.local. 100 IN A 10.0.0.1")))
+	flush := rr(t, "one.local. 100 IN A 10.0.0.2")
+	flush.Header().Class |= topBit
+	also := rr(t, "one.local. 100 IN A 10.0.0.3")
+	also.Header().Class |= topBit
+	f.take(10*time.Second, message(flush, also))
+	f.expire(11 * time.Second)
+	if got := f.find("one.local", dns.TypeA); len(got) != 2 {
+		t.Errorf("%v", got)
+	}
+}
+
+// Known answers that do not fit in one packet go in several, all but the last of which say so.
+func TestKnownAnswersAreSplit(t *testing.T) {
+	m := NewMulticast(Options{Name: "m"}, local, "127.0.0.1:1")
+	var all []dns.RR
+	for i := range 200 {
+		all = append(all, rr(t, fmt.Sprintf("_form._tcp.local. 100 IN PTR a-rather-long-name-of-an-instance-%d._form._tcp.local.", i)))
+	}
+	m.c.take(0, message(all...))
+	packets := m.query(dns.Question{Name: local, Qtype: dns.TypePTR, Qclass: dns.ClassINET}, time.Second)
+	n := 0
+	for i, data := range packets {
+		var p dns.Msg
+		if err := p.Unpack(data); err != nil || len(data) > packetMost || p.Truncated != (i < len(packets)-1) || (len(p.Question) == 1) != (i == 0) {
+			t.Errorf("packet %d of %d: %d bytes, %v", i, len(packets), len(data), err)
+		}
+		n += len(p.Answer)
+	}
+	if n != 200 || len(packets) < 3 {
+		t.Errorf("%d known answers in %d packets", n, len(packets))
+	}
+}
+
+// Over sockets: what is announced is found, a goodbye is told at once, noise harms nothing, and one who
+// comes back is there again.
+func TestMulticast(t *testing.T) {
+	r, err := standin.NewResponder()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	announce := func(flush bool, records ...string) {
+		t.Helper()
+		if err := r.Announce(flush, records...); err != nil {
+			t.Fatal(err)
+		}
+	}
+	instance := func(n, ttl int) []string {
+		i := fmt.Sprintf("i%d._form._tcp.local.", n)
+		return []string{fmt.Sprintf("%s %d IN PTR %s", local, ttl, i), fmt.Sprintf("%s %d IN SRV 0 0 80%02d h%d.local.", i, ttl, n, n),
+			fmt.Sprintf(`%s %d IN TXT "pod=%d"`, i, ttl, n), fmt.Sprintf("h%d.local. %d IN A 10.0.0.%d", n, ttl, n)}
+	}
+	announce(false, append(instance(1, 600), instance(2, 600)...)...)
+	m := NewMulticast(Options{Name: "m"}, local, r.Addr())
+	reports := make(chan membership.Report, 1000)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); m.Run(ctx, func(v membership.Report) { reports <- v }) }()
+	defer func() { cancel(); <-done }()
+	until := func(what string, ok func(membership.Report) bool) {
+		t.Helper()
+		limit := time.After(testkit.Patience)
+		for {
+			select {
+			case v := <-reports:
+				if ok(v) {
+					return
+				}
+			case <-limit:
+				t.Fatal("no ", what)
+			}
+		}
+	}
+	views := func(ids ...string) func(membership.Report) bool {
+		return func(v membership.Report) bool {
+			w, ok := v.(membership.View)
+			if !ok || len(w.Servers) != len(ids) {
+				return false
+			}
+			for i, s := range w.Servers {
+				if s.ID != ids[i] {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	until("both", func(v membership.Report) bool {
+		w, ok := v.(membership.View)
+		return ok && len(w.Servers) == 2 && w.Servers[1].Pod == 2 && w.Servers[1].Addr == "10.0.0.2:8002"
+	})
+	r.Say([]byte("this is no message"))
+	announce(false, instance(1, 0)[0])
+	until("goodbye", func(v membership.Report) bool {
+		w, ok := v.(membership.Change)
+		return ok && len(w.Servers) == 1 && w.Servers[0].ID == "h1.local:8001" && w.Servers[0].State == membership.Gone
+	})
+	until("view without it", views("h2.local:8002"))
+	announce(true, instance(1, 600)...)
+	until("view with it", views("h1.local:8001", "h2.local:8002"))
+	announce(true, "h2.local. 600 IN A 10.0.0.22")
+	until("its new address", func(v membership.Report) bool {
+		w, ok := v.(membership.View)
+		return ok && len(w.Servers) >= 2 && w.Servers[len(w.Servers)-1].Addr == "10.0.0.22:8002"
+	})
+	if r.Asked("SRV", "i1."+local) == 0 {
+		t.Error("what the answer lacked was not asked for")
+	}
+}
+
+// Everybody's silence is a failure, and no smaller fleet.
+func TestSilenceOfAllIsAFailure(t *testing.T) {
+	var c cache
+	c.take(0, message(rr(t, "a.local. 10 IN A 10.0.0.1"), rr(t, "b.local. 10 IN A 10.0.0.2")))
+	if !c.onlySilence(10 * time.Second) {
+		t.Error("all end at once unheard")
+	}
+	c.take(5*time.Second, message(rr(t, "b.local. 10 IN A 10.0.0.2")))
+	if c.onlySilence(10 * time.Second) {
+		t.Error("one was heard since")
+	}
+	c.take(11*time.Second, message(rr(t, "b.local. 0 IN A 10.0.0.2")))
+	if c.onlySilence(20 * time.Second) {
+		t.Error("one said goodbye")
+	}
+}
+
+// Packets of anybody: nothing panics, and the books stay bounded.
+func FuzzMulticast(f *testing.F) {
+	good, err := message(rr(f, "_form._tcp.local. 10 IN PTR i._form._tcp.local."), rr(f, "i._form._tcp.local. 10 IN SRV 0 0 80 h.local."),
+		rr(f, `i._form._tcp.local. 10 IN TXT "pod=1" "weight=x"`), rr(f, "h.local. 0 IN A 10.0.0.1")).Pack()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good, good)
+	f.Fuzz(func(t *testing.T, a, b []byte) {
+		m := NewMulticast(Options{Name: "m"}, local, "127.0.0.1:1")
+		for i, data := range [][]byte{a, b, a} {
+			var r dns.Msg
+			if r.Unpack(data) != nil {
+				continue
+			}
+			now := time.Duration(i) * time.Second
+			m.gone(m.c.take(now, &r))
+			m.tell(func(membership.Report) {}, now)
+			for _, q := range append(m.missing(), m.c.due(now)...) {
+				m.query(q, now)
+			}
+			m.c.expire(now)
+		}
+	})
+}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -53,18 +53,20 @@
 	First  time.Duration
 	// SRV names and service types to browse, over unicast DNS at these resolvers.
 	SRV, Browse, Resolvers []string
-	Hold                   time.Duration // how long the records last read hold where none can be had
+	// A service type that is announced by multicast DNS, and the group, or one responder's address.
+	Multicast, Group string
+	Hold             time.Duration // how long the records last read hold where none can be had
 }
 
 // Records reports whether names are read besides, or in place of, a list.
-func (s Source) Records() bool { return len(s.SRV)+len(s.Browse) > 0 }
+func (s Source) Records() bool { return len(s.SRV)+len(s.Browse) > 0 || s.Multicast != "" }
 
 // Key names a source's list in what is saved.
 func (s Source) Key() string {
 	if !s.Records() {
 		return s.List
 	}
-	return strings.Join(append(append([]string{s.List, "dns"}, s.SRV...), s.Browse...), " ")
+	return strings.Join(append(append([]string{s.List, "dns", s.Multicast}, s.SRV...), s.Browse...), " ")
 }
 
 // Instance is one agent.
@@ -115,6 +117,8 @@
 	SRV       []string `toml:"srv"`
 	Browse    []string
 	Resolvers []string
+	Multicast string
+	Group     string
 	Hold      tomlfile.Duration
 }
 
@@ -262,13 +266,13 @@
 		if _, twice := cfg.Sources[s.Name]; twice || s.Name == "" {
 			c.fail(at("name"), "%q is empty or named twice", s.Name)
 		}
-		if s.List != "" || len(s.SRV)+len(s.Browse) == 0 {
+		if s.List != "" || len(s.SRV)+len(s.Browse) == 0 && s.Multicast == "" {
 			c.hostPort(at("list"), s.List)
 		}
 		for _, names := range []struct {
 			key string
 			all []string
-		}{{"srv", s.SRV}, {"browse", s.Browse}} {
+		}{{"srv", s.SRV}, {"browse", s.Browse}, {"multicast", slices.DeleteFunc([]string{s.Multicast}, func(n string) bool { return n == "" })}} {
 			for _, n := range names.all {
 				if !strings.HasPrefix(n, "_") || strings.ContainsAny(n, " /:") {
 					c.fail(at(names.key), "%q: a name such as _form._tcp.example.org is needed", n)
@@ -281,7 +285,12 @@
 		if len(s.SRV)+len(s.Browse) > 0 && len(s.Resolvers) == 0 {
 			c.fail(at("resolvers"), "missing: names are asked of resolvers")
 		}
-		cfg.Sources[s.Name] = Source{Name: s.Name, SRV: s.SRV, Browse: s.Browse, Resolvers: s.Resolvers, Hold: c.span(at("hold"), s.Hold, time.Hour),
+		if (s.Multicast == "") != (s.Group == "") {
+			c.fail(at("group"), "multicast and group go together")
+		} else if s.Group != "" {
+			c.hostPort(at("group"), s.Group)
+		}
+		cfg.Sources[s.Name] = Source{Name: s.Name, Multicast: s.Multicast, Group: s.Group, SRV: s.SRV, Browse: s.Browse, Resolvers: s.Resolvers, Hold: c.span(at("hold"), s.Hold, time.Hour),
 			List: s.List, Spread: c.wait(at("spread"), s.Spread, 300*time.Millisecond),
 			First: c.wait(at("first"), s.First, 500*time.Millisecond)}
 	}
--- a/internal/fleet/merge.go
+++ b/internal/fleet/merge.go
@@ -15,6 +15,7 @@
 const (
 	fromList    = "the list"
 	fromRecords = "records"
+	fromNearby  = "multicast"
 	fromSaved   = "the saved list"
 )
 
@@ -39,6 +40,7 @@
 	version int64
 	told    map[string]catalog.Member
 	saved   bool
+	needed  []string                  // the parts that speak for themselves
 	changed func([]membership.Member) // may be nil
 }
 
@@ -49,8 +51,18 @@
 	if s.List != "" {
 		parts = append(parts, membership.Source{Name: fromList, Exact: true, Hold: forGood}) // the list's own rule: the last one holds
 	}
-	parts = append(parts, membership.Source{Name: fromRecords, Hold: s.Hold}, membership.Source{Name: fromSaved, Hold: s.Hold})
-	m := &Merger{source: s, log: log, out: out, began: time.Now(), reports: make(chan membership.Report, 16), heard: map[string]bool{},
+	if len(s.SRV)+len(s.Browse) > 0 {
+		parts = append(parts, membership.Source{Name: fromRecords, Hold: s.Hold})
+	}
+	if s.Multicast != "" {
+		parts = append(parts, membership.Source{Name: fromNearby, Hold: s.Hold})
+	}
+	var needed []string
+	for _, p := range parts {
+		needed = append(needed, p.Name)
+	}
+	parts = append(parts, membership.Source{Name: fromSaved, Hold: s.Hold})
+	m := &Merger{source: s, log: log, out: out, began: time.Now(), reports: make(chan membership.Report, 16), heard: map[string]bool{}, needed: needed,
 		told: map[string]catalog.Member{}, changed: changed,
 		module: membership.New(membership.Settings{Sources: parts, Guard: guardTime, Settle: settleTime})}
 	if saved != nil {
@@ -92,8 +104,14 @@
 		defer leave()
 		parts.Go(func() { list.Run(ctx) })
 	}
-	d := dnssource.New(dnssource.Options{Name: fromRecords, SRV: m.source.SRV, Browse: m.source.Browse, Resolvers: m.source.Resolvers, Log: m.log})
-	parts.Go(func() { d.Run(ctx, post) })
+	if len(m.source.SRV)+len(m.source.Browse) > 0 {
+		d := dnssource.New(dnssource.Options{Name: fromRecords, SRV: m.source.SRV, Browse: m.source.Browse, Resolvers: m.source.Resolvers, Log: m.log})
+		parts.Go(func() { d.Run(ctx, post) })
+	}
+	if m.source.Multicast != "" {
+		d := dnssource.NewMulticast(dnssource.Options{Name: fromNearby, Log: m.log}, m.source.Multicast, m.source.Group)
+		parts.Go(func() { d.Run(ctx, post) })
+	}
 	tick := time.NewTicker(time.Second) // what is held back for a while
 	defer tick.Stop()
 	for {
@@ -122,7 +140,7 @@
 	default:
 		all = append(all, r)
 	}
-	if m.saved && m.heard[fromRecords] && (m.heard[fromList] || m.source.List == "") { // all speak for themselves
+	if m.saved && m.whole() { // all speak for themselves
 		m.saved = false
 		all = append(all, membership.Forget{Source: fromSaved})
 	}
@@ -171,5 +189,15 @@
 func (m *Merger) Members() (list []membership.Member, whole bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.list, m.heard[fromRecords] && (m.heard[fromList] || m.source.List == "")
+	return m.list, m.whole()
+}
+
+// whole reports whether every part has been heard. The lock is held.
+func (m *Merger) whole() bool {
+	for _, n := range m.needed {
+		if !m.heard[n] {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/fleet/merge_test.go
+++ b/internal/fleet/merge_test.go
@@ -116,6 +116,7 @@
 		"a name such as":           with("srv = [\"example.org\"]\nresolvers = [\"127.0.0.1:53\"]\n"),
 		"source[0].resolvers":      with("browse = [\"_form._tcp.example.org\"]\nresolvers = [\"ns.example.org:53\"]\n"),
 		"source[0].list":           with(""),
+		"source[0].group":          with("multicast = \"_form._tcp.local\"\n"),
 	} {
 		if _, err := Load(writeFile(t, dir, text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: %v", want, err)
@@ -135,3 +136,43 @@
 	}
 	return string(text)
 }
+
+// A server that only a responder announces is served by, and left at its goodbye.
+func TestMulticastSource(t *testing.T) {
+	listed, nearby := standin.NewForm("listed", nil), standin.NewForm("nearby", nil)
+	defer listed.Close()
+	defer nearby.Close()
+	r, err := dns.NewResponder()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	host, port, _ := net.SplitHostPort(nearby.Member("ready").Addr)
+	announce := func(ttl int) {
+		t.Helper()
+		if err := r.Announce(false, fmt.Sprintf("_form._tcp.local. %d IN PTR i._form._tcp.local.", ttl), fmt.Sprintf("i._form._tcp.local. %d IN SRV 0 0 %s h.local.", ttl, port),
+			fmt.Sprintf(`i._form._tcp.local. %d IN TXT "zone=a" "kind=k"`, ttl), fmt.Sprintf("h.local. %d IN A %s", ttl, host)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	announce(3600)
+	y := newYard(t, listed.Member("ready"))
+	data := strings.Replace(mustRead(t, y.config(y.instance("a"))), "name = \"main\"\n", fmt.Sprintf("name = \"main\"\nmulticast = \"_form._tcp.local\"\ngroup = %q\n", r.Addr()), 1)
+	writeFile(t, y.dir, data)
+	y.start(Options{})
+	got := func(want string) bool {
+		for range 40 {
+			if _, body, _ := ask(client(y.sock("a"), false), "get"); body == want {
+				return true
+			}
+		}
+		return false
+	}
+	eventually(t, "the nearby one", func() bool { return got("nearby") })
+	announce(0)
+	eventually(t, "the goodbye", func() bool { return !got("nearby") })
+	n := nearby.Got()
+	if !got("listed") || nearby.Got() != n {
+		t.Error("sent to one that said goodbye")
+	}
+}
--- /dev/null
+++ b/internal/standin/dns/responder.go
@@ -0,0 +1,140 @@
+package dns
+
+import (
+	"net"
+	"sync"
+
+	"github.com/miekg/dns"
+)
+
+// Responder announces services by DNS-SD at an address of its own on loopback, as one over multicast DNS
+// does: whoever asked last hears what it announces and takes back.
+type Responder struct {
+	conn *net.UDPConn
+
+	mu      sync.Mutex
+	records []dns.RR
+	asker   *net.UDPAddr
+	asked   map[string]int // by type and name
+	known   int            // known answers in the last query
+	mute    bool
+}
+
+// NewResponder starts one.
+func NewResponder() (*Responder, error) {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	r := &Responder{conn: conn, asked: map[string]int{}}
+	go r.run()
+	return r, nil
+}
+
+// Addr is where it is asked.
+func (r *Responder) Addr() string { return r.conn.LocalAddr().String() }
+
+// Close ends it, without a goodbye.
+func (r *Responder) Close() { _ = r.conn.Close() }
+
+// Mute has it answer nothing, or ends that.
+func (r *Responder) Mute(mute bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mute = mute
+}
+
+// Asked is how many questions of a type and name came.
+func (r *Responder) Asked(kind, name string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asked[kind+" "+dns.CanonicalName(name)]
+}
+
+// Known is how many known answers the last query carried.
+func (r *Responder) Known() int { r.mu.Lock(); defer r.mu.Unlock(); return r.known }
+
+// Announce puts records there, in the form of zone files, and tells who asked last. Records of a lifetime
+// of 0 are taken back.
+func (r *Responder) Announce(flush bool, records ...string) error {
+	var all []dns.RR
+	for _, text := range records {
+		rr, err := dns.NewRR(text)
+		if err != nil {
+			return err
+		}
+		all = append(all, rr)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rr := range all {
+		for i := 0; i < len(r.records); i++ {
+			if other := dns.Copy(r.records[i]); true {
+				other.Header().Ttl = rr.Header().Ttl
+				if other.String() == rr.String() {
+					r.records = append(r.records[:i], r.records[i+1:]...)
+					i--
+				}
+			}
+		}
+		if rr.Header().Ttl > 0 {
+			r.records = append(r.records, rr)
+		}
+	}
+	if r.asker != nil {
+		m := new(dns.Msg)
+		m.Response, m.Authoritative = true, true
+		for _, rr := range all {
+			own := dns.Copy(rr)
+			if flush {
+				own.Header().Class |= 1 << 15
+			}
+			m.Answer = append(m.Answer, own)
+		}
+		if data, err := m.Pack(); err == nil {
+			_, _ = r.conn.WriteToUDP(data, r.asker)
+		}
+	}
+	return nil
+}
+
+// Say sends bytes to who asked last.
+func (r *Responder) Say(data []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.asker != nil {
+		_, _ = r.conn.WriteToUDP(data, r.asker)
+	}
+}
+
+func (r *Responder) run() {
+	buf := make([]byte, 9000)
+	for {
+		n, from, err := r.conn.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		var q dns.Msg
+		if q.Unpack(buf[:n]) != nil || q.Response {
+			continue
+		}
+		r.mu.Lock()
+		r.asker = from
+		r.known = len(q.Answer)
+		m := new(dns.Msg)
+		m.Response, m.Authoritative = true, true
+		for _, one := range q.Question {
+			r.asked[dns.TypeToString[one.Qtype]+" "+dns.CanonicalName(one.Name)]++
+			for _, rr := range r.records {
+				if rr.Header().Rrtype == one.Qtype && dns.CanonicalName(rr.Header().Name) == dns.CanonicalName(one.Name) {
+					m.Answer = append(m.Answer, rr)
+				}
+			}
+		}
+		mute := r.mute
+		r.mu.Unlock()
+		if data, err := m.Pack(); err == nil && len(m.Answer) > 0 && !mute {
+			_, _ = r.conn.WriteToUDP(data, from)
+		}
+	}
+}
--- /dev/null
+++ b/tools/members/main.go
@@ -0,0 +1,284 @@
+// Command members measures membership. It prints Markdown.
+//
+//	go run ./tools/members hour [-seeds 5]     an hour of trouble in virtual time, beside a resolver that believes all
+//	go run ./tools/members merge               time and memory to merge three sources of 1,000 servers
+//	go run ./tools/members queries             queries at the resolver for 1, 100 and 1,000 instances of one daemon
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime"
+	"time"
+
+	"vetchhaven/internal/fleet"
+	"vetchhaven/internal/membership"
+	"vetchhaven/internal/standin"
+	"vetchhaven/internal/standin/dns"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "members:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	if len(args) < 1 {
+		return errors.New("hour, merge or queries is needed")
+	}
+	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	seeds := f.Int("seeds", 5, "hours to play")
+	if err := f.Parse(args[1:]); err != nil {
+		return err
+	}
+	switch args[0] {
+	case "hour":
+		return hours(*seeds)
+	case "merge":
+		return merge()
+	case "queries":
+		return queries()
+	}
+	return fmt.Errorf("%q is none of hour, merge, queries", args[0])
+}
+
+// world is the truth: which servers there are, and when the list told that one drains or is gone.
+type world struct {
+	rng     *rand.Rand
+	now     time.Duration
+	alive   []bool
+	told    []time.Duration // when the list told that it drains or is gone; 0: it did not
+	pods    []int
+	records []membership.Server // as published
+	readAt  time.Duration
+}
+
+func server(i int, w *world) membership.Server {
+	return membership.Server{ID: fmt.Sprint("s-", i), Addr: fmt.Sprintf("10.0.0.%d:80", i+1), State: membership.Up, Pod: w.pods[i]}
+}
+
+// tally is how one way of believing went.
+type tally struct{ sent, late, dead, emptied, none int }
+
+// hours plays hours: 12 servers of which one drains, goes and comes back every minute or so; records that
+// are published 45 s late, read every 20 s, and fail, are cut short or come empty one time in four.
+func hours(n int) error {
+	fmt.Println("| way | requests | to a server over 2 s after its drain was told | to a server that is gone | seconds with no server | not sent |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- |")
+	var ours, plain tally
+	for seed := range n {
+		play(uint64(seed+1), &ours, &plain)
+	}
+	for _, row := range []struct {
+		name string
+		t    tally
+	}{{"membership", ours}, {"a resolver that believes all", plain}} {
+		fmt.Printf("| %s | %d | %d | %d | %d | %d |\n", row.name, row.t.sent, row.t.late, row.t.dead, row.t.emptied, row.t.none)
+	}
+	return nil
+}
+
+const servers = 12
+
+func play(seed uint64, ours, plain *tally) {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 9)), alive: make([]bool, servers), told: make([]time.Duration, servers), pods: make([]int, servers)}
+	for i := range servers {
+		w.alive[i], w.pods[i] = true, 1+i%3
+	}
+	m := membership.New(membership.Settings{Guard: 30 * time.Second, Settle: 12 * time.Second, Sources: []membership.Source{
+		{Name: "list", Exact: true, Hold: 100 * time.Hour}, {Name: "records", Hold: time.Hour}}})
+	truth := func() (all []membership.Server) {
+		for i := range servers {
+			if w.alive[i] && w.told[i] == 0 {
+				all = append(all, server(i, w))
+			}
+		}
+		return all
+	}
+	w.records = truth()
+	m.Step(0, membership.View{Source: "list", Servers: truth()}, membership.View{Source: "records", Servers: w.records})
+	believed := w.records
+	type publish struct {
+		at  time.Duration
+		all []membership.Server
+	}
+	var coming []publish
+	listDown := time.Duration(0)
+	backAt := make([]time.Duration, servers)
+	dueDead := make([]time.Duration, servers)
+	for w.now = time.Second; w.now < time.Hour; w.now += time.Second {
+		if w.rng.IntN(300) == 0 { // the list is away for a while
+			listDown = w.now + time.Duration(10+w.rng.IntN(60))*time.Second
+		}
+		up := w.now >= listDown
+		var said []membership.Server
+		if i := w.rng.IntN(servers); up && w.rng.IntN(40) == 0 && w.alive[i] && w.told[i] == 0 { // one drains, and is gone 10 s later
+			w.told[i] = w.now
+			v := server(i, w)
+			v.State = membership.Draining
+			said = append(said, v)
+			dueDead[i] = w.now + 10*time.Second
+			backAt[i] = w.now + time.Duration(60+w.rng.IntN(120))*time.Second
+			coming = append(coming, publish{w.now + 45*time.Second, nil})
+		}
+		for i := range servers {
+			if dueDead[i] > 0 && w.now >= dueDead[i] && up {
+				dueDead[i], w.alive[i] = 0, false
+				v := server(i, w)
+				v.State = membership.Gone
+				said = append(said, v)
+			}
+			if backAt[i] > 0 && w.now >= backAt[i] && up && !w.alive[i] {
+				backAt[i], w.alive[i], w.told[i] = 0, true, 0
+				said = append(said, server(i, w))
+				coming = append(coming, publish{w.now + 45*time.Second, nil})
+			}
+		}
+		if len(said) > 0 {
+			m.Step(w.now, membership.Change{Source: "list", Servers: said})
+		}
+		for len(coming) > 0 && coming[0].at <= w.now { // records follow late
+			w.records = truth()
+			coming = coming[1:]
+		}
+		if w.now%(20*time.Second) == 0 {
+			switch w.rng.IntN(16) {
+			case 0: // SERVFAIL: a resolver that believes all has no server
+				m.Step(w.now, membership.Failed{Source: "records"})
+				believed = nil
+			case 1, 2: // cut short: half of them; the resolver knows that it was cut, and fails
+				m.Step(w.now, membership.Failed{Source: "records"})
+				believed = w.records[:len(w.records)/2]
+			case 3: // a true empty answer
+				m.Step(w.now, membership.View{Source: "records"})
+				believed = nil
+			default:
+				m.Step(w.now, membership.View{Source: "records", Servers: w.records})
+				believed = w.records
+			}
+		}
+		list, _ := m.Step(w.now)
+		var in []membership.Server
+		for _, v := range list {
+			if v.In && v.State == membership.Up {
+				in = append(in, v.Server)
+			}
+		}
+		w.send(in, ours)
+		w.send(believed, plain)
+	}
+}
+
+// send sends a second's requests to servers at random.
+func (w *world) send(in []membership.Server, t *tally) {
+	const rate = 50
+	if len(in) == 0 {
+		t.emptied++
+		t.none += rate
+		return
+	}
+	for range rate {
+		var i int
+		_, _ = fmt.Sscanf(in[w.rng.IntN(len(in))].ID, "s-%d", &i)
+		t.sent++
+		if w.told[i] > 0 && w.now-w.told[i] > 2*time.Second {
+			t.late++
+		}
+		if !w.alive[i] {
+			t.dead++
+		}
+	}
+}
+
+func merge() error {
+	s := membership.Settings{Guard: 30 * time.Second, Settle: 12 * time.Second, Sources: []membership.Source{
+		{Name: "list", Exact: true, Hold: time.Hour}, {Name: "srv", Hold: time.Hour}, {Name: "sd", Hold: time.Hour}}}
+	var all []membership.Server
+	for i := range 1000 {
+		all = append(all, membership.Server{ID: fmt.Sprint("s-", i), Addr: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), State: membership.Up, Pod: i % 7})
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	m := membership.New(s)
+	const rounds = 100
+	began := time.Now()
+	for n := range rounds {
+		m.Step(time.Duration(n)*time.Second, membership.View{Source: "list", Servers: all}, membership.View{Source: "srv", Servers: all}, membership.View{Source: "sd", Servers: all})
+	}
+	took := time.Since(began) / rounds
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	fmt.Printf("| three whole views of 1,000 servers merged | held |\n| --- | --- |\n| %.1f ms | %.1f MB |\n", float64(took.Microseconds())/1000,
+		float64(after.HeapAlloc-before.HeapAlloc)/(1<<20))
+	runtime.KeepAlive(m)
+	return nil
+}
+
+const config = `admin = "unix:%[1]s/admin.sock"
+[[source]]
+name = "main"
+srv = ["_form._tcp.example.org"]
+resolvers = ["%[2]s"]
+[site]
+zones = ["a"]
+kinds = ["k"]
+[[class]]
+name = "get"
+repeats = "safe"
+aim = "600ms"
+deadline = "3s"
+worth = 1.0
+[[template]]
+name = "i{n}"
+listen = "unix:%[1]s/{n}.sock"
+count = %[3]d
+`
+
+func queries() error {
+	fmt.Println("| instances | queries in 20 s, lifetimes of 5 s |\n| --- | --- |")
+	for _, n := range []int{1, 100, 1000} {
+		names, err := dns.New()
+		if err != nil {
+			return err
+		}
+		f := standin.NewForm("s", nil)
+		_ = names.Set("_form._tcp.example.org", "SRV", "_form._tcp.example.org. 5 IN SRV 0 0 80 one.example.org.")
+		_ = names.Set("one.example.org", "A", "one.example.org. 5 IN A 127.0.0.1")
+		dir, err := os.MkdirTemp("", "members")
+		if err != nil {
+			return err
+		}
+		path := filepath.Join(dir, "fleet.toml")
+		if err := os.WriteFile(path, fmt.Appendf(nil, config, dir, names.Addr(), n), 0o600); err != nil {
+			return err
+		}
+		cfg, err := fleet.Load(path)
+		if err != nil {
+			return err
+		}
+		d, err := fleet.New(fleet.Options{Config: cfg, Log: slog.New(slog.DiscardHandler)})
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- d.Run(ctx) }()
+		time.Sleep(20 * time.Second)
+		fmt.Printf("| %d | %d |\n", n, names.Asked())
+		cancel()
+		<-ended
+		names.Close()
+		f.Close()
+		_ = os.RemoveAll(dir)
+	}
+	return nil
+}
