--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -113,6 +113,7 @@
 type entry struct {
 	Server
 	announced time.Duration // when it last came
+	missed    time.Duration // when its source last spoke without having it up, before that
 	lost      bool          // a whole view suddenly lacks it, and is not believed yet
 	lostAt    time.Duration
 }
@@ -155,10 +156,10 @@
 			}
 		case Change:
 			if s := m.source(r.Source); s != nil {
-				s.heard(m.now)
 				for _, v := range r.Servers {
 					m.entry(s, v)
 				}
+				s.heard(m.now)
 			}
 		case Forget:
 			if s := m.source(r.Source); s != nil {
@@ -242,7 +243,7 @@
 func (m *Module) entry(s *source, v Server) {
 	e := s.entries[v.ID]
 	if e == nil {
-		e = &entry{Server: v, announced: m.now}
+		e = &entry{Server: v, announced: m.now, missed: s.viewAt}
 		if v.State == Gone || v.State == Absent {
 			m.judge(s, e, v.State)
 			return
@@ -260,7 +261,7 @@
 	case v.State == Draining:
 		m.judge(s, e, Draining)
 	case old != Up: // it came back by the word of the very source that had it drain
-		e.announced = m.now
+		e.announced, e.missed = m.now, s.viewAt
 	}
 	if v.State == Up {
 		m.gone = slices.DeleteFunc(m.gone, func(g *verdict) bool { return g.same(v) && g.by == s.Name })
@@ -300,7 +301,9 @@
 	if e.Started > 0 && g.started > 0 {
 		return e.Started > g.started
 	}
-	return e.announced > g.at
+	// Its source must have been heard without it since: a record that was published before the report may
+	// be read for the first time after it.
+	return e.announced > g.at && e.missed > g.at
 }
 
 // fresh reports whether a source has a say: it has been heard, and does not fail for too long.
