--- a/internal/catalog/hub_test.go
+++ b/internal/catalog/hub_test.go
@@ -155,13 +155,13 @@
 	h.Give(&Members{Version: 99, Servers: []Member{up("old")}})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { h.Run(ctx) })
 	heard := make(chan string, 100)
 	defer h.Join(func(m *Members) {
 		r := &teller{}
 		r.tell(m)
 		heard <- r.got[0]
 	})()
+	running.Go(func() { h.Run(ctx) }) // once the reader is there: else it may miss the given list
 	want := []string{"full old:ready", "full a:ready", "b:ready"}
 	for _, w := range want {
 		select {
