HTTP front: a part of a next request does not cut short the answer before it

A head that begins before its turn had its 2.2 s run while the answer before was awaited, which was then given up. Its time now runs from that answer on (the test fails without). A connection that is found closed just before its request is taken asks nothing of the loop.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -138,6 +138,10 @@
 		}
 		if c.end > 0 && !began {
 			began = true
+			if c.waits() { // its time runs from when the answer before is out
+				<-c.turn
+				c.turn <- struct{}{}
+			}
 			if err := c.nc.SetReadDeadline(time.Now().Add(core.HeadTime)); err != nil {
 				return 0, err
 			}
@@ -156,6 +160,13 @@
 	}
 }
 
+// waits reports whether an answer is awaited.
+func (c *clientConn) waits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open != nil
+}
+
 // came says that bytes of a next request are there. It reports false where the gate has closed the
 // connection: what came is then not handled, since its client asks again elsewhere.
 func (c *clientConn) came() bool {
@@ -229,7 +240,12 @@
 	c.open, c.booked, c.more = r, len(body), c.start < c.end
 	c.mu.Unlock()
 	if err := c.nc.SetReadDeadline(time.Time{}); err != nil { // while its answer is awaited a client may be silent
-		c.hungUp()
+		c.mu.Lock()
+		c.open, c.booked = nil, 0
+		c.mu.Unlock()
+		f.open.Add(-1)
+		f.bodies.Put(len(body))
+		return &inputError{} // it is closed, and nothing has been asked of anybody
 	}
 	f.loop.Take(r)
 	return nil
--- a/internal/http1/head_test.go
+++ b/internal/http1/head_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/core"
 	"vetchhaven/internal/testkit"
 )
 
@@ -158,3 +159,33 @@
 		t.Errorf("%q, %v", rest, err)
 	}
 }
+
+// A part of a next request that comes before its turn does not cut short the wait for the answer before:
+// its own time runs from that on.
+func TestPartOfANextRequest(t *testing.T) {
+	hold := make(chan struct{})
+	s := serveRaw(t, func(int) string { <-hold; return ok200 })
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
+	c, err := net.Dial("tcp", a.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(testkit.Patience)); err != nil {
+		t.Fatal(err)
+	}
+	next := fmt.Sprintf("GET /get/y HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\n\r\n", newID())
+	if _, err := fmt.Fprintf(c, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\n\r\n%s", newID(), next[:20]); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Receive(t, "the first", s.seen)
+	time.Sleep(core.HeadTime + 200*time.Millisecond) // what a head may take has passed
+	close(hold)
+	in := bufio.NewReader(c)
+	if resp := ask(t, c, in, ""); resp.StatusCode != 200 {
+		t.Errorf("%+v", resp)
+	}
+	if resp := ask(t, c, in, next[20:]); resp.StatusCode != 200 {
+		t.Errorf("%+v", resp)
+	}
+}
