--- a/internal/ldap/client.go
+++ b/internal/ldap/client.go
@@ -33,6 +33,7 @@
 	key            string // names it; "" is anybody
 	name, password []byte
 	uses           atomic.Int32
+	rejected       atomic.Bool // a server that was to take its bind again did not
 }
 
 func (w *identity) hold() *identity {
@@ -336,6 +337,11 @@
 		}
 	}
 	s.mu.Lock()
+	if s.who != nil && s.who.rejected.Load() {
+		s.push(ldapmsg.Response(m.ID, ldapmsg.ResponseTo(m.Op), ldapmsg.StrongerAuthRequired, rejected))
+		s.mu.Unlock()
+		return true, nil
+	}
 	o.who = s.who.hold()
 	if s.pinned != nil {
 		o.conn = s.pinned
--- a/internal/ldap/ldap_test.go
+++ b/internal/ldap/ldap_test.go
@@ -811,3 +811,36 @@
 		t.Error("a draining server was asked")
 	}
 }
+
+// A password that is changed while its owner is bound: the old one is tried once more at the most, and
+// not over and over until it is locked out.
+func TestChangedPassword(t *testing.T) {
+	one, two := dir(t, "one", directory.Options{}), dir(t, "two", directory.Options{})
+	a := start(t, testConfig(t, one, two), Options{})
+	c := a.dial(t)
+	if err := c.Bind("cn=admin", "secret-1"); err != nil {
+		t.Fatal(err)
+	}
+	binds := func() int { return one.Binds() + two.Binds() }
+	for _, d := range []*directory.Directory{one, two} {
+		d.Password("cn=admin", "secret-3")
+		d.Kill()
+	}
+	testkit.WaitFor(t, "the connections to end", func() bool { return one.Conns()+two.Conns() == 0 })
+	testkit.WaitFor(t, "the end to be seen", func() bool { a.p.servers.mu.Lock(); defer a.p.servers.mu.Unlock(); return a.p.servers.open == 0 })
+	before := binds()
+	for range 10 {
+		if _, err := c.Search(one2()); code(err) != ldapmsg.StrongerAuthRequired {
+			t.Errorf("%v", err)
+		}
+	}
+	if n := binds() - before; n != 1 {
+		t.Errorf("the old password was tried %d times", n)
+	}
+	if err := c.Bind("cn=admin", "secret-3"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Search(one2()); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/ldap/server.go
+++ b/internal/ldap/server.go
@@ -531,6 +531,9 @@
 	}
 	defer o.release()
 	c, result := v.ready(a, o)
+	if c == nil && o.who != nil && o.who.rejected.Load() {
+		return decide.OK, rejection(o.m.Op) // a final answer: no other server is to be tried with it
+	}
 	if c == nil {
 		return result, nil
 	}
@@ -755,6 +758,17 @@
 	return c, 0
 }
 
+const rejected = "the bind of this connection is not accepted any more: bind again"
+
+// rejection is the answer to an operation of a client whose bind is not accepted any more.
+func rejection(op byte) *reply {
+	m, err := ldapmsg.Parse(ldapmsg.Response(1, ldapmsg.ResponseTo(op), ldapmsg.StrongerAuthRequired, rejected))
+	if err != nil {
+		return &reply{code: ldapmsg.Other}
+	}
+	return &reply{rest: m.Rest, code: ldapmsg.StrongerAuthRequired}
+}
+
 // bindAs binds a new connection as a client was bound by another. Nothing of the operation has been sent
 // whatever comes of it.
 func (v *servers) bindAs(a *core.Attempt, c *serverConn, who *identity) decide.Result {
@@ -776,6 +790,8 @@
 			v.rename(c, who)
 			return decide.OK
 		case ldapmsg.InvalidCredentials:
+			// Tried over and over, at one server after the other, it might lock its owner out.
+			who.rejected.Store(true)
 			v.log.Warn("a server does not take a bind that another took", "server", c.server)
 		}
 		return decide.Full // turned away, unseen
