--- a/tools/members/main.go
+++ b/tools/members/main.go
@@ -2,6 +2,7 @@
 //
 //	go run ./tools/members hour [-seeds 5]     an hour of trouble in virtual time, beside a resolver that believes all
 //	go run ./tools/members merge               time and memory to merge three sources of 1,000 servers
+//	go run ./tools/members goodbye             time from a goodbye by multicast DNS to a list without the server
 //	go run ./tools/members queries             queries at the resolver for 1, 100 and 1,000 instances of one daemon
 package main
 
@@ -15,8 +16,10 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"time"
 
+	"vetchhaven/internal/catalog"
 	"vetchhaven/internal/fleet"
 	"vetchhaven/internal/membership"
 	"vetchhaven/internal/standin"
@@ -32,7 +35,7 @@
 
 func run(args []string) error {
 	if len(args) < 1 {
-		return errors.New("hour, merge or queries is needed")
+		return errors.New("hour, merge, queries or goodbye is needed")
 	}
 	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	seeds := f.Int("seeds", 5, "hours to play")
@@ -46,8 +49,10 @@
 		return merge()
 	case "queries":
 		return queries()
+	case "goodbye":
+		return goodbye()
 	}
-	return fmt.Errorf("%q is none of hour, merge, queries", args[0])
+	return fmt.Errorf("%q is none of hour, merge, queries, goodbye", args[0])
 }
 
 // world is the truth: which servers there are, and when the list told that one drains or is gone.
@@ -282,3 +287,75 @@
 	}
 	return nil
 }
+
+// goodbye has a server announced and taken back, over and over.
+func goodbye() error {
+	r, err := dns.NewResponder()
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	announce := func(n, ttl int) error {
+		i := fmt.Sprintf("i%d._form._tcp.local.", n)
+		return r.Announce(false, fmt.Sprintf("_form._tcp.local. %d IN PTR %s", ttl, i), fmt.Sprintf("%s %d IN SRV 0 0 80 h%d.local.", i, ttl, n),
+			fmt.Sprintf(`%s %d IN TXT "zone=a"`, i, ttl), fmt.Sprintf("h%d.local. %d IN A 10.0.0.%d", n, ttl, n))
+	}
+	for n := 1; n <= 4; n++ {
+		if err := announce(n, 3600); err != nil {
+			return err
+		}
+	}
+	lists := make(chan int, 1000)
+	hub := catalog.NewHub(catalog.HubOptions{Log: slog.New(slog.DiscardHandler)})
+	m := fleet.NewMerger(fleet.Source{Name: "s", Multicast: "_form._tcp.local", Group: r.Addr(), Hold: time.Hour}, hub, nil, slog.New(slog.DiscardHandler),
+		func(list []membership.Member) {
+			in := 0
+			for _, v := range list {
+				if v.In && v.State == membership.Up {
+					in++
+				}
+			}
+			lists <- in
+		})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go m.Run(ctx, nil)
+	until := func(want int) error {
+		limit := time.After(10 * time.Second)
+		for {
+			select {
+			case n := <-lists:
+				if n == want {
+					return nil
+				}
+			case <-limit:
+				return fmt.Errorf("no list of %d servers", want)
+			}
+		}
+	}
+	if err := until(4); err != nil {
+		return err
+	}
+	var took []time.Duration
+	for range 50 {
+		began := time.Now()
+		if err := announce(1, 0); err != nil {
+			return err
+		}
+		if err := until(3); err != nil {
+			return err
+		}
+		took = append(took, time.Since(began))
+		time.Sleep(1200 * time.Millisecond) // its records have ended
+		if err := announce(1, 3600); err != nil {
+			return err
+		}
+		if err := until(4); err != nil {
+			return err
+		}
+	}
+	slices.Sort(took)
+	fmt.Printf("| goodbyes | p50 | most |\n| --- | --- | --- |\n| %d | %.2f ms | %.2f ms |\n", len(took), float64(took[len(took)/2].Microseconds())/1000,
+		float64(took[len(took)-1].Microseconds())/1000)
+	return nil
+}
