One book of addresses and one table of dial errors for both protocols; a simpler HTTP front

LDAP had its own book of addresses, without the rule that an address taken over by a new server is no longer the old one's: both protocols use core.Addresses now, and core.NotConnected says what an attempt without a connection is. The front kept a flag of bytes to come: with it an empty line behind a body left the connection without a deadline, and its place taken. The flag, and a second look at the gate for each read, are gone. A probe over LDAP left its connection behind. Comments that told of net/http's server are put right, and newMessage, which tests alone used, is theirs. Tests for each defect.

--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -186,9 +186,8 @@
 }
 
 // wait takes no more connections, and returns when those that were accepted have had their answers
-// and are closed, or with an error when ctx ends. It is not http.Server.Shutdown, which from its
-// call on ends connections whose request it has read and not yet handed on: what was taken would be
-// lost.
+// and are closed, or with an error when ctx ends. A connection whose request has been read, and not yet
+// handed on, is not closed under it: what was taken would be lost.
 func (a *Agent) wait(ctx context.Context, served <-chan error) error {
 	_ = a.gate.Close()
 	a.protocol.Drain()
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -77,8 +77,8 @@
 	CloseWrite() error
 }
 
-// clientConn keeps the methods of a TCP connection: with no CloseWrite, net/http would close at
-// once after a last answer, and a reset could overtake it.
+// clientConn keeps the methods of a TCP connection: without CloseWrite a protocol would close at once
+// after a last answer, and a reset could overtake it.
 type clientConn struct {
 	streamConn
 	gate  *Gate
@@ -185,14 +185,6 @@
 	return g.conns[c]
 }
 
-// Alive reports whether the gate has not closed a connection.
-func (g *Gate) Alive(nc net.Conn) bool {
-	c, ok := nc.(*clientConn)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return ok && g.conns[c]
-}
-
 // Idle says that none is open on it any more.
 func (g *Gate) Idle(nc net.Conn) {
 	if c, ok := nc.(*clientConn); ok {
@@ -267,7 +259,7 @@
 }
 
 // Read takes the connection out of those that may be closed for being quiet, as soon as a byte of a
-// request has come. net/http tells of that only once it has read all of the head: closed in between,
+// request has come. A protocol tells of that only once it has read all of the head: closed in between,
 // the request would be handled though its client, which saw no answer, asks again elsewhere. One
 // that was closed first has brought nothing.
 func (c *clientConn) Read(p []byte) (int, error) {
@@ -280,7 +272,7 @@
 	if !c.gate.conns[c] {
 		return 0, net.ErrClosed
 	}
-	if c.used { // a first request has headTime from connecting, whatever comes of it
+	if c.used { // a first request has HeadTime from connecting, whatever comes of it
 		c.gate.unquiet(c)
 	}
 	return n, err
@@ -293,8 +285,8 @@
 	return nil
 }
 
-// CloseWrite ends the answers on a connection. net/http then keeps it for a while, so that the
-// client can read the last one; it is the first to go if its place is needed.
+// CloseWrite ends the answers on a connection. It is then kept for a while, so that the client can read
+// the last one; it is the first to go if its place is needed.
 func (c *clientConn) CloseWrite() error {
 	g := c.gate
 	g.mu.Lock()
--- a/internal/http1/backends.go
+++ b/internal/http1/backends.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -10,7 +9,6 @@
 	"math"
 	"net"
 	"net/http"
-	"net/url"
 	"slices"
 	"sort"
 	"strconv"
@@ -27,9 +25,7 @@
 const maxBody = 64 << 10 // the protocol's limit on bodies, both ways
 
 var (
-	errNoSocket = errors.New("no file descriptor left for another connection")
-	errBroke    = errors.New("the connection ended before its answer")
-	errMoved    = errors.New("the backend has no address")
+	errBroke = errors.New("the connection ended before its answer")
 )
 
 // message is a client's request as it goes on to backends: the same for every attempt, but for
@@ -39,17 +35,6 @@
 	body []byte
 }
 
-// newMessage puts a request into the form in which it is sent.
-func newMessage(method, host string, u *url.URL, header http.Header, body []byte) *message {
-	var head bytes.Buffer
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, u.RequestURI(), host)
-	if method != http.MethodGet {
-		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
-	}
-	_ = header.Write(&head) // a bytes.Buffer takes everything
-	return &message{head: head.Bytes(), body: body}
-}
-
 // on is the whole message as written at an attempt that waits until then.
 func (m *message) on(until time.Time) []byte {
 	text := make([]byte, 0, len(m.head)+len(m.body)+40)
@@ -75,8 +60,7 @@
 	readers sync.Pool // of *bufio.Reader
 
 	mu    sync.Mutex
-	addrs map[string]string // by backend id
-	owner map[string]string // the backend id by address
+	addrs core.Addresses
 	// keepIdle is for how long one is kept: shorter than longest where those that stood idle were
 	// found to be dead.
 	keepIdle time.Duration
@@ -105,7 +89,7 @@
 		answers: core.NewBudget(cfg.BodyMemory()),
 		dialer:  (&net.Dialer{KeepAlive: -1}).DialContext,
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
-		addrs:   map[string]string{}, owner: map[string]string{}, idle: map[string][]*conn{}}
+		idle:    map[string][]*conn{}}
 }
 
 // clean reports whether an idle connection is open and has nothing to read: there is no answer
@@ -129,43 +113,16 @@
 }
 
 // update takes a change of the list. Connections to a backend that is gone or has moved are
-// closed: under its new address another process answers.
+// closed.
 func (b *backends) update(e core.List) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e.Kind != decide.ListDelta && e.Kind != decide.ListFailed {
-		for id := range b.addrs {
-			if _, listed := e.Addrs[id]; !listed {
-				b.forget(id)
-			}
-		}
-	}
-	for _, m := range e.Backends {
-		addr, ok := e.Addrs[m.ID]
-		if !ok || b.addrs[m.ID] != addr {
-			b.forget(m.ID)
-		}
-		if ok {
-			// Another that was there before is gone, though its own entry may still be on the way:
-			// what is meant for it must not reach this one.
-			if old, taken := b.owner[addr]; taken && old != m.ID {
-				b.forget(old)
-			}
-			b.addrs[m.ID], b.owner[addr] = addr, m.ID
+	b.addrs.Update(e, func(id string) {
+		for _, c := range b.idle[id] {
+			b.drop(c)
 		}
-	}
-}
-
-// forget drops a backend's address and its idle connections. The lock is held.
-func (b *backends) forget(id string) {
-	if addr, ok := b.addrs[id]; ok {
-		delete(b.owner, addr)
-		delete(b.addrs, id)
-	}
-	for _, c := range b.idle[id] {
-		b.drop(c)
-	}
-	delete(b.idle, id)
+		delete(b.idle, id)
+	})
 }
 
 // drop closes a connection. The lock is held; closing a socket does not block.
@@ -178,9 +135,9 @@
 func (b *backends) take(id string) (*conn, string, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	addr, ok := b.addrs[id]
+	addr, ok := b.addrs.Of(id)
 	if !ok {
-		return nil, "", errMoved
+		return nil, "", core.ErrMoved
 	}
 	// They lie in the order in which they were put back: under load those used last have not rested yet.
 	list, now := b.idle[id], time.Now()
@@ -197,7 +154,7 @@
 	}
 	b.keep(id, list)
 	if b.open >= b.most && !b.evict() {
-		return nil, "", errNoSocket
+		return nil, "", core.ErrNoSocket
 	}
 	b.open++
 	return nil, addr, nil
@@ -232,7 +189,7 @@
 func (b *backends) give(id string, c *conn, reusable bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !reusable || b.closed || b.addrs[id] != c.addr {
+	if addr, _ := b.addrs.Of(id); !reusable || b.closed || addr != c.addr {
 		b.drop(c)
 		return
 	}
@@ -301,23 +258,10 @@
 		c, err = b.dial(ctx, addr)
 	}
 	if err != nil {
-		if errors.Is(err, errNoSocket) {
+		if errors.Is(err, core.ErrNoSocket) {
 			b.log.Warn("attempt not sent", "error", err, "backend", id)
-			return decide.NotSent, nil, none // no fault of the backend
-		}
-		if errors.Is(context.Cause(ctx), core.ErrCancelled) {
-			return decide.Cancelled, nil, none
-		}
-		// ConnectFailed tells the module that the process has ended: its next answer counts as that
-		// of a cold one, for the whole ramp. A connection that is reset, even before dial has returned,
-		// had somebody at its other end; and that an attempt's own time is up says nothing of a
-		// process. Covers also proxies, full accept queues and firewalls that answer with resets.
-		// It could hurt where something in front of a process takes its connections while it
-		// restarts: the restart then shows only in the list.
-		if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ECONNABORTED) || ctx.Err() != nil {
-			return decide.Broke, nil, none
 		}
-		return decide.ConnectFailed, nil, none
+		return core.NotConnected(ctx, err), nil, none
 	}
 	select {
 	case <-over: // while the connection was being opened
@@ -418,7 +362,7 @@
 	if b.cfg.Site.LoadProbed {
 		path = "/_load"
 	}
-	m := newMessage(http.MethodGet, "probe", &url.URL{Path: path}, nil, nil)
+	m := &message{head: []byte("GET " + path + " HTTP/1.1\r\nHost: probe\r\n")}
 	// The settings name no time-out for probes; one that takes longer than a connect may is no use.
 	ctx, cancel := context.WithTimeoutCause(context.Background(), b.cfg.Settings.ConnectTimeout, core.ErrTimedOut)
 	defer cancel()
--- a/internal/http1/backends_test.go
+++ b/internal/http1/backends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -19,6 +20,17 @@
 	"vetchhaven/internal/wire"
 )
 
+// newMessage puts a request into the form in which it is sent.
+func newMessage(method, host string, u *url.URL, header http.Header, body []byte) *message {
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, u.RequestURI(), host)
+	if method != http.MethodGet {
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
+	}
+	_ = header.Write(&head) // a bytes.Buffer takes everything
+	return &message{head: head.Bytes(), body: body}
+}
+
 // attemptAt makes one attempt at a backend, with no agent around it.
 func attemptAt(t *testing.T, b *backends, ctx context.Context, body string) (decide.Result, *answer, decide.Load) {
 	t.Helper()
@@ -468,19 +480,20 @@
 		b.update(core.List{List: decide.List{Backends: []decide.Backend{{ID: id}}}, Addrs: map[string]string{id: addr}})
 		b.update(core.List{List: decide.List{Backends: []decide.Backend{{ID: id, State: decide.Gone}}}})
 	}
-	if len(b.addrs) != 1 || len(b.owner) != 1 || len(b.idle) != 0 {
-		t.Errorf("%d addresses, %d owners, %d lists of connections", len(b.addrs), len(b.owner), len(b.idle))
+	if ids, owners := b.addrs.Len(); ids != 1 || owners != 1 || len(b.idle) != 0 {
+		t.Errorf("%d addresses, %d owners, %d lists of connections", ids, owners, len(b.idle))
 	}
+	at := func(id string) string { addr, _ := b.addrs.Of(id); return addr }
 	attemptAt(t, b, context.Background(), "")
 	b.update(core.List{List: decide.List{Backends: []decide.Backend{{ID: "new"}}}, Addrs: map[string]string{"new": s.addr}})
-	if b.addrs["s"] != "" || b.addrs["new"] != s.addr || b.open != 0 {
+	if at("s") != "" || at("new") != s.addr || b.open != 0 {
 		t.Errorf("addresses %v, %d connections", b.addrs, b.open)
 	}
 	if result, _, _ := attemptAt(t, b, context.Background(), ""); result != decide.ConnectFailed || len(s.seen) != 1 {
 		t.Errorf("result %v, %d requests reached the new one", result, len(s.seen))
 	}
 	b.update(core.List{List: decide.List{Backends: []decide.Backend{{ID: "s", State: decide.Gone}}}})
-	if b.addrs["new"] != s.addr || b.owner[s.addr] != "new" {
+	if at("new") != s.addr || b.addrs.At(s.addr) != "new" {
 		t.Error("the old one's end took the new one's address")
 	}
 }
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -33,7 +33,6 @@
 	mu     sync.Mutex
 	open   *core.Request // awaits its answer
 	booked int           // bytes of its body
-	more   bool          // bytes of a next request have come
 	ending bool          // takes no further request
 }
 
@@ -54,10 +53,10 @@
 		}
 		close(c.gone)
 		c.hungUp()
+		_ = c.nc.Close() // nothing can be done about a socket that does not close
 		if p != nil {
-			defer panic(p)
+			panic(p)
 		}
-		_ = c.nc.Close() // nothing can be done about a socket that does not close
 	}()
 	c.turn <- struct{}{}
 	for first := true; ; first = false {
@@ -141,20 +140,16 @@
 			if c.waits() { // its time runs from when the answer before is out
 				<-c.turn
 				c.turn <- struct{}{}
+				if !c.f.gate.Busy(c.nc) {
+					return 0, net.ErrClosed
+				}
 			}
 			if err := c.nc.SetReadDeadline(time.Now().Add(core.HeadTime)); err != nil {
 				return 0, err
 			}
 		}
 		n, err := c.nc.Read(c.buf[c.end:])
-		if n > 0 {
-			c.end += n
-			if !c.came() {
-				return 0, net.ErrClosed
-			}
-			continue
-		}
-		if err != nil {
+		if c.end += n; n == 0 && err != nil {
 			return 0, err
 		}
 	}
@@ -167,18 +162,6 @@
 	return c.open != nil
 }
 
-// came says that bytes of a next request are there. It reports false where the gate has closed the
-// connection: what came is then not handled, since its client asks again elsewhere.
-func (c *clientConn) came() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.more = true
-	if c.open != nil {
-		return true
-	}
-	return c.f.gate.Alive(c.nc)
-}
-
 // take reads the rest of a request and gives it to the loop. An error is the client's last answer.
 func (c *clientConn) take(text []byte) *inputError {
 	f := c.f
@@ -237,7 +220,7 @@
 		return c.done(c.out)
 	}
 	c.mu.Lock()
-	c.open, c.booked, c.more = r, len(body), c.start < c.end
+	c.open, c.booked = r, len(body)
 	c.mu.Unlock()
 	if err := c.nc.SetReadDeadline(time.Time{}); err != nil { // while its answer is awaited a client may be silent
 		c.mu.Lock()
@@ -256,9 +239,6 @@
 	if !c.send(text) {
 		return &inputError{}
 	}
-	c.mu.Lock()
-	c.more = c.start < c.end
-	c.mu.Unlock()
 	c.next()
 	return nil
 }
@@ -274,20 +254,14 @@
 
 // next has the connection wait for its next request, or end, after an answer.
 func (c *clientConn) next() {
-	c.mu.Lock()
-	ending := c.ending
-	if !ending && !c.more {
+	if c.isEnding() {
+		// The reader learns it from its read, and lets the client read this answer.
+		c.closeWrite()
+		_ = c.nc.SetReadDeadline(aLongTimeAgo)
+	} else { // of a next request that has begun the reader hears when it has its turn, and says so
 		_ = c.nc.SetReadDeadline(time.Now().Add(idleTimeout)) // a dead connection shows by its read
 		c.f.gate.Idle(c.nc)
 	}
-	c.mu.Unlock()
-	if ending {
-		// The reader learns it from its read, and lets the client read this answer.
-		if w, ok := c.nc.(interface{ CloseWrite() error }); ok {
-			_ = w.CloseWrite()
-		}
-		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
-	}
 	c.turn <- struct{}{}
 }
 
@@ -301,13 +275,17 @@
 	c.ending = true
 	c.mu.Unlock()
 	if c.send(c.f.appendError(c.out[:0], e.status, e.text, e.allow, true)) {
-		if w, ok := c.nc.(interface{ CloseWrite() error }); ok {
-			_ = w.CloseWrite()
-		}
+		c.closeWrite()
 		c.linger()
 	}
 }
 
+func (c *clientConn) closeWrite() {
+	if w, ok := c.nc.(interface{ CloseWrite() error }); ok {
+		_ = w.CloseWrite()
+	}
+}
+
 // linger reads what a client still sends, so that the close is no reset, until it closes too.
 func (c *clientConn) linger() {
 	buf := make([]byte, 1024)
@@ -336,40 +314,43 @@
 	}
 }
 
-// write gives answers, until the reader has ended and none is awaited.
-func (c *clientConn) write() {
+// answer waits for the next answer. It reports false once the reader has ended and none is awaited.
+func (c *clientConn) answer() (a core.Answer, more bool) {
+	gone := c.gone
 	for {
-		var a core.Answer
 		select {
-		case a = <-c.replies:
+		case a := <-c.replies:
+			return a, true
+		case <-gone:
+			if !c.waits() {
+				return a, false
+			}
+			gone = nil // the loop was told that the client is gone: the end comes
 		case <-c.f.loop.Stopped():
 			select { // what the loop said last goes before its end
-			case a = <-c.replies:
+			case a := <-c.replies:
+				return a, true
 			default:
 			}
-			c.mu.Lock()
-			none := c.open == nil
-			c.mu.Unlock()
-			if none {
-				select {
-				case <-c.gone:
-					return
-				case <-time.After(time.Millisecond): // one may be on its way to the loop
-					continue
-				}
+			if c.waits() {
+				return a, true // failed
 			}
-		case <-c.gone:
-			c.mu.Lock()
-			none := c.open == nil
-			c.mu.Unlock()
-			if none {
-				return
-			}
-			select { // it was told that its client is gone: its end comes
-			case a = <-c.replies:
-			case <-c.f.loop.Stopped():
+			select {
+			case <-c.gone:
+				return a, false
+			case <-time.After(time.Millisecond): // one may be on its way to the loop
 			}
 		}
+	}
+}
+
+// write gives answers, until the reader has ended and none is awaited.
+func (c *clientConn) write() {
+	for {
+		a, more := c.answer()
+		if !more {
+			return
+		}
 		last := c.ends()
 		text := c.f.appendAnswer(c.out[:0], a, last)
 		c.mu.Lock()
--- a/internal/http1/discovery_test.go
+++ b/internal/http1/discovery_test.go
@@ -28,7 +28,8 @@
 	testkit.WaitFor(t, "the change", func() bool {
 		a.backends.mu.Lock()
 		defer a.backends.mu.Unlock()
-		return a.backends.addrs["two"] != ""
+		_, known := a.backends.addrs.Of("two")
+		return known
 	})
 	before := len(one.seen)
 	for range 20 {
--- a/internal/http1/head_test.go
+++ b/internal/http1/head_test.go
@@ -189,3 +189,18 @@
 		t.Errorf("%+v", resp)
 	}
 }
+
+// An empty line behind a body, as some clients send it, is no part of a next request: the connection rests
+// after its answer, and holds no place that others wait for.
+func TestEmptyLineBehindABody(t *testing.T) {
+	hold := make(chan struct{})
+	s := serveRaw(t, func(int) string { <-hold; return ok200 })
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
+	in := a.raw(t, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: "+newID()+"\r\nContent-Length: 1\r\n\r\nx\r\n")
+	testkit.Receive(t, "the request", s.seen)
+	close(hold)
+	if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != 200 || resp.Close {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+	testkit.WaitFor(t, "the connection to rest", func() bool { _, _, idle := a.Gate().Counts(); return idle == 1 })
+}
--- a/internal/ldap/client.go
+++ b/internal/ldap/client.go
@@ -1,6 +1,7 @@
 package ldap
 
 import (
+	"bytes"
 	"crypto/hmac"
 	"crypto/sha256"
 	"crypto/tls"
@@ -241,7 +242,7 @@
 	var late net.Error
 	switch {
 	case errors.Is(err, ldapmsg.ErrMalformed):
-		s.p.log.Warn("client connection ended", "client", loopbackName(s.raw), "error", err)
+		s.p.log.Warn("client connection ended", "client", s.raw.RemoteAddr().String(), "error", err)
 		s.end(ldapmsg.ProtocolErrorCode, err.Error())
 	case errors.As(err, &late) && late.Timeout():
 		if s.isStopping() { // reading was stopped: answers are on their way
@@ -591,7 +592,7 @@
 		return err
 	}
 	if err := c.Handshake(); err != nil {
-		s.p.log.Warn("TLS with a client failed", "client", loopbackName(s.raw), "error", err)
+		s.p.log.Warn("TLS with a client failed", "client", s.raw.RemoteAddr().String(), "error", err)
 		return err
 	}
 	if err := s.raw.SetDeadline(time.Time{}); err != nil {
@@ -710,17 +711,16 @@
 			s.mu.Unlock()
 			return
 		}
-		batch, conn := net.Buffers(s.out), s.conn
-		n := s.outBytes
+		batch, conn, n := s.out, s.conn, s.outBytes
 		s.out = nil
 		s.mu.Unlock()
+		text := batch[0]
+		if len(batch) > 1 {
+			text = bytes.Join(batch, nil) // one write, under TLS one record
+		}
 		err := conn.SetWriteDeadline(time.Now().Add(writeTime))
 		if err == nil {
-			if _, plain := conn.(*tls.Conn); plain {
-				err = writeAll(conn, batch)
-			} else {
-				_, err = batch.WriteTo(conn)
-			}
+			_, err = conn.Write(text)
 		}
 		s.mu.Lock()
 		s.outBytes -= n
@@ -733,15 +733,6 @@
 	}
 }
 
-func writeAll(conn net.Conn, batch net.Buffers) error {
-	var all []byte
-	for _, b := range batch {
-		all = append(all, b...)
-	}
-	_, err := conn.Write(all)
-	return err
-}
-
 // drain ends the connection once all that was taken is answered. One that has asked nothing yet is
 // served on for a moment: it was accepted just before the next copy would have.
 func (s *session) drain() {
--- a/internal/ldap/ldap.go
+++ b/internal/ldap/ldap.go
@@ -5,12 +5,11 @@
 package ldap
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/tls"
 	"log/slog"
-	"net"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -110,12 +109,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	orElse(&o.MostMessage, mostMessage)
-	orElse(&o.MostOpen, mostOpen)
-	orElse(&o.Shared, sharedMost)
-	if o.Idle == 0 {
-		o.Idle = idleMost
-	}
+	o.MostMessage, o.MostOpen = cmp.Or(o.MostMessage, mostMessage), cmp.Or(o.MostOpen, mostOpen)
+	o.Shared, o.Idle = cmp.Or(o.Shared, sharedMost), cmp.Or(o.Idle, idleMost)
 	p := &protocol{cfg: cfg, o: o, log: log, tls: clients, classes: classesOf(cfg.Site.Classes), sessions: map[*session]bool{}, fresh: freshTime,
 		most: 4 * core.ClientSockets(cfg.Sockets)}
 	if cfg.Site.MaxOpen > 0 {
@@ -132,12 +127,6 @@
 	return a, p, err
 }
 
-func orElse(v *int, instead int) {
-	if *v == 0 {
-		*v = instead
-	}
-}
-
 // Serve takes clients' connections until the gate is closed.
 func (p *protocol) Serve(g *core.Gate) error {
 	p.gate = g
@@ -223,7 +212,8 @@
 	if c, err := p.servers.dial(ctx, server); err != nil {
 		result = decide.ConnectFailed
 	} else {
-		c.retire()
+		p.servers.doubt(c)
+		p.servers.give(c)
 	}
 	return decide.ProbeResult{Backend: server, Result: result, Latency: time.Since(start), Load: decide.Load{Queue: -1, Service: -1, ErrorsPerSec: -1}}
 }
@@ -271,6 +261,3 @@
 	}
 	return kindModify, 0, nil
 }
-
-// loopbackName is what is logged of a client: where it is, never what it said.
-func loopbackName(c net.Conn) string { return strings.TrimSpace(c.RemoteAddr().String()) }
--- a/internal/ldap/ldap_test.go
+++ b/internal/ldap/ldap_test.go
@@ -13,6 +13,7 @@
 
 	client "github.com/go-ldap/ldap/v3"
 
+	"vetchhaven/decide"
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/ldapmsg"
 	"vetchhaven/internal/standin/directory"
@@ -844,3 +845,23 @@
 		t.Error(err)
 	}
 }
+
+// An address that a new server has taken over is no longer the old one's, even before its end is told; and a
+// probe leaves no connection behind.
+func TestAddressTakenOver(t *testing.T) {
+	d := dir(t, "one", directory.Options{})
+	a := start(t, testConfig(t, d), Options{})
+	if _, err := a.dial(t).Search(one()); err != nil {
+		t.Fatal(err)
+	}
+	v := a.p.servers
+	v.update(core.List{List: decide.List{Backends: []decide.Backend{{ID: "next"}}}, Addrs: map[string]string{"next": d.Addr()}})
+	if c, _, err := v.take("one", "", false); !errors.Is(err, core.ErrMoved) {
+		t.Errorf("the old one has %+v, %v", c, err)
+	}
+	open := func() int { v.mu.Lock(); defer v.mu.Unlock(); return v.open }
+	testkit.WaitFor(t, "its connections to close", func() bool { return open() == 0 })
+	if p := a.p.Probe("next"); p.Result != decide.OK || open() != 0 {
+		t.Errorf("%+v, %d connections open", p, open())
+	}
+}
--- a/internal/ldap/server.go
+++ b/internal/ldap/server.go
@@ -9,7 +9,6 @@
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"vetchhaven/decide"
@@ -18,9 +17,7 @@
 )
 
 var (
-	errNoSocket = errors.New("no file descriptor left for another connection")
-	errMoved    = errors.New("the server has no address")
-	errSecure   = errors.New("TLS with a server failed")
+	errSecure = errors.New("TLS with a server failed")
 )
 
 // pool names the connections that may serve an operation: those to a server that are bound alike.
@@ -37,7 +34,7 @@
 	dialer func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu     sync.Mutex
-	addrs  map[string]string
+	addrs  core.Addresses
 	conns  map[pool][]*serverConn
 	open   int
 	closed bool
@@ -45,7 +42,7 @@
 
 func newServers(cfg *core.Config, o *Options, t *tls.Config, log *slog.Logger) *servers {
 	return &servers{cfg: cfg, o: o, tls: t, log: log, most: core.BackendSockets(cfg.Sockets), keep: cfg.Site.IdleClose * 3 / 4,
-		dialer: (&net.Dialer{KeepAlive: -1}).DialContext, addrs: map[string]string{}, conns: map[pool][]*serverConn{}}
+		dialer: (&net.Dialer{KeepAlive: -1}).DialContext, conns: map[pool][]*serverConn{}}
 }
 
 // serverConn is one connection to a server. Searches that may bring many entries have it for themselves,
@@ -53,7 +50,6 @@
 type serverConn struct {
 	v      *servers
 	server string
-	addr   string
 	conn   net.Conn
 	writes sync.Mutex
 
@@ -99,40 +95,21 @@
 const partsMost = 16 // messages of one answer that wait on a shared connection
 
 // update takes a change of the list. Connections to a server that is gone or has moved take nothing
-// more: under its new address another process answers.
+// more.
 func (v *servers) update(l core.List) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if l.Kind != decide.ListDelta && l.Kind != decide.ListFailed {
-		for id := range v.addrs {
-			if _, listed := l.Addrs[id]; !listed {
-				v.forget(id)
+	v.addrs.Update(l, func(id string) {
+		for key, list := range v.conns {
+			if key.server != id {
+				continue
+			}
+			for _, c := range slices.Clone(list) {
+				c.suspect = true
+				v.tidy(c)
 			}
 		}
-	}
-	for _, s := range l.Backends {
-		addr, ok := l.Addrs[s.ID]
-		if v.addrs[s.ID] != addr {
-			v.forget(s.ID)
-		}
-		if ok {
-			v.addrs[s.ID] = addr
-		}
-	}
-}
-
-// forget drops a server's address, and its connections once they are idle. The lock is held.
-func (v *servers) forget(id string) {
-	delete(v.addrs, id)
-	for key, list := range v.conns {
-		if key.server != id {
-			continue
-		}
-		for _, c := range slices.Clone(list) {
-			c.suspect = true
-			v.tidy(c)
-		}
-	}
+	})
 }
 
 // tidy closes a connection that is of no more use. The lock is held.
@@ -195,9 +172,9 @@
 func (v *servers) take(server, who string, alone bool) (*serverConn, string, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	addr, ok := v.addrs[server]
+	addr, ok := v.addrs.Of(server)
 	if !ok {
-		return nil, "", errMoved
+		return nil, "", core.ErrMoved
 	}
 	var best *serverConn
 	for _, c := range v.conns[pool{server, who}] {
@@ -214,7 +191,7 @@
 		return best, addr, nil
 	}
 	if v.open >= v.most && !v.evict() {
-		return nil, "", errNoSocket
+		return nil, "", core.ErrNoSocket
 	}
 	v.open++
 	return nil, addr, nil
@@ -290,7 +267,7 @@
 // dial opens a connection as anybody for a probe.
 func (v *servers) dial(ctx context.Context, server string) (*serverConn, error) {
 	v.mu.Lock()
-	addr, ok := v.addrs[server]
+	addr, ok := v.addrs.Of(server)
 	full := v.open >= v.most && !v.evict()
 	if ok && !full {
 		v.open++
@@ -298,9 +275,9 @@
 	v.mu.Unlock()
 	switch {
 	case !ok:
-		return nil, errMoved
+		return nil, core.ErrMoved
 	case full:
-		return nil, errNoSocket
+		return nil, core.ErrNoSocket
 	}
 	return v.connect(ctx, server, addr)
 }
@@ -324,7 +301,7 @@
 		v.open--
 		return nil, err
 	}
-	c := &serverConn{v: v, server: server, addr: addr, conn: nc, uses: 1, alone: true, since: time.Now(), calls: map[int32]*call{}}
+	c := &serverConn{v: v, server: server, conn: nc, uses: 1, alone: true, since: time.Now(), calls: map[int32]*call{}}
 	v.conns[pool{server, ""}] = append(v.conns[pool{server, ""}], c)
 	go c.read()
 	return c, nil
@@ -727,19 +704,13 @@
 		c, err = v.connect(a.Context, a.Server, addr)
 	}
 	if err != nil {
-		switch {
-		case errors.Is(err, errNoSocket):
+		if errors.Is(err, core.ErrNoSocket) || errors.Is(err, errSecure) {
 			v.log.Warn("attempt not sent", "error", err, "server", a.Server)
-			return nil, decide.NotSent // no fault of the server
-		case errors.Is(context.Cause(a.Context), core.ErrCancelled):
-			return nil, decide.Cancelled
-		case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.ECONNABORTED), errors.Is(err, errSecure), a.Context.Err() != nil:
-			if errors.Is(err, errSecure) {
-				v.log.Warn("attempt not sent", "error", err, "server", a.Server)
-			}
+		}
+		if errors.Is(err, errSecure) && !errors.Is(context.Cause(a.Context), core.ErrCancelled) {
 			return nil, decide.Broke // somebody was there
 		}
-		return nil, decide.ConnectFailed
+		return nil, core.NotConnected(a.Context, err)
 	}
 	if bind || o.who == nil {
 		v.mu.Lock()
