--- a/cmd/vetchhaven/herd_test.go
+++ b/cmd/vetchhaven/herd_test.go
@@ -1,11 +1,11 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"vetchhaven/internal/emulate/sockets"
@@ -95,7 +95,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	log := &tail{}
+	log := &sockets.Tail{}
 	p, err := sockets.Play(context.Background(), sockets.Options{Scenario: s, Seed: 1, Log: log, Daemon: func(config string) *exec.Cmd {
 		cmd := exec.Command(os.Args[0], "serve", "--config", config)
 		cmd.Env = append(os.Environ(), "VETCHHAVEN_TEST_MAIN=1")
@@ -116,7 +116,7 @@
 	for _, w := range p.Day.Windows[1:] {
 		after += w.InTime + w.Late
 	}
-	if after == 0 || bytes.Contains(log.buf, []byte("panic")) {
+	if after == 0 || strings.Contains(log.String(), "panic") {
 		t.Errorf("nothing was served after the restart\n%s", log)
 	}
 }
--- a/internal/dnssource/dnssource.go
+++ b/internal/dnssource/dnssource.go
@@ -3,6 +3,7 @@
 package dnssource
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -61,15 +62,7 @@
 
 // New is a source that has not asked yet.
 func New(o Options) *Source {
-	if o.Floor == 0 {
-		o.Floor = 5 * time.Second
-	}
-	if o.Ceiling == 0 {
-		o.Ceiling = 5 * time.Minute
-	}
-	if o.Timeout == 0 {
-		o.Timeout = time.Second
-	}
+	o.Floor, o.Ceiling, o.Timeout = cmp.Or(o.Floor, 5*time.Second), cmp.Or(o.Ceiling, 5*time.Minute), cmp.Or(o.Timeout, time.Second)
 	if o.Rand == nil {
 		o.Rand = rand.Float64
 	}
@@ -198,21 +191,37 @@
 			return nil, 0, err
 		}
 		ttl = min(ttl, life)
-		host := strings.ToLower(strings.TrimSuffix(v.Target, "."))
-		for i, a := range addrs {
-			id := host + ":" + strconv.Itoa(int(v.Port))
-			if i > 0 {
-				id += "#" + a // a further address of the same name is another server
-			}
-			server := membership.Server{ID: id, Addr: net.JoinHostPort(a, strconv.Itoa(int(v.Port))), Weight: float64(v.Weight),
-				Priority: int(v.Priority), State: membership.Up}
-			s.describe(&server, name, keys)
-			servers = append(servers, server)
-		}
+		servers = append(servers, s.at(v, addrs, keys)...)
 	}
 	return servers, ttl, nil
 }
 
+// at are the servers of one SRV record, one for each address of its target, with what a TXT record says.
+func (s *Source) at(v *dns.SRV, addrs, keys []string) (servers []membership.Server) {
+	port := strconv.Itoa(int(v.Port))
+	for i, a := range addrs {
+		server := membership.Server{ID: strings.ToLower(strings.TrimSuffix(v.Target, ".")) + ":" + port, Addr: net.JoinHostPort(a, port),
+			Weight: float64(v.Weight), Priority: int(v.Priority), State: membership.Up}
+		if i > 0 {
+			server.ID += "#" + a // a further address of the same name is another server
+		}
+		s.describe(&server, v.Hdr.Name, keys)
+		servers = append(servers, server)
+	}
+	return servers
+}
+
+// addressOf is an A or AAAA record's address; empty: it is another's.
+func addressOf(rr dns.RR) string {
+	switch a := rr.(type) {
+	case *dns.A:
+		return a.A.String()
+	case *dns.AAAA:
+		return a.AAAA.String()
+	}
+	return ""
+}
+
 // describe takes the keys of a TXT record (RFC 6763, 6). One that makes no sense is left out, and said
 // once; the others hold.
 func (s *Source) describe(v *membership.Server, name string, keys []string) {
@@ -284,18 +293,13 @@
 			if !strings.EqualFold(rr.Header().Name, target) && len(extra) > 0 {
 				continue
 			}
-			var ip net.IP
-			switch a := rr.(type) {
-			case *dns.A:
-				ip = a.A
-			case *dns.AAAA:
-				ip = a.AAAA
-			default:
+			ip := addressOf(rr)
+			if ip == "" {
 				continue
 			}
 			ttl = min(ttl, time.Duration(rr.Header().Ttl)*time.Second)
-			if text := ip.String(); !slices.Contains(addrs, text) {
-				addrs = append(addrs, text)
+			if !slices.Contains(addrs, ip) {
+				addrs = append(addrs, ip)
 			}
 		}
 	}
--- a/internal/dnssource/mdns.go
+++ b/internal/dnssource/mdns.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -124,7 +123,7 @@
 			if gone := m.gone(byes); len(gone) > 0 {
 				report(membership.Change{Source: m.s.o.Name, Servers: gone})
 			}
-			m.tell(report, now)
+			m.tell(report)
 			for _, q := range m.missing() {
 				if at, asked := m.sought[q]; asked && now-at < time.Second { // whatever comes, once a second (5.2)
 					continue
@@ -151,7 +150,7 @@
 				}
 			}
 			if m.c.expire(now) {
-				m.tell(report, now)
+				m.tell(report)
 			}
 		}
 	}
@@ -184,8 +183,13 @@
 	return all
 }
 
-// servers are the instances of which all is known.
-func (m *Multicast) servers() (all []membership.Server) {
+// found is a server of an instance of which all is known.
+type found struct {
+	instance string
+	membership.Server
+}
+
+func (m *Multicast) servers() (all []found) {
 	for _, rr := range m.c.find(m.service, dns.TypePTR) {
 		instance := dns.CanonicalName(rr.(*dns.PTR).Ptr)
 		var keys []string
@@ -194,101 +198,70 @@
 		}
 		for _, rr := range m.c.find(instance, dns.TypeSRV) {
 			v := rr.(*dns.SRV)
-			addrs := append(m.c.find(v.Target, dns.TypeA), m.c.find(v.Target, dns.TypeAAAA)...)
-			for i, a := range addrs {
-				ip := ""
-				switch a := a.(type) {
-				case *dns.A:
-					ip = a.A.String()
-				case *dns.AAAA:
-					ip = a.AAAA.String()
-				}
-				host := strings.ToLower(strings.TrimSuffix(v.Target, "."))
-				s := membership.Server{ID: host + ":" + strconv.Itoa(int(v.Port)), Addr: net.JoinHostPort(ip, strconv.Itoa(int(v.Port))),
-					Weight: float64(v.Weight), Priority: int(v.Priority), State: membership.Up}
-				if i > 0 {
-					s.ID += "#" + ip
-				}
-				m.s.describe(&s, instance, keys)
-				all = append(all, s)
+			var addrs []string
+			for _, a := range append(m.c.find(v.Target, dns.TypeA), m.c.find(v.Target, dns.TypeAAAA)...) {
+				addrs = append(addrs, addressOf(a))
+			}
+			for _, s := range m.s.at(v, addrs, keys) {
+				all = append(all, found{instance, s})
 			}
 		}
 	}
-	slices.SortFunc(all, func(a, b membership.Server) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(all, func(a, b found) int { return strings.Compare(a.ID, b.ID) })
 	return all
 }
 
-// gone are the servers of the last view whose announcement was taken back.
-func (m *Multicast) gone(byes []dns.RR) (all []membership.Server) {
-	if len(byes) == 0 {
-		return nil
-	}
-	for _, v := range m.servers() {
-		for _, rr := range byes {
-			hit := false
-			switch r := rr.(type) {
-			case *dns.SRV:
-				hit = strings.HasPrefix(v.ID, strings.ToLower(strings.TrimSuffix(r.Target, "."))+":") || m.instanceHas(r.Hdr.Name, v)
-			case *dns.PTR:
-				hit = strings.EqualFold(r.Hdr.Name, m.service) && m.instanceHas(r.Ptr, v)
-			}
-			if hit {
-				v.State = membership.Gone
-				all = append(all, v)
-				break
+// takenBack are the instances whose announcement these records took back: their PTR, or their SRV.
+func (m *Multicast) takenBack(byes []dns.RR) map[string]bool {
+	all := map[string]bool{}
+	for _, rr := range byes {
+		switch r := rr.(type) {
+		case *dns.SRV:
+			all[dns.CanonicalName(r.Hdr.Name)] = true
+		case *dns.PTR:
+			if strings.EqualFold(r.Hdr.Name, m.service) {
+				all[dns.CanonicalName(r.Ptr)] = true
 			}
 		}
 	}
 	return all
 }
 
-// instanceHas reports whether a server is an instance's.
-func (m *Multicast) instanceHas(instance string, v membership.Server) bool {
-	for _, rr := range m.c.find(instance, dns.TypeSRV) {
-		s := rr.(*dns.SRV)
-		for _, kind := range []uint16{dns.TypeA, dns.TypeAAAA} {
-			for _, a := range m.c.find(s.Target, kind) {
-				ip := ""
-				switch a := a.(type) {
-				case *dns.A:
-					ip = a.A.String()
-				case *dns.AAAA:
-					ip = a.AAAA.String()
-				}
-				if v.Addr == net.JoinHostPort(ip, strconv.Itoa(int(s.Port))) {
-					return true
-				}
-			}
-		}
+// gone are the servers that goodbyes took back.
+func (m *Multicast) gone(byes []dns.RR) (all []membership.Server) {
+	if len(byes) == 0 {
+		return nil
 	}
-	return false
-}
-
-// tell reports the view, if it differs from the last. What a goodbye took back is not in it.
-func (m *Multicast) tell(report func(membership.Report), _ time.Duration) {
-	var live []membership.Server
+	back := m.takenBack(byes)
 	for _, v := range m.servers() {
-		if !m.leaving(v) {
-			live = append(live, v)
+		if back[v.instance] {
+			v.State = membership.Gone
+			all = append(all, v.Server)
 		}
 	}
-	if !m.lost && m.last != nil && slices.Equal(live, m.last) {
-		return
-	}
-	m.lost = false
-	m.last = append([]membership.Server{}, live...)
-	report(membership.View{Source: m.s.o.Name, Servers: m.last})
+	return all
 }
 
-// leaving reports whether a server's announcement was taken back, and is yet to end.
-func (m *Multicast) leaving(v membership.Server) bool {
+// tell reports the view, if it differs from the last. What was taken back, and has yet to end, is not in it.
+func (m *Multicast) tell(report func(membership.Report)) {
 	var byes []dns.RR
 	for _, k := range m.c.records {
 		if k.bye {
 			byes = append(byes, k.rr)
 		}
 	}
-	return slices.ContainsFunc(m.gone(byes), func(g membership.Server) bool { return g.ID == v.ID })
+	back := m.takenBack(byes)
+	live := []membership.Server{}
+	for _, v := range m.servers() {
+		if !back[v.instance] {
+			live = append(live, v.Server)
+		}
+	}
+	if !m.lost && m.last != nil && slices.Equal(live, m.last) {
+		return
+	}
+	m.lost, m.last = false, live
+	report(membership.View{Source: m.s.o.Name, Servers: live})
 }
 
 // missing are the questions whose answers would complete an instance.
--- a/internal/dnssource/mdns_test.go
+++ b/internal/dnssource/mdns_test.go
@@ -209,7 +209,7 @@
 			}
 			now := time.Duration(i) * time.Second
 			m.gone(m.c.take(now, &r))
-			m.tell(func(membership.Report) {}, now)
+			m.tell(func(membership.Report) {})
 			for _, q := range append(m.missing(), m.c.due(now)...) {
 				m.query(q, now)
 			}
--- a/internal/emulate/sockets/daemon.go
+++ b/internal/emulate/sockets/daemon.go
@@ -13,11 +13,7 @@
 // the same rules that the platform's configuration would tell it. A naive one knows no warming up
 // of servers and spreads nothing over time.
 func (a *agent) serveFile(naive bool) (path string, err error) {
-	g, s := a.g, a.g.s
-	g.mu.Lock()
-	_, entries := g.world.List.Snapshot()
-	g.told(a.n, true, entries) // what the daemon knew before, it may go on from
-	g.mu.Unlock()
+	s := a.g.s
 	d := s.Settings(a.n)
 	spread, first, ramp := 400*time.Millisecond, 500*time.Millisecond, d.RampTime
 	if naive {
--- a/internal/fleet/merge.go
+++ b/internal/fleet/merge.go
@@ -132,12 +132,10 @@
 	defer m.mu.Unlock()
 	now := time.Since(m.began)
 	var all []membership.Report
-	switch r := r.(type) {
-	case nil:
-	case membership.View:
-		m.heard[r.Source] = true
-		all = append(all, r)
-	default:
+	if v, whole := r.(membership.View); whole {
+		m.heard[v.Source] = true
+	}
+	if r != nil {
 		all = append(all, r)
 	}
 	if m.saved && m.whole() { // all speak for themselves
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -4,7 +4,9 @@
 package membership
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -129,9 +131,7 @@
 type pod struct {
 	pod     int
 	changed time.Duration
-
-	set  bool
-	said bool
+	said    bool // another one is said meanwhile, and that was logged
 }
 
 // New merges nothing yet.
@@ -177,9 +177,7 @@
 	for _, v := range list {
 		next[v.ID] = v
 		old, known := m.last[v.ID]
-		if !known || old != v {
-			changed = changed || !known || old.In != v.In || old.Server != v.Server
-		}
+		changed = changed || !known || old.In != v.In || old.Server != v.Server
 	}
 	changed = changed || len(next) != len(m.last)
 	m.last = next
@@ -355,17 +353,15 @@
 			}
 		}
 	}
-	best := map[string]int{}
-	for i := range list {
-		if list[i].In && list[i].State == Up {
-			if b, ok := best[""]; !ok || list[i].Priority < b {
-				best[""] = list[i].Priority
-			}
+	best := math.MaxInt
+	for _, v := range list {
+		if v.In && v.State == Up {
+			best = min(best, v.Priority)
 		}
 	}
-	for i := range list {
-		if list[i].In && list[i].State == Up && list[i].Priority > best[""] {
-			list[i].In, list[i].Why = false, fmt.Sprintf("stands by: one of priority %d is up", best[""])
+	for i, v := range list {
+		if v.In && v.State == Up && v.Priority > best {
+			list[i].In, list[i].Why = false, fmt.Sprintf("stands by: one of priority %d is up", best)
 		}
 	}
 	if len(m.pods) > 4*len(list)+1000 { // of those that nobody names any more
@@ -402,8 +398,8 @@
 func (m *Module) decide(g *group, byAddr map[string]*group) Member {
 	v := Member{Server: g.entries[0].Server}
 	for _, e := range g.entries[1:] { // the first that tells a thing is believed
-		v.Zone, v.Kind = or(v.Zone, e.Zone), or(v.Kind, e.Kind)
-		v.Pod, v.Weight, v.Started = or(v.Pod, e.Pod), or(v.Weight, e.Weight), max(v.Started, e.Started)
+		v.Zone, v.Kind = cmp.Or(v.Zone, e.Zone), cmp.Or(v.Kind, e.Kind)
+		v.Pod, v.Weight, v.Started = cmp.Or(v.Pod, e.Pod), cmp.Or(v.Weight, e.Weight), max(v.Started, e.Started)
 	}
 	v.Pod = m.podOf(v.ID, v.Pod)
 	var up, said []string
@@ -452,7 +448,7 @@
 func (m *Module) podOf(id string, said int) int {
 	p := m.pods[id]
 	if p == nil {
-		m.pods[id] = &pod{pod: said, set: true, changed: m.now - m.s.Settle}
+		m.pods[id] = &pod{pod: said, changed: m.now - m.s.Settle}
 		return said
 	}
 	switch {
@@ -476,11 +472,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-func or[T comparable](a, b T) T {
-	var zero T
-	if a == zero {
-		return b
-	}
-	return a
-}
--- a/internal/standin/dns/dns.go
+++ b/internal/standin/dns/dns.go
@@ -67,18 +67,26 @@
 
 // Set puts the records of a name and type there, in the form of zone files, in place of those before.
 func (s *Server) Set(name, kind string, records ...string) error {
-	var all []dns.RR
+	all, err := parse(records)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records[key(name, kind)] = all
+	return nil
+}
+
+// parse reads records in the form of zone files.
+func parse(records []string) (all []dns.RR, err error) {
 	for _, text := range records {
 		rr, err := dns.NewRR(text)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		all = append(all, rr)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.records[key(name, kind)] = all
-	return nil
+	return all, nil
 }
 
 // Script has f say what is done with each query.
--- a/internal/standin/dns/responder.go
+++ b/internal/standin/dns/responder.go
@@ -57,13 +57,9 @@
 // Announce puts records there, in the form of zone files, and tells who asked last. Records of a lifetime
 // of 0 are taken back.
 func (r *Responder) Announce(flush bool, records ...string) error {
-	var all []dns.RR
-	for _, text := range records {
-		rr, err := dns.NewRR(text)
-		if err != nil {
-			return err
-		}
-		all = append(all, rr)
+	all, err := parse(records)
+	if err != nil {
+		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/tools/directory/main.go
+++ b/tools/directory/main.go
@@ -8,12 +8,10 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"flag"
 	"fmt"
 	"io"
-	"log/slog"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -23,14 +21,13 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"vetchhaven/internal/catalog"
-	"vetchhaven/internal/fleet"
 	"vetchhaven/internal/ldapmsg"
 	"vetchhaven/internal/standin"
 	"vetchhaven/internal/standin/directory"
+	"vetchhaven/tools/measure"
 )
 
 func main() {
@@ -121,26 +118,12 @@
 	if s.list, err = standin.NewList("", members...); err != nil {
 		return nil, err
 	}
-	path := filepath.Join(dir, "fleet.toml")
-	if err := os.WriteFile(path, fmt.Appendf(nil, config, dir, s.list.Addr()), 0o600); err != nil {
-		return nil, err
-	}
-	cfg, err := fleet.Load(path)
-	if err != nil {
-		return nil, err
-	}
-	ready := make(chan struct{})
-	d, err := fleet.New(fleet.Options{Config: cfg, Log: slog.New(slog.DiscardHandler), Ready: func() { close(ready) }})
+	_, stop, err := measure.Daemon(dir, fmt.Appendf(nil, config, dir, s.list.Addr()))
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- d.Run(ctx) }()
-	<-ready
 	s.end = func() {
-		cancel()
-		<-ended
+		stop()
 		s.list.Close()
 		for _, d := range s.all {
 			d.Close()
@@ -324,13 +307,6 @@
 	return nil
 }
 
-func at(all []time.Duration, share float64) float64 {
-	if len(all) == 0 {
-		return 0
-	}
-	return float64(all[min(len(all)-1, int(share*float64(len(all))))].Microseconds()) / 1000
-}
-
 // stall has one server stand still: its connections stay open, and nothing comes.
 func stall(length time.Duration) error {
 	s, err := newSite(5)
@@ -411,17 +387,11 @@
 		}
 		all.Wait()
 		slices.Sort(took)
-		fmt.Printf("| %s | %d | %.1f ms | %.1f ms | %.1f ms | %d |\n", way, len(took), at(took, 0.5), at(took, 0.99), at(took, 1), bad)
+		fmt.Printf("| %s | %d | %.1f ms | %.1f ms | %.1f ms | %d |\n", way, len(took), measure.At(took, 0.5), measure.At(took, 0.99), measure.At(took, 1), bad)
 	}
 	return nil
 }
 
-func cpu() time.Duration {
-	var u syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // relay copies bytes between clients and one server each, in turn.
 func relay(s *site) (net.Listener, error) {
 	ln, err := net.Listen("unix", filepath.Join(s.dir, "relay.sock"))
@@ -482,7 +452,7 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("| %s | %.2f ms | %.2f ms | %.0f us | %.0f | %.0f us | %.0f |", w.name, at(paced, 0.5), at(paced, 0.99),
+		fmt.Printf("| %s | %.2f ms | %.2f ms | %.0f us | %.0f | %.0f us | %.0f |", w.name, measure.At(paced, 0.5), measure.At(paced, 0.99),
 			float64(c1.Microseconds())/float64(len(paced)), float64(len(full))/length.Seconds(), float64(c2.Microseconds())/float64(len(full)),
 			float64(allocs)/float64(len(full)))
 		if bad1+bad2 > 0 {
@@ -508,7 +478,7 @@
 	}
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	start, end := cpu(), time.Now().Add(length)
+	start, end := measure.CPU(), time.Now().Add(length)
 	for n, c := range conns {
 		all.Go(func() {
 			rng := rand.New(rand.NewPCG(uint64(n), 1))
@@ -533,7 +503,7 @@
 		})
 	}
 	all.Wait()
-	used = cpu() - start
+	used = measure.CPU() - start
 	runtime.ReadMemStats(&after)
 	slices.Sort(took)
 	return took, used, after.Mallocs - before.Mallocs, bad, nil
--- a/tools/fleet/handover.go
+++ b/tools/fleet/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,13 +13,15 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/emulate/sockets"
+	"vetchhaven/internal/fleet"
 	"vetchhaven/internal/standin"
+	"vetchhaven/tools/measure"
 )
 
 // handover runs a real daemon under 500 requests a second and hands it over three times, a second apart.
@@ -50,7 +53,7 @@
 	if err := os.WriteFile(path, fmt.Appendf(nil, head, dir, list.Addr(), 3), 0o600); err != nil {
 		return err
 	}
-	log := &lastLines{}
+	log := &sockets.Tail{}
 	cmd := exec.Command(bin, "serve", "--config", path)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
@@ -147,7 +150,7 @@
 		}
 		slices.Sort(took)
 		fmt.Printf("| %s | %d | %d | %d | %d | %.1f ms | %.1f ms | %.1f ms |\n", w.name, n, served, refused, n-served-refused,
-			at(took, 0.5), at(took, 0.99), at(took, 1))
+			measure.At(took, 0.5), measure.At(took, 0.99), measure.At(took, 1))
 	}
 	return nil
 }
@@ -177,16 +180,8 @@
 		return
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return
-	}
-	_, after, found := strings.Cut(string(text), `"pid":`)
-	if !found {
-		return
-	}
-	pid := 0
-	if _, err := fmt.Sscanf(strings.TrimSpace(after), "%d", &pid); err == nil && pid > 1 {
-		_ = syscall.Kill(pid, syscall.SIGTERM)
+	var st fleet.Status
+	if json.NewDecoder(resp.Body).Decode(&st) == nil && st.PID > 1 {
+		_ = syscall.Kill(st.PID, syscall.SIGTERM)
 	}
 }
--- a/tools/fleet/herd.go
+++ b/tools/fleet/herd.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"os"
@@ -9,7 +8,6 @@
 	"os/signal"
 	"path/filepath"
 	"slices"
-	"sync"
 	"time"
 
 	"vetchhaven/internal/emulate"
@@ -64,7 +62,7 @@
 	for i, way := range ways {
 		trace := map[time.Duration]step{}
 		traces[i] = trace
-		log := &lastLines{}
+		log := &sockets.Tail{}
 		p, err := sockets.Play(ctx, sockets.Options{Scenario: s, Seed: 1, Log: log, Naive: way == "naive",
 			Daemon: func(config string) *exec.Cmd { return exec.Command(bin, "serve", "--config", config) },
 			Trace: func(now time.Duration, server string, held int, pressure float64) {
@@ -114,25 +112,3 @@
 	}
 	return nil
 }
-
-// lastLines keeps the end of what processes write.
-type lastLines struct {
-	mu  sync.Mutex
-	buf []byte
-}
-
-func (l *lastLines) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.buf = append(l.buf, p...)
-	if over := len(l.buf) - 4<<10; over > 0 {
-		l.buf = l.buf[over:]
-	}
-	return len(p), nil
-}
-
-func (l *lastLines) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return string(bytes.TrimSpace(l.buf))
-}
--- a/tools/fleet/main.go
+++ b/tools/fleet/main.go
@@ -27,13 +27,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"vetchhaven/decide"
 	"vetchhaven/internal/catalog"
-	"vetchhaven/internal/fleet"
 	"vetchhaven/internal/standin"
+	"vetchhaven/tools/measure"
 )
 
 func main() {
@@ -92,28 +91,6 @@
 count = %[3]d
 `
 
-// daemon runs a fleet of n instances in this process until stop is called.
-func daemon(dir, list string, n int) (d *fleet.Daemon, stop func(), err error) {
-	path := filepath.Join(dir, "fleet.toml")
-	if err := os.WriteFile(path, fmt.Appendf(nil, head, dir, list, n), 0o600); err != nil {
-		return nil, nil, err
-	}
-	cfg, err := fleet.Load(path)
-	if err != nil {
-		return nil, nil, err
-	}
-	ready := make(chan struct{})
-	d, err = fleet.New(fleet.Options{Config: cfg, Log: slog.New(slog.DiscardHandler), Ready: func() { close(ready) }})
-	if err != nil {
-		return nil, nil, err
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- d.Run(ctx) }()
-	<-ready
-	return d, func() { cancel(); <-ended }, nil
-}
-
 func heap() float64 {
 	runtime.GC()
 	runtime.GC()
@@ -122,12 +99,6 @@
 	return float64(m.HeapInuse + m.StackInuse)
 }
 
-func cpu() time.Duration {
-	var u syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 func members(n int) []catalog.Member {
 	var all []catalog.Member
 	for i := range n {
@@ -150,7 +121,7 @@
 	defer list.Close()
 	before := heap()
 	began := time.Now()
-	d, stop, err := daemon(dir, list.Addr(), n)
+	d, stop, err := measure.Daemon(dir, fmt.Appendf(nil, head, dir, list.Addr(), n))
 	if err != nil {
 		return err
 	}
@@ -158,9 +129,9 @@
 	defer stop()
 	s, _ := d.Status()
 	each := (heap() - before) / float64(n) / 1024
-	c, t := cpu(), time.Now()
+	c, t := measure.CPU(), time.Now()
 	time.Sleep(10 * time.Second)
-	idle := float64(cpu()-c) / float64(time.Since(t)) * 100
+	idle := float64(measure.CPU()-c) / float64(time.Since(t)) * 100
 	fmt.Println("| instances | ready | start to ready | memory of a quiet one | CPU of all, quiet | list readings in 10 s |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- |")
 	fmt.Printf("| %d | %d | %.2f s | %.1f KB | %.1f%% of a core | %d (%d for separate ones) |\n", n, s.Ready, up.Seconds(), each, idle, list.Calls(), n)
@@ -191,7 +162,7 @@
 		return err
 	}
 	defer list.Close()
-	_, stop, err := daemon(dir, list.Addr(), 1)
+	_, stop, err := measure.Daemon(dir, fmt.Appendf(nil, head, dir, list.Addr(), 1))
 	if err != nil {
 		return err
 	}
@@ -238,7 +209,7 @@
 		}
 		full, c2, bad2 := load(w.c, w.host, 32, 0, length)
 		pprof.StopCPUProfile()
-		fmt.Printf("| %s | %.2f ms | %.2f ms | %.0f us | %.0f | %.0f us |", w.name, at(paced, 0.5), at(paced, 0.99),
+		fmt.Printf("| %s | %.2f ms | %.2f ms | %.0f us | %.0f | %.0f us |", w.name, measure.At(paced, 0.5), measure.At(paced, 0.99),
 			float64(c1.Microseconds())/float64(len(paced)), float64(len(full))/length.Seconds(), float64(c2.Microseconds())/float64(len(full)))
 		if bad1+bad2 > 0 {
 			fmt.Printf(" %d and %d not served", bad1, bad2)
@@ -249,17 +220,13 @@
 	return nil
 }
 
-func at(all []time.Duration, share float64) float64 {
-	return float64(all[min(len(all)-1, int(share*float64(len(all))))].Microseconds()) / 1000
-}
-
 // load asks for a while, with so many clients; at a rate, or at full speed where it is 0.
 func load(c *http.Client, host func() string, clients, rate int, length time.Duration) (latency []time.Duration, used time.Duration, bad int) {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	ctx, cancel := context.WithTimeout(context.Background(), length)
 	defer cancel()
-	start := cpu()
+	start := measure.CPU()
 	for n := range clients {
 		rng := rand.New(rand.NewPCG(uint64(n), 1))
 		wait.Go(func() {
@@ -295,7 +262,7 @@
 		})
 	}
 	wait.Wait()
-	used = cpu() - start
+	used = measure.CPU() - start
 	slices.Sort(latency)
 	return latency, used, bad
 }
--- a/tools/members/main.go
+++ b/tools/members/main.go
@@ -14,7 +14,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"runtime"
 	"slices"
 	"time"
@@ -22,8 +21,8 @@
 	"vetchhaven/internal/catalog"
 	"vetchhaven/internal/fleet"
 	"vetchhaven/internal/membership"
-	"vetchhaven/internal/standin"
 	"vetchhaven/internal/standin/dns"
+	"vetchhaven/tools/measure"
 )
 
 func main() {
@@ -255,34 +254,20 @@
 		if err != nil {
 			return err
 		}
-		f := standin.NewForm("s", nil)
 		_ = names.Set("_form._tcp.example.org", "SRV", "_form._tcp.example.org. 5 IN SRV 0 0 80 one.example.org.")
 		_ = names.Set("one.example.org", "A", "one.example.org. 5 IN A 127.0.0.1")
 		dir, err := os.MkdirTemp("", "members")
 		if err != nil {
 			return err
 		}
-		path := filepath.Join(dir, "fleet.toml")
-		if err := os.WriteFile(path, fmt.Appendf(nil, config, dir, names.Addr(), n), 0o600); err != nil {
-			return err
-		}
-		cfg, err := fleet.Load(path)
-		if err != nil {
-			return err
-		}
-		d, err := fleet.New(fleet.Options{Config: cfg, Log: slog.New(slog.DiscardHandler)})
+		_, stop, err := measure.Daemon(dir, fmt.Appendf(nil, config, dir, names.Addr(), n))
 		if err != nil {
 			return err
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		ended := make(chan error, 1)
-		go func() { ended <- d.Run(ctx) }()
 		time.Sleep(20 * time.Second)
 		fmt.Printf("| %d | %d |\n", n, names.Asked())
-		cancel()
-		<-ended
+		stop()
 		names.Close()
-		f.Close()
 		_ = os.RemoveAll(dir)
 	}
 	return nil
@@ -355,7 +340,6 @@
 		}
 	}
 	slices.Sort(took)
-	fmt.Printf("| goodbyes | p50 | most |\n| --- | --- | --- |\n| %d | %.2f ms | %.2f ms |\n", len(took), float64(took[len(took)/2].Microseconds())/1000,
-		float64(took[len(took)-1].Microseconds())/1000)
+	fmt.Printf("| goodbyes | p50 | most |\n| --- | --- | --- |\n| %d | %.2f ms | %.2f ms |\n", len(took), measure.At(took, 0.5), measure.At(took, 1))
 	return nil
 }
