--- a/decide/learnt_test.go
+++ b/decide/learnt_test.go
@@ -73,7 +73,7 @@
 			t.Fatal(err)
 		}
 		if restore {
-			b.Restore(decide.Learnt{Classes: []decide.LearntClass{{Latency: 1e6}}, Backends: []decide.LearntBackend{{ID: "c", Started: now - 100*ms, Slow: 0.01}}})
+			b.Restore(decide.Learnt{Limit: 50, Classes: []decide.LearntClass{{Latency: 1e6}}, Backends: []decide.LearntBackend{{ID: "c", Started: now - 100*ms, Slow: 0.01}}})
 		}
 		r := &rig{t: t, b: b, now: now, sent: map[string][]string{}}
 		r.step(decide.List{Kind: decide.ListCached, Backends: list})
--- a/internal/ldap/ldap_test.go
+++ b/internal/ldap/ldap_test.go
@@ -865,3 +865,46 @@
 		t.Errorf("%+v, %d connections open", p, open())
 	}
 }
+
+// References, intermediate responses, controls and extended operations that are not known go through
+// unchanged, byte for byte, under the client's id.
+func TestPassesUnchanged(t *testing.T) {
+	control := append([]byte{0xa0, 9, 0x30, 7, 0x04, 5}, "1.2.3"...)
+	ahead := [][]byte{
+		append([]byte{ldapmsg.SearchReference, 9, 0x04, 7}, "ldap://"...),
+		append([]byte{ldapmsg.Intermediate, 7, 0x80, 5}, "1.2.9"...),
+		append(append([]byte{ldapmsg.SearchEntry, 5, 0x04, 1, 'x', 0x30, 0}, control...), 0xa7, 0), // and a component of a later day
+	}
+	d := dir(t, "one", directory.Options{})
+	d.Script(func(o directory.Op) directory.Fault { return directory.Fault{Ahead: ahead, Code: 10} })
+	a := start(t, testConfig(t, d), Options{})
+	for _, scope := range []byte{0, 2} { // kept until the end, and streamed
+		c := a.raw(t)
+		if _, err := c.Write(rawSearch(77, scope)); err != nil {
+			t.Fatal(err)
+		}
+		in := ldapmsg.NewReader(c, 1<<20)
+		for _, want := range append(ahead, nil) {
+			raw, err := in.Next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			m, err := ldapmsg.Parse(raw)
+			if err != nil || m.ID != 77 || want != nil && string(m.Rest) != string(want) || want == nil && m.Op != ldapmsg.SearchDone {
+				t.Errorf("scope %d: %x, %v; want %x", scope, raw, err, want)
+			}
+		}
+	}
+	d.Script(func(o directory.Op) directory.Fault { return directory.Fault{} })
+	c := a.raw(t)
+	if _, err := c.Write(ldapmsg.Extended(5, "1.2.3.4.5", []byte("v"))); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := ldapmsg.NewReader(c, 1<<20).Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, _ := ldapmsg.Parse(raw); m.ID != 5 || m.Op != ldapmsg.ExtResponse || d.Ran()["extended 1.2.3.4.5"] != 1 {
+		t.Errorf("%x, ran %v", raw, d.Ran())
+	}
+}
--- a/internal/standin/directory/directory.go
+++ b/internal/standin/directory/directory.go
@@ -32,6 +32,7 @@
 	Garbage     bool            // bytes that are no message, in place of the answer
 	Notice      bool            // a Notice of Disconnection, in place of the answer
 	Drip        time.Duration   // between the bytes of the answer
+	Ahead       [][]byte        // protocolOps, with what follows them, that are sent ahead of the answer
 }
 
 // Op is an operation as it came.
@@ -369,6 +370,9 @@
 		return
 	}
 	answer := ldapmsg.ResponseTo(m.Op)
+	for _, part := range f.Ahead {
+		l.write(ldapmsg.WithID(m.ID, part), 0)
+	}
 	var out []byte
 	if f.Code != 0 {
 		out = ldapmsg.Response(m.ID, answer, f.Code, "by the script")
