Of several mistakes in a file the same one is told each time

Kinds' numbers, and those of [ldap], were checked in the order of a map: a test of the message failed now and then, and an operator saw one line or another.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -498,9 +498,12 @@
 	}
 	o := &ldap.Options{MostMessage: t.MaxMessage, MostOpen: t.MaxOperations, Shared: t.PerConnection, Idle: c.wait("ldap.idle", t.Idle, 0),
 		Certificate: path(t.Certificate), Key: path(t.Key), LDAPS: t.LDAPS, ServerTLS: t.ServerTLS, ServerCA: path(t.ServerCA), ServerName: t.ServerName}
-	for key, v := range map[string]int{"ldap.max_message": t.MaxMessage, "ldap.max_operations": t.MaxOperations, "ldap.per_connection": t.PerConnection} {
-		if v < 0 {
-			c.fail(key, "%d is negative", v)
+	for _, f := range []struct { // in their order: of several mistakes the same one is told each time
+		key string
+		v   int
+	}{{"ldap.max_message", t.MaxMessage}, {"ldap.max_operations", t.MaxOperations}, {"ldap.per_connection", t.PerConnection}} {
+		if f.v < 0 {
+			c.fail(f.key, "%d is negative", f.v)
 		}
 	}
 	if err := o.Check(); err != nil {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -344,9 +344,12 @@
 			Pause: c.wait(at("pause"), k.Pause), PauseGrow: k.PauseGrow, ErrorRate: k.ErrorRate,
 			Connections: cmp.Or(k.Connections, 10000), Handshake: c.wait(at("handshake"), k.Handshake), HandshakeRTT: k.HandshakeRTT}
 		e.WarmByWork = c.name(at("warm_by"), cmp.Or(k.WarmBy, "time"), []string{"time", "work"}) == 1
-		for field, v := range map[string]int{"cores": e.Cores, "slots": e.Slots, "connections": e.Connections} {
-			if v < 1 {
-				c.fail(at(field), "%d: at least 1 is needed", v)
+		for _, f := range []struct {
+			name string
+			v    int
+		}{{"cores", e.Cores}, {"slots", e.Slots}, {"connections", e.Connections}} { // slots are cores where none are named
+			if f.v < 1 {
+				c.fail(at(f.name), "%d: at least 1 is needed", f.v)
 			}
 		}
 		if e.Queue < 0 {
