On upgrades the agent accepts from the socket that it inherits

Cause: a second process on the same address ended with 'address already in use'. Change: PROXY_INHERITED_FD names a listening socket that both processes hold; what is none ends the program with an error.

--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -89,11 +89,7 @@
 	}
 	ln := p.Listener
 	if ln == nil {
-		addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
-		if err != nil {
-			return nil, fmt.Errorf("listen: %w", err)
-		}
-		if ln, err = net.ListenTCP("tcp", addr); err != nil {
+		if ln, err = listen(cfg); err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
 	}
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -17,16 +17,18 @@
 
 // Config is what an agent is told at its start.
 type Config struct {
-	Name       string
-	Listen     string // where clients connect
-	Discovery  string
-	Seed       uint64
-	Cores      float64
-	MemoryMB   int
-	Sockets    int // file descriptors that the process may hold
-	PeerListen string
-	Peers      []string         // addresses by agent number
-	Known      *catalog.Members // the list of backends as last stored; may be absent
+	Name   string
+	Listen string // where clients connect
+	// InheritedFD is the descriptor of a socket that listens there already; 0: none.
+	InheritedFD int
+	Discovery   string
+	Seed        uint64
+	Cores       float64
+	MemoryMB    int
+	Sockets     int // file descriptors that the process may hold
+	PeerListen  string
+	Peers       []string         // addresses by agent number
+	Known       *catalog.Members // the list of backends as last stored; may be absent
 
 	Settings decide.Settings
 	Site     wire.Site
@@ -103,6 +105,9 @@
 	if err := checkAddr("listen", c.Listen); err != nil {
 		return nil, err
 	}
+	if c.InheritedFD, err = parseInherited(getenv(inheritedEnv)); err != nil {
+		return nil, err
+	}
 	if err := checkAddr("discovery", c.Discovery); err != nil {
 		return nil, err
 	}
