A door for operators: readiness, figures, servers out by hand, clients sent away

Change: internal/ops (net/http, one call a connection, silent callers never in the way), a Ban event to the decision module (out by hand counts as draining whatever the list says; back in, as just started), counts by class where answers and attempts are written, connections that end by themselves while clients are sent away.

--- a/cmd/vetchhaven/run.go
+++ b/cmd/vetchhaven/run.go
@@ -14,6 +14,7 @@
 
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/http1"
+	"vetchhaven/internal/ops"
 )
 
 func runCommand() *cobra.Command {
@@ -59,6 +60,13 @@
 	if err != nil {
 		return err
 	}
+	if cfg.Admin != "" {
+		door, err := ops.Open(cfg.Admin, a, nil, log)
+		if err != nil {
+			return err
+		}
+		defer door.Close()
+	}
 	go reload(a, hup, log)
 	return a.Run(stop)
 }
--- a/decide/api.go
+++ b/decide/api.go
@@ -150,6 +150,12 @@
 	}
 	// TimerFired says that a SetTimer has come due.
 	TimerFired struct{ Token int64 }
+	// Ban is an operator's word: a backend gets nothing more (Out), or may serve again, whatever the
+	// list says of it meanwhile. One that comes back counts as just started.
+	Ban struct {
+		Backend string
+		Out     bool
+	}
 	// PeerMessage carries bytes from another agent.
 	PeerMessage struct {
 		From int
@@ -229,6 +235,7 @@
 func (ProbeResult) event()   {}
 func (TimerFired) event()    {}
 func (PeerMessage) event()   {}
+func (Ban) event()           {}
 
 func (Send) action()      {}
 func (Cancel) action()    {}
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -73,7 +73,8 @@
 
 	backends []*backend // in the order in which they were first listed
 	byID     map[string]*backend
-	lists    int                      // lists taken
+	lists    int                      // lists taken, and bans lifted
+	banned   map[string]bool          // by an operator, listed or not
 	restored map[string]LearntBackend // by id, until first listed
 	requests map[string]*request
 	held     []*request // waiting for room, oldest first
@@ -122,8 +123,9 @@
 	}
 	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap,
 		perBack: startPerBack, share: 1 / float64(s.Balancers), peers: make([]peer, s.Balancers),
-		byID: map[string]*backend{}, byKey: map[uint32]*backend{}, requests: map[string]*request{},
-		timers: map[int64]*request{}, watched: map[int64]*attempt{}}
+		byID: map[string]*backend{}, byKey: map[uint32]*backend{}, banned: map[string]bool{},
+		requests: map[string]*request{},
+		timers:   map[int64]*request{}, watched: map[int64]*attempt{}}
 	b.fits = make([][]float64, len(s.Classes))
 	b.s.MaxAttempts = max(1, s.MaxAttempts)
 	b.s.ColdShare = cmp.Or(s.ColdShare, 1)
@@ -152,6 +154,9 @@
 		case List:
 			b.onList(e)
 			b.measure()
+		case Ban:
+			b.onBan(e)
+			b.measure()
 		case PeerMessage:
 			b.onPeer(e)
 		case StreamStarted:
--- a/decide/list.go
+++ b/decide/list.go
@@ -32,19 +32,19 @@
 		listed[n.ID] = true
 		t := b.byID[n.ID]
 		if t == nil {
-			t = &backend{Backend: n, key: keyOf(n.ID), slow: 1, rank: keyOf(fmt.Sprint(n.ID, b.s.Self)),
-				zoned: b.lists, celled: b.lists, started: b.lists}
+			t = &backend{Backend: n, listed: n.State, slow: 1, key: keyOf(n.ID),
+				rank: keyOf(fmt.Sprint(n.ID, b.s.Self)), zoned: b.lists, celled: b.lists, started: b.lists}
 			b.byID[n.ID], b.byKey[t.key] = t, t
 			b.backends = append(b.backends, t)
 			if n.Started > 0 {
 				b.start(t, n.Started)
 			}
 			b.recall(t)
+			b.settle(t)
 			continue
 		}
 		if n.Started > t.Started {
-			b.start(t, max(n.Started, t.warmFrom))
-			t.strikes, t.ejected, t.down, t.silent, t.started = 0, 0, false, 0, b.lists
+			b.restart(t, max(n.Started, t.warmFrom))
 		}
 		if n.Zone != t.Zone {
 			t.zoned = b.lists
@@ -52,12 +52,13 @@
 		if n.Cell != t.Cell {
 			t.celled = b.lists
 		}
-		t.Backend = n
+		t.Backend, t.listed = n, n.State
+		b.settle(t)
 	}
 	slices.SortStableFunc(b.backends, func(x, y *backend) int { return cmp.Compare(x.rank, y.rank) })
 	b.backends = slices.DeleteFunc(b.backends, func(t *backend) bool {
 		if e.Kind != ListDelta && !listed[t.ID] {
-			t.State = Gone
+			t.State, t.listed = Gone, Gone
 		}
 		if t.State != Gone || len(t.out) > 0 { // the next list finds it, once all its attempts are in
 			return false
@@ -68,3 +69,36 @@
 		return true
 	})
 }
+
+// settle gives a backend the state that holds for it: what an operator has taken out by hand gets
+// nothing, as if it drained, whatever the list says.
+func (b *Balancer) settle(t *backend) {
+	if t.State = t.listed; b.banned[t.ID] {
+		t.State = max(t.listed, Draining)
+	}
+}
+
+// restart has a new process in a backend's place: what its last one did is forgotten.
+func (b *Balancer) restart(t *backend, at time.Duration) {
+	b.start(t, at)
+	t.strikes, t.ejected, t.down, t.silent, t.started = 0, 0, false, 0, b.lists
+}
+
+// onBan takes a backend out by hand, or back in. Out by hand it was most likely restarted, and the list
+// tells of that late or never: it comes back as a cold one.
+func (b *Balancer) onBan(e Ban) {
+	t, was := b.byID[e.Backend], b.banned[e.Backend]
+	b.plain = false
+	if e.Out {
+		b.banned[e.Backend] = true
+	} else {
+		delete(b.banned, e.Backend)
+	}
+	if t == nil || was == e.Out {
+		return
+	}
+	if b.settle(t); !e.Out {
+		b.lists++ // outcomes of what was sent before it was out tell of another process
+		b.restart(t, b.now)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -24,11 +24,12 @@
 
 type backend struct {
 	Backend
-	out     []*attempt // oldest first
-	slow    float64    // running mean of its latency over the mean of all
-	key     uint32     // names it in notes to peers
-	rank    uint32     // its place in this agent's own order
-	samples float64    // answers that slow rests on
+	listed  BackendState // as the list has it; State is Draining for one that is taken out by hand
+	out     []*attempt   // oldest first
+	slow    float64      // running mean of its latency over the mean of all
+	key     uint32       // names it in notes to peers
+	rank    uint32       // its place in this agent's own order
+	samples float64      // answers that slow rests on
 	strikes float64
 	errs    float64       // running share of attempts that failed
 	silent  int           // time-outs known since its last answer
@@ -94,3 +95,21 @@
 	}
 	return mean + smooth*(sample-mean)
 }
+
+// Known reports whether the list names a backend, or an operator has taken it out.
+func (b *Balancer) Known(id string) bool { return b.byID[id] != nil || b.banned[id] }
+
+// Standing counts the backends that the list has, and those of them that get no ordinary traffic now:
+// they drain, are taken out by hand, refuse connections, or were ejected for their failures.
+func (b *Balancer) Standing() (listed, avoided int) {
+	for _, t := range b.backends {
+		if t.listed == Gone {
+			continue
+		}
+		listed++
+		if t.State != Up || t.down || b.now < t.ejected {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -9,6 +9,7 @@
 	"net"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"vetchhaven/decide"
@@ -29,6 +30,10 @@
 	accept    func() <-chan time.Time // ends the time in which a stopping agent takes connections; nil: none
 	listWait  time.Duration
 	faults    chan error // of one: the first panic in any of its goroutines
+
+	serving, stopping atomic.Bool
+	drainMu           sync.Mutex
+	emptying          *time.Timer // closes clients' quiet connections while it is drained
 }
 
 // Parts are what an agent is given in place of its own; with none it is the platform's agent.
@@ -151,6 +156,7 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- a.protocol.Serve(a.gate) }()
+	a.serving.Store(true)
 	a.log.Info("serving", "listen", a.gate.Addr().String(), "backends", known)
 	select {
 	case err := <-served:
@@ -186,7 +192,8 @@
 // handed on, is not closed under it: what was taken would be lost.
 func (a *Agent) wait(ctx context.Context, served <-chan error) error {
 	_ = a.gate.Close()
-	a.protocol.Drain()
+	a.stopping.Store(true)
+	a.leaving()
 	select {
 	case <-served: // every accepted connection is in the gate's books now
 	case <-ctx.Done():
@@ -334,8 +341,9 @@
 	defer cancel()
 	// Closes idle connections at once: a client whose request crosses that opens a new connection,
 	// which is still accepted.
+	a.stopping.Store(true)
 	if a.accept != nil {
-		a.protocol.Drain()
+		a.leaving()
 		a.gate.CloseIdle()
 		select {
 		case err := <-served:
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -19,6 +19,7 @@
 type Config struct {
 	Name   string
 	Listen string // where clients connect
+	Admin  string // where operators call; empty: nowhere
 	// InheritedFD is the descriptor of a socket that listens there already; 0: none.
 	InheritedFD int
 	Discovery   string
@@ -76,6 +77,7 @@
 func ParseConfig(raw []byte, getenv func(string) string) (*Config, error) {
 	var f struct {
 		Name, Listen, Discovery, Seed string
+		Admin                         string `json:"admin_addr"`
 		Limits                        struct {
 			Cores    float64
 			MemoryMB int `json:"memory_mb"`
@@ -89,11 +91,12 @@
 	if err := json.Unmarshal(raw, &f); err != nil {
 		return nil, err
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Cores: f.Limits.Cores,
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Admin: f.Admin, Cores: f.Limits.Cores,
 		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
 		PeerListen: f.PeerListen, Peers: f.Peers, Known: f.Known}
 	for name, field := range map[string]*string{
-		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery} {
+		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery,
+		"PROXY_ADMIN_ADDR": &c.Admin} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
@@ -105,6 +108,11 @@
 	if err := checkAddr("listen", c.Listen); err != nil {
 		return nil, err
 	}
+	if c.Admin != "" {
+		if err := checkAddr("admin_addr", c.Admin); err != nil {
+			return nil, err
+		}
+	}
 	if c.InheritedFD, err = parseInherited(getenv(inheritedEnv)); err != nil {
 		return nil, err
 	}
--- a/internal/core/helpers_test.go
+++ b/internal/core/helpers_test.go
@@ -21,7 +21,7 @@
 type none struct{}
 
 func (none) Serve(*Gate) error { return nil }
-func (none) Drain()            {}
+func (none) Drain(bool)        {}
 func (none) Close() error      { return nil }
 func (none) Open() int64       { return 0 }
 func (none) Attempt(*Attempt) (decide.Result, any, decide.Load) {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -70,9 +70,13 @@
 	probing  map[string]bool // one probe of a backend at a time
 	counts   counts
 	totals   totals
-	base     context.Context // of attempts: ends with the loop
-	inject   func()          // a test's; else nil
-	guard    func(func())    // runs a goroutine's work and keeps its panic to this agent
+	told     []Counts // by class
+	standing standing
+	away     atomic.Bool                     // an operator has sent clients away
+	barred   atomic.Pointer[map[string]bool] // taken out by hand; never changed in place
+	base     context.Context                 // of attempts: ends with the loop
+	inject   func()                          // a test's; else nil
+	guard    func(func())                    // runs a goroutine's work and keeps its panic to this agent
 }
 
 // totals are what the agent did since its start, for others to read.
@@ -98,6 +102,7 @@
 		// reaches the module in time for the client to hear the final answer.
 		margin:   cmp.Or(cfg.Margin, cfg.Settings.Tick),
 		recent:   newRecent(cfg.Longest()),
+		told:     make([]Counts, len(cfg.Settings.Classes)),
 		requests: map[string]*Request{}, probing: map[string]bool{}}, nil
 }
 
@@ -125,8 +130,8 @@
 // Stopped is closed when the loop has ended. What was taken and is not answered by then has failed.
 func (l *Loop) Stopped() <-chan struct{} { return l.stopped }
 
-// Known reports whether any server is known.
-func (l *Loop) Known() bool { return l.ready.Load() }
+// Healthy reports whether clients may come: a server is known, and no operator has sent them away.
+func (l *Loop) Healthy() bool { return l.ready.Load() && !l.away.Load() }
 
 // Guard runs f and keeps a panic in it to this agent, which ends by it.
 func (l *Loop) Guard(f func()) { l.guard(f) }
@@ -240,7 +245,7 @@
 		if !e.done {
 			l.counts.gone++
 			l.totals.gone.Add(1)
-			l.finish(e.Request, Answer{})
+			l.finish(e.Request, Answer{Gone: true})
 			l.pending = append(l.pending, decide.Abandoned{Request: e.ID})
 			l.forget(e.Request)
 		}
@@ -271,6 +276,11 @@
 		l.pending = append(l.pending, e)
 	case learntQuery:
 		e.reply <- l.balancer.Learnt()
+	case banned:
+		l.ban(e)
+	case standingQuery:
+		l.stand()
+		close(e.done)
 	}
 }
 
--- a/internal/core/protocol.go
+++ b/internal/core/protocol.go
@@ -21,8 +21,8 @@
 type Protocol interface {
 	// Serve takes clients' connections until the gate is closed.
 	Serve(g *Gate) error
-	// Drain has each connection end once all that was taken on it is answered.
-	Drain()
+	// Drain has each connection end once all that was taken on it is answered, or, with false, no more.
+	Drain(on bool)
 	// Close ends what is left of clients' connections.
 	Close() error
 	// Open is how many requests are open.
@@ -88,6 +88,7 @@
 	Refused    bool
 	TimedOut   bool          // failed, for want of time
 	Duplicate  bool          // failed: another request with this id is open, or was just now
+	Gone       bool          // failed: its client is gone, or wants no answer
 	RetryAfter time.Duration // of Refused: when to come back; 0: no advice
 }
 
--- a/internal/http1/backends.go
+++ b/internal/http1/backends.go
@@ -248,10 +248,23 @@
 	return &conn{Conn: c, addr: addr}, nil
 }
 
+// errand is what an attempt is made for.
+type errand interface {
+	Over() <-chan struct{} // closed when the request has ended: nothing more is sent for it
+	Barred() bool          // its backend was taken out by hand meanwhile
+	Sent()                 // its last byte is written
+}
+
+// probing is an errand that ends by its context alone.
+type probing struct{}
+
+func (probing) Over() <-chan struct{} { return nil }
+func (probing) Barred() bool          { return false }
+func (probing) Sent()                 {}
+
 // attempt sends m to a backend once and waits until ctx ends at the latest. The result follows
-// the protocol's table of outcomes; where it is not certain that nothing ran, it says so. Once
-// over is closed the request has ended, and nothing more is sent for it.
-func (b *backends) attempt(ctx context.Context, over <-chan struct{}, id string, m *message) (decide.Result, *answer, decide.Load) {
+// the protocol's table of outcomes; where it is not certain that nothing ran, it says so.
+func (b *backends) attempt(ctx context.Context, by errand, id string, m *message) (decide.Result, *answer, decide.Load) {
 	none := wire.Load(nil)
 	c, addr, err := b.take(id)
 	if err == nil && c == nil {
@@ -264,7 +277,7 @@
 		return core.NotConnected(ctx, err), nil, none
 	}
 	select {
-	case <-over: // while the connection was being opened
+	case <-by.Over(): // while the connection was being opened
 		b.give(id, c, true)
 		return decide.NotSent, nil, none
 	case <-ctx.Done(): // the same: its time is up, or the agent has ended and answered for it
@@ -275,7 +288,11 @@
 		return decide.Broke, nil, none
 	default:
 	}
-	a, whole, err := b.exchange(ctx, c, m)
+	if by.Barred() {
+		b.give(id, c, true)
+		return decide.Broke, nil, none // never ran, and another backend may have it
+	}
+	a, whole, err := b.exchange(ctx, by, c, m)
 	if err != nil {
 		b.give(id, c, false)
 		switch cause := context.Cause(ctx); {
@@ -325,7 +342,7 @@
 
 // exchange writes m on a connection and reads its answer. It reports whether the last byte of m
 // was written. After an error the connection is of no further use.
-func (b *backends) exchange(ctx context.Context, c *conn, m *message) (a *answer, whole bool, err error) {
+func (b *backends) exchange(ctx context.Context, by errand, c *conn, m *message) (a *answer, whole bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) })
 	defer func() {
 		if !stop() && err == nil {
@@ -338,6 +355,7 @@
 	if err != nil || n < len(text) {
 		return nil, n == len(text), err
 	}
+	by.Sent()
 	in := b.readers.Get().(*bufio.Reader)
 	defer func() {
 		in.Reset(nil)
@@ -366,7 +384,7 @@
 	// The settings name no time-out for probes; one that takes longer than a connect may is no use.
 	ctx, cancel := context.WithTimeoutCause(context.Background(), b.cfg.Settings.ConnectTimeout, core.ErrTimedOut)
 	defer cancel()
-	result, a, load := b.attempt(ctx, nil, id, m)
+	result, a, load := b.attempt(ctx, probing{}, id, m)
 	if a != nil && b.cfg.Site.LoadProbed {
 		load = parseLoad(string(a.body))
 	}
--- a/internal/http1/backends_test.go
+++ b/internal/http1/backends_test.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return b.attempt(ctx, nil, "s", newMessage(http.MethodPost, "a", req.URL,
+	return b.attempt(ctx, probing{}, "s", newMessage(http.MethodPost, "a", req.URL,
 		http.Header{"X-Trace-Id": {newID()}, "Idempotency-Key": {"k"}}, []byte(body)))
 }
 
@@ -291,7 +291,7 @@
 	attemptAt(t, b, context.Background(), "")
 	done := make(chan decide.Result)
 	go func() {
-		r, _, _ := b.attempt(context.Background(), nil, "t", newMessage("GET", "a", &url.URL{Path: "/get/x"}, nil, nil))
+		r, _, _ := b.attempt(context.Background(), probing{}, "t", newMessage("GET", "a", &url.URL{Path: "/get/x"}, nil, nil))
 		done <- r
 	}()
 	testkit.Receive(t, "request to t", other.seen)
@@ -330,7 +330,7 @@
 	b := poolFor(t, one.addr)
 	done := make(chan decide.Result, 1)
 	go func() {
-		r, _, _ := b.attempt(context.Background(), nil, "s", newMessage("GET", "a", &url.URL{Path: "/get/x"}, nil, nil))
+		r, _, _ := b.attempt(context.Background(), probing{}, "s", newMessage("GET", "a", &url.URL{Path: "/get/x"}, nil, nil))
 		done <- r
 	}()
 	testkit.Receive(t, "request", one.seen)
@@ -376,11 +376,11 @@
 		return c, err
 	}
 	m := newMessage("GET", "a", &url.URL{Path: "/get/x"}, nil, nil)
-	if r, _, _ := b.attempt(context.Background(), over, "s", m); r != decide.NotSent {
+	if r, _, _ := b.attempt(context.Background(), ended{over: over}, "s", m); r != decide.NotSent {
 		t.Errorf("result %v", r)
 	}
 	rested(b)
-	if r, _, _ := b.attempt(context.Background(), nil, "s", m); r != decide.OK || len(s.seen) != 1 {
+	if r, _, _ := b.attempt(context.Background(), probing{}, "s", m); r != decide.OK || len(s.seen) != 1 {
 		t.Errorf("result %v, %d requests reached the backend", r, len(s.seen))
 	}
 }
@@ -424,7 +424,7 @@
 		t.Helper()
 		id := newID()
 		go func() { more <- with }()
-		result, a, _ := b.attempt(context.Background(), nil, "s",
+		result, a, _ := b.attempt(context.Background(), probing{}, "s",
 			newMessage("GET", "a", &url.URL{Path: "/get/x"}, http.Header{"X-Trace-Id": {id}}, nil))
 		if result != decide.OK || string(a.body) != id {
 			t.Fatalf("%v: answered with %q", result, a.body)
@@ -519,3 +519,13 @@
 		t.Error("a new connection that broke changed it")
 	}
 }
+
+// ended is an errand of a test's.
+type ended struct {
+	probing
+	over   chan struct{}
+	barred bool
+}
+
+func (e ended) Over() <-chan struct{} { return e.over }
+func (e ended) Barred() bool          { return e.barred }
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -184,7 +184,7 @@
 	}
 	if rest, ok := strings.CutPrefix(target, "/_health"); ok && (rest == "" || rest[0] == '?') {
 		status := http.StatusOK
-		if !f.loop.Known() {
+		if !f.loop.Healthy() {
 			status = http.StatusServiceUnavailable
 		}
 		c.start += len(text)
@@ -216,6 +216,7 @@
 		c.mu.Lock()
 		c.ending = true // as where the gate is crowded
 		c.mu.Unlock()
+		f.loop.Counts(r.Class).Told(core.Answer{Refused: true})
 		c.out = f.appendRefusal(c.out[:0], 0, true)
 		return c.done(c.out)
 	}
@@ -354,6 +355,7 @@
 		last := c.ends()
 		text := c.f.appendAnswer(c.out[:0], a, last)
 		c.mu.Lock()
+		c.f.loop.Counts(c.open.Class).Told(a)
 		c.open = nil
 		c.f.bodies.Put(c.booked)
 		c.booked = 0
@@ -430,6 +432,7 @@
 	case h.length > maxBody:
 		return nil, nil, &inputError{status: http.StatusRequestEntityTooLarge, text: "the body is larger than 64 KiB"}
 	case !f.bodies.Take(int(h.length)):
+		f.loop.Counts(class).Told(core.Answer{Refused: true})
 		return nil, nil, &inputError{status: http.StatusServiceUnavailable, text: "too many large bodies at once"}
 	}
 	return r, make([]byte, h.length), nil
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -36,8 +36,8 @@
 	return p.front.serve(g)
 }
 
-// Drain has each connection end with its next answer.
-func (p *protocol) Drain() { p.draining.Store(true) }
+// Drain has each connection end with its next answer, or not.
+func (p *protocol) Drain(on bool) { p.draining.Store(on) }
 
 // Close ends what is left of clients' connections.
 func (p *protocol) Close() error { return p.front.close() }
@@ -47,7 +47,7 @@
 
 // Attempt sends a request to a server, once.
 func (p *protocol) Attempt(a *core.Attempt) (decide.Result, any, decide.Load) {
-	result, got, load := p.attempt(a.Context, a.Over(), a.Server, a.Message.(*message))
+	result, got, load := p.attempt(a.Context, a, a.Server, a.Message.(*message))
 	if got == nil {
 		return result, nil, load
 	}
--- a/internal/ldap/ldap.go
+++ b/internal/ldap/ldap.go
@@ -179,11 +179,15 @@
 	freshTime  = 250 * time.Millisecond
 )
 
-// Drain has each connection end once all that was taken on it is answered.
-func (p *protocol) Drain() {
+// Drain has each connection end once all that was taken on it is answered, or, with false, those that
+// come from now on no more.
+func (p *protocol) Drain(on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.draining = true
+	p.draining = on
+	if !on {
+		return
+	}
 	for s := range p.sessions {
 		go s.drain()
 	}
