A busy fleet no longer passes by a cold backend that it has not yet tried

Ruled out: the door (calls 0 late), the cold budget (it refills within half a mean latency). Cause: in scan() a backend without an answer counts at the mean load, and that was divided by its warmth too, so that under load it came last until it was warm.

--- a/decide/pick.go
+++ b/decide/pick.go
@@ -224,7 +224,10 @@
 		}
 		// Departure: in-flight counts are weighed by slowness for the same reason.
 		slow := b.slowness(t) * *b.fit(t.Kind, r.class)
-		if score := (load + 1) * slow / b.warmth(t) * (1 + 0.01*b.rng.Float64()); score < least {
+		if t.seen { // else the mean is that of its likes, and warmth is in it: a busy fleet would pass it by
+			slow /= b.warmth(t)
+		}
+		if score := (load + 1) * slow * (1 + 0.01*b.rng.Float64()); score < least {
 			few, least = t, score
 		}
 	}
