--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -74,7 +74,7 @@
 	backends []*backend // in the order in which they were first listed
 	byID     map[string]*backend
 	lists    int                      // lists taken, and bans lifted
-	banned   map[string]bool          // by an operator, listed or not
+	byHand   map[string]time.Duration // when an operator put it back, while it is cold; or outByHand
 	restored map[string]LearntBackend // by id, until first listed
 	requests map[string]*request
 	held     []*request // waiting for room, oldest first
@@ -123,7 +123,7 @@
 	}
 	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap,
 		perBack: startPerBack, share: 1 / float64(s.Balancers), peers: make([]peer, s.Balancers),
-		byID: map[string]*backend{}, byKey: map[uint32]*backend{}, banned: map[string]bool{},
+		byID: map[string]*backend{}, byKey: map[uint32]*backend{}, byHand: map[string]time.Duration{},
 		requests: map[string]*request{},
 		timers:   map[int64]*request{}, watched: map[int64]*attempt{}}
 	b.fits = make([][]float64, len(s.Classes))
--- a/decide/list.go
+++ b/decide/list.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -36,8 +37,8 @@
 				rank: keyOf(fmt.Sprint(n.ID, b.s.Self)), zoned: b.lists, celled: b.lists, started: b.lists}
 			b.byID[n.ID], b.byKey[t.key] = t, t
 			b.backends = append(b.backends, t)
-			if n.Started > 0 {
-				b.start(t, n.Started)
+			if since := max(n.Started, b.byHand[n.ID]); since > 0 {
+				b.start(t, since)
 			}
 			b.recall(t)
 			b.settle(t)
@@ -70,10 +71,13 @@
 	})
 }
 
+// outByHand is in byHand for a backend that an operator has taken out.
+const outByHand = -1
+
 // settle gives a backend the state that holds for it: what an operator has taken out by hand gets
 // nothing, as if it drained, whatever the list says.
 func (b *Balancer) settle(t *backend) {
-	if t.State = t.listed; b.banned[t.ID] {
+	if t.State = t.listed; b.byHand[t.ID] == outByHand {
 		t.State = max(t.listed, Draining)
 	}
 }
@@ -87,12 +91,15 @@
 // onBan takes a backend out by hand, or back in. Out by hand it was most likely restarted, and the list
 // tells of that late or never: it comes back as a cold one.
 func (b *Balancer) onBan(e Ban) {
-	t, was := b.byID[e.Backend], b.banned[e.Backend]
+	warm := func(_ string, at time.Duration) bool { return at != outByHand && b.now-at >= b.s.RampTime }
+	maps.DeleteFunc(b.byHand, warm)
+	t, was := b.byID[e.Backend], b.byHand[e.Backend] == outByHand
 	b.plain = false
-	if e.Out {
-		b.banned[e.Backend] = true
-	} else {
-		delete(b.banned, e.Backend)
+	switch {
+	case e.Out:
+		b.byHand[e.Backend] = outByHand
+	case was:
+		b.byHand[e.Backend] = b.now
 	}
 	if t == nil || was == e.Out {
 		return
--- a/decide/state.go
+++ b/decide/state.go
@@ -97,7 +97,7 @@
 }
 
 // Known reports whether the list names a backend, or an operator has taken it out.
-func (b *Balancer) Known(id string) bool { return b.byID[id] != nil || b.banned[id] }
+func (b *Balancer) Known(id string) bool { return b.byID[id] != nil || b.byHand[id] == outByHand }
 
 // Standing counts the backends that the list has, and those of them that get no ordinary traffic now:
 // they drain, are taken out by hand, refuse connections, or were ejected for their failures.
