What operators say at one process's door holds in the one that replaces it

Change: internal/upgrade, a directory in TMPDIR that the processes of one agent share (what was said, who is alive, who has heard); with two alive each takes half of the descriptors and memory. Tests: pure property test, two and three processes in one directory, real processes over an upgrade, drain and ban over sockets.

--- a/cmd/vetchhaven/run.go
+++ b/cmd/vetchhaven/run.go
@@ -4,17 +4,21 @@
 	"context"
 	"log/slog"
 	"math"
+	"net/url"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/http1"
 	"vetchhaven/internal/ops"
+	"vetchhaven/internal/upgrade"
 )
 
 func runCommand() *cobra.Command {
@@ -53,24 +57,77 @@
 	}
 	// The heap is small: collect seldom, but well before the memory limit kills the process.
 	debug.SetGCPercent(400)
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	}
+	limitMemory(cfg.MemoryMB)
 	a, err := http1.New(cfg, log.With("agent", cfg.Name), core.Parts{})
 	if err != nil {
 		return err
 	}
 	if cfg.Admin != "" {
-		door, err := ops.Open(cfg.Admin, a, nil, log)
+		leave, err := openDoor(cfg, a, log)
 		if err != nil {
 			return err
 		}
-		defer door.Close()
+		defer leave()
 	}
 	go reload(a, hup, log)
 	return a.Run(stop)
 }
 
+// openDoor opens the operators' door. What they say there holds in a process that replaces this one too.
+func openDoor(cfg *core.Config, a *core.Agent, log *slog.Logger) (leave func(), err error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var keeper ops.Keeper
+	path := filepath.Join(os.TempDir(), "vetchhaven-"+url.PathEscape(cfg.Name+"-"+cfg.Listen))
+	dir, err := upgrade.Open(path)
+	if err != nil { // it serves all the same
+		log.Error("what operators say holds in this process alone", "error", err)
+	} else {
+		keeper = dir
+		apply := func(c upgrade.Change) error {
+			if c.Server == "" {
+				a.Drain(c.On)
+				return nil
+			}
+			limit, done := context.WithTimeout(ctx, time.Second)
+			defer done()
+			_, err := a.Ban(limit, c.Server, c.On, true)
+			return err
+		}
+		// Before any client is served, what was said to the old process holds in this one.
+		n, err := dir.Look(apply)
+		if err != nil {
+			log.Error("what operators said is not known", "error", err)
+		}
+		share := func(n int) {
+			a.Beside(n)
+			limitMemory(cfg.MemoryMB / (n + 1))
+		}
+		if n > 0 {
+			share(n)
+		}
+		go dir.Follow(ctx, n, apply, share, func(err error) { log.Error("what operators said is not known", "error", err) })
+	}
+	door, err := ops.Open(cfg.Admin, a, keeper, log)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return func() {
+		cancel()
+		_ = door.Close()
+		if dir != nil {
+			_ = dir.Close()
+		}
+	}, nil
+}
+
+// limitMemory keeps the heap well below the limit that kills the process.
+func limitMemory(mb int) {
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(mb) << 20 * 3 / 4)
+	}
+}
+
 // reload reads the configuration again at each SIGHUP. Those that come meanwhile count as one. A
 // file that makes no sense changes nothing.
 func reload(a *core.Agent, hup <-chan os.Signal, log *slog.Logger) {
--- a/cmd/vetchhaven/upgrade_test.go
+++ b/cmd/vetchhaven/upgrade_test.go
@@ -155,6 +155,113 @@
 	u.stop(old, oldLog)
 }
 
+// call makes an operator's call and returns its status.
+func call(t *testing.T, method, addr, path string) int {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+addr+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// What operators said at the old process's door holds in the new one from its first request, and what they say
+// at either door holds in both.
+func TestWhatOperatorsSaidHoldsOverAnUpgrade(t *testing.T) {
+	servers := map[string]string{"one": "", "two": ""}
+	var mu sync.Mutex
+	got := map[string]int{}
+	for id := range servers {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			got[id]++
+		})}
+		go func() { _ = server.Serve(ln) }()
+		t.Cleanup(func() { server.Close() })
+		servers[id] = ln.Addr().String()
+	}
+	u := newUpgrading(t, servers["one"])
+	text, err := os.ReadFile(u.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(t, u.config, strings.Replace(string(text), `"servers":[`, fmt.Sprintf(
+		`"servers":[{"id":"two","addr":%q,"zone":"a","kind":"m","state":"ready","weight":1},`, servers["two"]), 1))
+	n := 0
+	ask := func(times int) (one, two int) {
+		t.Helper()
+		mu.Lock()
+		clear(got)
+		mu.Unlock()
+		for range times {
+			n++
+			req, _ := http.NewRequest("GET", "http://"+u.listen+"/get/x", nil)
+			req.Header.Set("X-Trace-Id", fmt.Sprint(n))
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != 200 {
+				t.Fatalf("status %d", resp.StatusCode)
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		return got["one"], got["two"]
+	}
+	oldDoor, newDoor := freeAddr(t), freeAddr(t)
+	old, oldLog := u.start("PROXY_ADMIN_ADDR=" + oldDoor)
+	waitReady(t, u.listen)
+	if status := call(t, "GET", oldDoor, "/ready"); status != 200 {
+		t.Errorf("ready: %d", status)
+	}
+	if one, two := ask(40); one == 0 || two == 0 {
+		t.Fatalf("before: one got %d, two %d", one, two)
+	}
+	if status := call(t, "PUT", oldDoor, "/backends/disable/two"); status != 200 {
+		t.Fatalf("disable: %d", status)
+	}
+	if status := call(t, "PUT", oldDoor, "/backends/disable/nobody"); status != 404 {
+		t.Errorf("disable of an unknown one: %d", status)
+	}
+	if _, two := ask(40); two != 0 {
+		t.Errorf("out by hand, two got %d", two)
+	}
+	next, nextLog := u.start("PROXY_ADMIN_ADDR=" + newDoor)
+	nextLog.wait(t, "msg=serving")
+	if _, two := ask(40); two != 0 {
+		t.Errorf("beside each other, two got %d", two)
+	}
+	u.stop(old, oldLog)
+	if _, two := ask(40); two != 0 {
+		t.Errorf("in the new process, two got %d", two)
+	}
+	third, thirdLog := u.start("PROXY_ADMIN_ADDR=" + oldDoor)
+	thirdLog.wait(t, "msg=serving")
+	if status := call(t, "PUT", newDoor, "/backends/enable/two"); status != 200 {
+		t.Errorf("enable: %d", status)
+	}
+	if status := call(t, "PUT", oldDoor, "/backends/disable/s"); status != 200 {
+		t.Errorf("disable: %d", status)
+	}
+	if one, _ := ask(40); one != 0 {
+		t.Errorf("out at the third one's door, one got %d", one)
+	}
+	u.stop(next, nextLog)
+	u.stop(third, thirdLog)
+}
+
 // A descriptor that is no listening socket ends the program with a line that names the variable.
 func TestInheritedDescriptorThatIsNone(t *testing.T) {
 	u := newUpgrading(t, "127.0.0.1:1")
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -197,17 +197,18 @@
 }
 
 // Budget bounds the bytes that are kept at once, by those that ask it.
-type Budget struct {
-	left atomic.Int64
-}
+type Budget struct{ left, all atomic.Int64 }
 
 // NewBudget has so many bytes.
 func NewBudget(bytes int) *Budget {
 	b := &Budget{}
-	b.left.Store(int64(bytes))
+	b.Resize(bytes)
 	return b
 }
 
+// Resize changes how many bytes it has. What is booked past that stays so, and nothing more is until it fits.
+func (b *Budget) Resize(bytes int) { b.left.Add(int64(bytes) - b.all.Swap(int64(bytes))) }
+
 // Take books bytes, if so many are left.
 func (b *Budget) Take(n int) bool {
 	if b.left.Add(-int64(n)) >= 0 {
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -23,7 +23,7 @@
 	if limit == 0 {
 		limit = defaultSockets
 	}
-	return limit - OwnSockets
+	return max(limit, leastSockets) - OwnSockets // two processes of one agent may have less than the least each
 }
 
 // BackendSockets is how many connections to backends are open at once.
@@ -54,21 +54,35 @@
 // could hurt where a burst of many requests at once comes every few seconds: it connects anew.
 type Gate struct {
 	net.Listener
-	most, mark, kept int
 
-	mu    sync.Mutex
-	conns map[*clientConn]bool
-	fresh *list.List    // of *clientConn that have sent no request yet, oldest first
-	idle  *list.List    // of *clientConn between requests, idle longest first
-	freed chan struct{} // of one: a place has become free
-	done  chan struct{}
-	once  sync.Once
+	mu               sync.Mutex
+	most, mark, kept int
+	conns            map[*clientConn]bool
+	fresh            *list.List    // of *clientConn that have sent no request yet, oldest first
+	idle             *list.List    // of *clientConn between requests, idle longest first
+	freed            chan struct{} // of one: a place has become free
+	done             chan struct{}
+	once             sync.Once
 }
 
 // NewGate accepts no more than so many connections at once.
 func NewGate(l net.Listener, most int) *Gate {
-	return &Gate{Listener: l, most: most, mark: most * 3 / 4, kept: max(1, most/4), conns: map[*clientConn]bool{},
-		fresh: list.New(), idle: list.New(), freed: make(chan struct{}, 1), done: make(chan struct{})}
+	g := &Gate{Listener: l, conns: map[*clientConn]bool{}, fresh: list.New(), idle: list.New(), freed: make(chan struct{}, 1),
+		done: make(chan struct{})}
+	g.Resize(most)
+	return g
+}
+
+// Resize changes how many connections are accepted at once. Those that are open past it stay: quiet ones go
+// as they do where it is full.
+func (g *Gate) Resize(most int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.most, g.mark, g.kept = most, most*3/4, max(1, most/4)
+	select {
+	case g.freed <- struct{}{}: // there may be room now
+	default:
+	}
 }
 
 // streamConn is a TCP or a unix connection.
--- a/internal/core/helpers_test.go
+++ b/internal/core/helpers_test.go
@@ -22,6 +22,7 @@
 
 func (none) Serve(*Gate) error { return nil }
 func (none) Drain(bool)        {}
+func (none) Resize(int, int)   {}
 func (none) Close() error      { return nil }
 func (none) Open() int64       { return 0 }
 func (none) Attempt(*Attempt) (decide.Result, any, decide.Load) {
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -196,3 +197,13 @@
 
 // Accepting reports whether it takes clients' connections, and is not about to end.
 func (a *Agent) Accepting() bool { return a.serving.Load() && !a.stopping.Load() }
+
+// Beside tells it how many other processes of the same agent are alive: together they have the descriptors
+// and the memory of one.
+func (a *Agent) Beside(others int) {
+	parts := max(0, others) + 1
+	sockets := cmp.Or(a.cfg.Sockets, defaultSockets) / parts
+	a.log.Info("processes of this agent", "beside", others, "sockets", sockets)
+	a.gate.Resize(ClientSockets(sockets))
+	a.protocol.Resize(sockets, a.cfg.BodyMemory()/parts)
+}
--- a/internal/core/protocol.go
+++ b/internal/core/protocol.go
@@ -23,6 +23,9 @@
 	Serve(g *Gate) error
 	// Drain has each connection end once all that was taken on it is answered, or, with false, no more.
 	Drain(on bool)
+	// Resize has it use no more than so many descriptors of clients and servers, and bytes of bodies of
+	// clients and again of servers. It may be called at any time; see Agent.Beside.
+	Resize(sockets, bytes int)
 	// Close ends what is left of clients' connections.
 	Close() error
 	// Open is how many requests are open.
--- a/internal/http1/backends.go
+++ b/internal/http1/backends.go
@@ -54,12 +54,12 @@
 	cfg     *core.Config
 	log     *slog.Logger
 	longest time.Duration // for which a connection may stand idle by the settings
-	most    int           // connections at once
 	answers *core.Budget  // bytes of answers that are being read
 	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
 	readers sync.Pool // of *bufio.Reader
 
 	mu    sync.Mutex
+	most  int // connections at once
 	addrs core.Addresses
 	// keepIdle is for how long one is kept: shorter than longest where those that stood idle were
 	// found to be dead.
@@ -112,6 +112,14 @@
 	return err == nil && quiet
 }
 
+func (b *backends) resize(sockets, bytes int) {
+	b.answers.Resize(bytes)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.most = core.BackendSockets(sockets); b.open > b.most && b.evict(); {
+	}
+}
+
 // update takes a change of the list. Connections to a backend that is gone or has moved are
 // closed.
 func (b *backends) update(e core.List) {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -210,7 +210,7 @@
 	r.Deadline = time.Now().Add(r.Left)
 	r.Message = h.message(target, host, body)
 	// Past what the limits let an agent hold, a request is turned away before anything has run.
-	if f.open.Add(1) > int64(f.most) {
+	if f.open.Add(1) > f.most.Load() {
 		f.open.Add(-1)
 		f.bodies.Put(len(body))
 		c.mu.Lock()
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -18,7 +18,7 @@
 	loop      *core.Loop
 	gate      *core.Gate
 	log       *slog.Logger
-	most      int // requests open at once
+	most      atomic.Int64 // requests open at once
 	open      atomic.Int64
 	bodies    *core.Budget
 	classes   map[string]int
@@ -39,17 +39,24 @@
 )
 
 func newFront(cfg *core.Config, l *core.Loop, log *slog.Logger) *front {
-	f := &front{cfg: cfg, loop: l, log: log, bodies: core.NewBudget(cfg.BodyMemory()), most: core.ClientSockets(cfg.Sockets),
+	f := &front{cfg: cfg, loop: l, log: log, bodies: core.NewBudget(0),
 		classes: map[string]int{}, writeTime: 2*cfg.Longest() + core.HeadTime, conns: map[*clientConn]bool{}}
-	if cfg.Site.MaxOpen > 0 {
-		f.most = min(f.most, cfg.Site.MaxOpen)
-	}
+	f.resize(cfg.Sockets, cfg.BodyMemory())
 	for i, name := range cfg.Site.Classes {
 		f.classes[name] = i
 	}
 	return f
 }
 
+func (f *front) resize(sockets, bytes int) {
+	most := core.ClientSockets(sockets)
+	if f.cfg.Site.MaxOpen > 0 {
+		most = min(most, f.cfg.Site.MaxOpen)
+	}
+	f.most.Store(int64(most))
+	f.bodies.Resize(bytes)
+}
+
 // serve takes connections until the gate is closed.
 func (f *front) serve(g *core.Gate) error {
 	f.gate = g
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -39,6 +39,12 @@
 // Drain has each connection end with its next answer, or not.
 func (p *protocol) Drain(on bool) { p.draining.Store(on) }
 
+// Resize has it use no more than so many descriptors and bytes.
+func (p *protocol) Resize(sockets, bytes int) {
+	p.front.resize(sockets, bytes)
+	p.backends.resize(sockets, bytes)
+}
+
 // Close ends what is left of clients' connections.
 func (p *protocol) Close() error { return p.front.close() }
 
--- /dev/null
+++ b/internal/http1/operate_test.go
@@ -0,0 +1,231 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/testkit"
+)
+
+// client is one connection to the agent.
+type client struct {
+	t  *testing.T
+	c  net.Conn
+	in *bufio.Reader
+}
+
+func (r *running) connect(t *testing.T) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", r.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if err := c.SetDeadline(time.Now().Add(testkit.Patience)); err != nil {
+		t.Fatal(err)
+	}
+	return &client{t, c, bufio.NewReader(c)}
+}
+
+func (c *client) send(path string) {
+	c.t.Helper()
+	if _, err := fmt.Fprintf(c.c, "GET %s HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\n\r\n", path, newID()); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// answer is the next answer's status, and whether the connection ends with it.
+func (c *client) answer() (status int, last bool) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		c.t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Close
+}
+
+// ends waits until the agent has closed the connection, with nothing more on it.
+func (c *client) ends() {
+	c.t.Helper()
+	if rest, err := io.ReadAll(c.in); err != nil || len(rest) > 0 {
+		c.t.Errorf("%q %v before the end", rest, err)
+	}
+}
+
+// Sent away by hand, clients hear so at once, what they ask on connections that they have is served, and no connection is
+// held: neither idle ones nor such as never asked. Taken again, all is as before, and the process goes on.
+func TestDrainByHand(t *testing.T) {
+	hold := make(chan struct{})
+	came := make(chan struct{}, 10)
+	ln := testkit.Listen(t)
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "slow") {
+			came <- struct{}{}
+			<-hold
+		}
+	})}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { server.Close() })
+	b := &backend{addr: ln.Addr().String()}
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{b.member("s")}}))
+	idle, busy, silent, late := a.connect(t), a.connect(t), a.connect(t), a.connect(t)
+	for _, c := range []*client{idle, late} {
+		c.send("/get/x")
+		if status, last := c.answer(); status != 200 || last {
+			t.Fatalf("before: %d, last %v", status, last)
+		}
+	}
+	busy.send("/get/slow")
+	testkit.Receive(t, "request", came)
+	if x := a.do("GET", "/_health", ""); x.status != 200 {
+		t.Fatalf("health before: %d", x.status)
+	}
+	a.Agent.Drain(true)
+	a.Agent.Drain(true) // twice is once
+	if x := a.do("GET", "/_health", ""); x.status != 503 {
+		t.Errorf("health while drained: %d", x.status)
+	}
+	late.send("/get/x")
+	if status, last := late.answer(); status != 200 || !last {
+		t.Errorf("on a kept connection: %d, last %v", status, last)
+	}
+	late.ends()
+	idle.ends()
+	silent.ends()
+	close(hold)
+	if status, last := busy.answer(); status != 200 || !last {
+		t.Errorf("what was taken: %d, last %v", status, last)
+	}
+	busy.ends()
+	if x := a.do("GET", "/get/x", ""); x.status != 200 {
+		t.Errorf("a new connection while drained: %d", x.status)
+	}
+	a.Agent.Drain(false)
+	if x := a.do("GET", "/_health", ""); x.status != 200 {
+		t.Errorf("health afterwards: %d", x.status)
+	}
+	again := a.connect(t)
+	again.send("/get/x")
+	if status, last := again.answer(); status != 200 || last {
+		t.Errorf("afterwards: %d, last %v", status, last)
+	}
+	select {
+	case err := <-a.done:
+		t.Errorf("the agent ended: %v", err)
+	default:
+	}
+}
+
+// What is out by hand is not even sent what was decided before and still waits for its connection: another
+// server has it.
+func TestBanWhileDialling(t *testing.T) {
+	b, other := serveRaw(t, func(int) string { return ok200 }), serveRaw(t, func(int) string { return ok200 })
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{b.member("s")}}))
+	dialled, hold := make(chan struct{}, 1), make(chan struct{})
+	plain := a.backends.dialer
+	a.backends.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if addr == b.addr {
+			dialled <- struct{}{}
+			<-hold
+		}
+		return plain(ctx, network, addr)
+	}
+	got := make(chan exchange, 1)
+	go func() { got <- a.do("POST", "/pay/x", "form") }()
+	testkit.Receive(t, "dial", dialled)
+	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+	defer cancel()
+	if known, err := a.Ban(ctx, "s", true, false); !known || err != nil {
+		t.Fatalf("%v %v", known, err)
+	}
+	close(hold)
+	x := testkit.Receive(t, "answer", got)
+	if x.status != 503 || len(b.seen) != 0 || len(other.seen) != 0 {
+		t.Errorf("%d, %d sent to the one that is out", x.status, len(b.seen))
+	}
+	if known, err := a.Ban(ctx, "nobody", true, false); known || err != nil {
+		t.Errorf("an unknown one: %v %v", known, err)
+	}
+	if known, err := a.Ban(ctx, "s", false, false); !known || err != nil {
+		t.Errorf("back: %v %v", known, err)
+	}
+	if x := a.do("POST", "/pay/x", "form"); x.status != 200 {
+		t.Errorf("back in: %d", x.status)
+	}
+}
+
+// Figures tell what clients were told and servers were sent.
+func TestFigures(t *testing.T) {
+	n := 0
+	b := serveRaw(t, func(k int) string {
+		if n++; k == 2 {
+			return "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+		}
+		return ok200
+	})
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{b.member("s")}}))
+	for range 2 {
+		a.do("GET", "/get/x", "")
+	}
+	a.do("POST", "/pay/x", "form") // 500: fails, and is not tried again
+	a.do("POST", "/pay/x", "form")
+	a.do("POST", "/pay/x", "form", "X-Trace-Id", "") // no request
+	f := a.Figures(testkit.Patience)
+	want := map[string]core.ClassFigures{"get": {Name: "get", Answered: 2, Sends: 2}, "put": {Name: "put"},
+		"pay": {Name: "pay", Answered: 1, Errored: 1, Sends: 2}}
+	for _, c := range f.Classes {
+		if c != want[c.Name] {
+			t.Errorf("%+v, want %+v", c, want[c.Name])
+		}
+	}
+	if f.Open != 0 || f.Listed != 1 {
+		t.Errorf("%d open, %d listed", f.Open, f.Listed)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+	defer cancel()
+	if _, err := a.Ban(ctx, "s", true, false); err != nil {
+		t.Fatal(err)
+	}
+	testkit.WaitFor(t, "the server to be counted out", func() bool { return a.Figures(testkit.Patience).Avoided == 1 })
+	if x := a.do("GET", "/get/x", ""); x.status != 503 {
+		t.Errorf("with none left: %d", x.status)
+	}
+	if f := a.Figures(testkit.Patience); f.Classes[0].Deferred != 1 || f.Listed != 1 {
+		t.Errorf("%+v", f)
+	}
+}
+
+// Two processes have the descriptors of one: each opens fewer connections while the other is there.
+func TestBesideAnother(t *testing.T) {
+	b := serveRaw(t, func(int) string { return ok200 })
+	cfg := testConfig(t, testkit.Setup{Servers: []catalog.Member{b.member("s")}})
+	a := start(t, cfg)
+	whole := a.backends.most
+	a.Beside(1)
+	a.backends.mu.Lock()
+	half := a.backends.most
+	a.backends.mu.Unlock()
+	if half > whole/2 || a.front.most.Load() > int64(core.ClientSockets(cfg.Sockets/2)) || a.bodies.Left() > int64(cfg.BodyMemory()/2) {
+		t.Errorf("%d of %d connections, %d requests, %d bytes", half, whole, a.front.most.Load(), a.bodies.Left())
+	}
+	if x := a.do("GET", "/get/x", ""); x.status != 200 {
+		t.Errorf("beside another: %d", x.status)
+	}
+	a.Beside(0)
+	if a.backends.most != whole || a.bodies.Left() != int64(cfg.BodyMemory()) {
+		t.Errorf("alone again: %d of %d connections, %d bytes", a.backends.most, whole, a.bodies.Left())
+	}
+}
--- a/internal/ldap/client.go
+++ b/internal/ldap/client.go
@@ -370,7 +370,7 @@
 	s.mu.Lock()
 	s.ops[o.id] = o
 	s.mu.Unlock()
-	if p.open.Add(1) > int64(p.most) {
+	if p.open.Add(1) > p.most.Load() {
 		o.finish(core.Answer{Refused: true})
 		return
 	}
--- a/internal/ldap/ldap.go
+++ b/internal/ldap/ldap.go
@@ -32,7 +32,7 @@
 	secret  [32]byte    // names of identities are made with it
 	lastID  atomic.Uint64
 	open    atomic.Int64
-	most    int
+	most    atomic.Int64  // operations open at once
 	fresh   time.Duration // for how long a connection that has asked nothing is served on while this copy ends
 
 	mu       sync.Mutex
@@ -111,10 +111,10 @@
 	}
 	o.MostMessage, o.MostOpen = cmp.Or(o.MostMessage, mostMessage), cmp.Or(o.MostOpen, mostOpen)
 	o.Shared, o.Idle = cmp.Or(o.Shared, sharedMost), cmp.Or(o.Idle, idleMost)
-	p := &protocol{cfg: cfg, o: o, log: log, tls: clients, classes: classesOf(cfg.Site.Classes), sessions: map[*session]bool{}, fresh: freshTime,
-		most: 4 * core.ClientSockets(cfg.Sockets)}
+	p := &protocol{cfg: cfg, o: o, log: log, tls: clients, classes: classesOf(cfg.Site.Classes), sessions: map[*session]bool{}, fresh: freshTime}
+	p.most.Store(4 * int64(core.ClientSockets(cfg.Sockets)))
 	if cfg.Site.MaxOpen > 0 {
-		p.most = cfg.Site.MaxOpen
+		p.most.Store(int64(cfg.Site.MaxOpen))
 	}
 	if _, err := rand.Read(p.secret[:]); err != nil {
 		return nil, nil, err
@@ -193,6 +193,16 @@
 	}
 }
 
+// Resize has it use no more than so many descriptors. What its messages take is bounded for each connection.
+func (p *protocol) Resize(sockets, _ int) {
+	if p.cfg.Site.MaxOpen == 0 {
+		p.most.Store(4 * int64(core.ClientSockets(sockets)))
+	}
+	p.servers.mu.Lock()
+	defer p.servers.mu.Unlock()
+	p.servers.most = core.BackendSockets(sockets)
+}
+
 // Close ends what is left of clients' connections.
 func (p *protocol) Close() error {
 	p.mu.Lock()
--- a/internal/ops/door.go
+++ b/internal/ops/door.go
@@ -4,7 +4,6 @@
 package ops
 
 import (
-	"cmp"
 	"container/list"
 	"context"
 	"encoding/json"
@@ -17,6 +16,7 @@
 	"time"
 
 	"vetchhaven/internal/core"
+	"vetchhaven/internal/upgrade"
 )
 
 // Agent is what the door opens to.
@@ -52,17 +52,13 @@
 	places map[net.Conn]*list.Element
 }
 
-// Keeper keeps what operators said for the process that comes after, or is there beside this one. Each
-// call returns once the other has heard of it.
-type Keeper interface {
-	Ban(server string, out bool) error
-	Drain(on bool) error
-}
+// Keeper keeps what operators said for the process that comes after, or is there beside this one. Say
+// returns once the other has heard of it.
+type Keeper interface{ Say(c upgrade.Change) error }
 
 type none struct{}
 
-func (none) Ban(string, bool) error { return nil }
-func (none) Drain(bool) error       { return nil }
+func (none) Say(upgrade.Change) error { return nil }
 
 type connKey struct{}
 
@@ -72,13 +68,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("admin_addr: %w", err)
 	}
-	d := &Door{agent: a, keeper: cmp.Or[Keeper](keeper, none{}), log: log, ln: ln, silent: list.New(), places: map[net.Conn]*list.Element{}}
+	if keeper == nil {
+		keeper = none{}
+	}
+	d := &Door{agent: a, keeper: keeper, log: log, ln: ln, silent: list.New(), places: map[net.Conn]*list.Element{}}
 	d.server = &http.Server{Handler: d.calls(), ReadTimeout: callTime, WriteTimeout: 2 * callTime, MaxHeaderBytes: 8 << 10,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug), ConnState: d.moved,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
 	d.server.SetKeepAlivesEnabled(false)
 	go func() {
-		if err := d.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := d.server.Serve(ln); !errors.Is(err, net.ErrClosed) {
 			log.Error("admin", "error", err)
 		}
 	}()
@@ -151,18 +150,18 @@
 	case !known:
 		http.Error(w, fmt.Sprintf("no server %q is listed", id), http.StatusNotFound)
 	default:
-		d.kept(w, d.keeper.Ban(id, out))
+		d.kept(w, upgrade.Change{Server: id, On: out})
 	}
 }
 
 func (d *Door) drain(w http.ResponseWriter, on bool) {
 	d.agent.Drain(on)
-	d.kept(w, d.keeper.Drain(on))
+	d.kept(w, upgrade.Change{On: on})
 }
 
-// kept answers yes, or says that the next process will not know.
-func (d *Door) kept(w http.ResponseWriter, err error) {
-	if err != nil {
+// kept answers yes once what holds here is kept, or says that another process may not know.
+func (d *Door) kept(w http.ResponseWriter, c upgrade.Change) {
+	if err := d.keeper.Say(c); err != nil {
 		d.log.Error("what an operator said holds here, and is not kept for another process", "error", err)
 	}
 	w.WriteHeader(http.StatusOK)
--- a/internal/ops/door_test.go
+++ b/internal/ops/door_test.go
@@ -16,6 +16,7 @@
 
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/testkit"
+	"vetchhaven/internal/upgrade"
 )
 
 // agent is one that does as it is told.
@@ -58,8 +59,7 @@
 // keeper fails.
 type keeper struct{}
 
-func (keeper) Ban(string, bool) error { return errors.New("disk full") }
-func (keeper) Drain(bool) error       { return errors.New("disk full") }
+func (keeper) Say(upgrade.Change) error { return errors.New("disk full") }
 
 func open(t *testing.T, a Agent, k Keeper) string {
 	t.Helper()
--- /dev/null
+++ b/internal/upgrade/said_test.go
@@ -0,0 +1,91 @@
+package upgrade
+
+import (
+	"encoding/json"
+	"reflect"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever was said, in whatever order: what holds is the last word on each server and on the drain, a
+// process that carries out the difference comes to the same, and so does one that reads it from a file.
+func TestSaidIsTheLastWord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		change := rapid.Custom(func(t *rapid.T) Change {
+			return Change{rapid.SampledFrom([]string{"", "a", "b", "c", "d/e"}).Draw(t, "server"), rapid.Bool().Draw(t, "on")}
+		})
+		changes := rapid.SliceOf(change).Draw(t, "changes")
+		behind := rapid.IntRange(0, len(changes)).Draw(t, "behind")
+		var now, late Said
+		last := map[string]bool{}
+		for i, c := range changes {
+			if i == behind {
+				late = now
+			}
+			next, err := now.With(c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if new := last[c.Server] != c.On; new != (next.Version == now.Version+1) {
+				t.Fatalf("%v after %+v: version %d", c, now, next.Version)
+			}
+			now, last[c.Server] = next, c.On
+		}
+		if behind == len(changes) {
+			late = now
+		}
+		for _, id := range []string{"a", "b", "c", "d/e"} {
+			if slices.Contains(now.Out, id) != last[id] {
+				t.Fatalf("%s: %+v, said %v", id, now, changes)
+			}
+		}
+		if now.Drained != last[""] {
+			t.Fatalf("%+v, said %v", now, changes)
+		}
+		for _, c := range now.Since(late) {
+			var err error
+			if late, err = late.With(c); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if late.Drained != now.Drained || !slices.Equal(late.Out, now.Out) {
+			t.Fatalf("%+v after the difference, not %+v", late, now)
+		}
+		text, err := json.Marshal(now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		read, err := parse(text)
+		if err != nil || read.Version != now.Version || read.Drained != now.Drained || !slices.Equal(read.Out, now.Out) {
+			t.Fatalf("read %+v, %v, wrote %+v", read, err, now)
+		}
+	})
+}
+
+func TestParseRejects(t *testing.T) {
+	for _, text := range []string{"", "{", `{"version":-1}`, `{"out":["b","a"]}`, `{"out":["a","a"]}`, `{"out":[""]}`, `[]`, `{"out":3}`} {
+		if s, err := parse([]byte(text)); err == nil {
+			t.Errorf("%s read as %+v", text, s)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"version":3,"out":["a","b"],"drained":true}`))
+	f.Add([]byte(`{"out":["b","a"]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := parse(text)
+		if err != nil {
+			return
+		}
+		again, err := json.Marshal(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if same, err := parse(again); err != nil || !reflect.DeepEqual(s, same) && len(s.Out) > 0 {
+			t.Errorf("%+v is read back as %+v, %v", s, same, err)
+		}
+	})
+}
