--- a/decide/api.go
+++ b/decide/api.go
@@ -123,6 +123,14 @@
 		Work   time.Duration // expected work; 0: unknown
 		Repeat bool          // the client says that it tries again
 		Only   string        // the one backend that may get it; empty: any
+		Upload bool          // its last byte is still to come, and Left counts from then: see Uploaded
+	}
+	// Uploaded says that the last byte of an upload has gone out with an attempt. Only now does its time
+	// run, and only now has its backend work with it.
+	Uploaded struct {
+		Request string
+		Attempt int
+		Left    time.Duration
 	}
 	// Outcome ends one attempt. The agent passes on exactly one for each Send.
 	Outcome struct {
@@ -130,14 +138,17 @@
 		Attempt int // attempts of a request count from 0 in the order of their Send
 		Backend string
 		Result  Result
-		Latency time.Duration // since it was sent
+		Latency time.Duration // since it was sent; of an upload: since its last byte was
 		Done    bool          // the request has its final answer, by this outcome or before
 		Load    Load
+		Spent   bool // what was sent can't be sent again
 	}
 	// StreamStarted says that the answer of an attempt has begun to reach the client.
 	StreamStarted struct {
 		Request string
 		Attempt int
+		Worked  bool          // the backend is done with it, but for bytes that are on their way
+		Latency time.Duration // of Worked, since it was sent
 	}
 	// Abandoned says that the client left; nothing is owed any longer.
 	Abandoned struct{ Request string }
@@ -230,6 +241,7 @@
 func (List) event()          {}
 func (Request) event()       {}
 func (Outcome) event()       {}
+func (Uploaded) event()      {}
 func (StreamStarted) event() {}
 func (Abandoned) event()     {}
 func (ProbeResult) event()   {}
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -159,10 +159,10 @@
 			b.measure()
 		case PeerMessage:
 			b.onPeer(e)
+		case Uploaded:
+			b.onUploaded(e)
 		case StreamStarted:
-			if r := b.requests[e.Request]; r != nil && !r.ended {
-				r.stream = true
-			}
+			b.onStream(e)
 		case Abandoned:
 			if r := b.requests[e.Request]; r != nil {
 				b.close(r)
@@ -179,7 +179,7 @@
 	}
 	c := &b.classes[e.Class]
 	r := &request{id: e.ID, class: e.Class, aim: b.now + min(c.Aim, e.Left), half: b.now + e.Left/2,
-		deadline: b.now + e.Left, repeat: e.Repeat, only: e.Only}
+		deadline: b.now + e.Left, repeat: e.Repeat, only: e.Only, upload: e.Upload}
 	// A client gives its tries a usual patience, its last one all that is left of its deadline.
 	// A try with any other patience therefore tells how long ago the client began.
 	c.patience = cmp.Or(c.patience, e.Left)
@@ -215,32 +215,67 @@
 	b.hold(r)
 }
 
+// out is an attempt that is out, with its request; nil: there is none.
+func (b *Balancer) out(id string, n int) (*request, *attempt) {
+	r := b.requests[id]
+	if r == nil || n < 0 || n >= len(r.attempts) || !r.attempts[n].open {
+		return nil, nil
+	}
+	return r, r.attempts[n]
+}
+
+func (b *Balancer) onUploaded(e Uploaded) {
+	if r, a := b.out(e.Request, e.Attempt); r != nil && r.upload {
+		c := &b.classes[r.class]
+		r.upload, r.aim, r.deadline, r.half = false, b.now+min(c.Aim, e.Left), b.now+e.Left, b.now+e.Left/2
+		b.takeUp(r, a)
+	}
+}
+
+func (b *Balancer) onStream(e StreamStarted) {
+	r, a := b.out(e.Request, e.Attempt)
+	if r == nil || r.ended {
+		return
+	}
+	if r.stream = true; e.Worked && a.load {
+		b.served(r, a, Outcome{Result: OK, Latency: e.Latency})
+		b.putDown(a)
+	}
+}
+
+// served counts a success, as soon as it is one.
+func (b *Balancer) served(r *request, a *attempt, e Outcome) {
+	b.observe(r, a, e)
+	b.tokens = min(bucketCap, b.tokens+successRefill)
+	if b.now <= r.aim {
+		b.classes[r.class].answered++
+	}
+}
+
 func (b *Balancer) onOutcome(e Outcome) {
-	r := b.requests[e.Request]
-	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || !r.attempts[e.Attempt].open {
+	r, a := b.out(e.Request, e.Attempt)
+	if r == nil {
 		return
 	}
-	a := r.attempts[e.Attempt]
-	a.open = false
+	streamed := r.stream && !a.load // its success was counted when its answer began
+	a.open, r.spent = false, r.spent || e.Spent
 	r.open--
-	b.inFlight--
-	a.b.out = without(a.b.out, a)
+	b.putDown(a)
 	if e.Result.NeverRan() {
 		if r.risky--; r.risky == 0 {
 			r.anchor = nil
 		}
 	}
-	c := &b.classes[r.class]
-	b.observe(r, a, e)
+	switch {
+	case e.Result == OK && streamed:
+	case e.Result == OK && !r.ended:
+		b.served(r, a, e)
+	default:
+		b.observe(r, a, e)
+	}
 	if b.outcomes++; b.notesOn() && b.outcomes%passEvery == 0 {
 		b.message(b.notes, 1+b.rng.IntN(b.s.Balancers-1))
 	}
-	if e.Result == OK && !r.ended {
-		b.tokens = min(bucketCap, b.tokens+successRefill)
-		if b.now <= r.aim {
-			c.answered++
-		}
-	}
 	if e.Done || e.Result == OK || r.ended {
 		b.close(r)
 		return
--- a/decide/finish.go
+++ b/decide/finish.go
@@ -15,12 +15,9 @@
 	if r.risky++; r.anchor == nil {
 		r.anchor = a
 	}
-	t.out = append(t.out, a)
-	b.inFlight++
 	b.credit -= a.cost
-	if b.thin() {
-		aim := float64(b.classes[r.class].Aim)
-		b.watched[b.alarm(time.Duration(min(aim, max(overdueAt*aim, overdueCost*a.cost))))] = a
+	if !r.upload {
+		b.takeUp(r, a)
 	}
 	if t.cold {
 		t.budget -= a.cost
@@ -28,6 +25,26 @@
 	b.actions = append(b.actions, Send{Request: r.id, Backend: t.ID})
 }
 
+// takeUp counts an attempt as work in hand, from when its backend has all of it.
+func (b *Balancer) takeUp(r *request, a *attempt) {
+	a.load, a.sent = true, b.now
+	a.b.out = append(a.b.out, a)
+	b.inFlight++
+	if b.thin() {
+		aim := float64(b.classes[r.class].Aim)
+		b.watched[b.alarm(time.Duration(min(aim, max(overdueAt*aim, overdueCost*a.cost))))] = a
+	}
+}
+
+// putDown ends that.
+func (b *Balancer) putDown(a *attempt) {
+	if a.load {
+		a.load = false
+		b.inFlight--
+		a.b.out = without(a.b.out, a)
+	}
+}
+
 // finish gives a request its final answer. Nothing else does. It is a refusal
 // where no attempt may have run, which lets any client try again; else a failure.
 func (b *Balancer) finish(r *request) {
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -30,7 +30,8 @@
 	if r.only != "" && t.ID != r.only {
 		return false
 	}
-	if r.ended || r.stream || len(r.attempts) >= b.s.MaxAttempts || r.open > 0 && !b.s.SecondCopies {
+	if r.ended || r.stream || r.spent || len(r.attempts) >= b.s.MaxAttempts ||
+		r.open > 0 && !b.s.SecondCopies {
 		return false
 	}
 	c := &b.classes[r.class]
--- a/decide/state.go
+++ b/decide/state.go
@@ -57,6 +57,7 @@
 	sent time.Duration
 	cost float64
 	open bool
+	load bool // counts as work in hand: not while it is uploaded, nor once only its answer's bytes are to come
 	late bool // found overdue: its delay is already counted
 }
 
@@ -79,6 +80,7 @@
 	passed   bool     // found no backend in this step
 
 	waiting, holding, stream, ended bool // for its backoff; for room; being answered; done with
+	upload, spent                   bool // its last byte is still to come; what was sent can't be sent again
 }
 
 // without removes one element, keeping the order.
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -33,8 +33,16 @@
 	arrived struct{ *Request }
 	left    struct{ *Request } // the client hung up
 	overdue struct{ *Request } // its time and half the grace are up and no answer is there
-	began   struct{ *Attempt } // a part of its answer is about to reach the client
-	ended   struct {           // an attempt
+	began   struct {           // a part of its answer is about to reach the client
+		*Attempt
+		worked  bool
+		latency time.Duration
+	}
+	uploaded struct { // its last byte is out
+		*Attempt
+		at time.Time
+	}
+	ended struct { // an attempt
 		*Attempt
 		outcome decide.Outcome
 		answer  any
@@ -117,12 +125,18 @@
 // Take gives a request to the loop, which owes it one final answer. After the loop has stopped there is
 // none: see Stopped.
 func (l *Loop) Take(r *Request) {
-	// A request that comes with less than a tick left is answered by the step that first sees it; the grace
-	// after the deadline is there for this.
-	r.late = time.AfterFunc(time.Until(r.Deadline)+l.cfg.Settings.AnswerGrace/2, func() { l.post(overdue{r}) })
+	if !r.Upload {
+		l.limit(r)
+	}
 	l.post(arrived{r})
 }
 
+// limit has a request found overdue. One that comes with less than a tick left is answered by the step that
+// first sees it; the grace after the deadline is there for this.
+func (l *Loop) limit(r *Request) {
+	r.late = time.AfterFunc(time.Until(r.Deadline)+l.cfg.Settings.AnswerGrace/2, func() { l.post(overdue{r}) })
+}
+
 // Leave says that a request's client is gone, or wants no answer: none is owed any more. Its attempts
 // count as out until they end.
 func (l *Loop) Leave(r *Request) { l.post(left{r}) }
@@ -209,22 +223,32 @@
 		// Not for the table: the id belongs to the other one. Each request has a new id, so one that
 		// has just ended is no better: servers may still know it.
 		if l.requests[e.ID] != nil || l.recent.has(e.ID, l.clock.now()) {
-			e.late.Stop()
+			if e.late != nil {
+				e.late.Stop()
+			}
+			close(e.over)
 			e.reply(Answer{Duplicate: true})
 			return
 		}
 		l.counts.requests++
 		l.totals.requests.Add(1)
 		l.requests[e.ID] = e.Request
-		l.pending = append(l.pending, decide.Request{ID: e.ID, Class: e.Class, Work: e.Work, Repeat: e.Repeat, Only: e.Only})
+		l.pending = append(l.pending, decide.Request{ID: e.ID, Class: e.Class, Work: e.Work, Repeat: e.Repeat, Only: e.Only, Upload: e.Upload})
 	case began:
 		// What else is out can't come to anything any more.
-		l.pending = append(l.pending, decide.StreamStarted{Request: e.ID, Attempt: e.N})
+		l.pending = append(l.pending, decide.StreamStarted{Request: e.ID, Attempt: e.N, Worked: e.worked, Latency: e.latency})
 		for _, o := range e.attempts {
 			if o != e.Attempt {
 				o.cancel(ErrCancelled)
 			}
 		}
+	case uploaded:
+		if e.done {
+			return
+		}
+		e.Deadline = e.at.Add(e.Left)
+		l.limit(e.Request)
+		l.pending = append(l.pending, decide.Uploaded{Request: e.ID, Attempt: e.N, Left: time.Until(e.Deadline) - l.margin})
 	case ended:
 		e.open--
 		e.timedOut = e.timedOut || e.outcome.Result == decide.TimedOut
@@ -252,7 +276,7 @@
 	case overdue:
 		// The module answers every request before its deadline. This keeps the promise to the
 		// client where it does not, and says so.
-		if !e.done {
+		if !e.done && !e.unbound.Load() {
 			l.log.Error("no final answer by the deadline", "request", e.ID, "attempts", len(e.attempts), "open", e.open,
 				"left_on_arrival", e.Left)
 			l.counts.late++
@@ -386,6 +410,9 @@
 
 func (l limited) Deadline() (time.Time, bool) { return l.until, true }
 
+// uploadMost bounds how long the last byte of a request may take to come, whatever its protocol bounds.
+const uploadMost = time.Hour
+
 // send starts an attempt. Its goroutine ends by the client's deadline; there are no more of them
 // than MaxAttempts for each request that is open.
 func (l *Loop) send(a decide.Send) {
@@ -397,24 +424,27 @@
 	}
 	start := time.Now()
 	until := r.Deadline.Add(-l.margin)
+	if r.Upload {
+		until = start.Add(uploadMost)
+	}
 	if a.Timeout > 0 && start.Add(a.Timeout).Before(until) {
 		until = start.Add(a.Timeout)
 	}
-	t := &Attempt{Request: r, N: len(r.attempts), Server: a.Backend, loop: l}
+	t := &Attempt{Request: r, N: len(r.attempts), Server: a.Backend, loop: l, start: start}
 	ctx, cancel := context.WithCancelCause(l.base)
 	t.Context, t.cancel = limited{ctx, until}, cancel
-	timer := time.AfterFunc(until.Sub(start), func() { cancel(ErrTimedOut) })
+	t.timer = time.AfterFunc(until.Sub(start), func() { cancel(ErrTimedOut) })
 	r.attempts = append(r.attempts, t)
 	r.open++
 	l.counts.attempts++
 	l.totals.attempts.Add(1)
 	go func() {
 		defer cancel(nil)
-		defer timer.Stop()
+		defer t.timer.Stop()
 		// Whatever becomes of it, its outcome is told: the module waits for it.
 		e := ended{t, decide.Outcome{Request: r.ID, Attempt: t.N, Backend: a.Backend, Result: decide.Errored}, nil}
 		defer func() {
-			e.outcome.Latency = time.Since(start)
+			e.outcome.Latency, e.outcome.Spent = time.Since(t.start), t.spent
 			l.post(e)
 		}()
 		l.guard(func() { e.outcome.Result, e.answer, e.outcome.Load = l.protocol.Attempt(t) })
--- a/internal/core/protocol.go
+++ b/internal/core/protocol.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,10 +62,14 @@
 	Work     time.Duration // expected, as told; 0: unknown
 	Repeat   bool          // the client says that it tries again
 	Only     string        // the one server that may get it; empty: any
+	// Upload says that its last byte is still to come: its attempt reads what it sends. Deadline is then no more than
+	// Left from now, and set anew when the attempt says Uploaded.
+	Upload bool
 
-	reply  func(Answer)
-	over   chan struct{} // closed with the final answer
-	stream atomic.Int32  // 0: nothing of an answer is out; n+1: attempt n streams; -1: final answer given
+	reply   func(Answer)
+	over    chan struct{} // closed with the final answer
+	unbound atomic.Bool   // its answer has begun, and the client waits for its end
+	stream  atomic.Int32  // 0: nothing of an answer is out; n+1: attempt n streams; -1: final answer given
 
 	done     bool // has its final answer, or its client is gone
 	open     int  // attempts out
@@ -102,18 +105,44 @@
 	Server  string
 	Context context.Context // ends when the attempt has to; its cause is ErrTimedOut or ErrCancelled
 
+	start  time.Time // of its server's work
+	spent  bool      // see Spent
+	timer  *time.Timer
 	cancel context.CancelCauseFunc
 	loop   *Loop
-	begun  sync.Once
+	begins int
 }
 
 // Begin says that a part of the attempt's answer is about to reach the client. It reports false where
 // that must not be: another attempt's answer has begun, or the request has its final answer. After a
 // true one there is no other attempt, and the request's final answer is this one's end.
-func (a *Attempt) Begin() bool {
+//
+// worked says that the server is done with it, and only bytes are on their way. Then the client's time no
+// longer ends the attempt, which bounds itself: a client that has begun to read an answer waits for its end.
+func (a *Attempt) Begin(worked bool) bool {
+	if worked && a.begins == 0 && !a.timer.Stop() {
+		return false // its time is up
+	}
 	if !a.stream.CompareAndSwap(0, int32(a.N)+1) && a.stream.Load() != int32(a.N)+1 {
 		return false
 	}
-	a.begun.Do(func() { a.loop.post(began{a}) })
+	if a.begins++; a.begins == 1 {
+		a.unbound.Store(worked)
+		a.loop.post(began{a, worked, time.Since(a.start)})
+	}
 	return true
 }
+
+// Uploaded says that the last byte of the request has gone out with this attempt. The client's time, and the
+// attempt's, run from now.
+func (a *Attempt) Uploaded() {
+	now := time.Now()
+	a.start = now
+	if a.timer.Stop() {
+		a.timer.Reset(a.Left - a.loop.margin)
+	}
+	a.loop.post(uploaded{a, now})
+}
+
+// Spent says that what was sent can't be sent again.
+func (a *Attempt) Spent() { a.spent = true }
--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"os"
 	"strconv"
 	"strings"
@@ -17,7 +16,7 @@
 	"vetchhaven/internal/core"
 )
 
-// answer is a backend's whole answer.
+// answer is a backend's answer: whole, or its head and the beginning of a body that streams.
 type answer struct {
 	status   int
 	lines    []byte // the header lines that are passed on, each with its end
@@ -25,19 +24,22 @@
 	load     string // Endpoint-Load-Metrics
 	neverRan bool   // X-Never-Ran: 1
 	body     []byte
-	reusable bool // the connection may carry another request
+	length   int64     // of the body; -1: only its end tells
+	rest     io.Reader // what is to come of the body; nil: nothing
+	settle   func()    // at the end of rest: whether the connection may carry another request
+	reusable bool      // the connection may carry another request
 }
 
 const (
 	maxAnswerHead = 16 << 10 // bytes of the heads of one answer, 1xx ones included
-	// Chunked bodies are longer on the wire than what they hold; one in chunks of few bytes is
-	// no answer of a backend.
-	maxFraming = 2 * maxBody
+	// What is longer reaches its client as it comes: of such answers the first bytes are waited for.
+	maxWholeAnswer = 64 << 10
+	// An answer whose length is not told is taken for a long one when it has been coming for so long.
+	longAnswer = 50 * time.Millisecond
 )
 
 var (
-	errTooLong   = errors.New("longer than an answer may be")
-	errNoRoom    = errors.New("too many bytes of answers at once")
+	errTooLong   = errors.New("longer than a body may be")
 	aLongTimeAgo = time.Unix(1, 0)
 	errNoFraming = errors.New("an answer whose end can't be told")
 )
@@ -72,9 +74,9 @@
 	return n, err
 }
 
-// readAnswer reads one answer whole. The framing is read here, and more strictly than
-// http.ReadResponse does it: an answer that tells its end twice, or not at all, can't be told
-// from a part of one.
+// readAnswer reads one answer whole, or up to where it has to stream: a served one that is long, or for which
+// there is no room. The framing is read here, and more strictly than http.ReadResponse does it: an answer that
+// tells its end twice, or not at all, can't be told from a part of one.
 func readAnswer(in *bufio.Reader, src *source, room *core.Budget) (*answer, error) {
 	src.left = maxAnswerHead
 	a := &answer{}
@@ -91,25 +93,125 @@
 			return nil, err
 		}
 	}
-	src.left += maxBody
-	var err error
+	a.settle = func() { a.reusable = in.Buffered() == 0 && !h.closes }
+	var body io.Reader
 	switch {
 	case a.status == http.StatusNoContent || a.status == http.StatusNotModified:
+		a.settle()
+		return a, nil
 	case h.codings == 1 && h.chunked && h.lengths == 0:
-		src.left += maxFraming
-		a.body, err = readChunked(in, room)
+		a.length, body = -1, &chunks{in: in}
+		src.left += maxBody + framePerByte*maxBody
 	case h.codings == 0 && h.lengths == 1:
-		a.body, err = readLength(in, h.length, room)
+		n, err := strconv.ParseUint(h.length, 10, 63)
+		switch {
+		case err != nil:
+			return nil, err
+		case n > maxBody:
+			return nil, errTooLong
+		}
+		a.length, body = int64(n), &measured{in: in, left: int64(n)}
+		src.left += int(n)
+	case h.codings == 0 && h.lengths == 0 && h.closes:
+		a.length, body = -1, &untilEnd{in: in, src: src}
+		src.left += maxBody + 1
 	default:
-		err = errNoFraming
+		return nil, errNoFraming
 	}
-	if err != nil {
+	if err := a.readBody(body, room); err != nil {
 		return nil, err
 	}
-	a.reusable = in.Buffered() == 0 && !h.closes
 	return a, nil
 }
 
+// readBody reads a body to its end, as long as it is short and there is room for it.
+func (a *answer) readBody(body io.Reader, room *core.Budget) error {
+	size, booked := 4<<10, 0 // to begin with
+	if a.length >= 0 {
+		size = int(min(a.length, 4<<10))
+		if a.length <= maxWholeAnswer {
+			size = int(a.length)
+		}
+	}
+	if room.Take(size) {
+		booked = size
+	}
+	defer func() { room.Put(booked) }()
+	a.body = make([]byte, 0, size)
+	var began time.Time
+	for {
+		if long := a.length > maxWholeAnswer && len(a.body) > 0 || booked == 0 && size > 0 ||
+			a.length < 0 && len(a.body) > 0 && time.Since(began) >= longAnswer; long && a.status == http.StatusOK {
+			a.rest = body
+			return nil
+		}
+		if a.length >= 0 && int64(len(a.body)) == a.length {
+			a.settle()
+			return nil
+		}
+		if len(a.body) == cap(a.body) {
+			if more := max(cap(a.body), 1); cap(a.body)+more <= maxWholeAnswer && room.Take(more) {
+				booked += more
+				a.body = append(make([]byte, 0, cap(a.body)+more), a.body...)
+			} else if a.status != http.StatusOK {
+				return errTooLong // nobody waits for so long an error
+			} else {
+				a.rest = body
+				return nil
+			}
+		}
+		n, err := body.Read(a.body[len(a.body):cap(a.body)])
+		if n > 0 && len(a.body) == 0 {
+			began = time.Now()
+		}
+		a.body = a.body[:len(a.body)+n]
+		if errors.Is(err, io.EOF) {
+			a.length = int64(len(a.body))
+			a.settle()
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// measured is a body of a told length.
+type measured struct {
+	in   *bufio.Reader
+	left int64
+}
+
+func (m *measured) Read(p []byte) (int, error) {
+	if m.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := m.in.Read(p[:min(int64(len(p)), m.left)])
+	m.left -= int64(n)
+	if n > 0 {
+		return n, nil
+	}
+	return 0, unexpected(err)
+}
+
+// untilEnd is a body that ends with its connection. Only an end without a reset is one.
+type untilEnd struct {
+	in  *bufio.Reader
+	src *source
+	got int
+}
+
+func (u *untilEnd) Read(p []byte) (int, error) {
+	n, err := u.in.Read(p)
+	if u.got += n; u.got > maxBody {
+		return 0, errTooLong
+	}
+	if errors.Is(err, io.EOF) {
+		u.src.broke = false // this is how it should end
+	}
+	return n, err
+}
+
 // answerHead is what an answer's head says of its end and its connection.
 type answerHead struct {
 	codings, lengths int
@@ -192,34 +294,3 @@
 	}
 	return int(status), nil
 }
-
-func readLength(in *bufio.Reader, length string, room *core.Budget) ([]byte, error) {
-	n, err := strconv.ParseUint(length, 10, 63)
-	switch {
-	case err != nil:
-		return nil, err
-	case n > maxBody:
-		return nil, errTooLong
-	case !room.Take(int(n)):
-		return nil, errNoRoom
-	}
-	defer room.Put(int(n))
-	body := make([]byte, n)
-	_, err = io.ReadFull(in, body)
-	return body, err
-}
-
-func readChunked(in *bufio.Reader, room *core.Budget) ([]byte, error) {
-	if !room.Take(maxBody) {
-		return nil, errNoRoom
-	}
-	defer room.Put(maxBody)
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(in), maxBody+1))
-	if err == nil && len(body) > maxBody {
-		err = errTooLong
-	}
-	if err == nil { // the trailers: of no use, but they belong to the answer
-		_, err = (&answer{}).readHeader(in)
-	}
-	return body, err
-}
--- a/internal/http1/backends.go
+++ b/internal/http1/backends.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"net"
@@ -22,8 +23,6 @@
 	"vetchhaven/internal/wire"
 )
 
-const maxBody = 64 << 10 // the protocol's limit on bodies, both ways
-
 var (
 	errBroke = errors.New("the connection ended before its answer")
 )
@@ -33,6 +32,16 @@
 type message struct {
 	head []byte // the request line and headers, without X-Expires-In and the empty line
 	body []byte
+	up   *upload     // what is to come of the body; nil: nothing
+	to   *clientConn // whose client may get an answer as it comes; nil: none may
+	old  bool        // that client speaks HTTP/1.0
+	wait time.Duration
+}
+
+// from says whose request it is, and for how long its client waits.
+func (m *message) from(c *clientConn, old bool, wait time.Duration) *message {
+	m.to, m.old, m.wait = c, old, wait
+	return m
 }
 
 // on is the whole message as written at an attempt that waits until then.
@@ -40,8 +49,12 @@
 	text := make([]byte, 0, len(m.head)+len(m.body)+40)
 	text = append(text, m.head...)
 	if !until.IsZero() {
+		wait := time.Until(until)
+		if m.up != nil { // counted from its last byte
+			wait = m.wait
+		}
 		text = append(text, "X-Expires-In: "...)
-		text = strconv.AppendFloat(text, max(0, time.Until(until).Seconds()), 'f', 3, 64)
+		text = strconv.AppendFloat(text, max(0, wait.Seconds()), 'f', 3, 64)
 		text = append(text, "\r\n"...)
 	}
 	text = append(text, "\r\n"...)
@@ -258,9 +271,12 @@
 
 // errand is what an attempt is made for.
 type errand interface {
-	Over() <-chan struct{} // closed when the request has ended: nothing more is sent for it
-	Barred() bool          // its backend was taken out by hand meanwhile
-	Sent()                 // its last byte is written
+	Over() <-chan struct{}  // closed when the request has ended: nothing more is sent for it
+	Barred() bool           // its backend was taken out by hand meanwhile
+	Sent()                  // its last byte is written
+	Uploaded()              // that was the last byte of an upload
+	Spent()                 // what was sent can't be sent again
+	Begin(worked bool) bool // whether its answer may begin to reach the client
 }
 
 // probing is an errand that ends by its context alone.
@@ -269,6 +285,9 @@
 func (probing) Over() <-chan struct{} { return nil }
 func (probing) Barred() bool          { return false }
 func (probing) Sent()                 {}
+func (probing) Uploaded()             {}
+func (probing) Spent()                {}
+func (probing) Begin(bool) bool       { return false }
 
 // attempt sends m to a backend once and waits until ctx ends at the latest. The result follows
 // the protocol's table of outcomes; where it is not certain that nothing ran, it says so.
@@ -304,6 +323,12 @@
 	if err != nil {
 		b.give(id, c, false)
 		switch cause := context.Cause(ctx); {
+		case errors.Is(err, errClient) && !whole:
+			return decide.NotSent, nil, none // no fault of the backend, and nobody is left to try for
+		case errors.Is(err, errClient):
+			return decide.Cancelled, nil, none
+		case errors.Is(err, errOver) && cause == nil:
+			return decide.Cancelled, nil, none
 		case errors.Is(cause, core.ErrCancelled):
 			return decide.Cancelled, nil, none
 		case cause != nil:
@@ -361,9 +386,8 @@
 	text := m.on(until)
 	n, err := c.Write(text)
 	if err != nil || n < len(text) {
-		return nil, n == len(text), err
+		return nil, n == len(text) && m.up == nil, err
 	}
-	by.Sent()
 	in := b.readers.Get().(*bufio.Reader)
 	defer func() {
 		in.Reset(nil)
@@ -372,15 +396,102 @@
 	// What comes of an answer comes at once: one that stops in its midst goes no further.
 	src := &source{ctx: ctx, conn: c.Conn, stall: b.cfg.Settings.ConnectTimeout}
 	in.Reset(src)
-	if a, err = readAnswer(in, src, b.answers); err != nil && src.broke {
+	if m.up != nil {
+		by.Spent()
+		if early, err := b.upload(ctx, by, c, m, in, src); early != nil || err != nil {
+			return early, false, err
+		}
+		by.Uploaded()
+	}
+	by.Sent()
+	if a, err = readAnswer(in, src, b.answers); err == nil && a.rest != nil {
+		err = b.passOn(ctx, by, m, a, src)
+	}
+	if err != nil && src.broke && !errors.Is(err, errClient) {
 		err = fmt.Errorf("%w: %w", errBroke, err)
 	}
 	if err == nil && a.reusable {
-		err = c.SetReadDeadline(time.Time{})
+		err = c.SetDeadline(time.Time{})
 	}
 	return a, true, err
 }
 
+// errOver is of an attempt whose request has its answer, or another one's.
+var errOver = errors.New("the request is over")
+
+// errClient is of an attempt that its own client has ended.
+var errClient = errors.New("the client is gone, or can't be understood")
+
+// uploadStall is how long a backend may take no byte of an upload.
+const uploadStall = 10 * time.Second
+
+// upload streams what is left of m's body. A backend that turns it away before the last byte may say so: early
+// is that answer.
+func (b *backends) upload(ctx context.Context, by errand, c *conn, m *message, in *bufio.Reader, src *source) (early *answer, err error) {
+	clients, err := m.up.pump(ctx, by.Over(), func(text []byte) error {
+		if err := c.SetWriteDeadline(time.Now().Add(uploadStall)); err != nil {
+			return err
+		}
+		if ctx.Err() != nil { // ended meanwhile: its deadline must not be put off
+			return context.Cause(ctx)
+		}
+		_, err := c.Write(text)
+		return err
+	})
+	switch {
+	case err == nil:
+		return nil, nil
+	case clients:
+		return nil, fmt.Errorf("%w: %w", errClient, err)
+	case ctx.Err() != nil:
+		return nil, err
+	}
+	if e := c.SetReadDeadline(time.Now().Add(restTime)); e != nil {
+		return nil, err
+	}
+	if a, e := readAnswer(in, src, b.answers); e == nil && a.neverRan && a.rest == nil {
+		a.reusable = false
+		return a, nil
+	}
+	return nil, err
+}
+
+// passOn gives the client an answer as it comes. Its server is done with it.
+func (b *backends) passOn(ctx context.Context, by errand, m *message, a *answer, src *source) error {
+	if m.to == nil {
+		return errTooLong
+	}
+	if !by.Begin(true) {
+		return errOver
+	}
+	// The client's time no longer ends it; that nothing comes does.
+	src.stall = answerStall
+	buf := pieces.Get().(*[]byte)
+	defer pieces.Put(buf)
+	out, err := m.to.begin(a, m.old)
+	for err == nil {
+		n, e := a.rest.Read(*buf)
+		if n > 0 {
+			err = out.write((*buf)[:n])
+		}
+		if errors.Is(e, io.EOF) && err == nil {
+			if err = out.end(); err == nil {
+				a.settle()
+				return nil
+			}
+		} else if e != nil {
+			return e
+		}
+		if ctx.Err() != nil && err == nil {
+			return context.Cause(ctx)
+		}
+	}
+	return fmt.Errorf("%w: %w", errClient, err)
+}
+
+// answerStall is how long an answer that streams may bring nothing.
+const answerStall = 10 * time.Second
+
 // probe examines a backend: with its load report where probes bring one.
 func (b *backends) probe(id string) decide.ProbeResult {
 	start := time.Now()
--- /dev/null
+++ b/internal/http1/chunks.go
@@ -0,0 +1,163 @@
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// chunks decodes a body in chunks (RFC 9112, 7.1), and reads no further than its end. It gives what has come
+// at once: the decoder of net/http waits within a chunk until the caller's room is full, and so holds back
+// what a slow peer has sent.
+type chunks struct {
+	in    *bufio.Reader
+	left  int64 // of the present chunk
+	begun bool
+	size  int64 // of the body so far
+	frame int64 // bytes of framing so far
+	err   error // final
+}
+
+const (
+	maxChunkLine = 1 << 10  // bytes of a size with its extensions, and of a trailer line
+	maxTrailers  = 16 << 10 // bytes of all
+	// A body in chunks of few bytes is longer on the wire than what it holds; one that is framing for the
+	// most part is no body.
+	framePerByte, frameFree = 16, 64 << 10
+)
+
+var errChunk = errors.New("the chunks can't be read")
+
+func (c *chunks) Read(p []byte) (int, error) {
+	if c.err == nil && c.left == 0 {
+		c.err = c.next()
+	}
+	if c.err != nil {
+		return 0, c.err
+	}
+	if len(p) == 0 {
+		return 0, nil
+	}
+	n, err := c.in.Read(p[:min(int64(len(p)), c.left)])
+	c.left -= int64(n)
+	c.size += int64(n)
+	if err != nil {
+		c.err = unexpected(err)
+	}
+	if n > 0 {
+		return n, nil
+	}
+	return 0, c.err
+}
+
+// unexpected is the error of an end within a body.
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// next reads up to the data of the next chunk. io.EOF: there is none, and the trailers are read too.
+func (c *chunks) next() error {
+	if c.begun {
+		if line, err := c.line(); err != nil {
+			return err
+		} else if len(line) != 0 {
+			return errChunk
+		}
+	}
+	c.begun = true
+	line, err := c.line()
+	if err != nil {
+		return err
+	}
+	if c.left, err = parseSize(line); err != nil || c.left > 0 {
+		return err
+	}
+	for total := 0; ; { // the trailers are of no use, but they belong to the body
+		line, err := c.line()
+		if err != nil {
+			return err
+		}
+		if len(line) == 0 {
+			return io.EOF
+		}
+		if total += len(line); total > maxTrailers {
+			return errChunk
+		}
+		if _, ok := parseField(line); !ok {
+			return errChunk
+		}
+	}
+}
+
+// line reads one line of framing, without its end.
+func (c *chunks) line() ([]byte, error) {
+	line, err := c.in.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) || len(line) > maxChunkLine {
+		return nil, errChunk
+	}
+	if err != nil {
+		return nil, unexpected(err)
+	}
+	if c.frame += int64(len(line)); c.frame > frameFree+framePerByte*c.size {
+		return nil, errChunk
+	}
+	line = line[:len(line)-1]
+	if n := len(line); n > 0 && line[n-1] == '\r' {
+		line = line[:n-1]
+	}
+	return line, nil
+}
+
+// parseSize reads a chunk's size; extensions behind it are passed over.
+func parseSize(line []byte) (n int64, err error) {
+	digits := 0
+	for ; digits < len(line); digits++ {
+		d := int64(0)
+		switch c := line[digits]; {
+		case c >= '0' && c <= '9':
+			d = int64(c - '0')
+		case c|0x20 >= 'a' && c|0x20 <= 'f':
+			d = int64(c|0x20-'a') + 10
+		default:
+			d = -1
+		}
+		if d < 0 {
+			break
+		}
+		if n = n<<4 + d; n > maxBody {
+			return 0, errTooLong
+		}
+	}
+	rest := line[digits:]
+	for len(rest) > 0 && (rest[0] == ' ' || rest[0] == '\t') {
+		rest = rest[1:]
+	}
+	if digits == 0 || len(rest) > 0 && rest[0] != ';' {
+		return 0, fmt.Errorf("%w: size %.20q", errChunk, line)
+	}
+	for _, c := range rest {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return 0, errChunk
+		}
+	}
+	return n, nil
+}
+
+// appendChunk frames a piece of a body.
+func appendChunk(b, piece []byte) []byte {
+	if len(piece) == 0 {
+		return b // it would end the body
+	}
+	b = appendHex(b, len(piece))
+	b = append(append(b, "\r\n"...), piece...)
+	return append(b, "\r\n"...)
+}
+
+func appendHex(b []byte, n int) []byte { return fmt.Appendf(b, "%x", n) }
+
+// lastChunk ends a body in chunks.
+const lastChunk = "0\r\n\r\n"
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"math"
 	"net"
 	"net/http"
@@ -32,10 +31,15 @@
 
 	mu     sync.Mutex
 	open   *core.Request // awaits its answer
+	up     *upload       // its body, where that streams
 	booked int           // bytes of its body
+	begun  bool          // its answer streams
 	ending bool          // takes no further request
 }
 
+// errUnread is of a request that has its answer before all of it was read.
+var errUnread = &inputError{}
+
 const (
 	headMost  = maxHeader + 4<<10 // as net/http counts it
 	firstRead = 2 << 10
@@ -78,7 +82,13 @@
 		if first {
 			go c.f.loop.Guard(c.write)
 		}
-		if fail := c.take(c.buf[c.start : c.start+end]); fail != nil {
+		switch fail := c.take(c.buf[c.start : c.start+end]); fail {
+		case nil:
+		case errUnread:
+			c.await()
+			c.linger()
+			return
+		default:
 			c.fail(fail)
 			return
 		}
@@ -189,30 +199,38 @@
 		}
 		c.start += len(text)
 		if h.length > 0 || h.coded {
-			return &inputError{status: http.StatusBadRequest, text: "no body is taken here"}
+			return bad("no body is taken here")
 		}
 		c.out = f.appendStatus(c.out[:0], status, c.ends())
 		c.out = append(c.out, "Content-Length: 0\r\n\r\n"...)
 		return c.done(c.out)
 	}
-	r, body, fail := c.parse(&h, first)
+	r, fail := c.parse(&h, first)
 	if fail != nil {
 		return fail
 	}
 	c.start += len(text)
-	if body != nil {
-		if fail := c.readBody(&h, body); fail != nil {
-			f.bodies.Put(len(body))
-			return fail
+	var body []byte
+	var booked int
+	var up *upload
+	if h.length > 0 || h.coded {
+		in, all := newBody(c, &h), false
+		if body, booked, all, err = in.whole(f.bodies); err != nil {
+			f.bodies.Put(booked)
+			return faultOf(err)
+		}
+		if !all {
+			up = &upload{body: in, whole: make(chan struct{})}
+			r.Upload = true
 		}
 	}
 	// A client's time runs from when its request was sent, which ends with the last byte.
 	r.Deadline = time.Now().Add(r.Left)
-	r.Message = h.message(target, host, body)
+	r.Message = h.message(target, host, body, up).from(c, h.old, r.Left)
 	// Past what the limits let an agent hold, a request is turned away before anything has run.
 	if f.open.Add(1) > f.most.Load() {
 		f.open.Add(-1)
-		f.bodies.Put(len(body))
+		f.bodies.Put(booked)
 		c.mu.Lock()
 		c.ending = true // as where the gate is crowded
 		c.mu.Unlock()
@@ -221,18 +239,24 @@
 		return c.done(c.out)
 	}
 	c.mu.Lock()
-	c.open, c.booked = r, len(body)
+	c.open, c.booked, c.up, c.begun = r, booked, up, false
 	c.mu.Unlock()
 	if err := c.nc.SetReadDeadline(time.Time{}); err != nil { // while its answer is awaited a client may be silent
 		c.mu.Lock()
-		c.open, c.booked = nil, 0
+		c.open, c.booked, c.up = nil, 0, nil
 		c.mu.Unlock()
 		f.open.Add(-1)
-		f.bodies.Put(len(body))
+		f.bodies.Put(booked)
 		return &inputError{} // it is closed, and nothing has been asked of anybody
 	}
+	if up != nil {
+		f.uploads.Add(1)
+	}
 	f.loop.Take(r)
-	return nil
+	if up == nil || up.wait(r, f.loop) {
+		return nil
+	}
+	return errUnread
 }
 
 // done writes an answer that needed nobody, and goes on to the next request. An error ends the reader.
@@ -246,10 +270,13 @@
 
 // ends reports whether the answer that is written now is the last one.
 func (c *clientConn) ends() bool {
-	last := c.f.draining.Load() || c.f.gate.Crowded()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending = c.ending || last
+	return c.endsLocked()
+}
+
+func (c *clientConn) endsLocked() bool {
+	c.ending = c.ending || c.f.draining.Load() || c.f.gate.Crowded()
 	return c.ending
 }
 
@@ -352,16 +379,8 @@
 		if !more {
 			return
 		}
-		last := c.ends()
-		text := c.f.appendAnswer(c.out[:0], a, last)
-		c.mu.Lock()
-		c.f.loop.Counts(c.open.Class).Told(a)
-		c.open = nil
-		c.f.bodies.Put(c.booked)
-		c.booked = 0
-		c.mu.Unlock()
-		c.f.open.Add(-1)
-		ok := c.send(text)
+		text := c.conclude(a)
+		ok := text != nil && (len(text) == 0 || c.send(text))
 		if cap(text) <= 16<<10 {
 			c.out = text
 		} else {
@@ -377,20 +396,55 @@
 	}
 }
 
-// parse checks a request. body is the room for its body, booked.
-func (c *clientConn) parse(h *head, first string) (r *core.Request, body []byte, fail *inputError) {
-	f := c.f
-	// A chunked body that comes with a Content-Length may hide a second request from one of the two sides
-	// (RFC 9112, 11.2); no chunked body is taken at all: a length told beforehand also bounds what is kept.
-	if h.coded {
-		return nil, nil, &inputError{status: http.StatusLengthRequired, text: "a body needs a Content-Length"}
+// conclude ends the open request with its final answer, and returns what is still to be written of that; nil: it
+// can't be, and the client must see so.
+func (c *clientConn) conclude(a core.Answer) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var fail *inputError
+	if c.up != nil && c.up.state.CompareAndSwap(coming, left) {
+		c.ending = true // what is left of its body is not the next request
+		c.f.uploads.Add(-1)
+		fail = c.up.fault.Load()
 	}
-	if h.otherExpect {
-		return nil, nil, &inputError{status: http.StatusExpectationFailed, text: "what is expected is not known here"}
+	if fail == nil {
+		c.f.loop.Counts(c.open.Class).Told(a)
+	}
+	begun := c.begun
+	c.open, c.up, c.begun = nil, nil, false
+	c.f.bodies.Put(c.booked)
+	c.booked = 0
+	c.f.open.Add(-1)
+	switch {
+	case begun && a.Served == nil: // an end of the connection that is no end of the answer
+		if t, ok := c.nc.(interface{ SetLinger(int) error }); ok {
+			_ = t.SetLinger(0)
+		}
+		return nil
+	case begun:
+		return []byte{}
+	case fail != nil:
+		return c.f.appendError(c.out[:0], fail.status, fail.text, fail.allow, true)
+	}
+	return c.f.appendAnswer(c.out[:0], a, c.endsLocked())
+}
+
+// parse checks a request, up to its body.
+func (c *clientConn) parse(h *head, first string) (r *core.Request, fail *inputError) {
+	f := c.f
+	switch {
+	// A body in chunks that comes with a Content-Length may hide a second request from one of the two sides
+	// (RFC 9112, 11.2).
+	case h.coded && (h.measured || h.old):
+		return nil, bad("a body has one end: by its length or by its chunks")
+	case h.coded && !h.chunked:
+		return nil, &inputError{status: http.StatusNotImplemented, text: "the only transfer coding here is chunked"}
+	case h.otherExpect:
+		return nil, &inputError{status: http.StatusExpectationFailed, text: "what is expected is not known here"}
 	}
 	class, ok := f.classes[first]
 	if !ok {
-		return nil, nil, &inputError{status: http.StatusNotFound, text: "no such class of requests"}
+		return nil, &inputError{status: http.StatusNotFound, text: "no such class of requests"}
 	}
 	settings := &f.cfg.Settings.Classes[class]
 	method := http.MethodPost
@@ -398,22 +452,22 @@
 		method = http.MethodGet
 	}
 	if string(h.method) != method {
-		return nil, nil, &inputError{status: http.StatusMethodNotAllowed, text: "this class takes " + method, allow: method}
+		return nil, &inputError{status: http.StatusMethodNotAllowed, text: "this class takes " + method, allow: method}
 	}
-	if method == http.MethodGet && h.length != 0 {
-		return nil, nil, bad("this class has no body")
+	if method == http.MethodGet && (h.length != 0 || h.coded) {
+		return nil, bad("this class has no body")
 	}
 	if h.ids != 1 || len(h.id) == 0 || len(h.id) > maxID {
-		return nil, nil, bad("X-Trace-Id: one of 1 to 256 bytes is needed")
+		return nil, bad("X-Trace-Id: one of 1 to 256 bytes is needed")
 	}
 	if settings.Effect == decide.Keyed && (h.keys != 1 || len(h.key) == 0 || len(h.key) > maxID) {
-		return nil, nil, bad("Idempotency-Key: one of 1 to 256 bytes is needed")
+		return nil, bad("Idempotency-Key: one of 1 to 256 bytes is needed")
 	}
 	wait := settings.Deadline
 	if len(h.expires) > 0 {
 		s, err := parseDecimal(string(h.expires))
 		if err != nil || !(s > 0) {
-			return nil, nil, bad("X-Expires-In: not a number of seconds above 0")
+			return nil, bad("X-Expires-In: not a number of seconds above 0")
 		}
 		wait = min(wait, time.Duration(min(s, wait.Seconds())*float64(time.Second)))
 	}
@@ -422,40 +476,14 @@
 	if len(h.hint) > 0 {
 		us, err := parseDecimal(string(h.hint))
 		if err != nil || !(us >= 0) || us > math.MaxInt32 {
-			return nil, nil, bad("X-Size-Hint: not a number of microseconds")
+			return nil, bad("X-Size-Hint: not a number of microseconds")
 		}
 		r.Work = time.Duration(us * float64(time.Microsecond))
 	}
-	switch {
-	case h.length == 0:
-		return r, nil, nil
-	case h.length > maxBody:
-		return nil, nil, &inputError{status: http.StatusRequestEntityTooLarge, text: "the body is larger than 64 KiB"}
-	case !f.bodies.Take(int(h.length)):
-		f.loop.Counts(class).Told(core.Answer{Refused: true})
-		return nil, nil, &inputError{status: http.StatusServiceUnavailable, text: "too many large bodies at once"}
-	}
-	return r, make([]byte, h.length), nil
-}
-
-// readBody reads a body of the told length. One that stops coming must not hold the connection for ever.
-// The head stays where it is, since the message is yet to be made of it.
-func (c *clientConn) readBody(h *head, body []byte) *inputError {
-	n := copy(body, c.buf[c.start:c.end])
-	c.start += n
-	if n == len(body) {
-		return nil
-	}
-	if h.wantsContinue && !c.send([]byte("HTTP/1.1 100 Continue\r\n\r\n")) {
-		return &inputError{}
+	if h.length > maxBody {
+		return nil, faultOf(errTooLong)
 	}
-	if err := c.nc.SetReadDeadline(time.Now().Add(core.HeadTime)); err != nil {
-		return &inputError{}
-	}
-	if _, err := io.ReadFull(c.nc, body[n:]); err != nil {
-		return bad("the body can't be read")
-	}
-	return nil
+	return r, nil
 }
 
 func appendInt(b []byte, n int) []byte { return strconv.AppendInt(b, int64(n), 10) }
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -20,6 +20,7 @@
 	log       *slog.Logger
 	most      atomic.Int64 // requests open at once
 	open      atomic.Int64
+	uploads   atomic.Int64 // of these, those whose last byte has not come
 	bodies    *core.Budget
 	classes   map[string]int
 	writeTime time.Duration // what a client has to take an answer
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -17,7 +17,9 @@
 	host          []byte
 	hosts         int
 	length        int64 // of the body; 0 where none is told
+	measured      bool  // a length is told
 	coded         bool  // the body has a transfer coding
+	chunked       bool  // which is chunked alone
 	wantsContinue bool
 	otherExpect   bool
 	ids, keys     int
@@ -158,11 +160,12 @@
 			h.hosts++
 			h.host, f.own = f.value, true
 		case f.is("Content-Length"):
-			f.own = true
+			f.own, h.measured = true, true
 			if lengths++; lengths > 1 || !digits(f.value, &h.length) {
 				return h, errLength
 			}
 		case f.is("Transfer-Encoding"):
+			h.chunked = !h.coded && strings.EqualFold(string(f.value), "chunked")
 			h.coded, f.own = true, true
 		case f.is("Connection"):
 			f.own = true
@@ -256,14 +259,23 @@
 	return first, on.RequestURI(), host, nil
 }
 
-// message is the request as it goes on.
-func (h *head) message(target, host string, body []byte) *message {
+// message is the request as it goes on, with its body, or with the beginning of one that is an upload.
+func (h *head) message(target, host string, body []byte, up *upload) *message {
 	text := make([]byte, 0, len(h.method)+len(target)+len(host)+64+h.size())
 	text = append(append(append(text, h.method...), ' '), target...)
 	text = append(append(append(text, " HTTP/1.1\r\nHost: "...), host...), "\r\n"...)
-	if string(h.method) != http.MethodGet {
+	switch {
+	case string(h.method) == http.MethodGet:
+	case up != nil && up.body.length < 0:
+		text = append(text, "Transfer-Encoding: chunked\r\n"...)
+		body = appendChunk(nil, body)
+	default:
+		n := len(body)
+		if up != nil {
+			n = int(up.body.length)
+		}
 		text = append(text, "Content-Length: "...)
-		text = appendInt(text, len(body))
+		text = appendInt(text, n)
 		text = append(text, "\r\n"...)
 	}
 	for i := range h.fields {
@@ -273,7 +285,7 @@
 		}
 		text = append(append(text, f.line...), "\r\n"...)
 	}
-	return &message{head: text, body: body}
+	return &message{head: text, body: body, up: up}
 }
 
 // named reports whether Connection names a field, which then ends here.
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -48,8 +48,8 @@
 // Close ends what is left of clients' connections.
 func (p *protocol) Close() error { return p.front.close() }
 
-// Open is how many requests are open.
-func (p *protocol) Open() int64 { return p.front.open.Load() }
+// Open is how many requests have come whole and are open.
+func (p *protocol) Open() int64 { return p.front.open.Load() - p.front.uploads.Load() }
 
 // Attempt sends a request to a server, once.
 func (p *protocol) Attempt(a *core.Attempt) (decide.Result, any, decide.Load) {
--- a/internal/ldap/server.go
+++ b/internal/ldap/server.go
@@ -608,7 +608,7 @@
 // flush passes on what is kept.
 func (s *stream) flush() bool {
 	for _, p := range s.kept {
-		if !s.a.Begin() {
+		if !s.a.Begin(false) {
 			return false
 		}
 		s.begun = true
