--- /dev/null
+++ b/internal/core/upload_test.go
@@ -0,0 +1,159 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"vetchhaven/decide"
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/testkit"
+)
+
+// scripted is a protocol whose attempts do as they are told.
+type scripted struct {
+	none
+	attempt func(a *Attempt) (decide.Result, any)
+}
+
+func (s *scripted) Attempt(a *Attempt) (decide.Result, any, decide.Load) {
+	result, answer := s.attempt(a)
+	return result, answer, decide.Load{}
+}
+
+// inLoop runs f beside a loop that knows one server, in virtual time.
+func inLoop(t *testing.T, deadline int, attempt func(a *Attempt) (decide.Result, any), f func(l *Loop)) {
+	server := catalog.Member{ID: "s", Addr: testkit.DeadAddr(t), Zone: "a", Kind: "m1", State: "ready", Weight: 1}
+	cfg := testConfig(t, testkit.Setup{Deadline: deadline, Servers: []catalog.Member{server}})
+	synctest.Test(t, func(t *testing.T) {
+		ck := newClock()
+		l, err := newLoop(cfg, ck, &scripted{attempt: attempt}, testkit.Quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.take(translate(cfg, ck, testkit.Quiet, cfg.Known, decide.ListCached))
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { l.run(ctx); close(done) }()
+		f(l)
+		cancel()
+		<-done
+	})
+}
+
+func uploadOf(left time.Duration) asking {
+	r := asked("1")
+	r.Upload, r.Left = true, left
+	r.Deadline = time.Now().Add(left)
+	return r
+}
+
+// The time of an upload begins with its last byte, however long that took to come.
+func TestUploadsTimeBeginsAtItsEnd(t *testing.T) {
+	attempt := func(a *Attempt) (decide.Result, any) {
+		time.Sleep(5 * time.Minute) // the client is slow
+		a.Uploaded()
+		time.Sleep(900 * time.Millisecond)
+		if a.Context.Err() != nil {
+			return decide.TimedOut, nil
+		}
+		return decide.OK, "answer"
+	}
+	inLoop(t, 1000, attempt, func(l *Loop) {
+		r := uploadOf(time.Second)
+		l.Take(r.Request)
+		if a := <-r.reply; a.Served != "answer" {
+			t.Errorf("%+v", a)
+		}
+	})
+}
+
+// From then on it is bounded as ever: a server that says nothing costs the client no more than its time.
+func TestUploadIsAnsweredInTime(t *testing.T) {
+	var end time.Time
+	attempt := func(a *Attempt) (decide.Result, any) {
+		time.Sleep(time.Minute)
+		end = time.Now().Add(time.Second)
+		a.Uploaded()
+		<-a.Context.Done()
+		return decide.TimedOut, nil
+	}
+	inLoop(t, 1000, attempt, func(l *Loop) {
+		r := uploadOf(time.Second)
+		l.Take(r.Request)
+		if a := <-r.reply; !a.TimedOut || time.Now().After(end) || end.Sub(time.Now()) > 100*time.Millisecond {
+			t.Errorf("%+v, %v before its time is up", a, end.Sub(time.Now()))
+		}
+	})
+}
+
+// An attempt that broke after bytes had gone for good is not made again, and since nothing ran, the client hears
+// at once that it may come again.
+func TestSpentUploadIsRefused(t *testing.T) {
+	n := 0
+	attempt := func(a *Attempt) (decide.Result, any) {
+		n++
+		a.Spent()
+		return decide.Broke, nil
+	}
+	inLoop(t, 60000, attempt, func(l *Loop) {
+		r := uploadOf(time.Minute)
+		start := time.Now()
+		l.Take(r.Request)
+		if a := <-r.reply; !a.Refused || n != 1 || time.Since(start) > time.Second {
+			t.Errorf("%+v after %d attempts and %v", a, n, time.Since(start))
+		}
+	})
+}
+
+// Once an answer has begun to reach the client and the server is done with it, the client's time does not cut it.
+// One whose server still works on it is cut.
+func TestAnswerThatHasBegunIsNotCut(t *testing.T) {
+	for _, worked := range []bool{true, false} {
+		attempt := func(a *Attempt) (decide.Result, any) {
+			time.Sleep(100 * time.Millisecond)
+			if !a.Begin(worked) || !a.Begin(worked) {
+				return decide.Cancelled, nil
+			}
+			select {
+			case <-time.After(time.Minute):
+				return decide.OK, "whole"
+			case <-a.Context.Done():
+				return decide.TimedOut, nil
+			}
+		}
+		inLoop(t, 1000, attempt, func(l *Loop) {
+			r := asked("1")
+			r.Left = time.Second
+			r.Deadline = time.Now().Add(r.Left)
+			l.Take(r.Request)
+			if a := <-r.reply; (a.Served == "whole") != worked {
+				t.Errorf("worked %v: %+v", worked, a)
+			}
+			if late := l.totals.late.Load(); late != 0 {
+				t.Errorf("worked %v: found late %d times", worked, late)
+			}
+		})
+	}
+}
+
+// An answer that would begin when its time is up does not.
+func TestAnswerThatBeginsTooLate(t *testing.T) {
+	attempt := func(a *Attempt) (decide.Result, any) {
+		<-a.Context.Done()
+		if a.Begin(true) {
+			return decide.OK, "late"
+		}
+		return decide.TimedOut, nil
+	}
+	inLoop(t, 1000, attempt, func(l *Loop) {
+		r := asked("1")
+		r.Left = time.Second
+		r.Deadline = time.Now().Add(r.Left)
+		l.Take(r.Request)
+		if a := <-r.reply; a.Served != nil || !a.TimedOut {
+			t.Errorf("%+v", a)
+		}
+	})
+}
--- /dev/null
+++ b/internal/http1/stream_test.go
@@ -0,0 +1,467 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"vetchhaven/internal/catalog"
+	"vetchhaven/internal/testkit"
+)
+
+// noise is a body that no two places of are alike.
+func noise(n int) []byte {
+	b := make([]byte, n)
+	r := rand.NewChaCha8([32]byte{1})
+	_, _ = r.Read(b)
+	return b
+}
+
+// serveHTTP runs a backend.
+func serveHTTP(t *testing.T, f http.HandlerFunc) catalog.Member {
+	t.Helper()
+	ln := testkit.Listen(t)
+	server := &http.Server{Handler: f}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { server.Close() })
+	return (&backend{addr: ln.Addr().String()}).member("s")
+}
+
+// serveConns runs a backend whose connections are handled by f alone.
+func serveConns(t *testing.T, f func(c net.Conn, in *bufio.Reader)) catalog.Member {
+	t.Helper()
+	ln := testkit.Listen(t)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				f(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return (&backend{addr: ln.Addr().String()}).member("s")
+}
+
+func startWith(t *testing.T, members ...catalog.Member) *running {
+	t.Helper()
+	return start(t, testConfig(t, testkit.Setup{Servers: members}))
+}
+
+// Bodies of any size and form reach the backend, and its answers the client, unchanged: whole, in chunks, and as
+// the connection's last.
+func TestLargeBodiesUnchanged(t *testing.T) {
+	s := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		switch r.Header.Get("X-Form") {
+		case "length":
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		case "close":
+			c, rw, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			_, _ = rw.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+			_, _ = rw.Write(body)
+			_ = rw.Flush()
+			return
+		}
+		for len(body) > 0 { // in chunks, where no length is told
+			n := min(len(body), 3000)
+			if _, err := w.Write(body[:n]); err != nil {
+				return
+			}
+			body = body[n:]
+		}
+	})
+	a := startWith(t, s)
+	for _, size := range []int{0, 1, maxWholeAnswer, maxWholeAnswer + 1, maxWhole, maxWhole + 1, 3 << 20} {
+		body := noise(size)
+		for _, up := range []string{"length", "chunks", "pieces"} {
+			for _, down := range []string{"length", "chunks", "close"} {
+				var in io.Reader = bytes.NewReader(body)
+				switch up {
+				case "chunks":
+					in = io.MultiReader(in) // its length can't be told
+				case "pieces":
+					if size > maxWhole+1 {
+						continue
+					}
+					in = iotest.HalfReader(in)
+				}
+				req, err := http.NewRequest("POST", a.base+"/pay/x", in)
+				if err != nil {
+					t.Fatal(err)
+				}
+				req.Header.Set("X-Trace-Id", newID())
+				req.Header.Set("X-Form", down)
+				resp, err := http.DefaultClient.Do(req)
+				if err != nil {
+					t.Fatalf("%d, %s, %s: %v", size, up, down, err)
+				}
+				got, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if err != nil || resp.StatusCode != 200 || sha256.Sum256(got) != sha256.Sum256(body) {
+					t.Errorf("%d, %s, %s: %d, %d bytes, %v", size, up, down, resp.StatusCode, len(got), err)
+				}
+			}
+		}
+	}
+	testkit.WaitFor(t, "all to be over", func() bool { return a.Open() == 0 && a.bodies.Left() == int64(a.front.cfg.BodyMemory()) })
+	if n := a.backends.answers.Left(); n != int64(a.front.cfg.BodyMemory()) {
+		t.Errorf("%d bytes of answers stay booked", int64(a.front.cfg.BodyMemory())-n)
+	}
+}
+
+// Bytes of a large body go on as they come, both ways: neither side waits for the other's end.
+func TestBodiesStream(t *testing.T) {
+	half := make(chan struct{})
+	s := serveConns(t, func(c net.Conn, in *bufio.Reader) {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.CopyN(io.Discard, req.Body, maxWhole); err != nil {
+			return
+		}
+		half <- struct{}{} // has come, though the client has not sent the rest
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 2*maxWholeAnswer, strings.Repeat("a", 10))
+		<-half
+		_, _ = io.WriteString(c, strings.Repeat("b", 2*maxWholeAnswer-10))
+	})
+	a := startWith(t, s)
+	for _, form := range []string{"Content-Length: " + fmt.Sprint(2*maxWhole), "Transfer-Encoding: chunked"} {
+		c := a.connect(t)
+		write := func(text string) {
+			t.Helper()
+			if _, err := io.WriteString(c.c, text); err != nil {
+				t.Fatal(err)
+			}
+		}
+		chunked := strings.HasPrefix(form, "Transfer")
+		part := strings.Repeat("x", maxWhole)
+		if chunked {
+			part = fmt.Sprintf("%x\r\n%s\r\n", maxWhole, part)
+		}
+		write("POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: " + newID() + "\r\n" + form + "\r\n\r\n" + part)
+		if chunked {
+			write("1\r\nx\r\n") // one more than is kept
+		}
+		testkit.Receive(t, "the first half at the backend", half)
+		if n := a.Open(); n != 0 {
+			t.Errorf("%d requests count as taken before their last byte", n)
+		}
+		if chunked {
+			write("0\r\n\r\n")
+		} else {
+			write(part)
+		}
+		resp, err := http.ReadResponse(c.in, nil)
+		if err != nil || resp.ContentLength != 2*maxWholeAnswer {
+			t.Fatalf("%+v %v", resp, err)
+		}
+		first := make([]byte, 10)
+		if _, err := io.ReadFull(resp.Body, first); err != nil || string(first) != "aaaaaaaaaa" {
+			t.Fatalf("%q %v", first, err)
+		}
+		half <- struct{}{}
+		if rest, err := io.ReadAll(resp.Body); err != nil || len(rest) != 2*maxWholeAnswer-10 {
+			t.Errorf("%d bytes, %v", len(rest), err)
+		}
+	}
+}
+
+// A long answer whose length is not told begins to reach its client, though its end is yet to come.
+func TestLongAnswerOfNoLengthStreams(t *testing.T) {
+	hold := make(chan struct{}, 1)
+	s := serveConns(t, func(c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		every := time.NewTicker(longAnswer / 2)
+		defer every.Stop()
+		for {
+			select {
+			case <-hold:
+				fmt.Fprintf(c, "0\r\n\r\n")
+				return
+			case <-every.C:
+				if _, err := fmt.Fprintf(c, "5\r\nhello\r\n"); err != nil {
+					return
+				}
+			}
+		}
+	})
+	a := startWith(t, s)
+	for _, version := range []string{"1.1", "1.0"} {
+		in := a.raw(t, "GET /get/x HTTP/"+version+"\r\nHost: a\r\nX-Trace-Id: "+newID()+"\r\n\r\n")
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || (len(resp.TransferEncoding) > 0) != (version == "1.1") {
+			t.Fatalf("%s: %+v %v", version, resp, err)
+		}
+		got := make([]byte, 10)
+		if _, err := io.ReadFull(resp.Body, got); err != nil || string(got) != "hellohello" {
+			t.Fatalf("%s: %q %v", version, got, err)
+		}
+		hold <- struct{}{}
+		if rest, err := io.ReadAll(resp.Body); err != nil || strings.ReplaceAll(string(rest), "hello", "") != "" {
+			t.Errorf("%s: %q %v", version, rest, err)
+		}
+	}
+}
+
+// An answer that has begun outlives its client's time, and is whole.
+func TestStreamOutlivesTheDeadline(t *testing.T) {
+	const deadline = 1500 * time.Millisecond
+	s := serveConns(t, func(c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\na", 2*maxWholeAnswer)
+		time.Sleep(deadline + 200*time.Millisecond)
+		_, _ = io.WriteString(c, strings.Repeat("b", 2*maxWholeAnswer-1))
+	})
+	a := start(t, testConfig(t, testkit.Setup{Deadline: int(deadline / time.Millisecond), Servers: []catalog.Member{s}}))
+	if x := a.do("GET", "/get/x", ""); x.status != 200 || x.err != nil || len(x.body) != 2*maxWholeAnswer {
+		t.Errorf("%d, %d bytes, %v", x.status, len(x.body), x.err)
+	}
+	if late := a.Totals().Late; late != 0 {
+		t.Errorf("%d late", late)
+	}
+}
+
+// A server that ends a streamed answer short ends it for the client too, who can tell, and there is no other attempt.
+func TestStreamThatBreaks(t *testing.T) {
+	for name, head := range map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d", 4*maxWholeAnswer), "chunks": "Transfer-Encoding: chunked"} {
+		for _, resets := range []bool{false, true} {
+			var asked atomic.Int64
+			begun := make(chan struct{})
+			s := serveConns(t, func(c net.Conn, in *bufio.Reader) {
+				if _, err := http.ReadRequest(in); err != nil {
+					return
+				}
+				asked.Add(1)
+				text := strings.Repeat("x", 2*maxWholeAnswer)
+				if name == "chunks" {
+					text = fmt.Sprintf("%x\r\n%s\r\n", 4*maxWholeAnswer, text)
+				}
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n\r\n%s", head, text)
+				<-begun
+				if resets {
+					reset(c)
+				}
+			})
+			a := startWith(t, s)
+			resp, err := http.ReadResponse(a.raw(t, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: 1\r\n\r\n"), nil)
+			if err != nil || resp.StatusCode != 200 {
+				t.Fatalf("%+v %v", resp, err)
+			}
+			close(begun)
+			if n, err := io.Copy(io.Discard, resp.Body); err == nil || asked.Load() != 1 {
+				t.Errorf("%s, resets %v: %d bytes, %v, asked %d times", name, resets, n, err, asked.Load())
+			}
+			testkit.WaitFor(t, "its end to be counted", func() bool { return a.Figures(testkit.Patience).Classes[0].Errored == 1 })
+		}
+	}
+}
+
+// What is said to be longer than a body may be is spoilt, and served to nobody.
+func TestAnswerTooLong(t *testing.T) {
+	s := serveRaw(t, func(int) string { return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nxxx", maxBody+1) })
+	a := startWith(t, s.member("s"))
+	if x := a.do("POST", "/pay/x", ""); x.status != 502 {
+		t.Errorf("%+v", x)
+	}
+}
+
+// upload begins one of 4 * maxWhole bytes.
+func (r *running) upload(t *testing.T, sent int) *client {
+	t.Helper()
+	c := r.connect(t)
+	if _, err := fmt.Fprintf(c.c, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\nContent-Length: %d\r\n\r\n%s", newID(), 4*maxWhole,
+		strings.Repeat("x", sent)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// A server that breaks within an upload has run nothing, though bytes of an unsafe request have reached it: the client
+// is refused at once, and its connection ends.
+func TestServerBreaksWithinAnUpload(t *testing.T) {
+	came := make(chan struct{})
+	s := serveConns(t, func(c net.Conn, in *bufio.Reader) {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.CopyN(io.Discard, req.Body, maxWhole)
+		reset(c)
+		close(came)
+	})
+	a := startWith(t, s)
+	c := a.upload(t, 2*maxWhole)
+	testkit.Receive(t, "reset", came)
+	go func() { _, _ = io.Copy(c.c, strings.NewReader(strings.Repeat("x", 2*maxWhole))) }()
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil || resp.StatusCode != 503 || !resp.Close {
+		t.Fatalf("%+v %v", resp, err)
+	}
+	f := a.Figures(testkit.Patience).Classes[2]
+	if f.Deferred != 1 || f.Sends != 0 {
+		t.Errorf("%+v", f)
+	}
+	testkit.WaitFor(t, "its end", func() bool { return a.Open() == 0 && a.front.open.Load() == 0 })
+}
+
+// One that turns an upload away before its end is heard.
+func TestUploadTurnedAwayEarly(t *testing.T) {
+	s := serveConns(t, func(c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		fmt.Fprint(c, "HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		_ = c.(*net.TCPConn).CloseWrite()
+		_, _ = io.CopyN(io.Discard, in, maxWhole)
+	})
+	a := startWith(t, s)
+	c := a.upload(t, 4*maxWhole)
+	if resp, err := http.ReadResponse(c.in, nil); err != nil || resp.StatusCode != 503 {
+		t.Errorf("%+v %v", resp, err)
+	}
+}
+
+// A client that leaves within an upload, or sends what can't be read, ends it: its server never has the last byte, and
+// is not blamed.
+func TestClientFailsWithinAnUpload(t *testing.T) {
+	ends := make(chan error, 10)
+	s := serveConns(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, err = io.Copy(io.Discard, req.Body)
+			ends <- err
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, ok200)
+		}
+	})
+	a := startWith(t, s)
+	c := a.upload(t, 2*maxWhole)
+	testkit.WaitFor(t, "it to be under way", func() bool { return a.front.uploads.Load() == 1 })
+	c.c.Close()
+	if err := testkit.Receive(t, "end at the backend", ends); err == nil {
+		t.Error("the backend has all of it")
+	}
+	c = a.connect(t)
+	if _, err := fmt.Fprintf(c.c, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\nxyz\r\n", newID(), 2*maxWhole,
+		strings.Repeat("x", 2*maxWhole)); err != nil {
+		t.Fatal(err)
+	}
+	if resp, err := http.ReadResponse(c.in, nil); err != nil || resp.StatusCode != 400 || !resp.Close {
+		t.Errorf("%+v %v", resp, err)
+	}
+	if err := testkit.Receive(t, "end at the backend", ends); err == nil {
+		t.Error("the backend has all of it")
+	}
+	testkit.WaitFor(t, "both to be over", func() bool { return a.front.open.Load() == 0 && a.front.uploads.Load() == 0 })
+	f := a.Figures(testkit.Patience)
+	if f.Avoided != 0 || f.Classes[2].Sends != 0 {
+		t.Errorf("%+v", f)
+	}
+	if x := a.do("POST", "/pay/x", "small"); x.status != 200 {
+		t.Errorf("afterwards: %+v", x)
+	}
+}
+
+// An upload of which nothing has gone goes to another server where the first one takes no connections.
+func TestUploadGoesElsewhereBeforeItBegins(t *testing.T) {
+	got := make(chan int64, 10)
+	s := serveHTTP(t, func(_ http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		got <- n
+	})
+	for range 10 {
+		dead := (&backend{addr: testkit.DeadAddr(t)}).member("dead")
+		a := startWith(t, s, dead)
+		c := a.upload(t, 4*maxWhole)
+		if resp, err := http.ReadResponse(c.in, nil); err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%+v %v", resp, err)
+		}
+		if n := testkit.Receive(t, "upload", got); n != 4*maxWhole {
+			t.Errorf("%d bytes", n)
+		}
+	}
+}
+
+// With nobody to send it to, an upload is refused at once, and what else it brings is no request.
+func TestUploadRefusedAtOnce(t *testing.T) {
+	a := startWith(t, (&backend{addr: testkit.DeadAddr(t)}).member("dead"))
+	ctx, cancel := context.WithTimeout(context.Background(), testkit.Patience)
+	defer cancel()
+	if _, err := a.Ban(ctx, "dead", true, false); err != nil {
+		t.Fatal(err)
+	}
+	c := a.upload(t, 10)
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil || resp.StatusCode != 503 || !resp.Close {
+		t.Fatalf("%+v %v", resp, err)
+	}
+	_, _ = io.WriteString(c.c, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: hidden\r\n\r\n")
+	if rest, _ := io.ReadAll(c.in); strings.Contains(string(rest), "HTTP/1.1") {
+		t.Errorf("what is left of a body was answered: %q", rest)
+	}
+	if n := a.Totals().Requests; n != 1 {
+		t.Errorf("%d requests", n)
+	}
+}
+
+// A body that comes at a slow client's rate is taken; one that drips, or stops, ends within a few seconds, be it
+// kept or streamed.
+func TestSlowBodies(t *testing.T) {
+	s := serveHTTP(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	a := startWith(t, s)
+	for _, size := range []int{1000, 4 * maxWhole} {
+		c := a.connect(t)
+		if _, err := fmt.Fprintf(c.c, "POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\nContent-Length: %d\r\n\r\nxxx", newID(), size); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			for {
+				if _, err := c.c.Write([]byte("x")); err != nil {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		start := time.Now()
+		if resp, err := http.ReadResponse(c.in, nil); err != nil || resp.StatusCode != 408 {
+			t.Errorf("%d: %+v %v after %v", size, resp, err, time.Since(start))
+		}
+	}
+}
