Rehearsals on sockets: what is asked of an agent as it is killed goes down with it

A client that asked between the word that an agent is killed and the end of its process was held to be owed an answer; on a slow machine that gap is wide.

--- a/internal/emulate/sockets/agent.go
+++ b/internal/emulate/sockets/agent.go
@@ -26,7 +26,8 @@
 	listsAt string
 	clients *http.Client
 
-	life int // starts so far, under the stage's lock
+	life  int  // starts and ends so far, under the stage's lock
+	dying bool // it is being killed, under the same
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{} // closed when the process has ended
@@ -160,11 +161,17 @@
 
 // kill ends the process outright, as the script says.
 func (a *agent) kill() {
+	// What is asked of it between this and its end goes down with it, though it was asked after the word.
 	a.g.mu.Lock()
 	a.life++
+	a.dying = true
 	a.g.judge.Stopped(a.g.now(), a.n)
 	a.g.mu.Unlock()
 	a.end(syscall.SIGKILL, 5*time.Second)
+	a.g.mu.Lock()
+	a.life++
+	a.dying = false
+	a.g.mu.Unlock()
 	a.clients.CloseIdleConnections()
 }
 
--- a/internal/emulate/sockets/client.go
+++ b/internal/emulate/sockets/client.go
@@ -103,7 +103,7 @@
 	now = g.now()
 	var dial *net.OpError
 	switch {
-	case a.life != life || ctx.Err() != nil: // the agent was killed, or all is being ended
+	case a.life != life || a.dying || ctx.Err() != nil: // the agent was killed, or all is being ended
 		g.judge.GaveUp(now, id)
 		return emulate.Failed, 0
 	case errors.Is(err, context.DeadlineExceeded):
