--- a/internal/emulate/sockets/agent.go
+++ b/internal/emulate/sockets/agent.go
@@ -28,10 +28,10 @@
 
 	life  int  // starts and ends so far, under the stage's lock
 	dying bool // it is being killed, under the same
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{} // closed when the process has ended
-	told bool          // it was to end
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	done  chan struct{} // closed when the process has ended
+	told  bool          // it was to end
 }
 
 func newAgent(g *stage, n int, dir string) (*agent, error) {
