--- a/cmd/vetchhaven/serve_test.go
+++ b/cmd/vetchhaven/serve_test.go
@@ -306,15 +306,17 @@
 		body, _ := io.ReadAll(resp.Body)
 		asked <- fmt.Sprint(resp.StatusCode, " ", string(body))
 	}()
-	killed := false
-	for end := time.Now().Add(patience); !killed && time.Now().Before(end); {
+	// Until the old one has seen it die: before its first one a Go program starts, and ends, a child of its own to
+	// learn what the kernel can do, and that may be the one that was met.
+	got := ""
+	for got == "" {
 		for _, pid := range children(t, before.PID) {
-			killed = syscall.Kill(pid, syscall.SIGKILL) == nil
+			_ = syscall.Kill(pid, syscall.SIGKILL)
+		}
+		select {
+		case got = <-asked:
+		case <-time.After(time.Millisecond):
 		}
-	}
-	got := <-asked
-	if !killed {
-		t.Fatal("no successor was seen")
 	}
 	if !strings.Contains(got, "ended before it was ready") {
 		t.Errorf("%s", got)
