--- a/tools/fleet/main.go
+++ b/tools/fleet/main.go
@@ -1,7 +1,7 @@
 // Command fleet measures the fleet daemon. It prints Markdown.
 //
 //	go run ./tools/fleet instances [-n 1000]    one process with n quiet instances, against n list readers
-//	go run ./tools/fleet cost [-seconds 5]      cost and latency of a request: direct, reverse proxy, this agent
+//	go run ./tools/fleet cost [-rounds 7]       cost and latency of a request: direct, reverse proxy, this agent
 //	go run ./tools/fleet steps                  cost of a decision by the number of servers
 //	go run ./tools/fleet herd [-file F]         a herd of real daemons beside one that starts naively
 //	go run ./tools/fleet handover               a real daemon handed over three times under 500 requests a second
@@ -48,7 +48,8 @@
 	}
 	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	n := f.Int("n", 1000, "instances")
-	seconds := f.Int("seconds", 5, "seconds of each run")
+	seconds := f.Int("seconds", 2, "cost: seconds of each run")
+	rounds := f.Int("rounds", 7, "cost: rounds, of which medians are told")
 	profile := f.String("profile", "", "cost: write a CPU profile of the agent at full speed to this file")
 	file := f.String("file", "scenarios/herd.toml", "the scenario of herd")
 	if err := f.Parse(args[1:]); err != nil {
@@ -58,7 +59,7 @@
 	case "instances":
 		return instances(*n)
 	case "cost":
-		return cost(time.Duration(*seconds)*time.Second, *profile)
+		return cost(time.Duration(*seconds)*time.Second, *rounds, *profile)
 	case "steps":
 		return steps()
 	case "herd":
@@ -140,7 +141,7 @@
 
 // cost compares a direct client, the standard library's reverse proxy and this agent: all in this
 // process, in turn, each asked by the same clients.
-func cost(length time.Duration, profile string) error {
+func cost(length time.Duration, rounds int, profile string) error {
 	debug.SetGCPercent(400) // as serve has it; for all ways alike
 	dir, err := os.MkdirTemp("", "fleet")
 	if err != nil {
@@ -193,33 +194,61 @@
 		{"(b) reverse proxy", unix("proxy.sock"), func() string { return "x" }},
 		{"(c) this agent", unix("0.sock"), func() string { return "x" }},
 	}
-	fmt.Println("| way | 1,000 a second: p50 | p99 | CPU a request | 32 clients at full speed: a second | CPU a request |")
-	fmt.Println("| --- | --- | --- | --- | --- | --- |")
-	for _, w := range ways {
-		paced, c1, bad1 := load(w.c, w.host, 32, 1000, length)
-		if profile != "" && w.name == ways[len(ways)-1].name {
-			out, err := os.Create(profile)
-			if err != nil {
-				return err
+	// The machine's speed drifts: the ways take turns, and what is compared comes of one round.
+	figures := make([][costFigures][]float64, len(ways))
+	bad := 0
+	for range rounds {
+		for i, w := range ways {
+			paced, c1, bad1 := load(w.c, w.host, 32, 1000, length)
+			if profile != "" && i == len(ways)-1 {
+				out, err := os.Create(profile)
+				if err != nil {
+					return err
+				}
+				defer out.Close()
+				if err := pprof.StartCPUProfile(out); err != nil {
+					return err
+				}
 			}
-			defer out.Close()
-			if err := pprof.StartCPUProfile(out); err != nil {
-				return err
+			full, c2, bad2 := load(w.c, w.host, 32, 0, length)
+			pprof.StopCPUProfile()
+			bad += bad1 + bad2
+			for n, v := range [costFigures]float64{measure.At(paced, 0.5), measure.At(paced, 0.99), float64(c1.Microseconds()) / float64(len(paced)),
+				float64(len(full)) / length.Seconds(), float64(c2.Microseconds()) / float64(len(full))} {
+				figures[i][n] = append(figures[i][n], v)
 			}
 		}
-		full, c2, bad2 := load(w.c, w.host, 32, 0, length)
-		pprof.StopCPUProfile()
-		fmt.Printf("| %s | %.2f ms | %.2f ms | %.0f us | %.0f | %.0f us |", w.name, measure.At(paced, 0.5), measure.At(paced, 0.99),
-			float64(c1.Microseconds())/float64(len(paced)), float64(len(full))/length.Seconds(), float64(c2.Microseconds())/float64(len(full)))
-		if bad1+bad2 > 0 {
-			fmt.Printf(" %d and %d not served", bad1, bad2)
-		}
-		fmt.Println()
 	}
-	fmt.Println("\nCPU is this whole process's: clients, servers and what is between them.")
+	fmt.Println("| way | 1,000 a second: p50 | p99 | CPU a request | 32 clients at full speed: a second | CPU a request |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- |")
+	for i, w := range ways {
+		f := figures[i]
+		fmt.Printf("| %s | %s ms | %s ms | %s us | %s | %s us |\n", w.name, middle(f[0], 2), middle(f[1], 2), middle(f[2], 0), middle(f[3], 0), middle(f[4], 0))
+	}
+	var cores, p50, p99 []float64
+	for n := range rounds {
+		a, b, c := figures[0], figures[1], figures[2]
+		cores = append(cores, (b[4][n]-a[4][n])/(c[4][n]-a[4][n]))
+		p50 = append(p50, c[0][n]-b[0][n])
+		p99 = append(p99, c[1][n]-b[1][n])
+	}
+	fmt.Printf("\n%d rounds: median, least and most. CPU is the whole process's: clients, servers and what is between them. What\n", rounds)
+	fmt.Printf("the proxy adds to (a) at full speed is %s times what the agent adds; the agent's p50 is %s ms more, its p99 %s ms.\n", middle(cores, 2), middle(p50, 2), middle(p99, 2))
+	if bad > 0 {
+		fmt.Printf("%d requests were not served.\n", bad)
+	}
 	return nil
 }
 
+const costFigures = 5
+
+// middle is the median of some figures, with the least and the most.
+func middle(all []float64, digits int) string {
+	all = slices.Clone(all)
+	slices.Sort(all)
+	return fmt.Sprintf("%.*f (%.*f to %.*f)", digits, all[len(all)/2], digits, all[0], digits, all[len(all)-1])
+}
+
 // load asks for a while, with so many clients; at a rate, or at full speed where it is 0.
 func load(c *http.Client, host func() string, clients, rate int, length time.Duration) (latency []time.Duration, used time.Duration, bad int) {
 	var mu sync.Mutex
