--- a/decide/thin_test.go
+++ b/decide/thin_test.go
@@ -67,14 +67,14 @@
 				r.advance(20 * ms)
 				r.outcome(id, decide.OK, 20*ms)
 			}
-			r.advance(500 * ms)
+			r.advance(80 * ms)
 		}
 		return n
 	}
 	used(0, 20)
 	first := used(20, 120)
 	if len(first) > 4 {
-		t.Errorf("%d servers were used by an agent with two requests a second, want 3 or so", len(first))
+		t.Errorf("%d servers were used by an agent with ten requests a second, want 3 or so", len(first))
 	}
 	var gone []decide.Backend
 	for id := range first {
