--- a/cmd/vetchhaven/rehearse.go
+++ b/cmd/vetchhaven/rehearse.go
@@ -72,7 +72,11 @@
 	if !slices.Contains(textbook.Names, name) {
 		return nil, fmt.Errorf("%q is no policy; %s and %s are", name, ownPolicy, strings.Join(textbook.Names, ", "))
 	}
-	return func(s decide.Settings, seed uint64) (virtual.Policy, error) { return textbook.New(name, s, seed) }, nil
+	make, err := textbook.Maker(name)
+	if err != nil {
+		return nil, err
+	}
+	return func(s decide.Settings, seed uint64) (virtual.Policy, error) { return make(s, seed) }, nil
 }
 
 func rehearse(path string, f rehearseFlags, out, errs io.Writer) error {
--- a/internal/emulate/list.go
+++ b/internal/emulate/list.go
@@ -46,17 +46,20 @@
 	SetDown struct{ Down bool }
 	// SetLate puts it further behind.
 	SetLate struct{ By time.Duration }
+	// SetRefuse has it turn that share of calls away at once.
+	SetRefuse struct{ Share float64 }
 )
 
 // ListEvent is one of the above, or Wake.
 type ListEvent interface{ listEvent() }
 
-func (Truth) listEvent()   {}
-func (Ask) listEvent()     {}
-func (Leave) listEvent()   {}
-func (SetDown) listEvent() {}
-func (SetLate) listEvent() {}
-func (Wake) listEvent()    {}
+func (Truth) listEvent()     {}
+func (Ask) listEvent()       {}
+func (Leave) listEvent()     {}
+func (SetDown) listEvent()   {}
+func (SetLate) listEvent()   {}
+func (SetRefuse) listEvent() {}
+func (Wake) listEvent()      {}
 
 // Tell is what the list does: it tells an agent, at a time, or ends its watch or call.
 type Tell struct {
@@ -79,6 +82,8 @@
 	freeAt  time.Duration
 	down    bool
 	late    time.Duration
+	refuse  float64
+	asked   int
 	watches map[int]*watch
 	reads   int
 	tells   []Tell
@@ -126,6 +131,9 @@
 	return l.version, all
 }
 
+// Asked is how many calls came.
+func (l *List) Asked() int { return l.asked }
+
 // Reads is how many calls were answered.
 func (l *List) Reads() int { return l.reads }
 
@@ -156,6 +164,8 @@
 		l.setDown(now, e.Down)
 	case SetLate:
 		l.late = e.By
+	case SetRefuse:
+		l.refuse = e.Share
 	}
 	l.advance(now)
 	return l.tells
@@ -183,9 +193,10 @@
 func (l *List) ask(now time.Duration, e Ask) {
 	delete(l.watches, e.Agent)
 	l.calls = slices.DeleteFunc(l.calls, func(c call) bool { return c.agent == e.Agent })
+	l.asked++
 	c := call{agent: e.Agent, since: e.Since, at: now}
 	switch {
-	case l.down:
+	case l.down, l.refuse > 0 && l.rng.Float64() < l.refuse:
 		c.failed = true
 	case l.spec.Calls > 0:
 		each := time.Duration(float64(time.Second) / l.spec.Calls)
--- a/internal/emulate/load.go
+++ b/internal/emulate/load.go
@@ -31,6 +31,7 @@
 	cursor  int // of the timeline
 	factor  float64
 	heavy   []heavy
+	shift   []float64 // by zone
 	weights []float64 // of agents, summed up
 }
 
@@ -40,13 +41,22 @@
 func NewLoad(s *Scenario, chance Chance) *Load {
 	l := &Load{s: s, chance: chance.Sub(Name("load")), factor: 1, heavy: make([]heavy, len(s.Classes))}
 	l.rng = l.chance.Rand()
-	sum := 0.0
+	for range max(1, len(s.Zones)) {
+		l.shift = append(l.shift, 1)
+	}
+	l.weigh()
+	return l
+}
+
+// weigh sums up the agents' parts of the load.
+func (l *Load) weigh() {
+	s, sum := l.s, 0.0
+	l.weights = l.weights[:0]
 	for i := range s.Agents {
 		// From even to inversely as the agent's place.
-		sum += 1 - s.Uneven + s.Uneven/float64(i+1)
+		sum += (1 - s.Uneven + s.Uneven/float64(i+1)) * l.chance.Sub(Name("traffic"), uint64(i)).around(s.Vary) * l.shift[i%len(l.shift)]
 		l.weights = append(l.weights, sum)
 	}
-	return l
 }
 
 // Next is the next task, or false when the scenario's length is over.
@@ -58,6 +68,9 @@
 			switch op := l.s.Timeline[l.cursor].What.(type) {
 			case Burst:
 				l.factor = op.Factor
+			case Shift:
+				l.shift[op.Zone] = op.Factor
+				l.weigh()
 			case Heavy:
 				l.heavy[op.Class] = heavy{op.Share, op.Factor}
 			}
--- a/internal/emulate/network.go
+++ b/internal/emulate/network.go
@@ -11,6 +11,7 @@
 	rng    *rand.Rand
 	cut    map[[2]int]bool
 	resets float64
+	lost   float64
 }
 
 // NewNetwork begins whole.
@@ -35,6 +36,9 @@
 	return d + time.Duration(n.rng.Float64()*n.spec.Jitter*float64(d))
 }
 
+// Loses reports whether the answer to the next attempt never comes: the connection stays open and silent.
+func (n *Network) Loses() bool { return n.lost > 0 && n.rng.Float64() < n.lost }
+
 // Breaks reports whether the connection of the next attempt breaks, and whether that is before
 // the request has arrived.
 func (n *Network) Breaks() (breaks, before bool) {
--- a/internal/emulate/server.go
+++ b/internal/emulate/server.go
@@ -103,6 +103,7 @@
 	recentSum float64
 
 	conns    map[int]*serverConn
+	backlog  []*waiting // connections that wait to be accepted, oldest first
 	queue    []*run
 	head     int // of queue
 	running  []*run
@@ -125,6 +126,12 @@
 	extra time.Duration // work of its handshake, for its first request
 }
 
+// waiting is a connection in the backlog, with what has come on it.
+type waiting struct {
+	dial Dial
+	jobs []Job
+}
+
 type run struct {
 	conn         int
 	job          Job
@@ -170,7 +177,7 @@
 	case Dial:
 		v.dial(now, e)
 	case Hangup:
-		delete(v.conns, e.Conn)
+		v.hangup(now, e.Conn)
 	case Arrive:
 		v.arrive(now, e)
 	case DrainNow:
@@ -214,6 +221,19 @@
 // Queue is how many requests wait.
 func (v *Server) Queue() int { return len(v.queue) - v.head }
 
+// Ahead is the work that it holds, on a standard core, and the work that it does of it in a unit of time as it
+// is: cold or warm, crowded or not.
+func (v *Server) Ahead(now time.Duration) (work, rate float64) {
+	each := v.rate(now)
+	for _, r := range v.queue[v.head:] {
+		work += r.left
+	}
+	for _, r := range v.running {
+		work += max(0, float64(r.ends-now)) * each
+	}
+	return work, each * float64(v.kind.Slots)
+}
+
 // Born is when the process started; 0: before the scenario.
 func (v *Server) Born() time.Duration { return v.born }
 
@@ -270,7 +290,12 @@
 
 func (v *Server) dial(now time.Duration, e Dial) {
 	if len(v.conns) >= v.kind.Connections {
-		v.effects = append(v.effects, Effect{Kind: Rejected, Conn: e.Conn})
+		if len(v.backlog) >= v.kind.Backlog {
+			v.effects = append(v.effects, Effect{Kind: Rejected, Conn: e.Conn})
+			return
+		}
+		v.backlog = append(v.backlog, &waiting{dial: e})
+		v.effects = append(v.effects, Effect{Kind: Accepted, Conn: e.Conn}) // by its kernel, not by itself
 		return
 	}
 	v.conns[e.Conn] = &serverConn{agent: e.Agent, since: now, extra: v.kind.Handshake}
@@ -280,7 +305,30 @@
 	v.effects = append(v.effects, Effect{Kind: Accepted, Conn: e.Conn})
 }
 
+// hangup ends a connection. One from the backlog takes its place. What a connection had sent is worked on all the same.
+func (v *Server) hangup(now time.Duration, conn int) {
+	if i := slices.IndexFunc(v.backlog, func(w *waiting) bool { return w.dial.Conn == conn }); i >= 0 {
+		v.backlog = slices.Delete(v.backlog, i, i+1)
+		return
+	}
+	delete(v.conns, conn)
+	for len(v.backlog) > 0 && len(v.conns) < v.kind.Connections {
+		w := v.backlog[0]
+		v.backlog = v.backlog[1:]
+		v.conns[w.dial.Conn] = &serverConn{agent: w.dial.Agent, since: now, extra: v.kind.Handshake}
+		for _, job := range w.jobs {
+			v.arrive(now, Arrive{Conn: w.dial.Conn, Job: job})
+		}
+	}
+}
+
 func (v *Server) arrive(now time.Duration, e Arrive) {
+	for _, w := range v.backlog {
+		if w.dial.Conn == e.Conn {
+			w.jobs = append(w.jobs, e.Job) // in its kernel's buffer: it may have run only once it is accepted
+			return
+		}
+	}
 	c := v.conns[e.Conn]
 	if c == nil {
 		return // its connection has ended: nobody reads this
@@ -485,7 +533,7 @@
 	}
 	slices.Sort(old) // a map has no order
 	for _, id := range old {
-		delete(v.conns, id)
+		v.hangup(now, id)
 		v.effects = append(v.effects, Effect{Kind: Closed, Conn: id})
 	}
 }
--- a/internal/emulate/sockets/server.go
+++ b/internal/emulate/sockets/server.go
@@ -206,6 +206,7 @@
 		g.mu.Unlock()
 		return errEnd
 	}
+	c.lost = c.lost || g.world.Net.Loses()
 	g.mu.Unlock()
 	hungUp := make(chan struct{})
 	go func() { // a client that gives up ends its connection: then nobody waits for the answer
--- a/internal/emulate/sockets/sockets.go
+++ b/internal/emulate/sockets/sockets.go
@@ -120,6 +120,11 @@
 			}
 		}
 	}
+	for _, c := range s.Timeline {
+		if op, ok := c.What.(emulate.Agents); ok && op.Drain {
+			return nil, errors.New("agents-restart with drain is played in virtual time only")
+		}
+	}
 	g := &stage{o: o, s: s, base: time.Now(), judge: judge.New(virtual.JudgeConfig(s, slack)), day: tally.New(s), places: map[int]*place{},
 		conns: map[int]*conn{}, wakes: map[*emulate.Proc]*time.Timer{}, tries: map[string]*try{}, watches: map[int]*watch{}}
 	g.begun.Store(math.MaxInt64 / 2)
--- a/internal/emulate/spec.go
+++ b/internal/emulate/spec.go
@@ -24,6 +24,7 @@
 	PauseGrow    float64       // how much longer for each held request a slot, up to 4
 	ErrorRate    float64       // share of requests that fail at any time
 	Connections  int           // held at the most
+	Backlog      int           // beyond these, so many wait to be accepted: they are up for who opened them, and silent
 	Handshake    time.Duration // work of a new connection
 	HandshakeRTT float64       // round trips before the first request on it
 }
@@ -82,6 +83,7 @@
 	Length   time.Duration
 	Agents   int
 	Uneven   float64 // how unevenly traffic is spread over agents: 0 even, 1 the first has most
+	Vary     float64 // coefficient of variation of the traffic among agents, besides
 	Tick     time.Duration
 	ByWork   bool // worth counts by the work of a request
 	Zones    []string
--- a/internal/emulate/virtual/agent.go
+++ b/internal/emulate/virtual/agent.go
@@ -16,7 +16,8 @@
 	d        *driver
 	n, zone  int
 	up       bool
-	life     int // starts so far: what was planned for an earlier one is void
+	leaving  bool // takes nothing new, and ends once it has answered what it took
+	life     int  // starts so far: what was planned for an earlier one is void
 	policy   Policy
 	pending  []decide.Event
 	stepped  time.Duration // the last step
@@ -88,6 +89,9 @@
 
 // start begins anew with the list as the agent had it last.
 func (a *agent) start(now time.Duration) (err error) {
+	if a.leaving {
+		a.kill()
+	}
 	if a.up {
 		return nil
 	}
@@ -98,6 +102,9 @@
 	if a.policy, err = a.d.o.New(a.d.s.Settings(a.n), uint64(seed)); err != nil {
 		return err
 	}
+	if p, ok := a.policy.(seer); ok {
+		p.Sees(a.d.truth)
+	}
 	for _, e := range a.view.entries {
 		a.tell(e)
 	}
@@ -105,12 +112,19 @@
 	return nil
 }
 
+// leave ends the agent's process once it has nothing open.
+func (a *agent) leave() {
+	if a.leaving = a.up; a.leaving && len(a.requests) == 0 {
+		a.kill()
+	}
+}
+
 // kill ends the agent's process: what it holds is void, its clients' connections break.
 func (a *agent) kill() {
 	if !a.up {
 		return
 	}
-	a.up = false
+	a.up, a.leaving = false, false
 	a.d.judge.Stopped(a.d.now, a.n)
 	for _, c := range a.d.sorted() {
 		if c.agent == a {
@@ -243,6 +257,7 @@
 	case decide.SetTimer:
 		heap.Push(&a.timers, timer{a.d.now + act.After, act.Token})
 	case decide.Subscribe:
+		a.d.day.Call(a.d.now)
 		a.d.list(emulate.Ask{Agent: a.n, Since: a.view.version})
 	}
 }
@@ -296,6 +311,14 @@
 func (a *agent) forget(r *request) {
 	if r.done && r.open == 0 {
 		delete(a.requests, r.id)
+		if a.leaving && len(a.requests) == 0 {
+			life := a.life // not now: whoever forgets is in the midst of it
+			a.d.at(a.d.now, func() {
+				if a.life == life && a.leaving {
+					a.kill()
+				}
+			})
+		}
 	}
 }
 
@@ -372,11 +395,30 @@
 	attempt *attempt
 	ready   bool
 	over    bool
+	mute    bool // what comes back is lost
 	since   time.Duration
 }
 
 const restTime = 20 * time.Millisecond // as in package agent
 
+// inView is how many servers it has a connection to.
+func (a *agent) inView() int {
+	seen := map[string]bool{}
+	for server, list := range a.pools {
+		if len(list) > 0 {
+			seen[server] = true
+		}
+	}
+	for _, r := range a.requests {
+		for _, t := range r.attempts {
+			if !t.over {
+				seen[t.server] = true
+			}
+		}
+	}
+	return len(seen)
+}
+
 // idle takes the connection used last of those that have rested, else the last one.
 func (a *agent) idle(server string) *conn {
 	list := a.pools[server]
@@ -414,6 +456,7 @@
 		return
 	}
 	d.conn++
+	d.day.Dial(d.now, t.r.class)
 	c := &conn{id: d.conn, agent: a, server: t.server, proc: p}
 	d.conns[c.id] = c
 	c.use(t)
@@ -466,6 +509,9 @@
 			return
 		}
 	}
+	if d.world.Net.Loses() {
+		c.mute = true
+	}
 	work, luck := t.r.task.Attempt(d.s, d.chance, t.r.try, t.n)
 	job := emulate.Job{ID: t.r.id, Agent: c.agent.n, Class: t.r.class, Key: t.r.task.Key, Work: work, Luck: luck, Sent: began}
 	p := c.proc
@@ -479,6 +525,9 @@
 }
 
 func (c *conn) replied(result decide.Result, load decide.Load) {
+	if c.mute {
+		return
+	}
 	if t := c.attempt; t != nil {
 		t.end(result, load)
 	}
--- a/internal/emulate/virtual/virtual.go
+++ b/internal/emulate/virtual/virtual.go
@@ -34,6 +34,40 @@
 	CutShort bool
 }
 
+// seer is a policy that is shown how all servers truly are, now or as they were a while ago: no agent can be
+// such a one. It is there to compare with.
+type seer interface {
+	Sees(truth func(late time.Duration) []emulate.Sight)
+}
+
+const (
+	truthEvery = 20 * time.Millisecond // how often the truth is kept for those that see it late
+	truthKept  = 2 * time.Second
+)
+
+// truth is how all servers were, as shown to seers. The slice stays as it is.
+func (d *driver) truth(late time.Duration) []emulate.Sight {
+	if late <= 0 {
+		return d.world.Sights(d.now)
+	}
+	if n := len(d.truths); n == 0 || d.now >= d.truths[n-1].at+truthEvery {
+		d.truths = append(d.truths, past{d.now, d.world.Sights(d.now)})
+		for d.truths[0].at < d.now-truthKept {
+			d.truths = d.truths[1:]
+		}
+	}
+	i := len(d.truths) - 1
+	for i > 0 && d.truths[i].at > d.now-late {
+		i--
+	}
+	return d.truths[i].sight
+}
+
+type past struct {
+	at    time.Duration
+	sight []emulate.Sight
+}
+
 // clockOffset is the policy's time at the scenario's start, so that all starts lie after zero.
 const clockOffset = time.Hour
 
@@ -56,6 +90,7 @@
 	wakes  map[*emulate.Proc]time.Duration
 	listAt time.Duration
 	open   int // tasks
+	truths []past
 	err    error
 }
 
@@ -128,6 +163,14 @@
 			d.day.Sample(d.now, p.Spec, p.Held(), p.Pressure(d.now))
 		}
 	}
+	view, up := 0, 0
+	for _, a := range d.agents {
+		if a.up {
+			view += a.inView()
+			up++
+		}
+	}
+	d.day.InView(d.now, float64(view)/float64(max(up, 1)))
 	d.judge.Advance(d.now)
 	if d.o.Progress != nil && d.now%time.Second == 0 {
 		d.o.Progress(d.now, d.day)
@@ -156,7 +199,7 @@
 func (d *driver) try(c *emulate.Client) {
 	d.day.Try(d.now, &c.Task, c.Try)
 	a := d.agents[c.Task.Agent]
-	if !a.up {
+	if !a.up || a.leaving {
 		d.answered(c, emulate.Unreachable, 0)
 		return
 	}
@@ -268,7 +311,9 @@
 func (d *driver) apply(what any) {
 	if op, ok := what.(emulate.Agents); ok {
 		for n := op.From; n < op.To; n++ {
-			if !op.Up {
+			if !op.Up && op.Drain {
+				d.agents[n].leave()
+			} else if !op.Up {
 				d.agents[n].kill()
 			} else if err := d.agents[n].start(d.now); err != nil {
 				d.err = err
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -52,17 +52,28 @@
 	}
 	// Resets makes that share of attempts end with a broken connection.
 	Resets struct{ Share float64 }
+	// Lost makes the answers of that share of attempts never come.
+	Lost struct{ Share float64 }
+	// ListRefuse makes the list turn that share of calls away at once.
+	ListRefuse struct{ Share float64 }
 	// Burst multiplies the load.
 	Burst struct{ Factor float64 }
+	// Shift gives the agents of a zone so many times their part of the load; the whole stays as it is.
+	Shift struct {
+		Zone   int
+		Factor float64
+	}
 	// Heavy makes a share of a class's requests cost so many times more.
 	Heavy struct {
 		Class         int
 		Share, Factor float64
 	}
-	// Agents stops the agents numbered from From to below To, or starts them anew.
+	// Agents stops the agents numbered from From to below To, or starts them anew. With Drain they take nothing
+	// new, finish what they have, and end then, or when they are started anew.
 	Agents struct {
 		From, To int
 		Up       bool
+		Drain    bool
 	}
 )
 
@@ -105,6 +116,29 @@
 	return nil
 }
 
+// Sight is how a server is that runs and can be reached: what no agent can see.
+type Sight struct {
+	ID     string
+	Zone   int
+	Ahead  float64 // work that it holds, on a standard core
+	Rate   float64 // work that it does in a unit of time
+	Core   float64 // the part of it that one request gets
+	Errors float64 // share of requests that fail fast
+}
+
+// Sights is how all servers are that take new work.
+func (w *World) Sights(now time.Duration) []Sight {
+	var all []Sight
+	for _, p := range w.Procs {
+		if p.Dead || p.Silent || p.draining || w.names[p.Name] != p {
+			continue
+		}
+		ahead, rate := p.Ahead(now)
+		all = append(all, Sight{ID: p.Name, Zone: p.Spec.Zone, Ahead: ahead, Rate: rate, Core: rate / float64(p.kind.Slots), Errors: p.errors})
+	}
+	return all
+}
+
 // Find is the latest process of a name, or nil.
 func (w *World) Find(name string) *Proc { return w.names[name] }
 
@@ -196,6 +230,10 @@
 		w.Net.Cut(op.A, op.B, op.On)
 	case Resets:
 		w.Net.resets = op.Share
+	case Lost:
+		w.Net.lost = op.Share
+	case ListRefuse:
+		r.Tells = append(r.Tells, w.List.Step(now, SetRefuse{op.Share})...)
 	}
 	return r
 }
--- a/internal/rehearsal/report.go
+++ b/internal/rehearsal/report.go
@@ -90,10 +90,10 @@
 
 func windows(w io.Writer, d *tally.Day) {
 	t := table(w)
-	fmt.Fprintln(t, "from\toffered\tin time\tlate\trefused\tfailed\ttries\tattempts\tservice\t")
+	fmt.Fprintln(t, "from\toffered\tin time\tlate\trefused\tfailed\ttries\tattempts\tservice\topened\tlist calls\tin view\t")
 	row := func(name string, c tally.Counts) {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t\n", name, c.Offered, c.InTime, c.Late, c.Refused, c.Failed, c.Tries,
-			c.Attempts, percent(c.Service()))
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%d\t%d\t%.1f\t\n", name, c.Offered, c.InTime, c.Late, c.Refused,
+			c.Failed, c.Tries, c.Attempts, percent(c.Service()), c.Dials, c.Calls, c.View)
 	}
 	for i, c := range d.Windows {
 		if at := time.Duration(i) * tally.Window; at < d.Length {
--- a/internal/scenario/incident.go
+++ b/internal/scenario/incident.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"path"
 	"slices"
 	"strings"
 	"time"
@@ -31,6 +32,7 @@
 	Pod      int
 	Count    int
 	Agents   []int
+	Drain    bool
 }
 
 // fields says what each incident takes: those after the bar are not needed.
@@ -40,18 +42,21 @@
 	"silent":         "servers | for",
 	"heavy":          "for class share factor",
 	"load":           "for factor",
+	"shift":          "for zone factor",
 	"shrink":         "servers over | drain_for",
 	"drain":          "servers | drain_for",
 	"kill":           "servers",
 	"restart":        "servers | after",
-	"replace":        "servers | after",
+	"replace":        "servers | after over drain_for",
 	"join":           "name kind | zone pod count over",
 	"move-pod":       "servers pod",
 	"list-late":      "for by",
 	"list-down":      "for",
 	"zone-cut":       "for zones",
 	"resets":         "for share",
-	"agents-restart": "| agents after",
+	"lost-answers":   "for share",
+	"list-refuse":    "for share",
+	"agents-restart": "| agents after over drain",
 }
 
 // incidents turns them into changes in order of time.
@@ -85,11 +90,14 @@
 		var list []emulate.ServerSpec
 		for _, name := range in.Servers {
 			v, ok := known[name]
+			some := []emulate.ServerSpec{v}
+			if !ok {
+				some, ok = c.matching(at("servers"), name, known)
+			}
 			if !ok {
-				c.fail(at("servers"), "%q is not in the fleet at that time", name)
 				return
 			}
-			list = append(list, v)
+			list = append(list, some...)
 		}
 		if c.own.Has(at("servers")) && len(list) == 0 {
 			c.fail(at("servers"), "none is named")
@@ -142,6 +150,11 @@
 			add(from, emulate.Burst{Factor: in.Factor})
 			add(until, emulate.Burst{Factor: 1})
 			label += fmt.Sprintf(" x%g", in.Factor)
+		case "shift":
+			zone := c.name(at("zone"), in.Zone, s.Zones)
+			add(from, emulate.Shift{Zone: zone, Factor: in.Factor})
+			add(until, emulate.Shift{Zone: zone, Factor: 1})
+			label += fmt.Sprintf(" %s x%g", in.Zone, in.Factor)
 		case "shrink", "drain":
 			for n, v := range list {
 				t := from + in.Over.D()*time.Duration(n)/time.Duration(max(1, len(list)))
@@ -154,7 +167,16 @@
 		case "kill":
 			each(func(v emulate.ServerSpec) any { return emulate.Kill{Server: v.Name} }, nil)
 		case "restart", "replace":
-			for _, v := range list {
+			until = from + in.Over.D() + in.DrainFor.D() + in.After.D()
+			if until > s.Length {
+				c.fail(at("after"), "it ends at %v, past the %v that the scenario takes", until, s.Length)
+			}
+			for n, v := range list {
+				from := from + in.Over.D()*time.Duration(n)/time.Duration(len(list))
+				if in.DrainFor.D() > 0 {
+					add(from, emulate.Drain{Server: v.Name})
+					from += in.DrainFor.D()
+				}
 				add(from, emulate.Kill{Server: v.Name})
 				if in.What == "replace" { // under a new id, at the old address
 					v.Name += "-new"
@@ -165,7 +187,6 @@
 				}
 				add(from+in.After.D(), emulate.Start{Server: v})
 			}
-			until = from + in.After.D()
 		case "join":
 			kind := c.name(at("kind"), in.Kind, names(s.Kinds, func(k emulate.Kind) string { return k.Name }))
 			zone := c.name(at("zone"), cmp.Or(in.Zone, s.Zones[0]), s.Zones)
@@ -219,6 +240,14 @@
 			add(from, emulate.Resets{Share: in.Share})
 			add(until, emulate.Resets{})
 			label += fmt.Sprintf(" %.0f%%", 100*in.Share)
+		case "lost-answers":
+			add(from, emulate.Lost{Share: in.Share})
+			add(until, emulate.Lost{})
+			label += fmt.Sprintf(" %.0f%%", 100*in.Share)
+		case "list-refuse":
+			add(from, emulate.ListRefuse{Share: in.Share})
+			add(until, emulate.ListRefuse{})
+			label += fmt.Sprintf(" %.0f%%", 100*in.Share)
 		case "agents-restart":
 			first, end := 0, s.Agents
 			if len(in.Agents) > 0 {
@@ -228,15 +257,46 @@
 				}
 				first, end = in.Agents[0], in.Agents[1]
 			}
-			add(from, emulate.Agents{From: first, To: end})
-			add(from+in.After.D(), emulate.Agents{From: first, To: end, Up: true})
-			until = from + in.After.D()
+			// Over: a tenth after the other.
+			steps := 1
+			if in.Over.D() > 0 {
+				steps = min(10, end-first)
+			}
+			for n := range steps {
+				at := from + in.Over.D()*time.Duration(n)/time.Duration(steps)
+				a, z := first+(end-first)*n/steps, first+(end-first)*(n+1)/steps
+				add(at, emulate.Agents{From: a, To: z, Drain: in.Drain})
+				add(at+in.After.D(), emulate.Agents{From: a, To: z, Up: true})
+			}
+			if until = from + in.Over.D() + in.After.D(); until > s.Length {
+				c.fail(at("over"), "it ends at %v, past the %v that the scenario takes", until, s.Length)
+			}
 		}
 		s.Marks = append(s.Marks, emulate.Mark{From: from, To: until, Text: label})
 	}
 	slices.SortStableFunc(s.Timeline, func(a, b emulate.Change) int { return cmp.Compare(a.At, b.At) })
 }
 
+// matching is the servers whose names match a pattern (path.Match), in order of their names.
+func (c *checker) matching(key, pattern string, known map[string]emulate.ServerSpec) (list []emulate.ServerSpec, ok bool) {
+	for name, v := range known {
+		hit, err := path.Match(pattern, name)
+		if err != nil {
+			c.fail(key, "%q is no pattern: %v", pattern, err)
+			return nil, false
+		}
+		if _, replaced := known[name+"-new"]; hit && !replaced {
+			list = append(list, v)
+		}
+	}
+	if len(list) == 0 {
+		c.fail(key, "%q is not in the fleet at that time", pattern)
+		return nil, false
+	}
+	slices.SortFunc(list, func(a, b emulate.ServerSpec) int { return cmp.Compare(a.Name, b.Name) })
+	return list, true
+}
+
 // fits checks that an incident is known and has just the fields that it takes.
 func (c *checker) fits(what string, at func(string) string) bool {
 	takes, ok := fields[what]
@@ -257,7 +317,7 @@
 	}
 	allowed := append(strings.Fields(needed+" "+also), "what", "at")
 	for _, field := range []string{"for", "servers", "share", "factor", "class", "zones", "by", "over", "drain_for",
-		"after", "name", "kind", "zone", "pod", "count", "agents"} {
+		"after", "name", "kind", "zone", "pod", "count", "agents", "drain"} {
 		if c.own.Has(at(field)) && !slices.Contains(allowed, field) {
 			c.fail(at(field), "%s takes none; it takes %s", what, strings.Join(allowed, ", "))
 		}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -25,6 +25,7 @@
 		Count  int
 		Tick   tomlfile.Duration
 		Uneven float64
+		Vary   float64
 	}
 	Load struct {
 		Rate   float64
@@ -89,6 +90,7 @@
 	PauseGrow    float64 `toml:"pause_grow"`
 	ErrorRate    float64 `toml:"error_rate"`
 	Connections  int
+	Backlog      int
 	Handshake    tomlfile.Duration
 	HandshakeRTT float64 `toml:"handshake_rtt"`
 }
@@ -114,6 +116,7 @@
 	Kind  string
 	Zone  string
 	Pod   int
+	Pods  int // so many, from Pod on, in turn
 	Count int
 }
 
@@ -223,7 +226,7 @@
 
 func (c *checker) scenario(f *file) (*emulate.Scenario, error) {
 	s := &emulate.Scenario{Title: f.Title, Length: c.span("length", f.Length),
-		Agents: f.Agents.Count, Uneven: f.Agents.Uneven, Tick: c.wait("agents.tick", f.Agents.Tick),
+		Agents: f.Agents.Count, Uneven: f.Agents.Uneven, Vary: f.Agents.Vary, Tick: c.wait("agents.tick", f.Agents.Tick),
 		Rate: f.Load.Rate, ByWork: f.Load.ByWork, Zones: f.Network.Zones}
 	if s.Length > 24*time.Hour {
 		c.fail("length", "%v is more than a day", s.Length)
@@ -232,6 +235,7 @@
 		c.fail("agents.count", "%d: 1 to %d are allowed", s.Agents, mostAgents)
 	}
 	c.share("agents.uneven", s.Uneven)
+	c.notNegative("agents.vary", s.Vary)
 	c.positive("load.rate", s.Rate)
 	if len(s.Zones) == 0 {
 		s.Zones = []string{"here"}
@@ -342,7 +346,7 @@
 			Queue: k.Queue, Thrash: k.Thrash, ThrashAt: k.ThrashAt, ColdShare: cmp.Or(k.ColdShare, 1),
 			ColdFor: c.wait(at("cold_for"), k.ColdFor), PauseEvery: c.wait(at("pause_every"), k.PauseEvery),
 			Pause: c.wait(at("pause"), k.Pause), PauseGrow: k.PauseGrow, ErrorRate: k.ErrorRate,
-			Connections: cmp.Or(k.Connections, 10000), Handshake: c.wait(at("handshake"), k.Handshake), HandshakeRTT: k.HandshakeRTT}
+			Connections: cmp.Or(k.Connections, 10000), Backlog: k.Backlog, Handshake: c.wait(at("handshake"), k.Handshake), HandshakeRTT: k.HandshakeRTT}
 		e.WarmByWork = c.name(at("warm_by"), cmp.Or(k.WarmBy, "time"), []string{"time", "work"}) == 1
 		for _, f := range []struct {
 			name string
@@ -352,8 +356,13 @@
 				c.fail(at(f.name), "%d: at least 1 is needed", f.v)
 			}
 		}
-		if e.Queue < 0 {
-			c.fail(at("queue"), "%d is negative", e.Queue)
+		for _, f := range []struct {
+			name string
+			v    int
+		}{{"queue", e.Queue}, {"backlog", e.Backlog}} {
+			if f.v < 0 {
+				c.fail(at(f.name), "%d is negative", f.v)
+			}
 		}
 		c.positive(at("speed"), e.Speed)
 		c.positive(at("cold_share"), e.ColdShare)
@@ -383,10 +392,14 @@
 		}
 		kind := c.name(at("kind"), g.Kind, kinds)
 		zone := c.name(at("zone"), cmp.Or(g.Zone, s.Zones[0]), s.Zones)
-		for range g.Count {
+		if g.Pods < 0 {
+			c.fail(at("pods"), "%d is negative", g.Pods)
+			return
+		}
+		for n := range g.Count {
 			number[g.Name]++
 			s.Servers = append(s.Servers, emulate.ServerSpec{Name: fmt.Sprintf("%s-%d", g.Name, number[g.Name]),
-				Place: len(s.Servers), Kind: kind, Zone: zone, Pod: g.Pod})
+				Place: len(s.Servers), Kind: kind, Zone: zone, Pod: g.Pod + n%max(1, g.Pods)})
 		}
 	}
 	if len(s.Servers) == 0 {
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -24,6 +24,9 @@
 	Tries    int     `json:"tries"`
 	Attempts int     `json:"attempts"`
 	Refusals int     `json:"refusals"` // given, of tries that may have had a better end later
+	Dials    int     `json:"connections_opened"`
+	Calls    int     `json:"list_calls"`
+	View     float64 `json:"servers_in_view"` // mean number of servers that an agent has a connection to
 	Asked    float64 `json:"worth_asked"`
 	Got      float64 `json:"worth_got"`
 }
@@ -45,6 +48,8 @@
 	c.Tries += o.Tries
 	c.Attempts += o.Attempts
 	c.Refusals += o.Refusals
+	c.Dials += o.Dials
+	c.Calls += o.Calls
 	c.Asked += o.Asked
 	c.Got += o.Got
 }
@@ -79,6 +84,7 @@
 	Reads   int // of the list
 	s       *emulate.Scenario
 	byName  map[string]*Server
+	viewed  []int                     // samples of InView in each window
 	latency []*hdrhistogram.Histogram // of served requests in microseconds, by class
 }
 
@@ -138,6 +144,28 @@
 	}
 }
 
+// Dial counts a connection that an agent opens for a request of a class.
+func (d *Day) Dial(now time.Duration, class int) {
+	d.count(now, class, func(c *Counts) { c.Dials++ })
+}
+
+// Call counts a call for the list.
+func (d *Day) Call(now time.Duration) {
+	all, _ := d.at(now, 0)
+	all.Calls++
+}
+
+// InView notes how many servers an agent has a connection to, on the mean over agents.
+func (d *Day) InView(now time.Duration, mean float64) {
+	all, _ := d.at(now, 0)
+	i := int(now / Window)
+	for len(d.viewed) <= i {
+		d.viewed = append(d.viewed, 0)
+	}
+	d.viewed[i]++
+	all.View += (mean - all.View) / float64(d.viewed[i])
+}
+
 // Refusal counts a refusal that a client is given.
 func (d *Day) Refusal(now time.Duration, class int) {
 	d.count(now, class, func(c *Counts) { c.Refusals++ })
@@ -191,12 +219,18 @@
 	for i := range d.Classes {
 		d.Classes[i] = Counts{}
 	}
+	viewed := 0
 	for i, w := range d.Windows {
 		d.Total.add(w)
+		if i < len(d.viewed) {
+			d.Total.View += w.View * float64(d.viewed[i])
+			viewed += d.viewed[i]
+		}
 		for c, k := range d.ByClass[i] {
 			d.Classes[c].add(k)
 		}
 	}
+	d.Total.View /= float64(max(viewed, 1))
 	sum := 0
 	for _, s := range d.Servers {
 		sum += s.Attempts
--- a/internal/textbook/textbook.go
+++ b/internal/textbook/textbook.go
@@ -13,8 +13,8 @@
 	"vetchhaven/decide"
 )
 
-// Names are the policies that New knows.
-var Names = []string{"random", "round-robin", "least-request", "p2c"}
+// Names are the policies that Maker knows.
+var Names = []string{"random", "round-robin", "least-request", "p2c", SeesNow, SeesLate}
 
 const askAgain = time.Second // after a failed call to the list
 
@@ -29,6 +29,7 @@
 	token    int64
 	due      map[int64]bool // timers that ask the list
 	actions  []decide.Action
+	eyes     *eyes // of those that see; else nil
 }
 
 type server struct {
@@ -52,12 +53,37 @@
 	open bool
 }
 
+// Maker makes policies of a name, one for each agent of one play.
+func Maker(name string) (func(s decide.Settings, seed uint64) (*Policy, error), error) {
+	if !slices.Contains(Names, name) {
+		return nil, fmt.Errorf("%q is no policy: vetchhaven and %v are", name, Names)
+	}
+	shared := &ledger{sent: map[string][]load{}}
+	return func(s decide.Settings, seed uint64) (*Policy, error) {
+		p, err := New(name, s, seed)
+		if err == nil && p.eyes != nil && name == SeesNow {
+			p.eyes.ledger = shared
+		}
+		return p, err
+	}, nil
+}
+
 // New makes a policy by its name.
 func New(name string, s decide.Settings, seed uint64) (*Policy, error) {
 	if !slices.Contains(Names, name) {
 		return nil, fmt.Errorf("%q is no policy: vetchhaven and %v are", name, Names)
 	}
-	return &Policy{name: name, s: s, rng: rand.New(rand.NewPCG(seed, 2)), requests: map[string]*request{},
+	var e *eyes
+	switch name {
+	case SeesNow:
+		e = &eyes{}
+	case SeesLate:
+		e = &eyes{late: seenLate}
+	}
+	if e != nil {
+		e.ledger = &ledger{sent: map[string][]load{}}
+	}
+	return &Policy{eyes: e, name: name, s: s, rng: rand.New(rand.NewPCG(seed, 2)), requests: map[string]*request{},
 		due: map[int64]bool{}}, nil
 }
 
@@ -71,6 +97,11 @@
 		case decide.Request:
 			r := &request{Request: e, deadline: now + e.Left}
 			p.requests[e.ID] = r
+			if p.eyes != nil && !p.admits(r) {
+				delete(p.requests, r.ID)
+				p.actions = append(p.actions, decide.Refuse{Request: r.ID})
+				continue
+			}
 			p.send(now, r, nil)
 		case decide.Outcome:
 			p.outcome(now, e)
@@ -158,6 +189,9 @@
 		return
 	}
 	s := p.pick(may)
+	if p.eyes != nil {
+		s = p.see(now, r, may)
+	}
 	a := &sent{to: s.Backend, s: s, at: now, open: true}
 	s.out++
 	r.sent = append(r.sent, a)
--- a/tools/rehearsal/main.go
+++ b/tools/rehearsal/main.go
@@ -67,7 +67,11 @@
 	if name == "vetchhaven" {
 		return virtual.Decide
 	}
-	return func(s decide.Settings, seed uint64) (virtual.Policy, error) { return textbook.New(name, s, seed) }
+	make, err := textbook.Maker(name)
+	if err != nil {
+		panic(err) // the names are textbook's own
+	}
+	return func(s decide.Settings, seed uint64) (virtual.Policy, error) { return make(s, seed) }
 }
 
 // table plays every scenario with every policy and seed, as many at once as there are cores.
