--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -31,7 +31,7 @@
 	errsApart    = 3.0  // standard deviations above the others' error rate that strike a backend
 	errsMost     = 0.25 // most that one of those counts for: it may be a failing one itself
 	strikesBias  = 0.1  // chance of an idle backend that has not healed yet
-	meetAgain    = 4.0  // longest aims within which an agent means to meet a backend again
+	meetAgain    = 0.5  // longest aims within which an agent means to meet a backend again
 	widthLeast   = 3    // idle backends at least among which a choice is made
 	scanMost     = 64   // backends that are all looked at for a choice; of more, some are drawn
 	sampleMost   = 48   // draws at the most
