Cold servers get their part in a crush; an agent's view grows with attempts, not refusals

Wrong: coldRoom() measured what warm servers served over one second in expected latencies, which triple in the crush while budgets are charged in them; and the root of the multiple, a margin for bursts of one agent, where 300 agents can make none. A probe of width(): onRequest() took the mean gap of requests, repeats of refused ones included, so that an agent that refused looked at more servers, and tables filled. Change: what warm ones served is counted in mean requests of the first class, over one ramp; the full multiple where agents outnumber servers; the gap is that of attempts.

--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -95,7 +95,8 @@
 	capacity float64 // their number, each counted by its warmth
 	delay    float64 // running mean of latency over aim
 
-	doneWork                float64 // decayed work that warm backends served
+	done                    float64       // decayed units of work that warm backends served
+	firstAt                 time.Duration // the first request came; 0: none has
 	cutAt, doneAt, demandAt time.Duration
 	askFails                int
 	askToken                int64
@@ -114,8 +115,8 @@
 	plain     bool    // at the last measure all were up, warm and sound; nothing has changed since
 	topWeight float64 // the highest weight of an idle backend at the last scan, or met since
 
-	gap    float64 // mean time between requests, ns
-	lastAt time.Duration
+	gap    float64       // mean time between attempts, ns
+	lastAt time.Duration // of the last one
 }
 
 // New returns a balancer with no state. All its random choices come from seed.
@@ -201,10 +202,7 @@
 		b.classes[i].answered *= 1 - smooth/20
 	}
 	c.arrived++
-	if b.lastAt > 0 {
-		b.gap = blend(b.gap, float64(b.now-b.lastAt))
-	}
-	b.lastAt = b.now
+	b.firstAt = cmp.Or(b.firstAt, b.now)
 	b.requests[e.ID] = r
 	if !r.repeat {
 		b.demand += b.expected(r)
--- a/decide/cold.go
+++ b/decide/cold.go
@@ -11,7 +11,7 @@
 func (b *Balancer) start(t *backend, at time.Duration) {
 	t.warmFrom, t.cold, t.seen, t.slow, t.samples = at, true, false, 1, 0
 	b.plain = false
-	t.budget, t.budgetAt = -b.rng.Float64()*b.classes[0].latency, b.now
+	t.budget, t.budgetAt = -b.rng.Float64(), b.now
 }
 
 // warmth is the share of its full capacity that a backend surely has by now.
@@ -50,8 +50,10 @@
 }
 
 // coldRoom reports whether a cold backend may get this request: each agent sends it no more
-// work than a warm one serves for it, times warmth, times the root of the stated multiple: as
-// far below the multiple as above the sure capacity, since most have more than that. Where none
+// work than a warm one serves for it, times warmth, times the stated multiple. Where there are fewer
+// agents than backends it is the root of the multiple: one of them could spend what all have in one
+// burst; of more, none has more than a request or two for it. Both stay under the multiple, since most
+// backends have more than the sure warmth, and since warm ones serve less than they could. Where none
 // is warm, or those that are have failed, there is nothing to measure by: each then gets its
 // warmth's part of the least that may be in flight, or none would serve until the ramp is over.
 // That covers a fleet that restarts as a whole, and one that is cold by mistake; it could hurt
@@ -61,20 +63,31 @@
 	if !t.cold {
 		return true
 	}
-	mean := b.classes[r.class].latency
-	rate := b.decayed() / float64(b.s.FallWindow+1) / float64(max(b.warm, 1))
-	share := w * rate * math.Sqrt(max(1, b.s.FallMultiple))
+	multiple := max(1, b.s.FallMultiple)
+	if b.s.Balancers <= b.up {
+		multiple = math.Sqrt(multiple)
+	}
+	share := w * b.warmRate() / float64(max(b.warm, 1)) * multiple
 	if b.sound == 0 {
-		share = w * floorPerBack * b.share
+		share = w * floorPerBack * b.share / b.classes[0].latency
 	}
-	t.budget = min(t.budget+share*float64(b.now-t.budgetAt), mean)
+	t.budget = min(t.budget+share*float64(b.now-t.budgetAt), 1)
 	t.budgetAt = b.now
-	return t.budget > 0 && b.expected(r) <= heavy*mean
+	return t.budget > 0 && b.expected(r) <= heavy*b.classes[r.class].latency
+}
+
+// warmRate is what warm backends lately served for this agent, in mean requests of the first class a
+// nanosecond: over about one ramp, since in the crush that follows the loss of many they serve less
+// than before, and cold ones would be spared just then. One that has just begun goes by what it has.
+func (b *Balancer) warmRate() float64 {
+	span := float64(b.s.RampTime + 1)
+	seen := max(1-math.Exp(-float64(b.now-b.firstAt)/span), float64(b.s.FallWindow)/span, 1e-9)
+	return b.decayed() / span / seen
 }
 
-// decayed is the work lately served by warm backends, over about one fall window.
+// decayed is the work lately served by warm backends, over about one ramp.
 func (b *Balancer) decayed() float64 {
-	b.doneWork *= math.Exp(-float64(b.now-b.doneAt) / float64(b.s.FallWindow+1))
+	b.done *= math.Exp(-float64(b.now-b.doneAt) / float64(b.s.RampTime+1))
 	b.doneAt = b.now
-	return b.doneWork
+	return b.done
 }
--- a/decide/finish.go
+++ b/decide/finish.go
@@ -10,17 +10,24 @@
 	}
 	a := &attempt{b: t, list: b.lists, zone: t.Zone, cell: t.Cell, kind: t.Kind, sent: b.now,
 		cost: max(b.expected(r), 1), open: true}
+	a.units = a.cost / b.classes[0].latency
 	r.attempts = append(r.attempts, a)
 	r.open++
 	if r.risky++; r.anchor == nil {
 		r.anchor = a
 	}
 	b.credit -= a.cost
+	// Attempts, not requests: an agent that refuses would see its traffic grow by those that come
+	// again, look at more backends, connect to them and find their tables full, as all others do.
+	if b.lastAt > 0 {
+		b.gap = blend(b.gap, float64(b.now-b.lastAt))
+	}
+	b.lastAt = b.now
 	if !r.upload {
 		b.takeUp(r, a)
 	}
 	if t.cold {
-		t.budget -= a.cost
+		t.budget -= a.units
 	}
 	b.actions = append(b.actions, Send{Request: r.id, Backend: t.ID})
 }
--- a/decide/health.go
+++ b/decide/health.go
@@ -19,7 +19,7 @@
 		t.down = false
 		t.errs -= smooth * t.errs
 		if !t.cold {
-			b.doneWork = b.decayed() + a.cost
+			b.done = b.decayed() + a.units
 		}
 		t.strikes = max(0, t.strikes-strikeHeal)
 		t.lastOK, t.silent = b.now, 0
--- a/decide/state.go
+++ b/decide/state.go
@@ -42,7 +42,7 @@
 	down                       bool          // connections failed or broke since the last answer
 	zoned, celled, started     int           // the list that last changed its zone, its cell, its start
 	cold                       bool
-	budget                     float64 // work that may be sent while it is cold
+	budget                     float64 // work that may be sent while it is cold, in mean requests of the first class
 	budgetAt                   time.Duration
 }
 
@@ -55,10 +55,12 @@
 	cell int
 	kind int
 	sent time.Duration
-	cost float64
-	open bool
-	load bool // counts as work in hand: not while it is uploaded, nor once only its answer's bytes are to come
-	late bool // found overdue: its delay is already counted
+	cost float64 // expected latency, ns
+	// units is the same in mean requests of the first class: latencies grow as a fleet fills up, and the work does not.
+	units float64
+	open  bool
+	load  bool // counts as work in hand: not while it is uploaded, nor once only its answer's bytes are to come
+	late  bool // found overdue: its delay is already counted
 }
 
 type request struct {
