--- a/tools/rehearsal/main.go
+++ b/tools/rehearsal/main.go
@@ -1,6 +1,7 @@
 // Command rehearsal measures the rehearsal emulator and the policies in it. It prints Markdown.
 //
 //	go run ./tools/rehearsal table [-seeds 5] SCENARIO.toml...   service by policy, with its spread over seeds
+//	go run ./tools/rehearsal fleet [-seeds 2] SCENARIO.toml...   beside what sees all servers truly, late and at once
 //	go run ./tools/rehearsal grow SCENARIO.toml                  time and memory at 1, 4 and 16 times the length
 //	go run ./tools/rehearsal compare VIRTUAL.json SOCKETS.json   how far two reports are apart
 package main
@@ -36,7 +37,7 @@
 
 func run(args []string) error {
 	if len(args) < 2 {
-		return errors.New("table, grow or compare, and files, are needed")
+		return errors.New("table, fleet, grow or compare, and files, are needed")
 	}
 	switch args[0] {
 	case "table":
@@ -46,6 +47,13 @@
 			return err
 		}
 		return table(f.Args(), *seeds)
+	case "fleet":
+		f := flag.NewFlagSet("fleet", flag.ContinueOnError)
+		seeds := f.Int("seeds", 2, "seeds to play, from 1")
+		if err := f.Parse(args[1:]); err != nil {
+			return err
+		}
+		return fleet(f.Args(), *seeds)
 	case "grow":
 		return grow(args[1])
 	case "grow-one":
@@ -60,7 +68,7 @@
 		}
 		return compare(args[1], args[2])
 	}
-	return fmt.Errorf("%q is none of table, grow, compare", args[0])
+	return fmt.Errorf("%q is none of table, fleet, grow, compare", args[0])
 }
 
 func maker(name string) func(decide.Settings, uint64) (virtual.Policy, error) {
