--- a/internal/emulate/server.go
+++ b/internal/emulate/server.go
@@ -234,6 +234,9 @@
 	return work, each * float64(v.kind.Slots)
 }
 
+// Draining reports whether it finishes what it has and takes nothing new.
+func (v *Server) Draining() bool { return v.draining }
+
 // Born is when the process started; 0: before the scenario.
 func (v *Server) Born() time.Duration { return v.born }
 
--- a/internal/emulate/sockets/sockets.go
+++ b/internal/emulate/sockets/sockets.go
@@ -120,6 +120,9 @@
 			}
 		}
 	}
+	if s.Records.Every > 0 {
+		return nil, errors.New("records beside the list are played in virtual time only")
+	}
 	for _, c := range s.Timeline {
 		if op, ok := c.What.(emulate.Agents); ok && op.Drain {
 			return nil, errors.New("agents-restart with drain is played in virtual time only")
--- a/internal/emulate/spec.go
+++ b/internal/emulate/spec.go
@@ -94,6 +94,7 @@
 	Clients  Clients
 	Rate     float64 // first tries a second
 	List     ListSpec
+	Records  RecordsSpec
 	Network  NetworkSpec
 	Report   ReportSpec
 	Timeline []Change // in order of time
@@ -120,6 +121,19 @@
 	Noise   float64
 }
 
+// RecordsSpec is a second source that all agents read beside the list: published records, that come late and are
+// sometimes wrong. They tell no drains: a server that drains or is gone is withdrawn from them, later.
+type RecordsSpec struct {
+	Every  time.Duration // read so often; 0: there are none
+	Late   time.Duration // published so long after the truth
+	Fail   float64       // share of readings that fail
+	Cut    float64       // that lose half of the records and do not say so
+	Empty  float64       // that come empty
+	Hold   time.Duration // how long the last good reading of failing records holds
+	Guard  time.Duration // how long servers stay that a reading suddenly lacks, if they are many
+	Settle time.Duration // the least time between two changes of a server's pod that take effect
+}
+
 // Settings are what the policy of one agent is told.
 func (s *Scenario) Settings(agent int) decide.Settings {
 	d := decide.Settings{
--- a/internal/emulate/virtual/agent.go
+++ b/internal/emulate/virtual/agent.go
@@ -8,6 +8,7 @@
 	"vetchhaven/decide"
 	"vetchhaven/internal/emulate"
 	"vetchhaven/internal/judge"
+	"vetchhaven/internal/membership"
 )
 
 // agent stands in for the real agent: the same loop, table of requests, attempts and pool of
@@ -25,6 +26,7 @@
 	timers   timers
 	requests map[string]*request
 	view     view
+	members  *membership.Module // merges list and records; nil: there are no records
 	pools    map[string][]*conn // idle connections by server, the latest used last
 }
 
@@ -108,6 +110,14 @@
 	for _, e := range a.view.entries {
 		a.tell(e)
 	}
+	if a.d.s.Records.Every > 0 {
+		a.members = newMembers(a.d.s.Records)
+		var all []membership.Server
+		for _, e := range a.view.entries {
+			all = append(all, member(e))
+		}
+		a.members.Step(a.d.now, membership.View{Source: fromList, Servers: all})
+	}
 	a.post(decide.List{Kind: decide.ListCached, Backends: backends(a.view.entries)})
 	return nil
 }
@@ -177,6 +187,15 @@
 	for _, e := range t.Entries {
 		a.tell(e)
 	}
+	if a.members != nil {
+		if t.Full {
+			a.d.judge.Missing(a.d.now, a.n, func(server string) bool {
+				return slices.ContainsFunc(t.Entries, func(e emulate.Entry) bool { return e.Server.Name == server })
+			})
+		}
+		a.listed(t)
+		return
+	}
 	kind := decide.ListDelta
 	if t.Full {
 		kind = decide.ListFull
--- a/internal/emulate/virtual/virtual.go
+++ b/internal/emulate/virtual/virtual.go
@@ -23,6 +23,7 @@
 	Scenario *emulate.Scenario
 	Seed     uint64
 	New      func(s decide.Settings, seed uint64) (Policy, error)
+	Believe  bool                                  // agents believe each reading of records, and nothing else: a plain resolver, to compare with
 	Progress func(now time.Duration, d *tally.Day) // each simulated second; may be nil
 	Stop     func() bool                           // asked now and then; may be nil
 }
@@ -32,6 +33,7 @@
 	Day      *tally.Day
 	Judge    *judge.Judge
 	CutShort bool
+	Emptied  int // times that an agent was left with no server by what list and records said
 }
 
 // seer is a policy that is shown how all servers truly are, now or as they were a while ago: no agent can be
@@ -91,7 +93,9 @@
 	listAt time.Duration
 	open   int // tasks
 	truths []past
-	err    error
+	// emptied is how often an agent's merged list came out empty.
+	emptied int
+	err     error
 }
 
 // Play plays a scenario to its end, or until Stop says so.
@@ -112,6 +116,10 @@
 		d.at(c.At, func() { d.apply(c.What) })
 	}
 	d.at(0, d.sample)
+	if s.Records.Every > 0 {
+		r := &records{d: d, spec: s.Records}
+		d.at(0, r.look)
+	}
 	d.nextTask()
 	cut := d.run()
 	if d.err != nil {
@@ -120,7 +128,7 @@
 	d.judge.End(d.now)
 	d.day.Reads = d.world.List.Reads()
 	d.day.Finish(min(d.now, s.Length))
-	return &Played{d.day, d.judge, cut}, nil
+	return &Played{d.day, d.judge, cut, d.emptied}, nil
 }
 
 // JudgeConfig is what a scenario's rules say to the judge; times may be off by slack.
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -42,6 +42,10 @@
 		Up, Drain, Silent, Spread, Timeout tomlfile.Duration
 		Calls                              float64
 	}
+	Records struct {
+		Every, Late, Hold, Guard, Settle tomlfile.Duration
+		Fail, Cut, Empty                 float64
+	}
 	Network struct {
 		Zones          []string
 		Within, Across tomlfile.Duration
@@ -265,6 +269,18 @@
 		Silent: c.wait("list.silent", f.List.Silent), Spread: c.wait("list.spread", f.List.Spread), Calls: f.List.Calls,
 		Timeout: c.wait("list.timeout", f.List.Timeout)}
 	c.notNegative("list.calls", f.List.Calls)
+	r := &f.Records
+	s.Records = emulate.RecordsSpec{Every: c.wait("records.every", r.Every), Late: c.wait("records.late", r.Late),
+		Fail: r.Fail, Cut: r.Cut, Empty: r.Empty,
+		Hold:   c.span("records.hold", cmp.Or(r.Hold, tomlfile.Of(time.Hour))),
+		Guard:  c.span("records.guard", cmp.Or(r.Guard, tomlfile.Of(30*time.Second))),
+		Settle: c.span("records.settle", cmp.Or(r.Settle, tomlfile.Of(12*time.Second)))}
+	c.share("records.fail", r.Fail)
+	c.share("records.cut", r.Cut)
+	c.share("records.empty", r.Empty)
+	if c.own.Has("records") && s.Records.Every == 0 {
+		c.fail("records.every", "a time above 0 is needed where there are records")
+	}
 	s.Network = emulate.NetworkSpec{Within: c.wait("network.within", f.Network.Within),
 		Across: c.wait("network.across", f.Network.Across), Jitter: f.Network.Jitter}
 	c.notNegative("network.jitter", f.Network.Jitter)
@@ -279,22 +295,22 @@
 	if c.share("clients.patience", s.Clients.Patience); s.Clients.Patience <= 0 {
 		c.fail("clients.patience", "a share above 0 is needed")
 	}
-	r := &f.Rules
-	s.Rules = emulate.Rules{MaxAttempts: cmp.Or(r.MaxAttempts, 3), SecondCopies: r.SecondCopies,
-		ConnectTimeout: c.span("rules.connect_timeout", cmp.Or(r.ConnectTimeout, tomlfile.Of(250*time.Millisecond))),
-		IdleClose:      c.span("rules.idle_close", cmp.Or(r.IdleClose, tomlfile.Of(5*time.Second))),
-		DrainGrace:     c.span("rules.drain_grace", cmp.Or(r.DrainGrace, tomlfile.Of(2*time.Second))),
-		AnswerSlack:    c.wait("rules.answer_slack", cmp.Or(r.AnswerSlack, tomlfile.Of(20*time.Millisecond))),
-		AskWithin:      c.span("rules.ask_within", cmp.Or(r.AskWithin, tomlfile.Of(10*time.Second))),
-		ColdShare:      cmp.Or(r.ColdShare, 0.31), RampTime: c.span("rules.ramp_time", cmp.Or(r.RampTime, tomlfile.Of(8600*time.Millisecond))),
-		FallMultiple: cmp.Or(r.FallMultiple, 2.5), FallWindow: c.span("rules.fall_window", cmp.Or(r.FallWindow, tomlfile.Of(time.Second))),
-		CrossZonePrice: r.CrossZonePrice, MaxRetryAfter: c.wait("rules.max_retry_after", r.MaxRetryAfter)}
+	rules := &f.Rules
+	s.Rules = emulate.Rules{MaxAttempts: cmp.Or(rules.MaxAttempts, 3), SecondCopies: rules.SecondCopies,
+		ConnectTimeout: c.span("rules.connect_timeout", cmp.Or(rules.ConnectTimeout, tomlfile.Of(250*time.Millisecond))),
+		IdleClose:      c.span("rules.idle_close", cmp.Or(rules.IdleClose, tomlfile.Of(5*time.Second))),
+		DrainGrace:     c.span("rules.drain_grace", cmp.Or(rules.DrainGrace, tomlfile.Of(2*time.Second))),
+		AnswerSlack:    c.wait("rules.answer_slack", cmp.Or(rules.AnswerSlack, tomlfile.Of(20*time.Millisecond))),
+		AskWithin:      c.span("rules.ask_within", cmp.Or(rules.AskWithin, tomlfile.Of(10*time.Second))),
+		ColdShare:      cmp.Or(rules.ColdShare, 0.31), RampTime: c.span("rules.ramp_time", cmp.Or(rules.RampTime, tomlfile.Of(8600*time.Millisecond))),
+		FallMultiple: cmp.Or(rules.FallMultiple, 2.5), FallWindow: c.span("rules.fall_window", cmp.Or(rules.FallWindow, tomlfile.Of(time.Second))),
+		CrossZonePrice: rules.CrossZonePrice, MaxRetryAfter: c.wait("rules.max_retry_after", rules.MaxRetryAfter)}
 	if s.Rules.MaxAttempts < 1 {
 		c.fail("rules.max_attempts", "%d: at least 1 is needed", s.Rules.MaxAttempts)
 	}
 	c.share("rules.cold_share", s.Rules.ColdShare)
 	c.positive("rules.fall_multiple", s.Rules.FallMultiple)
-	c.notNegative("rules.cross_zone_price", r.CrossZonePrice)
+	c.notNegative("rules.cross_zone_price", rules.CrossZonePrice)
 }
 
 func (c *checker) classes(f *file, s *emulate.Scenario) {
