--- a/tools/members/main.go
+++ b/tools/members/main.go
@@ -3,6 +3,7 @@
 //	go run ./tools/members hour [-seeds 5]     an hour of trouble in virtual time, beside a resolver that believes all
 //	go run ./tools/members fleet [-seeds 6] SCENARIO.toml   agents on two sources that contradict each other, beside the same
 //	                                           agents on a resolver that believes all
+//	go run ./tools/members sockets [-for 5m]   the same round a daemon, servers, a list and a resolver on loopback
 //	go run ./tools/members merge               time and memory to merge three sources of 1,000 servers
 //	go run ./tools/members goodbye             time from a goodbye by multicast DNS to a list without the server
 //	go run ./tools/members queries             queries at the resolver for 1, 100 and 1,000 instances of one daemon
@@ -36,9 +37,10 @@
 
 func run(args []string) error {
 	if len(args) < 1 {
-		return errors.New("hour, fleet, merge, queries or goodbye is needed")
+		return errors.New("hour, fleet, sockets, merge, queries or goodbye is needed")
 	}
 	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	length := f.Duration("for", 5*time.Minute, "sockets: how long to play")
 	seeds := f.Int("seeds", 5, "hours to play")
 	if err := f.Parse(args[1:]); err != nil {
 		return err
@@ -51,6 +53,8 @@
 			return errors.New("fleet needs a scenario")
 		}
 		return agents(f.Arg(0), *seeds)
+	case "sockets":
+		return onSockets(*length)
 	case "merge":
 		return merge()
 	case "queries":
@@ -58,7 +62,7 @@
 	case "goodbye":
 		return goodbye()
 	}
-	return fmt.Errorf("%q is none of hour, fleet, merge, queries, goodbye", args[0])
+	return fmt.Errorf("%q is none of hour, fleet, sockets, merge, queries, goodbye", args[0])
 }
 
 // world is the truth: which servers there are, and when the list told that one drains or is gone.
