--- a/decide/api.go
+++ b/decide/api.go
@@ -200,6 +200,22 @@
 // NeverRan reports whether the result proves that the attempt had no effect.
 func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == NotSent || r == Broke }
 
+// Reason is the limit or rule by which a request got a final answer that is not a success.
+type Reason uint8
+
+const (
+	NoRoom    Reason = iota // no more may be in flight, or a thin agent has no credit
+	NoServer                // none may get it: down, ejected, cold and spent, or outside what the repeat rule allows
+	NoToken                 // the retry bucket is too low
+	NoTime                  // a further attempt would come too late
+	NoAttempt               // all attempts are used up, or what was sent can't be sent again
+	Reasons                 // how many there are
+)
+
+func (r Reason) String() string {
+	return [...]string{"no room", "no server", "no token", "no time", "no attempt"}[r]
+}
+
 // Action is something the agent must do now, in the order given. The present module
 // sends no Cancel and no Probe; agents should carry them out all the same.
 type Action interface{ action() }
@@ -219,9 +235,13 @@
 	Refuse struct {
 		Request    string
 		RetryAfter time.Duration // 0: no advice
+		Why        Reason
 	}
 	// Fail is a final answer that promises nothing.
-	Fail struct{ Request string }
+	Fail struct {
+		Request string
+		Why     Reason
+	}
 	// SetTimer asks for a TimerFired after a while. Timers are never revoked.
 	SetTimer struct {
 		After time.Duration
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -209,7 +209,7 @@
 		b.earn(r)
 	}
 	if t := b.byID[r.only]; r.only != "" && (t == nil || t.State != Up) {
-		b.finish(r) // no other may have it, and waiting brings nothing
+		b.finish(r, NoServer) // no other may have it, and waiting brings nothing
 		return
 	}
 	b.hold(r)
--- a/decide/finish.go
+++ b/decide/finish.go
@@ -5,7 +5,7 @@
 // send starts an attempt. Nothing else does; the rules are checked here last.
 func (b *Balancer) send(r *request, t *backend) {
 	if t.State != Up || !b.mayRepeat(r, t) || b.now >= r.deadline {
-		b.finish(r)
+		b.finish(r, NoTime)
 		return
 	}
 	a := &attempt{b: t, list: b.lists, zone: t.Zone, cell: t.Cell, kind: t.Kind, sent: b.now,
@@ -54,13 +54,13 @@
 
 // finish gives a request its final answer. Nothing else does. It is a refusal
 // where no attempt may have run, which lets any client try again; else a failure.
-func (b *Balancer) finish(r *request) {
+func (b *Balancer) finish(r *request, why Reason) {
 	if r.ended {
 		return
 	}
-	var answer Action = Fail{Request: r.id}
+	var answer Action = Fail{r.id, why}
 	if r.risky == 0 {
-		answer = Refuse{Request: r.id, RetryAfter: b.comeBack(r)}
+		answer = Refuse{r.id, b.comeBack(r), why}
 	}
 	b.actions = append(b.actions, answer)
 	b.close(r)
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -59,10 +59,14 @@
 		r := b.held[i]
 		need := min(holdMargin*b.expected(r), holdAtMost*float64(b.classes[r.class].Aim))
 		give := min(r.aim-time.Duration(need), r.half-b.s.Tick) // refused later, it costs more
+		why := NoRoom
+		if r.passed {
+			why = NoServer
+		}
 		r.passed = false
 		if r.repeat || give <= b.now {
 			b.unhold(r)
-			b.finish(r)
+			b.finish(r, why)
 		} else if r.timer == 0 {
 			b.timer(r, give)
 		}
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -15,8 +15,18 @@
 	unit := backoffUnit * float64(b.classes[r.class].Aim)
 	at := b.now + time.Duration(b.rng.Float64()*min(math.Exp2(float64(r.retries)), backoffCeiling)*unit)
 	possible := func(t *backend) bool { return t.State == Up && b.mayRepeat(r, t) }
-	if !slices.ContainsFunc(b.backends, possible) || b.tokens < cost || at >= r.deadline || res == NotSent {
-		b.finish(r)
+	switch {
+	case len(r.attempts) >= b.s.MaxAttempts, r.spent, res == NotSent:
+		b.finish(r, NoAttempt)
+		return
+	case !slices.ContainsFunc(b.backends, possible):
+		b.finish(r, NoServer)
+		return
+	case b.tokens < cost:
+		b.finish(r, NoToken)
+		return
+	case at >= r.deadline:
+		b.finish(r, NoTime)
 		return
 	}
 	b.tokens -= cost
--- a/internal/emulate/virtual/agent.go
+++ b/internal/emulate/virtual/agent.go
@@ -270,8 +270,10 @@
 			r.attempts[act.Attempt].end(decide.Cancelled, decide.Load{})
 		}
 	case decide.Refuse:
+		a.turnedAway(act.Request, act.Why)
 		a.answer(act.Request, judge.Refused, emulate.Refused, act.RetryAfter)
 	case decide.Fail:
+		a.turnedAway(act.Request, act.Why)
 		a.answer(act.Request, judge.Failed, emulate.Failed, 0)
 	case decide.SetTimer:
 		heap.Push(&a.timers, timer{a.d.now + act.After, act.Token})
@@ -281,6 +283,12 @@
 	}
 }
 
+func (a *agent) turnedAway(id string, why decide.Reason) {
+	if r := a.requests[id]; r != nil {
+		a.d.day.TurnedAway(a.d.now, r.class, why)
+	}
+}
+
 func (a *agent) take(r *request) {
 	a.requests[r.id] = r
 	a.post(decide.Request{ID: r.id, Class: r.class, Work: r.task.Hint})
--- a/internal/rehearsal/report.go
+++ b/internal/rehearsal/report.go
@@ -9,6 +9,7 @@
 	"text/tabwriter"
 	"time"
 
+	"vetchhaven/decide"
 	"vetchhaven/internal/emulate"
 	"vetchhaven/internal/judge"
 	"vetchhaven/internal/tally"
@@ -102,6 +103,30 @@
 	}
 	row("all", d.Total)
 	t.Flush()
+	if d.Total.Why == (tally.Reasons{}) {
+		return
+	}
+	fmt.Fprintln(w, "\nturned away, by tries and reason")
+	t = table(w)
+	fmt.Fprint(t, "from\t")
+	for i := range d.Total.Why {
+		fmt.Fprintf(t, "%v\t", decide.Reason(i))
+	}
+	fmt.Fprintln(t)
+	reasons := func(name string, c tally.Counts) {
+		fmt.Fprintf(t, "%s\t", name)
+		for _, n := range c.Why {
+			fmt.Fprintf(t, "%d\t", n)
+		}
+		fmt.Fprintln(t)
+	}
+	for i, c := range d.Windows {
+		if at := time.Duration(i) * tally.Window; at < d.Length {
+			reasons(clock(at), c)
+		}
+	}
+	reasons("all", d.Total)
+	t.Flush()
 }
 
 func (r *Report) classes(w io.Writer, d *tally.Day) {
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -3,10 +3,12 @@
 package tally
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"vetchhaven/decide"
 	"vetchhaven/internal/emulate"
 )
 
@@ -23,7 +25,8 @@
 	Failed   int     `json:"failed"`
 	Tries    int     `json:"tries"`
 	Attempts int     `json:"attempts"`
-	Refusals int     `json:"refusals"` // given, of tries that may have had a better end later
+	Refusals int     `json:"refusals"`       // given, of tries that may have had a better end later
+	Why      Reasons `json:"turned_away_by"` // refusals and failures of the policy, by its reason
 	Dials    int     `json:"connections_opened"`
 	Calls    int     `json:"list_calls"`
 	View     float64 `json:"servers_in_view"` // mean number of servers that an agent has a connection to
@@ -31,6 +34,30 @@
 	Got      float64 `json:"worth_got"`
 }
 
+// Reasons counts by decide.Reason.
+type Reasons [decide.Reasons]int
+
+// MarshalJSON gives counts by the names of reasons.
+func (r Reasons) MarshalJSON() ([]byte, error) {
+	m := map[string]int{}
+	for i, n := range r {
+		m[decide.Reason(i).String()] = n
+	}
+	return json.Marshal(m)
+}
+
+// UnmarshalJSON takes what MarshalJSON gives.
+func (r *Reasons) UnmarshalJSON(text []byte) error {
+	m := map[string]int{}
+	if err := json.Unmarshal(text, &m); err != nil {
+		return err
+	}
+	for i := range r {
+		r[i] = m[decide.Reason(i).String()]
+	}
+	return nil
+}
+
 // Service is the worth got over the worth asked for; 1 where nothing was.
 func (c Counts) Service() float64 {
 	if c.Asked == 0 {
@@ -48,6 +75,9 @@
 	c.Tries += o.Tries
 	c.Attempts += o.Attempts
 	c.Refusals += o.Refusals
+	for i, n := range o.Why {
+		c.Why[i] += n
+	}
 	c.Dials += o.Dials
 	c.Calls += o.Calls
 	c.Asked += o.Asked
@@ -144,6 +174,13 @@
 	}
 }
 
+// TurnedAway counts a final answer of the policy that is not a success.
+func (d *Day) TurnedAway(now time.Duration, class int, why decide.Reason) {
+	if why < decide.Reasons {
+		d.count(now, class, func(c *Counts) { c.Why[why]++ })
+	}
+}
+
 // Dial counts a connection that an agent opens for a request of a class.
 func (d *Day) Dial(now time.Duration, class int) {
 	d.count(now, class, func(c *Counts) { c.Dials++ })
