--- a/decide/pick.go
+++ b/decide/pick.go
@@ -153,21 +153,22 @@
 // random; else the one with the fewest in flight; never the one that just failed
 // unless it is the only one. nil means that none may be used now.
 func (b *Balancer) pick(r *request) *backend {
-	if n := len(b.backends); n > scanMost && b.width() >= n {
-		if t := b.sample(r); t != nil {
+	if n := min(len(b.backends), b.width()); n > scanMost {
+		if t := b.sample(r, b.backends[:n]); t != nil {
 			return t
 		}
 	}
 	return b.scan(r)
 }
 
-// sample chooses among idle backends as scan does, by drawing some and accepting each by its weight
-// (rejection sampling): the same distribution, without looking at all. nil where that takes too many
-// draws, as where few are idle.
-func (b *Balancer) sample(r *request) *backend {
+// sample chooses among the idle of these backends as scan does, by drawing some and accepting each by
+// its weight (rejection sampling): the same distribution, without looking at all. The part that an agent
+// keeps to is taken with those of it that may not be used now, so that the choice is a little narrower
+// than by scan. nil where that takes too many draws, as where few are idle.
+func (b *Balancer) sample(r *request, among []*backend) *backend {
 	most := b.topWeight
 	for range sampleMost {
-		t := b.backends[b.rng.IntN(len(b.backends))]
+		t := among[b.rng.IntN(len(among))]
 		if len(t.out) > 0 || !t.seen && b.inFlight >= b.up || !b.usable(r, t) || !b.healthy(t, r) {
 			continue
 		}
--- a/decide/sample_test.go
+++ b/decide/sample_test.go
@@ -48,7 +48,7 @@
 	none := 0
 	for range draws {
 		scanned[b.scan(r).ID]++
-		if s := b.sample(r); s != nil {
+		if s := b.sample(r, b.backends); s != nil {
 			sampled[s.ID]++
 		} else {
 			none++
