--- a/decide/health.go
+++ b/decide/health.go
@@ -134,11 +134,15 @@
 	// The mean spans what is in flight at once: over less, chance would cut a busy agent's limit.
 	weight := min(smooth, 1/b.limit())
 	b.delay += weight * (min(share, 2) - b.delay)
+	aimed, floor := aimedDelay, floorPerBack
+	if b.s.Balancers > b.up { // a busy one of many may hold several times its part, and so may others
+		aimed, floor = min(aimedDelay, b.aimed()), floorCrowd
+	}
 	switch {
-	case b.delay > aimedDelay && b.now-b.cutAt > time.Duration(b.classes[0].latency):
-		b.perBack = max(floorPerBack, b.perBack*limitCut)
+	case b.delay > aimed && b.now-b.cutAt > time.Duration(b.classes[0].latency):
+		b.perBack = max(floor, b.perBack*limitCut)
 		b.cutAt = b.now
-	case b.delay < aimedDelay && float64(b.inFlight-b.stuck)+1 >= b.limit()*0.9:
+	case b.delay < aimed && float64(b.inFlight-b.stuck)+1 >= b.limit()*0.9:
 		b.perBack += limitGrow / b.limit()
 	}
 }
