--- a/tools/fleet/herd.go
+++ b/tools/fleet/herd.go
@@ -12,6 +12,7 @@
 
 	"vetchhaven/internal/emulate"
 	"vetchhaven/internal/emulate/sockets"
+	"vetchhaven/internal/judge"
 	"vetchhaven/internal/scenario"
 )
 
@@ -56,6 +57,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer cancel()
 	ways := []string{"vetchhaven", "naive"}
+	breaches := make([][]judge.Breach, len(ways))
 	traces := make([]map[time.Duration]step, len(ways))
 	fmt.Println("| start | asked | in time | late | refused | failed | refusals | service | worst 5 s | rules broken | cold: most held | cold: most load | fell |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
@@ -88,11 +90,17 @@
 				most.pressure = max(most.pressure, v.Pressure)
 			}
 		}
+		breaches[i] = p.Judge.Breaches()
 		t := p.Day.Total
 		worst, _ := p.Day.Worst()
 		fmt.Printf("| %s | %d | %d | %d | %d | %d | %d | %.1f%% | %.1f%% | %d | %d | %.2f | %s |\n", way, t.Offered, t.InTime, t.Late,
 			t.Refused, t.Failed, t.Refusals, 100*t.Service(), 100*worst, len(p.Judge.Breaches()), most.held, most.pressure, fell)
 	}
+	for i, way := range ways {
+		for _, b := range breaches[i][:min(5, len(breaches[i]))] {
+			fmt.Printf("\n%s: %v\n", way, b)
+		}
+	}
 	fmt.Printf("\n%s joins at %v. What it held, and its load over what it could do while cold, by 100 ms (rows where all is 0 left out):\n\n", cold, joins)
 	fmt.Println("| after | held | load | naive: held | load |\n| --- | --- | --- | --- | --- |")
 	var all []time.Duration
--- a/tools/fleet/main.go
+++ b/tools/fleet/main.go
@@ -50,14 +50,14 @@
 	n := f.Int("n", 1000, "instances")
 	seconds := f.Int("seconds", 2, "cost: seconds of each run")
 	rounds := f.Int("rounds", 7, "cost: rounds, of which medians are told")
-	profile := f.String("profile", "", "cost: write a CPU profile of the agent at full speed to this file")
+	profile := f.String("profile", "", "cost: write a CPU profile of the agent at full speed to this file; instances: one of the heap")
 	file := f.String("file", "scenarios/herd.toml", "the scenario of herd")
 	if err := f.Parse(args[1:]); err != nil {
 		return err
 	}
 	switch args[0] {
 	case "instances":
-		return instances(*n)
+		return instances(*n, *profile)
 	case "cost":
 		return cost(time.Duration(*seconds)*time.Second, *rounds, *profile)
 	case "steps":
@@ -109,7 +109,7 @@
 }
 
 // instances measures what a quiet instance takes.
-func instances(n int) error {
+func instances(n int, profile string) error {
 	dir, err := os.MkdirTemp("", "fleet")
 	if err != nil {
 		return err
@@ -130,6 +130,16 @@
 	defer stop()
 	s, _ := d.Status()
 	each := (heap() - before) / float64(n) / 1024
+	if profile != "" {
+		out, err := os.Create(profile)
+		if err != nil {
+			return err
+		}
+		defer out.Close()
+		if err := pprof.WriteHeapProfile(out); err != nil {
+			return err
+		}
+	}
 	c, t := measure.CPU(), time.Now()
 	time.Sleep(10 * time.Second)
 	idle := float64(measure.CPU()-c) / float64(time.Since(t)) * 100
