--- a/cmd/vetchhaven/rehearse.go
+++ b/cmd/vetchhaven/rehearse.go
@@ -7,7 +7,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -69,9 +68,6 @@
 	if name == ownPolicy {
 		return virtual.Decide, nil
 	}
-	if !slices.Contains(textbook.Names, name) {
-		return nil, fmt.Errorf("%q is no policy; %s and %s are", name, ownPolicy, strings.Join(textbook.Names, ", "))
-	}
 	make, err := textbook.Maker(name)
 	if err != nil {
 		return nil, err
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -49,8 +49,8 @@
 	thinMost     = 2.0   // what a first try brings at most, in its own work: retries need some too
 	startPerBack = 6.0   // in-flight limit at the start, for all agents together per backend
 	floorPerBack = 4.0   // and the least it falls to: less would leave cores idle
-	restoredMost = 60.0  // a limit of more, left by another balancer, is not believed
 	floorCrowd   = 3.0   // the same where agents outnumber backends: a few of them may meet at any one
+	restoredMost = 60.0  // a limit of more, left by another balancer, is not believed
 	backCap      = 3.0   // no backend holds more than so many mean shares of the limit
 	holdMargin   = 2.0   // a held request leaves when fewer than so many mean latencies remain to its aim
 	holdAtMost   = 0.75  // of the aim; a request may always be held for the rest of it
--- a/internal/emulate/list.go
+++ b/internal/emulate/list.go
@@ -83,7 +83,6 @@
 	down    bool
 	late    time.Duration
 	refuse  float64
-	asked   int
 	watches map[int]*watch
 	reads   int
 	tells   []Tell
@@ -131,9 +130,6 @@
 	return l.version, all
 }
 
-// Asked is how many calls came.
-func (l *List) Asked() int { return l.asked }
-
 // Reads is how many calls were answered.
 func (l *List) Reads() int { return l.reads }
 
@@ -193,7 +189,6 @@
 func (l *List) ask(now time.Duration, e Ask) {
 	delete(l.watches, e.Agent)
 	l.calls = slices.DeleteFunc(l.calls, func(c call) bool { return c.agent == e.Agent })
-	l.asked++
 	c := call{agent: e.Agent, since: e.Since, at: now}
 	switch {
 	case l.down, l.refuse > 0 && l.rng.Float64() < l.refuse:
--- a/tools/rehearsal/fleet.go
+++ b/tools/rehearsal/fleet.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"path/filepath"
 	"runtime"
-	"sync"
 	"time"
 
 	"vetchhaven/internal/emulate/virtual"
@@ -19,7 +18,6 @@
 	fmt.Printf("%d cores, mean of seeds 1 to %d\n\n", runtime.NumCPU(), seeds)
 	fmt.Println("| scenario | policy | service | worst 5 s | refusals a request | attempts a request | connections opened a request | list calls an agent | servers in view | rules broken | play |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-	slots := make(chan struct{}, runtime.NumCPU())
 	for _, path := range paths {
 		s, err := scenario.Load(path)
 		if err != nil {
@@ -31,40 +29,21 @@
 			took                                                   time.Duration
 		}
 		sums := make([]sum, len(policies))
-		var mu sync.Mutex
-		var all sync.WaitGroup
-		var fail error
-		for i, name := range policies {
-			for seed := range seeds {
-				all.Go(func() {
-					slots <- struct{}{}
-					defer func() { <-slots }()
-					start := time.Now()
-					p, err := virtual.Play(virtual.Options{Scenario: s, Seed: uint64(seed + 1), New: maker(name)})
-					mu.Lock()
-					defer mu.Unlock()
-					if err != nil {
-						fail = err
-						return
-					}
-					t, n, part := p.Day.Total, float64(max(1, p.Day.Total.Offered)), 1/float64(seeds)
-					worst, _ := p.Day.Worst()
-					x := &sums[i]
-					x.service += part * t.Service()
-					x.worst += part * worst
-					x.refusals += part * float64(t.Refusals) / n
-					x.attempts += part * float64(t.Attempts) / n
-					x.dials += part * float64(t.Dials) / n
-					x.calls += part * float64(t.Calls) / float64(s.Agents)
-					x.view += part * t.View
-					x.broken += p.Judge.Total()
-					x.took = max(x.took, time.Since(start))
-				})
-			}
-		}
-		all.Wait()
-		if fail != nil {
-			return fail
+		if err := plays(s, policies, seeds, func(i, _ int, p *virtual.Played, took time.Duration) {
+			t, n, part := p.Day.Total, float64(max(1, p.Day.Total.Offered)), 1/float64(seeds)
+			worst, _ := p.Day.Worst()
+			x := &sums[i]
+			x.service += part * t.Service()
+			x.worst += part * worst
+			x.refusals += part * float64(t.Refusals) / n
+			x.attempts += part * float64(t.Attempts) / n
+			x.dials += part * float64(t.Dials) / n
+			x.calls += part * float64(t.Calls) / float64(s.Agents)
+			x.view += part * t.View
+			x.broken += p.Judge.Total()
+			x.took = max(x.took, took)
+		}); err != nil {
+			return err
 		}
 		for i, name := range policies {
 			x := sums[i]
--- a/tools/rehearsal/main.go
+++ b/tools/rehearsal/main.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"vetchhaven/decide"
+	"vetchhaven/internal/emulate"
 	"vetchhaven/internal/emulate/virtual"
 	"vetchhaven/internal/scenario"
 	"vetchhaven/internal/textbook"
@@ -82,14 +83,41 @@
 	return func(s decide.Settings, seed uint64) (virtual.Policy, error) { return make(s, seed) }
 }
 
-// table plays every scenario with every policy and seed, as many at once as there are cores.
+// plays plays a scenario with each policy and seed, as many at once as there are cores, and hands on each play, one at a
+// time: the policy by its place, the seed less one, and how long it took.
+func plays(s *emulate.Scenario, policies []string, seeds int, played func(policy, seed int, p *virtual.Played, took time.Duration)) error {
+	slots := make(chan struct{}, runtime.NumCPU())
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	var fail error
+	for i, name := range policies {
+		for seed := range seeds {
+			all.Go(func() {
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				start := time.Now()
+				p, err := virtual.Play(virtual.Options{Scenario: s, Seed: uint64(seed + 1), New: maker(name)})
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					fail = err
+					return
+				}
+				played(i, seed, p, time.Since(start))
+			})
+		}
+	}
+	all.Wait()
+	return fail
+}
+
+// table plays every scenario with every policy and seed.
 func table(paths []string, seeds int) error {
 	policies := append([]string{"vetchhaven"}, textbook.Names...)
 	fmt.Printf("%d cores, seeds 1 to %d; service in %% of the worth asked for: mean (least to most); in brackets rules broken, over all seeds\n\n",
 		runtime.NumCPU(), seeds)
 	fmt.Println("| scenario | " + strings.Join(policies, " | ") + " |")
 	fmt.Println("|" + strings.Repeat(" --- |", len(policies)+1))
-	slots := make(chan struct{}, runtime.NumCPU())
 	for _, path := range paths {
 		s, err := scenario.Load(path)
 		if err != nil {
@@ -97,30 +125,14 @@
 		}
 		service := make([][]float64, len(policies))
 		broken := make([]int, len(policies))
-		var mu sync.Mutex
-		var all sync.WaitGroup
-		var fail error
-		for i, name := range policies {
+		for i := range policies {
 			service[i] = make([]float64, seeds)
-			for seed := range seeds {
-				all.Go(func() {
-					slots <- struct{}{}
-					defer func() { <-slots }()
-					p, err := virtual.Play(virtual.Options{Scenario: s, Seed: uint64(seed + 1), New: maker(name)})
-					mu.Lock()
-					defer mu.Unlock()
-					if err != nil {
-						fail = err
-						return
-					}
-					service[i][seed] = 100 * p.Day.Total.Service()
-					broken[i] += p.Judge.Total()
-				})
-			}
 		}
-		all.Wait()
-		if fail != nil {
-			return fail
+		if err := plays(s, policies, seeds, func(i, seed int, p *virtual.Played, _ time.Duration) {
+			service[i][seed] = 100 * p.Day.Total.Service()
+			broken[i] += p.Judge.Total()
+		}); err != nil {
+			return err
 		}
 		row := []string{strings.TrimSuffix(filepath.Base(path), ".toml")}
 		for i := range policies {
