--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -91,6 +91,7 @@
 	held     func([]rights.Holding)          // told how rights stand; must not wait; nil: nobody
 	turned   map[string]int                  // by the fleet's limits, since the last summary
 	sights   sights
+	kept     kept
 }
 
 // totals are what the agent did since its start, for others to read.
@@ -427,7 +428,7 @@
 			l.counts.refused++
 			l.totals.refused.Add(1)
 			l.limited(a.Limit)
-			l.finish(r, Answer{Refused: true, RetryAfter: a.RetryAfter, Limit: a.Limit})
+			l.finish(r, Answer{Refused: true, RetryAfter: a.RetryAfter, Limit: a.Limit, Verdict: l.keptFrom(a.Why, now)})
 			l.forget(r)
 		}
 	case decide.Fail:
@@ -522,6 +523,10 @@
 		l.log.Info("turned away by a limit of the fleet", "limit", name, "requests", n)
 	}
 	clear(l.turned)
+	if l.kept.refused > 0 {
+		l.log.Info("refused while verdicts of the fleet keep servers out", "servers", l.kept.names, "requests", l.kept.refused)
+	}
+	l.kept.refused = 0
 }
 
 // limited counts what a limit of the fleet turned away.
--- a/internal/core/protocol.go
+++ b/internal/core/protocol.go
@@ -98,6 +98,7 @@
 	Gone       bool          // failed: its client is gone, or wants no answer
 	RetryAfter time.Duration // of Refused: when to come back; 0: no advice
 	Limit      string        // the fleet's limit that stood in its way; empty: none did
+	Verdict    string        // of Refused: the servers that the fleet's verdicts keep from it; empty: none
 }
 
 // Attempt is one attempt of a request at a server.
--- a/internal/core/sights.go
+++ b/internal/core/sights.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -14,6 +15,7 @@
 	Started int64 // of the process, ms, Unix; 0: long ago
 	OK      int   // it answered
 	Bad     int   // it failed: an error, no connection, a broken one, or no answer in time
+	Said    int   // of these, those that it said itself: an answer amiss. The rest may be its link's fault
 }
 
 // sights gathers them for a while.
@@ -57,11 +59,13 @@
 	if s.tell == nil || s.all == nil {
 		return
 	}
-	ok, bad := 0, 0
+	ok, bad, said := 0, 0, 0
 	switch r {
 	case decide.OK:
 		ok = 1
-	case decide.Errored, decide.TimedOut, decide.ConnectFailed, decide.Reset, decide.Broke:
+	case decide.Errored:
+		bad, said = 1, 1
+	case decide.TimedOut, decide.ConnectFailed, decide.Reset, decide.Broke:
 		bad = 1
 	default:
 		return
@@ -72,7 +76,7 @@
 		x = &Sight{Server: a.Server, Started: a.process}
 		s.all[k] = x
 	}
-	x.OK, x.Bad = x.OK+ok, x.Bad+bad
+	x.OK, x.Bad, x.Said = x.OK+ok, x.Bad+bad, x.Said+said
 	if wait := sightsEvery - time.Since(s.last); wait <= 0 {
 		l.sight()
 	} else if !s.due {
@@ -112,14 +116,44 @@
 // has too much to do to hear of it now.
 func (a *Agent) Judge(all []Verdict) bool { return a.tell(judged{all}) }
 
+// kept are the servers that verdicts keep from this agent's requests.
+type kept struct {
+	until   time.Duration // the last of them lapses then
+	names   string
+	refused int // requests for which there was no server meanwhile, since the last summary
+}
+
+const namedMost = 5 // servers that a refusal names
+
+// keptFrom names them where a request is refused for want of a server.
+func (l *Loop) keptFrom(why decide.Reason, now time.Duration) string {
+	if why != decide.NoServer || now >= l.kept.until {
+		return ""
+	}
+	l.kept.refused++
+	return l.kept.names
+}
+
 func (l *Loop) judge(e judged) {
 	var all []decide.Verdict
+	var names []string
+	l.kept.until, l.kept.names = 0, ""
 	for _, v := range e.all {
 		x := decide.Verdict{Backend: v.Server, Drain: v.Drain, Until: l.clock.at(v.Until)}
 		if v.Started > 0 {
 			x.Started = l.clock.started(v.Started)
 		}
 		all = append(all, x)
+		l.kept.until = max(l.kept.until, x.Until)
+		word := " (out)"
+		if v.Drain {
+			word = " (drains)"
+		}
+		names = append(names, v.Server+word)
+	}
+	if more := len(names) - namedMost; more > 0 {
+		names = append(names[:namedMost], fmt.Sprintf("%d more", more))
 	}
+	l.kept.names = strings.Join(names, ", ")
 	l.pending = append(l.pending, decide.Verdicts{All: all})
 }
--- a/internal/core/sights_test.go
+++ b/internal/core/sights_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
@@ -24,14 +25,41 @@
 	l.saw(b, decide.OK)
 	l.saw(b, decide.Full) // says nothing of it
 	l.saw(b, decide.OK)
-	if len(got) != 1 || got[0] != (Sight{"s", first, 0, 1}) {
+	l.saw(b, decide.Errored)
+	if len(got) != 1 || got[0] != (Sight{"s", first, 0, 1, 0}) {
 		t.Fatalf("%+v", got)
 	}
 	if _, due := (<-l.events).(sightsDue); !due {
 		t.Fatal("the rest is not told by and by")
 	}
 	l.sight()
-	if len(got) != 2 || got[1] != (Sight{"s", second, 2, 0}) {
+	if len(got) != 2 || got[1] != (Sight{"s", second, 2, 1, 1}) {
 		t.Errorf("%+v", got)
 	}
 }
+
+// A request for which there is no server while verdicts hold is told which servers they keep from it; no other is.
+func TestRefusalNamesTheVerdictsThatStandInItsWay(t *testing.T) {
+	l := &Loop{clock: newClock(), log: slog.New(slog.DiscardHandler), requests: map[string]*Request{}, turned: map[string]int{}, recent: newRecent(time.Second)}
+	refused := func(why decide.Reason) Answer {
+		var got Answer
+		l.requests["r"] = NewRequest("r", 0, func(a Answer) { got = a })
+		l.carryOut(decide.Refuse{Request: "r", Why: why}, l.clock.now())
+		return got
+	}
+	if a := refused(decide.NoServer); a.Verdict != "" {
+		t.Errorf("%+v", a)
+	}
+	until := time.Now().Add(time.Minute)
+	l.judge(judged{[]Verdict{{Server: "s3", Until: until}, {Server: "s5", Drain: true, Until: until}}})
+	if a := refused(decide.NoServer); a.Verdict != "s3 (out), s5 (drains)" {
+		t.Errorf("%+v", a)
+	}
+	if a := refused(decide.NoRoom); a.Verdict != "" {
+		t.Errorf("%+v", a)
+	}
+	l.judge(judged{[]Verdict{{Server: "s3", Until: time.Now().Add(-time.Second)}}})
+	if a := refused(decide.NoServer); a.Verdict != "" {
+		t.Errorf("%+v", a)
+	}
+}
--- a/internal/drill/virtual/virtual.go
+++ b/internal/drill/virtual/virtual.go
@@ -144,6 +144,7 @@
 	chance *rand.Rand
 	clocks map[int]time.Duration
 	todo   []plan.Event
+	starts map[int]bool // daemons that start at some time later: nobody reads the disks of others
 }
 
 // Play plays a plan to its end.
@@ -160,7 +161,12 @@
 	if o.Instances == 0 {
 		o.Instances = 1
 	}
-	w := &world{o: o, p: p, byAddr: map[string]int{}, chance: rand.New(rand.NewPCG(o.Seed, 1)), todo: slices.Clone(p.Events), clocks: map[int]time.Duration{}}
+	w := &world{o: o, p: p, byAddr: map[string]int{}, chance: rand.New(rand.NewPCG(o.Seed, 1)), todo: slices.Clone(p.Events), clocks: map[int]time.Duration{}, starts: map[int]bool{}}
+	for _, e := range p.Events {
+		for _, n := range e.Who {
+			w.starts[n] = w.starts[n] || e.Do == "start"
+		}
+	}
 	for n := range o.Daemons {
 		w.add(n, plan.Name(n), address(n))
 	}
@@ -417,7 +423,7 @@
 			}
 		case view.Save:
 			a.disk.boot = a.v.Own().Boot
-			if !x.Boot {
+			if !x.Boot && w.starts[a.n] {
 				a.disk.known = a.v.Members()
 			}
 		default:
--- a/internal/host/fleet/verdicts.go
+++ b/internal/host/fleet/verdicts.go
@@ -60,7 +60,7 @@
 func sightsOf(source string, all []core.Sight) []verdicts.Sight {
 	out := make([]verdicts.Sight, 0, len(all))
 	for _, s := range all {
-		out = append(out, verdicts.Sight{Server: fleetID(source, s.Server), Start: s.Started, OK: s.OK, Bad: s.Bad})
+		out = append(out, verdicts.Sight{Server: fleetID(source, s.Server), Start: s.Started, OK: s.OK, Bad: s.Bad, Said: s.Said})
 	}
 	return out
 }
--- a/internal/peer/verdicts/court.go
+++ b/internal/peer/verdicts/court.go
@@ -29,6 +29,7 @@
 
 const (
 	quorum       = 3                      // members whose own evidence a verdict needs, or all others where there are fewer
+	voicesMute   = 12                     // ... where the server said nothing itself: with half of the members cut off, so many fail on end by chance once in 4,096
 	apart        = 0.3                    // an accuser's share of failures there, above its share elsewhere
 	elseLeast    = 2                      // answers elsewhere, lately, without which nobody accuses
 	chance       = 0.05                   // failures of all accusers are no likelier than this, by how each fares elsewhere
@@ -138,6 +139,10 @@
 	return math.Log(p) * float64(min(v.streak, streakMost))
 }
 
+// proves reports whether most of a member's failures there were said by the server itself. A link can't have made these;
+// where nothing came back, it may have.
+func (v *voice) proves() bool { return v.said > 0 && 2*v.said >= v.bad }
+
 // fails reports whether a member's last word of a server is a failure.
 func (v *voice) fails() bool { return v.streak > 0 && v.lastBad > 0 && v.lastOK <= v.began }
 
@@ -196,17 +201,23 @@
 // need is how many voices a verdict needs.
 func (m *Member) need() int { return max(2, min(quorum, len(m.names)-1)) }
 
+// mute is how many it needs where the server said nothing itself: more than half of the members cut off from it would be.
+func (m *Member) mute() int {
+	return max(m.need(), min(voicesMute, (2*len(m.names)+2)/3))
+}
+
 // against says by whose evidence, and for what, a server should be out, and how long that should be left to those who
 // can speak for it; nil: it should not.
 func (m *Member) against(s *server, voices []*voice) (by []string, why string, wait time.Duration) {
 	var part []*voice
-	ok, bad, elseOK, elseBad := 0.0, 0.0, 0.0, 0.0
+	ok, bad, said, elseOK, elseBad := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, v := range voices {
-		if v.partly() {
-			part = append(part, v)
+		if v.elseOK < elseLeast {
+			continue
 		}
-		if v.elseOK >= elseLeast {
-			ok, bad, elseOK, elseBad = ok+v.ok, bad+v.bad, elseOK+v.elseOK, elseBad+v.elseBad
+		ok, bad, said, elseOK, elseBad = ok+v.ok, bad+v.bad, said+v.said, elseOK+v.elseOK, elseBad+v.elseBad
+		if v.said >= 0.5 && ratio(v.bad, v.ok) > ratio(v.elseBad, v.elseOK) {
+			part = append(part, v)
 		}
 	}
 	s.share = ratio(bad, ok)
@@ -218,7 +229,7 @@
 		slices.Sort(out)
 		return out
 	}
-	if dead, alive := s.dead(voices, m.need()); len(dead) > 0 {
+	if dead, alive := s.dead(voices, m.need(), m.mute()); len(dead) > 0 {
 		enough := min(voicesSure, max(m.need(), len(m.names)-1))
 		switch wait = deafness; {
 		case len(dead) >= enough:
@@ -228,8 +239,9 @@
 		}
 		return names(dead), fmt.Sprintf("fails for %d members, answers %d", len(dead), alive), wait
 	}
-	// It fails in part: for about all alike, not for some always and for others never, which is a link.
-	if len(part) < m.need() || s.share < max(partLeast, 2*ratio(elseBad, elseOK)+0.05) || bad < partBad {
+	// It fails in part, by its own word: for about all alike, not for some always and for others never, which is a link.
+	// What was lost without a word is a link's fault for all that can be known.
+	if 2*said < bad || len(part) < m.need() || s.share < max(partLeast, 2*ratio(elseBad, elseOK)+0.05) || bad < partBad {
 		return nil, "", 0
 	}
 	seen, alike := 0, 0
@@ -248,8 +260,9 @@
 }
 
 // dead are the members for which a server fails outright: the most of them, newest first and at least so many, such
-// that since the first of these began to fail nobody is known to have had an answer.
-func (s *server) dead(voices []*voice, least int) (dead []*voice, alive int) {
+// that since the first of these began to fail nobody is known to have had an answer. Least have to prove that it is the
+// server that fails, or so many more have to say so that it can't be their links.
+func (s *server) dead(voices []*voice, least, mute int) (dead []*voice, alive int) {
 	var all []*voice
 	for _, v := range voices {
 		if v.accuses() {
@@ -258,6 +271,13 @@
 	}
 	slices.SortStableFunc(all, func(a, b *voice) int { return cmp.Compare(b.began, a.began) })
 	for n := len(all); n >= least; n-- {
+		proved := 0
+		for _, v := range all[:n] {
+			proved += b2i(v.proves())
+		}
+		if proved < least && n < mute {
+			break
+		}
 		from, alive := all[n-1].began, 0
 		for _, v := range voices {
 			if !v.fails() && v.lastOK > from {
@@ -275,6 +295,13 @@
 	return nil, 0
 }
 
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // retry looks at one that is out: it comes back once it answers those that try it, to twice as many members each
 // second, and begins anew with a failure. Without any evidence left it is free.
 func (m *Member) retry(s *server, voices []*voice) {
@@ -315,7 +342,7 @@
 func (s *server) clear(now time.Duration) {
 	s.out, s.why, s.by, s.goodSince, s.suspected = false, "", nil, 0, 0
 	s.voices, s.freed = nil, now
-	s.own.bad, s.own.ok = 0, 0
+	s.own.bad, s.own.ok, s.own.said = 0, 0, 0
 }
 
 func (m *Member) triers() int { return max(1, min(triersMost, len(m.names)/8)) }
--- a/internal/peer/verdicts/evidence.go
+++ b/internal/peer/verdicts/evidence.go
@@ -29,6 +29,7 @@
 	Streak  int     `cbor:"15,keyasint,omitempty"` // failures since the last answer
 	Works   uint32  `cbor:"16,keyasint,omitempty"` // the last answer of any other server; 0: none
 	Since   int     `cbor:"17,keyasint,omitempty"` // failures at other servers since then
+	Said    float32 `cbor:"18,keyasint,omitempty"` // of Bad, those that the server said itself
 }
 
 // Drain is a list's word that a server drains or is gone, as one member heard it.
@@ -41,13 +42,13 @@
 
 // tally is faded counts.
 type tally struct {
-	ok, bad float64
-	at      time.Duration
+	ok, bad, said float64
+	at            time.Duration
 }
 
 func (t *tally) fade(now time.Duration) {
 	w := math.Exp(-float64(now-t.at) / float64(fades))
-	t.ok, t.bad, t.at = t.ok*w, t.bad*w, now
+	t.ok, t.bad, t.said, t.at = t.ok*w, t.bad*w, t.said*w, now
 }
 
 // voice is a member's evidence as it is known here. Times are by this member's clock, and no later than true.
@@ -56,7 +57,7 @@
 	life            uint64
 	number          uint32
 	start           int64
-	ok, bad         float64
+	ok, bad, said   float64
 	elseOK, elseBad float64
 	run             int
 	made            time.Duration // the newest sight in it
@@ -186,6 +187,7 @@
 		fresh := o.bad < 0.5 && x.Bad > 0
 		o.ok += float64(x.OK)
 		o.bad += float64(x.Bad)
+		o.said += float64(min(x.Said, x.Bad))
 		o.made = m.now
 		m.note(s.ID, x)
 		if x.OK > 0 {
@@ -259,7 +261,7 @@
 	o.fade(m.now)
 	m.total.fade(m.now)
 	m.number++ // it may have been asked elsewhere since
-	v := &voice{origin: m.s.Name, life: m.s.Life, number: m.number, start: s.Start, ok: o.ok, bad: o.bad, run: o.run, made: o.made, lastOK: o.lastOK, lastBad: o.lastBad, began: o.began, streak: o.streak,
+	v := &voice{origin: m.s.Name, life: m.s.Life, number: m.number, start: s.Start, ok: o.ok, bad: o.bad, said: o.said, run: o.run, made: o.made, lastOK: o.lastOK, lastBad: o.lastBad, began: o.began, streak: o.streak,
 		elseOK: max(0, m.total.ok-o.ok), elseBad: max(0, m.total.bad-o.bad), arrived: m.now}
 	v.works, v.since = m.elsewhere(s.ID)
 	m.hear(s, v)
@@ -275,7 +277,7 @@
 
 // hot reports whether what is said against a server is more than one member's bad luck, as far as is known here.
 func (s *server) hot(m *Member) bool {
-	dead, _ := s.dead(s.heard(m), 2)
+	dead, _ := s.dead(s.heard(m), 2, 2)
 	return s.out || len(dead) > 0
 }
 
@@ -364,7 +366,7 @@
 			return
 		}
 		told[v] = true
-		i := Item{Server: s.ID, Start: v.start, Origin: v.origin, Life: v.life, Number: v.number, OK: float32(v.ok), Bad: float32(v.bad), ElseOK: float32(v.elseOK), ElseBad: float32(v.elseBad),
+		i := Item{Server: s.ID, Start: v.start, Origin: v.origin, Life: v.life, Number: v.number, OK: float32(v.ok), Bad: float32(v.bad), Said: float32(v.said), ElseOK: float32(v.elseOK), ElseBad: float32(v.elseBad),
 			Run: v.run, Streak: v.streak, Since: v.since, Age: m.age(v.made)}
 		for _, p := range []struct {
 			to *uint32
@@ -436,10 +438,10 @@
 	for n := range x.Items {
 		i := &x.Items[n]
 		s := m.servers[i.Server]
-		if s == nil || i.Start != s.Start || i.Origin == m.s.Name || i.Origin == "" || i.Age == 0 || !(i.OK >= 0 && i.Bad >= 0 && i.ElseOK >= 0 && i.ElseBad >= 0) {
+		if s == nil || i.Start != s.Start || i.Origin == m.s.Name || i.Origin == "" || i.Age == 0 || !(i.OK >= 0 && i.Bad >= 0 && i.Said >= 0 && i.ElseOK >= 0 && i.ElseBad >= 0) {
 			continue
 		}
-		v := &voice{origin: i.Origin, life: i.Life, number: i.Number, start: i.Start, ok: float64(i.OK), bad: float64(i.Bad), elseOK: float64(i.ElseOK), elseBad: float64(i.ElseBad), run: i.Run,
+		v := &voice{origin: i.Origin, life: i.Life, number: i.Number, start: i.Start, ok: float64(i.OK), bad: float64(i.Bad), said: float64(i.Said), elseOK: float64(i.ElseOK), elseBad: float64(i.ElseBad), run: i.Run,
 			made: when(i.Age), lastOK: when(i.LastOK), lastBad: when(i.LastBad), began: when(i.Began), streak: i.Streak, works: when(i.Works), since: i.Since, arrived: m.now}
 		if m.now-v.made > m.s.Age {
 			continue
--- a/internal/peer/verdicts/play/play.go
+++ b/internal/peer/verdicts/play/play.go
@@ -28,6 +28,7 @@
 	// Peers is the share of messages between two members that is lost, and how late the rest is.
 	Peers func(from, to int, now time.Duration) (lost float64, late time.Duration)
 	Say   func(now time.Duration, agent int, text string) // nil: nobody
+	Mute  bool                                            // servers that fail say nothing
 	Own   bool                                            // each keeps off by itself what failed lately
 }
 
@@ -236,6 +237,9 @@
 	x := verdicts.Sight{Server: serverID(s), Start: 1, OK: 1}
 	if bad {
 		x.OK, x.Bad = 0, 1
+		if fault && !w.o.Mute {
+			x.Said = 1
+		}
 	}
 	if w.o.Own {
 		if bad { // as decide: out for an aim or so, twice as long each time
--- a/internal/peer/verdicts/play/play_test.go
+++ b/internal/peer/verdicts/play/play_test.go
@@ -138,3 +138,20 @@
 		t.Error("nobody who is cut off had one")
 	}
 }
+
+// Whichever voices come first: a server that fails a third is out for most, with each seed.
+func TestFailingInPartIsFoundInAnyOrder(t *testing.T) {
+	for seed := range uint64(4) {
+		if r := run(t, Options{Seed: 10 + seed, Rate: 10, Fails: from(3, 0.33)}); len(r.Out) < 18 || r.Wrong > 0 {
+			t.Errorf("seed %d: out at %d of 24 members, %d wrongly out", seed, len(r.Out), r.Wrong)
+		}
+	}
+}
+
+// A server that says nothing at all is found as well, by more of them.
+func TestSilentServerIsOutForAll(t *testing.T) {
+	r := run(t, Options{Seed: 7, Rate: 10, Fails: from(3, 1), Mute: true})
+	if len(r.Out) < 18 || r.Out[16] > 4*time.Second || r.Wrong > 0 {
+		t.Errorf("out at %d members, %d wrongly: %v", len(r.Out), r.Wrong, r.Out)
+	}
+}
--- a/internal/peer/verdicts/verdicts.go
+++ b/internal/peer/verdicts/verdicts.go
@@ -58,7 +58,7 @@
 	speakEach  = 500 * time.Millisecond // between two looks at what this member itself would say
 	logMost    = 64                     // voices that came last are kept, to be told on first
 	itemsMost  = 16                     // in an answer: with names of 64 bytes it fits a datagram of 2,000
-	voicesMost = 8                      // kept against a server, and as many for it
+	voicesMost = 12                     // kept against a server, and as many for it
 	serverMost = 4096                   // of which evidence is kept
 	fades      = 10 * time.Second       // evidence counts for so long, about
 	moreGap    = 100 * time.Millisecond // before who had more to say is asked again
@@ -91,6 +91,7 @@
 	Server  string
 	Start   int64
 	OK, Bad int
+	Said    int // of Bad, those that the server said itself; the rest may be the link's fault
 }
 
 // Event is something that happened.
--- a/internal/peer/verdicts/verdicts_test.go
+++ b/internal/peer/verdicts/verdicts_test.go
@@ -64,7 +64,7 @@
 
 // fails is a member's word that s0 fails for it, and others answer.
 func fails(origin string, number uint32) Item {
-	return Item{Server: "s0", Start: 7, Origin: origin, Life: 1, Number: number, Bad: 1, ElseOK: 20, Age: 1, LastBad: 1, Began: 1, Streak: 1, Works: 1}
+	return Item{Server: "s0", Start: 7, Origin: origin, Life: 1, Number: number, Bad: 1, Said: 1, ElseOK: 20, Age: 1, LastBad: 1, Began: 1, Streak: 1, Works: 1}
 }
 
 func answers(origin string, number uint32) Item {
@@ -99,6 +99,57 @@
 	}
 }
 
+// What comes without a word from the server may be the links' fault: with half of them cut, three voices are chance.
+func TestFailuresWithoutAWordNeedMoreVoices(t *testing.T) {
+	mute := func(n int) []Item {
+		var all []Item
+		for i := range n {
+			f := fails(string(rune('b'+i)), 1)
+			f.Said = 0
+			all = append(all, f)
+		}
+		return all
+	}
+	b := newBench(t) // of ten members
+	b.hears(mute(6))
+	if b.wait(7 * time.Second); b.out("s0") {
+		t.Error("out by six of ten members' links")
+	}
+	b = newBench(t)
+	b.hears(mute(8))
+	if b.wait(7 * time.Second); !b.out("s0") {
+		t.Error("not out though it says nothing to eight of ten")
+	}
+	b = newBench(t)
+	all := mute(6)
+	all[0].Said, all[2].Said, all[4].Said = 1, 1, 1
+	b.hears(all)
+	if b.wait(7 * time.Second); !b.out("s0") {
+		t.Error("not out though it failed three by its own word")
+	}
+}
+
+// A share that is lost without a word convicts nobody, however many lose it.
+func TestFailsInPartOnlyByItsOwnWord(t *testing.T) {
+	part := func(said float32) []Item {
+		var all []Item
+		for i := range 8 {
+			all = append(all, Item{Server: "s0", Start: 7, Origin: string(rune('b' + i)), Life: 1, Number: 1, OK: 6, Bad: 3, Said: said, ElseOK: 50, Age: 1, LastOK: 1, LastBad: 2, Began: 2, Run: 1, Works: 1})
+		}
+		return all
+	}
+	b := newBench(t)
+	b.hears(part(0))
+	if b.wait(7 * time.Second); b.out("s0") {
+		t.Error("out by what links lost")
+	}
+	b = newBench(t)
+	b.hears(part(3))
+	if b.wait(7 * time.Second); !b.out("s0") {
+		t.Error("not out though it fails a third of all alike")
+	}
+}
+
 func TestWhoseLinkIsBrokenAccusesNobody(t *testing.T) {
 	for name, change := range map[string]func(*Item){
 		"no answer elsewhere since": func(i *Item) { i.Works, i.Began, i.Age, i.LastBad = 9000, 1, 1, 1 },
--- /dev/null
+++ b/internal/protocol/ldap/shared_test.go
@@ -0,0 +1,96 @@
+package ldap
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	client "github.com/go-ldap/ldap/v3"
+
+	"vetchhaven/decide/rights"
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/protocol/ldapmsg"
+	"vetchhaven/internal/standin/directory"
+)
+
+// limited starts an agent of which a kind of use is limited, and nothing lent yet.
+func limited(t *testing.T, counts rights.Counts) (*running, *client.Conn, *directory.Directory) {
+	t.Helper()
+	d := dir(t, "one", directory.Options{})
+	r := start(t, testConfig(t, d), Options{})
+	if !r.Limit([]rights.Limit{{Name: "shared", Counts: counts, Class: -1, Zone: -1, Cell: -1}}) {
+		t.Fatal("the agent has not heard of its limit")
+	}
+	return r, r.dial(t), d
+}
+
+func lend(t *testing.T, r *running, amount int) {
+	t.Helper()
+	if !r.Lend([]core.Right{{Right: rights.Right{Limit: "shared", Keeper: "k", Number: 1, Amount: amount, Span: time.Minute}, Until: time.Now().Add(time.Hour)}}) {
+		t.Fatal("the agent has not heard of its right")
+	}
+}
+
+func TestWithoutARightAnOperationIsRefusedByItsLimit(t *testing.T) {
+	for _, counts := range []rights.Counts{rights.InFlight, rights.PerSecond, rights.Attempts} {
+		r, c, d := limited(t, counts)
+		_, err := c.Search(one())
+		var e *client.Error
+		if !errors.As(err, &e) || e.ResultCode != ldapmsg.Busy || !strings.Contains(err.Error(), "the fleet's limit shared") {
+			t.Fatalf("%v: %v", counts, err)
+		}
+		if got := d.Served("search"); got != 0 {
+			t.Errorf("%v: the server had %d searches", counts, got)
+		}
+		lend(t, r, 5)
+		if _, err := c.Search(one()); err != nil {
+			t.Errorf("%v, with a right: %v", counts, err)
+		}
+	}
+}
+
+func TestWithoutARightToConnectNoneIsOpened(t *testing.T) {
+	r, c, d := limited(t, rights.Dials)
+	if _, err := c.Search(one()); err == nil {
+		t.Fatal("a search was served with no connection and no right to open one")
+	}
+	if got := d.Conns(); got != 0 {
+		t.Fatalf("%d connections were opened", got)
+	}
+	lend(t, r, 1)
+	for range 3 { // the one connection serves all
+		if _, err := c.Search(one()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := d.Conns(); got != 1 {
+		t.Errorf("%d connections were opened by one right", got)
+	}
+}
+
+// A server that is taken out by hand while an operation waits for its connection does not get it.
+func TestWhatIsTakenOutMeanwhileGetsNothing(t *testing.T) {
+	d := dir(t, "one", directory.Options{})
+	r := start(t, testConfig(t, d), Options{})
+	c := r.dial(t)
+	held, going := make(chan struct{}), make(chan struct{}, 4)
+	dial := r.p.servers.dialer
+	r.p.servers.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		going <- struct{}{}
+		<-held
+		return dial(ctx, network, addr)
+	}
+	done := make(chan error, 1)
+	go func() { _, err := c.Search(one()); done <- err }()
+	<-going
+	if known, err := r.Ban(t.Context(), "one", true, false); err != nil || !known {
+		t.Fatal(known, err)
+	}
+	close(held)
+	if err := <-done; err == nil || d.Served("search") != 0 {
+		t.Errorf("%v, and the server had %d searches", err, d.Served("search"))
+	}
+}
--- a/internal/rehearse/emulate/virtual/share.go
+++ b/internal/rehearse/emulate/virtual/share.go
@@ -80,7 +80,9 @@
 	switch r {
 	case decide.OK:
 		x.OK = 1
-	case decide.Errored, decide.TimedOut, decide.ConnectFailed, decide.Reset, decide.Broke:
+	case decide.Errored:
+		x.Bad, x.Said = 1, 1
+	case decide.TimedOut, decide.ConnectFailed, decide.Reset, decide.Broke:
 		x.Bad = 1
 	default:
 		return
--- a/tools/peers/virtual.go
+++ b/tools/peers/virtual.go
@@ -112,7 +112,7 @@
 		began := time.Now()
 		count := times
 		if n > 1000 {
-			count = max(4, times/3)
+			count = min(times, max(4, times/3))
 		}
 		p, all := timeline(n, 2*count, 6*time.Second, seed)
 		f, r, err := watch(p, all, virtual.Options{Seed: seed})
