--- /dev/null
+++ b/internal/drill/agree/draw.go
@@ -0,0 +1,105 @@
+package agree
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"vetchhaven/internal/drill/judge"
+	"vetchhaven/internal/drill/plan"
+)
+
+// Draw makes a plan by chance: a fleet, its settings, a change every few seconds, and faults that overlap: links that
+// are cut in halves, one way, or lossy; crashes and restarts, with the disk as it was, and, of a minority of voters, none,
+// torn or an earlier one; pauses; slow and full disks; leaves. It ends with all healed and all that ran running again.
+func Draw(seed uint64, most int) (*plan.Plan, Options) {
+	rng := rand.New(rand.NewPCG(seed, 73))
+	voters := []int{3, 3, 5, 1}[rng.IntN(4)]
+	n := voters + rng.IntN(max(1, most-voters))
+	length := 90 * time.Second
+	quiet := 40 * time.Second // at the end nothing more befalls anyone
+	p := &plan.Plan{Name: "drawn", Daemons: n, Zones: 1, Length: length,
+		Policy: &plan.Policy{Voters: everyone(voters), Stops: rng.IntN(2) == 0, Lease: time.Duration(2+rng.IntN(6)) * time.Second, Within: time.Duration(3+rng.IntN(8)) * time.Second, Last: rng.IntN(4) == 0},
+		Bounds: judge.Bounds{Crash: 8 * time.Second, Leave: 2 * time.Second, Join: 5 * time.Second, Settle: 15 * time.Second, Pause: 1500 * time.Millisecond, Spread: 500 * time.Millisecond}}
+	if rng.IntN(3) == 0 {
+		p.Link = plan.Link{Drop: 0.1 * rng.Float64(), Duplicate: 0.1 * rng.Float64(), Reorder: 0.2 * rng.Float64()}
+	}
+	o := Options{Seed: seed, Witness: rng.IntN(2) == 0, Take: 50 * time.Millisecond}
+	when := func() time.Duration {
+		return 3*time.Second + time.Duration(rng.Float64()*float64(length-quiet-6*time.Second))
+	}
+	some := func(k int) []int { return rng.Perm(n)[:min(n, k)] }
+	add := func(e plan.Event) { p.Events = append(p.Events, e) }
+	down := map[int]bool{}
+	for t := 2 * time.Second; t < length-25*time.Second; t += time.Duration(1+rng.IntN(5)) * time.Second {
+		e := plan.Event{At: t, Do: "apply", Who: some(1)}
+		if rng.IntN(10) == 0 && !p.Policy.Stops { // only of one that is down: see below
+			continue
+		}
+		add(e)
+	}
+	lost := 0
+	for range 3 + rng.IntN(6) {
+		t, span := when(), time.Duration(1+rng.IntN(10))*time.Second
+		switch rng.IntN(8) {
+		case 0, 1: // cut in two
+			side := some(1 + rng.IntN(n))
+			var rest []int
+			for i := range n {
+				if !slices.Contains(side, i) {
+					rest = append(rest, i)
+				}
+			}
+			drop := 1.0
+			if rng.IntN(4) == 0 {
+				drop = 0.3 + 0.4*rng.Float64()
+			}
+			both := rng.IntN(3) > 0
+			add(plan.Event{At: t, Do: "link", Who: side, To: rest, Both: both, Link: plan.Link{Drop: drop}})
+			add(plan.Event{At: t + span, Do: "heal", Who: side, To: rest, Both: both})
+		case 2: // paused
+			who := some(1 + rng.IntN(2))
+			add(plan.Event{At: t, Do: "pause", Who: who})
+			add(plan.Event{At: t + span, Do: "resume", Who: who})
+		case 3: // a disk
+			who := some(1 + rng.IntN(2))
+			add(plan.Event{At: t, Do: "disk", Who: who, Kind: []string{"full", "slow"}[rng.IntN(2)]})
+			add(plan.Event{At: t + span, Do: "disk", Who: who, Kind: "well"})
+		case 4: // leaves
+			x := rng.IntN(n)
+			if down[x] {
+				continue
+			}
+			down[x] = true
+			add(plan.Event{At: t, Do: "term", Who: []int{x}})
+			add(plan.Event{At: t + span, Do: "start", Who: []int{x}, State: "kept"})
+		default: // ends
+			k := 1
+			if rng.IntN(5) == 0 {
+				k = n
+			}
+			for _, x := range some(k) {
+				if down[x] {
+					continue
+				}
+				down[x] = true
+				e := plan.Event{At: t + span, Do: "start", Who: []int{x}, State: "kept"}
+				if rng.IntN(3) == 0 && (x >= voters || lost < (voters-1)/2) {
+					e.State = []string{"none", "torn", "old"}[rng.IntN(3)]
+					if x < voters {
+						lost++
+					}
+					add(plan.Event{At: t / 2, Do: "keep", Who: []int{x}})
+				}
+				add(plan.Event{At: t, Do: "kill", Who: []int{x}})
+				add(e)
+			}
+		}
+	}
+	add(plan.Event{At: length - quiet + 5*time.Second, Do: "heal"})
+	add(plan.Event{At: length - quiet + 5*time.Second, Do: "disk", Who: everyone(n), Kind: "well"})
+	add(plan.Event{At: length - quiet + 5*time.Second, Do: "resume", Who: everyone(n)})
+	add(plan.Event{At: length - quiet + 5*time.Second, Do: "start", Who: everyone(n), State: "kept"})
+	slices.SortStableFunc(p.Events, func(a, b plan.Event) int { return int(a.At - b.At) })
+	return p, o
+}
--- a/internal/drill/judge/judge.go
+++ b/internal/drill/judge/judge.go
@@ -20,6 +20,7 @@
 	BytesIdle, BytesMost       int
 	Verdict                    time.Duration // a server that fails all is known to, and kept off by, all; one that is well is used again
 	Kept                       float64       // of an even share of requests that a failing server gets at the most
+	Spread                     time.Duration // a policy is used by all so long after its first use, on whole links
 	Used                       float64       // of a limit by the second, at the least, where more is wanted
 }
 
@@ -168,6 +169,7 @@
 	counted   int64 // and the counts
 	settled   bool
 	downs     []int64
+	downAt    int64            // any process ended last
 	cuts      map[string]int64 // daemon: cut off from servers until (or since, while it lasts: maxInt)
 	duties    []*duty
 	idle      map[string][2]int // bytes and seconds at rest
@@ -175,6 +177,7 @@
 
 	limits  limitsJudge
 	servers serversJudge
+	policy  policyJudge
 
 	crash, leave, join, settle, wrong, name, under, follows, served, most, rest *Claim
 }
@@ -199,10 +202,17 @@
 	KeptOff      = "kept-off"
 	NoWrongOut   = "no-wrong-out"
 	BackAgain    = "back-again"
+	PolicyOne    = "policy-one"
+	PolicyAll    = "policy-all"
+	PolicyStart  = "policy-start"
+	PolicyServes = "policy-serves"
+	PolicyKept   = "policy-kept"
+	PolicyTold   = "policy-told"
 )
 
 // Names are all of them.
-var Names = []string{CrashKnown, LeaveKnown, JoinKnown, Settled, NoWrongDeath, OneName, CountEnough, CountFollows, Serving, BytesMost, BytesIdle, LimitHard, LimitSoft, LimitUsed, VerdictKnown, KeptOff, NoWrongOut, BackAgain}
+var Names = []string{CrashKnown, LeaveKnown, JoinKnown, Settled, NoWrongDeath, OneName, CountEnough, CountFollows, Serving, BytesMost, BytesIdle, LimitHard, LimitSoft, LimitUsed, VerdictKnown, KeptOff, NoWrongOut, BackAgain,
+	PolicyOne, PolicyAll, PolicyStart, PolicyServes, PolicyKept, PolicyTold}
 
 // step is how long a daemon may take to write all that one step of its view changed.
 const step = int64(50 * time.Millisecond)
@@ -233,8 +243,10 @@
 	r := &Report{Claims: []*Claim{j.crash, j.leave, j.join, j.settle, j.wrong, j.name, j.under, j.follows, j.served, j.most, j.rest}, Lines: len(lines)}
 	r.Claims = append(r.Claims, j.limits.start(b)...)
 	r.Claims = append(r.Claims, j.servers.start(j, b)...)
+	r.Claims = append(r.Claims, j.policy.begin(j)...)
 	if len(lines) > 0 {
 		j.base, j.now = lines[0].T, lines[0].T
+		j.downAt = j.base - int64(time.Hour)
 		j.truthAt, j.linkAt = j.base, j.base-int64(time.Hour)
 	}
 	for i := range lines {
@@ -243,7 +255,9 @@
 		if l.What == Gap {
 			r.Gaps += l.Asked
 		}
-		if l.By == Drill {
+		if l.By == Drill && j.policy.line(l) {
+			continue
+		} else if l.By == Drill {
 			j.truth(l)
 		} else if l.What == Verdict {
 			j.servers.said(l)
@@ -264,6 +278,7 @@
 	}
 	j.services()
 	j.limits.end(j.now, j.base)
+	j.policy.end(j.now)
 	for _, c := range r.Claims {
 		slices.Sort(c.Took)
 	}
@@ -358,6 +373,7 @@
 		p := j.proc(l.PID)
 		wasLinked := j.linked(p)
 		p.up, p.paused = false, 0
+		j.downAt = l.T
 		j.changed(l.T)
 		j.comp = nil
 		j.drop(func(d *duty) bool { return d.o == p || d.p == p })
--- a/internal/drill/judge/line.go
+++ b/internal/drill/judge/line.go
@@ -62,6 +62,11 @@
 	Begun  int    `json:"begun,omitempty"` // at servers, since the line before
 	Wanted int    `json:"wanted,omitempty"`
 	Server string `json:"server,omitempty"` // as the list names it; a daemon says it with its source before
+
+	ID     string `json:"id,omitempty"`     // of a change of policy
+	Number uint64 `json:"number,omitempty"` // of a policy
+	Both   string `json:"both,omitempty"`   // it went by what this change allows as well
+	Alone  bool   `json:"alone,omitempty"`  // it found nobody, and served by the last policy that it knew
 }
 
 // Drill is By of what the drill itself did.
@@ -98,6 +103,13 @@
 	Got     = "got"     // the drill: so many requests reached Server in the last second (Asked), of Wanted at all servers
 	Odd     = "odd"     // the drill: a stray datagram; Why is its kind
 	End     = "end"     // the drill
+
+	Agreed   = "agreed"   // the drill: a policy is agreed on; Hard: who is cut off stops, after PauseMS; Why: voters
+	Proposed = "proposed" // the drill: change ID is asked for at Of, without those in Why
+	Told     = "told"     // the drill: the author of change ID is told its State, and Number
+	Took     = "took"     // the drill: Of took a request by policy Number, which change ID made
+	Turned   = "turned"   // the drill: Of turned a request away for the policy
+	OnDisk   = "on-disk"  // the drill: change ID is on the disk of Of
 )
 
 // Read reads lines until the end of r. A line that is no line is an error that names it.
--- a/internal/drill/plan/plan.go
+++ b/internal/drill/plan/plan.go
@@ -38,6 +38,15 @@
 	Limits  []Limit
 	Keepers []int
 	Term    time.Duration
+	Policy  *Policy // nil: none is agreed on
+}
+
+// Policy is how the daemons agree on what they decide by.
+type Policy struct {
+	Voters        []int
+	Stops, Last   bool
+	Lease, Within time.Duration
+	Witness       bool
 }
 
 // Limit is one that the daemons share, of all their requests. Late is by how much arrivals at servers may differ from
@@ -100,24 +109,25 @@
 
 // Event is something that happens to daemons or links.
 type Event struct {
-	At    time.Duration
-	Do    string
-	Who   []int
-	To    []int // the other ends of links
-	Both  bool
-	Link  Link
-	State string        // of a start: kept, none, old, torn
-	Clock time.Duration // of a start: its wall clock is off by so much
-	Share float64       // of a starved daemon's core
-	Count int           // of strays
-	Kind  string        // of strays
-	Build string        // of a start: another program
-	Move  bool          // of a start: at a new address
-	Twin  bool          // of a start: a second process with this daemon's name, at another address
-	For   time.Duration // of a starved daemon
-	Rate  float64       // of clients: requests a second from now on
-	Fail  float64       // of a server's requests
-	Names []int         // servers by number, from 0
+	At     time.Duration
+	Do     string
+	Who    []int
+	To     []int // the other ends of links
+	Both   bool
+	Link   Link
+	State  string        // of a start: kept, none, old, torn
+	Clock  time.Duration // of a start: its wall clock is off by so much
+	Share  float64       // of a starved daemon's core
+	Count  int           // of strays
+	Kind   string        // of strays
+	Build  string        // of a start: another program
+	Move   bool          // of a start: at a new address
+	Twin   bool          // of a start: a second process with this daemon's name, at another address
+	For    time.Duration // of a starved daemon
+	Rate   float64       // of clients: requests a second from now on
+	Fail   float64       // of a server's requests
+	Names  []int         // servers by number, from 0
+	Remove string        // of voters: the one that goes
 }
 
 type file struct {
--- a/internal/peer/policy/member.go
+++ b/internal/peer/policy/member.go
@@ -49,6 +49,7 @@
 	changes  []*change
 	tries    int // questions since the last answer
 	past     *Past
+	turn     int
 }
 
 // watched is a change of which somebody would know what becomes of it.
@@ -80,7 +81,8 @@
 	watchFor  = 10 * time.Minute
 	offerFor  = 30 * time.Second // a change is offered to the voters for so long
 	offerWait = 700 * time.Millisecond
-	watchMost = 8
+	watchMost = 64
+	aboutMost = 8
 )
 
 // due does what is due.
@@ -93,6 +95,10 @@
 		m.ask()
 	}
 	for _, c := range m.changes {
+		if n.now >= c.ends && c.p.Drop == "" { // nobody has answered: it is not to come into force at some later time
+			c.p = Proposal{Drop: c.p.Doc.ID, Doc: Doc{Author: n.s.Name, Reason: "it did not reach the voters within " + offerFor.String()}}
+			c.ends = n.now + watchFor
+		}
 		if n.now >= c.at && n.now < c.ends {
 			m.offer(c)
 		}
@@ -167,7 +173,7 @@
 
 // needs reports whether it waits for an answer.
 func (m *member) needs() bool {
-	return !m.joined || m.prepared != nil || m.n.now >= m.lease-m.n.s.Lease/4 && m.n.s.Stops || slices.ContainsFunc(m.about, func(w watched) bool { return w.fate.State <= UnderWay })
+	return !m.joined || m.prepared != nil || m.fetching != "" || m.n.now >= m.lease-m.n.s.Lease/4 && m.n.s.Stops || slices.ContainsFunc(m.about, func(w watched) bool { return w.fate.State <= UnderWay })
 }
 
 // ask asks a voter.
@@ -200,9 +206,12 @@
 	if m.prepared != nil {
 		a.Prepared = m.prepared.ID
 	}
-	for _, w := range m.about {
-		a.About = append(a.About, w.fate.ID)
+	for i := range m.about { // by turns, where there are many
+		if w := m.about[(m.turn+i)%len(m.about)]; w.fate.State <= UnderWay && len(a.About) < aboutMost {
+			a.About = append(a.About, w.fate.ID)
+		}
 	}
+	m.turn++
 	n.send(to, &Message{Ask: a})
 	for seq, at := range m.asked {
 		if n.now-at > askLasts {
@@ -234,9 +243,9 @@
 		for i := range m.about {
 			if m.about[i].fate.ID == f.ID {
 				m.about[i].fate = f
-				if f.State != Unknown {
-					m.changes = slices.DeleteFunc(m.changes, func(c *change) bool { return c.p.Doc.ID == f.ID })
-				}
+				m.changes = slices.DeleteFunc(m.changes, func(c *change) bool {
+					return c.p.Doc.ID == f.ID && f.State != Unknown || c.p.Drop == f.ID && f.State > UnderWay
+				})
 			}
 		}
 	}
@@ -271,6 +280,9 @@
 	if m.nay != "" && a.Pending != m.nay {
 		m.nay, m.why = "", ""
 	}
+	if m.fetching != a.Pending && m.fetching != a.ForceID {
+		m.fetching = ""
+	}
 	if a.Pending != "" && (m.prepared == nil || m.prepared.ID != a.Pending) && m.nay != a.Pending {
 		m.fetch(a.Pending)
 	}
@@ -300,8 +312,19 @@
 	if id == "" || m.fetching == id && n.now-m.fetchAt < fetchWait || m.wanted != nil && m.wanted.ID == id && m.saving > 0 {
 		return
 	}
+	to := m.leader
+	if m.fetching == id {
+		to = m.voter() // the leader is perhaps not to be reached directly; any voter has it soon
+	}
 	m.fetching, m.fetchAt = id, n.now
-	n.send(m.voter(), &Message{Fetch: id})
+	if n.v != nil {
+		if d := n.v.state.doc(id); d != nil {
+			doc := *d
+			m.got(&doc)
+			return
+		}
+	}
+	n.send(to, &Message{Fetch: id})
 }
 
 // voter is one to ask for what any voter has, or will have soon: by turns the leader and any.
@@ -393,7 +416,8 @@
 // propose takes a change that an operator asks for at this member.
 func (m *member) propose(p Proposal) {
 	if p.Drop != "" {
-		m.changes = append(m.changes, &change{p: p, at: m.n.now, ends: m.n.now + 2*offerWait})
+		m.watch(p.Drop)
+		m.changes = append(m.changes, &change{p: p, at: m.n.now, ends: m.n.now + offerFor})
 		return
 	}
 	m.watch(p.Doc.ID)
--- a/internal/peer/policy/node.go
+++ b/internal/peer/policy/node.go
@@ -281,7 +281,7 @@
 		return
 	}
 	if p.Drop != "" {
-		v.lead.drop(v, p.Drop, p.Doc.Author)
+		v.lead.drop(v, p)
 		return
 	}
 	if v.state.fate(p.Doc.ID).State == Unknown {
--- a/internal/peer/policy/show.go
+++ b/internal/peer/policy/show.go
@@ -85,3 +85,19 @@
 
 // Told is what the daemon was last told to serve by.
 func (n *Node) Told() Serving { return n.m.told }
+
+// OnDisk are the changes that a member's part has on the disk: the one in force, and one that is under way.
+func OnDisk(part []byte) []string {
+	var s savedMember
+	if part == nil || decoding.Unmarshal(part, &s) != nil {
+		return nil
+	}
+	var all []string
+	if s.Force.ID != "" {
+		all = append(all, s.Force.ID)
+	}
+	if s.Prepared != nil {
+		all = append(all, s.Prepared.ID)
+	}
+	return all
+}
--- a/internal/peer/policy/state.go
+++ b/internal/peer/policy/state.go
@@ -120,6 +120,8 @@
 		if s.Pending != nil && s.Pending.ID == c.ID {
 			s.end(*s.Pending, false, c.By, c.Why)
 			s.Pending, s.Without = nil, nil
+		} else if c.ID != "" && s.fate(c.ID).State == Unknown { // should it still be on its way, it comes too late
+			s.end(Doc{ID: c.ID}, false, c.By, c.Why)
 		}
 	}
 }
--- a/internal/peer/policy/steward.go
+++ b/internal/peer/policy/steward.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"maps"
@@ -161,7 +162,7 @@
 	if s.Pending != nil {
 		x.Pending = s.Pending.ID
 	}
-	for _, id := range a.About[:min(8, len(a.About))] {
+	for _, id := range a.About[:min(aboutMost, len(a.About))] {
 		x.About = append(x.About, l.fate(v, id))
 	}
 	l.reply(v, q, x)
@@ -355,9 +356,9 @@
 	}
 }
 
-// drop is an operator's word that a change is not to come into force.
-func (l *steward) drop(v *voter, id, by string) {
-	if v.state.Pending != nil && v.state.Pending.ID == id {
-		v.propose(&command{Do: doDrop, ID: id, By: by, Why: "an operator dropped it"})
+// drop is an operator's word that a change is not to come into force; also one of which no voter has heard yet.
+func (l *steward) drop(v *voter, p *Proposal) {
+	if v.state.fate(p.Drop).State <= UnderWay {
+		v.propose(&command{Do: doDrop, ID: p.Drop, By: p.Doc.Author, Why: cmp.Or(p.Doc.Reason, "an operator dropped it")})
 	}
 }
