--- a/internal/drill/agree/agree.go
+++ b/internal/drill/agree/agree.go
@@ -346,16 +346,25 @@
 				w.step(m, policy.Watch{ID: id})
 			}
 		})
-		w.at(w.now+patience, func() { // of which nobody has heard: its author has ended too early
-			if m.pid == pid && m.node != nil && slices.Contains(m.ids, id) && m.node.Fate(id).State == policy.Unknown {
-				w.step(m, policy.Propose{Change: policy.Proposal{Drop: id, Doc: policy.Doc{Author: m.name, Reason: "given up"}}})
-			}
-		})
+		w.giveUp(m, pid, id)
 	}
 	w.step(m, policy.Freed{Alone: true})
 	w.takes(m, pid)
 }
 
+// giveUp has the operators of a daemon that has ended drop a change of which nobody has heard since, again and again.
+func (w *world) giveUp(m *member, pid int, id string) {
+	w.at(w.now+patience, func() {
+		if m.pid != pid || m.node == nil || !slices.Contains(m.ids, id) {
+			return
+		}
+		if m.node.Fate(id).State == policy.Unknown && !m.paused {
+			w.step(m, policy.Propose{Change: policy.Proposal{Drop: id, Doc: policy.Doc{Author: m.name, Reason: "given up"}}})
+		}
+		w.giveUp(m, pid, id)
+	})
+}
+
 func (w *world) down(m *member, why string) {
 	if m.node == nil && w.o.Way == Agreed || m.pid == 0 {
 		return
--- a/internal/drill/agree/draw.go
+++ b/internal/drill/agree/draw.go
@@ -99,7 +99,11 @@
 	add(plan.Event{At: length - quiet + 5*time.Second, Do: "heal"})
 	add(plan.Event{At: length - quiet + 5*time.Second, Do: "disk", Who: everyone(n), Kind: "well"})
 	add(plan.Event{At: length - quiet + 5*time.Second, Do: "resume", Who: everyone(n)})
-	add(plan.Event{At: length - quiet + 5*time.Second, Do: "start", Who: everyone(n), State: "kept"})
+	for x := range n {
+		if down[x] {
+			add(plan.Event{At: length - quiet + 5*time.Second, Do: "start", Who: []int{x}, State: "kept"})
+		}
+	}
 	slices.SortStableFunc(p.Events, func(a, b plan.Event) int { return int(a.At - b.At) })
 	return p, o
 }
