--- a/internal/peer/policy/steward.go
+++ b/internal/peer/policy/steward.go
@@ -27,6 +27,7 @@
 	asking  []question
 	ctx     uint64
 	askedAt time.Duration
+	sure    []assured // confirmed; what was decided by then is to be applied yet
 
 	members  map[string]*known // by name
 	pending  string            // the change that it looks at
@@ -45,6 +46,12 @@
 	from string
 }
 
+// assured are questions that may be answered once the log is applied up to an index.
+type assured struct {
+	index uint64
+	all   []question
+}
+
 // known is what a leader knows of a member.
 type known struct {
 	life     uint64
@@ -118,19 +125,28 @@
 	v.rn.ReadIndex(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, l.term), l.ctx))
 }
 
-// confirmed answers what was asked by then. All that was decided by then is applied: Raft says so after that.
+// confirmed takes Raft's word: all that was decided when it was asked for lies up to an index.
 func (l *steward) confirmed(v *voter, r raft.ReadState) {
-	if len(r.RequestCtx) != 16 || binary.BigEndian.Uint64(r.RequestCtx) != l.term || binary.BigEndian.Uint64(r.RequestCtx[8:]) != l.ctx || r.Index > v.applied || !v.leads() || l.members == nil {
+	if len(r.RequestCtx) != 16 || binary.BigEndian.Uint64(r.RequestCtx) != l.term || binary.BigEndian.Uint64(r.RequestCtx[8:]) != l.ctx || !v.leads() || l.members == nil {
 		return
 	}
-	all := l.asking
+	l.sure = append(l.sure, assured{r.Index, l.asking})
 	l.asking = nil
-	for _, q := range all {
-		l.answer(v, q)
-	}
+	l.settle(v)
 	l.confirm(v)
 }
 
+// settle answers what is confirmed, and for which enough is applied.
+func (l *steward) settle(v *voter) {
+	for len(l.sure) > 0 && l.sure[0].index <= v.applied && l.members != nil {
+		all := l.sure[0].all
+		l.sure = l.sure[1:]
+		for _, q := range all {
+			l.answer(v, q)
+		}
+	}
+}
+
 // answer answers one member.
 func (l *steward) answer(v *voter, q question) {
 	n, a, s := v.n, q.ask, v.state
--- a/internal/peer/policy/voter.go
+++ b/internal/peer/policy/voter.go
@@ -34,8 +34,10 @@
 	applied uint64
 	conf    *raftpb.ConfState
 
-	ready   *raft.Ready // what waits for the disk
+	queue   []*raftpb.Message // what Raft wants on the disk, in order
+	doing   []*raftpb.Message // what is being put there, as one batch
 	batch   Batch
+	base    bool          // it is what this start rests on: Raft does nothing before
 	waiting uint64        // its number; 0: nothing waits
 	again   time.Duration // it failed, and is tried then
 	reset   bool          // it begins anew once nothing waits
@@ -204,7 +206,7 @@
 		return err
 	}
 	rn, err := raft.NewRawNode(&raft.Config{ID: v.id, ElectionTick: electionLow + v.n.rng.IntN(electionMore), HeartbeatTick: heartbeat, Storage: v.store, Applied: v.applied,
-		MaxSizePerMsg: 2 * BodyMost, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 64 * BodyMost, CheckQuorum: true, PreVote: true, StepDownOnRemoval: true, DisableProposalForwarding: true, Logger: quiet{}})
+		MaxSizePerMsg: 2 * BodyMost, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 64 * BodyMost, CheckQuorum: true, PreVote: true, AsyncStorageWrites: true, StepDownOnRemoval: true, DisableProposalForwarding: true, Logger: quiet{}})
 	if err != nil {
 		return fmt.Errorf("policy: raft: %w", err)
 	}
@@ -215,7 +217,7 @@
 // restart has it begin anew from what is on its disk, as a process that starts does: it leads no more, and forgets how
 // far others were.
 func (v *voter) restart() {
-	if v.reset = v.ready != nil; v.reset { // what waits for the disk comes first
+	if v.reset = v.busy(); v.reset { // what waits for the disk comes first
 		return
 	}
 	hard, _, err := v.store.InitialState()
@@ -231,6 +233,9 @@
 	}
 }
 
+// busy reports whether anything waits for the disk.
+func (v *voter) busy() bool { return v.base || len(v.queue)+len(v.doing) > 0 }
+
 func (v *voter) status() raft.BasicStatus { return v.rn.BasicStatus() }
 
 // leads reports whether it leads, as far as it knows.
@@ -251,7 +256,7 @@
 		v.hear()
 		return
 	}
-	if v.waiting == 0 && v.ready != nil && n.now >= v.again {
+	if v.failed() && n.now >= v.again {
 		v.waiting = n.persist(v.batch)
 	}
 	if late := n.now - v.tickAt; late >= 0 {
@@ -269,7 +274,7 @@
 		return v.callAt
 	}
 	at := v.tickAt
-	if v.waiting == 0 && v.ready != nil {
+	if v.failed() {
 		at = min(at, v.again)
 	}
 	if v.leads() {
@@ -355,7 +360,7 @@
 			b.Entries = append(b.Entries, must(proto.Marshal(e)))
 		}
 	}
-	v.batch, v.ready = b, &raft.Ready{}
+	v.batch, v.base = b, true
 	v.waiting = v.n.persist(b)
 	return nil
 }
@@ -417,31 +422,79 @@
 	v.pump()
 }
 
-// pump takes out what Raft has ready: first to the disk, then to others.
+// failed reports whether what was to go to the disk is to be tried again.
+func (v *voter) failed() bool { return v.waiting == 0 && (v.base || len(v.doing) > 0) }
+
+// pump takes out what Raft has ready. What rests on the disk waits for it, the rest goes out at once: a leader with a slow
+// disk goes on being heard.
 func (v *voter) pump() {
-	for v.ready == nil && v.rn != nil && v.rn.HasReady() {
+	for v.rn != nil && !v.base && v.rn.HasReady() {
 		rd := v.rn.Ready()
-		b, any := Batch{}, false
-		if rd.HardState != nil && !raft.IsEmptyHardState(rd.HardState) {
-			b.Hard, any = must(proto.Marshal(rd.HardState)), true
+		for _, m := range rd.Messages {
+			switch m.GetTo() {
+			case raft.LocalAppendThread:
+				v.queue = append(v.queue, m)
+			case raft.LocalApplyThread:
+				for _, e := range m.GetEntries() {
+					v.apply(e)
+				}
+				v.reply(m.GetResponses())
+				v.lead.settle(v)
+			default:
+				v.out(m)
+			}
+		}
+		for _, r := range rd.ReadStates {
+			v.lead.confirmed(v, r)
+		}
+		v.write()
+	}
+	v.compact()
+}
+
+// write puts all that waits on the disk at once, if nothing is on its way there.
+func (v *voter) write() {
+	if v.waiting > 0 || len(v.doing) > 0 || len(v.queue) == 0 {
+		return
+	}
+	b := Batch{Epoch: v.epoch}
+	for len(v.queue) > 0 {
+		m := v.queue[0]
+		if m.Snapshot != nil && !raft.IsEmptySnap(m.Snapshot) && len(v.doing) > 0 {
+			break // by itself
 		}
-		if rd.Snapshot != nil && !raft.IsEmptySnap(rd.Snapshot) {
-			b.Snapshot, any = must(proto.Marshal(rd.Snapshot)), true
+		v.queue, v.doing = v.queue[1:], append(v.doing, m)
+		if h := hardOf(m); h != nil {
+			b.Hard = must(proto.Marshal(h))
 		}
-		for _, e := range rd.Entries {
-			if b.First == 0 {
-				b.First, any = e.GetIndex(), true
+		if m.Snapshot != nil && !raft.IsEmptySnap(m.Snapshot) {
+			b.Snapshot = must(proto.Marshal(m.Snapshot))
+		}
+		for _, e := range m.GetEntries() {
+			switch i := e.GetIndex(); {
+			case b.First == 0 || i <= b.First:
+				b.First, b.Entries = i, nil
+			default:
+				b.Entries = b.Entries[:i-b.First]
 			}
 			b.Entries = append(b.Entries, must(proto.Marshal(e)))
 		}
-		v.ready = &rd
-		if !any {
-			v.finish()
-			continue
-		}
-		b.Epoch, v.batch = v.epoch, b
-		v.waiting = v.n.persist(b)
 	}
+	if b.Hard == nil && b.Snapshot == nil && b.First == 0 { // nothing that has to be there
+		v.finish()
+		return
+	}
+	v.batch = b
+	v.waiting = v.n.persist(b)
+}
+
+// hardOf is the hard state in a message for the disk; nil: it has not changed.
+func hardOf(m *raftpb.Message) *raftpb.HardState {
+	h := &raftpb.HardState{Term: new(m.GetTerm()), Vote: new(m.GetVote()), Commit: new(m.GetCommit())}
+	if raft.IsEmptyHardState(h) {
+		return nil
+	}
+	return h
 }
 
 // persisted says that a batch is on the disk, or can't be.
@@ -460,42 +513,46 @@
 
 // finish does what waited for the disk.
 func (v *voter) finish() {
-	rd := v.ready
-	v.ready, v.waiting, v.batch = nil, 0, Batch{}
-	if rd.Snapshot != nil && !raft.IsEmptySnap(rd.Snapshot) {
-		if err := v.store.ApplySnapshot(rd.Snapshot); err == nil {
-			if err := v.restore(rd.Snapshot); err != nil {
-				v.n.say(true, "%v", err)
+	done := v.doing
+	v.doing, v.batch, v.base = nil, Batch{}, false
+	for _, m := range done {
+		if m.Snapshot != nil && !raft.IsEmptySnap(m.Snapshot) {
+			if err := v.store.ApplySnapshot(m.Snapshot); err == nil {
+				if err := v.restore(m.Snapshot); err != nil {
+					v.n.say(true, "%v", err)
+				}
 			}
 		}
+		if h := hardOf(m); h != nil {
+			_ = v.store.SetHardState(h)
+		}
+		_ = v.store.Append(m.GetEntries())
 	}
-	if rd.HardState != nil {
-		_ = v.store.SetHardState(rd.HardState)
-	}
-	_ = v.store.Append(rd.Entries)
 	if v.floor != (position{}) && !v.last().less(v.floor) {
 		v.floor = position{}
 		v.n.say(false, "this voter has caught up with what was known")
 	}
-	for _, m := range rd.Messages {
-		v.out(m)
-	}
-	for _, e := range rd.CommittedEntries {
-		v.apply(e)
-	}
-	for _, r := range rd.ReadStates {
-		v.lead.confirmed(v, r)
-	}
 	if v.blank && v.commit > 0 && v.applied >= v.commit && slices.Contains(v.state.Voters, v.n.s.Name) {
 		v.blank = false
 	}
-	if rd.Messages != nil || rd.Entries != nil || rd.CommittedEntries != nil || rd.ReadStates != nil || rd.SoftState != nil || rd.HardState != nil || rd.Snapshot != nil {
-		v.rn.Advance(*rd)
+	for _, m := range done {
+		v.reply(m.GetResponses())
 	}
-	v.compact()
-	if v.reset {
+	if v.reset && !v.busy() {
 		v.restart()
 	}
+	v.write()
+}
+
+// reply sends what rested on the disk, or on the log's being applied: to others, and to Raft itself.
+func (v *voter) reply(all []*raftpb.Message) {
+	for _, m := range all {
+		if m.GetTo() == v.id {
+			_ = v.rn.Step(m)
+		} else {
+			v.out(m)
+		}
+	}
 }
 
 // out sends a message of Raft's.
@@ -560,7 +617,7 @@
 // compact keeps the log short.
 func (v *voter) compact() {
 	first := must(v.store.FirstIndex())
-	if v.ready != nil || v.applied < first+compactEvery {
+	if v.busy() || v.applied < first+compactEvery {
 		return
 	}
 	snap, err := v.store.CreateSnapshot(v.applied, v.conf, encode(v.state))
@@ -616,7 +673,7 @@
 	snap.Metadata.Term = new(max(v.last().term, v.hard.GetTerm()) + 1)
 	snap.Metadata.Index = new(v.last().index + 1)
 	v.epoch, v.store, v.hard, v.rn, v.lead = epoch, raft.NewMemoryStorage(), &raftpb.HardState{}, nil, steward{}
-	v.ready, v.waiting, v.floor, v.proved = nil, 0, position{}, true
+	v.queue, v.doing, v.base, v.waiting, v.floor, v.proved = nil, nil, false, 0, position{}, true
 	if err := v.store.ApplySnapshot(snap); err != nil {
 		return err
 	}
