--- a/cmd/vetchhaven/ask.go
+++ b/cmd/vetchhaven/ask.go
@@ -49,6 +49,11 @@
 
 // ask calls a running daemon. An answer that is no success ends with status 1 and its words.
 func ask(config, method, path string, wait time.Duration) ([]byte, error) {
+	return askWith(config, method, path, nil, wait)
+}
+
+// askWith calls it with a body.
+func askWith(config, method, path string, with []byte, wait time.Duration) ([]byte, error) {
 	cfg, err := fleet.Load(config)
 	if err != nil {
 		return nil, exit{2, err}
@@ -57,7 +62,7 @@
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, cfg.Admin.Network, cfg.Admin.Addr)
 		}}}
-	req, err := http.NewRequest(method, "http://daemon"+path, nil)
+	req, err := http.NewRequest(method, "http://daemon"+path, bytes.NewReader(with))
 	if err != nil {
 		return nil, exit{1, err}
 	}
--- a/cmd/vetchhaven/main.go
+++ b/cmd/vetchhaven/main.go
@@ -42,7 +42,7 @@
 	}
 	root.AddCommand(runCommand(), rehearseCommand(), serveCommand(), membersCommand())
 	root.AddCommand(askCommands()...)
-	root.AddCommand(fleetCommand(), drillCommand())
+	root.AddCommand(fleetCommand(), policyCommand(), drillCommand())
 	err := root.Execute()
 	var e exit
 	switch {
--- /dev/null
+++ b/cmd/vetchhaven/policy.go
@@ -0,0 +1,374 @@
+package main
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"os/user"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/spf13/cobra"
+
+	"vetchhaven/internal/host/fleet"
+	"vetchhaven/internal/peer/policy"
+)
+
+// policyCommand is what operators ask about the policy that a fleet agrees on.
+func policyCommand() *cobra.Command {
+	root := &cobra.Command{Use: "policy", Short: "Show and change what all daemons of a fleet decide by", Args: cobra.NoArgs}
+	var config string
+	add := func(c *cobra.Command) *cobra.Command {
+		c.Flags().StringVar(&config, "config", defaultFleet, "the fleet's file")
+		root.AddCommand(c)
+		return c
+	}
+	var asJSON bool
+	show := add(&cobra.Command{Use: "show", Short: "Show the policy in force, and how a daemon stands towards it", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		body, err := ask(config, http.MethodGet, "/policy", 10*time.Second)
+		if err != nil || asJSON {
+			_, _ = os.Stdout.Write(body)
+			return err
+		}
+		var s fleet.ShownPolicy
+		if err := json.Unmarshal(body, &s); err != nil {
+			return exit{1, err}
+		}
+		showPolicy(&s, os.Stdout)
+		return nil
+	}})
+	show.Flags().BoolVar(&asJSON, "json", false, "all of it, as JSON")
+	add(&cobra.Command{Use: "check FILE", Short: "Check a policy against this daemon's file, and print what it would change", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+		body, err := os.ReadFile(args[0])
+		if err != nil {
+			return exit{2, err}
+		}
+		if err := fleet.CheckPolicyFile(config, args[0], body); err != nil {
+			return exit{2, err}
+		}
+		if now, err := inForce(config); err == nil {
+			return printDiff(now.Body, string(body), os.Stdout)
+		}
+		fmt.Println("it makes sense for this file; no daemon answers that could say what it would change")
+		return nil
+	}})
+	var f applyFlags
+	apply := add(&cobra.Command{Use: "apply FILE", Short: "Bring a policy into force at all daemons, or at none", Args: cobra.ExactArgs(1),
+		Long: "apply asks the fleet to decide by another policy, and waits until that is decided. It ends with status 0 where the policy\nis in force, 1 where it was dropped, by whom and why, and 2 where that is not known yet.",
+		RunE: func(_ *cobra.Command, args []string) error {
+			body, err := os.ReadFile(args[0])
+			if err != nil {
+				return exit{2, err}
+			}
+			if err := fleet.CheckPolicyFile(config, args[0], body); err != nil {
+				return exit{2, err}
+			}
+			return applyPolicy(config, string(body), &f, os.Stdout)
+		}})
+	back := add(&cobra.Command{Use: "back N", Short: "Bring the text of an earlier policy into force, as a new one", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+		n, err := strconv.ParseUint(args[0], 10, 64)
+		if err != nil || n == 0 {
+			return exit{2, fmt.Errorf("%q is no number of a policy", args[0])}
+		}
+		p, err := past(config, n)
+		if err != nil {
+			return err
+		}
+		if p.Doc == nil {
+			return exit{2, fmt.Errorf("the text of policy %d is not kept any more", n)}
+		}
+		f.reason = cmp.Or(f.reason, fmt.Sprintf("back to policy %d", n))
+		return applyPolicy(config, string(p.Doc.Body), &f, os.Stdout)
+	}})
+	for _, c := range []*cobra.Command{apply, back} {
+		c.Flags().StringVar(&f.reason, "reason", "", "why, for those who look later")
+		c.Flags().DurationVar(&f.wait, "wait", time.Minute, "for the decision, at the most; 0: not at all")
+		c.Flags().StringSliceVar(&f.without, "without", nil, "members that are down, by your word: the change goes on without them")
+	}
+	add(&cobra.Command{Use: "status ID", Short: "Say what became of a change", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+		return await(config, args[0], 5*time.Second, os.Stdout)
+	}})
+	add(&cobra.Command{Use: "drop ID", Short: "Have a change dropped that is under way, or of which nobody has heard", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+		if _, err := ask(config, http.MethodPost, "/policy/drop?id="+url.QueryEscape(args[0])+"&by="+url.QueryEscape(who()), 10*time.Second); err != nil {
+			return err
+		}
+		return await(config, args[0], 10*time.Second, os.Stdout)
+	}})
+	add(&cobra.Command{Use: "history", Short: "Show the last changes, and what became of them", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		p, err := past(config, 0)
+		if err != nil {
+			return err
+		}
+		showPast(p, os.Stdout)
+		return nil
+	}})
+	var r policy.Replace
+	voters := add(&cobra.Command{Use: "voters", Short: "Have another member vote in the place of one", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		body, err := ask(config, http.MethodPost, "/policy/voters?add="+url.QueryEscape(r.Add)+"&remove="+url.QueryEscape(r.Remove), 10*time.Second)
+		_, _ = os.Stdout.Write(body)
+		return err
+	}})
+	voters.Flags().StringVar(&r.Add, "add", "", "a member that votes from now on")
+	voters.Flags().StringVar(&r.Remove, "remove", "", "one that does not any more")
+	var sure bool
+	word := func(use, short, long, path string) {
+		c := add(&cobra.Command{Use: use, Short: short, Long: long, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+			if !sure {
+				return exit{2, fmt.Errorf("%s", long+"\nIf that is so, say --i-know")}
+			}
+			body, err := ask(config, http.MethodPost, path, 10*time.Second)
+			_, _ = os.Stdout.Write(body)
+			return err
+		}})
+		c.Flags().BoolVar(&sure, "i-know", false, "what it says above is so")
+	}
+	word("rescue", "Go on with one voter alone, after the majority of them is lost for good",
+		"rescue makes this daemon the only voter. What only the lost voters knew is given up: a policy may have come into force that\nthis one has not heard of. Do it at the voter with the highest policy in force, at one alone, and only if the others never\ncome back with their disks. Add voters afterwards.", "/policy/rescue")
+	word("trust", "Have a voter take part though it can't prove that its disk is as it was",
+		"trust has this voter take part with the disk as it is. If that is an earlier copy, or lost, a policy that was in force may be\nforgotten. Do it only if its disk is as its last process left it, and a voter that it asks is gone for good.", "/policy/trust")
+	return root
+}
+
+type applyFlags struct {
+	reason  string
+	wait    time.Duration
+	without []string
+}
+
+func who() string {
+	host, _ := os.Hostname()
+	if u, err := user.Current(); err == nil {
+		return u.Username + "@" + host
+	}
+	return host
+}
+
+func inForce(config string) (*fleet.ShownPolicy, error) {
+	body, err := ask(config, http.MethodGet, "/policy", 10*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	s := &fleet.ShownPolicy{}
+	return s, json.Unmarshal(body, s)
+}
+
+func past(config string, number uint64) (*policy.Past, error) {
+	body, err := ask(config, http.MethodGet, "/policy/past?number="+strconv.FormatUint(number, 10), 10*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	p := &policy.Past{}
+	if err := json.Unmarshal(body, p); err != nil {
+		return nil, exit{1, err}
+	}
+	return p, nil
+}
+
+func applyPolicy(config, body string, f *applyFlags, out io.Writer) error {
+	now, err := inForce(config)
+	if err != nil {
+		return err
+	}
+	if err := printDiff(now.Body, body, out); err != nil {
+		return err
+	}
+	base := now.Force.Number
+	data, err := json.Marshal(fleet.PolicyChange{Body: body, Reason: f.reason, Author: who() + " at " + now.Name, Without: f.without, Base: &base})
+	if err != nil {
+		return exit{2, err}
+	}
+	answer, err := askWith(config, http.MethodPost, "/policy/apply", data, 10*time.Second)
+	if err != nil {
+		return err
+	}
+	var said struct{ ID string }
+	if err := json.Unmarshal(answer, &said); err != nil {
+		return exit{2, err}
+	}
+	fmt.Fprintln(out, "change", said.ID)
+	return await(config, said.ID, f.wait, out)
+}
+
+// await follows a change until it is decided, or the time is up.
+func await(config, id string, wait time.Duration, out io.Writer) error {
+	said := ""
+	for end := time.Now().Add(wait); ; time.Sleep(100 * time.Millisecond) {
+		body, err := ask(config, http.MethodGet, "/policy/fate?id="+url.QueryEscape(id), 10*time.Second)
+		if err != nil {
+			return exit{2, fmt.Errorf("what became of change %s is not known: %w; ask again with: vetchhaven policy status %s", id, err, id)}
+		}
+		var f fleet.PolicyFateShown
+		if err := json.Unmarshal(body, &f); err != nil {
+			return exit{2, err}
+		}
+		switch f.State {
+		case "in force":
+			fmt.Fprintf(out, "policy %d is in force at all members (change %s)%s\n", f.Number, id, because(f.Why))
+			return nil
+		case "dropped":
+			return exit{1, fmt.Errorf("change %s was dropped by %s%s", id, cmp.Or(f.By, "the voters"), because(f.Why))}
+		case "under way":
+			if line := fmt.Sprintf("%d of %d members have it; missing: %s", f.Have, f.Of, strings.Join(f.Missing, ", ")); line != said {
+				said = line
+				fmt.Fprintln(out, line)
+			}
+		}
+		if time.Now().After(end) {
+			return exit{2, fmt.Errorf("change %s is %s; ask again with: vetchhaven policy status %s, or have it dropped with: vetchhaven policy drop %s", id, f.State, id, id)}
+		}
+	}
+}
+
+func because(why string) string {
+	if why == "" {
+		return ""
+	}
+	return ": " + why
+}
+
+func showPolicy(s *fleet.ShownPolicy, out io.Writer) {
+	f := s.Force
+	if f.Number == 0 {
+		fmt.Fprintf(out, "no policy was agreed on yet: each daemon serves by its own file\n")
+	} else {
+		fmt.Fprintf(out, "policy %d, change %s, by %s on %s: %s (digest %s)\n", f.Number, f.ID, f.Author, time.UnixMilli(f.At).Format(time.DateTime), f.Reason, f.Digest)
+	}
+	fmt.Fprintf(out, "%s serves %s", s.Name, s.Serving)
+	if s.Until > 0 {
+		fmt.Fprintf(out, ", for %v more unless a voter answers", s.Until.Round(time.Millisecond))
+	}
+	fmt.Fprintf(out, "; instances go by policy %d\n", s.Applied)
+	if s.Unfit != "" {
+		fmt.Fprintln(out, s.Unfit)
+	}
+	if s.Pending != "" {
+		fmt.Fprintln(out, "has change", s.Pending, "on its disk, which is under way")
+	}
+	if s.Nay != "" {
+		fmt.Fprintf(out, "can't serve by change %s: %s\n", s.Nay, s.Why)
+	}
+	cut := "serves on, and vetoes changes"
+	if s.Stops {
+		cut = "stops"
+	}
+	fmt.Fprintf(out, "voters: %s; %s leads, and answered %v ago; cut off, a member %s\n", strings.Join(s.Voters, ", "), cmp.Or(s.Leader, "nobody known"), s.HeardAgo.Round(time.Millisecond), cut)
+	if s.Votes != "" {
+		fmt.Fprintf(out, "votes: %s; roster: %s\n", s.Votes, strings.Join(s.Roster, ", "))
+	}
+	if s.Epoch > 0 {
+		fmt.Fprintf(out, "rescued %d times\n", s.Epoch)
+	}
+	if s.Body != "" {
+		fmt.Fprintf(out, "\n%s\n", strings.TrimSpace(s.Body))
+	}
+}
+
+func showPast(p *policy.Past, out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "change\tpolicy\twhen\tby\treason\tbecame\twhy")
+	for _, e := range p.All {
+		number, became := "", "dropped by "+cmp.Or(e.By, "the voters")
+		if e.InForce {
+			number, became = strconv.FormatUint(e.Doc.Number, 10), "in force"
+			if len(e.Without) > 0 {
+				became += " without " + strings.Join(e.Without, ", ")
+			}
+		}
+		when := ""
+		if e.Doc.At > 0 {
+			when = time.UnixMilli(e.Doc.At).Format(time.DateTime)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", e.Doc.ID, number, when, e.Doc.Author, e.Doc.Reason, became, e.Why)
+	}
+	_ = w.Flush()
+}
+
+// printDiff prints what a policy changes, by key.
+func printDiff(was, now string, out io.Writer) error {
+	a, err := keysOf(was)
+	if err == nil {
+		var b map[string]string
+		if b, err = keysOf(now); err == nil {
+			n := 0
+			var keys []string
+			for k := range a {
+				keys = append(keys, k)
+			}
+			for k := range b {
+				if _, there := a[k]; !there {
+					keys = append(keys, k)
+				}
+			}
+			sort.Strings(keys)
+			for _, k := range keys {
+				x, was := a[k]
+				y, is := b[k]
+				switch {
+				case was && !is:
+					fmt.Fprintf(out, "- %s = %s\n", k, x)
+				case is && !was:
+					fmt.Fprintf(out, "+ %s = %s\n", k, y)
+				case x != y:
+					fmt.Fprintf(out, "~ %s = %s, was %s\n", k, y, x)
+				default:
+					continue
+				}
+				n++
+			}
+			if n == 0 {
+				fmt.Fprintln(out, "it changes nothing")
+			}
+			return nil
+		}
+	}
+	return exit{2, err}
+}
+
+// keysOf are a policy's keys and values; tables of a list go by their names.
+func keysOf(text string) (map[string]string, error) {
+	var doc map[string]any
+	if err := toml.NewDecoder(bytes.NewReader([]byte(text))).Decode(&doc); err != nil {
+		return nil, err
+	}
+	all := map[string]string{}
+	var walk func(at string, v any)
+	walk = func(at string, v any) {
+		switch v := v.(type) {
+		case map[string]any:
+			for k, x := range v {
+				walk(strings.TrimPrefix(at+"."+k, "."), x)
+			}
+		case []any:
+			tables := slices.ContainsFunc(v, func(x any) bool { _, is := x.(map[string]any); return is })
+			if !tables {
+				all[at] = fmt.Sprintf("%v", v)
+				return
+			}
+			for i, x := range v {
+				name := strconv.Itoa(i)
+				if t, is := x.(map[string]any); is {
+					for _, k := range []string{"name", "server"} {
+						if s, is := t[k].(string); is {
+							name = s
+						}
+					}
+				}
+				walk(at+"["+name+"]", x)
+			}
+		default:
+			all[at] = fmt.Sprintf("%v", v)
+		}
+	}
+	walk("", doc)
+	return all, nil
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -7,6 +7,7 @@
 	"errors"
 	"hash/maphash"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -92,6 +93,8 @@
 	turned   map[string]int                  // by the fleet's limits, since the last summary
 	sights   sights
 	kept     kept
+	hold     atomic.Pointer[hold] // nil: requests are taken without end
+	narrow   atomic.Pointer[[]time.Duration]
 }
 
 // totals are what the agent did since its start, for others to read.
@@ -255,6 +258,10 @@
 func (l *Loop) take(e any) {
 	switch e := e.(type) {
 	case arrived:
+		if why := l.closed(); why != "" { // by another policy, or by none: see Taking
+			l.turn(e.Request, why)
+			return
+		}
 		// Not for the table: the id belongs to the other one. Each request has a new id, so one that
 		// has just ended is no better: servers may still know it.
 		if l.requests[e.ID] != nil || l.recent.has(e.ID, l.clock.now()) {
@@ -477,6 +484,11 @@
 // than MaxAttempts for each request that is open.
 func (l *Loop) send(a decide.Send) {
 	r := l.requests[a.Request]
+	if r != nil && !r.done && l.narrowed(r) {
+		l.pending = append(l.pending, decide.Outcome{Request: a.Request, Attempt: len(r.attempts), Backend: a.Backend, Result: decide.NotSent, Done: r.done})
+		r.attempts = append(r.attempts, &Attempt{Request: r, N: len(r.attempts), Server: a.Backend, cancel: func(error) {}})
+		return
+	}
 	if r == nil || r.done { // after a final answer nothing more is sent
 		l.pending = append(l.pending, decide.Outcome{Request: a.Request, Backend: a.Backend,
 			Result: decide.NotSent, Done: true})
@@ -520,6 +532,10 @@
 		"open", len(l.requests))
 	l.counts = counts{}
 	for name, n := range l.turned {
+		if why, policy := strings.CutPrefix(name, "policy: "); policy {
+			l.log.Warn("turned away for the policy", "why", why, "requests", n)
+			continue
+		}
 		l.log.Info("turned away by a limit of the fleet", "limit", name, "requests", n)
 	}
 	clear(l.turned)
--- a/internal/core/protocol.go
+++ b/internal/core/protocol.go
@@ -99,6 +99,7 @@
 	RetryAfter time.Duration // of Refused: when to come back; 0: no advice
 	Limit      string        // the fleet's limit that stood in its way; empty: none did
 	Verdict    string        // of Refused: the servers that the fleet's verdicts keep from it; empty: none
+	Policy     string        // of Refused: why none is taken by the policy that this agent has; empty: it may be
 }
 
 // Attempt is one attempt of a request at a server.
--- /dev/null
+++ b/internal/core/taking.go
@@ -0,0 +1,58 @@
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// hold is until when requests are taken, and why no longer.
+type hold struct {
+	until time.Time
+	why   string
+}
+
+// Taking has requests taken until a moment by the process's own clock, and turned away at once from then on, with why.
+// What was taken by then is finished. The zero time: none is taken. Free takes the bound away. Neither waits.
+func (a *Agent) Taking(until time.Time, why string) { a.loop.hold.Store(&hold{until, why}) }
+
+// Free has requests taken without end.
+func (a *Agent) Free() { a.loop.hold.Store(nil) }
+
+// closed is why a request that is there now is not taken; empty: it is. The clock is looked at as it is taken: a process
+// that was stopped past the moment finds out here.
+func (l *Loop) closed() string {
+	h := l.hold.Load()
+	if h == nil || time.Now().Before(h.until) {
+		return ""
+	}
+	return h.why
+}
+
+// turn refuses a request that is not taken. The module never hears of it.
+func (l *Loop) turn(r *Request, why string) {
+	l.counts.requests++
+	l.totals.requests.Add(1)
+	l.counts.refused++
+	l.totals.refused.Add(1)
+	l.turned["policy: "+why]++
+	if r.late != nil {
+		r.late.Stop()
+	}
+	r.done = true
+	close(r.over)
+	// Spread, so that all do not come back at once.
+	r.reply(Answer{Refused: true, Policy: why, RetryAfter: time.Second + time.Duration(rand.Float64()*float64(time.Second))})
+}
+
+// Narrow has what was taken already repeated for no longer than these windows after its first attempt, by class; 0: as
+// its own policy says. Another policy with a shorter window has come into force, and servers may go by it.
+func (a *Agent) Narrow(windows []time.Duration) { a.loop.narrow.Store(&windows) }
+
+// narrowed reports whether a request that may have run can't be sent again by a window that came later.
+func (l *Loop) narrowed(r *Request) bool {
+	w := l.narrow.Load()
+	if w == nil || r.Class >= len(*w) || (*w)[r.Class] == 0 || len(r.attempts) == 0 {
+		return false
+	}
+	return time.Since(r.attempts[0].start) > (*w)[r.Class]
+}
--- a/internal/host/fleet/admin.go
+++ b/internal/host/fleet/admin.go
@@ -167,6 +167,7 @@
 			fail(w, http.StatusNotFound, errors.New("this daemon shares no verdicts: [peers] is not in its file, says verdicts = false, or is being started"))
 		}
 	})
+	d.policyCalls(mux, reply, fail)
 	mux.HandleFunc("POST /fleet/forget", func(w http.ResponseWriter, r *http.Request) {
 		if err := d.Forget(r.FormValue("name")); err != nil {
 			fail(w, http.StatusUnprocessableEntity, err)
--- a/internal/host/fleet/checker.go
+++ b/internal/host/fleet/checker.go
@@ -13,12 +13,24 @@
 
 type checker struct {
 	*tomlfile.File
-	err error
+	over *overlay // a policy, of which some keys are; nil: none
+	err  error
 }
 
+// of is where a key stands: in the daemon's file, or in the policy.
+func (c *checker) of(key string) *tomlfile.File {
+	if c.over.holds(key) {
+		return c.over.file
+	}
+	return c.File
+}
+
+// Has reports whether a key is set.
+func (c *checker) Has(key string) bool { return c.of(key).Has(key) }
+
 func (c *checker) fail(key, format string, args ...any) {
 	if c.err == nil {
-		c.err = c.Errorf(key, format, args...)
+		c.err = c.of(key).Errorf(key, format, args...)
 	}
 }
 
--- a/internal/host/fleet/config.go
+++ b/internal/host/fleet/config.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"os"
 	"path/filepath"
 	"reflect"
 	"slices"
@@ -33,6 +34,11 @@
 	Balancers int    // of the whole fleet, as the file has it
 	Peers     *Peers // nil: the daemon stands alone
 	Limits    *Limits
+	Bans      []Ban
+	Policy    *Agree // nil: none is agreed on
+
+	data []byte   // the file's own text
+	over *overlay // the policy that is laid over it; nil: none
 }
 
 // Address is where something listens.
@@ -88,16 +94,32 @@
 
 // Load reads and checks the file at path.
 func Load(path string) (*Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err // names the operation and the path
+	}
+	return build(path, data, nil)
+}
+
+// build reads and checks a file's text with a policy laid over it, which may be nil.
+func build(path string, data []byte, over *overlay) (*Config, error) {
 	var f file
-	t, err := tomlfile.Read(path, &f)
+	t, err := tomlfile.Parse(path, data, &f)
 	if err != nil {
 		return nil, err
 	}
-	return check(t, &f)
+	if err := over.lay(&f); err != nil {
+		return nil, err
+	}
+	cfg, err := check(t, &f, over)
+	if err == nil {
+		cfg.data, cfg.over = data, over
+	}
+	return cfg, err
 }
 
-func check(t *tomlfile.File, f *file) (*Config, error) {
-	c := &checker{File: t}
+func check(t *tomlfile.File, f *file, over *overlay) (*Config, error) {
+	c := &checker{File: t, over: over}
 	cfg := &Config{Path: t.Path, StateDir: f.StateDir, Sources: map[string]Source{}, MemoryMB: f.Limits.MemoryMB}
 	if f.StateDir != "" && !filepath.IsAbs(f.StateDir) {
 		cfg.StateDir = filepath.Join(filepath.Dir(t.Path), f.StateDir)
@@ -155,6 +177,8 @@
 	settings, classes := c.settings(f)
 	cfg.Balancers, cfg.Peers = settings.Balancers, c.peers(f)
 	cfg.Limits = c.limits(f, cfg, settings, classes)
+	cfg.Policy = c.agree(f, cfg)
+	c.bans(f, cfg)
 	if c.err != nil {
 		return nil, c.err
 	}
--- a/internal/host/fleet/daemon.go
+++ b/internal/host/fleet/daemon.go
@@ -54,9 +54,15 @@
 	before   *carrier.Carrier        // while another takes its place in this process
 	sharing  atomic.Pointer[peering] // the peering, for instances' loops
 	agents   sync.Map                // hosted by number, for the carrier's loop
+	closing  sync.Map                // agents that are being replaced under another policy
 	verdicts atomic.Pointer[held]
 	numbers  atomic.Uint32
 	counted  chan struct{} // the count has changed
+	policied chan struct{} // there is a new word on what to serve by
+	policy   agreed
+	serving  atomic.Pointer[serving]  // nil: no policy is agreed on
+	host     atomic.Pointer[hostText] // the daemon's own file
+	lease    time.Duration
 	hubs     map[string]*hub
 	parts    map[string]*part
 	sup      *supervise.Supervisor
@@ -78,12 +84,17 @@
 // New opens what a daemon needs: sockets, inherited or new, and its last state. Nothing runs yet.
 func New(o Options) (*Daemon, error) {
 	d := &Daemon{o: o, cfg: o.Config, log: o.Log, base: time.Now(), calls: make(chan func(), 64), done: make(chan struct{}),
-		sockets: map[Address]net.Listener{}, packets: map[string]*net.UDPConn{}, counted: make(chan struct{}, 1), hubs: map[string]*hub{}, parts: map[string]*part{},
+		sockets: map[Address]net.Listener{}, packets: map[string]*net.UDPConn{}, counted: make(chan struct{}, 1), policied: make(chan struct{}, 1), hubs: map[string]*hub{}, parts: map[string]*part{},
 		memory: map[string]*core.Memory{}, given: map[string]*catalog.Members{},
 		seed: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	d.sup = supervise.New(o.Config.Supervise, d.seed.Uint64())
 	d.store = newStore(o.Config.StateDir, o.Log)
 	d.restore()
+	d.host.Store(&hostText{d.cfg.Path, d.cfg.data})
+	if d.cfg.Policy != nil {
+		d.lease = d.cfg.Policy.Lease
+	}
+	d.openPolicy()
 	for a, f := range o.Inherit {
 		if a.Network == "udp" {
 			u, err := net.FilePacketConn(f)
@@ -103,7 +114,7 @@
 		_ = f.Close()
 		d.sockets[a] = ln
 	}
-	if _, err := d.listen(o.Config); err != nil {
+	if _, err := d.listen(d.cfg); err != nil {
 		d.closeSockets()
 		return nil, err
 	}
@@ -130,6 +141,10 @@
 	if !saved && len(s.Peers) > 0 {
 		if d.saw, err = carrier.DecodeSaved(s.Peers); err != nil {
 			d.log.Warn("the view of the fleet is not taken over", "error", err)
+		} else if d.saw.Policy != nil {
+			h := *d.saw.Policy
+			h.Left -= time.Duration(carrier.Clock() - d.saw.PolicyAt) // since the process before said so
+			d.policy.handed = &h
 		}
 	}
 	for list, m := range s.Sources {
@@ -189,6 +204,10 @@
 	d.meet(d.saw, 0)
 	d.others.Go(func() { d.awaitReady(ctx) })
 	d.others.Go(func() { d.store.Run(ctx.Done()) })
+	if s := d.policy.store; s != nil {
+		d.others.Go(func() { s.run(ctx.Done()) })
+		defer s.close()
+	}
 	save := time.NewTicker(saveEvery)
 	defer save.Stop()
 	wake := time.NewTimer(0)
@@ -209,6 +228,8 @@
 			d.save()
 		case <-d.counted:
 			d.share()
+		case <-d.policied:
+			d.turn()
 		case <-stop.Done():
 		}
 		handed = d.handing && d.o.Upgrade == nil
@@ -292,7 +313,7 @@
 			heard = true
 			for _, p := range d.parts {
 				told := d.hubs[p.spec.Source].Snapshot()
-				heard = heard && (p.agent == nil || p.agent.Ready() || told == nil || len(told.Servers) == 0)
+				heard = heard && d.knowsPolicy() && (p.agent == nil || p.agent.Ready() || told == nil || len(told.Servers) == 0)
 			}
 		})
 		select {
--- a/internal/host/fleet/file.go
+++ b/internal/host/fleet/file.go
@@ -20,6 +20,8 @@
 		GiveUp  int `toml:"give_up"`
 	}
 	Peers    *peers
+	Policy   *agree
+	Ban      []ban
 	Limit    []limit
 	Source   []source
 	Site     site
--- a/internal/host/fleet/handover.go
+++ b/internal/host/fleet/handover.go
@@ -183,10 +183,19 @@
 		if saved := p.carrier.Freeze(); saved != nil {
 			stands, err = carrier.EncodeSaved(saved)
 		}
+		if s := d.policy.store; s != nil {
+			s.close()
+		}
 	}
 	goOn := func() { // the successor did not come up
 		d.do(func() {
 			d.handing = false
+			if s := d.policy.store; s != nil {
+				if _, err := s.open(); err != nil {
+					d.log.Error("the policy's file can't be opened again", "error", err)
+				}
+			}
+			d.wakeTurn()
 			d.meet(nil, 0) // if it failed meanwhile
 		})
 		if p != nil {
@@ -222,6 +231,14 @@
 	}
 	d.do(func() {
 		d.log.Info("a successor is ready")
+		if d.cfg.Policy != nil { // by what is in force here: this process hears of no other any more
+			d.agents.Range(func(_, a any) bool {
+				one := a.(hosted).agent
+				d.closing.Store(one, true)
+				one.Taking(time.Now().Add(lateAfter), switched)
+				return true
+			})
+		}
 		d.o.Upgrade = nil // Run sees that it is over
 	})
 	return err
--- a/internal/host/fleet/instances.go
+++ b/internal/host/fleet/instances.go
@@ -18,6 +18,7 @@
 	end    context.CancelFunc
 	number uint32         // of the running copy, towards the carrier; never used again
 	told   []rights.Limit // what it was last told
+	banned []string       // servers that are out of use by the file or the policy
 	floors int            // and for how many agents its floors are
 	life   int            // copies so far: what an earlier one tells is not this one's end
 	past   core.Totals
@@ -98,6 +99,9 @@
 	if v := d.verdicts.Load(); v != nil {
 		a.Judge(v.of(source))
 	}
+	p.banned = nil
+	d.ban(p) // its loop takes this first
+	d.gate(a)
 	d.limit(p) // before it serves: nothing that is limited goes without a right
 	if at := d.sharing.Load(); at != nil && d.cfg.Limits != nil {
 		at.carrier.Join(number)
@@ -109,6 +113,7 @@
 		ended := ctx.Err() != nil // it was told to
 		end()
 		d.agents.Delete(number)
+		d.closing.Delete(a)
 		d.later(func() { d.ended(name, life, a, err, ended) })
 		if p := d.sharing.Load(); p != nil && err == nil { // nothing of it is in flight
 			p.carrier.Gone(number)
--- a/internal/host/fleet/peers.go
+++ b/internal/host/fleet/peers.go
@@ -177,6 +177,7 @@
 				return
 			}
 			d.log.Error("fleet: the part that keeps the view has failed; instances serve on", "error", err)
+			d.handOn()
 			if d.now()-started > peersMost {
 				p.fails = 0
 			}
@@ -214,6 +215,12 @@
 	if l := d.cfg.Limits; l != nil {
 		o.Limits, o.Lend, o.Before = &l.Settings, d.lend, d.before
 	}
+	if d.cfg.Policy != nil {
+		o.Agree = d.newAgreement
+		if d.before != nil && saved != nil && saved.Parallel {
+			o.Agreement, o.Before = d.before.Agreement(), d.before // its times go on by the same clock
+		}
+	}
 	if spec.Events != "" {
 		f, err := os.OpenFile(spec.Events, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
--- /dev/null
+++ b/internal/host/fleet/policy.go
@@ -0,0 +1,485 @@
+package fleet
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"vetchhaven/decide"
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/peer/carrier"
+	"vetchhaven/internal/peer/policy"
+	"vetchhaven/internal/tomlfile"
+)
+
+// agreed is what the daemon knows of the policy that its fleet agrees on. The carrier's loop tells it (served), Run's
+// goroutine goes by it (turn).
+type agreed struct {
+	store   *policyStore
+	disk    policy.Disk
+	opened  bool // disk is as it was read, and nobody has used it yet
+	handed  *policy.Handed
+	applied applied
+}
+
+// applied is by which policy the instances serve.
+type applied struct {
+	number   uint64
+	id, both string
+}
+
+// serving is the last word on what to serve by.
+type serving struct {
+	policy.Serving
+	base time.Time // of Until
+	// Why the daemon can't follow it; empty: it can.
+	unfit string
+}
+
+const (
+	notKnown  = "the policy in force is not known yet"
+	switched  = "another policy is in force: come again at once"
+	lateFor   = 100 * time.Millisecond // connections of copies that are being replaced may bring requests for so long
+	lateAfter = time.Second            // and of a process that is replaced
+	tryAgain  = time.Second
+)
+
+// openPolicy opens what was agreed on before, and lays the policy that was in force over the file.
+func (d *Daemon) openPolicy() {
+	p := d.cfg.Policy
+	if p == nil {
+		return
+	}
+	d.policy.store = newPolicyStore(d.cfg.StateDir, p.Witness, d.cfg.Peers.Name, d.log)
+	first := &serving{Serving: policy.Serving{Why: notKnown}}
+	d.serving.Store(first)
+	disk, err := d.policy.store.open()
+	if err != nil {
+		d.log.Error("what the fleet agreed on can't be read; no request is taken until others tell it", "error", err)
+		return
+	}
+	d.policy.disk, d.policy.opened = disk, true
+	doc, err := policy.KeptForce(disk.Member)
+	if err != nil {
+		d.log.Error("what the fleet agreed on can't be read; no request is taken until others tell it", "error", err)
+		d.policy.disk.Member = nil
+		return
+	}
+	cfg := d.cfg
+	if doc.Number > 0 {
+		if cfg, err = d.under(d.cfg, &doc, nil); err != nil {
+			d.log.Error("this daemon can't serve by the last policy that it knows", "policy", doc.Number, "error", err)
+			return
+		}
+	}
+	d.cfg = cfg
+	d.policy.applied = applied{number: doc.Number, id: doc.ID}
+	if h := d.policy.handed; h != nil && h.Number == doc.Number { // requests are taken on at once
+		first.Why, first.Doc, first.Until, first.base = "", &doc, policy.Never, time.Now()
+		if p.Stops {
+			first.Until = h.Left
+		}
+	}
+}
+
+// under is the daemon's configuration under a policy, or what two of them both allow.
+func (d *Daemon) under(cfg *Config, doc, both *policy.Doc) (*Config, error) {
+	over, err := overlayOf(doc)
+	if err == nil && both != nil {
+		var other *overlay
+		if other, err = overlayOf(both); err == nil {
+			var own file
+			if err = parseOwn(cfg, &own); err == nil {
+				over, err = meet(over.complete(&own), other.complete(&own))
+			}
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return build(cfg.Path, cfg.data, over)
+}
+
+func overlayOf(doc *policy.Doc) (*overlay, error) {
+	if doc == nil || doc.Number == 0 {
+		return nil, nil
+	}
+	return readPolicy(fmt.Sprintf("policy %d", doc.Number), doc.Body)
+}
+
+// checkPolicy reports whether this daemon could serve by a policy. The carrier's loop calls it.
+func (d *Daemon) checkPolicy(body []byte) (err error) {
+	defer func() { // whatever is wrong with it is a reason not to agree, and no more
+		if p := recover(); p != nil {
+			err = fmt.Errorf("panic: %v", p)
+		}
+	}()
+	over, err := readPolicy("policy", body)
+	if err != nil {
+		return err
+	}
+	host := d.host.Load()
+	_, err = build(host.Path, host.data, over)
+	return err
+}
+
+// newAgreement is the daemon's part in the policy, for a member's life.
+func (d *Daemon) newAgreement(life uint64) *carrier.Agreement {
+	p := d.cfg.Policy
+	if p == nil {
+		return nil
+	}
+	store := d.policy.store
+	disk := d.policy.disk
+	if !d.policy.opened {
+		var err error
+		if disk, err = store.reload(); err != nil {
+			d.log.Error("what the fleet agreed on can't be read", "error", err)
+		}
+	}
+	d.policy.opened = false
+	s := p.Settings
+	s.Name, s.Life, s.Check, s.Handed = d.cfg.Peers.Name, life, d.checkPolicy, d.policy.handed
+	if s.Handed != nil { // by this very file: nobody else had it meanwhile
+		disk.Proved = true
+	}
+	d.policy.handed = nil
+	n, err := policy.New(s, disk, rand.Uint64())
+	if err != nil {
+		d.log.Error("what the fleet agreed on makes no sense here, and is learnt anew", "error", err)
+		disk.Member = nil
+		if n, err = policy.New(s, disk, rand.Uint64()); err != nil {
+			d.log.Error("no policy is agreed on", "error", err)
+			return nil
+		}
+	}
+	var a *carrier.Agreement
+	put := store.writer(func(seq uint64, err error) { a.Persisted(seq, err) })
+	a = carrier.NewAgreement(n, put, d.served)
+	return a
+}
+
+// handOn keeps what a part that has failed knew of the policy, for the one that is started in its place: requests are
+// taken on meanwhile, as long as the last word allows.
+func (d *Daemon) handOn() {
+	s := d.serving.Load()
+	if s == nil || s.Why != "" || s.Doc == nil || s.Alone {
+		return
+	}
+	left := time.Duration(0)
+	if s.Until < policy.Never {
+		left = time.Until(s.base.Add(s.Until))
+	}
+	d.policy.handed = &policy.Handed{Number: s.Doc.Number, Left: max(0, left), Seq: uint64(time.Now().UnixNano())}
+}
+
+// served takes the word on what to serve by. The carrier's loop calls it; it does not wait. A lease that is longer, or
+// over, holds at once; another policy as soon as Run's goroutine comes to it.
+func (d *Daemon) served(s policy.Serving, base time.Time) {
+	next := &serving{Serving: s, base: base}
+	if last := d.serving.Load(); last != nil && last.unfit != "" && last.Doc != nil && s.Doc != nil && last.Doc.ID == s.Doc.ID && idOf(last.Both) == idOf(s.Both) {
+		next.unfit = last.unfit
+	}
+	d.serving.Store(next)
+	d.agents.Range(func(_, a any) bool {
+		d.gate(a.(hosted).agent)
+		return true
+	})
+	select {
+	case d.policied <- struct{}{}:
+	default:
+	}
+}
+
+func idOf(doc *policy.Doc) string {
+	if doc == nil {
+		return ""
+	}
+	return doc.ID
+}
+
+// knowsPolicy reports whether requests are taken, as far as the policy goes.
+func (d *Daemon) knowsPolicy() bool {
+	s := d.serving.Load()
+	return s == nil || s.Why == "" && s.unfit == ""
+}
+
+// gate tells an instance until when it may take requests. One that serves by another policy than the last word's takes
+// them no longer than both words allow.
+func (d *Daemon) gate(a *core.Agent) {
+	s := d.serving.Load()
+	switch {
+	case s == nil:
+		return
+	case s.unfit != "":
+		a.Taking(time.Time{}, s.unfit)
+	case s.Why != "":
+		a.Taking(time.Time{}, s.Why)
+	case s.Until >= policy.Never:
+		a.Free()
+	default:
+		a.Taking(s.base.Add(s.Until), "no voter of the fleet's policy has answered for "+d.lease.String())
+	}
+}
+
+// turn has all instances serve by what the last word says. All that can be wrong leaves them taking no request, which
+// they say.
+func (d *Daemon) turn() {
+	s := d.serving.Load()
+	if s == nil || s.Doc == nil || d.cfg.Policy == nil || d.handing {
+		return
+	}
+	want := applied{s.Doc.Number, s.Doc.ID, idOf(s.Both)}
+	if want == d.policy.applied || s.unfit != "" {
+		return
+	}
+	cfg, err := d.under(d.cfg, s.Doc, s.Both)
+	if err == nil {
+		err = d.turnTo(cfg)
+	}
+	if err != nil {
+		what := fmt.Sprintf("this daemon can't serve by policy %d", s.Doc.Number)
+		if s.Both != nil {
+			what = fmt.Sprintf("this daemon does not know whether policy %d or change %s is in force, and can't serve by both", s.Doc.Number, s.Both.ID)
+		}
+		d.log.Error(what, "error", err)
+		unfit := *s
+		unfit.unfit = what + ": " + err.Error()
+		if d.serving.CompareAndSwap(s, &unfit) {
+			d.agents.Range(func(_, a any) bool { d.gate(a.(hosted).agent); return true })
+		} else {
+			time.AfterFunc(tryAgain, d.wakeTurn)
+		}
+		return
+	}
+	d.policy.applied = want
+	d.log.Info("instances serve by policy", "number", want.number, "change", want.id, "and_what_this_change_allows", want.both)
+}
+
+func (d *Daemon) wakeTurn() {
+	select {
+	case d.policied <- struct{}{}:
+	default:
+	}
+}
+
+// turnTo changes instances over to another configuration in one go. What they have taken is finished by the old one, and
+// repeated by the shorter window of the two.
+func (d *Daemon) turnTo(cfg *Config) error {
+	old := map[*core.Agent]Instance{}
+	for _, p := range d.parts {
+		if p.agent != nil {
+			old[p.agent] = p.spec
+		}
+	}
+	if _, err := d.apply(cfg); err != nil {
+		return err
+	}
+	until := time.Now().Add(lateFor)
+	for _, p := range d.parts {
+		delete(old, p.agent)
+	}
+	for a, spec := range old {
+		a.Taking(until, switched)
+		i := slices.IndexFunc(cfg.Instances, func(n Instance) bool { return n.Name == spec.Name })
+		if i >= 0 {
+			a.Narrow(windows(&spec.Agent, &cfg.Instances[i].Agent))
+		}
+	}
+	return nil
+}
+
+// windows are what repeats of requests under way are held to besides, by class; 0: nothing more.
+func windows(was, now *core.Config) []time.Duration {
+	all := make([]time.Duration, len(was.Settings.Classes))
+	for i, c := range was.Settings.Classes {
+		if c.Effect != decide.Keyed {
+			continue
+		}
+		n := slices.Index(now.Site.Classes, was.Site.Classes[i])
+		switch {
+		case n < 0 || now.Settings.Classes[n].Effect == decide.Unsafe:
+			all[i] = 1 // not at all
+		case now.Settings.Classes[n].Effect == decide.Keyed && now.Settings.Classes[n].Window < c.Window:
+			all[i] = now.Settings.Classes[n].Window
+		}
+	}
+	return all
+}
+
+// ban has an instance's servers out that the file or the policy has out, and no others.
+func (d *Daemon) ban(p *part) {
+	if p.agent == nil {
+		return
+	}
+	var want []string
+	for _, b := range d.cfg.Bans {
+		if (b.Source == "" || b.Source == p.spec.Source) && !slices.Contains(want, b.Server) {
+			want = append(want, b.Server)
+		}
+	}
+	ctx, end := context.WithTimeout(context.Background(), shareAgain)
+	defer end()
+	for _, s := range want {
+		if !slices.Contains(p.banned, s) {
+			_, _ = p.agent.Ban(ctx, s, true, true)
+		}
+	}
+	for _, s := range p.banned {
+		if !slices.Contains(want, s) {
+			_, _ = p.agent.Ban(ctx, s, false, true)
+		}
+	}
+	p.banned = want
+}
+
+// PolicyChange is a change that is asked for at a daemon.
+type PolicyChange struct {
+	ID      string   `json:"id"` // empty: a new one is given
+	Body    string   `json:"body"`
+	Reason  string   `json:"reason"`
+	Author  string   `json:"author"`
+	Without []string `json:"without"`
+	Base    *uint64  `json:"base"` // the number in force that its author saw; nil: the daemon's
+}
+
+// ShownPolicy is how a daemon stands towards the fleet's policy.
+type ShownPolicy struct {
+	policy.Shown
+	Body    string `json:"body"`
+	Applied uint64 `json:"instances_serve_by"`
+	Unfit   string `json:"unfit,omitempty"`
+}
+
+// Policy is how the daemon stands towards the fleet's policy.
+func (d *Daemon) Policy() (s ShownPolicy, err error) {
+	err = d.onPolicy(func(n *policy.Node, now time.Duration) []policy.Event {
+		s.Shown, s.Body = n.Show(), string(n.Force().Body)
+		return nil
+	})
+	d.do(func() { s.Applied = d.policy.applied.number })
+	if w := d.serving.Load(); w != nil {
+		s.Unfit = w.unfit
+	}
+	return s, err
+}
+
+func (d *Daemon) onPolicy(f func(n *policy.Node, now time.Duration) []policy.Event) error {
+	p := d.sharing.Load()
+	if p == nil {
+		return carrier.ErrNoPolicy
+	}
+	return p.carrier.Policy(f)
+}
+
+// ProposePolicy asks the fleet for a change, and says by which ID it is known. What becomes of it, PolicyFate says.
+func (d *Daemon) ProposePolicy(c PolicyChange) (id string, err error) {
+	if err := d.checkPolicy([]byte(c.Body)); err != nil {
+		return "", fmt.Errorf("not asked for: %w", err)
+	}
+	if c.ID == "" {
+		u := uuid.New()
+		c.ID = hex.EncodeToString(u[:8])
+	}
+	p := policy.Proposal{Without: c.Without, Doc: policy.Doc{ID: c.ID, Body: []byte(c.Body), Digest: policy.DigestOf([]byte(c.Body)),
+		Author: c.Author, Reason: c.Reason, At: time.Now().UnixMilli()}}
+	if err := p.Check(); err != nil {
+		return "", err
+	}
+	err = d.onPolicy(func(n *policy.Node, _ time.Duration) []policy.Event {
+		p.Base = n.Force().Number
+		if c.Base != nil {
+			p.Base = *c.Base
+		}
+		return []policy.Event{policy.Propose{Change: p}}
+	})
+	return c.ID, err
+}
+
+// PolicyFate is what became of a change, as far as this daemon has heard; it goes on asking.
+func (d *Daemon) PolicyFate(id string) (f policy.Fate, err error) {
+	err = d.onPolicy(func(n *policy.Node, _ time.Duration) []policy.Event {
+		f = n.Fate(id)
+		return []policy.Event{policy.Watch{ID: id}}
+	})
+	return f, err
+}
+
+// DropPolicy asks the fleet to drop a change, also one of which nobody has heard yet.
+func (d *Daemon) DropPolicy(id, by, reason string) error {
+	if id == "" {
+		return errors.New("no change is named")
+	}
+	return d.onPolicy(func(*policy.Node, time.Duration) []policy.Event {
+		return []policy.Event{policy.Propose{Change: policy.Proposal{Drop: id, Doc: policy.Doc{Author: by, Reason: reason}}}}
+	})
+}
+
+// PolicyPast are the last changes, and the text of the policy of a number.
+func (d *Daemon) PolicyPast(number uint64, wait time.Duration) (past *policy.Past, err error) {
+	ask := func(*policy.Node, time.Duration) []policy.Event { return []policy.Event{policy.Past{Number: number}} }
+	if err := d.onPolicy(ask); err != nil {
+		return nil, err
+	}
+	for end, n := time.Now().Add(wait), 1; time.Now().Before(end); n++ {
+		time.Sleep(20 * time.Millisecond)
+		if err := d.onPolicy(func(n *policy.Node, _ time.Duration) []policy.Event { past = n.Known(); return nil }); err != nil {
+			return nil, err
+		}
+		if past != nil && past.Number == number {
+			return past, nil
+		}
+		if n%20 == 0 {
+			_ = d.onPolicy(ask)
+		}
+	}
+	return nil, errors.New("no voter answers")
+}
+
+// PolicyVoters asks for another voter in the place of one.
+func (d *Daemon) PolicyVoters(r policy.Replace) error {
+	return d.onPolicy(func(*policy.Node, time.Duration) []policy.Event { return []policy.Event{r} })
+}
+
+// PolicyWord passes on an operator's word: to go on alone, or to trust the disk.
+func (d *Daemon) PolicyWord(e policy.Event) error {
+	return d.onPolicy(func(*policy.Node, time.Duration) []policy.Event { return []policy.Event{e} })
+}
+
+// CheckPolicy reports whether this daemon could serve by a policy.
+func (d *Daemon) CheckPolicy(body []byte) error { return d.checkPolicy(body) }
+
+// CheckPolicyFile reports whether the daemon of a file could serve by a policy, without a daemon.
+func CheckPolicyFile(config, name string, body []byte) error {
+	cfg, err := Load(config)
+	if err != nil {
+		return err
+	}
+	over, err := readPolicy(name, body)
+	if err != nil {
+		return err
+	}
+	_, err = build(cfg.Path, cfg.data, over)
+	return err
+}
+
+// sameAgree reports whether two configurations agree with others in the same way: a running daemon can't change that.
+func sameAgree(a, b *Agree) bool { return reflect.DeepEqual(a, b) }
+
+// hostText is the daemon's own file as it was last read.
+type hostText struct {
+	Path string
+	data []byte
+}
+
+func parseOwn(cfg *Config, into *file) error {
+	_, err := tomlfile.Parse(cfg.Path, cfg.data, into)
+	return err
+}
--- a/internal/host/fleet/reload.go
+++ b/internal/host/fleet/reload.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"reflect"
 	"slices"
 	"time"
@@ -23,11 +24,19 @@
 // Reload reads the file again and changes what differs. If it makes no sense, or an address can't
 // be had, nothing changes.
 func (d *Daemon) Reload() (r ReloadResult, err error) {
-	cfg, err := Load(d.cfg.Path)
+	data, err := os.ReadFile(d.cfg.Path)
 	if err != nil {
 		return r, err
 	}
-	if !d.do(func() { r, err = d.apply(cfg) }) {
+	if !d.do(func() {
+		var cfg *Config
+		if cfg, err = build(d.cfg.Path, data, d.cfg.over); err != nil { // under the policy in force
+			return
+		}
+		if r, err = d.apply(cfg); err == nil {
+			d.host.Store(&hostText{cfg.Path, data})
+		}
+	}) {
 		return r, errors.New("the daemon is stopping")
 	}
 	return r, err
@@ -40,6 +49,9 @@
 	if cfg.Admin != d.cfg.Admin || cfg.StateDir != d.cfg.StateDir {
 		return r, fmt.Errorf("%s: admin and state_dir can't change in a running daemon: hand over instead", cfg.Path)
 	}
+	if !sameAgree(cfg.Policy, d.cfg.Policy) {
+		return r, fmt.Errorf("%s: [policy] can't change in a running daemon: hand over instead", cfg.Path)
+	}
 	if _, err := d.listen(cfg); err != nil {
 		return r, err
 	}
@@ -103,6 +115,7 @@
 	}
 	d.watchLists()
 	for _, p := range d.parts {
+		d.ban(p)
 		if !d.limit(p) {
 			time.AfterFunc(shareAgain, d.shareSoon)
 		}
--- a/internal/house/house_test.go
+++ b/internal/house/house_test.go
@@ -34,6 +34,7 @@
 	"decide/rights":              nil,
 	"internal/peer/limits":       {"decide/rights"},
 	"internal/peer/verdicts":     nil,
+	"internal/peer/policy":       nil,
 	"internal/peer/agenda":       nil,
 	"internal/drill/judge":       nil,
 	"internal/protocol/ldapmsg":  nil,
--- /dev/null
+++ b/internal/peer/carrier/agreeing.go
@@ -0,0 +1,259 @@
+package carrier
+
+import (
+	"errors"
+	"math"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"vetchhaven/internal/peer/policy"
+	"vetchhaven/internal/peer/view"
+)
+
+// Agreement is a daemon's part in the policy that the fleet agrees on. It outlasts a carrier that another of the same
+// process replaces.
+type Agreement struct {
+	node *policy.Node
+	put  func(policy.Persist) // has something put on the disk; must not wait; Persisted tells
+	tell func(s policy.Serving, base time.Time)
+
+	mu   sync.Mutex
+	done []policy.Event // that the disk has told, and nobody has taken
+	at   atomic.Pointer[Carrier]
+}
+
+// NewAgreement returns one round a node. Put is called in order; tell with each word on what to serve by, whose times are
+// after base. Neither may wait.
+func NewAgreement(n *policy.Node, put func(policy.Persist), tell func(s policy.Serving, base time.Time)) *Agreement {
+	return &Agreement{node: n, put: put, tell: tell}
+}
+
+// Persisted is the disk's word on what was put.
+func (a *Agreement) Persisted(seq uint64, err error) {
+	a.mu.Lock()
+	a.done = append(a.done, policy.Persisted{Seq: seq, Err: err})
+	a.mu.Unlock()
+	if c := a.at.Load(); c != nil {
+		c.share(agreementDue{})
+	}
+}
+
+type agreementDue struct{}
+
+// policyPacket is a message about the policy, in a datagram or on a stream of its own.
+type policyPacket struct {
+	From    string          `cbor:"1,keyasint,omitempty"`
+	Message *policy.Message `cbor:"2,keyasint,omitempty"`
+}
+
+// agreeing drives an agreement. The carrier's loop owns it.
+type agreeing struct {
+	c       *Carrier
+	a       *Agreement // nil: none is agreed on
+	members time.Duration
+	free    bool
+	sent    uint64
+	bytes   uint64
+	lost    uint64
+	streams chan struct{}
+	began   bool
+}
+
+const policyStreams = 16 // open at a time, towards others
+
+func newAgreeing(c *Carrier) *agreeing {
+	g := &agreeing{c: c, a: c.o.Agreement, members: -time.Hour, streams: make(chan struct{}, policyStreams)}
+	if g.a != nil {
+		g.a.at.Store(c)
+	}
+	return g
+}
+
+func (g *agreeing) next() time.Duration {
+	if g.a == nil {
+		return math.MaxInt64
+	}
+	return g.a.node.Next()
+}
+
+func (g *agreeing) due(now time.Duration) {
+	if g.a == nil || g.c.frozen.Load() {
+		return
+	}
+	g.a.mu.Lock()
+	done := g.a.done
+	g.a.done = nil
+	g.a.mu.Unlock()
+	if len(done) > 0 || now >= g.a.node.Next() || !g.began {
+		g.step(now, done...)
+	}
+}
+
+// take takes what is for it. It reports whether that was so.
+func (g *agreeing) take(now time.Duration, x any) bool {
+	switch x := x.(type) {
+	case *policyPacket:
+		if g.a != nil {
+			g.step(now, policy.Heard{From: x.From, Message: x.Message})
+		}
+	case agreementDue:
+		g.due(now)
+	default:
+		return false
+	}
+	return true
+}
+
+func (g *agreeing) step(now time.Duration, events ...policy.Event) {
+	if g.a == nil || g.c.frozen.Load() {
+		return
+	}
+	g.began = true
+	if now-g.members >= namesEvery {
+		g.members = now
+		var all []policy.Who
+		for _, r := range g.c.v.Members() {
+			all = append(all, policy.Who{Name: r.Name, Life: r.Life, Left: r.State == view.Left})
+		}
+		own := g.c.v.Own()
+		events = append([]policy.Event{policy.Members{All: all}, policy.Freed{Alone: own.Checked && !g.c.v.StandsBack()}}, events...)
+	}
+	for _, x := range g.a.node.Step(now, events...) {
+		switch x := x.(type) {
+		case policy.Send:
+			g.send(x)
+		case policy.Persist:
+			g.a.put(x)
+		case policy.Serve:
+			g.note(x.By)
+			g.a.tell(x.By, g.c.base)
+		case policy.Say:
+			if x.Error {
+				g.c.log.Error("fleet: " + x.Text)
+			} else {
+				g.c.log.Info("fleet: " + x.Text)
+			}
+		}
+	}
+}
+
+// handed is what a process needs that takes this one's place.
+func (g *agreeing) handed() *policy.Handed {
+	if g.a == nil {
+		return nil
+	}
+	return g.a.node.Handed(g.c.now())
+}
+
+// Agreement is this carrier's, for one that takes its place in this process.
+func (c *Carrier) Agreement() *Agreement { return c.o.Agreement }
+
+// note writes what it serves by, for drills.
+func (g *agreeing) note(s policy.Serving) {
+	e := event{What: "policy", State: "serves", Why: s.Why}
+	switch {
+	case s.Why != "":
+		e.State = "holds"
+	case s.Alone:
+		e.State = "alone"
+	case s.Both != nil:
+		e.State = "both"
+	}
+	if s.Doc != nil {
+		e.Number, e.ID = s.Doc.Number, s.Doc.ID
+	}
+	g.c.events.put(e)
+}
+
+// send sends a message where the view last knew its member to be: what is small as a datagram, the rest on a stream of
+// its own. What is lost comes again.
+func (g *agreeing) send(s policy.Send) {
+	p := &policyPacket{From: g.c.o.View.Name, Message: s.Message}
+	if s.To == p.From { // it comes back as anybody's would
+		g.c.share(p)
+		return
+	}
+	to, err := netip.ParseAddrPort(g.c.v.Addr(s.To))
+	if err != nil {
+		g.lost++
+		return
+	}
+	data, err := enclose(policyForm, g.c.o.Fleet, p)
+	if err != nil || len(data) > streamMost {
+		g.lost++
+		return
+	}
+	g.sent++
+	g.bytes += uint64(len(data))
+	if !s.Message.Large() && len(data) <= datagram {
+		_, _ = g.c.o.UDP.WriteToUDPAddrPort(data, to)
+		return
+	}
+	select {
+	case g.streams <- struct{}{}:
+	default:
+		g.lost++
+		return
+	}
+	go func() {
+		defer func() { <-g.streams }()
+		_ = g.c.deliver(to.String(), data)
+	}()
+}
+
+// deliver puts one message on a stream, and waits until the other has taken it.
+func (c *Carrier) deliver(to string, data []byte) error {
+	from := *c.o.TCP.Addr().(*net.TCPAddr)
+	from.Port = 0
+	d := net.Dialer{Timeout: streamTime, LocalAddr: &from, KeepAlive: -1}
+	if from.IP.IsUnspecified() {
+		d.LocalAddr = nil
+	}
+	conn, err := d.Dial("tcp", to)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(streamTime))
+	if err := writeRaw(conn, data); err != nil {
+		return err
+	}
+	var one [1]byte
+	_, err = conn.Read(one[:]) // its end says that it has read all
+	return err
+}
+
+// heardPolicy takes a message about the policy from a stream or a datagram.
+func (c *Carrier) heardPolicy(data []byte) error {
+	p := &policyPacket{}
+	if err := openAs(policyForm, c.o.Fleet, data, p); err != nil {
+		c.refuse(err)
+		return err
+	}
+	if p.From == "" || p.Message == nil || p.From == c.o.View.Name {
+		return ErrBody
+	}
+	c.share(p)
+	return nil
+}
+
+// ErrNoPolicy says that this daemon agrees on no policy, or does not answer.
+var ErrNoPolicy = errors.New("this daemon agrees on no policy with others ([policy] is not in its file), or does not answer")
+
+// Policy has f run with the node on the loop, and does what comes of events that f returns.
+func (c *Carrier) Policy(f func(n *policy.Node, now time.Duration) []policy.Event) error {
+	if c.o.Agreement == nil {
+		return ErrNoPolicy
+	}
+	if !c.do(func() {
+		if events := f(c.agreeing.a.node, c.now()); len(events) > 0 {
+			c.agreeing.step(c.now(), events...)
+		}
+	}) {
+		return ErrNoPolicy
+	}
+	return nil
+}
--- a/internal/peer/carrier/carrier.go
+++ b/internal/peer/carrier/carrier.go
@@ -41,7 +41,9 @@
 	Before   *Carrier           // of this process, which has ended: what it held and lent is this one's now; nil: none
 	Verdicts *verdicts.Settings // what members know of servers is shared; but for name and life; nil: it is not
 	// Judged gives the verdicts that hold from now on, in place of the last ones. It must not wait.
-	Judged func(all []verdicts.Verdict, base time.Time)
+	Judged    func(all []verdicts.Verdict, base time.Time)
+	Agree     func(life uint64) *Agreement // on the fleet's policy, for a member's life; nil: there is none
+	Agreement *Agreement                   // it, from the carrier before, if the member goes on with its life; nil: Agree makes one
 	// Lend gives an agent rights, which it may use until what Until says after base. It must not wait.
 	Lend func(agent uint32, all []rights.Right, base time.Time)
 }
@@ -55,20 +57,21 @@
 	events *events
 	disk   *disk
 
-	inbox   chan input
-	calls   chan func()
-	done    chan struct{}
-	streams chan struct{} // places
-	next    uint64        // stream
-	replies map[uint64]chan *view.Exchange
-	opened  map[uint64]chan *view.Exchange
-	frozen  atomic.Bool
-	mu      sync.Mutex
-	thaw    chan struct{} // closed when it is no longer frozen; under mu
-	failed  chan error    // a panic beside the loop
-	left    chan struct{} // closed once it has said that it goes
-	sharing *sharing
-	judging *judging
+	inbox    chan input
+	calls    chan func()
+	done     chan struct{}
+	streams  chan struct{} // places
+	next     uint64        // stream
+	replies  map[uint64]chan *view.Exchange
+	opened   map[uint64]chan *view.Exchange
+	frozen   atomic.Bool
+	mu       sync.Mutex
+	thaw     chan struct{} // closed when it is no longer frozen; under mu
+	failed   chan error    // a panic beside the loop
+	left     chan struct{} // closed once it has said that it goes
+	sharing  *sharing
+	judging  *judging
+	agreeing *agreeing
 
 	dropped, odd, huge, foreign, damaged, formats atomic.Uint64
 }
@@ -126,6 +129,10 @@
 	if c.judging, err = newJudging(c); err != nil {
 		return nil, err
 	}
+	if c.o.Agreement == nil && o.Agree != nil {
+		c.o.Agreement = o.Agree(s.Life)
+	}
+	c.agreeing = newAgreeing(c)
 	c.events = newEvents(o.Events, s.Name, os.Getpid())
 	return c, nil
 }
@@ -185,14 +192,15 @@
 		c.step(stop, &others, batch...)
 		c.sharing.due(c.now())
 		c.judging.due(c.now())
-		timer.Reset(max(0, min(c.v.Next(), c.sharing.next(), c.judging.next())-c.now()))
+		c.agreeing.due(c.now())
+		timer.Reset(max(0, min(c.v.Next(), c.sharing.next(), c.judging.next(), c.agreeing.next())-c.now()))
 	}
 }
 
 // sort adds an event to those of the next step, or has what is shared taken at once.
 func (c *Carrier) sort(batch []view.Event, i input) []view.Event {
 	if i.shared != nil {
-		if !c.judging.take(c.now(), i.shared) {
+		if !c.judging.take(c.now(), i.shared) && !c.agreeing.take(c.now(), i.shared) {
 			c.sharing.take(c.now(), i.shared)
 		}
 		return batch
@@ -362,6 +370,10 @@
 			c.share(p)
 			continue
 		}
+		if formOf(buf[:n]) == policyForm {
+			_ = c.heardPolicy(buf[:n])
+			continue
+		}
 		m := &view.Message{}
 		if err := decode(c.o.Fleet, buf[:n], m); err != nil {
 			c.refuse(err)
@@ -462,11 +474,19 @@
 
 func (c *Carrier) answer(conn *net.TCPConn) error {
 	_ = conn.SetDeadline(time.Now().Add(streamTime))
-	asked, err := readFrame(conn, c.o.Fleet)
+	data, err := readRaw(conn)
 	if err != nil {
 		c.refuse(err)
 		return err
 	}
+	if formOf(data) == policyForm {
+		return c.heardPolicy(data)
+	}
+	asked := &view.Exchange{}
+	if err := decode(c.o.Fleet, data, asked); err != nil {
+		c.refuse(err)
+		return err
+	}
 	reply := make(chan *view.Exchange, 1)
 	if !c.post(input{event: view.Asked{Message: asked}, reply: reply}) {
 		return nil
@@ -624,6 +644,7 @@
 		own := c.v.Own()
 		s.Parallel, s.Life, s.Inc, s.Number, s.UpMS = true, own.Life, own.Inc, c.v.Number(), c.v.Up().Milliseconds()
 		s.Lent = c.sharing.state(c.now())
+		s.Policy, s.PolicyAt = c.agreeing.handed(), Clock()
 	})
 	return s
 }
--- a/internal/peer/carrier/codec.go
+++ b/internal/peer/carrier/codec.go
@@ -16,7 +16,7 @@
 // The envelope of a datagram, and of each message on a stream:
 //
 //	0  "vh"      what it is
-//	2  format    1 of the view's messages, 2 of what members share; a reader takes those that it knows
+//	2  format    1 of the view's messages, 2 of what members share, 3 about the policy; a reader takes those that it knows
 //	3  length    of the fleet's name
 //	4  fleet     whose message it is
 //	   CRC-32C   of all before it and of the body, 4 bytes, big endian
@@ -28,6 +28,7 @@
 	magic      = "vh"
 	format     = 1
 	sharedForm = 2
+	policyForm = 3
 	envelope   = 8 // without the fleet's name
 	datagram   = 2048
 	streamMost = 8 << 20 // bytes of one message on a stream: 10,000 members with full notes are under 4 MB
@@ -95,7 +96,7 @@
 	case len(data) < envelope || string(data[:2]) != magic:
 		return ErrForeign
 	case data[2] != form:
-		return fmt.Errorf("%w: %d, known are %d and %d", ErrFormat, data[2], format, sharedForm)
+		return fmt.Errorf("%w: %d, known are %d to %d", ErrFormat, data[2], format, policyForm)
 	}
 	head := 4 + int(data[3])
 	if len(data) < head+4 {
@@ -123,11 +124,26 @@
 	if len(data) > streamMost {
 		return ErrHuge
 	}
-	_, err = w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(data))), data...))
+	return writeRaw(w, data)
+}
+
+// writeRaw puts an envelope on a stream.
+func writeRaw(w io.Writer, data []byte) error {
+	_, err := w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(data))), data...))
 	return err
 }
 
 func readFrame(r io.Reader, fleet string) (*view.Exchange, error) {
+	data, err := readRaw(r)
+	if err != nil {
+		return nil, err
+	}
+	x := &view.Exchange{}
+	return x, decode(fleet, data, x)
+}
+
+// readRaw reads an envelope from a stream.
+func readRaw(r io.Reader) ([]byte, error) {
 	var length [4]byte
 	if _, err := io.ReadFull(r, length[:]); err != nil {
 		return nil, err
@@ -140,6 +156,5 @@
 	if _, err := io.CopyN(&data, r, int64(n)); err != nil {
 		return nil, err
 	}
-	x := &view.Exchange{}
-	return x, decode(fleet, data.Bytes(), x)
+	return data.Bytes(), nil
 }
--- a/internal/peer/carrier/disk.go
+++ b/internal/peer/carrier/disk.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"vetchhaven/internal/peer/limits"
+	"vetchhaven/internal/peer/policy"
 	"vetchhaven/internal/peer/view"
 	"vetchhaven/internal/wholefile"
 )
@@ -29,6 +30,9 @@
 	UpMS     int64  `cbor:"8,keyasint,omitempty"`
 	// What it has lent as a keeper of limits, and when by CLOCK_MONOTONIC.
 	Lent *limits.KeeperState `cbor:"9,keyasint,omitempty"`
+	// How it stands towards the policy, and when that was so by CLOCK_MONOTONIC.
+	Policy   *policy.Handed `cbor:"10,keyasint,omitempty"`
+	PolicyAt int64          `cbor:"11,keyasint,omitempty"`
 }
 
 const (
--- a/internal/peer/carrier/events.go
+++ b/internal/peer/carrier/events.go
@@ -42,6 +42,8 @@
 	Health    int    `json:"health,omitempty"`
 	Asked     int    `json:"asked,omitempty"` // of a gap: lines that are missing
 	Server    string `json:"server,omitempty"`
+	ID        string `json:"id,omitempty"`     // of a change of policy
+	Number    uint64 `json:"number,omitempty"` // of a policy
 }
 
 // events writes lines in a goroutine of its own. Where it can't keep up, lines are left out, and that is written.
--- a/internal/peer/policy/node.go
+++ b/internal/peer/policy/node.go
@@ -64,6 +64,9 @@
 			n.m.sure = n.now
 		}
 	}
+	if h := n.s.Handed; h != nil && h.Number == n.m.force.Number { // its requests go on
+		n.m.joined, n.m.ever, n.m.lease, n.m.seq, n.m.last = true, true, n.now+h.Left, h.Seq+1, h.Seq
+	}
 	if d.Snapshot != nil || d.Member == nil && slices.Contains(n.s.Voters, n.s.Name) {
 		v, err := newVoter(n, d, false)
 		if err != nil {
--- a/internal/peer/policy/policy.go
+++ b/internal/peer/policy/policy.go
@@ -60,6 +60,14 @@
 	Alone  time.Duration           // a start that finds nobody for so long is alone; default Alone
 	Drift  float64                 // by which rates of clocks may differ, each way; default Drift
 	Check  func(body []byte) error // whether this member could serve by a policy; must not wait
+	Handed *Handed                 // from the process, or the part of it, whose place this one takes without a gap; nil: none
+}
+
+// Handed is what a process knows that another one takes the place of.
+type Handed struct {
+	Number uint64        `cbor:"1,keyasint,omitempty"` // in force, as it knew
+	Left   time.Duration `cbor:"2,keyasint,omitempty"` // of its lease
+	Seq    uint64        `cbor:"3,keyasint,omitempty"` // its last question
 }
 
 // Defaults, each with where it comes from.
--- a/internal/peer/policy/show.go
+++ b/internal/peer/policy/show.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -66,6 +67,26 @@
 	return s
 }
 
+// Handed is what another process needs that takes this one's place at once; nil: it could take no request either.
+func (n *Node) Handed(now time.Duration) *Handed {
+	if !n.m.joined {
+		return nil
+	}
+	return &Handed{Number: n.m.force.Number, Left: max(0, n.m.lease-now), Seq: n.m.seq}
+}
+
+// KeptForce is the policy in force as a member's part on the disk has it.
+func KeptForce(part []byte) (Doc, error) {
+	var s savedMember
+	if part == nil {
+		return Doc{}, nil
+	}
+	if err := decoding.Unmarshal(part, &s); err != nil {
+		return Doc{}, fmt.Errorf("policy: the member's part on the disk: %w", err)
+	}
+	return s.Force, nil
+}
+
 // Force is the policy in force here.
 func (n *Node) Force() Doc { return n.m.force }
 
--- a/internal/protocol/http1/front.go
+++ b/internal/protocol/http1/front.go
@@ -209,6 +209,9 @@
 	if a.Limit != "" {
 		return f.appendText(b, "refused, try again: the fleet's limit "+a.Limit)
 	}
+	if a.Policy != "" {
+		return f.appendText(b, "refused, try again: "+a.Policy)
+	}
 	if a.Verdict != "" {
 		return f.appendText(b, "refused, try again: the fleet's verdicts keep from it "+a.Verdict)
 	}
--- a/internal/protocol/ldap/client.go
+++ b/internal/protocol/ldap/client.go
@@ -448,6 +448,9 @@
 	if a.Limit != "" {
 		text += "; the fleet's limit " + a.Limit
 	}
+	if a.Policy != "" {
+		text += "; " + a.Policy
+	}
 	if a.Verdict != "" {
 		text += "; the fleet's verdicts keep from it " + a.Verdict
 	}
