--- a/cmd/vetchhaven/drill.go
+++ b/cmd/vetchhaven/drill.go
@@ -15,6 +15,7 @@
 
 	"github.com/spf13/cobra"
 
+	"vetchhaven/internal/drill/agree"
 	"vetchhaven/internal/drill/judge"
 	"vetchhaven/internal/drill/plan"
 	"vetchhaven/internal/drill/rig"
@@ -62,7 +63,13 @@
 		p.Daemons = max(f.daemons, p.Daemons)
 	}
 	var lines []judge.Line
-	if f.virtual {
+	if f.virtual && p.Policy != nil {
+		r, err := agree.Play(p, agree.Options{Seed: f.seed, Witness: p.Policy.Witness})
+		if err != nil {
+			return exit{2, err}
+		}
+		lines = r.Lines
+	} else if f.virtual {
 		r, err := virtual.Play(p, virtual.Options{Seed: f.seed})
 		if err != nil {
 			return exit{2, err}
@@ -94,6 +101,9 @@
 		}
 	}
 	report := judge.Judge(p.Bounds, lines)
+	if f.virtual && p.Policy != nil { // nothing else is played there
+		report = judge.Policy(p.Bounds, lines)
+	}
 	missed := report.Missed(p.Tries)
 	if f.asJSON {
 		e := json.NewEncoder(out)
--- /dev/null
+++ b/internal/drill/rig/policy.go
@@ -0,0 +1,251 @@
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"vetchhaven/internal/drill/judge"
+	"vetchhaven/internal/drill/plan"
+	"vetchhaven/internal/peer/carrier"
+	"vetchhaven/internal/peer/policy"
+)
+
+// policies are the changes that a drill asks for. Each policy has one class of its own, a marker, besides those of all:
+// which marker a daemon serves tells from outside by which policy it takes requests.
+type policies struct {
+	mu      sync.Mutex
+	markers []string          // by change, from 0: the daemons' own files
+	numbers map[string]uint64 // of changes that came into force
+	lines   []judge.Line      // what was taken; numbers are filled in at the end
+}
+
+const (
+	lookEvery  = 30 * time.Millisecond // between two looks at a daemon
+	lookWaits  = 2 * time.Second
+	askEvery   = 100 * time.Millisecond
+	givesUp    = 5 * time.Second  // operators have a change dropped of which nobody has heard for so long
+	askLongest = 90 * time.Second // and ask no longer what became of it
+)
+
+// policy writes [policy] and the classes of a policy into a daemon's file.
+func (r *rig) policy(b *strings.Builder, d *daemon) {
+	p := r.p.Policy
+	if p == nil {
+		return
+	}
+	var voters []string
+	for _, n := range p.Voters {
+		voters = append(voters, fmt.Sprintf("%q", plan.Name(n)))
+	}
+	fmt.Fprintf(b, "\n[policy]\nvoters = [%s]\ncut_off = %q\nlease = \"%v\"\nwithin = \"%v\"\n", strings.Join(voters, ", "), map[bool]string{true: "stops", false: "vetoes"}[p.Stops], p.Lease, p.Within)
+	if p.Last {
+		fmt.Fprintln(b, `when_alone = "last"`)
+	}
+	if p.Witness {
+		fmt.Fprintf(b, "witness = %q\n", d.dir)
+	}
+}
+
+// marked is a policy's text.
+func marked(marker string) string {
+	one := func(name string) string {
+		return fmt.Sprintf("[[class]]\nname = %q\nrepeats = \"safe\"\naim = \"500ms\"\ndeadline = \"%v\"\nworth = 1.0\n\n", name, plan.Deadline)
+	}
+	return one("get") + one(marker)
+}
+
+// marker is the class by which a daemon's own file is told from a policy.
+func (r *rig) marker() string {
+	if r.p.Policy == nil {
+		return ""
+	}
+	_, text, _ := strings.Cut(marked("p0"), "\n\n")
+	return "\n" + text
+}
+
+// agreed notes how the daemons agree, and looks at each from now on.
+func (r *rig) agreed(ctx context.Context) {
+	p := r.p.Policy
+	var voters []string
+	for _, n := range p.Voters {
+		voters = append(voters, plan.Name(n))
+	}
+	back := policy.Settings{Lease: p.Lease, Drift: policy.Drift}
+	r.line(judge.Line{What: judge.Agreed, Hard: p.Stops, PauseMS: back.Back().Milliseconds() + 1, Why: strings.Join(voters, " ")})
+	r.policies = policies{markers: []string{"p0"}, numbers: map[string]uint64{"": 0}}
+	for _, d := range slices.Clone(r.daemons) {
+		r.others.Go(func() { r.look(ctx, d) })
+	}
+}
+
+// look asks a daemon again and again which marker it serves.
+func (r *rig) look(ctx context.Context, d *daemon) {
+	c := newClients(filepath.Join(d.dir, "client"))
+	defer c.http.CloseIdleConnections()
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	now := 0
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		pid := d.pidNow()
+		if pid == 0 {
+			continue
+		}
+		r.policies.mu.Lock()
+		markers := slices.Clone(r.policies.markers)
+		r.policies.mu.Unlock()
+		order := []int{now}
+		for k := len(markers) - 1; k >= 0; k-- {
+			if k != now {
+				order = append(order, k)
+			}
+		}
+		for _, k := range order {
+			at := carrier.Clock()
+			status, body := c.probe(ctx, fmt.Sprintf("%s/look-%s-%d-%d", markers[k], d.name, n, k))
+			l := judge.Line{T: at, By: judge.Drill, What: judge.Took, Of: d.name, PID: pid, Server: markers[k]}
+			switch {
+			case status == http.StatusNotFound:
+				continue
+			case status == http.StatusServiceUnavailable && strings.Contains(body, "polic"):
+				l.What, l.Why = judge.Turned, body
+			case status == http.StatusOK || status == http.StatusServiceUnavailable || status == http.StatusBadGateway:
+				now = k
+			default:
+				l.What = ""
+			}
+			if l.What != "" && d.pidNow() == pid {
+				r.policies.mu.Lock()
+				r.policies.lines = append(r.policies.lines, l)
+				r.policies.mu.Unlock()
+			}
+			break
+		}
+	}
+}
+
+func (c *clients) probe(ctx context.Context, path string) (status int, body string) {
+	ctx, end := context.WithTimeout(ctx, lookWaits)
+	defer end()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://daemon/"+path, nil)
+	if err != nil {
+		return 0, ""
+	}
+	req.Header.Set("X-Trace-Id", strings.ReplaceAll(path, "/", "-"))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 1000))
+	return resp.StatusCode, string(text)
+}
+
+// apply has a daemon's operator ask for a change, and follows what becomes of it: at that daemon, or at any other once it
+// has ended.
+func (r *rig) apply(ctx context.Context, d *daemon, e plan.Event) error {
+	if d.pid == 0 || d.paused {
+		return nil
+	}
+	r.policies.mu.Lock()
+	id := fmt.Sprint("c", len(r.policies.markers))
+	marker := fmt.Sprint("p", len(r.policies.markers))
+	r.policies.markers = append(r.policies.markers, marker)
+	r.policies.mu.Unlock()
+	var without []string
+	for _, n := range e.To {
+		without = append(without, plan.Name(n))
+	}
+	r.line(judge.Line{What: judge.Proposed, Of: d.name, ID: id, Why: strings.Join(without, " ")})
+	text := marked(marker)
+	if e.Kind != "" {
+		text = e.Kind
+	}
+	data, err := json.Marshal(map[string]any{"id": id, "body": text, "reason": "drill", "author": "drill at " + d.name, "without": without})
+	if err != nil {
+		return err
+	}
+	r.others.Go(func() {
+		err := r.adminWith(ctx, d, http.MethodPost, "/policy/apply", data, nil)
+		if err != nil && strings.Contains(err.Error(), "not asked for") {
+			r.line(judge.Line{What: judge.Told, Of: d.name, ID: id, State: "dropped", Why: err.Error()})
+			return
+		}
+		r.follow(ctx, d, id, time.Now())
+	})
+	return nil
+}
+
+func (r *rig) follow(ctx context.Context, d *daemon, id string, began time.Time) {
+	heard := time.Now()
+	for at := d; time.Since(began) < askLongest; {
+		if sleep(ctx, askEvery) != nil {
+			return
+		}
+		if at.pidNow() == 0 {
+			if i := slices.IndexFunc(r.daemons, func(o *daemon) bool { return o.pidNow() != 0 }); i >= 0 {
+				at = r.daemons[i]
+			}
+			continue
+		}
+		var f struct {
+			State, By, Why string
+			Number         uint64
+		}
+		ask, end := context.WithTimeout(ctx, 3*time.Second)
+		err := r.adminWith(ask, at, http.MethodGet, "/policy/fate?id="+url.QueryEscape(id), nil, func(body io.Reader) error { return json.NewDecoder(body).Decode(&f) })
+		end()
+		switch {
+		case err != nil:
+		case f.State == "in force", f.State == "dropped":
+			r.policies.mu.Lock()
+			if f.State == "in force" && !strings.HasPrefix(f.Why, "it was in force") {
+				r.policies.numbers[id] = f.Number
+			}
+			r.policies.mu.Unlock()
+			r.line(judge.Line{What: judge.Told, Of: at.name, ID: id, State: f.State, Number: f.Number, Why: strings.TrimPrefix(f.By+": "+f.Why, ": ")})
+			return
+		case f.State == "under way":
+			heard = time.Now()
+		case time.Since(heard) > givesUp && at != d:
+			_ = r.admin(ctx, at, http.MethodPost, "/policy/drop?id="+url.QueryEscape(id)+"&by=drill&reason=given+up", nil)
+			heard = time.Now()
+		}
+	}
+}
+
+// taken are the looks, with numbers: by now it is known which change made which policy.
+func (r *rig) taken() []judge.Line {
+	r.policies.mu.Lock()
+	defer r.policies.mu.Unlock()
+	var all []judge.Line
+	for _, l := range r.policies.lines {
+		if l.What == judge.Took {
+			id := "c" + strings.TrimPrefix(l.Server, "p")
+			if id == "c0" {
+				id = ""
+			}
+			n, ok := r.policies.numbers[id]
+			if !ok { // of which nobody was told that it came into force
+				n = 1 << 32
+			}
+			l.ID, l.Number = id, n
+		}
+		l.Server = ""
+		all = append(all, l)
+	}
+	return all
+}
--- a/internal/drill/rig/rig.go
+++ b/internal/drill/rig/rig.go
@@ -4,6 +4,7 @@
 package rig
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -62,23 +63,27 @@
 }
 
 type rig struct {
-	o       Options
-	p       *plan.Plan
-	dir     string
-	net     byte // 127.net.x.y
-	relays  *relays
-	daemons []*daemon
-	servers []*standin.Form
-	ledger  *ledger
-	faults  []*fault // of servers
-	begin   time.Time
-	mu      sync.Mutex
-	lines   []judge.Line
-	others  sync.WaitGroup
+	o        Options
+	p        *plan.Plan
+	dir      string
+	net      byte // 127.net.x.y
+	relays   *relays
+	daemons  []*daemon
+	servers  []*standin.Form
+	ledger   *ledger
+	policies policies
+	faults   []*fault // of servers
+	begin    time.Time
+	mu       sync.Mutex
+	lines    []judge.Line
+	others   sync.WaitGroup
 }
 
 // Play plays a plan. The error is of the rig, not of what the daemons did.
 func Play(ctx context.Context, p *plan.Plan, o Options) ([]judge.Line, error) {
+	if p.Modelled {
+		return nil, fmt.Errorf("%s: it has disks that are full or slow, which are there in virtual time only", p.Name)
+	}
 	if p.Daemons > plan.DaemonsMost {
 		return nil, fmt.Errorf("%s: %d daemons: up to %d real processes are allowed", p.Name, p.Daemons, plan.DaemonsMost)
 	}
@@ -197,11 +202,11 @@
 aim = "500ms"
 deadline = "%v"
 worth = 1.0
-
+%s
 [[instance]]
 name = "%s-1"
 listen = "unix:%s/client"
-`, d.dir, d.site.list.Addr(), r.ramp(), plan.Deadline, d.name, d.dir)
+`, d.dir, d.site.list.Addr(), r.ramp(), plan.Deadline, r.marker(), d.name, d.dir)
 	if !r.o.Bare {
 		fmt.Fprintf(b, `
 [peers]
@@ -226,6 +231,7 @@
 			fmt.Fprintf(b, "bytes_per_s = %d\n", s.Bytes)
 		}
 		r.limits(b)
+		r.policy(b, d)
 	}
 	return b.String()
 }
@@ -270,6 +276,9 @@
 		}
 	}
 	r.others.Go(func() { r.eachSecond(stop) })
+	if r.p.Policy != nil && !r.o.Bare {
+		r.agreed(stop)
+	}
 	if len(r.p.Limits) > 0 && !r.o.Bare {
 		r.limited()
 		r.others.Go(func() { r.eachTenth(stop) })
@@ -383,6 +392,31 @@
 			r.line(judge.Line{What: judge.Fault, Server: fmt.Sprint("s", n+1), Drop: e.Fail})
 		}
 		return nil
+	case "apply":
+		for _, n := range e.Who {
+			if err := r.apply(ctx, r.daemons[n], e); err != nil {
+				return err
+			}
+		}
+		return nil
+	case "voters":
+		for _, n := range e.Who {
+			add := ""
+			for _, m := range e.To {
+				add = plan.Name(m)
+			}
+			if err := r.admin(ctx, r.daemons[n], http.MethodPost, "/policy/voters?add="+add+"&remove="+e.Remove, nil); err != nil {
+				return err
+			}
+		}
+		return nil
+	case "rescue", "trust":
+		for _, n := range e.Who {
+			if err := r.admin(ctx, r.daemons[n], http.MethodPost, "/policy/"+e.Do, nil); err != nil {
+				return err
+			}
+		}
+		return nil
 	case "forget":
 		for _, n := range e.Who {
 			for _, m := range e.To {
@@ -609,11 +643,15 @@
 
 // admin asks a daemon at its door.
 func (r *rig) admin(ctx context.Context, d *daemon, method, path string, into func(io.Reader) error) error {
+	return r.adminWith(ctx, d, method, path, nil, into)
+}
+
+func (r *rig) adminWith(ctx context.Context, d *daemon, method, path string, with []byte, into func(io.Reader) error) error {
 	client := &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "unix", filepath.Join(d.dir, "admin"))
 		}}}
-	req, err := http.NewRequestWithContext(ctx, method, "http://daemon"+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://daemon"+path, bytes.NewReader(with))
 	if err != nil {
 		return err
 	}
@@ -689,7 +727,7 @@
 
 // collect joins what the daemons wrote to what the drill did, in order of time.
 func (r *rig) collect() ([]judge.Line, error) {
-	all := slices.Clone(r.lines)
+	all := append(slices.Clone(r.lines), r.taken()...)
 	for _, d := range r.daemons {
 		f, err := os.Open(filepath.Join(d.dir, "events"))
 		if errors.Is(err, os.ErrNotExist) {
--- a/internal/peer/carrier/agreeing.go
+++ b/internal/peer/carrier/agreeing.go
@@ -118,8 +118,7 @@
 		for _, r := range g.c.v.Members() {
 			all = append(all, policy.Who{Name: r.Name, Life: r.Life, Left: r.State == view.Left})
 		}
-		own := g.c.v.Own()
-		events = append([]policy.Event{policy.Members{All: all}, policy.Freed{Alone: own.Checked && !g.c.v.StandsBack()}}, events...)
+		events = append([]policy.Event{policy.Members{All: all}, policy.Freed{Alone: g.c.v.HasName()}}, events...)
 	}
 	for _, x := range g.a.node.Step(now, events...) {
 		switch x := x.(type) {
--- a/internal/peer/view/view.go
+++ b/internal/peer/view/view.go
@@ -606,6 +606,12 @@
 // StandsBack reports whether another process has this one's name, and it says nothing therefore.
 func (v *View) StandsBack() bool { return v.standby }
 
+// HasName reports whether it has its name for itself, as far as it can know: it has met the fleet, or looked for it in vain
+// for a while, and nobody else is known by the name.
+func (v *View) HasName() bool {
+	return !v.standby && v.claim.at == 0 && (v.joined || v.met || v.now-v.self.since > standLook)
+}
+
 // Joined reports whether it has met the fleet in this life, or knows that there is nobody to meet.
 func (v *View) Joined() bool { return v.joined }
 
