--- a/internal/drill/agree/agree.go
+++ b/internal/drill/agree/agree.go
@@ -207,6 +207,9 @@
 	if p.Policy == nil {
 		return nil, fmt.Errorf("%s: it has no [policy]", p.Name)
 	}
+	if p.Real {
+		return nil, fmt.Errorf("%s: it has handovers, strays, limits or the like, which need real processes", p.Name)
+	}
 	defer steady()()
 	o.Take, o.Rates, o.Back = cmp.Or(o.Take, 20*time.Millisecond), cmp.Or(o.Rates, 0.01), cmp.Or(o.Back, 1500*time.Millisecond)
 	w := &world{o: o, p: p, rng: mathrand.New(mathrand.NewPCG(o.Seed, 71)), byName: map[string]*member{}, links: map[[2]int]plan.Link{}, kill: slices.Clone(o.Kill), gone: map[string]uint64{}}
--- a/internal/drill/judge/policy.go
+++ b/internal/drill/judge/policy.go
@@ -43,6 +43,7 @@
 	changed int64 // a change was asked for, or decided
 	// Changes of which nobody has been told yet.
 	under     map[string]bool
+	latest    int64 // a request was taken
 	disksTold bool // what is on disks is known
 
 	one, all, start, serves, kept, word *Claim
@@ -131,6 +132,7 @@
 	}
 	t := p.taker(l.PID)
 	n := l.Number
+	p.latest = l.T
 	if l.Alone { // its file says so: shown, not judged
 		return
 	}
@@ -258,16 +260,16 @@
 		if u := p.used[l.Number]; u != nil && u.id != id && !strings.HasPrefix(l.Why, "it was in force") {
 			p.kept.fail(t, j.base, "%s was told that change %s is policy %d, and that is %s", l.Of, id, l.Number, u.id)
 		}
-		if l.Number > p.most && p.traffic(t) {
+		if l.Number > p.most && p.traffic() {
 			p.all.fail(t, j.base, "%s was told that change %s is in force as %d, and nobody uses it", l.Of, id, l.Number)
 		}
 	}
-	if t-j.truthAt < int64(j.b.Settle) || t-p.changed < int64(j.b.Settle) {
+	if p.latest-j.truthAt < int64(j.b.Settle) || p.latest-p.changed < int64(j.b.Settle) {
 		return
 	}
 	for _, pid := range j.order {
 		o, k := j.pids[pid], p.takers[pid]
-		if !o.up || o.left || o.paused > 0 || k == nil || t-k.last > int64(2*time.Second) {
+		if !o.up || o.left || o.paused > 0 || k == nil || p.latest-k.last > int64(2*time.Second) {
 			continue
 		}
 		p.all.Tried++
@@ -281,9 +283,9 @@
 	}
 }
 
-func (p *policyJudge) traffic(t int64) bool {
+func (p *policyJudge) traffic() bool {
 	for _, k := range p.takers {
-		if t-k.last < int64(2*time.Second) {
+		if p.latest-k.last < int64(2*time.Second) {
 			return true
 		}
 	}
