--- a/internal/drill/agree/agree_test.go
+++ b/internal/drill/agree/agree_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -67,3 +68,29 @@
 	}
 	fmt.Println(tried)
 }
+
+// Voters are replaced one by one while changes go on, and each new one catches up without a flood.
+func TestVotersAreReplacedOneByOne(t *testing.T) {
+	var events []plan.Event
+	for i := range 20 {
+		events = append(events, at(3+2*float64(i), "apply", 4))
+	}
+	for i, out := range []string{"d1", "d2", "d3"} {
+		e := at(10+8*float64(i), "voters", 5)
+		e.To, e.Remove = []int{3 + i}, out
+		events = append(events, e, at(13+8*float64(i), "kill", i))
+	}
+	p := fleet(7, 3, true, events...)
+	r, rep := play(t, p, Options{Seed: 1, Witness: true})
+	for _, c := range rep.Claims {
+		if c.Broken > 0 {
+			t.Errorf("%s: %v", c.Name, c.Breaks)
+		}
+	}
+	if got := r.Shown[6].Voters; !slices.Equal(got, []string{"d4", "d5", "d6"}) || r.Shown[6].Force.Number < 10 {
+		t.Errorf("%v vote, policy %d", got, r.Shown[6].Force.Number)
+	}
+	if rate := float64(r.Bytes) / p.Length.Seconds() / 7; rate > 3000 {
+		t.Errorf("%.0f bytes a second of each", rate)
+	}
+}
--- a/internal/drill/judge/policy.go
+++ b/internal/drill/judge/policy.go
@@ -44,7 +44,7 @@
 	// Changes of which nobody has been told yet.
 	under     map[string]bool
 	latest    int64 // a request was taken
-	disksTold bool // what is on disks is known
+	disksTold bool  // what is on disks is known
 
 	one, all, start, serves, kept, word *Claim
 }
--- a/internal/peer/policy/voter.go
+++ b/internal/peer/policy/voter.go
@@ -41,6 +41,7 @@
 	waiting uint64        // its number; 0: nothing waits
 	again   time.Duration // it failed, and is tried then
 	reset   bool          // it begins anew once nothing waits
+	snap    bool          // a snapshot is due
 	tickAt  time.Duration
 
 	proved bool
@@ -53,7 +54,8 @@
 	commit uint64   // of that leader, when it first told
 	since  time.Duration
 
-	lead steward
+	lead  steward
+	snaps map[uint64]time.Duration // when a snapshot was last sent, by voter
 }
 
 // position is how far a log goes.
@@ -65,13 +67,14 @@
 
 const (
 	tick         = 100 * time.Millisecond
-	heartbeat    = 2  // ticks
+	heartbeat    = 3  // ticks
 	electionLow  = 10 // ticks without a leader; Raft doubles it by chance at the most
 	electionMore = 5
 	compactEvery = 256 // entries
 	compactKeep  = 64
 	callEvery    = 250 * time.Millisecond
 	diskAgain    = 500 * time.Millisecond
+	snapWait     = 3 * time.Second
 )
 
 // idOf is a voter's number in Raft.
@@ -113,7 +116,7 @@
 // newVoter is a voter as its disk has it; blank: it is being taken in, and knows nothing yet.
 func newVoter(n *Node, d *Disk, blank bool) (*voter, error) {
 	v := &voter{n: n, id: idOf(n.s.Name), epoch: d.Epoch, store: raft.NewMemoryStorage(), hard: &raftpb.HardState{}, state: &state{}, conf: &raftpb.ConfState{},
-		proved: d.Proved, said: map[string]*Said{}, call: n.rng.Uint64(), tickAt: n.now + tick, callAt: n.now, since: n.now}
+		proved: d.Proved, said: map[string]*Said{}, snaps: map[uint64]time.Duration{}, call: n.rng.Uint64(), tickAt: n.now + tick, callAt: n.now, since: n.now}
 	switch {
 	case blank:
 		v.epoch, v.blank = n.epoch, true
@@ -263,11 +266,33 @@
 		v.rn.Tick() // one, however late: a process that was stopped has heard nobody meanwhile
 		v.tickAt = n.now + tick
 	}
+	v.lateSnaps()
 	v.pump()
 	v.lead.due(v)
 	v.pump()
 }
 
+// lateSnaps has snapshots sent again that have not come to anything. Raft says itself when one has: the other answers.
+func (v *voter) lateSnaps() {
+	if len(v.snaps) == 0 || !v.leads() {
+		return
+	}
+	var late []uint64
+	v.rn.WithProgress(func(id uint64, _ raft.ProgressType, p tracker.Progress) {
+		switch at, sent := v.snaps[id]; {
+		case !sent:
+		case p.State != tracker.StateSnapshot:
+			delete(v.snaps, id)
+		case v.n.now-at > snapWait:
+			delete(v.snaps, id)
+			late = append(late, id)
+		}
+	})
+	for _, id := range late {
+		v.rn.ReportSnapshot(id, raft.SnapshotFailure)
+	}
+}
+
 // next is when due is to be called at the latest.
 func (v *voter) next() time.Duration {
 	if v.rn == nil {
@@ -567,7 +592,7 @@
 			return
 		}
 	case raftpb.MsgSnap:
-		defer v.rn.ReportSnapshot(m.GetTo(), raft.SnapshotFinish) // if it was lost, what follows is turned down
+		v.snaps[m.GetTo()] = v.n.now
 	}
 	v.n.send(to, &Message{Raft: must(proto.Marshal(m))})
 }
@@ -584,7 +609,7 @@
 		if err := proto.Unmarshal(e.GetData(), cc); err != nil {
 			return
 		}
-		v.conf = v.rn.ApplyConfChange(cc)
+		v.conf, v.snap = v.rn.ApplyConfChange(cc), true // a new voter takes a snapshot only in which it votes
 		if ctx := cc.GetContext(); len(ctx) > 0 {
 			var r Replace
 			if decoding.Unmarshal(ctx, &r) == nil {
@@ -617,16 +642,21 @@
 // compact keeps the log short.
 func (v *voter) compact() {
 	first := must(v.store.FirstIndex())
-	if v.busy() || v.applied < first+compactEvery {
+	if v.busy() || v.applied < first+compactEvery && !v.snap {
 		return
 	}
+	v.snap = false
 	snap, err := v.store.CreateSnapshot(v.applied, v.conf, encode(v.state))
 	if err != nil {
 		return
 	}
 	// The disk first; in memory it may go at once: what is on the disk is more.
-	v.n.persist(Batch{Snapshot: must(proto.Marshal(snap)), Compact: v.applied - compactKeep, Epoch: v.epoch})
-	_ = v.store.Compact(v.applied - compactKeep)
+	b := Batch{Snapshot: must(proto.Marshal(snap)), Epoch: v.epoch}
+	if v.applied > first+compactKeep {
+		b.Compact = v.applied - compactKeep
+		_ = v.store.Compact(b.Compact)
+	}
+	v.n.persist(b)
 }
 
 // propose puts a command into the log, if this one leads.
