--- a/internal/peer/policy/policy_test.go
+++ b/internal/peer/policy/policy_test.go
@@ -235,8 +235,8 @@
 		t.Errorf("%+v", f)
 	}
 	for _, n := range b.names {
-		if !b.takes(n) || b.serve[n].Doc.Number != 0 {
-			t.Errorf("%s: %+v", n, b.serve[n])
+		if !b.takes(n) || b.serve[n].Doc.Number != 0 || b.nodes[n].Show().Pending != "" {
+			t.Errorf("%s: %+v, in doubt of %q", n, b.serve[n], b.nodes[n].Show().Pending)
 		}
 	}
 }
@@ -384,11 +384,9 @@
 	top := b.nodes[lead].v.last()
 	for _, o := range []string{"a", "b", "c"} {
 		if o != lost {
-			v.said[o] = &Said{Number: v.call, Proved: true, Term: 9, LastTerm: top.term, LastIndex: top.index, Voters: []string{"a", "b", "c"}}
+			b.step(lost, Heard{o, &Message{Said: &Said{Number: v.call, Proved: true, Term: 9, LastTerm: top.term, LastIndex: top.index, Voters: []string{"a", "b", "c"}}}})
 		}
 	}
-	v.heard()
-	b.step(lost)
 	if v.rn == nil || v.floor != top {
 		t.Fatalf("floor %+v, and %+v is known", v.floor, top)
 	}
@@ -462,3 +460,71 @@
 		t.Errorf("%+v", p.Doc)
 	}
 }
+
+// What a leader before it told members, the next one can't know: it waits one lease before it holds any for over.
+func TestTheNextLeaderWaitsForLeasesOfTheLast(t *testing.T) {
+	b := settled(t, true)
+	old := b.leader()
+	for _, x := range []string{old, "d"} {
+		for _, y := range b.names {
+			if y != old && y != "d" {
+				b.cut[x+">"+y], b.cut[y+">"+x] = true, true
+			}
+		}
+	}
+	began := b.now
+	b.propose("e", "x")
+	for b.nodes["e"].Force().Number == 0 {
+		if b.wait(20 * time.Millisecond); b.now-began > 30*time.Second {
+			t.Fatalf("%+v", b.nodes["e"].Fate("x"))
+		}
+	}
+	if b.takes("d") || b.takes(old) {
+		t.Errorf("%v after the cut policy 1 is in force, and one that is cut off takes by 0", b.now-began)
+	}
+}
+
+func TestNoAnswerBeforeAQuorumConfirmsTheLeader(t *testing.T) {
+	b := settled(t, true)
+	lead := b.leader()
+	for _, o := range []string{"a", "b", "c"} {
+		b.cut[lead+">"+o], b.cut[o+">"+lead] = o != lead, o != lead
+	}
+	before := b.serve["d"].Until
+	b.step("d", Refresh{})
+	if b.wait(100 * time.Millisecond); b.serve["d"].Until > before {
+		t.Error("a leader that nobody confirms has answered")
+	}
+}
+
+func TestAloneItTakesNothingUnlessItsFileSaysSo(t *testing.T) {
+	for _, last := range []bool{false, true} {
+		n, err := New(Settings{Name: "d", Life: 1, Voters: []string{"a", "b", "c"}, Last: last}, Disk{Member: encode(&savedMember{Force: *doc("x")})}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.Step(0, Freed{Alone: true})
+		for now := time.Duration(0); now < 20*time.Second; now = n.Next() {
+			n.Step(now)
+			if took := n.Told().Until > now; took != (last && now >= Alone) {
+				t.Fatalf("last %v, after %v: %+v", last, now, n.Told())
+			}
+		}
+		if s := n.Told(); last && (!s.Alone || s.Doc.ID != "x") {
+			t.Errorf("%+v", s)
+		}
+	}
+}
+
+func TestNobodyGoesBackToAnEarlierPolicy(t *testing.T) {
+	b := settled(t, true)
+	b.propose("a", "x")
+	b.wait(time.Second)
+	m := &b.nodes["d"].m
+	m.seq += 100
+	m.asked[m.seq] = b.now
+	b.step("d", Heard{"a", &Message{Answer: &Answer{Seq: m.seq, Leader: "a", Known: true, Force: 0}}})
+	if s := b.serve["d"]; s.Doc.Number != 1 || !b.takes("d") {
+		t.Errorf("%+v", s)
+	}
+}
