Mend: a daemon whose state folder was gone asked a hundred times a second, and served nothing

Seen in drills/policy-handover: a daemon started with no state folder refused half of its requests, and sent 13 KB a second. Its policy.db could not be opened (the folder was missing), each fetch of the policy in force failed at the disk, and was made again at once. Now the folder is made; what is in force is served by also where the disk takes nothing, with a word. A change that is under way still waits for each disk.

--- a/internal/drill/agree/agree.go
+++ b/internal/drill/agree/agree.go
@@ -672,6 +672,7 @@
 		case "keep":
 			m.old = m.disk.clone()
 		case "disk":
+			w.line(judge.Line{What: judge.Disk, Of: m.name, State: e.Kind})
 			m.full, m.slow = e.Kind == "full", 0
 			if e.Kind == "slow" {
 				m.slow = 500 * time.Millisecond
--- a/internal/drill/judge/judge.go
+++ b/internal/drill/judge/judge.go
@@ -421,6 +421,8 @@
 		j.service(l)
 	case Fault, Got:
 		j.servers.truth(l)
+	case Disk:
+		j.changed(l.T)
 	case Limited, Used, Wanted:
 		j.limits.truth(l, j.base, j.truthAt)
 	}
--- a/internal/drill/judge/line.go
+++ b/internal/drill/judge/line.go
@@ -109,6 +109,7 @@
 	Told     = "told"     // the drill: the author of change ID is told its State, and Number
 	Took     = "took"     // the drill: Of took a request by policy Number, which change ID made
 	Turned   = "turned"   // the drill: Of turned a request away for the policy
+	Disk     = "disk"     // the drill: the disk of Of is full, slow or well (State)
 	OnDisk   = "on-disk"  // the drill: change ID is on the disk of Of
 )
 
--- a/internal/host/fleet/policystore.go
+++ b/internal/host/fleet/policystore.go
@@ -73,6 +73,9 @@
 	if s.db != nil {
 		return d, errors.New("the policy's file is open already")
 	}
+	if err := os.MkdirAll(filepath.Dir(s.path), 0o700); err != nil {
+		return d, err
+	}
 	db, err := openBolt(s.path)
 	if err != nil && !errors.Is(err, bbolt.ErrTimeout) && !errors.Is(err, os.ErrPermission) {
 		aside := s.path + ".bad"
--- a/internal/peer/policy/member.go
+++ b/internal/peer/policy/member.go
@@ -44,6 +44,7 @@
 	to       int // the voter that is asked
 	leader   string
 	fetching string
+	inForce  string // the change that made the policy in force, by the last answer
 	fetchAt  time.Duration
 	about    []watched
 	changes  []*change
@@ -254,6 +255,7 @@
 			n.say(true, "policy: not taken into the fleet's roster: %s", a.Refused)
 		}
 	}
+	m.inForce = a.ForceID
 	if a.Force > m.force.Number {
 		if m.prepared != nil && m.prepared.ID == a.ForceID {
 			m.enter(*m.prepared)
@@ -385,12 +387,18 @@
 	d := m.wanted
 	m.saving, m.wanted = 0, nil
 	switch {
+	case err != nil && d != nil && d.ID == m.inForce: // it serves without: it has to ask at its next start anyway
+		m.n.say(true, "policy %d is in force and can't be put on the disk: %v", d.Number, err)
+		m.enter(*d)
+		m.dirtyAt = m.n.now + 5*time.Second
 	case err != nil && d != nil:
 		m.nay, m.why = d.ID, "it can't be put on the disk: "+err.Error()
 		m.n.say(true, "policy: change %s: %s", d.ID, m.why)
 		m.soon()
 	case err != nil:
 		m.dirty, m.dirtyAt = true, m.n.now+5*time.Second
+	case d != nil && d.ID == m.inForce && d.Number > m.force.Number:
+		m.enter(*d)
 	case d != nil && d.Number > m.force.Number:
 		m.prepared, m.sure = d, m.n.now
 		m.nay, m.why = "", ""
--- a/internal/peer/policy/policy_test.go
+++ b/internal/peer/policy/policy_test.go
@@ -461,6 +461,30 @@
 	}
 }
 
+// Where the disk takes nothing, what is in force is served by all the same; it is a change that is under way that waits.
+func TestWhoComesWithAFullDiskServesByWhatIsInForce(t *testing.T) {
+	b := settled(t, false)
+	b.propose("a", "x")
+	b.wait(time.Second)
+	b.nodes["d"] = nil
+	b.slow["d"] = true
+	b.start("d", 88, false, Disk{})
+	for range 20 {
+		b.wait(100 * time.Millisecond)
+		held := b.held["d"]
+		b.held["d"] = nil
+		for _, p := range held {
+			b.step("d", Persisted{Seq: p.Seq, Err: errors.New("no space left on device")})
+		}
+	}
+	if s := b.serve["d"]; s.Doc.Number != 1 || !b.takes("d") {
+		t.Errorf("%+v", s)
+	}
+	if asked := b.nodes["d"].m.seq; asked > 100 {
+		t.Errorf("%d questions in 2 s", asked)
+	}
+}
+
 // What a leader before it told members, the next one can't know: it waits one lease before it holds any for over.
 func TestTheNextLeaderWaitsForLeasesOfTheLast(t *testing.T) {
 	b := settled(t, true)
--- /dev/null
+++ b/tools/policy/main.go
@@ -0,0 +1,490 @@
+// Command policy measures how a fleet changes what it decides by. It prints Markdown; docs/measure/policy.md has its figures.
+//
+//	go run ./tools/policy schedules [-n 2000]   random faults with a change every few seconds: each claim, and how often it was tried
+//	go run ./tools/policy points [-pairs 2000]  whoever acts is killed at each write and message of a change, one at a time, then two
+//	go run ./tools/policy times                 from the question to in force at all, in virtual time
+//	go run ./tools/policy real                  the same with real processes, and what it costs at rest
+//	go run ./tools/policy ways                  beside a reload host by host, and gossip of the newest file
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"vetchhaven/internal/drill/agree"
+	"vetchhaven/internal/drill/judge"
+	"vetchhaven/internal/drill/plan"
+	"vetchhaven/internal/drill/rig"
+	"vetchhaven/tools/internal/bench"
+)
+
+func main() {
+	f := flag.NewFlagSet("policy", flag.ExitOnError)
+	n, pairs, program := f.Int("n", 2000, "schedules"), f.Int("pairs", 2000, "pairs of points, by chance"), f.String("program", "bin/vetchhaven", "for real processes")
+	what := ""
+	if len(os.Args) > 1 {
+		what = os.Args[1]
+		_ = f.Parse(os.Args[2:])
+	}
+	var err error
+	switch what {
+	case "schedules":
+		err = schedules(*n)
+	case "points":
+		err = points(*pairs)
+	case "times":
+		err = times()
+	case "real":
+		err = realTimes(*program)
+	case "ways":
+		err = ways()
+	default:
+		err = fmt.Errorf("%q is none of schedules, points, times, real, ways", what)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "policy:", err)
+		os.Exit(1)
+	}
+}
+
+// each does n jobs on all cores, and takes their results in turn.
+func each[T any](n int, job func(i int) (T, error), take func(i int, v T)) error {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var failed error
+	next := 0
+	for range runtime.NumCPU() {
+		wg.Go(func() {
+			for {
+				mu.Lock()
+				i := next
+				next++
+				mu.Unlock()
+				if i >= n {
+					return
+				}
+				v, err := job(i)
+				mu.Lock()
+				if err != nil && failed == nil {
+					failed = err
+				} else if err == nil {
+					take(i, v)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return failed
+}
+
+// sums adds up what became of claims.
+type sums struct {
+	tried, broken map[string]int
+	breaks        []string
+}
+
+func newSums() *sums { return &sums{map[string]int{}, map[string]int{}, nil} }
+
+func (s *sums) add(what string, r *judge.Report) {
+	for _, c := range r.Claims {
+		s.tried[c.Name] += c.Tried
+		if c.Broken > 0 {
+			s.broken[c.Name]++
+			s.breaks = append(s.breaks, fmt.Sprintf("%s: %s: %s", what, c.Name, c.Breaks[0]))
+		}
+	}
+}
+
+func (s *sums) show() {
+	bench.Head("claim", "tried", "runs in which it broke")
+	for _, name := range judge.Names {
+		if strings.HasPrefix(name, "policy-") {
+			bench.Row(name, s.tried[name], s.broken[name])
+		}
+	}
+	slices.Sort(s.breaks)
+	for _, b := range s.breaks[:min(20, len(s.breaks))] {
+		fmt.Fprintln(os.Stderr, b)
+	}
+}
+
+func schedules(n int) error {
+	s := newSums()
+	var taken, changes int
+	began := time.Now()
+	err := each(n, func(i int) (*judge.Report, error) {
+		p, o := agree.Draw(uint64(i), 10)
+		r, err := agree.Play(p, o)
+		if err != nil {
+			return nil, err
+		}
+		c := judge.Policy(p.Bounds, r.Lines)
+		c.Lines, c.Gaps = r.Taken, 0
+		for _, l := range r.Lines {
+			if l.What == judge.Proposed {
+				c.Gaps++
+			}
+		}
+		return c, nil
+	}, func(i int, r *judge.Report) {
+		taken, changes = taken+r.Lines, changes+r.Gaps
+		s.add(fmt.Sprint("schedule ", i), r)
+	})
+	fmt.Printf("%d schedules of 90 s, %d changes asked for, %d requests taken, in %v\n\n", n, changes, taken, time.Since(began).Round(time.Second))
+	s.show()
+	return err
+}
+
+func everyone(n int) (all []int) {
+	for i := range n {
+		all = append(all, i)
+	}
+	return all
+}
+
+func fleet(n, voters int, stops bool, length time.Duration, events ...plan.Event) *plan.Plan {
+	return &plan.Plan{Name: "measure", Daemons: n, Zones: 1, Length: length, Events: events, Policy: &plan.Policy{Voters: everyone(voters), Stops: stops, Lease: 2 * time.Second, Within: 3 * time.Second},
+		Bounds: judge.Bounds{Crash: 8 * time.Second, Leave: 2 * time.Second, Join: 5 * time.Second, Settle: 8 * time.Second, Pause: 1500 * time.Millisecond, Spread: 500 * time.Millisecond}}
+}
+
+func apply(at time.Duration, who int) plan.Event {
+	return plan.Event{At: at, Do: "apply", Who: []int{who}, State: "kept"}
+}
+
+// points ends whoever acts at each point of a change.
+func points(pairs int) error {
+	const asked = 5 * time.Second
+	bench.Head("fleet", "cut off", "kills", "points", "runs", "broke", "told in force", "told dropped", "nobody told")
+	total := newSums()
+	for _, c := range []struct {
+		members, voters, author int
+		stops                   bool
+	}{{3, 3, 0, true}, {3, 3, 0, false}, {4, 3, 3, true}, {4, 3, 3, false}, {5, 5, 4, true}} {
+		p := fleet(c.members, c.voters, c.stops, 35*time.Second, apply(asked, c.author))
+		o := agree.Options{Seed: 1, Take: 50 * time.Millisecond, From: asked, Witness: true, Back: 1200 * time.Millisecond}
+		var ends int
+		o.Point = func(n int, at time.Duration, _, _ string) {
+			if at < asked+400*time.Millisecond {
+				ends = n
+			}
+		}
+		if _, err := agree.Play(p, o); err != nil {
+			return err
+		}
+		o.Point = nil
+		play := func(kill []int) (*judge.Report, string, error) {
+			o := o
+			o.Kill = kill
+			r, err := agree.Play(p, o)
+			if err != nil {
+				return nil, "", err
+			}
+			told := ""
+			for _, l := range r.Lines {
+				if l.What == judge.Told {
+					told = l.State
+				}
+			}
+			return judge.Policy(p.Bounds, r.Lines), told, nil
+		}
+		type got struct {
+			r    *judge.Report
+			told string
+			kill []int
+		}
+		run := func(name string, n int, kill func(i int) []int) error {
+			s, told := newSums(), map[string]int{}
+			err := each(n, func(i int) (got, error) {
+				k := kill(i)
+				r, t, err := play(k)
+				return got{r, t, k}, err
+			}, func(i int, g got) {
+				s.add(fmt.Sprint("kill ", g.kill), g.r)
+				total.add(fmt.Sprint(c, " kill ", g.kill), g.r)
+				told[g.told]++
+			})
+			broken := 0
+			for _, n := range s.broken {
+				broken += n
+			}
+			bench.Row(fmt.Sprintf("%d members, %d vote", c.members, c.voters), map[bool]string{true: "stops", false: "vetoes"}[c.stops], name, ends, n, broken, told["in force"], told["dropped"], told[""])
+			return err
+		}
+		if err := run("one", ends, func(i int) []int { return []int{i + 1} }); err != nil {
+			return err
+		}
+		all := ends * (ends - 1) / 2
+		rng := rand.New(rand.NewPCG(1, uint64(c.members)))
+		var mu sync.Mutex
+		name := "two, by chance"
+		if all <= pairs {
+			name, pairs = "two, all pairs", all
+		}
+		if err := run(name, min(pairs, all), func(i int) []int {
+			mu.Lock()
+			defer mu.Unlock()
+			a, b := 1+rng.IntN(ends), 1+rng.IntN(ends)
+			return []int{min(a, b), max(a, b)}
+		}); err != nil {
+			return err
+		}
+	}
+	fmt.Println()
+	total.show()
+	return nil
+}
+
+// took are how long changes took from the question to the last member that serves by them, and what was turned away.
+func took(p *plan.Plan, lines []judge.Line) (all []time.Duration, dropped int) {
+	asked, number := map[string]int64{}, map[string]uint64{}
+	last := map[uint64]int64{}
+	at := map[string]uint64{}
+	for _, l := range lines {
+		switch l.What {
+		case judge.Proposed:
+			asked[l.ID] = l.T
+		case judge.Told:
+			if l.State == "in force" {
+				number[l.ID] = l.Number
+			} else {
+				dropped++
+			}
+		case judge.Took:
+			if at[l.Of] != l.Number && !l.Alone {
+				at[l.Of] = l.Number
+				last[l.Number] = l.T
+			}
+		}
+	}
+	for id, n := range number {
+		if last[n] > 0 {
+			all = append(all, time.Duration(last[n]-asked[id]))
+		}
+	}
+	slices.Sort(all)
+	return all, dropped
+}
+
+func at(all []time.Duration, share float64) time.Duration {
+	if len(all) == 0 {
+		return 0
+	}
+	return all[min(len(all)-1, int(share*float64(len(all))))].Round(time.Millisecond)
+}
+
+func times() error {
+	bench.Head("members", "voters", "state", "changes in force", "dropped", "until all serve by it: p50", "p99", "most", "first to last use: p50", "most", "requests turned away", "of", "bytes a second of each")
+	type row struct {
+		members, voters int
+		state           string
+		events          func() []plan.Event
+		drop            float64
+	}
+	var rows []row
+	for _, n := range []int{3, 5, 20, 300} {
+		v := 3
+		rows = append(rows, row{n, v, "whole links", func() []plan.Event { return nil }, 0},
+			row{n, v, "5% lost", func() []plan.Event { return nil }, 0.05})
+		if n > 3 {
+			rows = append(rows, row{n, v, "one member down", func() []plan.Event {
+				return []plan.Event{{At: 4 * time.Second, Do: "kill", Who: []int{n - 1}}}
+			}, 0})
+		}
+		rows = append(rows, row{n, v, "a voter killed each 10 s", func() (all []plan.Event) {
+			for i := range 6 {
+				x := i % 3
+				all = append(all, plan.Event{At: time.Duration(8+10*i) * time.Second, Do: "kill", Who: []int{x}}, plan.Event{At: time.Duration(13+10*i) * time.Second, Do: "start", Who: []int{x}, State: "kept"})
+			}
+			return all
+		}, 0})
+	}
+	type got struct {
+		r *agree.Result
+		p *plan.Plan
+	}
+	results := make([]got, len(rows))
+	err := each(len(rows), func(i int) (got, error) {
+		x := rows[i]
+		events := x.events()
+		for t := 6 * time.Second; t < 60*time.Second; t += 2 * time.Second {
+			events = append(events, apply(t, min(1, x.members-1)))
+		}
+		slices.SortStableFunc(events, func(a, b plan.Event) int { return int(a.At - b.At) })
+		p := fleet(x.members, x.voters, true, 70*time.Second, events...)
+		p.Policy.Lease, p.Policy.Within = 5*time.Second, 10*time.Second
+		p.Link.Drop = x.drop
+		r, err := agree.Play(p, agree.Options{Seed: 1, Witness: true, Take: 20 * time.Millisecond})
+		return got{r, p}, err
+	}, func(i int, g got) { results[i] = g })
+	if err != nil {
+		return err
+	}
+	for i, x := range rows {
+		g := results[i]
+		all, dropped := took(g.p, g.r.Lines)
+		var spread []time.Duration
+		for _, d := range judge.Switches(g.r.Lines) {
+			spread = append(spread, d)
+		}
+		slices.Sort(spread)
+		turned, starting := 0, map[string]bool{}
+		began := map[string]bool{}
+		for _, l := range g.r.Lines { // not those of a start
+			switch key := fmt.Sprint(l.Of, l.PID); l.What {
+			case judge.Took:
+				began[key] = true
+			case judge.Turned:
+				if began[key] {
+					turned++
+				} else {
+					starting[key] = true
+				}
+			}
+		}
+		bench.Row(x.members, x.voters, x.state, len(all), dropped, at(all, 0.5), at(all, 0.99), at(all, 1), at(spread, 0.5), at(spread, 1), turned, g.r.Taken, int(float64(g.r.Bytes)/70/float64(x.members)))
+	}
+	return nil
+}
+
+func realTimes(program string) error {
+	bench.Head("daemons", "voters", "state", "changes in force", "dropped", "until all serve by it: p50", "p99", "most", "first to last use: p50", "most", "looks turned away", "of", "datagrams' bytes a second of each at rest", "CPU of a core of each")
+	for _, n := range []int{3, 5, 20} {
+		for _, state := range []string{"at rest, no [policy]", "at rest", "whole links", "5% lost", "leader killed"} {
+			var events []plan.Event
+			if state == "leader killed" {
+				for i := range 3 {
+					events = append(events, plan.Event{At: time.Duration(10+10*i) * time.Second, Do: "kill", Who: []int{i}, State: "kept"}, plan.Event{At: time.Duration(14+10*i) * time.Second, Do: "start", Who: []int{i}, State: "kept"})
+				}
+			}
+			if !strings.HasPrefix(state, "at rest") {
+				for t := 8 * time.Second; t < 40*time.Second; t += 2 * time.Second {
+					events = append(events, apply(t, min(1, n-1)))
+				}
+			}
+			slices.SortStableFunc(events, func(a, b plan.Event) int { return int(a.At - b.At) })
+			p := fleet(n, 3, true, 46*time.Second, events...)
+			p.Seeds, p.Servers, p.Takes = []int{0, 1}, 2, time.Millisecond
+			p.Policy.Lease, p.Policy.Within, p.Policy.Witness = 5*time.Second, 10*time.Second, true
+			if state == "5% lost" {
+				p.Link.Drop = 0.05
+			}
+			if state == "at rest, no [policy]" {
+				p.Policy = nil
+			}
+			lines, err := rig.Play(context.Background(), p, rig.Options{Program: program, Seed: 1})
+			if err != nil {
+				return err
+			}
+			all, dropped := took(p, lines)
+			var spread []time.Duration
+			for _, d := range judge.Switches(lines) {
+				spread = append(spread, d)
+			}
+			slices.Sort(spread)
+			turned, looks, began := 0, 0, map[string]bool{}
+			bytes, seconds, cpu := 0, 0, map[string][2]int{}
+			for _, l := range lines {
+				switch key := fmt.Sprint(l.Of, l.PID); l.What {
+				case judge.Took:
+					began[key] = true
+					looks++
+				case judge.Turned:
+					if began[key] {
+						turned++
+					}
+				case judge.Sent:
+					if l.T-lines[0].T > int64(20*time.Second) {
+						bytes += l.Bytes
+						seconds++
+						c := cpu[l.Of]
+						if c[0] == 0 {
+							c[0] = l.CPUMS
+						}
+						c[1] = l.CPUMS
+						cpu[l.Of] = c
+					}
+				}
+			}
+			used := 0
+			for _, c := range cpu {
+				used += c[1] - c[0]
+			}
+			bench.Row(n, 3, state, len(all), dropped, at(all, 0.5), at(all, 0.99), at(all, 1), at(spread, 0.5), at(spread, 1), turned, looks, bytes/max(1, seconds), fmt.Sprintf("%.2f%%", float64(used)/10/float64(max(1, seconds))))
+		}
+	}
+	return nil
+}
+
+// ways plays the same schedules by other means.
+func ways() error {
+	bench.Head("way", "schedules", "changes asked for", "with two policies in use at once for over 0.5 s", "seconds of that", "schedules in which it was so at the end", "requests turned away of all")
+	for _, w := range []struct {
+		name string
+		way  agree.Way
+	}{{"agreed", agree.Agreed}, {"a reload on each host, one after the other", agree.OneByOne}, {"the newest file told round", agree.Gossip}} {
+		const n = 200
+		var changes, many, taken, refused, ended int
+		var span time.Duration
+		if err := each(n, func(i int) (*agree.Result, error) {
+			p, o := agree.Draw(uint64(i), 10)
+			o.Way = w.way
+			return agree.Play(p, o)
+		}, func(i int, r *agree.Result) {
+			c, m, s, e := atOnce(r.Lines)
+			changes, many, span, taken, refused = changes+c, many+m, span+s, taken+r.Taken, refused+r.Refused
+			if e {
+				ended++
+			}
+		}); err != nil {
+			return err
+		}
+		bench.Row(w.name, n, changes, many, int(span.Seconds()), ended, fmt.Sprintf("%.1f%%", 100*float64(refused)/float64(max(1, taken+refused))))
+	}
+	return nil
+}
+
+// atOnce says how often, and for how long, requests were taken by an earlier policy after a later one was first used.
+func atOnce(lines []judge.Line) (changes, many int, span time.Duration, end bool) {
+	first, late := map[uint64]int64{}, map[uint64]int64{}
+	var most uint64
+	now := map[string]uint64{}
+	for _, l := range lines {
+		switch l.What {
+		case judge.Proposed:
+			changes++
+		case judge.Took:
+			if l.Alone {
+				continue
+			}
+			now[l.Of] = l.Number
+			if first[l.Number] == 0 {
+				first[l.Number] = l.T
+				most = max(most, l.Number)
+			}
+			for m := l.Number + 1; m <= most; m++ {
+				if first[m] > 0 {
+					late[m] = l.T
+				}
+			}
+		}
+	}
+	for m, t := range late {
+		if d := time.Duration(t - first[m]); d > 500*time.Millisecond {
+			many++
+			span += d
+		}
+	}
+	for _, n := range now {
+		end = end || n != most
+	}
+	return changes, many, span, end
+}
