--- a/tools/policy/main.go
+++ b/tools/policy/main.go
@@ -15,6 +15,7 @@
 	"os"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +29,7 @@
 
 func main() {
 	f := flag.NewFlagSet("policy", flag.ExitOnError)
+	sizes := f.String("daemons", "3,5,20", "sizes of fleets of real processes")
 	n, pairs, program := f.Int("n", 2000, "schedules"), f.Int("pairs", 2000, "pairs of points, by chance"), f.String("program", "bin/vetchhaven", "for real processes")
 	what := ""
 	if len(os.Args) > 1 {
@@ -43,7 +45,7 @@
 	case "times":
 		err = times()
 	case "real":
-		err = realTimes(*program)
+		err = realTimes(*program, *sizes)
 	case "ways":
 		err = ways()
 	default:
@@ -355,9 +357,13 @@
 	return nil
 }
 
-func realTimes(program string) error {
+func realTimes(program, sizes string) error {
 	bench.Head("daemons", "voters", "state", "changes in force", "dropped", "until all serve by it: p50", "p99", "most", "first to last use: p50", "most", "looks turned away", "of", "datagrams' bytes a second of each at rest", "CPU of a core of each")
-	for _, n := range []int{3, 5, 20} {
+	for _, size := range strings.Split(sizes, ",") {
+		n, err := strconv.Atoi(size)
+		if err != nil || n < 3 {
+			return fmt.Errorf("%q is no number of at least 3", size)
+		}
 		for _, state := range []string{"at rest, no [policy]", "at rest", "whole links", "5% lost", "leader killed"} {
 			var events []plan.Event
 			if state == "leader killed" {
