--- a/internal/drill/agree/agree_test.go
+++ b/internal/drill/agree/agree_test.go
@@ -35,38 +35,89 @@
 	return r, judge.Policy(p.Bounds, r.Lines)
 }
 
-func TestX(t *testing.T) {
-	r, rep := play(t, fleet(5, 3, false, at(5, "apply", 4), at(10, "apply", 0)), Options{Seed: 1})
+// kept fails the test for each claim that was broken, and for those that were to be tried and were not.
+func kept(t *testing.T, what string, rep *judge.Report, tries ...string) {
+	t.Helper()
 	for _, c := range rep.Claims {
-		fmt.Println(c.Name, c.Verdict(), c.Tried, c.Broken, c.Nearest, c.Breaks)
-	}
-	fmt.Println(r.Points, r.Messages, r.Bytes, r.Persists, r.Taken, r.Refused, judge.Switches(r.Lines))
-	for _, s := range r.Shown {
-		fmt.Printf("%+v\n", s)
+		if c.Broken > 0 {
+			t.Errorf("%s: %s: %v", what, c.Name, c.Breaks)
+		}
 	}
-	for _, l := range r.Lines {
-		if l.What != judge.Took && l.What != judge.Turned {
-			fmt.Printf("%.3f %s %s %s %s %d %s\n", float64(l.T)/1e9, l.What, l.Of, l.ID, l.State, l.Number, l.Why)
+	for _, n := range tries {
+		if rep.Of(n).Tried == 0 {
+			t.Errorf("%s: %s was not tried", what, n)
 		}
 	}
 }
 
-func TestDrawn(t *testing.T) {
-	broken := 0
+// Schedules by chance: links, ends, disks, pauses, leaves, and a change every few seconds.
+func TestDrawnSchedulesBreakNoClaim(t *testing.T) {
 	tried := map[string]int{}
-	for seed := range uint64(120) {
+	for seed := range uint64(60) {
 		p, o := Draw(seed, 8)
-		r, rep := play(t, p, o)
+		_, rep := play(t, p, o)
+		kept(t, fmt.Sprint("schedule ", seed), rep)
 		for _, c := range rep.Claims {
 			tried[c.Name] += c.Tried
-			if c.Broken > 0 && broken < 30 {
+		}
+	}
+	for name, least := range map[string]int{judge.PolicyOne: 3000, judge.PolicyAll: 200, judge.PolicyStart: 300, judge.PolicyServes: 3000, judge.PolicyKept: 3000, judge.PolicyTold: 700} {
+		if tried[name] < least {
+			t.Errorf("%s was tried %d times", name, tried[name])
+		}
+	}
+}
+
+func TestTheSameSeedPlaysTheSame(t *testing.T) {
+	p, o := Draw(7, 8)
+	a, _ := play(t, p, o)
+	b, _ := play(t, p, o)
+	if len(a.Lines) < 1000 || !slices.Equal(a.Lines, b.Lines) {
+		t.Errorf("%d and %d lines, not the same", len(a.Lines), len(b.Lines))
+	}
+}
+
+// Whoever acts is killed at each write and each message of a change, one point at a time.
+func TestKilledAtEachPointOfAChange(t *testing.T) {
+	const asked = 5 * time.Second
+	for _, stops := range []bool{true, false} {
+		p := fleet(4, 3, stops, at(5, "apply", 3))
+		p.Length, p.Policy.Lease, p.Policy.Within, p.Bounds.Settle = 35*time.Second, 2*time.Second, 3*time.Second, 8*time.Second
+		o := Options{Seed: 1, Take: 50 * time.Millisecond, From: asked, Witness: true, Back: 1200 * time.Millisecond}
+		points := 0
+		o.Point = func(n int, at time.Duration, _, _ string) {
+			if at < asked+150*time.Millisecond {
+				points = n
+			}
+		}
+		play(t, p, o)
+		if points < 60 {
+			t.Fatalf("%d points", points)
+		}
+		o.Point = nil
+		for k := 1; k <= points; k += 2 {
+			o.Kill = []int{k}
+			_, rep := play(t, p, o)
+			kept(t, fmt.Sprintf("stops %v, point %d", stops, k), rep, judge.PolicyKept)
+		}
+	}
+}
+
+// What shows that the judge sees: the plain ways break what is claimed.
+func TestPlainWaysHaveTwoPoliciesAtOnce(t *testing.T) {
+	for _, w := range []Way{OneByOne, Gossip} {
+		broken := 0
+		for seed := range uint64(10) {
+			p, o := Draw(seed, 8)
+			o.Way = w
+			if _, rep := play(t, p, o); rep.Of(judge.PolicyOne).Broken > 0 {
 				broken++
-				fmt.Println(seed, p.Daemons, len(p.Policy.Voters), "stops", p.Policy.Stops, "last", p.Policy.Last, "lease", p.Policy.Lease, c.Name, c.Broken, c.Breaks[0])
 			}
 		}
-		_ = r
+		if broken < 5 {
+			t.Errorf("way %d: %d of 10 schedules broke the claim of one policy at a time", w, broken)
+		}
 	}
-	fmt.Println(tried)
 }
 
 // Voters are replaced one by one while changes go on, and each new one catches up without a flood.
