--- a/internal/drill/agree/agree_test.go
+++ b/internal/drill/agree/agree_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -145,3 +146,23 @@
 		t.Errorf("%.0f bytes a second of each", rate)
 	}
 }
+
+func TestShippedDrillsOfPoliciesKeepEveryClaimTheyTry(t *testing.T) {
+	paths, err := filepath.Glob("../../../drills/*policy*.toml")
+	if err != nil || len(paths) < 8 {
+		t.Fatal(paths, err)
+	}
+	for _, path := range paths {
+		p, err := plan.Load(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.Real {
+			continue
+		}
+		for seed := range uint64(4) {
+			_, rep := play(t, p, Options{Seed: seed + 1, Witness: p.Policy.Witness})
+			kept(t, fmt.Sprintf("%s, seed %d", p.Name, seed+1), rep, p.Tries...)
+		}
+	}
+}
--- a/internal/drill/rig/rig_test.go
+++ b/internal/drill/rig/rig_test.go
@@ -20,7 +20,7 @@
 	}
 	// All at once, and in the same test: their end is this one's.
 	t.Run("drills", func(t *testing.T) {
-		for _, name := range []string{"short-crash", "short-cut", "short-pause", "short-limits", "short-fails"} {
+		for _, name := range []string{"short-crash", "short-cut", "short-pause", "short-limits", "short-fails", "short-policy"} {
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
 				p, err := plan.Load("../../../drills/" + name + ".toml")
--- a/internal/drill/virtual/virtual_test.go
+++ b/internal/drill/virtual/virtual_test.go
@@ -35,7 +35,7 @@
 
 func TestShippedDrillsKeepEveryClaimTheyTry(t *testing.T) {
 	for _, p := range shipped(t) {
-		if p.Real {
+		if p.Real || p.Policy != nil { // policies are played in agree
 			continue
 		}
 		t.Run(p.Name, func(t *testing.T) {
--- /dev/null
+++ b/internal/host/fleet/overlay_test.go
@@ -0,0 +1,135 @@
+package fleet
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"vetchhaven/decide"
+	"vetchhaven/internal/peer/policy"
+)
+
+const ownFile = `
+admin = "127.0.0.1:7900"
+state_dir = "state"
+[[source]]
+name = "main"
+list = "127.0.0.1:8500"
+[site]
+zones = ["north", "south"]
+[rules]
+max_attempts = 3
+second_copies = true
+[[class]]
+name = "close"
+repeats = "keyed"
+group = "pod"
+window = "12s"
+aim = "1s"
+deadline = "20s"
+[[instance]]
+name = "one"
+listen = "127.0.0.1:7001"
+zone = "south"
+[peers]
+fleet = "census"
+name = "host-1"
+listen = "127.0.0.1:7946"
+keepers = ["host-1"]
+[policy]
+voters = ["host-1"]
+cut_off = "vetoes"
+`
+
+func own(t *testing.T) *Config {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "fleet.toml")
+	if err := os.WriteFile(path, []byte(ownFile), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+func under(t *testing.T, text, both string) (*Config, error) {
+	t.Helper()
+	d := &Daemon{}
+	var other *policy.Doc
+	if both != "" {
+		other = &policy.Doc{Number: 2, Body: []byte(both)}
+	}
+	return d.under(own(t), &policy.Doc{Number: 1, Body: []byte(text)}, other)
+}
+
+func TestAPolicysPartsTakeThePlaceOfTheFiles(t *testing.T) {
+	cfg, err := under(t, "[[class]]\nname = \"close\"\nrepeats = \"keyed\"\nwindow = \"6s\"\naim = \"1s\"\ndeadline = \"20s\"\n[[ban]]\nserver = \"s3\"\n[[limit]]\nname = \"all\"\ncounts = \"requests\"\nkind = \"soft\"\nfigure = 9\n", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := cfg.Instances[0].Agent.Settings
+	if c.Classes[0].Window != 6*time.Second || c.MaxAttempts != 3 || len(cfg.Bans) != 1 || cfg.Limits == nil || cfg.Instances[0].Listen.Addr != "127.0.0.1:7001" {
+		t.Errorf("%+v, bans %v, limits %v", c, cfg.Bans, cfg.Limits)
+	}
+}
+
+func TestAPolicyThatDoesNotDoIsRefusedWithItsLine(t *testing.T) {
+	for name, c := range map[string]struct{ text, says string }{
+		"a key that nobody knows":       {"[rules]\nspeed = 3\n", "policy 1:2: rules.speed"},
+		"a host's own part":             {"admin = \"127.0.0.1:1\"\n", "policy 1:1: admin"},
+		"a zone that is not this one's": {"[site]\nzones = [\"east\"]\n", "zone"},
+		"a figure that makes no sense":  {"[rules]\nmax_attempts = -1\n", "policy 1:2: rules.max_attempts"},
+		"a window without a key":        {"[[class]]\nname = \"close\"\naim = \"1s\"\ndeadline = \"2s\"\nwindow = \"1s\"\n", "policy 1:5: class[0].window"},
+		"no TOML":                       {"[[", "policy 1:1"},
+	} {
+		if _, err := under(t, c.text, ""); err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestWhatBothAllowIsTheStricterOfTheTwo(t *testing.T) {
+	class := func(repeats, rest string) string {
+		return "[[class]]\nname = \"close\"\nrepeats = \"" + repeats + "\"\naim = \"1s\"\ndeadline = \"20s\"\n" + rest
+	}
+	limit := func(figure string) string {
+		return "[[limit]]\nname = \"all\"\ncounts = \"requests\"\nkind = \"soft\"\nfigure = " + figure + "\n"
+	}
+	cfg, err := under(t, class("keyed", "group = \"pod\"\nwindow = \"12s\"\n")+limit("9")+"[[ban]]\nserver = \"s1\"\n[rules]\nmax_attempts = 2\nsecond_copies = true\n",
+		class("keyed", "group = \"all\"\nwindow = \"6s\"\n")+limit("5")+"[[ban]]\nserver = \"s2\"\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := cfg.Instances[0].Agent.Settings
+	if k := s.Classes[0]; k.Window != 6*time.Second || k.Group != decide.Group(2) || s.MaxAttempts != 2 || !s.SecondCopies || len(cfg.Bans) != 2 || cfg.Limits.Settings.Limits[0].Figure != 5 {
+		t.Errorf("%+v, attempts %d, bans %v", k, s.MaxAttempts, cfg.Bans)
+	}
+	if cfg, err = under(t, class("safe", ""), class("keyed", "window = \"6s\"\n")); err != nil || cfg.Instances[0].Agent.Settings.Classes[0].Effect != decide.Unsafe {
+		t.Errorf("%v", err)
+	}
+	for _, other := range []string{"[rules]\nramp_time = \"9s\"\n", "[site]\nzones = [\"south\"]\n", strings.Replace(class("safe", ""), "close", "other", 1)} {
+		if _, err := under(t, class("safe", ""), other); err == nil {
+			t.Errorf("there is something that both allow, and %q differs", other)
+		}
+	}
+}
+
+func TestWindowsOfRequestsUnderWay(t *testing.T) {
+	was, err := under(t, "[rules]\nmax_attempts = 3\n", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for text, want := range map[string]time.Duration{"window = \"6s\"\nrepeats = \"keyed\"\n": 6 * time.Second, "window = \"20s\"\nrepeats = \"keyed\"\n": 0, "": 1, "repeats = \"safe\"\n": 0} {
+		now, err := under(t, "[[class]]\nname = \"close\"\naim = \"1s\"\ndeadline = \"20s\"\n"+text, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := windows(&was.Instances[0].Agent, &now.Instances[0].Agent); got[0] != want {
+			t.Errorf("%q: %v, not %v", text, got[0], want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/host/fleet/policystore_test.go
@@ -0,0 +1,116 @@
+package fleet
+
+import (
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"vetchhaven/internal/peer/policy"
+)
+
+func opened(t *testing.T, dir, witness string) (*policyStore, policy.Disk) {
+	t.Helper()
+	s := newPolicyStore(dir, witness, "host-1", slog.New(slog.DiscardHandler))
+	d, err := s.open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.close)
+	return s, d
+}
+
+func (s *policyStore) now(t *testing.T, b policy.Batch) {
+	t.Helper()
+	if err := s.write(&job{Persist: policy.Persist{Batch: b}, life: s.life}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func entries(all ...string) (out [][]byte) {
+	for _, e := range all {
+		out = append(out, []byte(e))
+	}
+	return out
+}
+
+func TestWhatIsWrittenIsReadBack(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "not", "there", "yet")
+	s, d := opened(t, dir, "")
+	if d.Snapshot != nil || d.Member != nil || d.Proved {
+		t.Fatalf("%+v", d)
+	}
+	s.now(t, policy.Batch{Hard: []byte("h"), Snapshot: []byte("s"), First: 2, Entries: entries("2", "3", "4"), Epoch: 1})
+	s.now(t, policy.Batch{First: 4, Entries: entries("4b", "5"), Member: []byte("m"), Epoch: 1})
+	s.now(t, policy.Batch{Compact: 3})
+	s.close()
+	s, d = opened(t, dir, "")
+	if string(d.Hard) != "h" || string(d.Snapshot) != "s" || string(d.Member) != "m" || d.Epoch != 1 || len(d.Entries) != 3 || string(d.Entries[1]) != "4b" {
+		t.Fatalf("%+v", d)
+	}
+	s.now(t, policy.Batch{Wipe: true, Snapshot: []byte("t"), Epoch: 2})
+	s.close()
+	if _, d = opened(t, dir, ""); d.Hard != nil || len(d.Entries) != 0 || string(d.Snapshot) != "t" || string(d.Member) != "m" || d.Epoch != 2 {
+		t.Errorf("%+v", d)
+	}
+}
+
+func TestOnlyTheFileThatTheLastProcessLeftIsProved(t *testing.T) {
+	dir, run := t.TempDir(), t.TempDir()
+	s, _ := opened(t, dir, run)
+	s.now(t, policy.Batch{Member: []byte("1")})
+	s.close()
+	early, err := os.ReadFile(filepath.Join(dir, policyFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, d := opened(t, dir, run)
+	if !d.Proved {
+		t.Error("the file as it was left proves nothing")
+	}
+	s.now(t, policy.Batch{Member: []byte("2")})
+	s.now(t, policy.Batch{Member: []byte("3")})
+	s.close()
+	if err := os.WriteFile(filepath.Join(dir, policyFile), early, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, d = opened(t, dir, run)
+	if d.Proved || string(d.Member) != "1" {
+		t.Errorf("a file restored from earlier is proved: %q", d.Member)
+	}
+	s.close()
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	if _, d = opened(t, dir, run); d.Proved {
+		t.Error("a lost file is proved")
+	}
+}
+
+func TestATornFileIsSetAside(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := opened(t, dir, "")
+	s.now(t, policy.Batch{Member: []byte("m")})
+	s.close()
+	path := filepath.Join(dir, policyFile)
+	if err := os.Truncate(path, 5000); err != nil {
+		t.Fatal(err)
+	}
+	if _, d := opened(t, dir, ""); d.Member != nil {
+		t.Errorf("%q", d.Member)
+	}
+	if _, err := os.Stat(path + ".bad"); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestAnEarlierWriterWritesNothingMore(t *testing.T) {
+	s, _ := opened(t, t.TempDir(), "")
+	was := s.life
+	if _, err := s.reload(); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.write(&job{Persist: policy.Persist{Batch: policy.Batch{Member: []byte("late")}}, life: was}); err == nil {
+		t.Error("written")
+	}
+}
