--- a/tools/peers/main.go
+++ b/tools/peers/main.go
@@ -18,6 +18,7 @@
 	var sizes string
 	var crashes int
 	var seed uint64
+	var minutes, bytes int
 	add := func(use, short, many string, n int, run func([]int, int, uint64) error) {
 		c := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 			all, err := numbers(sizes)
@@ -29,6 +30,8 @@
 		c.Flags().StringVarP(&sizes, "daemons", "n", many, "how many daemons, in turn")
 		c.Flags().IntVar(&crashes, "crashes", n, "how many crashes, joins and leaves")
 		c.Flags().Uint64Var(&seed, "seed", 1, "of all chance")
+		c.Flags().IntVar(&minutes, "minutes", 60, "of hour")
+		c.Flags().IntVar(&bytes, "bytes", 0, "bytes_per_s of hour; 0: the default")
 		c.PreRun = func(c *cobra.Command, _ []string) { // flags of several commands share their variables
 			if !c.Flags().Changed("daemons") {
 				sizes = many
@@ -41,7 +44,9 @@
 	}
 	add("virtual", "From crash, leave and join to known by all, against the formulas, in virtual time", "10,30,100,300,1000,5000", 30, virtualSizes)
 	add("partition", "Two halves for 60 s, and what it takes until all see the same again, in virtual time", "10,50,300,1000", 1, virtualPartition)
-	add("hour", "An hour with 5 and 25% loss, a tenth paused 1.5 s at a time: wrong confirmations, beside baselines", "100", 0, virtualHour)
+	add("hour", "An hour with 5 and 25% loss, a tenth paused 1.5 s at a time: wrong confirmations, beside baselines", "100", 0, func(sizes []int, _ int, seed uint64) error {
+		return virtualHour(sizes, time.Duration(minutes)*time.Minute, bytes, seed)
+	})
 	add("storm", "200 that die and come back at once: bytes, and how long it takes", "300", 200, virtualStorm)
 	add("service", "Service of 300 agents with the count followed, beside one that is fixed: right, half, double", "300", 3, service)
 	add("real", "The same with real processes: crashes, joins, leaves, CPU and bytes", "5,20,50", 30, realSizes)
--- a/tools/peers/virtual.go
+++ b/tools/peers/virtual.go
@@ -203,19 +203,18 @@
 	return events, windows, who
 }
 
-func virtualHour(sizes []int, _ int, seed uint64) error {
+func virtualHour(sizes []int, length time.Duration, bytes int, seed uint64) error {
 	bench.Head("daemons", "loss", "way", "hours", "pauses of 1.5 s", "wrongly confirmed (pairs)", "members", "suspicions", "datagrams/s", "bytes/s")
 	for _, n := range sizes {
 		for _, loss := range []float64{0.05, 0.25} {
-			length := time.Hour
 			events, windows, who := pauses(n, length, 1500*time.Millisecond, seed)
 			for _, way := range []struct {
 				name  string
 				plain view.Plain
 			}{{"this view", view.Plain{}}, {"SWIM without local health", view.Plain{NoHealth: true}}, {"SWIM without suspicion", view.Plain{NoSuspicion: true, NoHealth: true}}} {
-				p := &plan.Plan{Name: "hour", Daemons: n, Zones: 1, Seeds: []int{0, 1}, Length: length, Events: events, Link: plan.Link{Drop: loss}}
+				p := &plan.Plan{Name: "hour", Daemons: n, Zones: 1, Seeds: []int{0, 1}, Length: length, Events: events, Link: plan.Link{Drop: loss}, Peers: plan.Peers{Bytes: bytes}}
 				if way.plain.NoSuspicion {
-					p.Length = 5 * time.Minute // it is wrong so often that an hour tells no more
+					p.Length = min(length, 5*time.Minute) // it is wrong so often that an hour tells no more
 				}
 				wrong, suspicions := 0, 0
 				members := map[string]bool{}
