--- /dev/null
+++ b/cmd/vetchhaven/policy_test.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"vetchhaven/internal/host/fleet"
+	"vetchhaven/internal/testkit"
+)
+
+// agreeing starts a daemon that agrees on policies with itself alone.
+func agreeing(t *testing.T, rest string) *served {
+	t.Helper()
+	_, list := form(t)
+	return serveWith(t, list.Addr(), fmt.Sprintf("[peers]\nfleet = \"f\"\nname = \"host-1\"\nlisten = \"%s\"\n[policy]\nvoters = [\"host-1\"]\ncut_off = \"vetoes\"\n%s", freeAddr(t), rest))
+}
+
+const aPolicy = "[[class]]\nname = \"get\"\nrepeats = \"safe\"\naim = \"5s\"\ndeadline = \"60s\"\n[[class]]\nname = \"new\"\nrepeats = \"safe\"\naim = \"5s\"\ndeadline = \"60s\"\n"
+
+var asked atomic.Int64
+
+func (s *served) asks(class string) int {
+	req, err := http.NewRequest(http.MethodGet, "http://daemon/"+class, nil)
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("X-Trace-Id", fmt.Sprint(s.t.Name(), asked.Add(1)))
+	resp, err := s.client("one").Do(req)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (s *served) untilAnswers(class string, status int) {
+	s.t.Helper()
+	for end := time.Now().Add(testkit.Patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if s.asks(class) == status {
+			return
+		}
+	}
+	s.t.Fatalf("%s is not answered with %d", class, status)
+}
+
+func statusOf(err error) int {
+	var e exit
+	if err == nil {
+		return 0
+	}
+	errors.As(err, &e)
+	return e.status
+}
+
+func TestAPolicyIsAppliedShownTakenBackAndDropped(t *testing.T) {
+	s := agreeing(t, "")
+	s.untilAnswers("get", http.StatusOK)
+	s.untilAnswers("new", http.StatusNotFound)
+	var out bytes.Buffer
+	flags := &applyFlags{reason: "a class more", wait: testkit.Patience}
+	if err := applyPolicy(s.path, aPolicy, flags, &out); err != nil || !strings.Contains(out.String(), "+ class[new].deadline = 60s") || !strings.Contains(out.String(), "policy 1 is in force") {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	s.untilAnswers("new", http.StatusOK)
+	out.Reset()
+	if err := applyPolicy(s.path, aPolicy, flags, &out); err != nil || !strings.Contains(out.String(), "it was in force already") {
+		t.Errorf("the same once more: %v\n%s", err, out.String())
+	}
+	bad := strings.Replace(aPolicy, "5s", "90s", 1)
+	if err := applyPolicy(s.path, bad, flags, &out); statusOf(err) == 0 || !strings.Contains(err.Error(), "policy:4: class[0].aim") {
+		t.Errorf("an aim past its deadline: %v", err)
+	}
+	if err := applyPolicy(s.path, strings.Replace(aPolicy, "new", "newer", 1), flags, &out); err != nil {
+		t.Fatal(err)
+	}
+	s.untilAnswers("new", http.StatusNotFound)
+	p, err := past(s.path, 1)
+	if err != nil || p.Doc == nil || string(p.Doc.Body) != aPolicy || len(p.All) != 3 {
+		t.Fatalf("%v, %+v", err, p)
+	}
+	if err := applyPolicy(s.path, string(p.Doc.Body), flags, &out); err != nil {
+		t.Fatal(err)
+	}
+	s.untilAnswers("new", http.StatusOK)
+	// One of which nobody has heard is dropped, and can't come any more.
+	if _, err := ask(s.path, http.MethodPost, "/policy/drop?id=never&by=me&reason=no", 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if err := await(s.path, "never", testkit.Patience, &out); statusOf(err) != 1 || !strings.Contains(err.Error(), "dropped by me: no") {
+		t.Errorf("%v", err)
+	}
+	if err := await(s.path, "unheard-of", 0, &out); statusOf(err) != 2 {
+		t.Errorf("%v", err)
+	}
+	now, err := inForce(s.path)
+	if err != nil || now.Force.Number != 3 {
+		t.Fatalf("%v, %+v", err, now)
+	}
+	out.Reset()
+	showPolicy(now, &out)
+	showPast(p, &out)
+	for _, want := range []string{"policy 3", "a class more", "host-1 serves by the policy in force", "votes: leads", "roster: host-1", "in force"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is not shown:\n%s", want, out.String())
+		}
+	}
+}
+
+// What was agreed on holds over a kill, a handover and a reload; a file that does not go with it is refused.
+func TestAPolicyHoldsOverStarts(t *testing.T) {
+	s := agreeing(t, "")
+	s.untilAnswers("get", http.StatusOK)
+	var out bytes.Buffer
+	if err := applyPolicy(s.path, aPolicy, &applyFlags{wait: testkit.Patience}, &out); err != nil {
+		t.Fatal(err)
+	}
+	s.untilAnswers("new", http.StatusOK)
+	if _, err := ask(s.path, http.MethodPost, "/reload", time.Minute); err != nil {
+		t.Error(err)
+	}
+	if got := s.asks("new"); got != http.StatusOK {
+		t.Errorf("after a reload: %d", got)
+	}
+	if _, err := ask(s.path, http.MethodPost, "/handover", time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	s.untilAnswers("new", http.StatusOK)
+	st, _ := s.status()
+	if p, err := os.FindProcess(st.PID); err == nil {
+		_ = p.Kill()
+	}
+	for end := time.Now().Add(testkit.Patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if _, up := s.status(); !up {
+			break
+		}
+	}
+	s.start()
+	s.untilAnswers("new", http.StatusOK)
+	if now, err := inForce(s.path); err != nil || now.Force.Number != 1 || now.Applied != 1 {
+		t.Errorf("%v, %+v", err, now)
+	}
+}
+
+func TestPoliciesAreComparedByKey(t *testing.T) {
+	var out bytes.Buffer
+	if err := printDiff(aPolicy, strings.Replace(aPolicy, "60s", "30s", 1)+"[[ban]]\nserver = \"s1\"\n", &out); err != nil {
+		t.Fatal(err)
+	}
+	if want := "+ ban[s1].server = s1\n~ class[get].deadline = 30s, was 60s\n"; out.String() != want {
+		t.Errorf("%q, not %q", out.String(), want)
+	}
+	out.Reset()
+	if err := printDiff(aPolicy, aPolicy, &out); err != nil || out.String() != "it changes nothing\n" {
+		t.Errorf("%v, %q", err, out.String())
+	}
+	dir := t.TempDir()
+	path := filepath.Join(dir, "fleet.toml")
+	write(t, path, fmt.Sprintf(fleetFile, dir, "127.0.0.1:1"))
+	if err := fleet.CheckPolicyFile(path, "new.toml", []byte("[rules]\nspeed = 1\n")); err == nil || !strings.Contains(err.Error(), "new.toml:2: rules.speed") {
+		t.Errorf("%v", err)
+	}
+}
--- a/cmd/vetchhaven/serve_test.go
+++ b/cmd/vetchhaven/serve_test.go
@@ -56,14 +56,17 @@
 listen = "unix:%[1]s/one.sock"
 `
 
-func serveFleet(t *testing.T, list string) *served {
+func serveFleet(t *testing.T, list string) *served { return serveWith(t, list, "") }
+
+// serveWith starts a daemon with more in its file.
+func serveWith(t *testing.T, list, more string) *served {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "serve")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := &served{t: t, dir: dir, path: filepath.Join(dir, "fleet.toml")}
-	write(t, s.path, fmt.Sprintf(fleetFile, dir, list))
+	write(t, s.path, fmt.Sprintf(fleetFile, dir, list)+more)
 	if s.log, err = os.Create(filepath.Join(dir, "log")); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/drill/rig/policy.go
+++ b/internal/drill/rig/policy.go
@@ -83,6 +83,9 @@
 	r.line(judge.Line{What: judge.Agreed, Hard: p.Stops, PauseMS: back.Back().Milliseconds() + 1, Why: strings.Join(voters, " ")})
 	r.policies = policies{markers: []string{"p0"}, numbers: map[string]uint64{"": 0}}
 	for _, d := range slices.Clone(r.daemons) {
+		if r.o.Blind {
+			break
+		}
 		r.others.Go(func() { r.look(ctx, d) })
 	}
 }
--- a/internal/drill/rig/rig.go
+++ b/internal/drill/rig/rig.go
@@ -42,6 +42,7 @@
 	Keep    string    // a directory for files, logs and events, which stays; empty: a temporary one
 	Tell    io.Writer // how it goes, for people; nil: nobody
 	Bare    bool      // without [peers]: each daemon alone, for comparison
+	Blind   bool      // nobody looks by which policy each serves: what daemons cost at rest
 }
 
 // daemon is one of the plan's, or a second process with the name of one.
--- a/tools/policy/main.go
+++ b/tools/policy/main.go
@@ -386,7 +386,7 @@
 			if state == "at rest, no [policy]" {
 				p.Policy = nil
 			}
-			lines, err := rig.Play(context.Background(), p, rig.Options{Program: program, Seed: 1})
+			lines, err := rig.Play(context.Background(), p, rig.Options{Program: program, Seed: 1, Blind: strings.HasPrefix(state, "at rest")})
 			if err != nil {
 				return err
 			}
