Mend: a voter with less than it once said was flooded by a leader that counted on it

It had heard enough others and took part; the leader went on from what the voter once had, was turned down, and sent the same again at once. A leader now takes an answer of less than it counts on for a lost disk (three on end: one may be late), and leads no more. Plays that send over 500 messages a second of each member end with an error.

--- a/internal/drill/agree/agree.go
+++ b/internal/drill/agree/agree.go
@@ -69,6 +69,8 @@
 	viewing  = 250 * time.Millisecond
 	streams  = 3 * time.Second
 	atOnce   = 12e6 // bytes a second of a stream
+	// messages a second of each member; with a change a second and losses it is 100
+	stormMost = 500
 )
 
 type disk struct {
@@ -235,7 +237,9 @@
 	w.at(viewing, w.view)
 	for at, do, ok := w.agenda.Next(p.Length); ok; at, do, ok = w.agenda.Next(p.Length) {
 		w.now = at
-		do()
+		if do(); w.r.Messages > 50_000+stormMost*p.Daemons*(1+int(w.now/time.Second)) {
+			return nil, fmt.Errorf("%s, seed %d: %d messages by %v: a storm", p.Name, o.Seed, w.r.Messages, w.now)
+		}
 	}
 	w.now = p.Length
 	w.line(judge.Line{What: judge.End})
--- a/internal/drill/agree/agree_test.go
+++ b/internal/drill/agree/agree_test.go
@@ -166,3 +166,14 @@
 		}
 	}
 }
+
+// Found by the 1,077th schedule: a voter's disk is torn while its words reach nobody, and the leader counts on what it had.
+// Raft sent it the same again and again, as fast as the link took it.
+func TestAVoterThatHasLessThanItSaidIsNoStorm(t *testing.T) {
+	p, o := Draw(1076, 10)
+	r, rep := play(t, p, o)
+	kept(t, "schedule 1076", rep)
+	if r.Messages > 100*p.Daemons*90 {
+		t.Errorf("%d messages", r.Messages)
+	}
+}
--- a/internal/peer/policy/member.go
+++ b/internal/peer/policy/member.go
@@ -43,6 +43,10 @@
 	askedAt  time.Duration
 	to       int // the voter that is asked
 	leader   string
+	via      string // the voter through which the last answer came, if not from the leader
+	avoid    string // a leader that did not answer, until ...
+	avoidTo  time.Duration
+	asksTo   string
 	fetching string
 	inForce  string // the change that made the policy in force, by the last answer
 	fetchAt  time.Duration
@@ -80,6 +84,7 @@
 	askLasts  = 3 * time.Second // an answer later than that is not waited for
 	fetchWait = 300 * time.Millisecond
 	watchFor  = 10 * time.Minute
+	avoidFor  = 5 * time.Second
 	offerFor  = 30 * time.Second // a change is offered to the voters for so long
 	offerWait = 700 * time.Millisecond
 	watchMost = 64
@@ -190,20 +195,26 @@
 	m.askAt = n.now + time.Duration((0.75+0.5*n.rng.Float64())*float64(wait))
 	if n.now-m.heardAt > 2*askSoon && m.askedAt > m.heardAt { // the last one does not answer
 		m.to++
+		if m.asksTo == m.leader {
+			m.avoid, m.avoidTo = m.leader, n.now+avoidFor
+		} else {
+			m.via = ""
+		}
 		m.leader = ""
 	}
 	voters := n.voters
 	if len(voters) == 0 {
 		return
 	}
-	to := m.leader
+	to := m.contact()
 	if to == "" || !slices.Contains(voters, to) {
 		to = voters[(m.to+int(idOf(n.s.Name)%uint64(len(voters))))%len(voters)]
 	}
+	m.asksTo = to
 	m.seq++
 	m.asked[m.seq] = n.now
 	m.askedAt = n.now
-	a := &Ask{Name: n.s.Name, Life: n.s.Life, Seq: m.seq, Force: m.force.Number, Nay: m.nay, Why: m.why, Join: m.free && !m.joined, Stops: n.s.Stops, LeaseMS: uint32(n.s.Lease / time.Millisecond)}
+	a := &Ask{Name: n.s.Name, Life: n.s.Life, Seq: m.seq, Force: m.force.Number, Nay: m.nay, Why: m.why, Join: m.free && !m.joined, Over: m.joined && n.now >= m.lease, Stops: n.s.Stops, LeaseMS: uint32(n.s.Lease / time.Millisecond)}
 	if m.prepared != nil {
 		a.Prepared = m.prepared.ID
 	}
@@ -221,13 +232,21 @@
 	}
 }
 
+// contact is whom it asks: the leader, or, where that one does not answer it, the voter through which an answer came.
+func (m *member) contact() string {
+	if m.leader != "" && m.leader == m.avoid && m.n.now < m.avoidTo && m.via != "" {
+		return m.via
+	}
+	return m.leader
+}
+
 // soon has it ask at once, or nearly.
 func (m *member) soon() {
 	m.askAt = min(m.askAt, max(m.n.now, m.askedAt+askLeast))
 }
 
 // answered takes an answer. What it says held after the question was asked.
-func (m *member) answered(a *Answer) {
+func (m *member) answered(from string, a *Answer) {
 	n := m.n
 	at, ok := m.asked[a.Seq]
 	if !ok || a.Seq <= m.last {
@@ -239,6 +258,11 @@
 		}
 	}
 	m.last, m.heardAt, m.leader, m.tries = a.Seq, n.now, a.Leader, 0
+	if from != a.Leader {
+		m.via = from
+	} else if m.avoid == from {
+		m.avoid = ""
+	}
 	n.learnVoters(a.Voters)
 	for _, f := range a.About {
 		for i := range m.about {
@@ -314,8 +338,8 @@
 	if id == "" || m.fetching == id && n.now-m.fetchAt < fetchWait || m.wanted != nil && m.wanted.ID == id && m.saving > 0 {
 		return
 	}
-	to := m.leader
-	if m.fetching == id {
+	to := m.contact()
+	if m.fetching == id && to == m.leader {
 		to = m.voter() // the leader is perhaps not to be reached directly; any voter has it soon
 	}
 	m.fetching, m.fetchAt = id, n.now
--- a/internal/peer/policy/node.go
+++ b/internal/peer/policy/node.go
@@ -213,7 +213,7 @@
 			n.send(m.To, &Message{Answer: m.Answer, Hops: m.Hops + 1})
 		}
 	case m.Answer != nil:
-		n.m.answered(m.Answer)
+		n.m.answered(from, m.Answer)
 	case m.Poke:
 		n.m.soon()
 	case m.Call != nil:
--- a/internal/peer/policy/policy.go
+++ b/internal/peer/policy/policy.go
@@ -259,6 +259,7 @@
 	Via      string   `cbor:"10,keyasint,omitempty"`
 	Stops    bool     `cbor:"11,keyasint,omitempty"` // its settings, which have to be the leader's
 	LeaseMS  uint32   `cbor:"12,keyasint,omitempty"`
+	Over     bool     `cbor:"13,keyasint,omitempty"` // its lease is over: it takes nothing
 }
 
 // Answer is the leader's. It was certainly the leader after the question had come.
--- a/internal/peer/policy/steward.go
+++ b/internal/peer/policy/steward.go
@@ -61,6 +61,7 @@
 	prepared string
 	nay, why string
 	out      bool // it is being taken out of the roster: it is told nothing meanwhile
+	deaf     int  // questions on end by which its lease is over, though it was answered
 }
 
 type joining struct {
@@ -76,6 +77,7 @@
 	confirmIn = 2 * time.Second
 	slackOut  = 20 * time.Millisecond // a lease is over so long after its end
 	aliveFor  = 2 * time.Second       // who asked so lately is there
+	deafAfter = 3
 )
 
 // due does what is due.
@@ -160,6 +162,15 @@
 		l.members[a.Name] = m
 	}
 	m.heard, m.force, m.prepared, m.nay, m.why = n.now, a.Force, a.Prepared, a.Nay, a.Why
+	switch {
+	case !a.Over:
+		m.deaf = 0
+	case m.granted > 0 && n.now-m.granted < n.s.Lease:
+		m.deaf++
+	}
+	if n.s.Stops && m.deaf >= deafAfter && s.Pending != nil && m.prepared != s.Pending.ID {
+		return // it hears no answer: the change goes on without it once what it was told is over
+	}
 	x := &Answer{Seq: a.Seq, Force: s.Force.Number, ForceID: s.Force.ID, Voters: s.Voters}
 	switch {
 	case a.Stops != n.s.Stops || time.Duration(a.LeaseMS)*time.Millisecond != n.s.Lease:
--- a/internal/peer/policy/voter.go
+++ b/internal/peer/policy/voter.go
@@ -55,6 +55,7 @@
 	since  time.Duration
 
 	lead  steward
+	short map[string]int           // answers on end of a voter that has less than it once said
 	snaps map[uint64]time.Duration // when a snapshot was last sent, by voter
 }
 
@@ -75,6 +76,7 @@
 	callEvery    = 250 * time.Millisecond
 	diskAgain    = 500 * time.Millisecond
 	snapWait     = 3 * time.Second
+	shortMost    = 3 // one may be late, from before it had more
 )
 
 // idOf is a voter's number in Raft.
@@ -116,7 +118,7 @@
 // newVoter is a voter as its disk has it; blank: it is being taken in, and knows nothing yet.
 func newVoter(n *Node, d *Disk, blank bool) (*voter, error) {
 	v := &voter{n: n, id: idOf(n.s.Name), epoch: d.Epoch, store: raft.NewMemoryStorage(), hard: &raftpb.HardState{}, state: &state{}, conf: &raftpb.ConfState{},
-		proved: d.Proved, said: map[string]*Said{}, snaps: map[uint64]time.Duration{}, call: n.rng.Uint64(), tickAt: n.now + tick, callAt: n.now, since: n.now}
+		proved: d.Proved, said: map[string]*Said{}, short: map[string]int{}, snaps: map[uint64]time.Duration{}, call: n.rng.Uint64(), tickAt: n.now + tick, callAt: n.now, since: n.now}
 	switch {
 	case blank:
 		v.epoch, v.blank = n.epoch, true
@@ -404,16 +406,31 @@
 	if !v.leads() {
 		return
 	}
-	match := uint64(0)
+	if v.match(from) > c.LastIndex {
+		v.lost(from)
+	}
+}
+
+// match is how far another's log goes, as this one counts on while it leads.
+func (v *voter) match(name string) (match uint64) {
+	if !v.leads() {
+		return 0
+	}
 	v.rn.WithProgress(func(id uint64, _ raft.ProgressType, p tracker.Progress) {
-		if id == idOf(from) {
+		if id == idOf(name) {
 			match = p.Match
 		}
 	})
-	if match > c.LastIndex {
-		v.n.say(false, "voter %s has lost what it had: this one leads no more, so that nobody counts on it", from)
-		v.restart()
+	return match
+}
+
+// lost takes note that another has less than this one counts on.
+func (v *voter) lost(name string) {
+	if !v.reset {
+		v.n.say(false, "voter %s has lost what it had: this one leads no more, so that nobody counts on it", name)
 	}
+	v.short = map[string]int{}
+	v.restart()
 }
 
 // step takes a message of Raft's.
@@ -437,6 +454,14 @@
 		}
 	case raftpb.MsgTimeoutNow:
 		return
+	case raftpb.MsgAppResp: // it has less than it once said: Raft would send it the same for ever
+		if match := v.match(from); m.GetReject() && m.GetRejectHint() < match {
+			if v.short[from]++; v.short[from] >= shortMost {
+				v.lost(from)
+			}
+			return
+		}
+		delete(v.short, from)
 	}
 	if v.blank && v.commit == 0 {
 		v.commit = max(1, m.GetCommit())
