--- a/internal/peer/policy/voter.go
+++ b/internal/peer/policy/voter.go
@@ -67,10 +67,10 @@
 }
 
 const (
-	tick         = 100 * time.Millisecond
-	heartbeat    = 3  // ticks
-	electionLow  = 10 // ticks without a leader; Raft doubles it by chance at the most
-	electionMore = 5
+	tick         = 200 * time.Millisecond
+	heartbeat    = 2 // ticks
+	electionLow  = 6 // ticks without a leader; Raft doubles it by chance at the most
+	electionMore = 3
 	compactEvery = 256 // entries
 	compactKeep  = 64
 	callEvery    = 250 * time.Millisecond
