--- a/internal/host/fleet/admin.go
+++ b/internal/host/fleet/admin.go
@@ -120,6 +120,9 @@
 			}
 			short["not_ready"] = names[:min(20, len(names))]
 			reply(w, http.StatusServiceUnavailable, short)
+		case !d.knowsPolicy():
+			short["policy"] = "no request is taken: see vetchhaven policy show"
+			reply(w, http.StatusServiceUnavailable, short)
 		default:
 			reply(w, http.StatusOK, short)
 		}
--- a/internal/host/fleet/peers.go
+++ b/internal/host/fleet/peers.go
@@ -291,6 +291,8 @@
 		d.later(func() {
 			if saved != nil {
 				d.before = p.carrier
+			} else {
+				d.handOn()
 			}
 			d.meet(saved, 0)
 			d.before = nil
--- a/internal/host/fleet/policy.go
+++ b/internal/host/fleet/policy.go
@@ -83,8 +83,8 @@
 	d.policy.applied = applied{number: doc.Number, id: doc.ID}
 	if h := d.policy.handed; h != nil && h.Number == doc.Number { // requests are taken on at once
 		first.Why, first.Doc, first.Until, first.base = "", &doc, policy.Never, time.Now()
-		if p.Stops {
-			first.Until = h.Left
+		if p.Stops || slices.ContainsFunc(policy.OnDisk(disk.Member), func(id string) bool { return id != doc.ID }) { // or in doubt
+			first.Until = max(0, h.Left)
 		}
 	}
 }
--- a/tools/policy/main.go
+++ b/tools/policy/main.go
@@ -57,35 +57,18 @@
 	}
 }
 
-// each does n jobs on all cores, and takes their results in turn.
+// each does n jobs on all cores, and takes their results one after the other.
 func each[T any](n int, job func(i int) (T, error), take func(i int, v T)) error {
 	var mu sync.Mutex
-	var wg sync.WaitGroup
-	var failed error
-	next := 0
-	for range runtime.NumCPU() {
-		wg.Go(func() {
-			for {
-				mu.Lock()
-				i := next
-				next++
-				mu.Unlock()
-				if i >= n {
-					return
-				}
-				v, err := job(i)
-				mu.Lock()
-				if err != nil && failed == nil {
-					failed = err
-				} else if err == nil {
-					take(i, v)
-				}
-				mu.Unlock()
-			}
-		})
-	}
-	wg.Wait()
-	return failed
+	return bench.Each(n, runtime.NumCPU(), func(i int) error {
+		v, err := job(i)
+		if err == nil {
+			mu.Lock()
+			defer mu.Unlock()
+			take(i, v)
+		}
+		return err
+	})
 }
 
 // sums adds up what became of claims.
