--- a/cmd/vetchhaven/policy.go
+++ b/cmd/vetchhaven/policy.go
@@ -182,6 +182,9 @@
 	if err := printDiff(now.Body, body, out); err != nil {
 		return err
 	}
+	if len(now.Outside) > 0 {
+		fmt.Fprintf(out, "alive, and not in the roster: %s: the change is not theirs\n", strings.Join(now.Outside, ", "))
+	}
 	base := now.Force.Number
 	data, err := json.Marshal(fleet.PolicyChange{Body: body, Reason: f.reason, Author: who() + " at " + now.Name, Without: f.without, Base: &base})
 	if err != nil {
@@ -265,6 +268,9 @@
 	if s.Votes != "" {
 		fmt.Fprintf(out, "votes: %s; roster: %s\n", s.Votes, strings.Join(s.Roster, ", "))
 	}
+	if len(s.Outside) > 0 {
+		fmt.Fprintf(out, "alive, and not in the roster: %s: without [policy] they go by their own files\n", strings.Join(s.Outside, ", "))
+	}
 	if s.Epoch > 0 {
 		fmt.Fprintf(out, "rescued %d times\n", s.Epoch)
 	}
--- a/internal/host/fleet/policy.go
+++ b/internal/host/fleet/policy.go
@@ -355,6 +355,8 @@
 	policy.Shown
 	Body    string `json:"body"`
 	Applied uint64 `json:"instances_serve_by"`
+	// Members that the view knows alive and that the roster does not have: they go by their own files, or take nothing. Known at voters.
+	Outside []string `json:"not_in_the_roster,omitempty"`
 	Unfit   string `json:"unfit,omitempty"`
 }
 
@@ -365,6 +367,13 @@
 		return nil
 	})
 	d.do(func() { s.Applied = d.policy.applied.number })
+	if v, ok := d.View(); ok && len(s.Roster) > 0 {
+		for _, m := range v.Members {
+			if m.State == "alive" && !slices.Contains(s.Roster, m.Name) {
+				s.Outside = append(s.Outside, m.Name)
+			}
+		}
+	}
 	if w := d.serving.Load(); w != nil {
 		s.Unfit = w.unfit
 	}
