--- a/internal/host/fleet/policy.go
+++ b/internal/host/fleet/policy.go
@@ -357,7 +357,7 @@
 	Applied uint64 `json:"instances_serve_by"`
 	// Members that the view knows alive and that the roster does not have: they go by their own files, or take nothing. Known at voters.
 	Outside []string `json:"not_in_the_roster,omitempty"`
-	Unfit   string `json:"unfit,omitempty"`
+	Unfit   string   `json:"unfit,omitempty"`
 }
 
 // Policy is how the daemon stands towards the fleet's policy.
