--- a/internal/drill/agree/agree.go
+++ b/internal/drill/agree/agree.go
@@ -30,6 +30,7 @@
 	Rates   float64                                  // rates of clocks differ by up to so much each way; default 1%
 	Kill    []int                                    // ends whoever acts at these points, once each; see Result.Points
 	Back    time.Duration                            // and starts it again so long after; default 1.5 s
+	Lose    []int                                    // messages sent at these points are lost
 	From    time.Duration                            // points are counted from then on
 	Say     func(at time.Duration, who, text string) // nil: nobody
 	Point   func(n int, at time.Duration, who, what string)
@@ -397,6 +398,9 @@
 			if w.point(m, "send") {
 				return
 			}
+			if slices.Contains(w.o.Lose, w.r.Points) && w.now >= w.o.From {
+				continue
+			}
 			w.send(m, a)
 		case policy.Persist:
 			if w.point(m, "write") {
--- a/tools/policy/main.go
+++ b/tools/policy/main.go
@@ -30,6 +30,7 @@
 func main() {
 	f := flag.NewFlagSet("policy", flag.ExitOnError)
 	sizes := f.String("daemons", "3,5,20", "sizes of fleets of real processes")
+	whole := f.Bool("all", false, "of points: all pairs, of the smallest fleet alone")
 	n, pairs, program := f.Int("n", 2000, "schedules"), f.Int("pairs", 2000, "pairs of points, by chance"), f.String("program", "bin/vetchhaven", "for real processes")
 	what := ""
 	if len(os.Args) > 1 {
@@ -41,7 +42,7 @@
 	case "schedules":
 		err = schedules(*n)
 	case "points":
-		err = points(*pairs)
+		err = points(*pairs, *whole)
 	case "times":
 		err = times()
 	case "real":
@@ -146,7 +147,7 @@
 }
 
 // points ends whoever acts at each point of a change.
-func points(pairs int) error {
+func points(pairs int, whole bool) error {
 	const asked = 5 * time.Second
 	bench.Head("fleet", "cut off", "kills", "points", "runs", "broke", "told in force", "told dropped", "nobody told")
 	total := newSums()
@@ -166,9 +167,9 @@
 			return err
 		}
 		o.Point = nil
-		play := func(kill []int) (*judge.Report, string, error) {
+		play := func(kill, lose []int) (*judge.Report, string, error) {
 			o := o
-			o.Kill = kill
+			o.Kill, o.Lose = kill, lose
 			r, err := agree.Play(p, o)
 			if err != nil {
 				return nil, "", err
@@ -186,12 +187,12 @@
 			told string
 			kill []int
 		}
-		run := func(name string, n int, kill func(i int) []int) error {
+		run := func(name string, n int, kill, lose func(i int) []int) error {
 			s, told := newSums(), map[string]int{}
 			err := each(n, func(i int) (got, error) {
-				k := kill(i)
-				r, t, err := play(k)
-				return got{r, t, k}, err
+				k, l := kill(i), lose(i)
+				r, t, err := play(k, l)
+				return got{r, t, append(k, l...)}, err
 			}, func(i int, g got) {
 				s.add(fmt.Sprint("kill ", g.kill), g.r)
 				total.add(fmt.Sprint(c, " kill ", g.kill), g.r)
@@ -204,22 +205,37 @@
 			bench.Row(fmt.Sprintf("%d members, %d vote", c.members, c.voters), map[bool]string{true: "stops", false: "vetoes"}[c.stops], name, ends, n, broken, told["in force"], told["dropped"], told[""])
 			return err
 		}
-		if err := run("one", ends, func(i int) []int { return []int{i + 1} }); err != nil {
+		none := func(int) []int { return nil }
+		if err := run("one killed", ends, func(i int) []int { return []int{i + 1} }, none); err != nil {
+			return err
+		}
+		if err := run("one message lost", ends, none, func(i int) []int { return []int{i + 1} }); err != nil {
 			return err
 		}
 		all := ends * (ends - 1) / 2
 		rng := rand.New(rand.NewPCG(1, uint64(c.members)))
 		var mu sync.Mutex
-		name := "two, by chance"
-		if all <= pairs {
-			name, pairs = "two, all pairs", all
+		if whole {
+			var two [][]int
+			for a := 1; a <= ends; a++ {
+				for b := a + 1; b <= ends; b++ {
+					two = append(two, []int{a, b})
+				}
+			}
+			if err := run("two killed, all pairs", len(two), func(i int) []int { return two[i] }, none); err != nil {
+				return err
+			}
+			if err := run("one killed, then a message lost: all pairs", len(two), func(i int) []int { return two[i][:1:1] }, func(i int) []int { return two[i][1:] }); err != nil {
+				return err
+			}
+			break
 		}
-		if err := run(name, min(pairs, all), func(i int) []int {
+		if err := run("two killed, by chance", min(pairs, all), func(i int) []int {
 			mu.Lock()
 			defer mu.Unlock()
 			a, b := 1+rng.IntN(ends), 1+rng.IntN(ends)
 			return []int{min(a, b), max(a, b)}
-		}); err != nil {
+		}, none); err != nil {
 			return err
 		}
 	}
