Mend: a copy replaced under another policy was freed again by its daemon's next word

Seen on reading the change again: turnTo gave the old copies 100 ms, and the next lease (each 1.7 s with stops) or switch gave every copy, these too, the new bound. The drills did not find it: HTTP/1.1 copies close silent connections 250 ms after they are told to end. gate passes over what is closing, turnTo says so.

--- a/internal/core/taking.go
+++ b/internal/core/taking.go
@@ -18,6 +18,9 @@
 // Free has requests taken without end.
 func (a *Agent) Free() { a.loop.hold.Store(nil) }
 
+// Takes reports whether a request that comes now is taken, as far as that bound goes.
+func (a *Agent) Takes() bool { return a.loop.closed() == "" }
+
 // closed is why a request that is there now is not taken; empty: it is. The clock is looked at as it is taken: a process
 // that was stopped past the moment finds out here.
 func (l *Loop) closed() string {
--- a/internal/host/fleet/policy.go
+++ b/internal/host/fleet/policy.go
@@ -215,9 +215,10 @@
 // them no longer than both words allow.
 func (d *Daemon) gate(a *core.Agent) {
 	s := d.serving.Load()
-	switch {
-	case s == nil:
+	if _, closing := d.closing.Load(a); closing || s == nil { // what it was told as it was replaced stands
 		return
+	}
+	switch {
 	case s.unfit != "":
 		a.Taking(time.Time{}, s.unfit)
 	case s.Why != "":
@@ -287,6 +288,7 @@
 		delete(old, p.agent)
 	}
 	for a, spec := range old {
+		d.closing.Store(a, true)
 		a.Taking(until, switched)
 		i := slices.IndexFunc(cfg.Instances, func(n Instance) bool { return n.Name == spec.Name })
 		if i >= 0 {
