Review: dead state in the part of policies gone; one way to pick a voter

On reading the change again: member.freeAt and voter.since were written and never read; the daemon picked the voter to ask in three places with small variations (offer, voter, replace) - leaderOrAny serves them; called checked leads() a second time after nothing could have changed; CheckPolicy and sameAgree only passed their arguments on (reflect.DeepEqual in reload.go).

--- a/internal/host/fleet/policy.go
+++ b/internal/host/fleet/policy.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"reflect"
 	"slices"
 	"time"
 
@@ -464,9 +463,6 @@
 	return d.onPolicy(func(*policy.Node, time.Duration) []policy.Event { return []policy.Event{e} })
 }
 
-// CheckPolicy reports whether this daemon could serve by a policy.
-func (d *Daemon) CheckPolicy(body []byte) error { return d.checkPolicy(body) }
-
 // CheckPolicyFile reports whether the daemon of a file could serve by a policy, without a daemon.
 func CheckPolicyFile(config, name string, body []byte) error {
 	cfg, err := Load(config)
@@ -481,9 +477,6 @@
 	return err
 }
 
-// sameAgree reports whether two configurations agree with others in the same way: a running daemon can't change that.
-func sameAgree(a, b *Agree) bool { return reflect.DeepEqual(a, b) }
-
 // hostText is the daemon's own file as it was last read.
 type hostText struct {
 	Path string
--- a/internal/host/fleet/policyadmin.go
+++ b/internal/host/fleet/policyadmin.go
@@ -33,7 +33,7 @@
 	mux.HandleFunc("POST /policy/check", func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(io.LimitReader(r.Body, policy.BodyMost+1))
 		if err == nil {
-			err = d.CheckPolicy(body)
+			err = d.checkPolicy(body)
 		}
 		done(w, map[string]string{"state": "this daemon could serve by it"}, err)
 	})
--- a/internal/host/fleet/reload.go
+++ b/internal/host/fleet/reload.go
@@ -49,7 +49,7 @@
 	if cfg.Admin != d.cfg.Admin || cfg.StateDir != d.cfg.StateDir {
 		return r, fmt.Errorf("%s: admin and state_dir can't change in a running daemon: hand over instead", cfg.Path)
 	}
-	if !sameAgree(cfg.Policy, d.cfg.Policy) {
+	if !reflect.DeepEqual(cfg.Policy, d.cfg.Policy) {
 		return r, fmt.Errorf("%s: [policy] can't change in a running daemon: hand over instead", cfg.Path)
 	}
 	if _, err := d.listen(cfg); err != nil {
--- a/internal/peer/policy/member.go
+++ b/internal/peer/policy/member.go
@@ -27,7 +27,6 @@
 	dirtyAt time.Duration
 
 	free    bool // the process has its name for itself
-	freeAt  time.Duration
 	joined  bool // in the roster, as the last answer said
 	ever    bool // in this life
 	lease   time.Duration
@@ -202,10 +201,7 @@
 		}
 		m.leader = ""
 	}
-	voters := n.voters
-	if len(voters) == 0 {
-		return
-	}
+	voters := n.voters // never empty: the file names some
 	to := m.contact()
 	if to == "" || !slices.Contains(voters, to) {
 		to = voters[(m.to+int(idOf(n.s.Name)%uint64(len(voters))))%len(voters)]
@@ -353,12 +349,20 @@
 	n.send(to, &Message{Fetch: id})
 }
 
+// leaderOrAny is who leads, or any voter, which passes on what is for the leader.
+func (m *member) leaderOrAny() string {
+	if m.leader != "" {
+		return m.leader
+	}
+	return m.n.voters[m.n.rng.IntN(len(m.n.voters))]
+}
+
 // voter is one to ask for what any voter has, or will have soon: by turns the leader and any.
 func (m *member) voter() string {
-	if n := m.n; m.leader == "" || n.rng.IntN(2) == 0 && len(n.voters) > 0 {
+	if n := m.n; n.rng.IntN(2) == 0 {
 		return n.voters[n.rng.IntN(len(n.voters))]
 	}
-	return m.leader
+	return m.leaderOrAny()
 }
 
 // got takes a change's text.
@@ -436,12 +440,8 @@
 func (m *member) offer(c *change) {
 	n := m.n
 	c.at = n.now + offerWait
-	to := m.leader
-	if to == "" && len(n.voters) > 0 {
-		to = n.voters[n.rng.IntN(len(n.voters))]
-	}
 	p := c.p
-	n.send(to, &Message{Change: &p})
+	n.send(m.leaderOrAny(), &Message{Change: &p})
 	m.soon()
 }
 
--- a/internal/peer/policy/node.go
+++ b/internal/peer/policy/node.go
@@ -307,11 +307,7 @@
 	case n.v != nil && n.v.leader() != "":
 		n.send(n.v.leader(), &Message{Voters: r, Hops: hops + 1})
 	default:
-		to := n.m.leader
-		if to == "" && len(n.voters) > 0 {
-			to = n.voters[n.rng.IntN(len(n.voters))]
-		}
-		n.send(to, &Message{Voters: r, Hops: hops + 1})
+		n.send(n.m.leaderOrAny(), &Message{Voters: r, Hops: hops + 1})
 	}
 }
 
--- a/internal/peer/policy/voter.go
+++ b/internal/peer/policy/voter.go
@@ -53,7 +53,6 @@
 	floor  position // votes go to nobody behind it
 	blank  bool     // it is being taken in, or its disk was lost: it votes once it has what its leader had
 	commit uint64   // of that leader, when it first told
-	since  time.Duration
 
 	lead  steward
 	short map[string]int           // answers on end of a voter that has less than it once said
@@ -121,7 +120,7 @@
 // newVoter is a voter as its disk has it; blank: it is being taken in, and knows nothing yet.
 func newVoter(n *Node, d *Disk, blank bool) (*voter, error) {
 	v := &voter{n: n, id: idOf(n.s.Name), epoch: d.Epoch, store: raft.NewMemoryStorage(), hard: &raftpb.HardState{}, state: &state{}, conf: &raftpb.ConfState{},
-		proved: d.Proved, said: map[string]*Said{}, short: map[string]int{}, snaps: map[uint64]time.Duration{}, call: n.rng.Uint64(), tickAt: n.now + tick, callAt: n.now, since: n.now}
+		proved: d.Proved, said: map[string]*Said{}, short: map[string]int{}, snaps: map[uint64]time.Duration{}, call: n.rng.Uint64(), tickAt: n.now + tick, callAt: n.now}
 	switch {
 	case blank:
 		v.epoch, v.blank = n.epoch, true
@@ -415,9 +414,6 @@
 	last := v.last()
 	s.LastTerm, s.LastIndex = last.term, last.index
 	v.n.send(from, &Message{Said: s})
-	if !v.leads() {
-		return
-	}
 	if v.match(from) > c.LastIndex {
 		v.lost(from)
 	}
