Mend: times of [[template]] and of a drill's links were not checked

Checked: the build before and this one on a file with such a template; the first went on to the next mistake, the second names template[0].tick and its line. Ruled out: the decoder, which reads embedded structs well and refuses unknown keys. The mend is in the walk, not at the two places. Both tests (the walk's, the daemon's file) fail without it. All drills of the repository load as before.

--- a/internal/host/fleet/config_test.go
+++ b/internal/host/fleet/config_test.go
@@ -113,6 +113,7 @@
 		{`name = "one"`, `name = "many-11"`, `fleet.toml:32: template[0].name: "many-11" is there twice`},
 		{`name = "many-{n}"`, `name = "many"`, `fleet.toml:32: template[0].name: "many" is there twice`},
 		{`count = 3`, `count = 0`, "fleet.toml:34: template[0].count: 0"},
+		{`count = 3`, "tick = \"5 apples\"\ncount = 3", `fleet.toml:34: template[0].tick: "5 apples" is no time`},
 		{`port = 7010`, `port = 65534`, `fleet.toml:33: template[0].listen: "127.0.0.1:65536": "65536" is no port`},
 		{`sockets = 4000`, `sockets = 100`, "fleet.toml:3: limits.sockets: 100 are too few for 6 instances"},
 		{`memory_mb = 256`, `memory_mb = 1`, "fleet.toml:4: limits.memory_mb: 1 are too few"},
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -60,8 +60,8 @@
 
 // durations finds the first Duration that was no time.
 func (f *File) durations(key string, v reflect.Value) error {
-	if d, ok := v.Interface().(Duration); ok {
-		if d.bad != "" {
+	if v.Type() == reflect.TypeFor[Duration]() {
+		if d := v.Interface().(Duration); d.bad != "" {
 			return f.Errorf(key, "%s is no time such as \"250ms\" or \"1m30s\"", d.bad)
 		}
 		return nil
@@ -80,6 +80,12 @@
 	case reflect.Struct:
 		for i := range v.NumField() {
 			field := v.Type().Field(i)
+			if field.Anonymous { // its keys stand among those around it
+				if err := f.durations(key, v.Field(i)); err != nil {
+					return err
+				}
+				continue
+			}
 			if !field.IsExported() {
 				continue
 			}
--- a/internal/tomlfile/tomlfile_test.go
+++ b/internal/tomlfile/tomlfile_test.go
@@ -15,8 +15,11 @@
 		Row  []struct{ X int }
 	}
 	Inline []struct{ A, B int }
+	inner
 }
 
+type inner struct{ Pause Duration }
+
 const text = `name = "x"
 
 wait = "1.5s"
@@ -60,6 +63,7 @@
 		{"name = 5\n", "f.toml:1: name: "},
 		{"\nwait = \"5 apples\"\n", "f.toml:2: wait: \"5 apples\" is no time"},
 		{"\nwait = 5\n", "f.toml:2: wait: "},
+		{"\npause = 5\n", "f.toml:2: pause: \"5\" is no time"},
 		{"\n\nname = \n", "f.toml:3: "},
 		{"name = \"a\"\nname = \"b\"\n", "f.toml:2: "},
 		{"[box", "f.toml:1: "},
