Review: one copy of a policy's keys of [peers], of a held server, of measuring mains

On reading the change again. overlay.lay and overlay.complete laid a policy over a file each in its own way: lay now calls complete. The six keys of [peers] that a policy may hold stood in peers and in sharedPeers: the one embeds the other. Four tests of the daemon built the same server that holds what it got: holding. The mains of tools/limits, policy and verdicts differed in the names of their jobs alone: bench.Main.

Behaviour is as it was; tests keep their assertions.

--- a/internal/host/fleet/daemon_test.go
+++ b/internal/host/fleet/daemon_test.go
@@ -119,6 +119,20 @@
 	return out
 }
 
+// holding is a server that holds what is paid until release, and says that it came. Release it before it is closed, also
+// where the test fails: it waits for its answers.
+func holding() (s *standin.Form, came chan struct{}, release func()) {
+	hold, came := make(chan struct{}), make(chan struct{}, 100)
+	s = standin.NewForm("s", func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/pay") {
+			came <- struct{}{}
+			<-hold
+		}
+		fmt.Fprint(w, "done")
+	})
+	return s, came, sync.OnceFunc(func() { close(hold) })
+}
+
 // running is a daemon under test.
 type running struct {
 	*Daemon
@@ -272,18 +286,9 @@
 // A panic in one instance ends that one alone. What it had taken is answered failed, it starts
 // again, and the others lose nothing.
 func TestPanicEndsOneInstanceAlone(t *testing.T) {
-	hold := make(chan struct{})
-	came := make(chan struct{}, 100)
-	s := standin.NewForm("s", func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.URL.Path, "/pay") {
-			came <- struct{}{}
-			<-hold
-		}
-		fmt.Fprint(w, "done")
-	})
+	s, came, release := holding()
 	defer s.Close()
-	release := sync.OnceFunc(func() { close(hold) })
-	defer release() // also where the test fails: the server waits for its answers
+	defer release()
 	y := newYard(t, s.Member("ready"))
 	y.config(y.instance("bad", "good"))
 	var blow atomic.Bool
@@ -496,14 +501,8 @@
 
 // Removing an instance answers everything that it has taken.
 func TestRemovedInstanceAnswersWhatItTook(t *testing.T) {
-	hold, came := make(chan struct{}), make(chan struct{}, 10)
-	s := standin.NewForm("s", func(w http.ResponseWriter, _ *http.Request) {
-		came <- struct{}{}
-		<-hold
-		fmt.Fprint(w, "done")
-	})
+	s, came, release := holding()
 	defer s.Close()
-	release := sync.OnceFunc(func() { close(hold) })
 	defer release()
 	y := newYard(t, s.Member("ready"))
 	y.config(y.instance("a", "b"))
@@ -747,16 +746,8 @@
 // Handover, with the successor in this process: it gets the sockets and the state, the old one
 // drains what it has taken, and no connection attempt meets a gap.
 func TestHandover(t *testing.T) {
-	hold, came := make(chan struct{}), make(chan struct{}, 10)
-	s := standin.NewForm("s", func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.URL.Path, "/pay") {
-			came <- struct{}{}
-			<-hold
-		}
-		fmt.Fprint(w, "done")
-	})
+	s, came, release := holding()
 	defer s.Close()
-	release := sync.OnceFunc(func() { close(hold) })
 	defer release()
 	drained := standin.NewForm("drained", nil)
 	defer drained.Close()
--- a/internal/host/fleet/overlay.go
+++ b/internal/host/fleet/overlay.go
@@ -68,30 +68,14 @@
 	if o == nil {
 		return nil
 	}
-	if o.from["source"] {
-		f.Source = o.Source
-	}
-	if o.from["site"] {
-		f.Site = *o.Site
-	}
-	if o.from["rules"] {
-		f.Rules = *o.Rules
-	}
-	if o.from["class"] {
-		f.Class = o.Class
-	}
-	if o.from["limit"] {
-		f.Limit = o.Limit
-	}
-	if o.from["ban"] {
-		f.Ban = o.Ban
-	}
-	if p := o.Peers; o.from["peers"] {
+	s := o.complete(f)
+	f.Source, f.Site, f.Rules, f.Class, f.Limit, f.Ban = s.Source, *s.Site, *s.Rules, s.Class, s.Limit, s.Ban
+	if o.from["peers"] {
 		if f.Peers == nil {
 			return fmt.Errorf("%s: [peers] is not in this daemon's file", o.name)
 		}
 		in := *f.Peers
-		in.Keepers, in.Term, in.Drift, in.Verdicts, in.OutMost, in.EvidenceAge = p.Keepers, p.Term, p.Drift, p.Verdicts, p.OutMost, p.EvidenceAge
+		in.sharedPeers = *s.Peers
 		f.Peers = &in
 	}
 	return nil
@@ -115,8 +99,8 @@
 // complete is a policy with what it does not hold as the daemon's own file has it.
 func (o *overlay) complete(f *file) shared {
 	s := shared{Source: f.Source, Site: &f.Site, Rules: &f.Rules, Class: f.Class, Limit: f.Limit, Ban: f.Ban}
-	if p := f.Peers; p != nil {
-		s.Peers = &sharedPeers{p.Keepers, p.Term, p.Drift, p.Verdicts, p.OutMost, p.EvidenceAge}
+	if f.Peers != nil {
+		s.Peers = &f.Peers.sharedPeers
 	}
 	if o == nil {
 		return s
--- a/internal/host/fleet/peers.go
+++ b/internal/host/fleet/peers.go
@@ -44,12 +44,7 @@
 	Retry        tomlfile.Duration
 	BytesPerS    int `toml:"bytes_per_s"`
 	Members      int
-	Keepers      []string
-	Term         tomlfile.Duration
-	Drift        float64
-	Verdicts     *bool
-	OutMost      float64           `toml:"out_most"`
-	EvidenceAge  tomlfile.Duration `toml:"evidence_age"`
+	sharedPeers
 }
 
 // peers checks [peers]; nil where the file has none.
--- a/internal/host/fleet/policy_test.go
+++ b/internal/host/fleet/policy_test.go
@@ -2,27 +2,18 @@
 
 import (
 	"fmt"
-	"net/http"
-	"sync"
 	"testing"
 	"time"
 
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/peer/policy"
-	"vetchhaven/internal/standin"
 )
 
 // A copy that is being replaced under another policy finishes what it took, and takes nothing more, whatever later words
 // its daemon hears: they are for the copies that serve by the new one.
 func TestAReplacedCopyIsNotFreedByTheNextLease(t *testing.T) {
-	hold, came := make(chan struct{}), make(chan struct{}, 10)
-	s := standin.NewForm("s", func(w http.ResponseWriter, _ *http.Request) {
-		came <- struct{}{}
-		<-hold
-		fmt.Fprint(w, "done")
-	})
+	s, came, release := holding()
 	defer s.Close()
-	release := sync.OnceFunc(func() { close(hold) })
 	defer release()
 	y := newYard(t, s.Member("ready"))
 	y.config(y.instance("a"))
--- a/tools/internal/bench/bench.go
+++ b/tools/internal/bench/bench.go
@@ -3,7 +3,9 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,3 +46,33 @@
 	running.Wait()
 	return errors.Join(errs...)
 }
+
+// Job is one measurement of a command.
+type Job struct {
+	Name string
+	Run  func() error
+}
+
+// Main runs the job that the command's first argument names, after f has read what follows it. A wrong name or the job's
+// error ends the program with status 1.
+func Main(f *flag.FlagSet, jobs ...Job) {
+	what := ""
+	if len(os.Args) > 1 {
+		what = os.Args[1]
+		_ = f.Parse(os.Args[2:]) // it ends the program itself
+	}
+	names := make([]string, len(jobs))
+	for i, j := range jobs {
+		names[i] = j.Name
+	}
+	err := fmt.Errorf("%q is none of %s", what, strings.Join(names, ", "))
+	for _, j := range jobs {
+		if j.Name == what {
+			err = j.Run()
+		}
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", f.Name(), err)
+		os.Exit(1)
+	}
+}
--- a/tools/limits/main.go
+++ b/tools/limits/main.go
@@ -7,6 +7,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -31,34 +32,11 @@
 func main() {
 	f := flag.NewFlagSet("limits", flag.ExitOnError)
 	n, at := f.Int("n", 0, "how many: 1000 schedules, 50 real ones"), f.Int("at", 6, "real ones at a time")
-	what := ""
-	if len(os.Args) > 1 {
-		what = os.Args[1]
-		_ = f.Parse(os.Args[2:])
-	}
-	var err error
-	switch what {
-	case "ways":
-		err = ways()
-	case "schedules":
-		if *n == 0 {
-			*n = 1000
-		}
-		err = schedules(*n)
-	case "real":
-		if *n == 0 {
-			*n = 50
-		}
-		err = real(*n, *at)
-	case "cost":
-		err = cost()
-	default:
-		err = fmt.Errorf("%q is none of ways, schedules, real, cost", what)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "limits:", err)
-		os.Exit(1)
-	}
+	bench.Main(f,
+		bench.Job{Name: "ways", Run: ways},
+		bench.Job{Name: "schedules", Run: func() error { return schedules(cmp.Or(*n, 1000)) }},
+		bench.Job{Name: "real", Run: func() error { return real(cmp.Or(*n, 50), *at) }},
+		bench.Job{Name: "cost", Run: cost})
 }
 
 func even(rate float64) func(int, time.Duration) float64 {
--- a/tools/policy/main.go
+++ b/tools/policy/main.go
@@ -32,30 +32,12 @@
 	sizes := f.String("daemons", "3,5,20", "sizes of fleets of real processes")
 	whole := f.Bool("all", false, "of points: all pairs, of the smallest fleet alone")
 	n, pairs, program := f.Int("n", 2000, "schedules"), f.Int("pairs", 2000, "pairs of points, by chance"), f.String("program", "bin/vetchhaven", "for real processes")
-	what := ""
-	if len(os.Args) > 1 {
-		what = os.Args[1]
-		_ = f.Parse(os.Args[2:])
-	}
-	var err error
-	switch what {
-	case "schedules":
-		err = schedules(*n)
-	case "points":
-		err = points(*pairs, *whole)
-	case "times":
-		err = times()
-	case "real":
-		err = realTimes(*program, *sizes)
-	case "ways":
-		err = ways()
-	default:
-		err = fmt.Errorf("%q is none of schedules, points, times, real, ways", what)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "policy:", err)
-		os.Exit(1)
-	}
+	bench.Main(f,
+		bench.Job{Name: "schedules", Run: func() error { return schedules(*n) }},
+		bench.Job{Name: "points", Run: func() error { return points(*pairs, *whole) }},
+		bench.Job{Name: "times", Run: times},
+		bench.Job{Name: "real", Run: func() error { return realTimes(*program, *sizes) }},
+		bench.Job{Name: "ways", Run: ways})
 }
 
 // each does n jobs on all cores, and takes their results one after the other.
--- a/tools/verdicts/main.go
+++ b/tools/verdicts/main.go
@@ -27,29 +27,15 @@
 func main() {
 	f := flag.NewFlagSet("verdicts", flag.ExitOnError)
 	seeds, agents, days := f.Int("seeds", 1, "days of each kind"), f.Int("agents", 300, "agents"), f.Int("days", 100, "days of a minute")
-	what := ""
-	if len(os.Args) > 1 {
-		what = os.Args[1]
-		_ = f.Parse(os.Args[2:])
-	}
-	var err error
-	switch what {
-	case "worth":
-		err = worth(*seeds, *agents)
-	case "links":
-		if os.Getenv("WHY") != "" {
-			why = func(s string) { fmt.Fprintln(os.Stderr, s) }
-		}
-		err = links(*days)
-	case "bytes":
-		err = bytes()
-	default:
-		err = fmt.Errorf("%q is none of worth, links, bytes", what)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "verdicts:", err)
-		os.Exit(1)
-	}
+	bench.Main(f,
+		bench.Job{Name: "worth", Run: func() error { return worth(*seeds, *agents) }},
+		bench.Job{Name: "links", Run: func() error {
+			if os.Getenv("WHY") != "" {
+				why = func(s string) { fmt.Fprintln(os.Stderr, s) }
+			}
+			return links(*days)
+		}},
+		bench.Job{Name: "bytes", Run: bytes})
 }
 
 const (
