Mend: a ban of a policy was lost at an instance too busy to hear of it at once

Seen on reading the change again: Daemon.ban waited up to 200 ms in the daemon's own goroutine for a place in the instance's queue, passed over the error and noted the ban as told (policy.go, '_, _ = p.agent.Ban(...)' and 'p.banned = want'). An instance whose queue was full served on with the server, at a daemon that said it served by the policy: not everywhere.

Bans now go the way limits and the fleet's size go already: core.Agent.Bar does not wait and says whether there was room (tell), what was not heard is told again by share after 200 ms, which now runs without [peers] too. Nothing waits in the daemon's goroutine any more.

Tests: a policy's ban reaches an instance whose loop stood still with a full queue, and its end brings the server back (TestABanOfAPolicyReachesABusyInstance); it fails on the code before, and with share's line taken out.

--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -120,6 +120,14 @@
 	}
 }
 
+// Bar takes a server out of use, or back in, whether or not it is known. It does not wait, and reports whether the loop
+// has room to hear of it.
+func (a *Agent) Bar(server string, out bool) bool {
+	known := make(chan bool, 1)
+	known <- true
+	return a.tell(banned{server, out, known})
+}
+
 // ban is what the loop does with one.
 func (l *Loop) ban(e banned) {
 	known := l.balancer.Known(e.server)
--- a/internal/host/fleet/instances.go
+++ b/internal/host/fleet/instances.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"vetchhaven/decide/rights"
 	"vetchhaven/internal/core"
@@ -100,7 +101,9 @@
 		a.Judge(v.of(source))
 	}
 	p.banned = nil
-	d.ban(p) // its loop takes this first
+	if !d.ban(p) { // its loop takes this first
+		time.AfterFunc(shareAgain, d.shareSoon)
+	}
 	d.gate(a)
 	d.limit(p) // before it serves: nothing that is limited goes without a right
 	if at := d.sharing.Load(); at != nil && d.cfg.Limits != nil {
--- a/internal/host/fleet/peers.go
+++ b/internal/host/fleet/peers.go
@@ -234,7 +234,7 @@
 	return p, nil
 }
 
-// shareSoon has Run tell the instances of the fleet's size. It does not wait.
+// shareSoon has Run tell the instances what is for them. It does not wait.
 func (d *Daemon) shareSoon() {
 	select {
 	case d.counted <- struct{}{}:
@@ -242,14 +242,16 @@
 	}
 }
 
-// share tells the instances how many share the servers. One that is too busy to hear of it is told again.
+// share tells the instances which servers are out by hand, how many share the servers, and the limits. One that is too
+// busy to hear of it is told again.
 func (d *Daemon) share() {
 	c := d.count.Load()
-	if c == nil || d.cfg.Peers == nil {
-		return
-	}
 	again := false
 	for _, p := range d.parts {
+		again = !d.ban(p) || again
+		if c == nil || d.cfg.Peers == nil {
+			continue
+		}
 		if p.agent != nil && !p.agent.Share(c.Most, min(c.Least, c.Most)) {
 			again = true
 		}
--- a/internal/host/fleet/policy.go
+++ b/internal/host/fleet/policy.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"context"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -315,10 +314,10 @@
 	return all
 }
 
-// ban has an instance's servers out that the file or the policy has out, and no others.
-func (d *Daemon) ban(p *part) {
+// ban has an instance's servers out that the file or the policy has out, and no others. It reports whether it heard.
+func (d *Daemon) ban(p *part) bool {
 	if p.agent == nil {
-		return
+		return true
 	}
 	var want []string
 	for _, b := range d.cfg.Bans {
@@ -326,19 +325,23 @@
 			want = append(want, b.Server)
 		}
 	}
-	ctx, end := context.WithTimeout(context.Background(), shareAgain)
-	defer end()
 	for _, s := range want {
 		if !slices.Contains(p.banned, s) {
-			_, _ = p.agent.Ban(ctx, s, true, true)
+			if !p.agent.Bar(s, true) {
+				return false
+			}
+			p.banned = append(p.banned, s)
 		}
 	}
-	for _, s := range p.banned {
+	for _, s := range slices.Clone(p.banned) {
 		if !slices.Contains(want, s) {
-			_, _ = p.agent.Ban(ctx, s, false, true)
+			if !p.agent.Bar(s, false) {
+				return false
+			}
+			p.banned = slices.DeleteFunc(p.banned, func(b string) bool { return b == s })
 		}
 	}
-	p.banned = want
+	return true
 }
 
 // PolicyChange is a change that is asked for at a daemon.
--- a/internal/host/fleet/policy_test.go
+++ b/internal/host/fleet/policy_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/peer/policy"
+	"vetchhaven/internal/standin"
 )
 
 // A copy that is being replaced under another policy finishes what it took, and takes nothing more, whatever later words
@@ -56,3 +60,138 @@
 		t.Error(got)
 	}
 }
+
+// agreeing is the part of a daemon's file with which it agrees on policies, as a, with these voters.
+func agreeing(listen, seed string, voters string) string {
+	return peersTable("a", listen, seed) + fmt.Sprintf("[policy]\nvoters = [%s]\ncut_off = \"vetoes\"\n", voters)
+}
+
+// apply proposes a policy and waits until the daemon serves by it.
+func (r *running) apply(t *testing.T, number uint64, body string) {
+	t.Helper()
+	eventually(t, "the policy in force is known", r.knowsPolicy)
+	if _, err := r.ProposePolicy(PolicyChange{Body: body, Reason: "a test"}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "it is in force", func() (in bool) {
+		r.do(func() { in = r.policy.applied.number == number })
+		return in
+	})
+}
+
+// A server that a policy keeps out gets nothing from an instance that was too busy to hear of it at first; without the ban
+// it is back.
+func TestABanOfAPolicyReachesABusyInstance(t *testing.T) {
+	s1, s2 := standin.NewForm("s-1", nil), standin.NewForm("s-2", nil)
+	defer s1.Close()
+	defer s2.Close()
+	y := newYard(t, s1.Member("ready"), s2.Member("ready"))
+	y.extra = `state_dir = "state"`
+	addr := freeAddr(t)
+	y.config(y.instance("one") + agreeing(addr, addr, `"a"`))
+	var busy atomic.Bool
+	free, stuck := make(chan struct{}), make(chan struct{})
+	release, held := sync.OnceFunc(func() { close(free) }), sync.OnceFunc(func() { close(stuck) })
+	defer release()
+	r := y.start(Options{Fault: func(string) func(core.Totals) {
+		return func(core.Totals) {
+			if busy.Load() {
+				held()
+				<-free
+			}
+		}
+	}})
+	eventually(t, "the policy in force is known", r.knowsPolicy)
+	y.wantServed("one")
+	both := func() (all bool) {
+		was1, was2 := s1.Got(), s2.Got()
+		for range 30 {
+			y.wantServed("one")
+		}
+		return s1.Got() > was1 && s2.Got() > was2
+	}
+	eventually(t, "both servers get requests", both)
+	var a *core.Agent
+	r.do(func() { a = r.parts["one"].agent })
+	busy.Store(true)
+	for a.Bar("nobody", false) { // until it has no room to hear more
+	}
+	<-stuck
+	for a.Bar("nobody", false) {
+	}
+	r.apply(t, 1, "[[ban]]\nserver = \"s-2\"\nreason = \"a test\"\n")
+	busy.Store(false)
+	release()
+	eventually(t, "the server that is out gets nothing", func() bool {
+		was := s2.Got()
+		for range 30 {
+			y.wantServed("one")
+		}
+		return s2.Got() == was
+	})
+	r.apply(t, 2, "ban = []\n")
+	eventually(t, "the server is back", both)
+}
+
+// A part for peers that fails while no other voter answers leaves the policy as it was: requests are taken on, before, between
+// and after its lives.
+func TestAPolicyOutlivesThePartThatKeepsIt(t *testing.T) {
+	f := standin.NewForm("s-1", nil)
+	defer f.Close()
+	addrs := map[string]string{"a": freeAddr(t), "b": freeAddr(t), "c": freeAddr(t)}
+	var fault atomic.Bool
+	y, all := map[string]*yard{}, map[string]*running{}
+	for name, addr := range addrs {
+		seed := addrs["b"]
+		if name == "b" {
+			seed = addrs["a"]
+		}
+		y[name] = newYard(t, f.Member("ready"))
+		y[name].extra = `state_dir = "state"`
+		y[name].config(y[name].instance("one") + strings.Replace(agreeing(addr, seed, `"a", "b", "c"`), `name = "a"`, fmt.Sprintf("name = %q", name), 1))
+		o := Options{}
+		if name == "a" {
+			o.PeerFault = func() {
+				if fault.CompareAndSwap(true, false) {
+					panic("injected")
+				}
+			}
+		}
+		r, err := y[name].try(o) // none is ready before it hears of others
+		if err != nil {
+			t.Fatal(err)
+		}
+		all[name] = r
+	}
+	r := all["a"]
+	eventually(t, "it is ready", func() bool {
+		select {
+		case <-r.ready:
+			return true
+		default:
+			return false
+		}
+	})
+	r.apply(t, 1, "[rules]\nconnect_timeout = \"9s\"\nidle_close = \"60s\"\n")
+	y["a"].wantServed("one")
+	for _, other := range []string{"b", "c"} {
+		if err := all[other].end(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 2 {
+		at := r.sharing.Load()
+		fault.Store(true)
+		eventually(t, "another life of the part", func() bool {
+			y["a"].wantServed("one")
+			now := r.sharing.Load()
+			return now != nil && now != at
+		})
+		for range 200 { // and while it comes to what it knows
+			y["a"].wantServed("one")
+		}
+		if p, err := r.Policy(); err != nil || p.Force.Number != 1 {
+			t.Errorf("%v, %+v", err, p)
+		}
+	}
+}
--- a/internal/host/fleet/reload.go
+++ b/internal/host/fleet/reload.go
@@ -115,8 +115,7 @@
 	}
 	d.watchLists()
 	for _, p := range d.parts {
-		d.ban(p)
-		if !d.limit(p) {
+		if heard := d.ban(p); !d.limit(p) || !heard {
 			time.AfterFunc(shareAgain, d.shareSoon)
 		}
 	}
