Mend: a request with a taken id whose client left ended the agent with a panic

Checked: the log's stack (Loop.take, case left). What closes Request.over: finish (sets done first), reject of a policy (sets done), and the answer to a duplicate, which did not set done. Ruled out: two 'left' of one request (a connection posts one, from its reader's end).

Wrong: loop.go, case arrived, closed 'over' of a duplicate without done. Its client hangs up before it has read the 409, the reader posts 'left', and finish closed 'over' again. One function, reject, now answers whatever never comes to the table.

Tests: one on the loop, and one on a socket with the loop stopped until the second client has left; without the mend both end with the panic.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -265,11 +265,7 @@
 		// Not for the table: the id belongs to the other one. Each request has a new id, so one that
 		// has just ended is no better: servers may still know it.
 		if l.requests[e.ID] != nil || l.recent.has(e.ID, l.clock.now()) {
-			if e.late != nil {
-				e.late.Stop()
-			}
-			close(e.over)
-			e.reply(Answer{Duplicate: true})
+			l.reject(e.Request, Answer{Duplicate: true})
 			return
 		}
 		l.counts.requests++
@@ -380,6 +376,17 @@
 	r.reply(a)
 }
 
+// reject gives a request that never comes to the table its final answer. What its connection posts of it later
+// (its client's leaving may be on its way already) finds it done.
+func (l *Loop) reject(r *Request, a Answer) {
+	r.done = true
+	if r.late != nil {
+		r.late.Stop()
+	}
+	close(r.over)
+	r.reply(a)
+}
+
 // forget drops a request that is done with and has nothing out. Until then its id stays taken.
 func (l *Loop) forget(r *Request) {
 	if r.done && r.open == 0 {
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -57,6 +57,25 @@
 	testkit.Receive(t, "end of the loop", done)
 }
 
+// The client of a request whose id is taken may leave before it has read so.
+func TestDuplicateMayLeaveBeforeItsAnswer(t *testing.T) {
+	l, err := newLoop(testConfig(t, testkit.Setup{}), newClock(), none{}, testkit.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, again := asked("1"), asked("1")
+	l.take(arrived{first.Request})
+	l.take(arrived{again.Request})
+	l.take(left{again.Request})
+	l.take(overdue{again.Request})
+	if a := testkit.Receive(t, "answer", again.reply); !a.Duplicate || len(again.reply) != 0 {
+		t.Errorf("%+v and %d more", a, len(again.reply))
+	}
+	if l.requests["1"] != first.Request || first.done || len(first.reply) != 0 {
+		t.Error("the first request is not open any more")
+	}
+}
+
 // The ids that are remembered stay bounded, by time and by number.
 func TestRecentIDsAreBounded(t *testing.T) {
 	r := newRecent(time.Second)
--- a/internal/core/taking.go
+++ b/internal/core/taking.go
@@ -38,13 +38,8 @@
 	l.counts.refused++
 	l.totals.refused.Add(1)
 	l.turned["policy: "+why]++
-	if r.late != nil {
-		r.late.Stop()
-	}
-	r.done = true
-	close(r.over)
 	// Spread, so that all do not come back at once.
-	r.reply(Answer{Refused: true, Policy: why, RetryAfter: time.Second + time.Duration(rand.Float64()*float64(time.Second))})
+	l.reject(r, Answer{Refused: true, Policy: why, RetryAfter: time.Second + time.Duration(rand.Float64()*float64(time.Second))})
 }
 
 // Narrow has what was taken already repeated for no longer than these windows after its first attempt, by class; 0: as
--- a/internal/protocol/http1/helpers_test.go
+++ b/internal/protocol/http1/helpers_test.go
@@ -45,10 +45,20 @@
 // startUntil runs an agent that, once stopped, takes connections until accept is closed.
 func startUntil(t *testing.T, cfg *core.Config, accept <-chan time.Time) *running {
 	t.Helper()
-	a, own, err := newAgent(cfg, testkit.Quiet, core.Parts{AcceptAfterStop: accept, Silence: 2 * testkit.Patience}) // a slow machine is no dead discovery
+	return startParts(t, cfg, core.Parts{AcceptAfterStop: accept}, nil)
+}
+
+// startParts runs an agent with these parts, once ready, where it is set, has had it.
+func startParts(t *testing.T, cfg *core.Config, p core.Parts, ready func(*core.Agent)) *running {
+	t.Helper()
+	p.Silence = 2 * testkit.Patience // a slow machine is no dead discovery
+	a, own, err := newAgent(cfg, testkit.Quiet, p)
 	if err != nil {
 		t.Fatal(err)
 	}
+	if ready != nil {
+		ready(a)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{Agent: a, protocol: own, base: "http://" + a.Addr().String(), stop: cancel, done: make(chan error, 1)}
 	go func() { r.done <- a.Run(ctx); close(r.done) }()
