Mend: a list written on several lines ended every watch; silence counts by bytes

Silence was reset by line ends alone: a long object that came slowly counted as silence. All watches that fall silent in one moment were given up in one moment (4.5 s), and opened anew within a call's first backoff.

Wrong: catalog.go, the scanner and its Unmarshal by line, and silence.Reset behind it. Now a json.Decoder reads objects wherever they end, no object may be longer than before, each read that brings a byte counts as a sign of life, and each watch gives silence up to 1 s less, by chance: still one whole beat and 1.5 s more.

Ruled out: an object cut off changed nothing before either; and does not now (closed and reset).

Tests: objects over many lines, byte by byte, two on a line, cut off by a close and by a reset, null, arrays, garbage, endless; silence before, in and after the head, between objects and in one (in virtual time); the spread over 50 watches.

--- a/internal/source/catalog/catalog.go
+++ b/internal/source/catalog/catalog.go
@@ -3,12 +3,12 @@
 package catalog
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -40,8 +40,11 @@
 	// nothing. A change counts as told after 6 s even if it did not arrive, so the next watch must be
 	// up well before that.
 	Silence = 4500 * time.Millisecond
-	// A list line longer than this is no list.
-	maxLine = 4 << 20
+	// silenceSpread is by how much sooner some watches are given up, so that all of a fleet's that fall silent in
+	// one moment are not opened anew in one moment. One beat late by 1.5 s is still none missed.
+	silenceSpread = time.Second
+	// An object longer than this, in bytes, is no list.
+	maxObject = 4 << 20
 )
 
 // NewClient is an HTTP client for watches.
@@ -56,12 +59,20 @@
 	}
 }
 
+// errTooLong is of an object that goes past maxObject.
+var errTooLong = fmt.Errorf("an object of over %d bytes", maxObject)
+
 // Watch follows the changes since a version at addr until the connection ends, and passes each
 // message to each. It reports whether any came; the error says why it ended, and is never nil. If
 // ctx was cancelled with a cause, that is the error.
+//
+// A watch that brings no byte for silent, less up to silenceSpread, is over: silence counts from the call, through the
+// wait for a connection and for the answer's head, and in the midst of an object. Objects may be written on any number
+// of lines; one that the end of the watch cuts off changes nothing.
 func Watch(ctx context.Context, client *http.Client, addr string, since int64, silent time.Duration, each func(*Members)) (got bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	silent -= rand.N(min(silenceSpread, silent/4))
 	silence := time.AfterFunc(silent, func() { cancel(errors.New("silent")) })
 	defer silence.Stop()
 	url := "http://" + addr + "/catalog/members?follow=1&since=" + strconv.FormatInt(since, 10)
@@ -80,25 +91,45 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 16<<10), maxLine)
-	for lines.Scan() {
-		silence.Reset(silent)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
+	in := &heard{in: resp.Body, each: func() { silence.Reset(silent) }}
+	objects := json.NewDecoder(in)
+	for {
+		in.left = maxObject
+		var m *Members
+		if err = objects.Decode(&m); err == nil && m == nil {
+			err = errors.New("null is no object")
 		}
-		var m Members
-		if err := json.Unmarshal(line, &m); err != nil {
-			return got, fmt.Errorf("list: %w", err)
+		if err != nil {
+			break
 		}
 		got = true
-		each(&m)
+		each(m)
 	}
-	if err = lines.Err(); err == nil {
-		err = errors.New("ended by the list")
-	} else if cause := context.Cause(ctx); cause != nil {
+	if cause := context.Cause(ctx); cause != nil {
 		err = cause
+	} else if errors.Is(err, io.EOF) {
+		err = errors.New("ended by the list")
+	} else {
+		err = fmt.Errorf("list: %w", err)
 	}
 	return got, err
 }
+
+// heard reads a watch, tells of each read that brought something, and ends an object that does not end.
+type heard struct {
+	in   io.Reader
+	each func()
+	left int // bytes of the present object
+}
+
+func (h *heard) Read(p []byte) (int, error) {
+	if h.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := h.in.Read(p[:min(len(p), h.left)])
+	if n > 0 {
+		h.left -= n
+		h.each()
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/source/catalog/watch_test.go
@@ -0,0 +1,209 @@
+package catalog
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const watchHead = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n"
+
+// indented is a list as a service may write it: on many lines, with empty ones in between.
+func indented(version int, id, state string) string {
+	return fmt.Sprintf("{\r\n  \"version\": %d,\n\n  \"full\": false,\n  \"servers\": [\n    {\n      \"id\": %q,\n      \"state\": %q\n    }\n  ]\n}\n",
+		version, id, state)
+}
+
+// listener is a list service that hands over each connection once its request has come.
+func listener(t *testing.T) (addr string, conns chan net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	conns = make(chan net.Conn, 10)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				conns <- c
+			}
+		}
+	}()
+	return ln.Addr().String(), conns
+}
+
+// watched is what a watch of addr brought, object by object, and how it ended.
+func watched(t *testing.T, addr string, silent time.Duration) (heard chan *Members, end chan error) {
+	t.Helper()
+	heard, end = make(chan *Members, 100), make(chan error, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		_, err := Watch(ctx, NewClient(time.Minute), addr, 0, silent, func(m *Members) { heard <- m })
+		end <- err
+	}()
+	return heard, end
+}
+
+func receive[T any](t *testing.T, what string, ch <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(30 * time.Second):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+func write(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Each object counts as soon as its last byte has come, however it is laid out; one that the end of the watch, or
+// a reset, cuts off changes nothing, and neither do empty lines.
+func TestIndentedAndCutOffObjects(t *testing.T) {
+	for name, end := range map[string]func(c net.Conn){
+		"closed": func(c net.Conn) { c.Close() },
+		"reset":  func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, conns := listener(t)
+			heard, ended := watched(t, addr, time.Hour)
+			c := receive(t, "connection", conns)
+			write(t, c, watchHead+"\n\n"+indented(1, "a", "ready"))
+			if m := receive(t, "object", heard); m.Version != 1 || len(m.Servers) != 1 || m.Servers[0].ID != "a" {
+				t.Errorf("%+v", m)
+			}
+			text := strings.TrimSpace(indented(2, "b", "ready"))
+			for _, b := range []byte(text[:len(text)-1]) {
+				write(t, c, string(b))
+			}
+			if len(heard) != 0 {
+				t.Error("heard before its last byte was written")
+			}
+			write(t, c, "}") // no line end comes
+			if m := receive(t, "object", heard); m.Version != 2 {
+				t.Errorf("%+v", m)
+			}
+			write(t, c, `{"version":3,"full":true,"servers":[]}{"version":4,"servers":[]}`) // two on a line
+			if a, b := receive(t, "object", heard), receive(t, "object", heard); a.Version != 3 || !a.Full || b.Version != 4 || b.Full {
+				t.Errorf("%+v %+v", a, b)
+			}
+			cut := indented(5, "a", "gone")
+			write(t, c, cut[:len(cut)-4])
+			end(c)
+			if err := receive(t, "end", ended); err == nil || len(heard) != 0 {
+				t.Errorf("%v, %d more", err, len(heard))
+			}
+		})
+	}
+}
+
+// What is no list ends the watch.
+func TestWhatIsNoList(t *testing.T) {
+	for name, text := range map[string]string{
+		"null": "null\n", "array": "[]\n", "number": "7\n", "garbage": "}{", "endless": "{\"id\":\"" + strings.Repeat("x", maxObject+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, conns := listener(t)
+			heard, ended := watched(t, addr, time.Hour)
+			c := receive(t, "connection", conns)
+			go io.WriteString(c, watchHead+text)
+			if err := receive(t, "end", ended); err == nil || len(heard) != 0 {
+				t.Errorf("%v, %d heard", err, len(heard))
+			}
+		})
+	}
+}
+
+// piped is a client whose connections are pipes, for a test that turns the clock.
+func piped(served chan<- net.Conn) *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
+		DialContext: func(context.Context, string, string) (net.Conn, error) {
+			a, b := net.Pipe()
+			served <- b
+			return a, nil
+		}}}
+}
+
+// A watch that falls silent is over within Silence, and none sooner than its share of the spread: while its answer's
+// head is awaited, right after that, and in the midst of an object. Every byte counts as a sign of life.
+func TestSilenceEndsAWatchWhereverItFallsSilent(t *testing.T) {
+	object := indented(1, "a", "ready")
+	for name, text := range map[string]string{
+		"before the head": "", "in the head": watchHead[:20], "after the head": watchHead, "between objects": watchHead + object,
+		"in an object": watchHead + object[:30],
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				served := make(chan net.Conn, 1)
+				var last atomic.Int64 // ns
+				go func() {
+					c := <-served
+					defer c.Close()
+					in := bufio.NewReader(c)
+					for { // until the request has come whole
+						if line, err := in.ReadString('\n'); err != nil || line == "\r\n" {
+							break
+						}
+					}
+					head, body := text, ""
+					if i := strings.Index(text, "\r\n\r\n"); i >= 0 {
+						head, body = text[:i+4], text[i+4:]
+					}
+					_, _ = io.WriteString(c, head)
+					last.Store(time.Now().UnixNano())
+					for _, b := range []byte(body) { // a byte now and then: far longer than Silence in all
+						time.Sleep(Silence - silenceSpread - time.Millisecond)
+						_, _ = c.Write([]byte{b})
+						last.Store(time.Now().UnixNano())
+					}
+					_, _ = io.Copy(io.Discard, in)
+				}()
+				_, err := Watch(t.Context(), piped(served), "list", 0, Silence, func(*Members) {})
+				if took := time.Since(time.Unix(0, last.Load())); err == nil || err.Error() != "silent" || took > Silence || took < Silence-silenceSpread {
+					t.Errorf("%v, %v after the last byte", err, took)
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// Watches that fall silent together are not given up together.
+func TestSilentWatchesAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ends []time.Duration
+		began, done, served := time.Now(), make(chan time.Duration), make(chan net.Conn, 50)
+		for range 50 {
+			go func() {
+				_, _ = Watch(t.Context(), piped(served), "list", 0, Silence, nil)
+				done <- time.Since(began)
+			}()
+		}
+		for range 50 {
+			ends = append(ends, <-done)
+		}
+		if slices.Sort(ends); ends[0] < Silence-silenceSpread || ends[49] > Silence || ends[40]-ends[10] < silenceSpread/4 {
+			t.Errorf("%v to %v", ends[0], ends[49])
+		}
+	})
+}
