Mend: an agent could wait 3 s for a pushed list whose drains count from its return

Seen by reading: where lists are pushed and were down for long, discovery.run waited up to 3 s between two tries, whatever the settings say of drains.

Wrong: discovery.go, the ceiling min(reconnectFirst<<n, reconnectMost). It is now no more than a quarter of the grace (100 ms at the least; a pushed list is on the agent's own machine and answers at no cost).

--- a/internal/core/discovery.go
+++ b/internal/core/discovery.go
@@ -14,10 +14,20 @@
 )
 
 const (
-	// Reconnect waits where lists are pushed: full jitter below a doubling ceiling.
+	// Reconnect waits where lists are pushed: full jitter below a doubling ceiling, see reconnectWithin.
 	reconnectFirst, reconnectMost = 100 * time.Millisecond, 3 * time.Second
 )
 
+// reconnectWithin is the ceiling of the wait after so many failures in a row. What a list that was down has to tell
+// counts as told as soon as it is back: of the time until nothing new may go to a server that drains, a wait may take
+// no more than a quarter.
+func reconnectWithin(fails int, drainGrace time.Duration) time.Duration {
+	if fails == 0 {
+		return 1
+	}
+	return min(reconnectFirst<<min(fails-1, 10), max(reconnectFirst, min(drainGrace/4, reconnectMost)))
+}
+
 // discovery follows the list of backends. In ask mode the module says when to watch and when to
 // try again after a failure; where lists are pushed there is nobody to ask, and it reconnects
 // by itself.
@@ -70,11 +80,7 @@
 		if d.cfg.Settings.Subscribe {
 			ask = d.ask
 		} else {
-			var ceiling time.Duration = 1
-			if fails > 0 {
-				ceiling = min(reconnectFirst<<min(fails-1, 10), reconnectMost)
-			}
-			wait = time.After(rand.N(ceiling))
+			wait = time.After(rand.N(reconnectWithin(fails, d.cfg.Settings.DrainGrace)))
 		}
 		select {
 		case <-ask:
--- a/internal/core/discovery_test.go
+++ b/internal/core/discovery_test.go
@@ -159,3 +159,20 @@
 		})
 	}
 }
+
+// However often a pushed list was not to be had, an agent is back at it well before a drain that counts from its
+// return must be heeded; and it does not call without a pause.
+func TestReconnectsWithinTheDrainGrace(t *testing.T) {
+	for _, grace := range []time.Duration{0, 50 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second, time.Minute} {
+		for fails := range 100 {
+			switch wait := reconnectWithin(fails, grace); {
+			case wait <= 0 || wait > reconnectMost:
+				t.Errorf("grace %v, %d failures: %v", grace, fails, wait)
+			case wait > max(reconnectFirst, grace/4):
+				t.Errorf("grace %v, %d failures: waits %v", grace, fails, wait)
+			case fails > 0 && wait < reconnectFirst:
+				t.Errorf("grace %v, %d failures: only %v", grace, fails, wait)
+			}
+		}
+	}
+}
