Mend: clients that left unseen, and requests read and lost as connections were shut

Seen (by reading, then by tests on sockets): (a) a client that sends more behind its request and leaves was not seen to have left: its reader stood in <-turn (conn.go: serve's await, readHead's waits), and the request went to a server later; the same for an upload that waits for a server, whose body nobody reads. (b) gate.drop closed quiet connections from outside their readers: a request that the reader had just got from the system was thrown away (Gate.Read returned ErrClosed), as a drain begins, and a first request that came in pieces counted as silent. (c) CloseIdle ended connections whose last answer was just out, over what their clients still sent: reset, the answer may be lost. (d) readHead could set a deadline of its own over the past one with which next ends a connection.

Now: the reader reads on while an answer is awaited, keeps as much as a head may be long and drops the rest, unless a part of the answer is with the client, who may then have sent its next request; it looks after an upload's client by the socket's state ten times a second. The gate asks, by a read deadline that has passed, and the reader alone closes; bytes that it got all the same are a request's. What lingers is left its time. next and the reader set deadlines under one lock, by the connection's state.

Ruled out: two threads closing one place (drop is idempotent); pipelined requests (kept, served in turn). Failed try: dropping without a look at whether an answer streams lost the next request of a client that had read the last byte before the loop had booked it (found by TestBodies... as 'Post: EOF'; forced now).

Without the mend TestClientThatSentMoreAndLeft..., ...LeavesItsUpload... and ...SentMoreAndStays... fail; with drops' condition taken out TestRequestBehindTheLastByteOfAStream... does. The last-answer test passes without it too on this machine: it holds the behaviour.

--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -3,9 +3,11 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -60,6 +62,7 @@
 	conns            map[*clientConn]bool
 	fresh            *list.List    // of *clientConn that have sent no request yet, oldest first
 	idle             *list.List    // of *clientConn between requests, idle longest first
+	asked            int           // connections whose readers have been asked to end them
 	freed            chan struct{} // of one: a place has become free
 	done             chan struct{}
 	once             sync.Once
@@ -98,9 +101,15 @@
 	gate  *Gate
 	place *list.Element // in gate.fresh or gate.idle; nil while a request is open
 	since time.Time     // quiet since then
+	until time.Time     // see Until
 	used  bool          // has sent a request
+	begun bool          // has sent a byte
+	asked bool          // its reader has been asked to end it
+	last  bool          // its last answer is out, and the client's reading is waited for
 }
 
+var aLongTimeAgo = time.Unix(1, 0)
+
 func (g *Gate) Accept() (net.Conn, error) {
 	for {
 		wait := g.makeRoom(time.Now())
@@ -137,24 +146,24 @@
 	return c, nil
 }
 
-// makeRoom closes what has been quiet for long enough, down to the mark. It returns 0 if there
+// makeRoom has what has been quiet for long enough end, down to the mark. It returns 0 if there
 // is room for one more, else how long to wait for it at the most.
 func (g *Gate) makeRoom(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	wait := quietLeast
 	for _, l := range []*list.List{g.idle, g.fresh} {
-		for e := l.Front(); e != nil && (len(g.conns) >= g.mark || l == g.idle && l.Len() >= g.kept); e = l.Front() {
+		for e := l.Front(); e != nil && (len(g.conns)-g.asked >= g.mark || l == g.idle && l.Len() >= g.kept); e = l.Front() {
 			c := e.Value.(*clientConn)
 			if young := quietLeast - now.Sub(c.since); young > 0 {
 				wait = min(wait, young)
 				break
 			}
-			g.drop(c)
+			g.ask(c)
 		}
 	}
-	if e := g.idle.Front(); e != nil && len(g.conns) >= g.most {
-		g.drop(e.Value.(*clientConn))
+	if e := g.idle.Front(); e != nil && len(g.conns)-g.asked >= g.most {
+		g.ask(e.Value.(*clientConn))
 	}
 	if len(g.conns) < g.most {
 		return 0
@@ -162,6 +171,27 @@
 	return wait
 }
 
+// ask has a quiet connection's reader end it, by a read deadline that has passed. The gate closes none by itself: its
+// reader may have read a request by then, which would be lost. A reader that gets bytes all the same goes on with them.
+// The lock is held.
+func (g *Gate) ask(c *clientConn) {
+	g.unquiet(c)
+	if c.asked {
+		return
+	}
+	c.asked = true
+	g.asked++
+	_ = c.streamConn.SetReadDeadline(aLongTimeAgo) // one that can't be set is closed already
+}
+
+// goOn takes that back. The lock is held.
+func (g *Gate) goOn(c *clientConn) {
+	if c.asked {
+		c.asked = false
+		g.asked--
+	}
+}
+
 // drop closes a connection and frees its place. The lock is held; closing a socket does not
 // block, and a second close does no harm.
 func (g *Gate) drop(c *clientConn) {
@@ -171,6 +201,7 @@
 	_ = c.streamConn.Close() // nothing can be done about a socket that does not close
 	delete(g.conns, c)
 	g.unquiet(c)
+	g.goOn(c)
 	select {
 	case g.freed <- struct{}{}:
 	default:
@@ -196,9 +227,25 @@
 	defer g.mu.Unlock()
 	c.used = true
 	g.unquiet(c)
+	g.goOn(c)
 	return g.conns[c]
 }
 
+// Until bounds the reading of a connection on which no request is open, as SetReadDeadline does, unless it has been
+// asked to end: then it ends now.
+func (g *Gate) Until(nc net.Conn, t time.Time) {
+	c, ok := nc.(*clientConn)
+	if !ok {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.until = t
+	if !c.asked {
+		_ = c.streamConn.SetReadDeadline(t) // one that can't be set is closed already
+	}
+}
+
 // Idle says that none is open on it any more.
 func (g *Gate) Idle(nc net.Conn) {
 	if c, ok := nc.(*clientConn); ok {
@@ -226,12 +273,17 @@
 	return len(g.conns), g.fresh.Len(), g.idle.Len()
 }
 
-// CloseIdle closes the connections that are kept after their answers.
+// CloseIdle has the connections end that are kept after their answers. Those whose last answer is out end by
+// themselves, once their clients have read it.
 func (g *Gate) CloseIdle() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for e := g.idle.Front(); e != nil; e = g.idle.Front() {
-		g.drop(e.Value.(*clientConn))
+	var next *list.Element
+	for e := g.idle.Front(); e != nil; e = next {
+		next = e.Next()
+		if c := e.Value.(*clientConn); !c.last {
+			g.ask(c)
+		}
 	}
 }
 
@@ -256,13 +308,13 @@
 	}
 }
 
-// CloseSilent closes the connections on which no request was ever sent.
+// CloseSilent has the connections end on which nothing was ever sent.
 func (g *Gate) CloseSilent() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.conns {
-		if !c.used {
-			g.drop(c)
+		if !c.used && !c.begun {
+			g.ask(c)
 		}
 	}
 }
@@ -272,26 +324,39 @@
 	return g.Listener.Close()
 }
 
-// Read takes the connection out of those that may be closed for being quiet, as soon as a byte of a
-// request has come. A protocol tells of that only once it has read all of the head: closed in between,
-// the request would be handled though its client, which saw no answer, asks again elsewhere. One
-// that was closed first has brought nothing.
+// Read takes the connection out of those that may be ended for being quiet, as soon as a byte of a
+// request has come. A protocol tells of that only once it has read all of the head: ended in between,
+// the request would be handled though its client, which saw no answer, asks again elsewhere.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.streamConn.Read(p)
 	if n == 0 {
 		return n, err
 	}
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	if !c.gate.conns[c] {
-		return 0, net.ErrClosed
+	g := c.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.conns[c] {
+		return 0, net.ErrClosed // by its own side
+	}
+	c.begun = true
+	if c.asked { // it was too late for that: the request has the time that it would have had
+		g.goOn(c)
+		_ = c.streamConn.SetReadDeadline(c.until)
 	}
 	if c.used { // a first request has HeadTime from connecting, whatever comes of it
-		c.gate.unquiet(c)
+		g.unquiet(c)
 	}
 	return n, err
 }
 
+// SyscallConn is the socket's own.
+func (c *clientConn) SyscallConn() (syscall.RawConn, error) {
+	if sc, ok := c.streamConn.(syscall.Conn); ok {
+		return sc.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 func (c *clientConn) Close() error {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
@@ -305,6 +370,7 @@
 	g := c.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	c.last = true
 	if g.conns[c] && c.place == nil {
 		c.since = time.Time{}
 		c.place = g.idle.PushFront(c)
--- a/internal/protocol/http1/body.go
+++ b/internal/protocol/http1/body.go
@@ -6,12 +6,16 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"vetchhaven/internal/core"
 )
 
@@ -181,13 +185,27 @@
 	left   // its request has its answer
 )
 
+// lookEvery is how often a client is looked for whose upload waits for a server: nobody reads its connection then.
+const lookEvery = 100 * time.Millisecond
+
 // wait returns once the connection may go on to its next request, or false where its request has its answer before
 // all of it was read.
-func (u *upload) wait(r *core.Request, l *core.Loop) bool {
-	select {
-	case <-u.whole:
-	case <-r.Over():
-	case <-l.Stopped():
+func (u *upload) wait(r *core.Request, l *core.Loop, client net.Conn) bool {
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	for ended := false; !ended; {
+		select {
+		case <-u.whole:
+			ended = true
+		case <-r.Over():
+			ended = true
+		case <-l.Stopped():
+			ended = true
+		case <-look.C:
+			if hungUp(client) {
+				l.Leave(r)
+			}
+		}
 	}
 	u.mu.Lock() // an attempt that still reads is about to end
 	defer u.mu.Unlock()
@@ -195,6 +213,26 @@
 	return u.state.Load() == came
 }
 
+// hungUp reports whether the other side of a connection is known to have closed it, whatever is unread on it. One
+// that has sent more than the system holds unread is not known to have.
+func hungUp(nc net.Conn) (gone bool) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false // a test's
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	const ends = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		gone = n > 0 && err == nil && fds[0].Revents&ends != 0
+	})
+	return err != nil || gone
+}
+
 // pump writes what is left of the body to w, in pieces as they come. It reports whether a failure is the client's.
 func (u *upload) pump(ctx context.Context, over <-chan struct{}, w func([]byte) error) (clients bool, err error) {
 	u.mu.Lock()
--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -5,9 +5,11 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"vetchhaven/decide"
@@ -28,17 +30,24 @@
 	turn       chan struct{} // of one: no answer is awaited
 	replies    chan reply    // of a few, so that nobody who answers waits
 
-	mu     sync.Mutex
-	open   *core.Request // awaits its answer
-	up     *upload       // its body, where that streams
-	booked int           // bytes of its body
-	begun  bool          // its answer streams
-	ending bool          // takes no further request
-	over   bool          // the reader has ended
+	mu       sync.Mutex
+	open     *core.Request // awaits its answer
+	up       *upload       // its body, where that streams
+	booked   int           // bytes of its body
+	begun    bool          // its answer streams
+	behind   bool          // a part of the next request came while this one's answer was awaited
+	watching bool          // all of the next request's head did, or too much: the reader looks for the client's leaving alone
+	ending   bool          // takes no further request
+	over     bool          // the reader has ended
+
+	full atomic.Bool // the reader has come to the end of what is kept ahead; for tests
 }
 
-// errUnread is of a request that has its answer before all of it was read.
-var errUnread = &inputError{}
+// errUnread is of a request that has its answer before all of it was read, errEnded of one behind the last answer.
+var (
+	errUnread = &inputError{}
+	errEnded  = errors.New("no further request is taken")
+)
 
 const (
 	headMost  = maxHeader + 4<<10 // as net/http counts it
@@ -46,6 +55,10 @@
 	// lingerTime is what a client has to read its last answer before its connection closes: closed with
 	// something unread on it, it would be reset, and the answer lost.
 	lingerTime = 500 * time.Millisecond
+	// A client that sends more behind its request than a head may be long is read on, so that its leaving shows: what
+	// it sends is dropped, past floodMost bytes one piece of 4 KiB each floodPause.
+	floodMost  = 1 << 20
+	floodPause = 10 * time.Millisecond
 )
 
 // serve reads requests until the connection ends.
@@ -94,10 +107,76 @@
 	}
 }
 
-// await waits until the answer before is out. It reports false where that was the last.
+// await waits until the answer before is out. It reports false where that was the last, or its client has left.
 func (c *clientConn) await() bool {
+	c.mu.Lock()
+	c.watching = c.open != nil
+	watching := c.watching
+	c.mu.Unlock()
+	if watching && !c.watch() {
+		return false
+	}
 	<-c.turn
-	return !c.isEnding()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watching = false
+	return !c.ending
+}
+
+// watch reads on while an answer is awaited, or it would not be seen that the client has left. It reports whether the
+// answer is out: next ends its read then.
+func (c *clientConn) watch() bool {
+	var scrap [4 << 10]byte
+	for dropped := 0; ; {
+		into := scrap[:]
+		if c.end-c.start < headMost {
+			into = c.room()
+		}
+		n, err := c.nc.Read(into)
+		switch {
+		case n == 0 && err != nil:
+			return errors.Is(err, os.ErrDeadlineExceeded)
+		case c.end-c.start < headMost:
+			c.end += n
+			continue
+		case dropped == 0 && !c.drops():
+			c.buf = append(c.buf[:c.end], scrap[:n]...)
+			c.end += n
+			return true
+		}
+		if dropped += n; dropped > floodMost {
+			select {
+			case <-c.turn:
+				c.turn <- struct{}{}
+				return true
+			case <-time.After(floodPause):
+			}
+		}
+	}
+}
+
+// drops reports whether a client has sent more than is kept before any of its answer: what is dropped can't be
+// answered, and the connection ends. One that has a part of its answer, if only the last byte is not yet booked, may
+// have sent its next request, which is read when its turn comes.
+func (c *clientConn) drops() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer c.full.Store(true)
+	if c.open == nil || c.begun {
+		return false
+	}
+	c.ending = true
+	return true
+}
+
+// room is where the next bytes are read to.
+func (c *clientConn) room() []byte {
+	if c.end == len(c.buf) {
+		grown := make([]byte, max(firstRead, 2*len(c.buf)))
+		copy(grown, c.buf[:c.end])
+		c.buf = grown
+	}
+	return c.buf[c.end:]
 }
 
 func (c *clientConn) isEnding() bool {
@@ -116,10 +195,7 @@
 	}
 	began := false
 	if first {
-		// From connecting on, whatever comes of it.
-		if err := c.nc.SetReadDeadline(time.Now().Add(core.HeadTime)); err != nil {
-			return 0, err
-		}
+		c.f.gate.Until(c.nc, time.Now().Add(core.HeadTime)) // from connecting on, whatever comes of it
 		began = true
 	}
 	for {
@@ -139,31 +215,39 @@
 			copy(c.buf, c.buf[c.start:c.end])
 			c.start, c.end = 0, c.end-c.start
 		}
-		if c.end == len(c.buf) {
-			grown := make([]byte, max(firstRead, 2*len(c.buf)))
-			copy(grown, c.buf[:c.end])
-			c.buf = grown
-		}
 		if c.end > 0 && !began {
 			began = true
-			if c.waits() { // its time runs from when the answer before is out
-				<-c.turn
-				c.turn <- struct{}{}
-				if !c.f.gate.Busy(c.nc) {
-					return 0, net.ErrClosed
-				}
-			}
-			if err := c.nc.SetReadDeadline(time.Now().Add(core.HeadTime)); err != nil {
+			if err := c.beginNext(); err != nil {
 				return 0, err
 			}
 		}
-		n, err := c.nc.Read(c.buf[c.end:])
+		n, err := c.nc.Read(c.room())
 		if c.end += n; n == 0 && err != nil {
 			return 0, err
 		}
 	}
 }
 
+// beginNext bounds the time of a request that has begun to come: its time runs from when the answer before is out.
+func (c *clientConn) beginNext() error {
+	c.mu.Lock()
+	if c.open != nil {
+		c.behind = true // next sets its time
+		c.mu.Unlock()
+		return nil
+	}
+	c.mu.Unlock()
+	<-c.turn // the answer may still be on its way out
+	c.turn <- struct{}{}
+	if c.isEnding() {
+		return errEnded
+	}
+	if !c.f.gate.Busy(c.nc) {
+		return net.ErrClosed
+	}
+	return c.nc.SetReadDeadline(time.Now().Add(core.HeadTime))
+}
+
 // waits reports whether an answer is awaited.
 func (c *clientConn) waits() bool {
 	c.mu.Lock()
@@ -237,17 +321,15 @@
 		c.out = f.appendRefusal(c.out[:0], core.Answer{Refused: true}, true)
 		return c.done(c.out)
 	}
-	c.mu.Lock()
-	c.open, c.booked, c.up, c.begun = r, booked, up, false
-	c.mu.Unlock()
-	if err := c.nc.SetReadDeadline(time.Time{}); err != nil { // while its answer is awaited a client may be silent
-		c.mu.Lock()
-		c.open, c.booked, c.up = nil, 0, nil
-		c.mu.Unlock()
+	// While its answer is awaited a client may be silent. Before that is: from then on next sets what bounds the reader.
+	if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
 		f.open.Add(-1)
 		f.bodies.Put(booked)
 		return &inputError{} // it is closed, and nothing has been asked of anybody
 	}
+	c.mu.Lock()
+	c.open, c.booked, c.up, c.begun, c.behind = r, booked, up, false, false
+	c.mu.Unlock()
 	if up != nil {
 		f.uploads.Add(1)
 	}
@@ -255,7 +337,7 @@
 	if f.ended.Load() { // meanwhile, or before: it may have gone unseen
 		c.failOpen()
 	}
-	if up == nil || up.wait(r, f.loop) {
+	if up == nil || up.wait(r, f.loop, c.nc) {
 		return nil
 	}
 	return errUnread
@@ -284,14 +366,21 @@
 
 // next has the connection wait for its next request, or end, after an answer.
 func (c *clientConn) next() {
-	if c.isEnding() {
+	c.mu.Lock()
+	switch {
+	case c.ending:
 		// The reader learns it from its read, and lets the client read this answer.
 		c.closeWrite()
 		_ = c.nc.SetReadDeadline(aLongTimeAgo)
-	} else { // of a next request that has begun the reader hears when it has its turn, and says so
-		_ = c.nc.SetReadDeadline(time.Now().Add(idleTimeout)) // a dead connection shows by its read
+	case c.watching: // it goes on with the request that it has
+		_ = c.nc.SetReadDeadline(aLongTimeAgo)
+	case c.behind:
+		_ = c.nc.SetReadDeadline(time.Now().Add(core.HeadTime))
+	default:
+		c.f.gate.Until(c.nc, time.Now().Add(idleTimeout)) // a dead connection shows by its read
 		c.f.gate.Idle(c.nc)
 	}
+	c.mu.Unlock()
 	c.turn <- struct{}{}
 }
 
@@ -319,7 +408,8 @@
 // linger reads what a client still sends, so that the close is no reset, until it closes too.
 func (c *clientConn) linger() {
 	buf := make([]byte, 1024)
-	for end := time.Now().Add(lingerTime); c.nc.SetReadDeadline(end) == nil; {
+	c.f.gate.Until(c.nc, time.Now().Add(lingerTime))
+	for {
 		if _, err := c.nc.Read(buf); err != nil {
 			return
 		}
