Mend: a connection that came up late was used whatever the list or the window said by then

Seen (by reading, then by tests on sockets that hold a dial): an attempt looks again at its request and at bans by hand when its connection is up (backends.go, attempt), and not at the list, nor at the window of a keyed repeat.

Wrong: operate.go, Attempt.Barred knew bans alone; finish.go, Send.Until was set for rights alone. Now the loop keeps which servers the list says are ready, changed as the list is taken, and Barred looks there too, in both protocols; Send.Until of a keyed repeat is the end of its window. The check by ConnectTimeout before the repeat stays.

Ruled out: a request whose client left meanwhile was not sent (by.Over); held now by a test. Also: a connection that does not come up in time counts as broken, no longer as the proof that a process has ended. Cause: servers.go, NotConnected gave ConnectFailed for a dial's time-out; the module then holds the server for down (out of the in-flight limit) and for cold, for a whole ramp, after its next answer. Refused connections still say so.

Each new test fails without its line.

--- a/decide/balancer_test.go
+++ b/decide/balancer_test.go
@@ -1590,6 +1590,39 @@
 	}
 }
 
+// A keyed repeat says until when it may begin: as long as its first attempt is remembered, from when that was sent.
+// First attempts and safe requests have all the time there is, and so has one whose first attempt never ran.
+func TestRepeatMustBeginWithinTheWindow(t *testing.T) {
+	until := func(acts []decide.Action) (all []time.Duration) {
+		for _, a := range acts {
+			if s, ok := a.(decide.Send); ok {
+				all = append(all, s.Until)
+			}
+		}
+		return all
+	}
+	for _, row := range []struct {
+		class  int
+		result decide.Result
+		bound  bool
+	}{{keyedAll, decide.Errored, true}, {keyedAll, decide.Full, false}, {safe, decide.Errored, false}, {unsafe, decide.Broke, false}} {
+		r := newRig(t, settings(), 1, backends(4))
+		sent := r.now
+		if u := until(r.request("x", row.class)); len(u) != 1 || u[0] != 0 {
+			t.Fatalf("first attempt: %v", u)
+		}
+		r.now += 20 * ms
+		acts := append(r.outcome("x", row.result, 20*ms), r.advance(100*ms)...)
+		want := time.Duration(0)
+		if row.bound {
+			want = sent + 300*ms
+		}
+		if u := until(acts); len(u) != 1 || u[0] != want {
+			t.Errorf("class %d after %v: until %v, want %v", row.class, row.result, u, want)
+		}
+	}
+}
+
 // A repeat may have to wait for its connection, for the connect time-out at most. It must reach
 // the backend while that still remembers the first: on sockets, one sent at the window's last
 // instant could run twice if its connection had to be opened first.
--- a/decide/finish.go
+++ b/decide/finish.go
@@ -21,6 +21,8 @@
 	r.open++
 	if r.risky++; r.anchor == nil {
 		r.anchor = a
+	} else if c := &b.classes[r.class]; c.Effect == Keyed { // it may be held up on its way out
+		until = min(until, r.anchor.sent+c.Window)
 	}
 	b.credit -= a.cost
 	// Attempts, not requests: an agent that refuses would see its traffic grow by those that come
@@ -36,7 +38,7 @@
 		t.budget -= a.units
 	}
 	s := Send{Request: r.id, Backend: t.ID, NoDial: a.noDial}
-	if len(taken) > 0 {
+	if until < 1<<63-1 { // the latest there is: nothing bounds it
 		s.Until = until
 	}
 	b.actions = append(b.actions, s)
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -161,9 +161,8 @@
 	return 1
 }
 
-// pick chooses a backend: one where this balancer has nothing in flight, at
-// random; else the one with the fewest in flight; never the one that just failed
-// unless it is the only one. nil means that none may be used now.
+// pick chooses a backend: one with nothing of this balancer in flight, at random; else the one with the
+// fewest; never the one that just failed, unless it is the only one. nil: none may be used now.
 func (b *Balancer) pick(r *request) *backend {
 	if n := min(len(b.backends), b.width()); n > scanMost {
 		if t := b.sample(r, b.backends[:n]); t != nil {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -84,6 +84,7 @@
 	standing standing
 	away     atomic.Bool                     // an operator has sent clients away
 	barred   atomic.Pointer[map[string]bool] // taken out by hand; never changed in place
+	up       atomic.Pointer[map[string]bool] // ready by the list; never changed in place; nil: none has come
 	base     context.Context                 // of attempts: ends with the loop
 	ending   bool                            // it is to end
 	summing  bool                            // a summary is due
@@ -326,6 +327,7 @@
 		}
 	case List:
 		l.started(e)
+		l.tell(e)
 		l.protocol.Update(e)
 		l.pending = append(l.pending, e.List)
 		if len(e.Backends) > 0 {
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -149,13 +149,34 @@
 	}
 }
 
-// Barred reports whether an operator has taken the attempt's server out since it was decided: then it
-// must not be sent.
+// Barred reports whether an operator has taken the attempt's server out since it was decided, or the list says that
+// it drains or is gone: then it must not be sent. It is asked right before the first byte goes out, since a
+// connection may take long to come up.
 func (a *Attempt) Barred() bool {
+	if up := a.loop.up.Load(); up != nil && !(*up)[a.Server] {
+		return true
+	}
 	out := a.loop.barred.Load()
 	return out != nil && (*out)[a.Server]
 }
 
+// tell has attempts that have not been written see what the list says now.
+func (l *Loop) tell(e List) {
+	if e.Kind == decide.ListFailed {
+		return
+	}
+	up := map[string]bool{}
+	if old := l.up.Load(); old != nil && e.Kind == decide.ListDelta {
+		maps.Copy(up, *old)
+	}
+	for _, s := range e.Backends {
+		if delete(up, s.ID); s.State == decide.Up {
+			up[s.ID] = true
+		}
+	}
+	l.up.Store(&up)
+}
+
 // Sent counts the attempt: its last byte is written.
 func (a *Attempt) Sent() { a.loop.Counts(a.Class).Sends.Add(1) }
 
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"syscall"
 
 	"vetchhaven/decide"
@@ -80,8 +81,10 @@
 	// had somebody at its other end; and that an attempt's own time is up says nothing of a
 	// process. Covers also proxies, full accept queues and firewalls that answer with resets.
 	// It could hurt where something in front of a process takes its connections while it
-	// restarts: the restart then shows only in the list.
-	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.ECONNABORTED), ctx.Err() != nil:
+	// restarts: the restart then shows only in the list. A connection that has not come up in time says as little:
+	// it may be late, and a machine that is cut off comes back as it was. Servers that all others reach are
+	// ejected for it all the same; one that vanished, and starts anew before the list says so, counts as warm until it does.
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.ECONNABORTED), ctx.Err() != nil, os.IsTimeout(err):
 		return decide.Broke
 	}
 	return decide.ConnectFailed
--- a/internal/protocol/http1/backends.go
+++ b/internal/protocol/http1/backends.go
@@ -338,7 +338,7 @@
 // errand is what an attempt is made for.
 type errand interface {
 	Over() <-chan struct{}  // closed when the request has ended: nothing more is sent for it
-	Barred() bool           // its backend was taken out by hand meanwhile
+	Barred() bool           // its backend was taken out by hand meanwhile, or drains, or is gone
 	Lapsed() bool           // it may not begin any more
 	MayDial() bool          // it may open a connection
 	Dialed()                // it opens one
--- a/internal/protocol/http1/crossings_test.go
+++ b/internal/protocol/http1/crossings_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"maps"
@@ -10,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/source/catalog"
@@ -291,3 +293,107 @@
 		}
 	}
 }
+
+// heldDial has an agent's first connection to a server come up no sooner than told.
+func (r *running) heldDial(addr string) (dialled, release chan struct{}) {
+	dialled, release = make(chan struct{}, 1), make(chan struct{})
+	plain, first := r.backends.dialer, atomic.Bool{}
+	r.backends.dialer = func(ctx context.Context, network, to string) (net.Conn, error) {
+		if to == addr && first.CompareAndSwap(false, true) {
+			dialled <- struct{}{}
+			<-release
+			ctx = context.WithoutCancel(ctx) // it comes up however late it is
+		}
+		return plain(ctx, network, to)
+	}
+	return dialled, release
+}
+
+// A connection that comes up late brings nothing to a server that the list says by then to drain or to be gone:
+// another one has the request.
+func TestLateConnectionToADrainingServerIsNotUsed(t *testing.T) {
+	for _, state := range []string{"draining", "gone", "not listed"} {
+		t.Run(state, func(t *testing.T) {
+			one, two := serveRaw(t, func(int) string { return ok200 }), serveRaw(t, func(int) string { return ok200 })
+			list := testkit.NewCatalog(t)
+			a := start(t, testConfig(t, testkit.Setup{Discovery: list.Addr, Servers: []catalog.Member{one.member("one")}}))
+			w := testkit.Receive(t, "watch", list.Watch)
+			dialled, release := a.heldDial(one.addr)
+			got := make(chan exchange, 1)
+			go func() { got <- a.do("POST", "/pay/x", "form") }()
+			testkit.Receive(t, "dial", dialled)
+			if state == "not listed" {
+				w.Lines <- strings.Replace(testkit.ToLine(t, 42, two.member("two")), `"full":false`, `"full":true`, 1)
+			} else {
+				m := one.member("one")
+				m.State = state
+				w.Lines <- testkit.ToLine(t, 42, m, two.member("two"))
+			}
+			testkit.WaitFor(t, "the change", func() bool {
+				a.backends.mu.Lock()
+				defer a.backends.mu.Unlock()
+				_, known := a.backends.addrs.Of("two")
+				return known
+			})
+			close(release)
+			if x := testkit.Receive(t, "answer", got); x.status != 200 {
+				t.Errorf("%+v", x)
+			}
+			if len(one.seen) != 0 || len(two.seen) != 1 {
+				t.Errorf("%d went to the one that leaves, %d to the other", len(one.seen), len(two.seen))
+			}
+		})
+	}
+}
+
+// Nor to a request whose client has left meanwhile, nor to a repeat whose window has closed: the keyed request then fails.
+func TestLateConnectionToARequestThatEndedIsNotUsed(t *testing.T) {
+	t.Run("its client left", func(t *testing.T) {
+		s := serveRaw(t, func(int) string { return ok200 })
+		a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
+		dialled, release := a.heldDial(s.addr)
+		c := a.connect(t)
+		c.write(headOf("get", "late"))
+		testkit.Receive(t, "dial", dialled)
+		reset(c.c)
+		testkit.WaitFor(t, "its leaving", func() bool { return a.Totals().Gone == 1 })
+		close(release)
+		if x := a.do("GET", "/get/x", "", "X-Trace-Id", "next"); x.status != 200 {
+			t.Errorf("%+v", x)
+		}
+		if id := testkit.Receive(t, "request", s.seen); id != "next" || len(s.seen) != 0 {
+			t.Errorf("%q reached the server, and %d more", id, len(s.seen))
+		}
+	})
+	t.Run("its window has closed", func(t *testing.T) {
+		const window = 2 * time.Second
+		hold := make(chan struct{})
+		failing := serveRaw(t, func(int) string {
+			<-hold
+			return "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+		})
+		other := serveRaw(t, func(int) string { return ok200 })
+		list := testkit.NewCatalog(t)
+		cfg := testConfig(t, testkit.Setup{Discovery: list.Addr, Servers: []catalog.Member{failing.member("failing")}})
+		cfg.Settings.Classes[1].Window, cfg.Settings.ConnectTimeout = window, time.Millisecond
+		a := start(t, cfg)
+		w := testkit.Receive(t, "watch", list.Watch)
+		dialled, release := a.heldDial(other.addr)
+		got := make(chan exchange, 1)
+		go func() { got <- a.do("POST", "/put/x", "form", "Idempotency-Key", "k") }()
+		testkit.Receive(t, "request", failing.seen)
+		w.Lines <- testkit.ToLine(t, 42, other.member("other"))
+		testkit.WaitFor(t, "the other server", func() bool {
+			a.backends.mu.Lock()
+			defer a.backends.mu.Unlock()
+			_, known := a.backends.addrs.Of("other")
+			return known
+		})
+		close(hold)
+		testkit.Receive(t, "dial for the repeat", dialled)
+		time.AfterFunc(window, func() { close(release) }) // the first attempt began before
+		if x := testkit.Receive(t, "answer", got); x.status != http.StatusBadGateway || len(other.seen) != 0 {
+			t.Errorf("%d, %d reached the other server", x.status, len(other.seen))
+		}
+	})
+}
