Mend: a late second answer could be taken for the next one; an answer that drips is cut off

A second answer that then comes 3 to 20 ms late is read as the answer of another client's request. And an answer that streams was ended by 10 s without a byte alone: one byte each second kept its connections, and an attempt, for as long as 32 MB take so (passOn, src.stall).

Now: connections always rest 20 ms; trust is gone with its code. An answer that streams has answerStall and what its bytes take at 32 KiB a second, of the time that its server is waited for (a slow client costs it nothing), and is then reset, which its client can tell from an end.

Replaced: TestTrustIsEarnedAndLost, which held the shorter rest, by one that holds the full one after 10,000.

Tests: both fail without the mend (the drip one waits out its 30 s).

--- a/internal/protocol/http1/answer.go
+++ b/internal/protocol/http1/answer.go
@@ -27,7 +27,6 @@
 	length   int64     // of the body; -1: only its end tells
 	rest     io.Reader // what is to come of the body; nil: nothing
 	settle   func()    // at the end of rest: whether the connection may carry another request
-	more     bool      // something came behind it
 	reusable bool      // the connection may carry another request
 }
 
@@ -95,8 +94,7 @@
 		}
 	}
 	a.settle = func() {
-		a.more = in.Buffered() > 0
-		a.reusable = !a.more && !h.closes
+		a.reusable = in.Buffered() == 0 && !h.closes
 	}
 	var body io.Reader
 	switch {
--- a/internal/protocol/http1/backends.go
+++ b/internal/protocol/http1/backends.go
@@ -67,6 +67,7 @@
 	cfg     *core.Config
 	log     *slog.Logger
 	longest time.Duration // for which a connection may stand idle by the settings
+	stall   time.Duration // for which an answer that streams may bring nothing
 	answers *core.Budget  // bytes of answers that are being read
 	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
 	readers sync.Pool // of *bufio.Reader
@@ -78,7 +79,6 @@
 	// found to be dead.
 	keepIdle time.Duration
 	idle     map[string][]*conn // by backend id, the latest used last; none empty
-	trust    map[string]int     // answers with nothing behind them, by backend
 	open     int                // idle, in use or being dialled
 	closed   bool               // the agent has ended: nothing is kept
 }
@@ -92,75 +92,44 @@
 }
 
 // restTime is how long a connection rests after an answer, if there is another: what a backend
-// wrongly sends behind an answer comes right after it, and must not be read as the next one.
+// wrongly sends behind an answer comes some milliseconds later, and must not be read as the next one. The rest costs
+// connections, since at full speed each carries no more than one request in the time. A backend that has long sent
+// nothing of the kind rests as long: the first time that it does, another client would get its answer.
 const restTime = 20 * time.Millisecond
 
-// A backend that has answered so often with nothing behind it rests less. The rest costs connections: at full speed
-// each carries no more than one request in the time. Where one answer in a thousand brought more than belongs to
-// it, so many without would come about less than once in 20,000 times. One that does, wherever, and all rest in full
-// again. It could hurt where a backend begins to send more after long: what comes behind its answer within 2 ms, as it
-// does in practice, is found all the same.
-const (
-	trustAfter  = 10_000
-	trustedRest = 2 * time.Millisecond
-)
-
-// rest is for how long a connection to a backend rests. The lock is held.
-func (b *backends) rest(id string) time.Duration {
-	if b.trust[id] >= trustAfter {
-		return trustedRest
-	}
-	return restTime
-}
-
-// stray takes all trust back: something was sent that belongs to no request. The lock is held.
-func (b *backends) stray(id string) {
-	if b.trust[id] >= trustAfter {
-		b.log.Warn("a server sent more than its answer; all connections rest in full again", "backend", id)
-	}
-	clear(b.trust)
-}
-
 func newBackends(cfg *core.Config, log *slog.Logger) *backends {
 	return &backends{cfg: cfg, log: log, most: core.BackendSockets(cfg.Sockets),
 		// Backends may close an idle connection at IdleClose; a request that crosses that is lost
 		// as a reset that may have run. A quarter of the time is far more than any network takes.
 		longest: cfg.Site.IdleClose * 3 / 4, keepIdle: cfg.Site.IdleClose * 3 / 4,
-		answers: core.NewBudget(cfg.BodyMemory()),
+		answers: core.NewBudget(cfg.BodyMemory()), stall: answerStall,
 		dialer:  (&net.Dialer{KeepAlive: -1}).DialContext,
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
-		idle:    map[string][]*conn{}, trust: map[string]int{}}
+		idle:    map[string][]*conn{}}
 }
 
 // clean reports whether an idle connection is open and has nothing to read: there is no answer
-// that bytes on it could belong to, and stray tells that there are some.
-func (c *conn) clean() (quiet, stray bool) {
+// that bytes on it could belong to.
+func (c *conn) clean() (quiet bool) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true, false // a test's
+		return true // a test's
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false, false
+		return false
 	}
 	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet, stray = errors.Is(err, syscall.EAGAIN), err == nil && n > 0
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
 	})
-	return err == nil && quiet, stray
+	return err == nil && quiet
 }
 
 // useless reports whether an idle connection is of no more use. The lock is held.
-func (b *backends) useless(id string, c *conn, stood time.Duration) bool {
-	if stood >= b.keepIdle {
-		return true
-	}
-	quiet, stray := c.clean()
-	if stray {
-		b.stray(id)
-	}
-	return !quiet
+func (b *backends) useless(c *conn, stood time.Duration) bool {
+	return stood >= b.keepIdle || !c.clean()
 }
 
 func (b *backends) resize(sockets, bytes int) {
@@ -181,7 +150,6 @@
 			b.drop(c)
 		}
 		delete(b.idle, id)
-		delete(b.trust, id)
 	})
 }
 
@@ -200,12 +168,12 @@
 		return nil, "", core.ErrMoved
 	}
 	// They lie in the order in which they were put back: under load those used last have not rested yet.
-	list, now, rest := b.idle[id], time.Now(), b.rest(id)
-	first := sort.Search(len(list), func(i int) bool { return now.Sub(list[i].since) < rest })
+	list, now := b.idle[id], time.Now()
+	first := sort.Search(len(list), func(i int) bool { return now.Sub(list[i].since) < restTime })
 	for i := first - 1; i >= 0; i-- {
 		c, rested := list[i], now.Sub(list[i].since)
 		list = slices.Delete(list, i, i+1)
-		if !b.useless(id, c, rested) {
+		if !b.useless(c, rested) {
 			c.stood = rested
 			b.keep(id, list)
 			return c, addr, nil
@@ -257,11 +225,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.learnIdle(c.stood, true)
-	if a.more {
-		b.stray(id)
-	} else if _, known := b.addrs.Of(id); known {
-		b.trust[id]++
-	}
 	b.put(id, c, a.reusable)
 }
 
@@ -310,7 +273,7 @@
 		b.mu.Lock()
 		for id, list := range b.idle {
 			b.keep(id, slices.DeleteFunc(list, func(c *conn) bool {
-				useless := b.useless(id, c, time.Since(c.since))
+				useless := b.useless(c, time.Since(c.since))
 				if useless {
 					b.drop(c)
 				}
@@ -549,13 +512,20 @@
 	if !by.Begin(true) {
 		return errOver
 	}
-	// The client's time no longer ends it; that nothing comes does.
-	src.stall = answerStall
+	// The client's time no longer ends it; that nothing comes does, or too little: of all the time that the server is
+	// waited for, answerStall and what its bytes take at the slowest rate.
 	buf := pieces.Get().(*[]byte)
 	defer pieces.Put(buf)
 	out, err := m.to.begin(a, m.old)
+	waited, got := time.Duration(0), 0
 	for err == nil {
+		src.stall = min(b.stall, b.stall+time.Duration(got)*time.Second/slowest-waited)
+		if src.stall <= 0 {
+			return errStalled
+		}
+		asked := time.Now()
 		n, e := a.rest.Read(*buf)
+		waited, got = waited+time.Since(asked), got+n
 		if n > 0 {
 			err = out.write((*buf)[:n])
 		}
@@ -577,6 +547,9 @@
 // answerStall is how long an answer that streams may bring nothing.
 const answerStall = 10 * time.Second
 
+// errStalled is of an answer that streams and does not end: it drips.
+var errStalled = errors.New("the answer comes too slowly")
+
 // probe examines a backend: with its load report where probes bring one.
 func (b *backends) probe(id string) decide.ProbeResult {
 	start := time.Now()
--- a/internal/protocol/http1/backends_test.go
+++ b/internal/protocol/http1/backends_test.go
@@ -465,7 +465,7 @@
 	}
 	first := b.idle["s"][0]
 	more <- ok200 // while it is idle
-	testkit.WaitFor(t, "the second copy", func() bool { quiet, stray := first.clean(); return !quiet && stray })
+	testkit.WaitFor(t, "the second copy", func() bool { return !first.clean() })
 	rested(b)
 	ask("")
 	more <- ""
@@ -481,11 +481,10 @@
 	}
 }
 
-// A backend whose answers have long been followed by nothing rests less; the first one that is not, wherever, and all
-// rest in full again.
-func TestTrustIsEarnedAndLost(t *testing.T) {
-	more := ""
-	s := serveRaw(t, func(int) string { return ok200 + more })
+// However often a backend's answers were followed by nothing, its connections rest in full: a second answer that comes
+// after ten thousand clean ones, 15 ms late, is nobody's.
+func TestASecondAnswerAfterManyCleanOnesIsNobodys(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
 	go func() {
 		for range s.seen {
 		}
@@ -498,26 +497,17 @@
 			t.Fatalf("%v", result)
 		}
 	}
-	b.trust["s"] = trustAfter - 2
-	ask()
-	if b.rest("s") != restTime {
-		t.Error("trusted too soon")
-	}
-	ask()
-	if b.rest("s") != trustedRest {
-		t.Errorf("not trusted after %d", b.trust["s"])
-	}
-	b.trust["other"] = trustAfter
-	more = "HTTP/1.1"
-	ask()
-	if b.rest("s") != restTime || b.rest("other") != restTime {
-		t.Error("still trusted")
-	}
-	more = ""
-	b.trust["s"] = trustAfter
-	b.update(core.List{List: decide.List{Kind: decide.ListDelta, Backends: []decide.Backend{{ID: "s", State: decide.Gone}}}})
-	if len(b.trust) != 0 {
-		t.Error("one that is gone is remembered")
+	const many = 10_000
+	for range many {
+		ask()
+		if b.idle["s"][0].since = time.Now().Add(-restTime); b.open != 1 {
+			t.Fatal("not used again")
+		}
+	}
+	b.idle["s"][0].since = time.Now().Add(-15 * time.Millisecond)
+	c, _, err := b.take("s")
+	if err != nil || c != nil {
+		t.Errorf("%v %v: used again within its rest", c, err)
 	}
 }
 
--- a/internal/protocol/http1/crossings_test.go
+++ b/internal/protocol/http1/crossings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -397,3 +398,32 @@
 		}
 	})
 }
+
+// An answer that streams and never ends, though a byte of it comes now and then, is cut off, and its client can tell.
+func TestAnswerThatDripsForEverIsCutOff(t *testing.T) {
+	ln := testkit.Listen(t)
+	ended := make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(ended)
+		for flush := http.NewResponseController(w).Flush; ; {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+			if _, err := w.Write([]byte("x")); err != nil || flush() != nil {
+				return
+			}
+		}
+	})}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { server.Close() })
+	s := &backend{addr: ln.Addr().String()}
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
+	a.backends.stall = 200 * time.Millisecond
+	x := a.do("GET", "/get/x", "")
+	if x.err == nil || errors.Is(x.err, context.DeadlineExceeded) {
+		t.Errorf("%d, %d bytes, %v: it looks whole, or never ended", x.status, len(x.body), x.err)
+	}
+	testkit.Receive(t, "end at the server", ended)
+}
