Tests: signals twice and beside reloads, SIGTERM before ready, resets of answers without a length

SIGTERM with a request in flight now meets a silent list, a second SIGTERM and SIGHUPs before the answer; SIGTERM right after the start; an answer with no length that is reset before, in and after its first bytes (failed, or broken off where it streams).

--- a/cmd/vetchhaven/main_test.go
+++ b/cmd/vetchhaven/main_test.go
@@ -170,8 +170,20 @@
 	}
 }
 
-// SIGTERM with a request in flight: it gets its answer, and the program ends with status 0.
+// SIGTERM with a request in flight: it gets its answer, and the program ends with status 0. So it does where SIGTERM
+// comes again, and SIGHUP with it, before the answer, and where the list has fallen silent by then.
 func TestSigtermWithARequestInFlight(t *testing.T) {
+	for name, signals := range map[string][]os.Signal{
+		"once":            {syscall.SIGTERM},
+		"twice":           {syscall.SIGTERM, syscall.SIGTERM},
+		"beside a reload": {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP},
+	} {
+		t.Run(name, func(t *testing.T) { sigtermInFlight(t, signals) })
+	}
+}
+
+func sigtermInFlight(t *testing.T, signals []os.Signal) {
+	list, watched := watches(t) // a watch that says nothing
 	came, hold := make(chan struct{}), make(chan struct{})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -185,8 +197,9 @@
 	go func() { _ = server.Serve(ln) }()
 	defer server.Close()
 	addr := freeAddr(t)
-	cmd, log := program(t, fmt.Sprintf(config, addr, freeAddr(t), ln.Addr().String()))
+	cmd, log := program(t, fmt.Sprintf(config, addr, list, ln.Addr().String()))
 	waitReady(t, addr)
+	<-watched
 	answered := make(chan string, 1)
 	go func() {
 		req, _ := http.NewRequest("GET", "http://"+addr+"/get/x", nil)
@@ -205,8 +218,10 @@
 	case <-time.After(patience):
 		t.Fatalf("the request did not arrive; log %q", log)
 	}
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
+	for _, s := range signals {
+		if err := cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
 	}
 	close(hold)
 	if got := <-answered; got != "200done<nil>" {
@@ -216,3 +231,17 @@
 		t.Errorf("%v; log %q", err, log)
 	}
 }
+
+// SIGTERM at any moment of a start ends the program: by the signal itself, or with status 0.
+func TestSigtermBeforeReady(t *testing.T) {
+	for range 10 {
+		cmd, log := program(t, fmt.Sprintf(config, freeAddr(t), freeAddr(t), freeAddr(t)))
+		if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		err := cmd.Wait()
+		if state := cmd.ProcessState.Sys().(syscall.WaitStatus); err != nil && state.Signal() != syscall.SIGTERM {
+			t.Errorf("%v; log %q", err, log)
+		}
+	}
+}
--- a/internal/protocol/http1/crossings_test.go
+++ b/internal/protocol/http1/crossings_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -427,3 +428,49 @@
 	}
 	testkit.Receive(t, "end at the server", ended)
 }
+
+// A reset is no end, above all of an answer whose length is not told: what came of it is not served as a whole one.
+// Short, it fails the attempt; where it streams already, its client sees that it broke off.
+func TestResetIsNoEndOfAnAnswerWithoutALength(t *testing.T) {
+	for name, part := range map[string]string{"nothing": "", "short": "part", "long": strings.Repeat("p", maxWholeAnswer+1)} {
+		t.Run(name, func(t *testing.T) {
+			ln := testkit.Listen(t)
+			began := make(chan struct{})
+			go func() {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+part)
+				if name == "long" {
+					<-began
+				}
+				reset(c)
+			}()
+			s := &backend{addr: ln.Addr().String()}
+			a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
+			c := a.connect(t)
+			c.write("POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: 1\r\nContent-Length: 0\r\n\r\n")
+			if _, err := c.in.Peek(1); err != nil {
+				t.Fatal(err)
+			}
+			close(began)
+			resp, err := http.ReadResponse(c.in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			got, err := io.ReadAll(resp.Body)
+			if name == "long" {
+				if resp.StatusCode != 200 || err == nil {
+					t.Errorf("%d, %d bytes, and its client can't tell", resp.StatusCode, len(got))
+				}
+			} else if resp.StatusCode != http.StatusBadGateway || err != nil {
+				t.Errorf("%d %q %v", resp.StatusCode, got, err)
+			}
+		})
+	}
+}
