Mend: a new process sent by its stored list before a pushed list's first word; late requests of a drain

Seen (a): with lists pushed, what the list has counts as told from a process's first moment. Wrong: agent.go, Run served as soon as a stored list was there. Now, where lists are pushed, clients are let in after the list's first word, or its first failure, or 1 s. Asked lists tell nothing before they are asked: unchanged there. (b) by reading: the agent ends Longest + 0.6 s after SIGTERM, whatever is open. A request whose last byte comes later than 0.6 s (a slow client on a connection that is open) may have more time than that, and was cut off with no answer. Wrong: front and loop took its own deadline. A stopping agent now answers all by 0.1 s before its end.

Ruled out: requests taken before SIGTERM all end before that (their deadlines are no longer than Longest). Tests: an agent whose list is held until the test writes its word, or never writes, or is not there; deadlines of what is taken in a drain.

--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -30,7 +30,8 @@
 	leave     func()                  // the hub that it follows; nil: none
 	accept    func() <-chan time.Time // ends the time in which a stopping agent takes connections; nil: none
 	listWait  time.Duration
-	faults    chan error // of one: the first panic in any of its goroutines
+	firstWord time.Duration // see pushedWait
+	faults    chan error    // of one: the first panic in any of its goroutines
 
 	serving, stopping atomic.Bool
 	drainMu           sync.Mutex
@@ -70,10 +71,14 @@
 // kills 0.7 s after the longest deadline.
 const drainSlack = 600 * time.Millisecond
 
+// lastAnswers is kept free before a drain's end, for answers to be written and read. A request that comes late in the
+// drain, on a connection whose client writes slowly, has until then and not its own time: it would be lost.
+const lastAnswers = 100 * time.Millisecond
+
 // New sets up an agent with what it is given, or listens by itself. Clients are served once Run is
 // called. The protocol is made with the loop to which it gives requests.
 func New(cfg *Config, log *slog.Logger, p Parts, protocol func(*Loop) Protocol) (*Agent, error) {
-	a := &Agent{cfg: cfg, log: log, hub: p.Hub, listWait: p.ListWait, faults: make(chan error, 1),
+	a := &Agent{cfg: cfg, log: log, hub: p.Hub, listWait: p.ListWait, firstWord: pushedWait, faults: make(chan error, 1),
 		accept: func() <-chan time.Time { return time.After(acceptAfterStop) }}
 	if p.AcceptAfterStop != nil {
 		a.accept = func() <-chan time.Time { return p.AcceptAfterStop }
@@ -152,14 +157,10 @@
 		spawn(func() { a.loop.peers.run(ctx, a.loop.post) })
 	}
 	if a.listWait > 0 {
-		limit := time.NewTimer(a.listWait)
-		defer limit.Stop()
-		select {
-		case <-a.loop.listed:
-		case <-limit.C:
-		case <-stop.Done():
-		case <-a.loop.stopped: // it panicked: what follows finds out
-		}
+		a.await(stop, a.loop.listed, a.listWait)
+	}
+	if a.hub == nil && !a.cfg.Settings.Subscribe {
+		a.await(stop, a.discovery.tried, a.firstWord)
 	}
 	served := make(chan error, 1)
 	go func() { served <- a.protocol.Serve(a.gate) }()
@@ -176,6 +177,23 @@
 	return a.drain(served)
 }
 
+// pushedWait is how long a starting agent waits for its first word of a pushed list. Its stored list may be old, and what
+// the list has counts as told from the first moment on: nothing may go to a server that drained long ago. Such a list is
+// on the agent's own machine and answers at once; while it is down the agent serves by what it has.
+const pushedWait = time.Second
+
+// await waits for what, for so long at the most, or until the agent is to stop.
+func (a *Agent) await(stop context.Context, what <-chan struct{}, most time.Duration) {
+	limit := time.NewTimer(most)
+	defer limit.Stop()
+	select {
+	case <-what:
+	case <-limit.C:
+	case <-stop.Done():
+	case <-a.loop.stopped: // it panicked: what follows finds out
+	}
+}
+
 // ErrPanic is in the error of an agent that ended by a panic in its own code.
 var ErrPanic = errors.New("panic")
 
@@ -344,8 +362,11 @@
 // when nothing is open, or when the platform is about to kill.
 func (a *Agent) drain(served <-chan error) error {
 	a.log.Info("stopping")
-	limit, cancel := context.WithTimeout(context.Background(), a.cfg.Longest()+drainSlack)
+	end := time.Now().Add(a.cfg.Longest() + drainSlack)
+	limit, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	last := end.Add(-lastAnswers)
+	a.loop.ends.Store(&last)
 	// Closes idle connections at once: a client whose request crosses that opens a new connection,
 	// which is still accepted.
 	a.stopping.Store(true)
--- /dev/null
+++ b/internal/core/agent_test.go
@@ -0,0 +1,111 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"vetchhaven/decide"
+	"vetchhaven/internal/source/catalog"
+	"vetchhaven/internal/testkit"
+)
+
+// onClient is a protocol with one client, whose request comes as soon as clients are served. It tells which server
+// has it.
+type onClient struct {
+	none
+	loop  *Loop
+	sent  chan string
+	ended chan struct{}
+}
+
+func (p *onClient) Serve(g *Gate) error {
+	r := asked("1")
+	r.Deadline = time.Now().Add(testkit.Patience)
+	r.Left = testkit.Patience
+	p.loop.Take(r.Request)
+	<-p.ended
+	return nil
+}
+
+func (p *onClient) Attempt(a *Attempt) (decide.Result, any, decide.Load) {
+	p.sent <- a.Server
+	return decide.OK, "", decide.Load{}
+}
+
+// Where lists are pushed, what the list has counts as told from the first moment of a process: no client is served by a
+// stored list that the list's first word would change. Where that word does not come, or nobody is there, clients are
+// served by the stored one.
+func TestStoredListGivesWayToTheFirstWordOfAPushedOne(t *testing.T) {
+	for name, row := range map[string]struct {
+		wait time.Duration
+		word bool
+		dead bool
+		want string
+	}{
+		"it comes":         {testkit.Patience, true, false, "two"},
+		"it does not come": {time.Millisecond, false, false, "one"},
+		"nobody is there":  {testkit.Patience, false, true, "one"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			list := testkit.NewCatalog(t)
+			addr := list.Addr
+			if row.dead {
+				addr = testkit.DeadAddr(t)
+			}
+			member := func(id, state string) catalog.Member {
+				return catalog.Member{ID: id, Addr: "127.0.0.1:9", Zone: "a", Kind: "m1", State: state, Weight: 1}
+			}
+			cfg := testConfig(t, testkit.Setup{Discovery: addr, Servers: []catalog.Member{member("one", "ready")}})
+			p := &onClient{sent: make(chan string, 1), ended: make(chan struct{})}
+			a, err := New(cfg, testkit.Quiet, Parts{Silence: 2 * testkit.Patience}, func(l *Loop) Protocol { p.loop = l; return p })
+			if err != nil {
+				t.Fatal(err)
+			}
+			a.firstWord = row.wait
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- a.Run(ctx) }()
+			if !row.dead {
+				w := testkit.Receive(t, "watch", list.Watch)
+				if row.word {
+					two := member("two", "ready")
+					two.Addr = "127.0.0.1:10"
+					w.Lines <- testkit.ToLine(t, 42, member("one", "draining"), two)
+				}
+			}
+			if got := testkit.Receive(t, "attempt", p.sent); got != row.want {
+				t.Errorf("sent to %q", got)
+			}
+			close(p.ended)
+			cancel()
+			testkit.Receive(t, "end of the agent", done)
+		})
+	}
+}
+
+// A request that is taken late in a drain is answered before the agent ends, and not by its own time.
+func TestLateRequestOfADrainIsAnsweredBeforeItsEnd(t *testing.T) {
+	l, err := newLoop(testConfig(t, testkit.Setup{}), newClock(), none{}, testkit.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	end := now.Add(time.Hour)
+	for _, row := range []struct{ own, want time.Time }{{now.Add(time.Minute), now.Add(time.Minute)}, {now.Add(2 * time.Hour), end}} {
+		for _, ends := range []*time.Time{nil, &end} {
+			l.ends.Store(ends)
+			want := row.want
+			if ends == nil {
+				want = row.own
+			}
+			r := asked("1")
+			r.Deadline = row.own
+			l.Take(r.Request)
+			if !r.Deadline.Equal(want) {
+				t.Errorf("ends %v: until %v, want %v", ends, r.Deadline, want)
+			}
+			r.late.Stop()
+		}
+	}
+}
--- a/internal/core/discovery.go
+++ b/internal/core/discovery.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"vetchhaven/decide"
@@ -42,11 +43,13 @@
 	log     *slog.Logger
 	client  *http.Client
 	silence time.Duration
+	tried   chan struct{} // closed once the first watch has brought something, or has failed
+	once    sync.Once
 }
 
 func newDiscovery(cfg *Config, ck clock, post func(any), log *slog.Logger) *discovery {
 	return &discovery{cfg: cfg, clock: ck, post: post, ask: make(chan struct{}, 1),
-		moved: make(chan string, 1), addr: cfg.Discovery, log: log, silence: catalog.Silence,
+		moved: make(chan string, 1), addr: cfg.Discovery, log: log, silence: catalog.Silence, tried: make(chan struct{}),
 		client: catalog.NewClient(cfg.Settings.ConnectTimeout)}
 }
 
@@ -105,6 +108,7 @@
 			d.log.Warn("discovery watch ended", "error", err, "failures", fails)
 		}
 		d.post(List{List: decide.List{Kind: decide.ListFailed}})
+		d.once.Do(func() { close(d.tried) })
 	}
 }
 
@@ -155,6 +159,7 @@
 			kind = decide.ListFull
 		}
 		d.post(d.translate(m, kind))
+		d.once.Do(func() { close(d.tried) })
 	})
 }
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -85,6 +85,7 @@
 	away     atomic.Bool                     // an operator has sent clients away
 	barred   atomic.Pointer[map[string]bool] // taken out by hand; never changed in place
 	up       atomic.Pointer[map[string]bool] // ready by the list; never changed in place; nil: none has come
+	ends     atomic.Pointer[time.Time]       // when the last answers are given; nil: it is not to end
 	base     context.Context                 // of attempts: ends with the loop
 	ending   bool                            // it is to end
 	summing  bool                            // a summary is due
@@ -147,12 +148,21 @@
 // Take gives a request to the loop, which owes it one final answer. After the loop has stopped there is
 // none: see Stopped.
 func (l *Loop) Take(r *Request) {
+	r.Deadline = l.before(r.Deadline)
 	if !r.Upload {
 		l.limit(r)
 	}
 	l.post(arrived{r})
 }
 
+// before is a client's deadline, or the time of the last answers of an agent that is to end sooner.
+func (l *Loop) before(t time.Time) time.Time {
+	if end := l.ends.Load(); end != nil && end.Before(t) {
+		return *end
+	}
+	return t
+}
+
 // limit has a request found overdue. One that comes with less than a tick left is answered by the step that
 // first sees it; the grace after the deadline is there for this.
 func (l *Loop) limit(r *Request) {
@@ -285,7 +295,7 @@
 		if e.done {
 			return
 		}
-		e.Deadline = e.at.Add(e.Left)
+		e.Deadline = l.before(e.at.Add(e.Left))
 		l.limit(e.Request)
 		l.pending = append(l.pending, decide.Uploaded{Request: e.ID, Attempt: e.N, Left: time.Until(e.Deadline) - l.margin})
 	case ended:
