--- a/internal/protocol/http1/crossings_test.go
+++ b/internal/protocol/http1/crossings_test.go
@@ -136,7 +136,11 @@
 	t.Helper()
 	release = make(chan struct{})
 	s = serveRaw(t, func(int) string { <-release; return ok200 })
-	a = start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
+	cfg := testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}})
+	for i := range cfg.Settings.Classes {
+		cfg.Settings.Classes[i].Aim = cfg.Settings.Classes[i].Deadline // what waits, waits long
+	}
+	a = start(t, cfg)
 	answers = make(chan exchange, 100)
 	const most = 6 // as the module has it at its start, for one server
 	for range most {
@@ -331,12 +335,7 @@
 				m.State = state
 				w.Lines <- testkit.ToLine(t, 42, m, two.member("two"))
 			}
-			testkit.WaitFor(t, "the change", func() bool {
-				a.backends.mu.Lock()
-				defer a.backends.mu.Unlock()
-				_, known := a.backends.addrs.Of("two")
-				return known
-			})
+			a.waitListed(t, "two")
 			close(release)
 			if x := testkit.Receive(t, "answer", got); x.status != 200 {
 				t.Errorf("%+v", x)
@@ -348,56 +347,53 @@
 	}
 }
 
-// Nor to a request whose client has left meanwhile, nor to a repeat whose window has closed: the keyed request then fails.
+// Nor to a request whose client has left meanwhile.
 func TestLateConnectionToARequestThatEndedIsNotUsed(t *testing.T) {
-	t.Run("its client left", func(t *testing.T) {
-		s := serveRaw(t, func(int) string { return ok200 })
-		a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
-		dialled, release := a.heldDial(s.addr)
-		c := a.connect(t)
-		c.write(headOf("get", "late"))
-		testkit.Receive(t, "dial", dialled)
-		reset(c.c)
-		testkit.WaitFor(t, "its leaving", func() bool { return a.Totals().Gone == 1 })
-		close(release)
-		if x := a.do("GET", "/get/x", "", "X-Trace-Id", "next"); x.status != 200 {
-			t.Errorf("%+v", x)
-		}
-		if id := testkit.Receive(t, "request", s.seen); id != "next" || len(s.seen) != 0 {
-			t.Errorf("%q reached the server, and %d more", id, len(s.seen))
-		}
-	})
-	t.Run("its window has closed", func(t *testing.T) {
-		const window = 2 * time.Second
-		hold := make(chan struct{})
-		failing := serveRaw(t, func(int) string {
-			<-hold
-			return "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
-		})
-		other := serveRaw(t, func(int) string { return ok200 })
-		list := testkit.NewCatalog(t)
-		cfg := testConfig(t, testkit.Setup{Discovery: list.Addr, Servers: []catalog.Member{failing.member("failing")}})
-		cfg.Settings.Classes[1].Window, cfg.Settings.ConnectTimeout = window, time.Millisecond
-		a := start(t, cfg)
-		w := testkit.Receive(t, "watch", list.Watch)
-		dialled, release := a.heldDial(other.addr)
-		got := make(chan exchange, 1)
-		go func() { got <- a.do("POST", "/put/x", "form", "Idempotency-Key", "k") }()
-		testkit.Receive(t, "request", failing.seen)
-		w.Lines <- testkit.ToLine(t, 42, other.member("other"))
-		testkit.WaitFor(t, "the other server", func() bool {
-			a.backends.mu.Lock()
-			defer a.backends.mu.Unlock()
-			_, known := a.backends.addrs.Of("other")
-			return known
-		})
-		close(hold)
-		testkit.Receive(t, "dial for the repeat", dialled)
-		time.AfterFunc(window, func() { close(release) }) // the first attempt began before
-		if x := testkit.Receive(t, "answer", got); x.status != http.StatusBadGateway || len(other.seen) != 0 {
-			t.Errorf("%d, %d reached the other server", x.status, len(other.seen))
-		}
+	s := serveRaw(t, func(int) string { return ok200 })
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}))
+	dialled, release := a.heldDial(s.addr)
+	c := a.connect(t)
+	c.write(headOf("get", "late"))
+	testkit.Receive(t, "dial", dialled)
+	reset(c.c)
+	testkit.WaitFor(t, "its leaving", func() bool { return a.Totals().Gone == 1 })
+	close(release)
+	if x := a.do("GET", "/get/x", "", "X-Trace-Id", "next"); x.status != 200 {
+		t.Errorf("%+v", x)
+	}
+	if id := testkit.Receive(t, "request", s.seen); id != "next" || len(s.seen) != 0 {
+		t.Errorf("%q reached the server, and %d more", id, len(s.seen))
+	}
+}
+
+// Nor to a repeat whose window has closed: the keyed request then fails. The window is long enough for a slow machine to
+// begin the repeat within it.
+func TestLateConnectionOfARepeatPastItsWindowIsNotUsed(t *testing.T) {
+	t.Parallel()
+	const window = 8 * time.Second
+	hold := make(chan struct{})
+	failing := serveRaw(t, func(int) string {
+		<-hold
+		return "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
 	})
+	other := serveRaw(t, func(int) string { return ok200 })
+	list := testkit.NewCatalog(t)
+	cfg := testConfig(t, testkit.Setup{Discovery: list.Addr, Servers: []catalog.Member{failing.member("failing")}})
+	cfg.Settings.Classes[1].Window, cfg.Settings.ConnectTimeout = window, time.Millisecond
+	a := start(t, cfg)
+	w := testkit.Receive(t, "watch", list.Watch)
+	dialled, release := a.heldDial(other.addr)
+	got := make(chan exchange, 1)
+	go func() { got <- a.do("POST", "/put/x", "form", "Idempotency-Key", "k") }()
+	testkit.Receive(t, "request", failing.seen)
+	w.Lines <- testkit.ToLine(t, 42, other.member("other"))
+	a.waitListed(t, "other")
+	close(hold)
+	testkit.Receive(t, "dial for the repeat", dialled)
+	time.AfterFunc(window, func() { close(release) }) // the first attempt began before
+	if x := testkit.Receive(t, "answer", got); x.status != http.StatusBadGateway || len(other.seen) != 0 {
+		t.Errorf("%d, %d reached the other server", x.status, len(other.seen))
+	}
 }
 
 // An answer that streams and never ends, though a byte of it comes now and then, is cut off, and its client can tell.
--- a/internal/protocol/http1/discovery_test.go
+++ b/internal/protocol/http1/discovery_test.go
@@ -25,12 +25,7 @@
 	drained := one.member("one")
 	drained.State = "draining"
 	w.Lines <- testkit.ToLine(t, 42, drained, two.member("two"))
-	testkit.WaitFor(t, "the change", func() bool {
-		a.backends.mu.Lock()
-		defer a.backends.mu.Unlock()
-		_, known := a.backends.addrs.Of("two")
-		return known
-	})
+	a.waitListed(t, "two")
 	before := len(one.seen)
 	for range 20 {
 		if x := a.do("GET", "/get/x", ""); x.status != 200 {
--- a/internal/protocol/http1/helpers_test.go
+++ b/internal/protocol/http1/helpers_test.go
@@ -73,6 +73,17 @@
 	return r
 }
 
+// waitListed returns once a change of the list that names a server has been taken.
+func (r *running) waitListed(t *testing.T, server string) {
+	t.Helper()
+	testkit.WaitFor(t, "the change of the list", func() bool {
+		r.backends.mu.Lock()
+		defer r.backends.mu.Unlock()
+		_, known := r.backends.addrs.Of(server)
+		return known
+	})
+}
+
 // exchange is one client request to the agent: what came back, with its whole body.
 type exchange struct {
 	status int
