Test: a flood is answered once its reader has begun to drop it, and not by chance before

Seen: 2 of 4 runs at a load of 25 failed in TestClientThatSentMoreAndStaysIsServed/a_flood: the answer came before the reader had read as much as is kept, so that the request behind was rightly served. The test now waits for the reader. 15 times without and three times with the race detector, at that load, green.

--- a/internal/protocol/http1/crossings_test.go
+++ b/internal/protocol/http1/crossings_test.go
@@ -69,6 +69,16 @@
 	return len(r.front.conns)
 }
 
+// waitFull returns once a client's reader has come to the end of what is kept ahead.
+func (r *running) waitFull(t *testing.T) {
+	t.Helper()
+	testkit.WaitFor(t, "a reader to come to the end of what is kept", func() bool {
+		r.front.mu.Lock()
+		defer r.front.mu.Unlock()
+		return slices.ContainsFunc(slices.Collect(maps.Keys(r.front.conns)), func(c *clientConn) bool { return c.full.Load() })
+	})
+}
+
 // A request whose id another one has is turned away by the loop; its client may have left by then.
 func TestDuplicateMayLeaveBeforeItsAnswer(t *testing.T) {
 	release := make(chan struct{})
@@ -196,6 +206,9 @@
 			c.write(headOf("get", "first"))
 			testkit.WaitFor(t, "the request", func() bool { return a.Open() == 7 })
 			c.write(more.text)
+			if len(more.status) == 1 {
+				a.waitFull(t)
+			}
 			close(release)
 			for range 6 {
 				testkit.Receive(t, "answer", answers)
@@ -252,12 +265,7 @@
 	}
 	c.write("POST /put/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: next\r\nIdempotency-Key: k\r\nContent-Length: 90000\r\n\r\n")
 	c.write(strings.Repeat("b", 90_000))
-	a.front.mu.Lock()
-	conns := slices.Collect(maps.Keys(a.front.conns))
-	a.front.mu.Unlock()
-	testkit.WaitFor(t, "the reader to come to the end of what is kept", func() bool {
-		return slices.ContainsFunc(conns, func(c *clientConn) bool { return c.full.Load() })
-	})
+	a.waitFull(t)
 	close(loop.free)
 	if status, last := c.answer(); status != 200 || last {
 		t.Errorf("the next one: %d, last %v", status, last)
