Test kit: an address at which nobody listens stays so until its test ends

Seen: the crossings' tests a hundred times in five processes at once, with the race detector: 2 of 100 failed, with requests that have no id at a stand-in ('"" and 2 more reached the server'). Cause: testkit.DeadAddr gave back a port that it had just freed; another test's server got it, and the first one's agent watched its list there. The port is now held by a socket that is bound and does not listen.

--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -76,12 +77,23 @@
 	return ln
 }
 
-// DeadAddr is an address at which nothing listens.
+// DeadAddr is an address at which nothing listens until the test ends: connections are refused. It is kept, or another
+// test's server could get the port, and what is meant for nobody.
 func DeadAddr(t testing.TB) string {
 	t.Helper()
-	ln := Listen(t)
-	ln.Close()
-	return ln.Addr().String()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
 }
 
 // Receive waits for what must come on a channel.
