Regions and zones for the view in virtual time, drawn from a seed, with cuts by pairs of regions

internal/drill/topology: who stands in which region and zone, what a path between two regions adds one way (delay, jitter, loss), cuts from one region to another from a time until another, five regions 20 to 250 ms apart (Mixed). virtual.Options.Layout lays it over the plan's links and gives the daemons' records its zones.

Tests: TestARegionCutOffIsSilentToAllOthersAndComesBack (seen failing with the path's loss left out), and the layout's own.

--- a/internal/drill/virtual/virtual.go
+++ b/internal/drill/virtual/virtual.go
@@ -17,6 +17,7 @@
 
 	"vetchhaven/internal/drill/judge"
 	"vetchhaven/internal/drill/plan"
+	"vetchhaven/internal/drill/topology"
 	"vetchhaven/internal/peer/view"
 )
 
@@ -33,6 +34,9 @@
 	// Instances that each daemon says it runs; 0: 1.
 	Instances int
 	FileCount int // balancers that the daemons' files name; 0: 1
+	// Layout places the daemons in regions and zones: what lies between two is added to the plan's links. nil: one site,
+	// and the plan's zones.
+	Layout *topology.Layout
 }
 
 // Result is what happened.
@@ -222,7 +226,12 @@
 	return "127.77." + strconv.Itoa(n/250) + "." + strconv.Itoa(n%250+1) + ":7946"
 }
 
-func (w *world) zone(n int) string { return "z" + strconv.Itoa(n%w.p.Zones+1) }
+func (w *world) zone(n int) string {
+	if w.o.Layout != nil {
+		return w.o.Layout.ZoneName(n)
+	}
+	return "z" + strconv.Itoa(n%max(1, w.p.Zones)+1)
+}
 
 func (w *world) lifeOf(n int) uint64 { return uint64(n)*2654435761 + 1 }
 
@@ -340,8 +349,19 @@
 	a.next = never
 }
 
-// linkOf is the link from one to another: the last rule that holds.
+// linkOf is the link from one to another: the last rule that holds, on the path that lies between them.
 func (w *world) linkOf(from, to int) plan.Link {
+	l := w.ruled(from, to)
+	if w.o.Layout != nil {
+		p := w.o.Layout.Between(from, to, w.now)
+		l.Delay += p.Delay
+		l.Jitter += p.Jitter
+		l.Drop = 1 - (1-l.Drop)*(1-p.Loss)
+	}
+	return l
+}
+
+func (w *world) ruled(from, to int) plan.Link {
 	for i := len(w.rules) - 1; i >= 0; i-- {
 		r := &w.rules[i]
 		if r.who[from] && r.to[to] || r.both && r.to[from] && r.who[to] {
--- a/internal/drill/virtual/virtual_test.go
+++ b/internal/drill/virtual/virtual_test.go
@@ -6,9 +6,12 @@
 	"path/filepath"
 	"slices"
 	"testing"
+	"time"
 
 	"vetchhaven/internal/drill/judge"
 	"vetchhaven/internal/drill/plan"
+	"vetchhaven/internal/drill/topology"
+	"vetchhaven/internal/peer/view"
 )
 
 func shipped(t *testing.T) []*plan.Plan {
@@ -81,3 +84,35 @@
 		}
 	}
 }
+
+func TestARegionCutOffIsSilentToAllOthersAndComesBack(t *testing.T) {
+	l, err := topology.New(topology.Spec{Members: 15, Regions: 5, RTT: 20 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.CutOff(4, 5*time.Second, 25*time.Second)
+	held := map[[2]int]bool{} // who held whom for dead in the cut
+	r, err := Play(&plan.Plan{Name: "regions", Daemons: 15, Seeds: []int{0, 1}, Length: 60 * time.Second}, Options{Seed: 3, Warm: true, Layout: l,
+		Each: func(_ time.Duration, daemon int, a view.Action) {
+			if c, ok := a.(view.Changed); ok && c.Record.State == view.Dead {
+				for n := range 15 {
+					if plan.Name(n) == c.Record.Name {
+						held[[2]int{daemon, n}] = true
+					}
+				}
+			}
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for a := range 15 {
+		for b := range 15 {
+			if apart := (l.Region(a) == 4) != (l.Region(b) == 4); a != b && held[[2]int{a, b}] != apart {
+				t.Errorf("%d holds %d for dead: %v, cut apart: %v", a, b, held[[2]int{a, b}], apart)
+			}
+		}
+		if r.Views[a].Digest() != r.Views[0].Digest() || r.Views[a].Own().Zone != l.ZoneName(a) {
+			t.Errorf("%d sees another fleet at the end, or has zone %s", a, r.Views[a].Own().Zone)
+		}
+	}
+}
