Capacity: the page's tables are printed from the size aimed at and what was measured

Need: docs/CAPACITY.md is to hold no figure that was not measured or worked out from one that was, and a new figure or another size is to be one edit.

tools/capacity page reads docs/capacity/size.toml (what figures grow with, the bounds, what each role is asked for) and slopes.toml (raw points), fits each entry by its declared form with least squares, and prints a table for each role: slope, value at the size, residual, range, how far extrapolated (over 4 is marked), bound, met, and the run. A bound on a sum takes the greatest figure of each mechanism. Wrong entries are errors with file, line and field.

Measured: nothing yet, and each row says so.

--- /dev/null
+++ b/tools/capacity/page/page.go
@@ -0,0 +1,73 @@
+package page
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+
+	"vetchhaven/tools/capacity/slopes"
+)
+
+// Load reads both files, and prints the tables.
+func Load(sizePath, slopesPath string) (map[string]string, error) {
+	size, err := ReadSize(sizePath)
+	if err != nil {
+		return nil, err
+	}
+	data, err := os.ReadFile(slopesPath)
+	if err != nil {
+		return nil, err
+	}
+	all, err := slopes.Parse(slopesPath, data)
+	if err != nil {
+		return nil, err
+	}
+	if err := size.Fits(slopesPath, data, all); err != nil {
+		return nil, err
+	}
+	return Tables(size, all), nil
+}
+
+var begin = regexp.MustCompile(`^<!-- tables: begin ([a-z]+) -->$`)
+
+const end = "<!-- end -->"
+
+// Insert puts the tables between their markers. Each table has a place on the page, and each place a table.
+func Insert(path, text string, tables map[string]string) (string, error) {
+	var out []string
+	var missing []string
+	for name := range tables {
+		missing = append(missing, name)
+	}
+	open, openAt := "", 0
+	for i, line := range strings.Split(text, "\n") {
+		m := begin.FindStringSubmatch(line)
+		switch {
+		case m != nil && open != "":
+			return "", fmt.Errorf("%s:%d: the table %s that begins on line %d has no end", path, i+1, open, openAt)
+		case m != nil:
+			open, openAt = m[1], i+1
+			at := slices.Index(missing, open)
+			if at < 0 {
+				return "", fmt.Errorf("%s:%d: there is no table %q, or it is here twice", path, i+1, open)
+			}
+			missing = slices.Delete(missing, at, at+1)
+			out = append(out, line, strings.TrimSuffix(tables[open], "\n"), end)
+		case line == end && open == "":
+			return "", fmt.Errorf("%s:%d: the end of a table that has no begin", path, i+1)
+		case line == end:
+			open = ""
+		case open == "":
+			out = append(out, line)
+		}
+	}
+	if open != "" {
+		return "", fmt.Errorf("%s:%d: the table %s has no end", path, openAt, open)
+	}
+	if slices.Sort(missing); len(missing) > 0 {
+		return "", fmt.Errorf("%s: no place for the tables %s", path, strings.Join(missing, ", "))
+	}
+	return strings.Join(out, "\n"), nil
+}
--- /dev/null
+++ b/tools/capacity/page/tables.go
@@ -0,0 +1,460 @@
+package page
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"vetchhaven/tools/capacity/slopes"
+)
+
+// Far is by how many times the largest measured size a figure may be extrapolated without a mark.
+const Far = 4
+
+// Tables are the page's, by name: one for each role, what breaks as the size grows, and the runs behind them.
+func Tables(s *Size, all []slopes.Slope) map[string]string {
+	p := &printer{size: s, all: all}
+	tables := map[string]string{"size": p.sizes()}
+	for _, role := range slopes.Roles {
+		tables[role] = p.role(role)
+	}
+	tables["breaks"] = p.breaks()
+	tables["runs"] = p.runs() // last: it has the numbers of those that were named
+	return tables
+}
+
+type printer struct {
+	size *Size
+	all  []slopes.Slope
+	used []run
+}
+
+// run is a command with its date and machine.
+type run struct{ command, date, machine string }
+
+// number is the run's in the last table.
+func (p *printer) number(s *slopes.Slope) string {
+	r := run{s.Command, s.Date, s.Machine}
+	i := slices.Index(p.used, r)
+	if i < 0 {
+		i = len(p.used)
+		p.used = append(p.used, r)
+	}
+	return fmt.Sprintf("[%d]", i+1)
+}
+
+func (p *printer) sizes() string {
+	t := table("what", "at the size", "from")
+	for i := range p.size.Variable {
+		v := &p.size.Variable[i]
+		value := ""
+		if v.Value != nil {
+			value = count(*v.Value)
+		} else {
+			value = fmt.Sprintf("%s at rest, %s on a day, %s in the worst minute", count(*v.Rest), count(*v.Day), count(*v.Worst))
+		}
+		t.row(v.Words, value, v.Source)
+	}
+	for i := range p.size.Bound {
+		b := &p.size.Bound[i]
+		t.row("bound: "+b.Name, unit(b.Most, b.Unit)+" at most", b.Source)
+	}
+	return t.String()
+}
+
+var loads = map[string]string{"rest": "at rest", "day": "ordinary day", "worst": "worst minute"}
+
+// role is the table of one role.
+func (p *printer) role(role string) string {
+	t := table("load", "figure", "carried by", "slope", "at the size", "residual", "measured over", "times beyond", "bound", "met", "run")
+	for _, load := range slopes.Loads {
+		rows := p.of(role, load)
+		for _, e := range rows {
+			p.entry(t, e)
+		}
+		for i := range p.size.Asked {
+			if a := &p.size.Asked[i]; a.Role == role && slices.Contains(a.Loads, load) {
+				for _, m := range a.Mechanisms {
+					if missing := p.missing(a, load, m); len(missing) > 0 {
+						t.row(loads[load], strings.Join(missing, ", "), m, "not measured", "", "", "", "", "", "", "")
+					}
+				}
+			}
+		}
+		for i := range p.size.Bound {
+			if b := &p.size.Bound[i]; b.Sum && b.Role == role && b.in(load) {
+				if parts := p.parts(b, load); len(parts) > 0 {
+					sum := total(parts, 1)
+					t.row(loads[load], "**all together: "+b.Name+"**", names(parts), "", unit(sum, b.Unit), "", "", "", unit(b.Most, b.Unit), met(sum <= b.Most), "")
+				}
+			}
+		}
+	}
+	if len(t.rows) == 0 {
+		return "Not measured.\n"
+	}
+	return t.String()
+}
+
+// of are a role's entries of a load, in order.
+func (p *printer) of(role, load string) (rows []*slopes.Slope) {
+	for i := range p.all {
+		if e := &p.all[i]; e.Role == role && e.Load == load {
+			rows = append(rows, e)
+		}
+	}
+	slices.SortStableFunc(rows, func(a, b *slopes.Slope) int {
+		if c := strings.Compare(a.Mechanism, b.Mechanism); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return rows
+}
+
+// missing are the quantities of which a role has no entry.
+func (p *printer) missing(a *Asked, load, mechanism string) (missing []string) {
+	for _, q := range a.Quantities {
+		if q == "state" && load != "rest" { // it is the same at all loads
+			continue
+		}
+		if !slices.ContainsFunc(p.all, func(e slopes.Slope) bool {
+			return e.Role == a.Role && e.Load == load && e.Mechanism == mechanism && e.Quantity == q
+		}) {
+			missing = append(missing, words(q))
+		}
+	}
+	return missing
+}
+
+func words(quantity string) string { return strings.ReplaceAll(quantity, "_", " ") }
+
+// entry is the row of one.
+func (p *printer) entry(t *grid, e *slopes.Slope) {
+	v := p.size.variable(e.Variable)
+	f, x := e.Fit(), v.at(e.Load)
+	value := f.Value(x)
+	low, high := e.Range()
+	over := fmt.Sprintf("%s to %s %s", count(low), count(high), v.Words)
+	if low == high {
+		over = fmt.Sprintf("%s %s", count(low), v.Words)
+	}
+	at, beyond := unit(value, e.Unit), "within"
+	if x > high {
+		beyond = fmt.Sprintf("%.1f", x/high)
+		if x/high > Far {
+			beyond = "**" + beyond + "**"
+		}
+		if e.Form == "table" {
+			at = "not extrapolated; " + unit(f.Value(high), e.Unit) + " at " + count(high)
+		}
+	} else if x < low {
+		beyond = "below"
+	}
+	residual := "none left"
+	if !math.IsNaN(f.Residual) {
+		residual = fmt.Sprintf("%.1f%%", 100*f.Residual)
+	}
+	if e.Form == "table" || e.Form == "steps" {
+		residual = "read off"
+	}
+	bound, kept := "none", ""
+	for i := range p.size.Bound {
+		if b := &p.size.Bound[i]; b.of(e) && b.in(e.Load) {
+			bound, kept = unit(b.Most, b.Unit), met(value*scale(b.Unit, e.Unit) <= b.Most)
+			if b.Sum {
+				bound += " for all"
+			}
+		}
+	}
+	figure := words(e.Quantity) + " `" + e.Name + "`"
+	if e.Note != "" {
+		figure += ": " + e.Note
+	}
+	t.row(loads[e.Load], figure, e.Mechanism, formula(e, f, v), at, residual, over, beyond, bound, kept, p.number(e))
+}
+
+func met(ok bool) string {
+	if ok {
+		return "yes"
+	}
+	return "**no**"
+}
+
+// formula is a fit in words.
+func formula(e *slopes.Slope, f slopes.Fit, v *Variable) string {
+	one := func(x float64) string { return unit(x, e.Unit) }
+	switch e.Form {
+	case "constant":
+		return one(f.A) + ", flat"
+	case "linear":
+		return fmt.Sprintf("%s + %s x %s", one(f.A), one(f.B), v.Words)
+	case "log":
+		return fmt.Sprintf("%s + %s x ln(%s)", one(f.A), one(f.B), v.Words)
+	case "nlogn":
+		return fmt.Sprintf("%s + %s x n ln n, n %s", one(f.A), one(f.B), v.Words)
+	case "power":
+		return fmt.Sprintf("%s x (%s)^%.2f", one(f.A), v.Words, f.B)
+	}
+	var all []string
+	for _, p := range e.Points {
+		all = append(all, count(p[0])+": "+one(p[1]))
+	}
+	return strings.Join(all, "; ")
+}
+
+// part is a mechanism's share of a sum.
+type part struct {
+	e   *slopes.Slope
+	fit slopes.Fit
+	x   float64 // the size aimed at
+	by  float64 // to the bound's unit
+	as  string  // the load whose figure it is
+}
+
+// at is its value where the fleet has so many times the size aimed at.
+func (p *part) at(share float64, grows bool) float64 {
+	x := p.x
+	if grows {
+		x *= share
+	}
+	return p.fit.Value(x) * p.by
+}
+
+// parts are what a bound on a sum holds for: of each mechanism and quantity the greatest figure, of the load itself, or
+// where it has none, of the next quieter.
+func (p *printer) parts(b *Bound, load string) (all []term) {
+	type key struct{ mechanism, quantity string }
+	best := map[key]term{}
+	var order []key
+	for _, as := range slopes.Loads[:slices.Index(slopes.Loads, load)+1] {
+		found := map[key]bool{}
+		for i := range p.all {
+			e := &p.all[i]
+			if !b.of(e) || e.Load != as {
+				continue
+			}
+			v := p.size.variable(e.Variable)
+			t := term{part{e, e.Fit(), v.at(as), scale(b.Unit, e.Unit), as}, v.Grows}
+			k := key{e.Mechanism, e.Quantity}
+			was, known := best[k]
+			if !known {
+				order = append(order, k)
+			}
+			if !known || !found[k] || t.value(1) > was.value(1) {
+				best[k], found[k] = t, true
+			}
+		}
+	}
+	slices.SortFunc(order, func(a, b key) int { return strings.Compare(a.mechanism+a.quantity, b.mechanism+b.quantity) })
+	for _, k := range order {
+		all = append(all, best[k])
+	}
+	return all
+}
+
+type term struct {
+	part
+	grows bool
+}
+
+func (t term) value(share float64) float64 { return t.at(share, t.grows) }
+
+func total(all []term, share float64) (sum float64) {
+	for _, t := range all {
+		sum += t.value(share)
+	}
+	return sum
+}
+
+func names(all []term) string {
+	var list []string
+	for _, t := range all {
+		if !slices.Contains(list, t.e.Mechanism) {
+			list = append(list, t.e.Mechanism)
+		}
+	}
+	return strings.Join(list, ", ")
+}
+
+// break_ is where a curve crosses its bound.
+type crossing struct {
+	share float64 // of the size aimed at; +Inf: not up to most times it
+	cells []any
+}
+
+const most = 100 // times the size aimed at: farther is not looked
+
+// breaks are the crossings, the first one first.
+func (p *printer) breaks() string {
+	var all []crossing
+	seen := map[string]bool{}
+	for i := range p.size.Bound {
+		b := &p.size.Bound[i]
+		for _, load := range slopes.Loads {
+			if !b.in(load) {
+				continue
+			}
+			if b.Sum {
+				parts := p.parts(b, load)
+				if len(parts) == 0 || !slices.ContainsFunc(parts, func(t term) bool { return t.as == load }) {
+					continue
+				}
+				share := cross(func(x float64) float64 { return total(parts, x) }, b.Most)
+				top := slices.MaxFunc(parts, func(a, b term) int { return int(math.Copysign(1, a.value(1)-b.value(1))) })
+				agents := p.size.variable("agents").at(load)
+				all = append(all, crossing{share, []any{b.Name, loads[load], names(parts) + "; most: `" + top.e.Name + "`", where(share, agents, "agents"), unit(total(parts, 1), b.Unit), unit(b.Most, b.Unit), met(share > 1)}})
+				continue
+			}
+			for j := range p.all {
+				e := &p.all[j]
+				if !b.of(e) || e.Load != load || seen[e.Name] || e.Form == "table" {
+					continue
+				}
+				seen[e.Name] = true
+				v, f := p.size.variable(e.Variable), e.Fit()
+				aim, by := v.at(load), scale(b.Unit, e.Unit)
+				if aim == 0 {
+					continue
+				}
+				share := cross(func(x float64) float64 { return f.Value(x*aim) * by }, b.Most)
+				all = append(all, crossing{share, []any{b.Name, loads[load], e.Mechanism + " `" + e.Name + "`", where(share, aim, v.Words), unit(f.Value(aim)*by, b.Unit), unit(b.Most, b.Unit), met(share > 1)}})
+			}
+		}
+	}
+	if len(all) == 0 {
+		return "Not measured.\n"
+	}
+	slices.SortStableFunc(all, func(a, b crossing) int {
+		switch {
+		case a.share < b.share:
+			return -1
+		case a.share > b.share:
+			return 1
+		}
+		return 0
+	})
+	t := table("", "bound", "load", "carried by", "crossed at", "at the size aimed at", "bound", "met")
+	for i, c := range all {
+		t.row(append([]any{i + 1}, c.cells...)...)
+	}
+	return t.String()
+}
+
+// where says at which size a bound is crossed.
+func where(share, aim float64, words string) string {
+	switch {
+	case math.IsInf(share, 1):
+		return fmt.Sprintf("not up to %s %s", count(most*aim), words)
+	case share == 0:
+		return "at the smallest size"
+	}
+	return fmt.Sprintf("%s %s (%.2g of the size)", count(round(share*aim)), words, share)
+}
+
+// cross is the share of the size at which a curve that grows passes a bound.
+func cross(value func(share float64) float64, bound float64) float64 {
+	low, high := 1e-6, float64(most)
+	if value(low) > bound {
+		return 0
+	}
+	if value(high) <= bound {
+		return math.Inf(1)
+	}
+	for range 80 {
+		if mid := math.Sqrt(low * high); value(mid) > bound {
+			high = mid
+		} else {
+			low = mid
+		}
+	}
+	return high
+}
+
+// round leaves three figures.
+func round(x float64) float64 {
+	v, _ := strconv.ParseFloat(strconv.FormatFloat(x, 'g', 3, 64), 64)
+	return v
+}
+
+func (p *printer) runs() string {
+	if len(p.used) == 0 {
+		return "None.\n"
+	}
+	t := table("run", "command", "date", "machine")
+	for i, r := range p.used {
+		t.row(fmt.Sprintf("[%d]", i+1), "`"+r.command+"`", r.date, r.machine)
+	}
+	return t.String()
+}
+
+// grid is a table of Markdown.
+type grid struct {
+	head []any
+	rows [][]any
+}
+
+func table(head ...any) *grid { return &grid{head: head} }
+
+func (g *grid) row(cells ...any) { g.rows = append(g.rows, cells) }
+
+func (g *grid) String() string {
+	var b strings.Builder
+	line := func(cells []any) {
+		b.WriteString("|")
+		for _, c := range cells {
+			if text := fmt.Sprint(c); text == "" {
+				b.WriteString(" |")
+			} else {
+				b.WriteString(" " + text + " |")
+			}
+		}
+		b.WriteString("\n")
+	}
+	line(g.head)
+	b.WriteString("|" + strings.Repeat(" --- |", len(g.head)) + "\n")
+	for _, r := range g.rows {
+		line(r)
+	}
+	return b.String()
+}
+
+// count is a number for people: 12,000; 0.74.
+func count(x float64) string {
+	if x != math.Trunc(x) || math.Abs(x) < 1000 {
+		return strconv.FormatFloat(round(x), 'f', -1, 64)
+	}
+	text := strconv.FormatFloat(x, 'f', 0, 64)
+	for i := len(text) - 3; i > 0 && text[i-1] != '-'; i -= 3 {
+		text = text[:i] + "," + text[i:]
+	}
+	return text
+}
+
+// unit is a figure with its unit, in one that people read easily, with three figures.
+func unit(x float64, u string) string {
+	short := func(x float64) string { return count(round(x)) }
+	step := func(x float64, names ...string) string {
+		i := 0
+		for ; i < len(names)-1 && math.Abs(round(x)) >= 1000; i++ {
+			x /= 1000
+		}
+		return short(x) + " " + names[i]
+	}
+	k := units[u]
+	switch {
+	case x == 0 || u == "":
+		return strings.TrimSpace(short(x) + " " + u)
+	case k.kind == "bytes":
+		return step(x*k.of, "B", "KB", "MB", "GB", "TB")
+	case k.kind == "rate":
+		return step(x*k.of, "B/s", "KB/s", "MB/s", "GB/s")
+	case k.kind == "time":
+		return step(x*k.of*1e9, "ns", "us", "ms", "s")
+	case u == "core":
+		return short(100*x) + "% of a core"
+	}
+	return short(x) + " " + u
+}
--- /dev/null
+++ b/tools/capacity/slopes/fit.go
@@ -0,0 +1,111 @@
+package slopes
+
+import (
+	"math"
+	"strconv"
+)
+
+// Fit is the curve through an entry's points: Value(x) = A + B f(x), or A x^B of a power, by least squares (of logarithms
+// for a power). Steps and tables have none: they are read off.
+type Fit struct {
+	s    *Slope
+	A, B float64
+	// Residual is the root of the mean square of what the curve leaves, as a share of the largest value; NaN: the points
+	// are as many as the unknowns, or nothing was fitted.
+	Residual float64
+}
+
+// Fit fits an entry by its declared form.
+func (s *Slope) Fit() Fit {
+	f := Fit{s: s, Residual: math.NaN()}
+	switch s.Form {
+	case "constant":
+		for _, p := range s.Points {
+			f.A += p[1] / float64(len(s.Points))
+		}
+	case "linear", "log", "nlogn":
+		f.A, f.B = line(s.Points, s.basis, func(y float64) float64 { return y })
+	case "power":
+		f.A, f.B = line(s.Points, math.Log, math.Log)
+		f.A = math.Exp(f.A)
+	default:
+		return f
+	}
+	if len(s.Points) > s.unknowns() {
+		var sum, top float64
+		for _, p := range s.Points {
+			sum += math.Pow(p[1]-f.Value(p[0]), 2)
+			top = max(top, math.Abs(p[1]))
+		}
+		if f.Residual = math.Sqrt(sum / float64(len(s.Points))); top > 0 {
+			f.Residual /= top
+		}
+	}
+	return f
+}
+
+// unknowns are how many numbers a form's fit finds.
+func (s *Slope) unknowns() int {
+	switch s.Form {
+	case "linear", "log", "nlogn", "power":
+		return 2
+	}
+	return 1
+}
+
+// basis is what a straight form is straight in.
+func (s *Slope) basis(x float64) float64 {
+	switch s.Form {
+	case "log":
+		return math.Log(x)
+	case "nlogn":
+		return x * math.Log(x)
+	}
+	return x
+}
+
+// line is the straight line by least squares through points whose axes are bent by fx and fy.
+func line(points [][2]float64, fx, fy func(float64) float64) (a, b float64) {
+	n := float64(len(points))
+	var mx, my, xx, xy float64
+	for _, p := range points {
+		mx, my = mx+fx(p[0])/n, my+fy(p[1])/n
+	}
+	for _, p := range points {
+		dx := fx(p[0]) - mx
+		xx, xy = xx+dx*dx, xy+dx*(fy(p[1])-my)
+	}
+	if xx > 0 {
+		b = xy / xx
+	}
+	return my - b*mx, b
+}
+
+// Value is the curve's at a size. Steps hold from a measured size to the next; so do tables.
+func (f Fit) Value(x float64) float64 {
+	switch f.s.Form {
+	case "constant":
+		return f.A
+	case "power":
+		return f.A * math.Pow(x, f.B)
+	case "steps", "table":
+		v := f.s.Points[0][1]
+		for _, p := range f.s.Points {
+			if p[0] <= x {
+				v = p[1]
+			}
+		}
+		return v
+	}
+	if x <= 0 && f.s.Form != "linear" {
+		return f.A
+	}
+	return f.A + f.B*f.s.basis(x)
+}
+
+// Range is between which sizes it was measured.
+func (s *Slope) Range() (low, high float64) { return s.Points[0][0], s.Points[len(s.Points)-1][0] }
+
+func number(x float64) string { return strconv.FormatFloat(x, 'g', -1, 64) }
+
+func itoa(i int) string { return strconv.Itoa(i) }
--- /dev/null
+++ b/tools/capacity/slopes/read.go
@@ -0,0 +1,101 @@
+package slopes
+
+import (
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"vetchhaven/internal/tomlfile"
+)
+
+// What the fields of an entry may be.
+var (
+	Roles = []string{"agent", "voter", "keeper", "source", "operator", "path", "chain"}
+	Loads = []string{"rest", "day", "worst"}
+	Forms = []string{"constant", "linear", "log", "nlogn", "power", "steps", "table"}
+	word  = regexp.MustCompile(`^[a-z][a-z0-9_]*$`)
+	name  = regexp.MustCompile(`^[a-z][a-z0-9_]*(\.[a-z0-9_]+)+$`)
+)
+
+// Read reads a file of entries strictly: each error names the file, the line and the field.
+func Read(path string) ([]Slope, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, data)
+}
+
+// Parse reads entries from data, which errors call path.
+func Parse(path string, data []byte) ([]Slope, error) {
+	var in struct {
+		Slope []Slope `toml:"slope"`
+	}
+	f, err := tomlfile.Parse(path, data, &in)
+	if err != nil {
+		return nil, err
+	}
+	seen := map[string]int{}
+	for i := range in.Slope {
+		s := &in.Slope[i]
+		at := func(field string) string { return "slope[" + itoa(i) + "]." + field }
+		if !name.MatchString(s.Name) {
+			return nil, f.Errorf(at("name"), "%q is no name such as \"view.bytes_out.rest\"", s.Name)
+		}
+		if line, twice := seen[s.Name]; twice {
+			return nil, f.Errorf(at("name"), "%q stands on line %d already", s.Name, line)
+		}
+		seen[s.Name] = f.Line(at("name"))
+		for _, c := range []struct {
+			field, value string
+			of           []string
+		}{{"role", s.Role, Roles}, {"load", s.Load, Loads}, {"form", s.Form, Forms}} {
+			if !slices.Contains(c.of, c.value) {
+				return nil, f.Errorf(at(c.field), "%q is none of %s", c.value, strings.Join(c.of, ", "))
+			}
+		}
+		for _, c := range []struct{ field, value string }{{"quantity", s.Quantity}, {"mechanism", s.Mechanism}, {"variable", s.Variable}} {
+			if !word.MatchString(c.value) {
+				return nil, f.Errorf(at(c.field), "%q is no word of small letters, digits and _", c.value)
+			}
+		}
+		if _, err := time.Parse(time.DateOnly, s.Date); err != nil {
+			return nil, f.Errorf(at("date"), "%q is no date such as 2026-12-02", s.Date)
+		}
+		for _, c := range []struct{ field, value string }{{"command", s.Command}, {"machine", s.Machine}} {
+			if strings.TrimSpace(c.value) == "" || strings.ContainsAny(c.value, "|\n") {
+				return nil, f.Errorf(at(c.field), "%q: a line of text is needed, without |", c.value)
+			}
+		}
+		if strings.ContainsAny(s.Unit+s.Note, "|\n") {
+			return nil, f.Errorf(at("note"), "unit and note are lines of text without |")
+		}
+		if err := s.check(); err != "" {
+			return nil, f.Errorf(at("points"), "%s", err)
+		}
+	}
+	return in.Slope, nil
+}
+
+// check says what is wrong with the points of an entry for its form; empty: nothing.
+func (s *Slope) check() string {
+	if len(s.Points) == 0 {
+		return "there are none: what was not measured has no entry"
+	}
+	for i, p := range s.Points {
+		switch {
+		case i > 0 && p[0] <= s.Points[i-1][0]:
+			return "size " + number(p[0]) + " comes after " + number(s.Points[i-1][0]) + ": sizes ascend"
+		case p[0] <= 0 && slices.Contains([]string{"log", "nlogn", "power"}, s.Form):
+			return "size " + number(p[0]) + " has no logarithm"
+		case p[1] <= 0 && s.Form == "power":
+			return "value " + number(p[1]) + " has no logarithm"
+		}
+	}
+	if n := s.unknowns(); len(s.Points) < n {
+		return "a fit by " + s.Form + " needs " + itoa(n) + " points at the least"
+	}
+	return ""
+}
