View: a probe waits as long as its way there and back takes, as answers have shown it

Seen: 50 daemons in five groups with links between groups delayed by 80 ms one way spent 10.3 KB a second each at rest, and 120 ms did the same: a way there and back past direct (100 ms) failed each probe, and each failure is news to all.

Probes now tell the distance: a smoothed round-trip time and its mean deviation for each member (RFC 6298's, by the prober's own clock), and for its zone and for all, for members that were never asked. A probe waits the mean and four deviations; direct is the floor, 1 s the ceiling, 300 ms holds where nothing is known. The second question has its own number (Karn), and answers that come too late are measured all the same, so that a way that has become longer is learned.

--- a/internal/peer/view/merge.go
+++ b/internal/peer/view/merge.go
@@ -50,12 +50,12 @@
 		r.Age = 0
 	}
 	if r.Life != m.Life || r.Boot != m.Boot {
-		m.number, m.mutes, m.muted, m.via, m.heardAt, m.ackAt, m.deaf = 0, 0, 0, "", -never, -never, false
+		m.number, m.mutes, m.muted, m.via, m.heardAt, m.ackAt, m.deaf, m.distance = 0, 0, 0, "", -never, -never, false, distance{}
 	}
 	v.replace(m, r, why, fresh)
 	if r.State == Suspect && m.suspect != nil && r.By != "" && r.By != m.Name {
 		m.suspect.accusers = append(m.suspect.accusers[:0], r.By)
-		v.judgeAt = min(v.judgeAt, m.suspect.from+v.lasts(m.suspect))
+		v.judgeAt = min(v.judgeAt, m.suspect.from+v.lasts(m))
 	}
 	by := ""
 	if r.State == Suspect {
--- a/internal/peer/view/probe.go
+++ b/internal/peer/view/probe.go
@@ -6,6 +6,9 @@
 type probe struct {
 	target   string
 	seq      uint32
+	at       time.Duration // it was sent
+	again    uint32        // the second question, once others were asked too: its answer is told from the first's
+	againAt  time.Duration
 	until    time.Duration // of the present stage
 	indirect bool          // others were asked too
 	helpers  []*member
@@ -17,6 +20,7 @@
 	seq, theirs uint32
 	target      string
 	reply       string
+	at          time.Duration // it was asked
 	until       time.Duration
 	who         bool // WhoIs, not Ping
 }
@@ -51,7 +55,7 @@
 	if m == nil {
 		return
 	}
-	p := &probe{target: m.Name, seq: v.nextSeq(), until: v.now + v.patience(v.s.Direct)}
+	p := &probe{target: m.Name, seq: v.nextSeq(), at: v.now, until: v.now + v.patience(v.direct(m))}
 	if v.sendTo(m, &Message{Kind: Ping, Seq: p.seq, Target: m.Name}, forProbes, suspected(m)) {
 		v.probes = append(v.probes, p)
 	}
@@ -100,9 +104,9 @@
 		return false
 	}
 	m.deaf = true
-	p.indirect, p.until = true, v.now+v.patience(v.s.Indirect)
+	p.indirect, p.again, p.againAt = true, v.nextSeq(), v.now
 	// Once more directly: of two datagrams one more often comes through than of one.
-	v.sendTo(m, &Message{Kind: Ping, Seq: p.seq, Target: m.Name}, forProbes, suspected(m))
+	v.sendTo(m, &Message{Kind: Ping, Seq: p.again, Target: m.Name}, forProbes, suspected(m))
 	most := helpers
 	if m.State == Suspect { // it is a matter of its name now
 		most *= 2
@@ -122,6 +126,7 @@
 	for _, h := range v.some(most, func(h *member) bool { return !asked[h] && h.State == Alive }) {
 		ask(h)
 	}
+	p.until = v.now + v.patience(v.indirect(m, p.helpers))
 	return true
 }
 
@@ -156,6 +161,10 @@
 // missed judges a probe that was not answered.
 func (v *View) missed(p *probe) {
 	m := v.members[p.target]
+	v.gaveUp(p.seq, p.target, p.at)
+	if p.again > 0 {
+		v.gaveUp(p.again, p.target, p.againAt)
+	}
 	if m == nil || m.listed != inLive {
 		return
 	}
@@ -260,12 +269,15 @@
 	for i, e := range v.errands {
 		if !e.who && e.seq == m.Seq && e.target == m.Target {
 			v.errands = append(v.errands[:i], v.errands[i+1:]...)
+			if t := v.members[e.target]; t != nil && m.From == e.target {
+				v.measured(t, v.now-e.at)
+			}
 			v.send(e.reply, &Message{Kind: Ack, Seq: e.theirs, Target: e.target}, forAnswers)
 			return
 		}
 	}
 	for i, p := range v.probes {
-		if p.seq == m.Seq && p.target == m.Target {
+		if p.target == m.Target && (p.seq == m.Seq || p.again == m.Seq && p.indirect) {
 			v.probes = append(v.probes[:i], v.probes[i+1:]...)
 			t := v.members[p.target]
 			if t == nil {
@@ -273,13 +285,21 @@
 			}
 			if t.ackAt = v.now; m.From != p.target {
 				t.via, v.via = m.From, m.From
+				v.gaveUp(p.seq, p.target, p.at)
 			} else {
+				if m.Seq == p.seq {
+					v.measured(t, v.now-p.at)
+				} else { // the first one's may still come
+					v.measured(t, v.now-p.againAt)
+					v.gaveUp(p.seq, p.target, p.at)
+				}
 				t.mutes = 0
 				v.better()
 			}
 			return
 		}
 	}
+	v.answeredLate(m)
 }
 
 // runErrand asks for another.
@@ -287,7 +307,11 @@
 	if len(v.errands) >= errandsMost || m.Reply == "" || m.Addr == "" || m.Target == v.s.Name && !who {
 		return
 	}
-	e := &errand{seq: v.nextSeq(), theirs: m.Seq, target: m.Target, reply: m.Reply, until: v.now + v.s.Direct, who: who}
+	wait := v.s.Direct
+	if t := v.members[m.Target]; t != nil {
+		wait = v.direct(t)
+	}
+	e := &errand{seq: v.nextSeq(), theirs: m.Seq, target: m.Target, reply: m.Reply, at: v.now, until: v.now + wait, who: who}
 	ask := &Message{Kind: Ping, Seq: e.seq, Target: m.Target}
 	if who {
 		ask = &Message{Kind: WhoIs, Seq: e.seq, Addr: v.s.Addr}
--- a/internal/peer/view/suspect.go
+++ b/internal/peer/view/suspect.go
@@ -13,23 +13,25 @@
 	mine     bool // this member is among them
 }
 
-// least is how long a suspect has at the least. In larger fleets its word takes longer to come round.
+// least is how long a suspect has at the least, its distance apart. In larger fleets its word takes longer to come
+// round.
 func (v *View) least() time.Duration {
 	n := float64(len(v.live) + 1)
 	return time.Duration(float64(v.s.SuspectLeast) * max(1, math.Log10(n)/2))
 }
 
 // lasts is how long a suspicion lasts: three times the least with one accuser, down to the least with as many
-// more as there can be, by the logarithm of their number (Lifeguard, "dynamic suspicion").
-func (v *View) lasts(s *suspicion) time.Duration {
-	least := v.least()
+// more as there can be, by the logarithm of their number (Lifeguard, "dynamic suspicion"). What it is accused of has
+// a way to go, and its word a way back.
+func (v *View) lasts(m *member) time.Duration {
+	least, way := v.least(), v.wayBack(m)
 	most := suspectMost * least
 	further := min(accusersMost, len(v.live)-1)
 	if further <= 0 || v.s.Plain.NoHealth {
-		return least
+		return least + way
 	}
-	part := math.Log(float64(len(s.accusers))) / math.Log(float64(further+1))
-	return max(least, most-time.Duration(part*float64(most-least)))
+	part := math.Log(float64(len(m.suspect.accusers))) / math.Log(float64(further+1))
+	return max(least, most-time.Duration(part*float64(most-least))) + way
 }
 
 // accuse says that a member did not answer this one.
@@ -52,7 +54,7 @@
 		return
 	}
 	s.accusers = append(s.accusers, by)
-	v.judgeAt = min(v.judgeAt, s.from+v.lasts(s))
+	v.judgeAt = min(v.judgeAt, s.from+v.lasts(m))
 	v.news.put(m, by)
 }
 
@@ -67,7 +69,7 @@
 		if !v.s.Plain.NoHealth { // one that has answered since is there, though its refutation is still on its way
 			m.suspect.from = max(m.suspect.from, m.lately())
 		}
-		end := m.suspect.from + v.lasts(m.suspect)
+		end := m.suspect.from + v.lasts(m)
 		if v.now < end {
 			v.judgeAt = min(v.judgeAt, end)
 			i++
--- a/internal/peer/view/view.go
+++ b/internal/peer/view/view.go
@@ -267,6 +267,7 @@
 	heardAt  time.Duration // a datagram of its present life came
 	deaf     bool          // it has not answered directly since it was last heard
 	ackAt    time.Duration // it answered this member, or a helper of it
+	distance distance      // as this life's answers have shown it
 }
 
 const (
@@ -302,6 +303,8 @@
 	judgeAt  time.Duration // the earliest end of a suspicion; may be earlier than it is
 	heard    []string      // who was heard directly, latest first
 	via      string        // the helper through which anyone was last reached
+	places   map[place]*distance
+	lates    []late
 
 	news   news
 	newsAt time.Duration
@@ -345,7 +348,7 @@
 		return nil, fmt.Errorf("view: every %v, direct %v, indirect %v, suspect_least %v, bytes %d, members %d: all are above 0, and bytes at least %d",
 			s.Every, s.Direct, s.Indirect, s.SuspectLeast, s.Bytes, s.Members, 2*datagramMost)
 	}
-	v := &View{s: s, rng: rand.New(rand.NewPCG(seed, s.Life)), members: map[string]*member{}, judgeAt: never}
+	v := &View{s: s, rng: rand.New(rand.NewPCG(seed, s.Life)), members: map[string]*member{}, places: map[place]*distance{}, judgeAt: never}
 	v.self = &member{Record: own}
 	v.members[s.Name], v.order = v.self, []string{s.Name}
 	v.mark(v.self)
