--- a/internal/peer/view/distance_test.go
+++ b/internal/peer/view/distance_test.go
@@ -134,7 +134,7 @@
 	v := alone(t)
 	meet(v, 3)
 	m := v.members["m1"]
-	v.now = time.Second
+	v.now, v.due = time.Second, time.Second
 	p := &probe{target: "m1", seq: v.nextSeq(), at: v.now - 300*ms}
 	v.probes, v.actions = []*probe{p}, nil
 	v.askOthers(p)
