--- a/internal/peer/view/distance_test.go
+++ b/internal/peer/view/distance_test.go
@@ -173,3 +173,19 @@
 		t.Errorf("%v", e.until-e.at)
 	}
 }
+
+func TestAnswerToWhatWasGivenUpIsMeasured(t *testing.T) {
+	v := alone(t)
+	meet(v, 3)
+	m := v.members["m1"]
+	v.now, v.due = time.Second, time.Second
+	v.missed(&probe{target: "m1", seq: 70, at: v.now - 400*ms, again: 71, againAt: v.now - 300*ms})
+	v.Step(v.now+ms, from(other(0), 1, Message{Kind: Ack, Seq: 70, Target: "m1"})) // another's word: its way is not m1's
+	if m.distance.mean != 0 {
+		t.Fatalf("%v s by another's answer", m.distance.mean)
+	}
+	v.Step(v.now, from(other(1), 1, Message{Kind: Ack, Seq: 70, Target: "m1"}))
+	if mean := m.distance.mean; mean < 0.4 || mean > 0.41 {
+		t.Errorf("%v s", mean)
+	}
+}
