Capacity: what a change of policy costs, in virtual time, by size of fleet and of text

Need: slopes of the agreed policy as it is: how long until a change is in force everywhere, what is dropped, and what a member, the voter that leads and another one send, receive and compute.

tools/capacity changes plays internal/drill/agree: at even times as tools/policy times does, 0.74 a second by chance, ten times that, at rest, by the size of the text, with a machine that dies, with five regions 40 ms apart of which one is cut off. agree's play can tell when a member first serves by a policy, counts what each sends and receives (sizes from the carrier's own codec), has each step run by who measures it, and knows that a carrier has 16 streams open at a time: PolicyStreams, which the play left out until now.

Without the new options the play is as it was: the tests of internal/drill/agree pass (-race), those of carrier, house and tools/capacity too.

--- a/internal/drill/agree/agree.go
+++ b/internal/drill/agree/agree.go
@@ -28,6 +28,7 @@
 	Check   func(member int, body []byte) error      // nil: every policy does
 	Witness bool                                     // a process that is started again proves that its disk is as it was
 	Rates   float64                                  // rates of clocks differ by up to so much each way; default 1%
+	Rate    func(member int) float64                 // a member's; nil: by chance
 	Kill    []int                                    // ends whoever acts at these points, once each; see Result.Points
 	Back    time.Duration                            // and starts it again so long after; default 1.5 s
 	Lose    []int                                    // messages sent at these points are lost
@@ -36,6 +37,15 @@
 	Point   func(n int, at time.Duration, who, what string)
 	// Way replaces the policy's own protocol, for baselines: see ways.go.
 	Way Way
+	// What measurements want besides; nil: nothing.
+	Size    func(from int, m *policy.Message) int                // bytes of a message on its way; nil: an estimate
+	Around  func(now time.Duration, member int, step func())     // runs each step of a member's module
+	Since   time.Duration                                        // traffic is counted from then on
+	Serves  func(at time.Duration, member int, number uint64)    // a member serves by a policy, or (0: by its file) again
+	Streams int                                                  // a member has so many open towards others, and sends nothing more on one; 0: any number
+	Viewers int                                                  // only so many members are told what the view knows; 0: all
+	Delay   func(from, to int) time.Duration                     // more on a way between two members
+	Cut     func(now time.Duration, from, to int) (nothing bool) // nothing gets through
 }
 
 // Way is by which means a change is brought to all.
@@ -57,8 +67,13 @@
 	Shown    []policy.Shown // in the end, by member
 	Refused  int            // requests turned away for the policy
 	Taken    int
+	Traffic  []Traffic // by member
+	Disks    []int     // bytes on each member's disk in the end
 }
 
+// Traffic is what a member sent and was sent, itself apart.
+type Traffic struct{ MessagesOut, MessagesIn, BytesOut, BytesIn int }
+
 const (
 	base     = 300 * time.Microsecond // one way
 	more     = 700 * time.Microsecond
@@ -123,6 +138,14 @@
 	}
 }
 
+func (d *disk) size() int {
+	n := len(d.hard) + len(d.snapshot) + len(d.member)
+	for _, e := range d.entries {
+		n += len(e)
+	}
+	return n
+}
+
 func (d *disk) load() policy.Disk {
 	x := policy.Disk{Hard: d.hard, Snapshot: d.snapshot, Member: d.member, Epoch: d.epoch}
 	var all []uint64
@@ -157,6 +180,7 @@
 	serving policy.Serving
 	told    uint64 // of what it was told to serve by
 	left    bool
+	streams int      // that it has open towards others
 	ids     []string // changes that its operators watch
 }
 
@@ -216,6 +240,7 @@
 	defer steady()()
 	o.Take, o.Rates, o.Back = cmp.Or(o.Take, 20*time.Millisecond), cmp.Or(o.Rates, 0.01), cmp.Or(o.Back, 1500*time.Millisecond)
 	w := &world{o: o, p: p, rng: mathrand.New(mathrand.NewPCG(o.Seed, 71)), byName: map[string]*member{}, links: map[[2]int]plan.Link{}, kill: slices.Clone(o.Kill), gone: map[string]uint64{}}
+	w.r.Traffic = make([]Traffic, p.Daemons)
 	set := p.Policy
 	back := policy.Settings{Lease: set.Lease, Drift: policy.Drift}
 	w.line(judge.Line{What: judge.Agreed, Hard: set.Stops, PauseMS: back.Back().Milliseconds() + 1, Why: strings.Join(w.voters(), " ")})
@@ -246,6 +271,7 @@
 	w.line(judge.Line{What: judge.End})
 	w.r.Lines = w.lines
 	for _, m := range w.all {
+		w.r.Disks = append(w.r.Disks, m.disk.size())
 		var s policy.Shown
 		if m.node != nil {
 			s = m.node.Show()
@@ -325,7 +351,10 @@
 	w.pids++
 	m.pid, m.paused, m.left, m.held = w.pids, false, false, nil
 	m.began, m.clock, m.rate = w.now, time.Hour+time.Duration(w.rng.Float64()*float64(time.Hour)), (2*w.rng.Float64()-1)*w.o.Rates
-	m.life, m.queue, m.serving, m.told = w.rng.Uint64()|1, 0, policy.Serving{Why: "just started"}, m.told+1
+	if w.o.Rate != nil {
+		m.rate = w.o.Rate(m.n)
+	}
+	m.life, m.queue, m.streams, m.serving, m.told = w.rng.Uint64()|1, 0, 0, policy.Serving{Why: "just started"}, m.told+1
 	delete(w.gone, m.name)
 	w.line(judge.Line{What: judge.Up, Of: m.name, PID: m.pid})
 	if w.o.Way != Agreed {
@@ -389,7 +418,14 @@
 		return
 	}
 	node, pid := m.node, m.pid
-	for _, a := range node.Step(m.own(w.now), events...) {
+	var actions []policy.Action
+	step := func() { actions = node.Step(m.own(w.now), events...) }
+	if w.o.Around != nil {
+		w.o.Around(w.now, m.n, step)
+	} else {
+		step()
+	}
+	for _, a := range actions {
 		if m.pid != pid || m.node == nil {
 			return // it ended meanwhile
 		}
@@ -457,13 +493,18 @@
 	m.told++
 	same := m.serving.Doc != nil && s.Doc.Number == m.serving.Doc.Number && (s.Both == nil) == (m.serving.Both == nil)
 	if same || s.Why != "" {
+		if m.serving.Why != "" && s.Why == "" && w.o.Serves != nil {
+			w.o.Serves(w.now, m.n, s.Doc.Number)
+		}
 		m.serving = s
 		return
 	}
 	told, pid := m.told, m.pid
 	w.at(w.now+time.Duration(w.rng.Float64()*float64(applying)), func() {
 		if m.pid == pid && m.told == told {
-			m.serving = s
+			if m.serving = s; w.o.Serves != nil {
+				w.o.Serves(w.now, m.n, s.Doc.Number)
+			}
 		}
 	})
 	if m.serving.Doc != nil { // until then by the lease that it has
@@ -508,11 +549,16 @@
 	if s.Message.Doc != nil {
 		size += len(s.Message.Doc.Body)
 	}
-	w.r.Messages++
-	w.r.Bytes += size
+	if w.o.Size != nil {
+		size = w.o.Size(m.n, s.Message)
+	}
 	from := m.name
 	deliver := func() {
 		pid := to.pid
+		if to != m && w.now >= w.o.Since {
+			w.r.Traffic[to.n].MessagesIn++
+			w.r.Traffic[to.n].BytesIn += size
+		}
 		w.act(to, func() {
 			if to.node == nil || to.pid != pid || w.point(to, "take") {
 				return
@@ -520,15 +566,34 @@
 			w.step(to, policy.Heard{From: from, Message: s.Message})
 		})
 	}
+	w.r.Messages++
+	w.r.Bytes += size
 	if to == m {
 		w.at(w.now, deliver)
 		return
 	}
+	stream := s.Message.Large()
+	if stream && w.o.Streams > 0 && m.streams >= w.o.Streams {
+		return
+	}
+	if w.now >= w.o.Since {
+		w.r.Traffic[m.n].MessagesOut++
+		w.r.Traffic[m.n].BytesOut += size
+	}
+	if w.o.Cut != nil && w.o.Cut(w.now, m.n, to.n) {
+		if stream {
+			w.opens(m, streams)
+		}
+		return
+	}
 	l := w.linkOf(m.n, to.n)
+	if w.o.Delay != nil {
+		l.Delay += w.o.Delay(m.n, to.n)
+	}
 	way := func() time.Duration {
 		return base + time.Duration(w.rng.Float64()*float64(more)) + l.Delay + time.Duration(w.rng.Float64()*float64(l.Jitter))
 	}
-	if !s.Message.Large() {
+	if !stream {
 		for range 1 + w.chance(l.Duplicate) {
 			if w.rng.Float64() >= l.Drop {
 				d := way()
@@ -543,6 +608,7 @@
 	// A stream: three ways, and what is lost comes again.
 	r := w.linkOf(to.n, m.n)
 	if l.Drop >= 1 || r.Drop >= 1 {
+		w.opens(m, streams)
 		return
 	}
 	d := time.Duration(float64(size) / atOnce * float64(time.Second))
@@ -552,11 +618,26 @@
 			d += again
 		}
 	}
+	w.opens(m, min(d, streams))
 	if d < streams {
 		w.at(w.now+d, deliver)
 	}
 }
 
+// opens has a member have one stream more open for a while, where they are counted.
+func (w *world) opens(m *member, d time.Duration) {
+	if w.o.Streams == 0 {
+		return
+	}
+	m.streams++
+	pid := m.pid
+	w.at(w.now+d, func() {
+		if m.pid == pid {
+			m.streams--
+		}
+	})
+}
+
 func (w *world) chance(share float64) int {
 	if share > 0 && w.rng.Float64() < share {
 		return 1
@@ -613,7 +694,11 @@
 			all = append(all, policy.Who{Name: m.name, Life: m.life})
 		}
 	}
-	for _, m := range w.all {
+	viewers := w.all
+	if w.o.Viewers > 0 {
+		viewers = w.all[:min(w.o.Viewers, len(w.all))]
+	}
+	for _, m := range viewers {
 		if m.node == nil || m.paused {
 			continue
 		}
--- a/internal/peer/carrier/agreeing.go
+++ b/internal/peer/carrier/agreeing.go
@@ -62,10 +62,11 @@
 	began   bool
 }
 
-const policyStreams = 16 // open at a time, towards others
+// PolicyStreams are open at a time, towards others.
+const PolicyStreams = 16
 
 func newAgreeing(c *Carrier) *agreeing {
-	g := &agreeing{c: c, a: c.o.Agreement, members: -time.Hour, streams: make(chan struct{}, policyStreams)}
+	g := &agreeing{c: c, a: c.o.Agreement, members: -time.Hour, streams: make(chan struct{}, PolicyStreams)}
 	if g.a != nil {
 		g.a.at.Store(c)
 	}
@@ -167,6 +168,15 @@
 	g.c.events.put(e)
 }
 
+// PolicySize is how many bytes a message about the policy has on its way, UDP's and TCP's own apart.
+func PolicySize(fleet, from string, m *policy.Message) int {
+	data, err := enclose(policyForm, fleet, &policyPacket{From: from, Message: m})
+	if err != nil {
+		return 0
+	}
+	return len(data)
+}
+
 // send sends a message where the view last knew its member to be: what is small as a datagram, the rest on a stream of
 // its own. What is lost comes again.
 func (g *agreeing) send(s policy.Send) {
