Capacity: what the list of servers costs, and the size of a policy for all services

Need: bytes, time and memory of the list by the number of servers, and the size of one policy text for all services.

tools/capacity list marshals the list as the service writes it, reads it, has decide take it and plays requests (thread time, for the machine is shared).

--- a/tools/capacity/changes.go
+++ b/tools/capacity/changes.go
@@ -259,9 +259,9 @@
 				m.table.to = c.ErrOrStderr()
 			}
 			for _, w := range what {
-				run, ok := map[string]func(string) error{"even": m.even, "day": m.day, "minute": m.minute, "rest": m.rest, "text": m.text, "died": m.died, "cut": m.cutOff}[w]
+				run, ok := map[string]func(string) error{"even": m.even, "day": m.day, "minute": m.minute, "rest": m.rest, "text": m.text, "died": m.died, "cut": m.cutOff, "size": m.size}[w]
 				if !ok {
-					return fmt.Errorf("--what %q is none of even, day, minute, rest, text, died, cut", w)
+					return fmt.Errorf("--what %q is none of even, day, minute, rest, text, died, cut, size", w)
 				}
 				m.what = w
 				if err := run(w); err != nil {
@@ -275,7 +275,7 @@
 		}}
 	c.Flags().IntSliceVar(&sizes, "sizes", []int{10, 30, 100, 300, 1000, 3000}, "members")
 	c.Flags().IntSliceVar(&texts, "texts", []int{512, 4096, 16384, 65536}, "bytes of a policy, of text")
-	c.Flags().StringSliceVar(&what, "what", []string{"even", "day", "minute", "rest", "text", "died", "cut"}, "which")
+	c.Flags().StringSliceVar(&what, "what", []string{"even", "day", "minute", "rest", "text", "died", "cut", "size"}, "which")
 	c.Flags().Uint64Var(&seed, "seed", 1, "of chance")
 	c.Flags().BoolVar(&asTOML, "toml", false, "entries of docs/capacity/slopes.toml")
 	c.Flags().StringVar(&machine, "machine", machineName(), "for the entries")
@@ -443,7 +443,7 @@
 		m.note(m.entry("policy.time.day", "agent", "day", "time", "s", "agents", "power", "99 in 100 of those that come into force"), float64(n), quantile(r.everywhere, 0.99))
 		m.note(m.entry("policy.time_p50.day", "agent", "day", "time_p50", "s", "agents", "power", ""), float64(n), quantile(r.everywhere, 0.5))
 		m.note(m.entry("policy.under_way.day", "voter", "day", "under_way", "s", "agents", "power", "one goes at a time: from the question to the first that serves by it, half of them"), float64(n), quantile(r.prepared, 0.5))
-		m.note(m.entry("policy.dropped.day", "agent", "day", "share_dropped", "", "agents", "log", "share of changes that were dropped, on whole links"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
+		m.note(m.entry("policy.dropped.day", "agent", "day", "share_dropped", "share", "agents", "log", "share of changes that were dropped, on whole links"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
 		m.note(m.entry("policy.leader.state", "voter", "rest", "state", "B", "agents", "linear", "on the disk: roster, the last 16 policies of 512 bytes, the last 256 changes, the log"), float64(n), r.leader.disk)
 		m.note(m.entry("policy.member.state", "agent", "rest", "state", "B", "agents", "constant", "on the disk, with a policy of 512 bytes"), float64(n), r.member.disk)
 		m.note(m.entry("policy.member.memory", "agent", "rest", "memory", "B", "agents", "constant", "heap of the whole play for each member: its disk, clock and queue in the play are in it"), float64(n), r.heap)
@@ -462,7 +462,7 @@
 		}
 		m.loads(r, "worst", "agents", float64(n), "7.4 changes a second, 512 bytes each", map[string]string{"member": "constant", "leader.cpu": "power"})
 		m.note(m.entry("policy.time.worst", "agent", "worst", "time", "s", "agents", "power", "99 in 100 of those that come into force"), float64(n), quantile(r.everywhere, 0.99))
-		m.note(m.entry("policy.dropped.worst", "agent", "worst", "share_dropped", "", "agents", "log", "share of changes that were dropped, on whole links"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
+		m.note(m.entry("policy.dropped.worst", "agent", "worst", "share_dropped", "share", "agents", "log", "share of changes that were dropped, on whole links"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
 		m.note(m.entry("policy.started.worst", "agent", "worst", "time_start", "s", "agents", "linear", "all start at once: until the last is in the roster and takes requests"), float64(n), r.started.Seconds())
 	}
 	return nil
@@ -512,7 +512,7 @@
 				return err
 			}
 			mode := map[bool]string{true: "stops", false: "vetoes"}[stops]
-			m.note(m.entry("policy.dropped_"+mode+".died", "agent", "day", "share_dropped", "", "agents", "table", "share of a minute's changes that were dropped; "+mode+", one machine dies and stays away"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
+			m.note(m.entry("policy.dropped_"+mode+".died", "agent", "day", "share_dropped", "share", "agents", "table", "share of a minute's changes that were dropped; "+mode+", one machine dies and stays away"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
 			if stops {
 				m.note(m.entry("policy.time.died", "agent", "day", "time", "s", "agents", "log", "the slowest change where a machine dies, stops"), float64(n), quantile(r.everywhere, 1))
 			}
@@ -542,9 +542,34 @@
 			if stops {
 				m.note(m.entry("policy.time_regions.day", "agent", "day", "time_regions", "s", "agents", "power", "99 in 100, five regions, 40 ms one way between any two"), float64(n), quantile(whole.everywhere, 0.99))
 			}
-			m.note(m.entry("policy.dropped_"+mode+".cut", "agent", "worst", "share_dropped", "", "agents", "table", "share of a minute's changes that were dropped, one region of five cut off for 20 s; "+mode), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
-			m.note(m.entry("policy.turned_away_"+mode+".cut", "agent", "worst", "share_turned_away", "", "agents", "table", "share of requests turned away in the region that is cut off for 20 s; "+mode), float64(n), float64(r.turned)/float64(max(1, r.turned+r.serving)))
+			m.note(m.entry("policy.dropped_"+mode+".cut", "agent", "worst", "share_dropped", "share", "agents", "table", "share of a minute's changes that were dropped, one region of five cut off for 20 s; "+mode), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
+			m.note(m.entry("policy.turned_away_"+mode+".cut", "agent", "worst", "share_turned_away", "share", "agents", "table", "share of requests turned away in the region that is cut off for 20 s; "+mode), float64(n), float64(r.turned)/float64(max(1, r.turned+r.serving)))
 		}
 	}
 	return nil
 }
+
+// policyOf is a policy's text that has a class, two limits and a source for each of n services.
+func policyOf(n int) string {
+	var b strings.Builder
+	for i := range n {
+		name := fmt.Sprintf("service-%03d", i)
+		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeats = \"keyed\"\ngroup = \"zone\"\nwindow = \"300ms\"\naim = \"400ms\"\ndeadline = \"2s\"\nworth = 1\n\n", name)
+		for _, counts := range []string{"requests", "in-flight"} {
+			fmt.Fprintf(&b, "[[limit]]\nname = \"%s-%s\"\ncounts = %q\nkind = \"soft\"\nfigure = 500\nclass = %q\n\n", name, counts, counts, name)
+		}
+		fmt.Fprintf(&b, "[[source]]\nname = %q\nlist = \"10.0.%d.%d:7000\"\n\n", name, i>>8, i&255)
+	}
+	return b.String()
+}
+
+// size is how large a policy for all services is.
+func (m *measuring) size(string) error {
+	fmt.Fprint(m.table.to, "\n## size\n\n")
+	m.table.head("services", "bytes of a policy")
+	for _, n := range []int{10, 100, 990} {
+		m.table.row(n, len(policyOf(n)))
+		m.note(m.entry("policy.size", "source", "rest", "policy_size", "B", "services", "linear", "a class, two limits and a source for each service"), float64(n), float64(len(policyOf(n))))
+	}
+	return nil
+}
--- /dev/null
+++ b/tools/capacity/changes_test.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"testing"
+	"time"
+)
+
+func played(t *testing.T, c changing) *changed {
+	t.Helper()
+	c.voters, c.stops, c.text, c.from, c.streams, c.seed = 3, true, 512, 4*time.Second, 16, 1
+	r, err := c.play()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Four times the members cost a member no more, and whoever leads no more than in proportion, at rest and while changes
+// go on. In virtual time: counts and bytes, which are the same on each machine.
+func TestFourTimesTheMembersCostAMemberNoMore(t *testing.T) {
+	for name, c := range map[string]changing{
+		"at rest":           {length: 30 * time.Second},
+		"a change each 3 s": {length: 40 * time.Second, every: 3 * time.Second},
+	} {
+		c.members = 25
+		a := played(t, c)
+		c.members = 100
+		b := played(t, c)
+		for _, x := range []struct {
+			what  string
+			a, b  float64
+			times float64
+		}{
+			{"a member's bytes in", a.member.bytesIn, b.member.bytesIn, 1.3},
+			{"a member's bytes out", a.member.bytesOut, b.member.bytesOut, 1.5},
+			{"the leader's bytes out", a.leader.bytesOut, b.leader.bytesOut, 5},
+			{"the leader's messages out", a.leader.messagesOut, b.leader.messagesOut, 5.5},
+			{"the leader's state", a.leader.disk, b.leader.disk, 4},
+		} {
+			if x.a <= 0 || x.b > x.times*x.a {
+				t.Errorf("%s: %s: %.0f with 25 members, %.0f with 100: up to %.1f times", name, x.what, x.a, x.b, x.times)
+			}
+		}
+		if c.every > 0 && (a.inForce != a.asked || b.inForce != b.asked || a.asked < 8) {
+			t.Errorf("%s: of %d and %d changes %d and %d came into force", name, a.asked, b.asked, a.inForce, b.inForce)
+		}
+	}
+}
+
+func TestTheSameSeedMeasuresTheSame(t *testing.T) {
+	c := changing{members: 12, length: 30 * time.Second, every: time.Second, drawn: true}
+	a, b := played(t, c), played(t, c)
+	if a.member.bytesIn != b.member.bytesIn || a.leader.messagesOut != b.leader.messagesOut || len(a.everywhere) < 5 || a.everywhere[0] != b.everywhere[0] || a.dropped != b.dropped {
+		t.Errorf("%+v\n%+v", a, b)
+	}
+}
+
+// Each change goes to all or is dropped, and a fleet that is asked for one while another is under way drops it.
+func TestWhatIsAskedForIsInForceOrDropped(t *testing.T) {
+	r := played(t, changing{members: 40, length: 40 * time.Second, every: 200 * time.Millisecond, drawn: true})
+	if r.asked != r.inForce+r.dropped || len(r.everywhere) != r.inForce || r.why["another change is under way"] == 0 {
+		t.Errorf("asked %d, in force %d (everywhere %d), dropped %d: %v", r.asked, r.inForce, len(r.everywhere), r.dropped, r.why)
+	}
+}
+
+// The list's bytes are in proportion to its servers.
+func TestTheListGrowsInProportion(t *testing.T) {
+	a, err := wholeList(100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := wholeList(1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := float64(len(b)) / float64(len(a)); r < 9.5 || r > 10.5 {
+		t.Errorf("ten times the servers are %.1f times the bytes", r)
+	}
+	read, err := readList(b, 100)
+	if err != nil || read.memory <= float64(len(b))/10 {
+		t.Errorf("%+v, %v", read, err)
+	}
+}
--- /dev/null
+++ b/tools/capacity/list.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"vetchhaven/decide"
+	"vetchhaven/internal/source/catalog"
+	"vetchhaven/tools/capacity/slopes"
+)
+
+// What the list is held against: see docs/capacity/size.toml.
+const (
+	agents         = 12000
+	restartsPerDay = 710
+	budget         = 11000 // bytes a second for an agent's control
+	secondsOfDay   = 86400
+)
+
+// served is a server as the list service writes it.
+func served(i int, state string) catalog.Member {
+	return catalog.Member{ID: fmt.Sprintf("s%03d-%05d", i%990, i), Addr: fmt.Sprintf("10.%d.%d.%d:%d", i>>16&255, i>>8&255, i&255, 20000+i%1000),
+		Zone: fmt.Sprintf("zone-%02d", i%15), Kind: "standard", Cell: i % 150, State: state, Weight: 1, Started: 1764633600000 + int64(i)}
+}
+
+// wholeList is the list of n servers as it is on its way.
+func wholeList(n int) ([]byte, error) {
+	m := catalog.Members{Version: 1, Full: true}
+	for i := range n {
+		m.Servers = append(m.Servers, served(i, "ready"))
+	}
+	data, err := json.Marshal(&m)
+	return append(data, '\n'), err
+}
+
+// oneRestart is what all agents are told of one: it drains, it is gone, it is there again.
+func oneRestart() (bytes int, err error) {
+	for i, state := range []string{"draining", "gone", "ready"} {
+		data, err := json.Marshal(&catalog.Members{Version: int64(100000 + i), Servers: []catalog.Member{served(11999, state)}})
+		if err != nil {
+			return 0, err
+		}
+		bytes += len(data) + 1
+	}
+	return bytes, nil
+}
+
+// reading is what a whole list costs the agent that reads it.
+type reading struct {
+	decode, take time.Duration // JSON; the module's step that takes it
+	memory       float64       // heap of what stays
+	step         time.Duration // a request and its outcome
+}
+
+func readList(data []byte, requests int) (*reading, error) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	var r reading
+	var decodes, takes []time.Duration
+	var lb *decide.Balancer
+	var m *catalog.Members
+	heap := func() float64 {
+		runtime.GC()
+		var s runtime.MemStats
+		runtime.ReadMemStats(&s)
+		return float64(s.HeapAlloc)
+	}
+	before := 0.0
+	for range 5 {
+		lb, m = nil, nil
+		before = heap()
+		began := threadTime()
+		m = &catalog.Members{}
+		if err := json.NewDecoder(bytes.NewReader(data)).Decode(m); err != nil {
+			return nil, err
+		}
+		decodes = append(decodes, threadTime()-began)
+		list := decide.List{Kind: decide.ListFull}
+		for _, s := range m.Servers {
+			list.Backends = append(list.Backends, decide.Backend{ID: s.ID, Zone: s.Cell % 15, Cell: s.Cell})
+		}
+		var err error
+		lb, err = decide.New(decide.Settings{Balancers: 1, MaxAttempts: 3, RampTime: 8600 * time.Millisecond, ColdShare: 0.31, FallMultiple: 2.5,
+			FallWindow: time.Second, GoalWhole: 1, Classes: []decide.Class{{Aim: 600 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1}}}, 1)
+		if err != nil {
+			return nil, err
+		}
+		began = threadTime()
+		lb.Step(time.Hour, []decide.Event{list})
+		takes = append(takes, threadTime()-began)
+	}
+	r.memory = heap() - before
+	runtime.KeepAlive(m)
+	now := time.Hour
+	play := func(i int) {
+		id := fmt.Sprint("q", i)
+		for _, a := range lb.Step(now, []decide.Event{decide.Request{ID: id, Left: 3 * time.Second}}) {
+			if s, ok := a.(decide.Send); ok {
+				now += 2 * time.Millisecond
+				lb.Step(now, []decide.Event{decide.Outcome{Request: id, Backend: s.Backend, Latency: 2 * time.Millisecond, Done: true}})
+			}
+		}
+	}
+	for i := range requests / 10 {
+		play(-i)
+	}
+	var each []time.Duration
+	for range 5 {
+		began := threadTime()
+		for i := range requests {
+			play(i)
+		}
+		each = append(each, (threadTime()-began)/time.Duration(requests))
+	}
+	for _, all := range [][]time.Duration{decodes, takes, each} {
+		slices.Sort(all)
+	}
+	r.decode, r.take, r.step = decodes[2], takes[2], each[2]
+	return &r, nil
+}
+
+// listCommand measures what the list of servers costs whom.
+func listCommand() *cobra.Command {
+	var (
+		sizes   []int
+		asTOML  bool
+		seed    uint64
+		machine string
+	)
+	c := &cobra.Command{Use: "list", Short: "What the list of servers costs, by their number", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			b := book{command: "go run ./tools/capacity list", machine: machine}
+			out := table{c.OutOrStdout()}
+			if asTOML {
+				out.to = c.ErrOrStderr()
+			}
+			delta, err := oneRestart()
+			if err != nil {
+				return err
+			}
+			out.head("servers", "bytes of the list", "at 11 KB/s", "all agents at once", "read", "taken", "memory", "a request", "against the first")
+			var first time.Duration
+			for _, n := range sizes {
+				data, err := wholeList(n)
+				if err != nil {
+					return err
+				}
+				r, err := readList(data, 100000)
+				if err != nil {
+					return err
+				}
+				if first == 0 {
+					first = r.step
+				}
+				size, x := float64(len(data)), float64(n)
+				out.row(n, len(data), fmt.Sprintf("%.1f s", size/budget), fmt.Sprintf("%.2f GB", size*x/1e9), r.decode, r.take, fmt.Sprintf("%.0f", r.memory), r.step, fmt.Sprintf("%.2f", float64(r.step)/float64(first)))
+				e := func(name, role, load, quantity, unit, form, note string, value float64) {
+					b.note(slopes.Slope{Name: name, Role: role, Load: load, Quantity: quantity, Unit: unit, Mechanism: "list", Variable: "servers", Form: form, Command: b.command, Note: note}, x, value)
+				}
+				e("list.size", "source", "rest", "list_size", "B", "linear", "the whole list as JSON", size)
+				e("list.bytes_in.day", "agent", "day", "bytes_in", "B/s", "linear", fmt.Sprintf("worked out: %d restarts a day of %d, each told to all in three lines (%d bytes), and the whole list to who restarts", restartsPerDay, agents, delta),
+					(float64(delta)*restartsPerDay*x/agents+size*restartsPerDay/agents)/secondsOfDay)
+				e("list.bytes_in.worst", "agent", "worst", "bytes_in", "B/s", "linear", "worked out: the whole list within a minute", size/60)
+				e("list.time.worst", "agent", "worst", "time_list", "s", "linear", "worked out: the whole list at 11 KB a second, after each restart", size/budget)
+				e("list.bytes_out.day", "source", "day", "bytes_out", "B/s", "power", "worked out: the day's restarts, told to all agents, and the whole list to each that restarts",
+					(float64(delta)*restartsPerDay*x/agents*x+size*restartsPerDay*x/agents)/secondsOfDay)
+				e("list.bytes_out.zone", "source", "worst", "bytes_out", "B/s", "power", "worked out: a zone comes back, one agent in fifteen, each has the whole list within a minute", size*x/15/60)
+				e("list.bytes_out.release", "source", "worst", "bytes_out", "B/s", "power", "worked out: all agents after a release, each has the whole list within a minute", size*x/60)
+				e("list.read", "agent", "worst", "time_read", "ms", "linear", "processor time to read the JSON and have the module take it, at each start", float64(r.decode+r.take)/1e6)
+				e("list.memory", "agent", "rest", "memory", "B", "linear", "heap of the list and of the module with it", r.memory)
+				e("list.state", "agent", "rest", "state", "B", "linear", "the list", size)
+				e("list.step", "path", "rest", "step_time", "us", "constant", "processor time of the module for a request and its outcome", float64(r.step)/1e3)
+			}
+			if asTOML {
+				return slopes.Write(c.OutOrStdout(), b.all()...)
+			}
+			return nil
+		}}
+	c.Flags().IntSliceVar(&sizes, "sizes", []int{12, 120, 1200, 12000}, "servers")
+	c.Flags().Uint64Var(&seed, "seed", 1, "unused: nothing here is by chance")
+	c.Flags().BoolVar(&asTOML, "toml", false, "entries of docs/capacity/slopes.toml")
+	c.Flags().StringVar(&machine, "machine", machineName(), "for the entries")
+	return c
+}
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -27,5 +27,6 @@
 	return []*cobra.Command{
 		pageCommand(),
 		changesCommand(),
+		listCommand(),
 	}
 }
--- a/tools/capacity/page/tables.go
+++ b/tools/capacity/page/tables.go
@@ -453,6 +453,8 @@
 		return step(x*k.of, "B/s", "KB/s", "MB/s", "GB/s")
 	case k.kind == "time":
 		return step(x*k.of*1e9, "ns", "us", "ms", "s")
+	case u == "share":
+		return short(100*x) + "%"
 	case u == "core":
 		return short(100*x) + "% of a core"
 	}
