Capacity: the page has the greatest of each quantity, a second page has every entry

Cause: with the view's entries alone the agent's table had forty rows; the page is to be two screens.

docs/CAPACITY.md has, of each load, mechanism and quantity that is asked for or bounded, the entry that is greatest at the size aimed at; docs/capacity/tables.md has all. Rows that were not measured stand together, one a load. What breaks: a figure that does not grow with the fleet (a distance) stands with its own crossing, and a crossing below the smallest size measured says so.

--- a/tools/capacity/page.go
+++ b/tools/capacity/page.go
@@ -12,32 +12,39 @@
 // pageCommand prints docs/CAPACITY.md with its tables, or writes them into it.
 func pageCommand() *cobra.Command {
 	var write bool
-	var size, slopes, path string
+	var size, slopes, path, fullPath string
 	c := &cobra.Command{Use: "page", Short: "The tables of docs/CAPACITY.md, from the size aimed at and what was measured", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			tables, err := page.Load(size, slopes)
+			brief, full, err := page.Load(size, slopes)
 			if err != nil {
 				return err
 			}
-			was, err := os.ReadFile(path)
-			if err != nil {
-				return err
-			}
-			text, err := page.Insert(path, string(was), tables)
-			switch {
-			case err != nil:
-				return err
-			case !write:
-				fmt.Print(text)
-				return nil
-			case text == string(was):
-				return nil
+			for _, p := range []struct {
+				path   string
+				tables map[string]string
+			}{{path, brief}, {fullPath, full}} {
+				was, err := os.ReadFile(p.path)
+				if err != nil {
+					return err
+				}
+				text, err := page.Insert(p.path, string(was), p.tables)
+				switch {
+				case err != nil:
+					return err
+				case !write:
+					fmt.Print(text)
+				case text != string(was):
+					if err := os.WriteFile(p.path, []byte(text), 0o644); err != nil {
+						return err
+					}
+				}
 			}
-			return os.WriteFile(path, []byte(text), 0o644)
+			return nil
 		}}
-	c.Flags().BoolVar(&write, "write", false, "write the tables into the page")
+	c.Flags().BoolVar(&write, "write", false, "write the tables into the pages")
 	c.Flags().StringVar(&size, "size", "docs/capacity/size.toml", "the size aimed at, and the bounds")
 	c.Flags().StringVar(&slopes, "slopes", "docs/capacity/slopes.toml", "what was measured")
 	c.Flags().StringVar(&path, "page", "docs/CAPACITY.md", "the page")
+	c.Flags().StringVar(&fullPath, "full", "docs/capacity/tables.md", "the page with every entry")
 	return c
 }
--- a/tools/capacity/page/page.go
+++ b/tools/capacity/page/page.go
@@ -10,24 +10,24 @@
 	"vetchhaven/tools/capacity/slopes"
 )
 
-// Load reads both files, and prints the tables.
-func Load(sizePath, slopesPath string) (map[string]string, error) {
+// Load reads both files, and prints the tables of both pages.
+func Load(sizePath, slopesPath string) (brief, full map[string]string, err error) {
 	size, err := ReadSize(sizePath)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	data, err := os.ReadFile(slopesPath)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	all, err := slopes.Parse(slopesPath, data)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if err := size.Fits(slopesPath, data, all); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return Tables(size, all), nil
+	return Tables(size, all, false), Tables(size, all, true), nil
 }
 
 var begin = regexp.MustCompile(`^<!-- tables: begin ([a-z]+) -->$`)
--- a/tools/capacity/page/page_test.go
+++ b/tools/capacity/page/page_test.go
@@ -11,28 +11,30 @@
 
 const docs = "../../../docs/"
 
-// The page has the tables that both files give, byte by byte.
-func TestThePageHoldsWhatTheFilesSay(t *testing.T) {
-	tables, err := Load(docs+"capacity/size.toml", docs+"capacity/slopes.toml")
+// The pages have the tables that both files give, byte by byte.
+func TestThePagesHoldWhatTheFilesSay(t *testing.T) {
+	brief, full, err := Load(docs+"capacity/size.toml", docs+"capacity/slopes.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
-	was, err := os.ReadFile(docs + "CAPACITY.md")
-	if err != nil {
-		t.Fatal(err)
-	}
-	text, err := Insert("docs/CAPACITY.md", string(was), tables)
-	if err != nil {
-		t.Fatal(err)
-	}
-	a, b := strings.Split(string(was), "\n"), strings.Split(text, "\n")
-	for i := range min(len(a), len(b)) {
-		if a[i] != b[i] {
-			t.Fatalf("docs/CAPACITY.md:%d:\n%s\nis to be\n%s\n(go run ./tools/capacity page --write)", i+1, a[i], b[i])
+	for name, tables := range map[string]map[string]string{"CAPACITY.md": brief, "capacity/tables.md": full} {
+		was, err := os.ReadFile(docs + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := Insert("docs/"+name, string(was), tables)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, b := strings.Split(string(was), "\n"), strings.Split(text, "\n")
+		for i := range min(len(a), len(b)) {
+			if a[i] != b[i] {
+				t.Fatalf("docs/%s:%d:\n%s\nis to be\n%s\n(go run ./tools/capacity page --write)", name, i+1, a[i], b[i])
+			}
+		}
+		if len(a) != len(b) {
+			t.Errorf("docs/%s has %d lines, and is to have %d (go run ./tools/capacity page --write)", name, len(a), len(b))
 		}
-	}
-	if len(a) != len(b) {
-		t.Errorf("the page has %d lines, and is to have %d (go run ./tools/capacity page --write)", len(a), len(b))
 	}
 }
 
@@ -87,7 +89,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return Tables(s, all)
+	return Tables(s, all, false)
 }
 
 // has fails the test unless a table has a row with all of these cells, in their order.
@@ -115,7 +117,7 @@
 	got := tables(t, slope(func(*slopes.Slope) {}))
 	has(t, got["agent"], "at rest", "`view.bytes_out.rest`", "| view |", "| 100 B/s + 1 B/s x agents |", "| 12.1 KB/s |", "| 0.0% |", "| 100 to 1,000 agents |", "| **12.0** |", "| 11 KB/s for all |", "| **no** |", "[1]")
 	has(t, got["agent"], "at rest", "**all together: bytes**", "| 12.1 KB/s |", "**no**")
-	has(t, got["agent"], "at rest", "| memory | view | not measured |")
+	has(t, got["agent"], "at rest", "| view: memory | | not measured |")
 	has(t, got["breaks"], "| 1 | bytes |", "10,900 agents (0.91 of the size)", "**no**")
 	has(t, got["runs"], "[1]", "`c`", "2026-12-02", "| m |")
 	if strings.Contains(got["breaks"], "in time") {
@@ -152,7 +154,7 @@
 		slope(func(s *slopes.Slope) {
 			s.Name, s.Quantity, s.Unit, s.Variable, s.Points = "policy.time.far", "time", "s", "rtt_ms", [][2]float64{{10, 1}, {100, 10}}
 		}))
-	has(t, got["agent"], "`policy.time.day`", "| 10 ms x agents |"[5:], "| 120 s |", "| 11 s |", "**no**")
+	has(t, got["agent"], "`policy.time.day`", "10 ms x agents |", "| 120 s |", "| 11 s |", "**no**")
 	lines := strings.Split(got["breaks"], "\n")
 	for i, want := range []string{"1,100 agents (0.092 of the size)", "110 ms there and back (0.44 of the size)", "10,900 agents"} {
 		if !strings.Contains(lines[2+i], want) {
@@ -161,6 +163,37 @@
 	}
 }
 
+// A figure that grows with distance is in the sum at the distance aimed at, and by itself where it alone crosses the bound.
+func TestWhatGrowsWithDistanceBreaksByItself(t *testing.T) {
+	got := tables(t, slope(func(s *slopes.Slope) {
+		s.Variable, s.Form, s.Points = "rtt_ms", "steps", [][2]float64{{0, 700}, {120, 5000}, {200, 23000}}
+	}))
+	has(t, got["breaks"], "| 1 | bytes |", "at any size, with 250 ms there and back", "23 KB/s", "**no**")
+	has(t, got["breaks"], "| 2 | bytes |", "200 ms there and back (0.8 of the size)", "23 KB/s", "**no**")
+}
+
+// Of two entries of one quantity the page has the greater, and the other page both.
+func TestThePageHasTheGreatestOfEachQuantity(t *testing.T) {
+	all := []slopes.Slope{slope(func(*slopes.Slope) {}), slope(func(s *slopes.Slope) {
+		s.Name, s.Points = "view.bytes_out.less", [][2]float64{{100, 20}, {300, 40}, {1000, 110}}
+	}),
+		slope(func(s *slopes.Slope) { s.Name, s.Quantity = "view.unasked.rest", "unasked" })}
+	s, err := ParseSize("size.toml", []byte(size))
+	if err != nil {
+		t.Fatal(err)
+	}
+	brief, full := Tables(s, all, false), Tables(s, all, true)
+	for _, c := range []struct {
+		text, name string
+		want       bool
+	}{{brief["agent"], "view.bytes_out.rest", true}, {brief["agent"], "view.bytes_out.less", false}, {brief["agent"], "view.unasked.rest", false},
+		{full["agent"], "view.bytes_out.rest", true}, {full["agent"], "view.bytes_out.less", true}, {full["agent"], "view.unasked.rest", true}} {
+		if strings.Contains(c.text, c.name) != c.want {
+			t.Errorf("%s is there: %v, want %v:\n%s", c.name, !c.want, c.want, c.text)
+		}
+	}
+}
+
 func TestATableIsNotExtrapolated(t *testing.T) {
 	got := tables(t, slope(func(s *slopes.Slope) { s.Form = "table" }))
 	has(t, got["agent"], "100: 200 B/s; 300: 400 B/s; 1,000: 1.1 KB/s", "not extrapolated; 1.1 KB/s at 1,000", "read off")
--- a/tools/capacity/page/tables.go
+++ b/tools/capacity/page/tables.go
@@ -1,6 +1,7 @@
 package page
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -13,35 +14,45 @@
 // Far is by how many times the largest measured size a figure may be extrapolated without a mark.
 const Far = 4
 
-// Tables are the page's, by name: one for each role, what breaks as the size grows, and the runs behind them.
-func Tables(s *Size, all []slopes.Slope) map[string]string {
-	p := &printer{size: s, all: all}
-	tables := map[string]string{"size": p.sizes()}
+// Tables are docs/CAPACITY.md's, by name: one for each role, what breaks as the size grows, and the runs behind them. Of
+// each load, mechanism and quantity they have what is greatest at the size aimed at, of what is asked for or bounded; with
+// full there is everything.
+func Tables(s *Size, all []slopes.Slope, full bool) map[string]string {
+	p := &printer{size: s, all: all, full: full, used: map[int]bool{}}
+	for i := range all {
+		if r := runOf(&all[i]); !slices.Contains(p.list, r) {
+			p.list = append(p.list, r)
+		}
+	}
+	tables := map[string]string{}
 	for _, role := range slopes.Roles {
 		tables[role] = p.role(role)
 	}
-	tables["breaks"] = p.breaks()
-	tables["runs"] = p.runs() // last: it has the numbers of those that were named
+	if !full {
+		tables["size"] = p.sizes()
+		tables["breaks"] = p.breaks()
+	}
+	tables["runs"] = p.runs() // last: it has those that were named
 	return tables
 }
 
 type printer struct {
 	size *Size
 	all  []slopes.Slope
-	used []run
+	full bool
+	list []run
+	used map[int]bool // by number in the list
 }
 
 // run is a command with its date and machine.
 type run struct{ command, date, machine string }
 
+func runOf(s *slopes.Slope) run { return run{s.Command, s.Date, s.Machine} }
+
 // number is the run's in the last table.
 func (p *printer) number(s *slopes.Slope) string {
-	r := run{s.Command, s.Date, s.Machine}
-	i := slices.Index(p.used, r)
-	if i < 0 {
-		i = len(p.used)
-		p.used = append(p.used, r)
-	}
+	i := slices.Index(p.list, runOf(s))
+	p.used[i] = true
 	return fmt.Sprintf("[%d]", i+1)
 }
 
@@ -70,19 +81,22 @@
 func (p *printer) role(role string) string {
 	t := table("load", "figure", "carried by", "slope", "at the size", "residual", "measured over", "times beyond", "bound", "met", "run")
 	for _, load := range slopes.Loads {
-		rows := p.of(role, load)
-		for _, e := range rows {
+		for _, e := range p.of(role, load) {
 			p.entry(t, e)
 		}
+		var missing []string
 		for i := range p.size.Asked {
 			if a := &p.size.Asked[i]; a.Role == role && slices.Contains(a.Loads, load) {
 				for _, m := range a.Mechanisms {
-					if missing := p.missing(a, load, m); len(missing) > 0 {
-						t.row(loads[load], strings.Join(missing, ", "), m, "not measured", "", "", "", "", "", "", "")
+					if list := p.missing(a, load, m); len(list) > 0 {
+						missing = append(missing, m+": "+strings.Join(list, ", "))
 					}
 				}
 			}
 		}
+		if len(missing) > 0 {
+			t.row(loads[load], strings.Join(missing, "; "), "", "not measured", "", "", "", "", "", "", "")
+		}
 		for i := range p.size.Bound {
 			if b := &p.size.Bound[i]; b.Sum && b.Role == role && b.in(load) {
 				if parts := p.parts(b, load); len(parts) > 0 {
@@ -101,19 +115,44 @@
 // of are a role's entries of a load, in order.
 func (p *printer) of(role, load string) (rows []*slopes.Slope) {
 	for i := range p.all {
-		if e := &p.all[i]; e.Role == role && e.Load == load {
+		if e := &p.all[i]; e.Role == role && e.Load == load && (p.full || p.governs(e, false)) {
 			rows = append(rows, e)
 		}
 	}
 	slices.SortStableFunc(rows, func(a, b *slopes.Slope) int {
-		if c := strings.Compare(a.Mechanism, b.Mechanism); c != 0 {
-			return c
-		}
-		return strings.Compare(a.Name, b.Name)
+		return cmp.Or(strings.Compare(a.Mechanism, b.Mechanism), strings.Compare(a.Name, b.Name))
 	})
 	return rows
 }
 
+// governs reports whether an entry is asked for or bounded, and the greatest of its kind at the size aimed at; same: of
+// those that grow with the same.
+func (p *printer) governs(e *slopes.Slope, same bool) bool {
+	wanted := slices.ContainsFunc(p.size.Asked, func(a Asked) bool {
+		return a.Role == e.Role && slices.Contains(a.Quantities, e.Quantity) && slices.Contains(a.Mechanisms, e.Mechanism)
+	}) || slices.ContainsFunc(p.size.Bound, func(b Bound) bool { return b.of(e) })
+	if !wanted {
+		return false
+	}
+	for i := range p.all {
+		o := &p.all[i]
+		if o == e || o.Role != e.Role || o.Load != e.Load || o.Mechanism != e.Mechanism || o.Quantity != e.Quantity || same && o.Variable != e.Variable {
+			continue
+		}
+		if by := scale(e.Unit, o.Unit); by > 0 {
+			if a, b := p.aimed(e), by*p.aimed(o); b > a || b == a && o.Name < e.Name {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// aimed is an entry's value at the size aimed at.
+func (p *printer) aimed(e *slopes.Slope) float64 {
+	return e.Fit().Value(p.size.variable(e.Variable).at(e.Load))
+}
+
 // missing are the quantities of which a role has no entry.
 func (p *printer) missing(a *Asked, load, mechanism string) (missing []string) {
 	for _, q := range a.Quantities {
@@ -279,7 +318,7 @@
 	return strings.Join(list, ", ")
 }
 
-// break_ is where a curve crosses its bound.
+// crossing is where a curve crosses its bound.
 type crossing struct {
 	share float64 // of the size aimed at; +Inf: not up to most times it
 	cells []any
@@ -303,24 +342,32 @@
 					continue
 				}
 				share := cross(func(x float64) float64 { return total(parts, x) }, b.Most)
-				top := slices.MaxFunc(parts, func(a, b term) int { return int(math.Copysign(1, a.value(1)-b.value(1))) })
-				agents := p.size.variable("agents").at(load)
-				all = append(all, crossing{share, []any{b.Name, loads[load], names(parts) + "; most: `" + top.e.Name + "`", where(share, agents, "agents"), unit(total(parts, 1), b.Unit), unit(b.Most, b.Unit), met(share > 1)}})
-				continue
+				top := slices.MaxFunc(parts, func(a, b term) int { return cmp.Compare(a.value(1), b.value(1)) })
+				at := where(share, p.size.variable("agents").at(load), "agents", 0)
+				if v := p.size.variable(top.e.Variable); share == 0 && !v.Grows {
+					at = fmt.Sprintf("at any size, with %s %s", count(v.at(load)), v.Words)
+				}
+				all = append(all, crossing{share, []any{b.Name, loads[load], names(parts) + "; most: `" + top.e.Name + "`", at, unit(total(parts, 1), b.Unit), unit(b.Most, b.Unit), met(share > 1)}})
 			}
 			for j := range p.all {
 				e := &p.all[j]
-				if !b.of(e) || e.Load != load || seen[e.Name] || e.Form == "table" {
+				if !b.of(e) || e.Load != load || seen[e.Name] || e.Form == "table" || !p.governs(e, true) {
 					continue
 				}
 				seen[e.Name] = true
 				v, f := p.size.variable(e.Variable), e.Fit()
+				if b.Sum && v.Grows { // it is in the sum
+					continue
+				}
 				aim, by := v.at(load), scale(b.Unit, e.Unit)
 				if aim == 0 {
 					continue
 				}
 				share := cross(func(x float64) float64 { return f.Value(x*aim) * by }, b.Most)
-				all = append(all, crossing{share, []any{b.Name, loads[load], e.Mechanism + " `" + e.Name + "`", where(share, aim, v.Words), unit(f.Value(aim)*by, b.Unit), unit(b.Most, b.Unit), met(share > 1)}})
+				if b.Sum && share > 1 {
+					continue
+				}
+				all = append(all, crossing{share, []any{b.Name, loads[load], e.Mechanism + " `" + e.Name + "`", where(share, aim, v.Words, e.Points[0][0]), unit(f.Value(aim)*by, b.Unit), unit(b.Most, b.Unit), met(share > 1)}})
 			}
 		}
 	}
@@ -343,11 +390,13 @@
 	return t.String()
 }
 
-// where says at which size a bound is crossed.
-func where(share, aim float64, words string) string {
+// where says at which size a bound is crossed; low: the smallest that was measured.
+func where(share, aim float64, words string, low float64) string {
 	switch {
 	case math.IsInf(share, 1):
 		return fmt.Sprintf("not up to %s %s", count(most*aim), words)
+	case share*aim < low:
+		return fmt.Sprintf("below %s %s, the smallest size measured", count(low), words)
 	case share == 0:
 		return "at the smallest size"
 	}
@@ -384,7 +433,10 @@
 		return "None.\n"
 	}
 	t := table("run", "command", "date", "machine")
-	for i, r := range p.used {
+	for i, r := range p.list {
+		if !p.used[i] {
+			continue
+		}
 		t.row(fmt.Sprintf("[%d]", i+1), "`"+r.command+"`", r.date, r.machine)
 	}
 	return t.String()
