Fleet view shows what a daemon sent about the policy, and what it could not send

Need: an operator is to see where a fleet stands against docs/CAPACITY.md. The carrier counted what it sends about the policy, and showed it nowhere; a message that found all 16 streams taken counted as sent as well as lost.

Not sent is counted once. Tests: the counts in a fleet of three (fails without the line in Show), the printed line (fails without it).

--- a/cmd/vetchhaven/drill_test.go
+++ b/cmd/vetchhaven/drill_test.go
@@ -84,7 +84,8 @@
 	if n := diffViews(&a, &a, &out); n != 0 || !strings.Contains(out.String(), "see the same") {
 		t.Errorf("%d\n%s", n, out.String())
 	}
-	if err := showView(&a, &out); err != nil || !strings.Contains(out.String(), "dead") {
+	a.Traffic.PolicyMessages, a.Traffic.PolicyBytes, a.Traffic.PolicyUnsent = 12, 3456, 7
+	if err := showView(&a, &out); err != nil || !strings.Contains(out.String(), "dead") || !strings.Contains(out.String(), "12 messages, 3456 bytes; 7 not sent") {
 		t.Error(err, out.String())
 	}
 }
--- a/cmd/vetchhaven/fleet.go
+++ b/cmd/vetchhaven/fleet.go
@@ -199,6 +199,9 @@
 	t := s.Traffic
 	fmt.Fprintf(out, "sent: %.1f datagrams and %.0f bytes a second, %d exchanges (%d bytes); not taken: %d damaged, %d of another fleet, %d of another format\n",
 		t.DatagramsRate, t.BytesRate, t.Exchanges, t.ExchangeBytes, t.Damaged, t.Foreign, t.OtherFormat)
+	if t.PolicyMessages+t.PolicyUnsent > 0 {
+		fmt.Fprintf(out, "about the policy, since the start: %d messages, %d bytes; %d not sent\n", t.PolicyMessages, t.PolicyBytes, t.PolicyUnsent)
+	}
 	if s.SaveFails {
 		fmt.Fprintln(out, "the view can't be saved: see the log")
 	}
--- a/internal/host/fleet/policy_test.go
+++ b/internal/host/fleet/policy_test.go
@@ -174,6 +174,9 @@
 	})
 	r.apply(t, 1, "[rules]\nconnect_timeout = \"9s\"\nidle_close = \"60s\"\n")
 	y["a"].wantServed("one")
+	if v, ok := r.View(); !ok || v.Traffic.PolicyMessages == 0 || v.Traffic.PolicyBytes < 20*v.Traffic.PolicyMessages {
+		t.Errorf("what it sent about the policy is not counted: %+v", v.Traffic)
+	}
 	for _, other := range []string{"b", "c"} {
 		if err := all[other].end(); err != nil {
 			t.Fatal(err)
--- a/internal/peer/carrier/agreeing.go
+++ b/internal/peer/carrier/agreeing.go
@@ -195,9 +195,9 @@
 		g.lost++
 		return
 	}
-	g.sent++
-	g.bytes += uint64(len(data))
 	if !s.Message.Large() && len(data) <= datagram {
+		g.sent++
+		g.bytes += uint64(len(data))
 		_, _ = g.c.o.UDP.WriteToUDPAddrPort(data, to)
 		return
 	}
@@ -207,6 +207,8 @@
 		g.lost++
 		return
 	}
+	g.sent++
+	g.bytes += uint64(len(data))
 	go func() {
 		defer func() { <-g.streams }()
 		_ = g.c.deliver(to.String(), data)
--- a/internal/peer/carrier/show.go
+++ b/internal/peer/carrier/show.go
@@ -49,6 +49,10 @@
 	OtherFormat   uint64  `json:"other_format"`
 	Huge          uint64  `json:"huge"`
 	Odd           uint64  `json:"odd"`
+	// About the policy, apart from the above: messages and bytes sent, and messages not sent, for want of a stream or an address.
+	PolicyMessages uint64 `json:"policy_messages"`
+	PolicyBytes    uint64 `json:"policy_bytes"`
+	PolicyUnsent   uint64 `json:"policy_unsent"`
 }
 
 // ShownOne is one member.
@@ -83,7 +87,8 @@
 		s.Count = ShownCount{n.Most, n.Least, n.Members, n.Live, n.File}
 		s.Traffic = ShownTraffic{Datagrams: t.Datagrams, Bytes: t.Bytes, DatagramsRate: float64(t.Datagrams) / up, BytesRate: float64(t.Bytes) / up,
 			Exchanges: t.Exchanges, ExchangeBytes: t.ExchangeBytes, Heard: t.Heard, Held: t.Held, Stale: t.Stale, Dropped: c.dropped.Load(),
-			Damaged: c.damaged.Load(), Foreign: c.foreign.Load(), OtherFormat: c.formats.Load(), Huge: c.huge.Load(), Odd: c.odd.Load()}
+			Damaged: c.damaged.Load(), Foreign: c.foreign.Load(), OtherFormat: c.formats.Load(), Huge: c.huge.Load(), Odd: c.odd.Load(),
+			PolicyMessages: c.agreeing.sent, PolicyBytes: c.agreeing.bytes, PolicyUnsent: c.agreeing.lost}
 		for _, r := range v.Members() {
 			s.Members = append(s.Members, shownOne(r, c.now()-v.Since(r.Name)))
 		}
