--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -27,5 +27,7 @@
 	return []*cobra.Command{
 		pageCommand(),
 		viewCommand(),
+		changesCommand(),
+		listCommand(),
 	}
 }
