--- a/tools/capacity/changes.go
+++ b/tools/capacity/changes.go
@@ -382,6 +382,9 @@
 	return r, nil
 }
 
+// powerFrom is from how many members on what grows with their square is most of the leader's work.
+const powerFrom = 300
+
 // entry is one of a quantity in the subject of this run.
 func (m *measuring) entry(name, role, load, quantity, unit, variable, form, note string) slopes.Slope {
 	return slopes.Slope{Name: name, Role: role, Load: load, Quantity: quantity, Unit: unit, Mechanism: "policy", Variable: variable, Form: form, Command: m.command + m.what, Note: note}
@@ -404,6 +407,12 @@
 			}
 			if q.quantity == "cpu" {
 				n = strings.TrimPrefix(n+"; module and encoding, without sockets", "; ")
+				if form == "power" {
+					if size < powerFrom {
+						continue
+					}
+					n += fmt.Sprintf("; it looks through the roster at each answer: from %d members on that is most of it", powerFrom)
+				}
 			}
 			m.note(m.entry(fmt.Sprintf("policy.%s.%s.%s", who.name, q.quantity, when), who.role, when, q.quantity, q.unit, variable, form, n), size, q.value)
 		}
@@ -425,7 +434,7 @@
 			if streams < 0 {
 				continue
 			}
-			m.note(m.entry("policy.time.even", "agent", "rest", "time", "s", "agents", "power", "99 in 100 changes, one each 2 s, texts of 10 bytes, whole links"), float64(n), quantile(r.everywhere, 0.99))
+			m.note(m.entry("policy.time.even", "agent", "rest", "time", "s", "agents", "log", "99 in 100 changes, one each 2 s, texts of 10 bytes, whole links"), float64(n), quantile(r.everywhere, 0.99))
 		}
 	}
 	return nil
@@ -440,13 +449,13 @@
 			return err
 		}
 		m.loads(r, "day", "agents", float64(n), "0.74 changes a second, 512 bytes each", forms)
-		m.note(m.entry("policy.time.day", "agent", "day", "time", "s", "agents", "power", "99 in 100 of those that come into force"), float64(n), quantile(r.everywhere, 0.99))
-		m.note(m.entry("policy.time_p50.day", "agent", "day", "time_p50", "s", "agents", "power", ""), float64(n), quantile(r.everywhere, 0.5))
-		m.note(m.entry("policy.under_way.day", "voter", "day", "under_way", "s", "agents", "power", "one goes at a time: from the question to the first that serves by it, half of them"), float64(n), quantile(r.prepared, 0.5))
+		m.note(m.entry("policy.time.day", "agent", "day", "time", "s", "agents", "log", "99 in 100 of those that come into force"), float64(n), quantile(r.everywhere, 0.99))
+		m.note(m.entry("policy.time_p50.day", "agent", "day", "time_p50", "s", "agents", "log", ""), float64(n), quantile(r.everywhere, 0.5))
+		m.note(m.entry("policy.under_way.day", "voter", "day", "under_way", "s", "agents", "log", "one goes at a time: from the question to the first that serves by it, half of them"), float64(n), quantile(r.prepared, 0.5))
 		m.note(m.entry("policy.dropped.day", "agent", "day", "share_dropped", "share", "agents", "log", "share of changes that were dropped, on whole links"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
 		m.note(m.entry("policy.leader.state", "voter", "rest", "state", "B", "agents", "linear", "on the disk: roster, the last 16 policies of 512 bytes, the last 256 changes, the log"), float64(n), r.leader.disk)
 		m.note(m.entry("policy.member.state", "agent", "rest", "state", "B", "agents", "constant", "on the disk, with a policy of 512 bytes"), float64(n), r.member.disk)
-		m.note(m.entry("policy.member.memory", "agent", "rest", "memory", "B", "agents", "constant", "heap of the whole play for each member: its disk, clock and queue in the play are in it"), float64(n), r.heap)
+		m.note(m.entry("policy.member.memory", "agent", "rest", "memory", "B", "agents", "steps", "heap of the whole play for each member, its disk and what it has in the queue of the play too; the largest fleet counts"), float64(n), r.heap)
 	}
 	return nil
 }
@@ -461,7 +470,7 @@
 			return err
 		}
 		m.loads(r, "worst", "agents", float64(n), "7.4 changes a second, 512 bytes each", map[string]string{"member": "constant", "leader.cpu": "power"})
-		m.note(m.entry("policy.time.worst", "agent", "worst", "time", "s", "agents", "power", "99 in 100 of those that come into force"), float64(n), quantile(r.everywhere, 0.99))
+		m.note(m.entry("policy.time.worst", "agent", "worst", "time", "s", "agents", "log", "99 in 100 of those that come into force"), float64(n), quantile(r.everywhere, 0.99))
 		m.note(m.entry("policy.dropped.worst", "agent", "worst", "share_dropped", "share", "agents", "log", "share of changes that were dropped, on whole links"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
 		m.note(m.entry("policy.started.worst", "agent", "worst", "time_start", "s", "agents", "linear", "all start at once: until the last is in the roster and takes requests"), float64(n), r.started.Seconds())
 	}
