--- a/tools/capacity/changes.go
+++ b/tools/capacity/changes.go
@@ -330,18 +330,6 @@
 	return all
 }
 
-// figures leaves four of a value.
-func figures(x float64) float64 {
-	if x == 0 {
-		return 0
-	}
-	scale := math.Pow(10, 3-math.Floor(math.Log10(math.Abs(x))))
-	if scale > 1 {
-		return math.Round(x*scale) / scale
-	}
-	return math.Round(x)
-}
-
 // measuring plays what is asked for, and keeps what it gives.
 type measuring struct {
 	book
--- a/tools/capacity/flags.go
+++ b/tools/capacity/flags.go
@@ -103,11 +103,14 @@
 	return all
 }
 
-// figures is a number to four figures.
+// figures is a number to four figures, or whole where it has more.
 func figures(x float64) float64 {
 	if x == 0 {
 		return 0
 	}
 	scale := math.Pow(10, 3-math.Floor(math.Log10(math.Abs(x))))
-	return math.Round(x*scale) / scale
+	if scale > 1 {
+		return math.Round(x*scale) / scale
+	}
+	return math.Round(x)
 }
--- a/tools/capacity/page/tables.go
+++ b/tools/capacity/page/tables.go
@@ -344,8 +344,10 @@
 				share := cross(func(x float64) float64 { return total(parts, x) }, b.Most)
 				top := slices.MaxFunc(parts, func(a, b term) int { return cmp.Compare(a.value(1), b.value(1)) })
 				at := where(share, p.size.variable("agents").at(load), "agents", 0)
-				if v := p.size.variable(top.e.Variable); share == 0 && !v.Grows {
-					at = fmt.Sprintf("at any size, with %s %s", count(v.at(load)), v.Words)
+				if share == 0 { // what does not grow is too much alone
+					top = slices.MaxFunc(parts, func(a, b term) int { return cmp.Compare(a.value(0), b.value(0)) })
+					v := p.size.variable(top.e.Variable)
+					at = fmt.Sprintf("at any size, with %s %s", count(v.at(top.as)), v.Words)
 				}
 				all = append(all, crossing{share, []any{b.Name, loads[load], names(parts) + "; most: `" + top.e.Name + "`", at, unit(total(parts, 1), b.Unit), unit(b.Most, b.Unit), met(share > 1)}})
 			}
