Calls in tiers: a chain of tiers with an agent at each, played beside plain retries of three

Nobody could say what retries at 16 tiers come to. internal/rehearse/chain plays it in virtual time: processes of each tier (the emulator's servers) call the next through a real decide.Balancer each, with deadlines and cancellation handed down or not; `tools/capacity chain` prints attempts at the last tier for a call at the top, share served, attempts for clients that had left, and the time until all is well, beside textbook retries of three and none.

--- /dev/null
+++ b/tools/capacity/chain.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"vetchhaven/internal/rehearse/chain"
+	"vetchhaven/tools/capacity/slopes"
+	"vetchhaven/tools/internal/bench"
+)
+
+// chainCommand is calls in tiers: what retries at each come to at the last one.
+func chainCommand() *cobra.Command {
+	var sizes string
+	var seed uint64
+	var cores int
+	var asTOML bool
+	c := &cobra.Command{Use: "chain", Short: "Calls in tiers: attempts at the last one, share served, work for clients that left", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			tiers, err := counts(sizes)
+			if err != nil {
+				return err
+			}
+			return chains(tiers, seed, cores, asTOML)
+		}}
+	c.Flags().StringVar(&sizes, "sizes", "1,4,8,16", "tiers, in turn")
+	c.Flags().Uint64Var(&seed, "seed", 1, "of all chance")
+	c.Flags().IntVar(&cores, "cores", 2, "plays at once")
+	c.Flags().BoolVar(&asTOML, "toml", false, "print entries of docs/capacity/slopes.toml")
+	return c
+}
+
+// counts reads numbers of at least 1.
+func counts(text string) (all []int, err error) {
+	for _, s := range strings.Split(text, ",") {
+		n, err := strconv.Atoi(strings.TrimSpace(s))
+		if err != nil || n < 1 {
+			return nil, fmt.Errorf("%q is no number of at least 1", s)
+		}
+		all = append(all, n)
+	}
+	return all, nil
+}
+
+// chainCase is one incident.
+type chainCase struct {
+	name         string
+	errors, slow float64
+}
+
+var chainCases = []chainCase{{"10% errors", 0.1, 0}, {"50% errors", 0.5, 0}, {"75% errors", 0.75, 0}, {"100% errors", 1, 0}, {"a slow tier", 0, 0.15}}
+
+// chainPlay is one play, and what came of it.
+type chainPlay struct {
+	of     chainCase
+	config chain.Config
+	result chain.Result
+}
+
+const chainEvents = 60_000_000 // of one play: several GB of memory and minutes at the most
+
+func chains(tiers []int, seed uint64, cores int, asTOML bool) error {
+	var plays []*chainPlay
+	add := func(of chainCase, n int, policy string, change func(*chain.Config)) {
+		c := chain.Default(n)
+		c.Errors, c.Slow, c.Policy, c.Seed, c.Events = of.errors, of.slow, policy, seed, chainEvents
+		change(&c)
+		plays = append(plays, &chainPlay{of: of, config: c})
+	}
+	for _, of := range chainCases {
+		for _, n := range tiers {
+			for _, policy := range []string{chain.Agent, chain.Threes, chain.None} {
+				add(of, n, policy, func(*chain.Config) {})
+			}
+		}
+	}
+	main := len(plays)
+	deepest := tiers[len(tiers)-1]
+	for _, of := range chainCases[len(chainCases)-2:] {
+		for _, policy := range []string{chain.Agent, chain.Threes} {
+			for _, down := range [][2]bool{{false, false}, {true, false}, {true, true}} {
+				add(of, deepest, policy, func(c *chain.Config) { c.Deadlines, c.Cancels = down[0], down[1] })
+			}
+		}
+	}
+	down := len(plays)
+	for _, n := range tiers {
+		for _, deadlines := range []bool{true, false} {
+			add(chainCase{name: "start"}, n, chain.Agent, func(c *chain.Config) { c.Deadlines, c.Incident = deadlines, 0 })
+		}
+	}
+	if err := bench.Each(len(plays), cores, func(i int) (err error) {
+		plays[i].result, err = chain.Play(plays[i].config)
+		return err
+	}); err != nil {
+		return err
+	}
+	if asTOML {
+		return slopes.Write(os.Stdout, chainSlopes(tiers, seed, plays[:main], plays[down:])...)
+	}
+	printChains(plays[:main], plays[main:down], plays[down:])
+	return nil
+}
+
+func printChains(main, down, start []*chainPlay) {
+	bench.Head("tiers", "incident", "policy", "attempts at the last tier for a call: first second", "then", "worked out",
+		"served: first second", "then", "worked out", "of the last tier's attempts, for clients that had left", "well again after", "most retries of an agent")
+	for _, p := range main {
+		c, r := p.config, p.result
+		attempts, served := "", ""
+		if p.of.slow == 0 {
+			a, s := chain.Worked(c.Policy, c.Tiers, p.of.errors)
+			attempts, served = strconv.FormatFloat(a, 'g', 3, 64), percent(s)
+		}
+		bench.Row(c.Tiers, p.of.name, c.Policy, least(r, r.First.PerCall()), least(r, r.Later.PerCall()), attempts,
+			percent(r.First.Share()), percent(r.Later.Share()), served, percent(r.First.Sum(r.Later).VoidShare()), span(r.Recovered), r.Most)
+	}
+	fmt.Println()
+	bench.Head("tiers", "incident", "policy", "deadlines handed down", "clients' leaving handed down", "attempts at the last tier for a call",
+		"served", "of its attempts, for clients that had left", "well again after")
+	for _, p := range down {
+		c, r := p.config, p.result
+		all := r.First.Sum(r.Later)
+		bench.Row(c.Tiers, p.of.name, c.Policy, yes(c.Deadlines), yes(c.Cancels), least(r, all.PerCall()), percent(all.Share()),
+			percent(all.VoidShare()), span(r.Recovered))
+	}
+	fmt.Println()
+	bench.Head("tiers", "deadlines handed down", "all started at once: 99 in 100 served after")
+	for _, p := range start {
+		bench.Row(p.config.Tiers, yes(p.config.Deadlines), span(p.result.Settled))
+	}
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+func percent(share float64) string { return strconv.FormatFloat(100*share, 'f', 1, 64) + "%" }
+
+func span(d time.Duration) string {
+	if d < 0 {
+		return "not in the play"
+	}
+	return strconv.FormatFloat(d.Seconds(), 'f', 1, 64) + " s"
+}
+
+// least marks what a play that was cut short has counted.
+func least(r chain.Result, v float64) string {
+	text := strconv.FormatFloat(v, 'f', 2, 64)
+	if r.CutShort {
+		return "at least " + text
+	}
+	return text
+}
+
+// chainSlopes are the agent's own, and plain threes' beside them.
+func chainSlopes(tiers []int, seed uint64, main, start []*chainPlay) []slopes.Slope {
+	command := fmt.Sprintf("go run ./tools/capacity chain --seed %d --toml", seed)
+	var all []slopes.Slope
+	entry := func(name, load, quantity, unit, form, note string, plays []*chainPlay, pick func(p *chainPlay) (float64, bool)) {
+		s := slopes.Slope{Name: "chain." + name, Role: "chain", Load: load, Quantity: quantity, Unit: unit, Mechanism: "chain", Variable: "tiers",
+			Form: form, Command: command, Date: time.Now().Format(time.DateOnly), Machine: "virtual time: any", Note: note}
+		for _, p := range plays {
+			if v, ok := pick(p); ok {
+				s.Points = append(s.Points, [2]float64{float64(p.config.Tiers), v})
+			}
+		}
+		all = append(all, s)
+	}
+	of := func(name, policy string, value func(chain.Result) float64) func(p *chainPlay) (float64, bool) {
+		return func(p *chainPlay) (float64, bool) {
+			return value(p.result), p.of.name == name && p.config.Policy == policy && !p.result.CutShort
+		}
+	}
+	first := func(r chain.Result) float64 { return round(r.First.PerCall()) }
+	later := func(r chain.Result) float64 { return round(r.Later.PerCall()) }
+	served := func(r chain.Result) float64 { return round(r.Later.Share()) }
+	void := func(r chain.Result) float64 { return round(r.First.Sum(r.Later).VoidShare()) }
+	for _, c := range chainCases {
+		key, load := strings.ReplaceAll(strings.ReplaceAll(c.name, "% ", "_"), " ", "_"), "worst"
+		if c.errors == 0.1 {
+			load = "day"
+		}
+		note := fmt.Sprintf("%s at the last tier, %d processes a tier, 408 calls a second each", c.name, chain.Default(1).Processes)
+		if c.slow > 0 {
+			note = fmt.Sprintf("the middle tier at %g of its speed: less than what is asked", c.slow)
+		}
+		entry(key+".attempts_first_second", load, "attempts", "1/call", "table", note, main, of(c.name, chain.Agent, first))
+		entry(key+".attempts", load, "attempts", "1/call", "table", note+"; after the first second", main, of(c.name, chain.Agent, later))
+		entry(key+".attempts_threes", load, "attempts", "1/call", "table", note+"; plain retries of three, after the first second", main, of(c.name, chain.Threes, later))
+		entry(key+".served", load, "served", "share", "table", note+"; after the first second", main, of(c.name, chain.Agent, served))
+		entry(key+".for_nobody", load, "void", "share", "table", note+"; share of the last tier's attempts that ended for clients that had left", main, of(c.name, chain.Agent, void))
+	}
+	for _, deadlines := range []bool{true, false} {
+		name, note := "start.settled", "all agents start at once; until 99 in 100 calls are served; deadlines handed down"
+		if !deadlines {
+			name, note = "start.settled_without_deadlines", "the same, each tier waits for the whole deadline anew"
+		}
+		entry(name, "worst", "time", "s", "table", note, start, func(p *chainPlay) (float64, bool) {
+			return p.result.Settled.Seconds(), p.config.Deadlines == deadlines && p.result.Settled >= 0
+		})
+	}
+	return all
+}
+
+// round keeps four digits behind the point.
+func round(v float64) float64 {
+	v, _ = strconv.ParseFloat(strconv.FormatFloat(v, 'f', 4, 64), 64)
+	return v
+}
+
+// machine tells what a figure was measured on.
+func machine() string {
+	load := "unknown"
+	if b, err := os.ReadFile("/proc/loadavg"); err == nil {
+		load = strings.Join(strings.Fields(string(b))[:3], " ")
+	}
+	return fmt.Sprintf("shared virtual machine, %d cores, GOMAXPROCS %d, load %s", runtime.NumCPU(), runtime.GOMAXPROCS(0), load)
+}
