--- a/internal/rehearse/chain/chain.go
+++ b/internal/rehearse/chain/chain.go
@@ -4,12 +4,12 @@
 package chain
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"vetchhaven/decide"
+	"vetchhaven/internal/peer/agenda"
 	"vetchhaven/internal/rehearse/emulate"
 	"vetchhaven/internal/rehearse/textbook"
 )
@@ -101,8 +101,7 @@
 type player struct {
 	Config
 	now    time.Duration
-	queue  events
-	seq    uint64
+	agenda agenda.Agenda
 	rng    *rand.Rand
 	tiers  [][]*process // from the clients on
 	calls  int          // so far, of all agents
@@ -165,14 +164,13 @@
 	for n := range c.Processes {
 		p.nextCall(p.tiers[0][n])
 	}
-	for done := 0; p.queue.Len() > 0; done++ {
-		if c.Events > 0 && done == c.Events {
-			p.result.CutShort = true
+	for done := 0; ; done++ {
+		at, do, ok := p.agenda.Next(1<<63 - 1)
+		if p.result.CutShort = ok && c.Events > 0 && done == c.Events; !ok || p.result.CutShort {
 			break
 		}
-		e := heap.Pop(&p.queue).(event)
-		p.now = e.at
-		e.do()
+		p.now = at
+		do()
 	}
 	p.result.Before, p.result.First, p.result.Later = p.last[1], p.last[2], p.last[3]
 	p.result.Settled, p.result.Recovered = p.well(0, p.Begin-p.Deadline), p.well(p.Begin+p.Incident, p.Length)
@@ -511,31 +509,4 @@
 	q.p.at(q.p.now+q.p.Way, func() { a.end(result) })
 }
 
-// ---- Events ----
-
-func (p *player) at(t time.Duration, do func()) {
-	p.seq++
-	heap.Push(&p.queue, event{max(t, p.now), p.seq, do})
-}
-
-type event struct {
-	at  time.Duration
-	seq uint64
-	do  func()
-}
-
-type events []event
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *events) Pop() any {
-	n := len(*h) - 1
-	e := (*h)[n]
-	(*h)[n] = event{}
-	*h = (*h)[:n]
-	return e
-}
+func (p *player) at(t time.Duration, do func()) { p.agenda.At(max(t, p.now), do) }
