Request path: capacity path, one agent beside a direct connection, open loop

Added p50 and p99 and processor time at 408 calls a second were not measured over services and servers. The command starts one daemon with an instance a service, stand-in servers and lists, and makes calls at times drawn beforehand, one directly and one through the agent in turn; latency counts from the time meant. A round in which calls start late by themselves can be set aside (--calm), and the table says how many were.

--- a/tools/capacity/chain.go
+++ b/tools/capacity/chain.go
@@ -32,7 +32,7 @@
 	c.Flags().StringVar(&sizes, "sizes", "1,4,8,16", "tiers, in turn")
 	c.Flags().Uint64Var(&seed, "seed", 1, "of all chance")
 	c.Flags().IntVar(&cores, "cores", 2, "plays at once")
-	c.Flags().BoolVar(&asTOML, "toml", false, "print entries of docs/capacity/slopes.toml")
+	c.Flags().BoolVar(&asTOML, "toml", false, "print entries of docs/capacity/slopes.toml, too")
 	return c
 }
 
@@ -63,7 +63,7 @@
 	result chain.Result
 }
 
-const chainEvents = 60_000_000 // of one play: several GB of memory and minutes at the most
+const chainEvents = 20_000_000 // of one play: a minute and some GB of memory at the most
 
 func chains(tiers []int, seed uint64, cores int, asTOML bool) error {
 	var plays []*chainPlay
@@ -101,10 +101,11 @@
 	}); err != nil {
 		return err
 	}
+	printChains(plays[:main], plays[main:down], plays[down:])
 	if asTOML {
+		fmt.Println()
 		return slopes.Write(os.Stdout, chainSlopes(tiers, seed, plays[:main], plays[down:])...)
 	}
-	printChains(plays[:main], plays[main:down], plays[down:])
 	return nil
 }
 
@@ -181,10 +182,10 @@
 			return value(p.result), p.of.name == name && p.config.Policy == policy && !p.result.CutShort
 		}
 	}
-	first := func(r chain.Result) float64 { return round(r.First.PerCall()) }
-	later := func(r chain.Result) float64 { return round(r.Later.PerCall()) }
-	served := func(r chain.Result) float64 { return round(r.Later.Share()) }
-	void := func(r chain.Result) float64 { return round(r.First.Sum(r.Later).VoidShare()) }
+	first := func(r chain.Result) float64 { return rounded(r.First.PerCall(), 4) }
+	later := func(r chain.Result) float64 { return rounded(r.Later.PerCall(), 4) }
+	served := func(r chain.Result) float64 { return rounded(r.Later.Share(), 4) }
+	void := func(r chain.Result) float64 { return rounded(r.First.Sum(r.Later).VoidShare(), 4) }
 	for _, c := range chainCases {
 		key, load := strings.ReplaceAll(strings.ReplaceAll(c.name, "% ", "_"), " ", "_"), "worst"
 		if c.errors == 0.1 {
@@ -212,12 +213,6 @@
 	return all
 }
 
-// round keeps four digits behind the point.
-func round(v float64) float64 {
-	v, _ = strconv.ParseFloat(strconv.FormatFloat(v, 'f', 4, 64), 64)
-	return v
-}
-
 // machine tells what a figure was measured on.
 func machine() string {
 	load := "unknown"
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -26,5 +26,6 @@
 func commands() []*cobra.Command {
 	return []*cobra.Command{
 		chainCommand(),
+		pathCommand(),
 	}
 }
--- /dev/null
+++ b/tools/capacity/path.go
@@ -0,0 +1,493 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/spf13/cobra"
+
+	"vetchhaven/internal/rehearse/emulate/sockets"
+	"vetchhaven/internal/source/catalog"
+	"vetchhaven/internal/standin"
+	"vetchhaven/tools/capacity/slopes"
+	"vetchhaven/tools/internal/bench"
+)
+
+// pathOptions say how the request path is measured.
+type pathOptions struct {
+	services, servers []int
+	rate              float64 // calls a second through the agent, and as many directly
+	rounds            int
+	length            time.Duration // of a round
+	calm              time.Duration // a round in which calls start later than that by p99 is set aside; 0: none is
+	seed              uint64
+	program           string
+	asTOML            bool
+}
+
+// pathCommand is the request path on loopback sockets: what one agent adds to a call, and what it takes.
+func pathCommand() *cobra.Command {
+	var services, servers string
+	o := pathOptions{}
+	c := &cobra.Command{Use: "path", Short: "The request path on loopback: added p50, p99 and processor time, beside a direct connection", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) (err error) {
+			if o.services, err = counts(services); err != nil {
+				return err
+			}
+			if o.servers, err = counts(servers); err != nil {
+				return err
+			}
+			return paths(o)
+		}}
+	c.Flags().StringVar(&services, "sizes", "2,12,50", "services called, in turn")
+	c.Flags().StringVar(&servers, "servers", "12,200", "servers of each, in turn")
+	c.Flags().Float64Var(&o.rate, "rate", 408, "calls a second through the agent, and as many directly")
+	c.Flags().IntVar(&o.rounds, "rounds", 5, "rounds, whose median, least and most are told")
+	c.Flags().DurationVar(&o.length, "length", 6*time.Second, "of a round")
+	c.Flags().DurationVar(&o.calm, "calm", 0, "set rounds aside in which calls start later than that by p99: the machine was busy; 0: none")
+	c.Flags().Uint64Var(&o.seed, "seed", 1, "of when calls are made and which service they are for")
+	c.Flags().StringVar(&o.program, "program", "", "the daemon's binary; else it is built")
+	c.Flags().BoolVar(&o.asTOML, "toml", false, "print entries of docs/capacity/slopes.toml, too")
+	return c
+}
+
+const (
+	pathCores  = 2               // processors of the agent's process, and of this one
+	pathWarmup = 3 * time.Second // connections come up, servers become known
+	pathIdle   = 5 * time.Second // over which a quiet agent is measured
+	pathAnswer = 200             // bytes
+	pathMost   = 5 * time.Second // a call takes no longer
+	pathEarly  = 300 * time.Microsecond
+	pathTries  = 5 // rounds tried for one that counts
+)
+
+// pathRow is what one size came to, a figure for each round.
+type pathRow struct {
+	services, servers       int
+	direct, agent           *hdrhistogram.Histogram // of all rounds, in microseconds
+	direct50, added50       []float64               // ms
+	direct99, added99       []float64
+	late99                  float64   // ms, between the time meant for a call and its start
+	cpu, waited             []float64 // cores; seconds a second that the agent waited for one
+	idle                    float64   // cores, of a quiet agent
+	resident, quietResident float64   // bytes
+	calls, failed, aside    int
+}
+
+func paths(o pathOptions) error {
+	runtime.GOMAXPROCS(pathCores)
+	dir, err := os.MkdirTemp("", "path")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	if o.program == "" {
+		o.program = filepath.Join(dir, "vetchhaven")
+		if out, err := exec.Command("go", "build", "-o", o.program, "./cmd/vetchhaven").CombinedOutput(); err != nil {
+			return fmt.Errorf("building the daemon: %w\n%s", err, out)
+		}
+	}
+	var rows []pathRow
+	for _, servers := range o.servers {
+		for _, services := range o.services {
+			row, err := measurePath(o, dir, services, servers)
+			if err != nil {
+				return fmt.Errorf("%d services with %d servers: %w", services, servers, err)
+			}
+			rows = append(rows, row)
+		}
+	}
+	fmt.Printf("%s; %g calls a second each way, %d rounds of %s: median (least to most)\n\n", machine(), o.rate, o.rounds, o.length)
+	bench.Head("services", "servers of each", "direct p50", "p99", "added p50", "added p99", "added p99 of all rounds", "starts late by p99", "agent's CPU",
+		"a call", "quiet", "waited for a core", "memory", "quiet", "calls", "failed", "rounds set aside")
+	for _, r := range rows {
+		bench.Row(r.services, r.servers, spread(r.direct50, 3)+" ms", spread(r.direct99, 3)+" ms", spread(r.added50, 3)+" ms", spread(r.added99, 3)+" ms",
+			fmt.Sprintf("%.3f ms", r.pooled99()), fmt.Sprintf("%.3f ms", r.late99), spread(percents(r.cpu), 2)+"% of a core",
+			spread(scaled(r.cpu, 1e6/o.rate), 0)+" us", fmt.Sprintf("%.2f%%", 100*r.idle), spread(percents(r.waited), 2)+"%",
+			fmt.Sprintf("%.1f MB", r.resident/1e6), fmt.Sprintf("%.1f MB", r.quietResident/1e6), r.calls, r.failed, r.aside)
+	}
+	fmt.Printf("\n%s at the end\n", machine())
+	if o.asTOML {
+		fmt.Println()
+		return slopes.Write(os.Stdout, pathSlopes(o, rows)...)
+	}
+	return nil
+}
+
+func (r pathRow) pooled99() float64 {
+	return float64(r.agent.ValueAtQuantile(99)-r.direct.ValueAtQuantile(99)) / 1000
+}
+
+// measurePath starts servers, lists and the agent, and asks both ways.
+func measurePath(o pathOptions, dir string, services, servers int) (row pathRow, err error) {
+	row = pathRow{services: services, servers: servers, direct: newLatency(), agent: newLatency()}
+	body := bytes.Repeat([]byte("x"), pathAnswer)
+	var forms []catalog.Member
+	for i := range servers {
+		f := standin.NewForm(fmt.Sprint("s-", i), func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) })
+		defer f.Close()
+		forms = append(forms, f.Member("ready"))
+	}
+	// Services share the servers' processes, not the agent's knowledge of them.
+	var lists []*standin.List
+	for s := range services {
+		var own []catalog.Member
+		for _, m := range forms {
+			m.ID, m.Zone, m.Kind = fmt.Sprintf("v%d-%s", s, m.ID), "a", "k"
+			own = append(own, m)
+		}
+		l, err := standin.NewList("", own...)
+		if err != nil {
+			return row, err
+		}
+		defer l.Close()
+		lists = append(lists, l)
+	}
+	a, err := startAgent(o.program, dir, lists)
+	if err != nil {
+		return row, err
+	}
+	defer a.stop()
+	time.Sleep(time.Second) // readings of lists at the start are over
+	used, _, err := a.used()
+	if err != nil {
+		return row, err
+	}
+	time.Sleep(pathIdle)
+	then, _, err := a.used()
+	if err != nil {
+		return row, err
+	}
+	row.idle = (then - used).Seconds() / pathIdle.Seconds()
+	if row.quietResident, err = a.resident(); err != nil {
+		return row, err
+	}
+	c := newCaller(o, forms, a.listens)
+	if _, err := c.round(pathWarmup); err != nil {
+		return row, err
+	}
+	late := newLatency()
+	for tried := 0; len(row.cpu) < o.rounds; tried++ {
+		if tried == pathTries*o.rounds {
+			return row, fmt.Errorf("%d of %d rounds were calm: the machine is too busy", len(row.cpu), tried)
+		}
+		used, waited, err := a.used()
+		if err != nil {
+			return row, err
+		}
+		began := time.Now()
+		r, err := c.round(o.length)
+		if err != nil {
+			return row, err
+		}
+		took := time.Since(began).Seconds()
+		usedThen, waitedThen, err := a.used()
+		if err != nil {
+			return row, err
+		}
+		if o.calm > 0 && r.late.ValueAtQuantile(99) > o.calm.Microseconds() {
+			row.aside++
+			continue
+		}
+		row.cpu = append(row.cpu, (usedThen-used).Seconds()/took)
+		row.waited = append(row.waited, (waitedThen-waited).Seconds()/took)
+		ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		row.direct50 = append(row.direct50, ms(r.direct, 50))
+		row.direct99 = append(row.direct99, ms(r.direct, 99))
+		row.added50 = append(row.added50, ms(r.agent, 50)-ms(r.direct, 50))
+		row.added99 = append(row.added99, ms(r.agent, 99)-ms(r.direct, 99))
+		row.calls += r.calls
+		row.failed += r.failed
+		row.direct.Merge(r.direct)
+		row.agent.Merge(r.agent)
+		late.Merge(r.late)
+	}
+	row.late99 = float64(late.ValueAtQuantile(99)) / 1000
+	row.resident, err = a.resident()
+	return row, err
+}
+
+func newLatency() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, 2*pathMost.Microseconds(), 3)
+}
+
+// ---- The agent ----
+
+// agentProcess is a daemon with an instance for each service that is called.
+type agentProcess struct {
+	cmd     *exec.Cmd
+	listens []string
+	ended   chan struct{}
+}
+
+func startAgent(program, dir string, lists []*standin.List) (*agentProcess, error) {
+	var t bytes.Buffer
+	a := &agentProcess{ended: make(chan struct{})}
+	fmt.Fprintf(&t, "admin = %q\n", "unix:"+filepath.Join(dir, "admin.sock"))
+	for i, l := range lists {
+		fmt.Fprintf(&t, "[[source]]\nname = \"s%d\"\nlist = %q\n", i, l.Addr())
+	}
+	t.WriteString(`[site]
+zones = ["a"]
+kinds = ["k"]
+[rules]
+max_attempts = 3
+connect_timeout = "250ms"
+idle_close = "5s"
+drain_grace = "2s"
+answer_slack = "20ms"
+cold_share = 0.31
+ramp_time = "8600ms"
+fall_multiple = 2.5
+fall_window = "1s"
+max_retry_after = "1s"
+[[class]]
+name = "get"
+repeats = "safe"
+aim = "600ms"
+deadline = "3s"
+worth = 1.0
+`)
+	for i := range lists {
+		// An address of this process's own on loopback: nobody else can have taken the port.
+		at := fmt.Sprintf("127.%d.%d.%d:7000", 64+os.Getpid()%64, os.Getpid()/64%256, i+1)
+		a.listens = append(a.listens, at)
+		fmt.Fprintf(&t, "[[instance]]\nname = \"v%d\"\nlisten = %q\nsource = \"s%d\"\n", i, at, i)
+	}
+	path := filepath.Join(dir, "fleet.toml")
+	if err := os.WriteFile(path, t.Bytes(), 0o600); err != nil {
+		return nil, err
+	}
+	log := &sockets.Tail{}
+	a.cmd = exec.Command(program, "serve", "--config", path)
+	a.cmd.Env = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(pathCores))
+	a.cmd.Stdout, a.cmd.Stderr = log, log
+	if err := a.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() { _ = a.cmd.Wait(); close(a.ended) }()
+	for limit := time.Now().Add(20 * time.Second); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+		if strings.Contains(log.String(), "msg=ready") {
+			return a, nil
+		}
+	}
+	a.stop()
+	return nil, fmt.Errorf("the daemon does not start\n%s", log)
+}
+
+// stop ends it by its id.
+func (a *agentProcess) stop() {
+	_ = a.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-a.ended:
+	case <-time.After(15 * time.Second):
+		_ = a.cmd.Process.Kill()
+		<-a.ended
+	}
+}
+
+// used is the processor time of all its threads by now, and for how long they waited for a processor.
+func (a *agentProcess) used() (used, waited time.Duration, err error) {
+	all, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", a.cmd.Process.Pid))
+	if err != nil || len(all) == 0 {
+		return 0, 0, errors.Join(err, errors.New("the daemon has ended, or there is no schedstat"))
+	}
+	for _, path := range all {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return 0, 0, err // a thread that ended would take its time with it: Go keeps its own
+		}
+		var u, w, n int64
+		if _, err := fmt.Sscan(string(text), &u, &w, &n); err != nil {
+			return 0, 0, fmt.Errorf("%s: %w", path, err)
+		}
+		used += time.Duration(u)
+		waited += time.Duration(w)
+	}
+	return used, waited, nil
+}
+
+// resident is its memory in bytes.
+func (a *agentProcess) resident() (float64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", a.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	var size, pages float64
+	if _, err := fmt.Sscan(string(text), &size, &pages); err != nil {
+		return 0, err
+	}
+	return pages * float64(os.Getpagesize()), nil
+}
+
+// ---- Clients ----
+
+// caller makes calls at times drawn beforehand, one way and the other in turn, whether earlier ones are back or not.
+type caller struct {
+	rate   float64
+	rng    *rand.Rand
+	client *http.Client
+	direct []string // addresses of servers
+	agent  []string // of the agent, one a service
+	serial atomic.Int64
+}
+
+func newCaller(o pathOptions, forms []catalog.Member, agent []string) *caller {
+	c := &caller{rate: o.rate, rng: rand.New(rand.NewPCG(o.seed, 408)), agent: agent,
+		client: &http.Client{Timeout: pathMost, Transport: &http.Transport{MaxIdleConnsPerHost: 200,
+			DialContext: (&net.Dialer{KeepAlive: -1}).DialContext}}}
+	for _, m := range forms {
+		c.direct = append(c.direct, m.Addr)
+	}
+	return c
+}
+
+// round is what a while of calls came to. Latency counts from the time that was meant for a call.
+type round struct {
+	mu                  sync.Mutex
+	direct, agent, late *hdrhistogram.Histogram
+	calls, failed       int
+}
+
+func (c *caller) round(length time.Duration) (*round, error) {
+	runtime.LockOSThread() // the last part of each wait is spent looking at the clock
+	defer runtime.UnlockOSThread()
+	r := &round{direct: newLatency(), agent: newLatency(), late: newLatency()}
+	ctx, cancel := context.WithTimeout(context.Background(), length+2*pathMost)
+	defer cancel()
+	var open sync.WaitGroup
+	began, at := time.Now(), time.Duration(0)
+	for n := 0; ; n++ {
+		at += time.Duration(c.rng.ExpFloat64() / (2 * c.rate) * float64(time.Second))
+		if at >= length {
+			break
+		}
+		host, into := c.direct[c.rng.IntN(len(c.direct))], r.direct
+		if n%2 == 1 {
+			host, into = c.agent[c.rng.IntN(len(c.agent))], r.agent
+		}
+		meant := began.Add(at)
+		time.Sleep(time.Until(meant) - pathEarly)
+		for time.Now().Before(meant) {
+		}
+		open.Go(func() {
+			started := time.Since(meant)
+			err := c.call(ctx, host)
+			took := time.Since(meant)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			_ = r.late.RecordValue(started.Microseconds())
+			if into == r.agent {
+				r.calls++
+			}
+			if err != nil {
+				r.failed++
+				took = pathMost // it counts as one that took as long as any may
+			}
+			_ = into.RecordValue(min(took, 2*pathMost).Microseconds())
+		})
+	}
+	open.Wait()
+	if r.failed > r.calls/10 {
+		return nil, fmt.Errorf("%d of %d calls failed", r.failed, 2*r.calls)
+	}
+	return r, nil
+}
+
+func (c *caller) call(ctx context.Context, host string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+"/get", nil)
+	if err != nil {
+		return err
+	}
+	req.Header["X-Trace-Id"] = []string{strconv.FormatInt(c.serial.Add(1), 10)}
+	req.Header["X-Expires-In"] = []string{"3.000"}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	got, err := io.Copy(io.Discard, resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK || got != pathAnswer {
+		return fmt.Errorf("status %d with %d bytes", resp.StatusCode, got)
+	}
+	return nil
+}
+
+// ---- Figures ----
+
+func scaled(all []float64, by float64) []float64 {
+	out := slices.Clone(all)
+	for i := range out {
+		out[i] *= by
+	}
+	return out
+}
+
+func percents(all []float64) []float64 { return scaled(all, 100) }
+
+func median(all []float64) float64 {
+	all = slices.Sorted(slices.Values(all))
+	return all[len(all)/2]
+}
+
+// spread is the median, with the least and the most.
+func spread(all []float64, digits int) string {
+	return fmt.Sprintf("%.*f (%.*f to %.*f)", digits, median(all), digits, slices.Min(all), digits, slices.Max(all))
+}
+
+func pathSlopes(o pathOptions, rows []pathRow) []slopes.Slope {
+	var all []slopes.Slope
+	command := fmt.Sprintf("go run ./tools/capacity path --rate %g --rounds %d --length %s --calm %s --seed %d --toml", o.rate, o.rounds, o.length, o.calm, o.seed)
+	for _, servers := range o.servers {
+		entry := func(name, load, quantity, unit, form string, digits int, pick func(pathRow) []float64) {
+			s := slopes.Slope{Name: fmt.Sprintf("path.%s.servers_%d", name, servers), Role: "path", Load: load, Quantity: quantity, Unit: unit,
+				Mechanism: "path", Variable: "services", Form: form, Command: command, Date: time.Now().Format(time.DateOnly), Machine: machine()}
+			var ranges []string
+			aside := 0
+			for _, r := range rows {
+				if r.servers == servers {
+					v := pick(r)
+					aside += r.aside
+					s.Points = append(s.Points, [2]float64{float64(r.services), rounded(median(v), digits)})
+					ranges = append(ranges, fmt.Sprintf("%.*f to %.*f", digits, slices.Min(v), digits, slices.Max(v)))
+				}
+			}
+			s.Note = fmt.Sprintf("one agent at %g calls a second, %d servers of each service; median of %d rounds, %d set aside; least to most: %s",
+				o.rate, servers, len(rows[0].cpu), aside, strings.Join(ranges, ", "))
+			all = append(all, s)
+		}
+		entry("added_p50", "rest", "time", "ms", "constant", 3, func(r pathRow) []float64 { return r.added50 })
+		entry("added_p99", "rest", "time", "ms", "constant", 3, func(r pathRow) []float64 { return r.added99 })
+		entry("cpu", "rest", "cpu", "core", "linear", 4, func(r pathRow) []float64 { return r.cpu })
+		entry("cpu_quiet", "rest", "cpu", "core", "linear", 5, func(r pathRow) []float64 { return []float64{r.idle} })
+		entry("memory", "rest", "memory", "B", "linear", 0, func(r pathRow) []float64 { return []float64{r.resident} })
+		entry("memory_quiet", "rest", "memory", "B", "linear", 0, func(r pathRow) []float64 { return []float64{r.quietResident} })
+	}
+	return all
+}
+
+func rounded(v float64, digits int) float64 {
+	v, _ = strconv.ParseFloat(strconv.FormatFloat(v, 'f', digits, 64), 64)
+	return v
+}
