--- a/tools/capacity/chain.go
+++ b/tools/capacity/chain.go
@@ -23,7 +23,7 @@
 	var asTOML bool
 	c := &cobra.Command{Use: "chain", Short: "Calls in tiers: attempts at the last one, share served, work for clients that left", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			tiers, err := counts(sizes)
+			tiers, err := chainSizes(sizes)
 			if err != nil {
 				return err
 			}
@@ -32,12 +32,12 @@
 	c.Flags().StringVar(&sizes, "sizes", "1,4,8,16", "tiers, in turn")
 	c.Flags().Uint64Var(&seed, "seed", 1, "of all chance")
 	c.Flags().IntVar(&cores, "cores", 2, "plays at once")
-	c.Flags().BoolVar(&asTOML, "toml", false, "print entries of docs/capacity/slopes.toml, too")
+	c.Flags().BoolVar(&asTOML, "toml", false, "print entries of docs/capacity/slopes.toml, and the tables on standard error")
 	return c
 }
 
-// counts reads numbers of at least 1.
-func counts(text string) (all []int, err error) {
+// chainSizes reads numbers of at least 1.
+func chainSizes(text string) (all []int, err error) {
 	for _, s := range strings.Split(text, ",") {
 		n, err := strconv.Atoi(strings.TrimSpace(s))
 		if err != nil || n < 1 {
@@ -101,9 +101,11 @@
 	}); err != nil {
 		return err
 	}
+	if asTOML {
+		bench.Out = os.Stderr
+	}
 	printChains(plays[:main], plays[main:down], plays[down:])
 	if asTOML {
-		fmt.Println()
 		return slopes.Write(os.Stdout, chainSlopes(tiers, seed, plays[:main], plays[down:])...)
 	}
 	return nil
@@ -117,45 +119,45 @@
 		attempts, served := "", ""
 		if p.of.slow == 0 {
 			a, s := chain.Worked(c.Policy, c.Tiers, p.of.errors)
-			attempts, served = strconv.FormatFloat(a, 'g', 3, 64), percent(s)
+			attempts, served = strconv.FormatFloat(a, 'g', 3, 64), chainPercent(s)
 		}
-		bench.Row(c.Tiers, p.of.name, c.Policy, least(r, r.First.PerCall()), least(r, r.Later.PerCall()), attempts,
-			percent(r.First.Share()), percent(r.Later.Share()), served, percent(r.First.Sum(r.Later).VoidShare()), span(r.Recovered), r.Most)
+		bench.Row(c.Tiers, p.of.name, c.Policy, chainLeast(r, r.First.PerCall()), chainLeast(r, r.Later.PerCall()), attempts,
+			chainPercent(r.First.Share()), chainPercent(r.Later.Share()), served, chainPercent(r.First.Sum(r.Later).VoidShare()), chainSpan(r.Recovered), r.Most)
 	}
-	fmt.Println()
+	fmt.Fprintln(bench.Out)
 	bench.Head("tiers", "incident", "policy", "deadlines handed down", "clients' leaving handed down", "attempts at the last tier for a call",
 		"served", "of its attempts, for clients that had left", "well again after")
 	for _, p := range down {
 		c, r := p.config, p.result
 		all := r.First.Sum(r.Later)
-		bench.Row(c.Tiers, p.of.name, c.Policy, yes(c.Deadlines), yes(c.Cancels), least(r, all.PerCall()), percent(all.Share()),
-			percent(all.VoidShare()), span(r.Recovered))
+		bench.Row(c.Tiers, p.of.name, c.Policy, chainYes(c.Deadlines), chainYes(c.Cancels), chainLeast(r, all.PerCall()), chainPercent(all.Share()),
+			chainPercent(all.VoidShare()), chainSpan(r.Recovered))
 	}
-	fmt.Println()
+	fmt.Fprintln(bench.Out)
 	bench.Head("tiers", "deadlines handed down", "all started at once: 99 in 100 served after")
 	for _, p := range start {
-		bench.Row(p.config.Tiers, yes(p.config.Deadlines), span(p.result.Settled))
+		bench.Row(p.config.Tiers, chainYes(p.config.Deadlines), chainSpan(p.result.Settled))
 	}
 }
 
-func yes(b bool) string {
+func chainYes(b bool) string {
 	if b {
 		return "yes"
 	}
 	return "no"
 }
 
-func percent(share float64) string { return strconv.FormatFloat(100*share, 'f', 1, 64) + "%" }
+func chainPercent(share float64) string { return strconv.FormatFloat(100*share, 'f', 1, 64) + "%" }
 
-func span(d time.Duration) string {
+func chainSpan(d time.Duration) string {
 	if d < 0 {
 		return "not in the play"
 	}
 	return strconv.FormatFloat(d.Seconds(), 'f', 1, 64) + " s"
 }
 
-// least marks what a play that was cut short has counted.
-func least(r chain.Result, v float64) string {
+// chainLeast marks what a play that was cut short has counted.
+func chainLeast(r chain.Result, v float64) string {
 	text := strconv.FormatFloat(v, 'f', 2, 64)
 	if r.CutShort {
 		return "at least " + text
@@ -182,10 +184,10 @@
 			return value(p.result), p.of.name == name && p.config.Policy == policy && !p.result.CutShort
 		}
 	}
-	first := func(r chain.Result) float64 { return rounded(r.First.PerCall(), 4) }
-	later := func(r chain.Result) float64 { return rounded(r.Later.PerCall(), 4) }
-	served := func(r chain.Result) float64 { return rounded(r.Later.Share(), 4) }
-	void := func(r chain.Result) float64 { return rounded(r.First.Sum(r.Later).VoidShare(), 4) }
+	first := func(r chain.Result) float64 { return toDigits(r.First.PerCall(), 4) }
+	later := func(r chain.Result) float64 { return toDigits(r.Later.PerCall(), 4) }
+	served := func(r chain.Result) float64 { return toDigits(r.Later.Share(), 4) }
+	void := func(r chain.Result) float64 { return toDigits(r.First.Sum(r.Later).VoidShare(), 4) }
 	for _, c := range chainCases {
 		key, load := strings.ReplaceAll(strings.ReplaceAll(c.name, "% ", "_"), " ", "_"), "worst"
 		if c.errors == 0.1 {
@@ -213,8 +215,8 @@
 	return all
 }
 
-// machine tells what a figure was measured on.
-func machine() string {
+// measuredOn tells what a figure was measured on.
+func measuredOn() string {
 	load := "unknown"
 	if b, err := os.ReadFile("/proc/loadavg"); err == nil {
 		load = strings.Join(strings.Fields(string(b))[:3], " ")
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -25,6 +25,7 @@
 // commands are one a slope, a line each.
 func commands() []*cobra.Command {
 	return []*cobra.Command{
+		pageCommand(),
 		chainCommand(),
 		pathCommand(),
 	}
--- a/tools/capacity/path.go
+++ b/tools/capacity/path.go
@@ -49,10 +49,10 @@
 	o := pathOptions{}
 	c := &cobra.Command{Use: "path", Short: "The request path on loopback: added p50, p99 and processor time, beside a direct connection", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) (err error) {
-			if o.services, err = counts(services); err != nil {
+			if o.services, err = chainSizes(services); err != nil {
 				return err
 			}
-			if o.servers, err = counts(servers); err != nil {
+			if o.servers, err = chainSizes(servers); err != nil {
 				return err
 			}
 			return paths(o)
@@ -65,7 +65,7 @@
 	c.Flags().DurationVar(&o.calm, "calm", 0, "set rounds aside in which calls start later than that by p99: the machine was busy; 0: none")
 	c.Flags().Uint64Var(&o.seed, "seed", 1, "of when calls are made and which service they are for")
 	c.Flags().StringVar(&o.program, "program", "", "the daemon's binary; else it is built")
-	c.Flags().BoolVar(&o.asTOML, "toml", false, "print entries of docs/capacity/slopes.toml, too")
+	c.Flags().BoolVar(&o.asTOML, "toml", false, "print entries of docs/capacity/slopes.toml, and the table on standard error")
 	return c
 }
 
@@ -115,18 +115,20 @@
 			rows = append(rows, row)
 		}
 	}
-	fmt.Printf("%s; %g calls a second each way, %d rounds of %s: median (least to most)\n\n", machine(), o.rate, o.rounds, o.length)
+	if o.asTOML {
+		bench.Out = os.Stderr
+	}
+	fmt.Fprintf(bench.Out, "%s; %g calls a second each way, %d rounds of %s: median (least to most)\n\n", measuredOn(), o.rate, o.rounds, o.length)
 	bench.Head("services", "servers of each", "direct p50", "p99", "added p50", "added p99", "added p99 of all rounds", "starts late by p99", "agent's CPU",
 		"a call", "quiet", "waited for a core", "memory", "quiet", "calls", "failed", "rounds set aside")
 	for _, r := range rows {
-		bench.Row(r.services, r.servers, spread(r.direct50, 3)+" ms", spread(r.direct99, 3)+" ms", spread(r.added50, 3)+" ms", spread(r.added99, 3)+" ms",
-			fmt.Sprintf("%.3f ms", r.pooled99()), fmt.Sprintf("%.3f ms", r.late99), spread(percents(r.cpu), 2)+"% of a core",
-			spread(scaled(r.cpu, 1e6/o.rate), 0)+" us", fmt.Sprintf("%.2f%%", 100*r.idle), spread(percents(r.waited), 2)+"%",
+		bench.Row(r.services, r.servers, pathSpread(r.direct50, 3)+" ms", pathSpread(r.direct99, 3)+" ms", pathSpread(r.added50, 3)+" ms", pathSpread(r.added99, 3)+" ms",
+			fmt.Sprintf("%.3f ms", r.pooled99()), fmt.Sprintf("%.3f ms", r.late99), pathSpread(pathPercents(r.cpu), 2)+"% of a core",
+			pathSpread(pathScaled(r.cpu, 1e6/o.rate), 0)+" us", fmt.Sprintf("%.2f%%", 100*r.idle), pathSpread(pathPercents(r.waited), 2)+"%",
 			fmt.Sprintf("%.1f MB", r.resident/1e6), fmt.Sprintf("%.1f MB", r.quietResident/1e6), r.calls, r.failed, r.aside)
 	}
-	fmt.Printf("\n%s at the end\n", machine())
+	fmt.Fprintf(bench.Out, "\n%s at the end\n", measuredOn())
 	if o.asTOML {
-		fmt.Println()
 		return slopes.Write(os.Stdout, pathSlopes(o, rows)...)
 	}
 	return nil
@@ -138,7 +140,7 @@
 
 // measurePath starts servers, lists and the agent, and asks both ways.
 func measurePath(o pathOptions, dir string, services, servers int) (row pathRow, err error) {
-	row = pathRow{services: services, servers: servers, direct: newLatency(), agent: newLatency()}
+	row = pathRow{services: services, servers: servers, direct: newPathLatency(), agent: newPathLatency()}
 	body := bytes.Repeat([]byte("x"), pathAnswer)
 	var forms []catalog.Member
 	for i := range servers {
@@ -161,7 +163,7 @@
 		defer l.Close()
 		lists = append(lists, l)
 	}
-	a, err := startAgent(o.program, dir, lists)
+	a, err := startPathAgent(o.program, dir, lists)
 	if err != nil {
 		return row, err
 	}
@@ -180,11 +182,11 @@
 	if row.quietResident, err = a.resident(); err != nil {
 		return row, err
 	}
-	c := newCaller(o, forms, a.listens)
+	c := newPathCaller(o, forms, a.listens)
 	if _, err := c.round(pathWarmup); err != nil {
 		return row, err
 	}
-	late := newLatency()
+	late := newPathLatency()
 	for tried := 0; len(row.cpu) < o.rounds; tried++ {
 		if tried == pathTries*o.rounds {
 			return row, fmt.Errorf("%d of %d rounds were calm: the machine is too busy", len(row.cpu), tried)
@@ -225,22 +227,22 @@
 	return row, err
 }
 
-func newLatency() *hdrhistogram.Histogram {
+func newPathLatency() *hdrhistogram.Histogram {
 	return hdrhistogram.New(1, 2*pathMost.Microseconds(), 3)
 }
 
 // ---- The agent ----
 
-// agentProcess is a daemon with an instance for each service that is called.
-type agentProcess struct {
+// pathAgent is a daemon with an instance for each service that is called.
+type pathAgent struct {
 	cmd     *exec.Cmd
 	listens []string
 	ended   chan struct{}
 }
 
-func startAgent(program, dir string, lists []*standin.List) (*agentProcess, error) {
+func startPathAgent(program, dir string, lists []*standin.List) (*pathAgent, error) {
 	var t bytes.Buffer
-	a := &agentProcess{ended: make(chan struct{})}
+	a := &pathAgent{ended: make(chan struct{})}
 	fmt.Fprintf(&t, "admin = %q\n", "unix:"+filepath.Join(dir, "admin.sock"))
 	for i, l := range lists {
 		fmt.Fprintf(&t, "[[source]]\nname = \"s%d\"\nlist = %q\n", i, l.Addr())
@@ -294,7 +296,7 @@
 }
 
 // stop ends it by its id.
-func (a *agentProcess) stop() {
+func (a *pathAgent) stop() {
 	_ = a.cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-a.ended:
@@ -305,7 +307,7 @@
 }
 
 // used is the processor time of all its threads by now, and for how long they waited for a processor.
-func (a *agentProcess) used() (used, waited time.Duration, err error) {
+func (a *pathAgent) used() (used, waited time.Duration, err error) {
 	all, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", a.cmd.Process.Pid))
 	if err != nil || len(all) == 0 {
 		return 0, 0, errors.Join(err, errors.New("the daemon has ended, or there is no schedstat"))
@@ -326,7 +328,7 @@
 }
 
 // resident is its memory in bytes.
-func (a *agentProcess) resident() (float64, error) {
+func (a *pathAgent) resident() (float64, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", a.cmd.Process.Pid))
 	if err != nil {
 		return 0, err
@@ -340,8 +342,8 @@
 
 // ---- Clients ----
 
-// caller makes calls at times drawn beforehand, one way and the other in turn, whether earlier ones are back or not.
-type caller struct {
+// pathCaller makes calls at times drawn beforehand, one way and the other in turn, whether earlier ones are back or not.
+type pathCaller struct {
 	rate   float64
 	rng    *rand.Rand
 	client *http.Client
@@ -350,8 +352,8 @@
 	serial atomic.Int64
 }
 
-func newCaller(o pathOptions, forms []catalog.Member, agent []string) *caller {
-	c := &caller{rate: o.rate, rng: rand.New(rand.NewPCG(o.seed, 408)), agent: agent,
+func newPathCaller(o pathOptions, forms []catalog.Member, agent []string) *pathCaller {
+	c := &pathCaller{rate: o.rate, rng: rand.New(rand.NewPCG(o.seed, 408)), agent: agent,
 		client: &http.Client{Timeout: pathMost, Transport: &http.Transport{MaxIdleConnsPerHost: 200,
 			DialContext: (&net.Dialer{KeepAlive: -1}).DialContext}}}
 	for _, m := range forms {
@@ -360,17 +362,17 @@
 	return c
 }
 
-// round is what a while of calls came to. Latency counts from the time that was meant for a call.
-type round struct {
+// pathRound is what a while of calls came to. Latency counts from the time that was meant for a call.
+type pathRound struct {
 	mu                  sync.Mutex
 	direct, agent, late *hdrhistogram.Histogram
 	calls, failed       int
 }
 
-func (c *caller) round(length time.Duration) (*round, error) {
+func (c *pathCaller) round(length time.Duration) (*pathRound, error) {
 	runtime.LockOSThread() // the last part of each wait is spent looking at the clock
 	defer runtime.UnlockOSThread()
-	r := &round{direct: newLatency(), agent: newLatency(), late: newLatency()}
+	r := &pathRound{direct: newPathLatency(), agent: newPathLatency(), late: newPathLatency()}
 	ctx, cancel := context.WithTimeout(context.Background(), length+2*pathMost)
 	defer cancel()
 	var open sync.WaitGroup
@@ -412,7 +414,7 @@
 	return r, nil
 }
 
-func (c *caller) call(ctx context.Context, host string) error {
+func (c *pathCaller) call(ctx context.Context, host string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+"/get", nil)
 	if err != nil {
 		return err
@@ -436,7 +438,7 @@
 
 // ---- Figures ----
 
-func scaled(all []float64, by float64) []float64 {
+func pathScaled(all []float64, by float64) []float64 {
 	out := slices.Clone(all)
 	for i := range out {
 		out[i] *= by
@@ -444,16 +446,16 @@
 	return out
 }
 
-func percents(all []float64) []float64 { return scaled(all, 100) }
+func pathPercents(all []float64) []float64 { return pathScaled(all, 100) }
 
-func median(all []float64) float64 {
+func pathMedian(all []float64) float64 {
 	all = slices.Sorted(slices.Values(all))
 	return all[len(all)/2]
 }
 
-// spread is the median, with the least and the most.
-func spread(all []float64, digits int) string {
-	return fmt.Sprintf("%.*f (%.*f to %.*f)", digits, median(all), digits, slices.Min(all), digits, slices.Max(all))
+// pathSpread is the median, with the least and the most.
+func pathSpread(all []float64, digits int) string {
+	return fmt.Sprintf("%.*f (%.*f to %.*f)", digits, pathMedian(all), digits, slices.Min(all), digits, slices.Max(all))
 }
 
 func pathSlopes(o pathOptions, rows []pathRow) []slopes.Slope {
@@ -462,14 +464,14 @@
 	for _, servers := range o.servers {
 		entry := func(name, load, quantity, unit, form string, digits int, pick func(pathRow) []float64) {
 			s := slopes.Slope{Name: fmt.Sprintf("path.%s.servers_%d", name, servers), Role: "path", Load: load, Quantity: quantity, Unit: unit,
-				Mechanism: "path", Variable: "services", Form: form, Command: command, Date: time.Now().Format(time.DateOnly), Machine: machine()}
+				Mechanism: "path", Variable: "services", Form: form, Command: command, Date: time.Now().Format(time.DateOnly), Machine: measuredOn()}
 			var ranges []string
 			aside := 0
 			for _, r := range rows {
 				if r.servers == servers {
 					v := pick(r)
 					aside += r.aside
-					s.Points = append(s.Points, [2]float64{float64(r.services), rounded(median(v), digits)})
+					s.Points = append(s.Points, [2]float64{float64(r.services), toDigits(pathMedian(v), digits)})
 					ranges = append(ranges, fmt.Sprintf("%.*f to %.*f", digits, slices.Min(v), digits, slices.Max(v)))
 				}
 			}
@@ -487,7 +489,7 @@
 	return all
 }
 
-func rounded(v float64, digits int) float64 {
+func toDigits(v float64, digits int) float64 {
 	v, _ = strconv.ParseFloat(strconv.FormatFloat(v, 'f', digits, 64), 64)
 	return v
 }
--- a/tools/internal/bench/bench.go
+++ b/tools/internal/bench/bench.go
@@ -5,12 +5,16 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
 )
 
+// Out is where tables go.
+var Out io.Writer = os.Stdout
+
 // Row prints a row of a table. A float64 has two decimals.
 func Row(cells ...any) {
 	text := make([]string, len(cells))
@@ -22,13 +26,13 @@
 			text[i] = fmt.Sprint(c)
 		}
 	}
-	fmt.Println("| " + strings.Join(text, " | ") + " |")
+	fmt.Fprintln(Out, "| "+strings.Join(text, " | ")+" |")
 }
 
 // Head prints a table's head.
 func Head(cells ...any) {
 	Row(cells...)
-	fmt.Println("|" + strings.Repeat(" --- |", len(cells)))
+	fmt.Fprintln(Out, "|"+strings.Repeat(" --- |", len(cells)))
 }
 
 // Each runs a job for each number from 0, so many at a time, and returns all their errors.
