--- a/tools/capacity/chain.go
+++ b/tools/capacity/chain.go
@@ -188,20 +188,29 @@
 	later := func(r chain.Result) float64 { return toDigits(r.Later.PerCall(), 4) }
 	served := func(r chain.Result) float64 { return toDigits(r.Later.Share(), 4) }
 	void := func(r chain.Result) float64 { return toDigits(r.First.Sum(r.Later).VoidShare(), 4) }
+	note := func(c chainCase) string {
+		if c.slow > 0 {
+			return fmt.Sprintf("the middle tier at %g of its speed: less than what is asked", c.slow)
+		}
+		return fmt.Sprintf("%s at the last tier, %d processes a tier, 408 calls a second each", c.name, chain.Default(1).Processes)
+	}
 	for _, c := range chainCases {
-		key, load := strings.ReplaceAll(strings.ReplaceAll(c.name, "% ", "_"), " ", "_"), "worst"
-		if c.errors == 0.1 {
-			load = "day"
+		key, load, after := strings.NewReplacer("% ", "_", " ", "_").Replace(c.name), "worst", note(c)+"; after the first second"
+		if c.errors > 0 {
+			entry(key+".attempts", load, "attempts", "1/call", "table", after, main, of(c.name, chain.Agent, later))
 		}
-		note := fmt.Sprintf("%s at the last tier, %d processes a tier, 408 calls a second each", c.name, chain.Default(1).Processes)
-		if c.slow > 0 {
-			note = fmt.Sprintf("the middle tier at %g of its speed: less than what is asked", c.slow)
+		if c.errors < 1 {
+			entry(key+".share_served", load, "share_served", "share", "table", after, main, of(c.name, chain.Agent, served))
+		}
+		if c.errors == 1 {
+			entry(key+".attempts_first_second", load, "attempts", "1/call", "table", note(c)+"; its first second: each agent's bucket of 20 retries",
+				main, of(c.name, chain.Agent, first))
+			entry(key+".attempts_threes", load, "attempts", "1/call", "table", after+"; plain retries of three, to compare", main, of(c.name, chain.Threes, later))
+		}
+		if c.errors == 1 || c.slow > 0 {
+			entry(key+".work_lost", load, "work_lost", "share", "table", note(c)+"; share of the last tier's attempts that ended for clients that had left",
+				main, of(c.name, chain.Agent, void))
 		}
-		entry(key+".attempts_first_second", load, "attempts", "1/call", "table", note, main, of(c.name, chain.Agent, first))
-		entry(key+".attempts", load, "attempts", "1/call", "table", note+"; after the first second", main, of(c.name, chain.Agent, later))
-		entry(key+".attempts_threes", load, "attempts", "1/call", "table", note+"; plain retries of three, after the first second", main, of(c.name, chain.Threes, later))
-		entry(key+".served", load, "served", "share", "table", note+"; after the first second", main, of(c.name, chain.Agent, served))
-		entry(key+".for_nobody", load, "void", "share", "table", note+"; share of the last tier's attempts that ended for clients that had left", main, of(c.name, chain.Agent, void))
 	}
 	for _, deadlines := range []bool{true, false} {
 		name, note := "start.settled", "all agents start at once; until 99 in 100 calls are served; deadlines handed down"
