--- a/tools/capacity/chain.go
+++ b/tools/capacity/chain.go
@@ -177,7 +177,9 @@
 				s.Points = append(s.Points, [2]float64{float64(p.config.Tiers), v})
 			}
 		}
-		all = append(all, s)
+		if len(s.Points) > 0 {
+			all = append(all, s)
+		}
 	}
 	of := func(name, policy string, value func(chain.Result) float64) func(p *chainPlay) (float64, bool) {
 		return func(p *chainPlay) (float64, bool) {
