--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -29,5 +29,7 @@
 		viewCommand(),
 		changesCommand(),
 		listCommand(),
+		chainCommand(),
+		pathCommand(),
 	}
 }
