Mend: attempts for clients whose leaving their reader had not seen; the socket is asked first

Read on the code, every way to an attempt: queued in the module, waiting for a dial, before a further attempt, behind another request on its connection, in a connection that waits to be accepted, an upload that waits for a server, an upload whose client's end stands behind bytes that the systems hold.

Seen, by a test on real sockets for each: all of these held where the connection's reader is prompt, but for uploads. With a reader that is behind (not run in time, or busy otherwise) each of them went to the server: core learnt of a client's leaving from its reader alone (conn.go hungUp, body.go wait: once in 100 ms), and backends.attempt looked only at what the loop knew. An upload that was whole in the system's buffer went at once, ahead of the first of those looks; one with more than the buffer went whole, since the end stands behind its last byte.

Now the attempt asks the client's socket (poll, RDHUP) right before its first byte, in both protocols (core.Attempt.Disconnected), and again before the last piece of an upload goes out: without that piece nothing runs. A client that has ended its sending alone can't be told from one that has closed; it counts as gone as before, but has an answer now, at once: refused if nothing was sent, failed otherwise. It got a bare end.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -319,7 +319,8 @@
 		if !e.done {
 			l.counts.gone++
 			l.totals.gone.Add(1)
-			l.finish(e.Request, Answer{Gone: true})
+			// It may have ended its sending alone, and read on. What was never sent may be tried again.
+			l.finish(e.Request, Answer{Gone: true, Refused: len(e.attempts) == 0})
 			l.pending = append(l.pending, decide.Abandoned{Request: e.ID})
 			l.forget(e.Request)
 		}
--- a/internal/core/protocol.go
+++ b/internal/core/protocol.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,7 @@
 	Work     time.Duration // expected, as told; 0: unknown
 	Repeat   bool          // the client says that it tries again
 	Only     string        // the one server that may get it; empty: any
+	Client   net.Conn      // of the client, to ask whether that has left; nil: it is not asked
 	// Upload says that its last byte is still to come: its attempt reads what it sends. Deadline is then no more than
 	// Left from now, and set anew when the attempt says Uploaded.
 	Upload bool
@@ -89,13 +91,13 @@
 // any more.
 func (r *Request) Over() <-chan struct{} { return r.over }
 
-// Answer is a final answer. Exactly one of the first fields is set, or none: failed.
+// Answer is a final answer. Exactly one of the first fields is set, or none: failed. Gone may be Refused too.
 type Answer struct {
 	Served     any // what the attempt returned
 	Refused    bool
 	TimedOut   bool          // failed, for want of time
 	Duplicate  bool          // failed: another request with this id is open, or was just now
-	Gone       bool          // failed: its client is gone, or wants no answer
+	Gone       bool          // its client is gone, or wants no answer: failed, or refused where nothing was sent
 	RetryAfter time.Duration // of Refused: when to come back; 0: no advice
 	Limit      string        // the fleet's limit that stood in its way; empty: none did
 	Verdict    string        // of Refused: the servers that the fleet's verdicts keep from it; empty: none
--- a/internal/protocol/http1/backends.go
+++ b/internal/protocol/http1/backends.go
@@ -301,6 +301,7 @@
 // errand is what an attempt is made for.
 type errand interface {
 	Over() <-chan struct{}  // closed when the request has ended: nothing more is sent for it
+	Disconnected() bool     // its client has left, seen or unseen by who reads it
 	Barred() bool           // its backend was taken out by hand meanwhile, or drains, or is gone
 	Lapsed() bool           // it may not begin any more
 	MayDial() bool          // it may open a connection
@@ -315,6 +316,7 @@
 type probing struct{}
 
 func (probing) Over() <-chan struct{} { return nil }
+func (probing) Disconnected() bool    { return false }
 func (probing) Barred() bool          { return false }
 func (probing) Lapsed() bool          { return false }
 func (probing) MayDial() bool         { return true }
@@ -361,7 +363,7 @@
 		b.give(id, c, true)
 		return decide.Broke, nil, none // never ran, and another backend may have it
 	}
-	if by.Lapsed() {
+	if by.Lapsed() || by.Disconnected() {
 		b.give(id, c, true)
 		return decide.NotSent, nil, none
 	}
@@ -476,7 +478,7 @@
 // upload streams what is left of m's body. A backend that turns it away before the last byte may say so: early
 // is that answer.
 func (b *backends) upload(ctx context.Context, by errand, c *conn, m *message, in *bufio.Reader, src *source) (early *answer, err error) {
-	clients, err := m.up.pump(ctx, by.Over(), func(text []byte) error {
+	clients, err := m.up.pump(ctx, by, func(text []byte) error {
 		if err := c.SetWriteDeadline(time.Now().Add(uploadStall)); err != nil {
 			return err
 		}
--- a/internal/protocol/http1/body.go
+++ b/internal/protocol/http1/body.go
@@ -11,11 +11,8 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"vetchhaven/internal/core"
 )
 
@@ -28,7 +25,10 @@
 	slowest = 32 << 10
 )
 
-var errSlow = errors.New("the client sends too slowly")
+var (
+	errSlow = errors.New("the client sends too slowly")
+	errLeft = errors.New("the client has left")
+)
 
 // body reads a request's body as it comes on its client's connection, and no further.
 type body struct {
@@ -202,7 +202,7 @@
 		case <-l.Stopped():
 			ended = true
 		case <-look.C:
-			if hungUp(client) {
+			if core.Disconnected(client) {
 				l.Leave(r)
 			}
 		}
@@ -213,28 +213,8 @@
 	return u.state.Load() == came
 }
 
-// hungUp reports whether the other side of a connection is known to have closed it, whatever is unread on it. One
-// that has sent more than the system holds unread is not known to have.
-func hungUp(nc net.Conn) (gone bool) {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false // a test's
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	const ends = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
-	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(fds, 0)
-		gone = n > 0 && err == nil && fds[0].Revents&ends != 0
-	})
-	return err != nil || gone
-}
-
 // pump writes what is left of the body to w, in pieces as they come. It reports whether a failure is the client's.
-func (u *upload) pump(ctx context.Context, over <-chan struct{}, w func([]byte) error) (clients bool, err error) {
+func (u *upload) pump(ctx context.Context, by errand, w func([]byte) error) (clients bool, err error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.begun {
@@ -252,7 +232,7 @@
 			return true, err
 		}
 		select {
-		case <-over: // nothing is sent any more for a request that has its answer
+		case <-by.Over(): // nothing is sent any more for a request that has its answer
 			return false, errOver
 		case <-ctx.Done():
 			return false, context.Cause(ctx)
@@ -269,6 +249,11 @@
 			last = true
 		}
 		if last {
+			// What the system held of it unread may have hidden its client's end, which comes with the last byte or right
+			// behind it: the last piece waits for this look, and without it nothing runs.
+			if by.Disconnected() {
+				return true, errLeft
+			}
 			// While its answer is awaited a client may be silent. Before the connection goes on: by then the answer may
 			// have set its next limit.
 			if err := u.body.c.nc.SetReadDeadline(time.Time{}); err != nil {
--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -68,7 +68,7 @@
 		if p != nil { // it ends the agent, and is no reason to leave this client without an answer
 			c.send(c.f.appendError(nil, http.StatusBadGateway, "failed", "", true))
 		}
-		c.hungUp()
+		c.hungUp(p == nil)
 		_ = c.nc.Close() // nothing can be done about a socket that does not close
 		if p != nil {
 			panic(p)
@@ -424,16 +424,25 @@
 	return err == nil
 }
 
-// hungUp tells the loop that nobody waits for the open answer, and the writer that it is the last.
-func (c *clientConn) hungUp() {
+// hungUp tells the loop that nobody waits for the open answer, and the writer that it is the last. With a last word that
+// is waited for: a client that has ended its sending alone still reads, and is told that nothing more is done for it.
+func (c *clientConn) hungUp(lastWord bool) {
 	c.mu.Lock()
 	r := c.open
 	c.over = true
 	c.mu.Unlock()
-	if r != nil {
-		c.f.loop.Leave(r)
-	} else {
+	if r == nil {
 		c.say(reply{end: true})
+		return
+	}
+	c.f.loop.Leave(r)
+	if lastWord {
+		limit := time.NewTimer(lingerTime) // one that does not read holds nothing up
+		defer limit.Stop()
+		select {
+		case <-c.turn: // the writer is done
+		case <-limit.C:
+		}
 	}
 }
 
@@ -567,7 +576,7 @@
 		wait = min(wait, time.Duration(min(s, wait.Seconds())*float64(time.Second)))
 	}
 	r = core.NewRequest(string(h.id), class, func(a core.Answer) { c.say(reply{Answer: a}) })
-	r.Left, r.Repeat = wait, h.second
+	r.Left, r.Repeat, r.Client = wait, h.second, c.nc
 	if len(h.hint) > 0 {
 		us, err := parseDecimal(string(h.hint))
 		if err != nil || !(us >= 0) || us > math.MaxInt32 {
--- a/internal/protocol/ldap/client.go
+++ b/internal/protocol/ldap/client.go
@@ -362,7 +362,7 @@
 		wait = min(wait, limit)
 	}
 	o.request = core.NewRequest(strconv.FormatUint(p.lastID.Add(1), 36), class, o.finish)
-	o.request.Message = o
+	o.request.Message, o.request.Client = o, s.raw
 	o.request.Deadline, o.request.Left = time.Now().Add(wait), wait
 	if o.conn != nil {
 		o.request.Only = o.conn.server
--- a/internal/protocol/ldap/server.go
+++ b/internal/protocol/ldap/server.go
@@ -523,7 +523,7 @@
 	switch {
 	case a.Barred():
 		return decide.Broke, nil // never ran, and another server may have it
-	case a.Lapsed():
+	case a.Lapsed(), a.Disconnected():
 		return decide.NotSent, nil
 	}
 	k, err := c.start(a.Context, o.m.Op, o.m.Rest)
