Mend: a client that sent megabytes behind its request and left was seen only after seconds

conn.go watch dropped what comes behind a waiting request at 0.4 MB/s past 1 MB. The systems may hold 10 MB of what a client has sent (Linux's defaults: tcp_rmem 6 MB, tcp_wmem 4 MB), its end behind that: 20 s and more until it was seen, and its request could be sent on meanwhile. Now 16 MB are dropped at once, in pieces of 32 KB; only a client that is surely there is slowed down. A connection can cost that once: it ends with its answer.

The reader's flag that was there for tests alone (clientConn.full) is a hook now, nil in service.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"vetchhaven/decide"
@@ -40,7 +39,6 @@
 	ending   bool          // takes no further request
 	over     bool          // the reader has ended
 
-	full atomic.Bool // the reader has come to the end of what is kept ahead; for tests
 }
 
 // errUnread is of a request that has its answer before all of it was read, errEnded of one behind the last answer.
@@ -56,8 +54,11 @@
 	// something unread on it, it would be reset, and the answer lost.
 	lingerTime = 500 * time.Millisecond
 	// A client that sends more behind its request than a head may be long is read on, so that its leaving shows: what
-	// it sends is dropped, past floodMost bytes one piece of 4 KiB each floodPause.
-	floodMost  = 1 << 20
+	// it sends is dropped. Of one that has left there can be no more than two systems hold for a connection (Linux's
+	// defaults: 6 MB to be read, 4 MB to be written), and that is dropped at once, or its end would be seen late. One that
+	// sends on past floodMost bytes is there: it costs floodPiece bytes each floodPause.
+	floodMost  = 16 << 20
+	floodPiece = 4 << 10
 	floodPause = 10 * time.Millisecond
 )
 
@@ -126,11 +127,18 @@
 // watch reads on while an answer is awaited, or it would not be seen that the client has left. It reports whether the
 // answer is out: next ends its read then.
 func (c *clientConn) watch() bool {
-	var scrap [4 << 10]byte
+	var scrap []byte // what is dropped
 	for dropped := 0; ; {
-		into := scrap[:]
+		var into []byte
 		if c.end-c.start < headMost {
 			into = c.room()
+		} else {
+			if scrap == nil {
+				buf := pieces.Get().(*[]byte)
+				defer pieces.Put(buf)
+				scrap = (*buf)[:floodPiece]
+			}
+			into = scrap
 		}
 		n, err := c.nc.Read(into)
 		switch {
@@ -144,7 +152,12 @@
 			c.end += n
 			return true
 		}
+		scrap = scrap[:cap(scrap)]
 		if dropped += n; dropped > floodMost {
+			scrap = scrap[:floodPiece]
+			if c.f.ahead != nil {
+				c.f.ahead(true)
+			}
 			select {
 			case <-c.turn:
 				c.turn <- struct{}{}
@@ -161,7 +174,9 @@
 func (c *clientConn) drops() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	defer c.full.Store(true)
+	if c.f.ahead != nil {
+		defer c.f.ahead(false)
+	}
 	if c.open == nil || c.begun {
 		return false
 	}
--- a/internal/protocol/http1/crossings_test.go
+++ b/internal/protocol/http1/crossings_test.go
@@ -6,10 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -69,14 +67,18 @@
 	return len(r.front.conns)
 }
 
-// waitFull returns once a client's reader has come to the end of what is kept ahead.
-func (r *running) waitFull(t *testing.T) {
-	t.Helper()
-	testkit.WaitFor(t, "a reader to come to the end of what is kept", func() bool {
-		r.front.mu.Lock()
-		defer r.front.mu.Unlock()
-		return slices.ContainsFunc(slices.Collect(maps.Keys(r.front.conns)), func(c *clientConn) bool { return c.full.Load() })
-	})
+// ahead has an agent's front tell when a client's reader has come to the end of what is kept ahead, and count the pauses of
+// floods.
+func ahead(a *running) (end chan struct{}, pauses *atomic.Int64) {
+	end, pauses = make(chan struct{}, 100), &atomic.Int64{}
+	a.front.ahead = func(pause bool) {
+		if pause {
+			pauses.Add(1)
+		} else {
+			end <- struct{}{}
+		}
+	}
+	return end, pauses
 }
 
 // A request whose id another one has is turned away by the loop; its client may have left by then.
@@ -187,6 +189,26 @@
 	}
 }
 
+// A client that has left has sent no more than the systems hold, and its reader comes to its end without a pause.
+func TestFloodOfAClientThatHasLeftIsReadAtOnce(t *testing.T) {
+	t.Parallel()
+	a, s, release, answers := full(t)
+	_, pauses := ahead(a)
+	c := a.connect(t)
+	c.write(headOf("get", "left"))
+	testkit.WaitFor(t, "the request", func() bool { return a.Open() == 7 })
+	c.write(strings.Repeat("x", 10<<20)) // to be read and to be written, as Linux has it
+	c.c.Close()
+	testkit.WaitFor(t, "its leaving", func() bool { return a.Totals().Gone == 1 })
+	close(release)
+	for range 6 {
+		testkit.Receive(t, "answer", answers)
+	}
+	if got := a.Totals(); pauses.Load() != 0 || got.Attempts != 6 || len(s.seen) != 0 {
+		t.Errorf("%d pauses; %+v, %d more reached the server", pauses.Load(), got, len(s.seen))
+	}
+}
+
 // One that sends more and stays has its answer, whole, and with it the end of its connection if what it sent can't be
 // kept; else its next request is served too.
 func TestClientThatSentMoreAndStaysIsServed(t *testing.T) {
@@ -202,12 +224,13 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			a, s, release, answers := full(t)
+			end, _ := ahead(a)
 			c := a.connect(t)
 			c.write(headOf("get", "first"))
 			testkit.WaitFor(t, "the request", func() bool { return a.Open() == 7 })
 			c.write(more.text)
 			if len(more.status) == 1 {
-				a.waitFull(t)
+				testkit.Receive(t, "a reader at the end of what is kept", end)
 			}
 			close(release)
 			for range 6 {
@@ -253,6 +276,7 @@
 	var loop *loopHold
 	a := startParts(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{s.member("s")}}), core.Parts{},
 		func(a *core.Agent) { loop = holdable(a) })
+	end, _ := ahead(a)
 	c := a.connect(t)
 	c.write(headOf("get", "first"))
 	if _, err := c.in.Peek(1); err != nil { // it has begun to stream
@@ -265,7 +289,7 @@
 	}
 	c.write("POST /put/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: next\r\nIdempotency-Key: k\r\nContent-Length: 90000\r\n\r\n")
 	c.write(strings.Repeat("b", 90_000))
-	a.waitFull(t)
+	testkit.Receive(t, "a reader at the end of what is kept", end)
 	close(loop.free)
 	if status, last := c.answer(); status != 200 || last {
 		t.Errorf("the next one: %d, last %v", status, last)
--- a/internal/protocol/http1/front.go
+++ b/internal/protocol/http1/front.go
@@ -27,6 +27,9 @@
 	ended     atomic.Bool   // the loop has
 	// draining has connections end with their next answer.
 	draining atomic.Bool
+	// ahead is a test's; else nil. It is told that a reader has come to the end of what is kept ahead, and of each pause
+	// that a flood has.
+	ahead func(pause bool)
 
 	mu      sync.Mutex
 	conns   map[*clientConn]bool
