--- /dev/null
+++ b/internal/drill/hollow/view.go
@@ -0,0 +1,179 @@
+// Package hollow plays many members in one process: the very modules that daemons run (view, verdicts, limits) and
+// their encoding, in regions and zones, over a graph of services, in virtual time or over loopback sockets. What is
+// hollow is the rest of a daemon: no requests, no lists, no disks. tools/capacity measures slopes with it.
+package hollow
+
+import (
+	"cmp"
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"vetchhaven/internal/drill/plan"
+	"vetchhaven/internal/drill/topology"
+	"vetchhaven/internal/drill/virtual"
+	"vetchhaven/internal/peer/carrier"
+	"vetchhaven/internal/peer/view"
+)
+
+// Fleet is the name of the hollow members' fleet, in each message: as long as a real one's may well be.
+const Fleet = "vetchhaven"
+
+// View says what is played of the view.
+type View struct {
+	Seed    uint64
+	Layout  *topology.Layout
+	Members int
+	Events  []plan.Event // what befalls members
+	Marks   []time.Duration
+	Length  time.Duration
+	Peers   plan.Peers
+	Workers int
+	// Each hears of each change, in order.
+	Each func(at time.Duration, member int, a view.Action)
+}
+
+// Phase is what a run cost an agent between two marks: means over agents and time, but where it says most.
+type Phase struct {
+	From, To  time.Duration
+	Out, In   Rate
+	Processor float64 // share of a core: decisions, encoding, and the model; no system calls
+}
+
+// Rate is of messages one way.
+type Rate struct {
+	Bytes, Messages float64 // a second, the mean
+	P99             float64 // bytes a second, the mean over the phase of the agent that stands at 99 in 100
+	Most            uint64  // bytes in any one second of any agent
+}
+
+// Play plays it, from a fleet that has known itself for long.
+func (v *View) Play() ([]Phase, *virtual.Result, error) {
+	p := &plan.Plan{Name: "hollow", Daemons: v.Members, Zones: 1, Seeds: seeds(v.Layout, v.Members), Length: v.Length, Events: v.Events, Peers: v.Peers}
+	used := []time.Duration{processor()}
+	o := virtual.Options{Seed: v.Seed, Warm: true, Layout: v.Layout, Codec: carrier.Wire{Fleet: Fleet}, Marks: v.Marks, Workers: v.Workers,
+		Each: v.Each, Passed: func(int) { used = append(used, processor()) }}
+	if o.Each == nil {
+		o.Each = func(time.Duration, int, view.Action) {}
+	}
+	r, err := virtual.Play(p, o)
+	if err != nil {
+		return nil, nil, fmt.Errorf("play the view of %d members: %w", v.Members, err)
+	}
+	used = append(used, processor())
+	edges := append(append([]time.Duration{0}, v.Marks...), v.Length)
+	var phases []Phase
+	for i := range edges[1:] {
+		ph := Phase{From: edges[i], To: edges[i+1]}
+		span := ph.To - ph.From
+		ph.Out = rate(r.Loads, span, func(l []virtual.Load) virtual.Flow { return l[i].Out })
+		ph.In = rate(r.Loads, span, func(l []virtual.Load) virtual.Flow { return l[i].In })
+		ph.Processor = (used[i+1] - used[i]).Seconds() / span.Seconds() / float64(v.Members)
+		phases = append(phases, ph)
+	}
+	return phases, r, nil
+}
+
+// Plus is p and so many times what another phase cost beyond a rest.
+func (p Phase) Plus(rest, other Phase, times float64) Phase {
+	more := func(r *Rate, rest, other Rate) {
+		r.Bytes += times * (other.Bytes - rest.Bytes)
+		r.Messages += times * (other.Messages - rest.Messages)
+		r.P99 += times * (other.P99 - rest.P99)
+		r.Most = max(r.Most, other.Most)
+	}
+	more(&p.Out, rest.Out, other.Out)
+	more(&p.In, rest.In, other.In)
+	p.Processor += times * (other.Processor - rest.Processor)
+	return p
+}
+
+// Differ is how many different views there are at the end of a run.
+func Differ(r *virtual.Result) int {
+	all := map[uint64]bool{}
+	for _, v := range r.Views {
+		if v != nil {
+			all[v.Digest()] = true
+		}
+	}
+	return len(all)
+}
+
+// seeds are two members of each region, by which those that restart find the fleet.
+func seeds(l *topology.Layout, members int) []int {
+	if l == nil {
+		return []int{0, min(1, members-1)}
+	}
+	var all []int
+	for region := range l.Regions() {
+		in := l.InRegion(region)
+		all = append(all, in[:min(2, len(in))]...)
+	}
+	return all
+}
+
+func rate(loads [][]virtual.Load, span time.Duration, of func([]virtual.Load) virtual.Flow) (r Rate) {
+	each := make([]float64, 0, len(loads))
+	for _, l := range loads {
+		f := of(l)
+		r.Bytes += float64(f.Bytes)
+		r.Messages += float64(f.Messages)
+		r.Most = max(r.Most, f.Most)
+		each = append(each, float64(f.Bytes)/span.Seconds())
+	}
+	all := span.Seconds() * float64(len(loads))
+	r.Bytes, r.Messages = r.Bytes/all, r.Messages/all
+	slices.Sort(each)
+	r.P99 = each[min(len(each)-1, len(each)*99/100)]
+	return r
+}
+
+// processor is the processor time that this process has used.
+func processor() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// Memory is what one member of a fleet holds on the heap, by a view that is made of records as they come off the wire.
+func Memory(members int) (bytes uint64, err error) {
+	wire := carrier.Wire{Fleet: Fleet}
+	x := &view.Exchange{From: plan.Name(0)}
+	for n := range members {
+		x.Records = append(x.Records, view.Record{Name: plan.Name(n), Addr: fmt.Sprintf("10.77.%d.%d:7946", n/250, n%250+1), Zone: fmt.Sprintf("r%d-z%d", n%5+1, n%3+1), Program: "1.0.0",
+			Boot: 1_790_000_000 + uint64(n), Life: uint64(n)*2654435761 + 1, Instances: 1, Balancers: 1})
+	}
+	data, err := wire.Marshal(plan.Name(0), x)
+	if err != nil {
+		return 0, err
+	}
+	read, err := wire.Unmarshal(data)
+	if err != nil {
+		return 0, err
+	}
+	before := heap()
+	first := x.Records[0]
+	v, err := view.New(view.Settings{Name: first.Name, Addr: first.Addr, Zone: first.Zone, Program: first.Program, Boot: first.Boot, Life: first.Life,
+		Instances: 1, Balancers: 1, Parallel: true, Known: read.(*view.Exchange).Records, Members: cmp.Or(members, view.Members)}, 1)
+	if err != nil {
+		return 0, err
+	}
+	v.Step(0)
+	bytes = heap() - before + uint64(len(data)) // the records' own texts and numbers, which it goes on holding
+	if got := len(v.Members()); got != members {
+		return 0, fmt.Errorf("a view of %d members holds %d", members, got)
+	}
+	runtime.KeepAlive(read)
+	return bytes, nil
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/drill/virtual/virtual.go
+++ b/internal/drill/virtual/virtual.go
@@ -37,6 +37,12 @@
 	// Layout places the daemons in regions and zones: what lies between two is added to the plan's links. nil: one site,
 	// and the plan's zones.
 	Layout *topology.Layout
+	// Codec has each message written and read as on a wire, and its bytes counted; nil: sizes are the module's own bound.
+	Codec Codec
+	// Marks part the run into phases, by which loads are counted: the first ends at the first mark.
+	Marks []time.Duration
+	// Passed is called once a phase has begun, from one goroutine, with its number from 1. It may look at a clock.
+	Passed func(phase int)
 }
 
 // Result is what happened.
@@ -45,6 +51,7 @@
 	Traffic []view.Traffic // by daemon, of those that ran at the end
 	Events  uint64         // deliveries and timers
 	Views   []*view.View   // by daemon; nil: it does not run
+	Loads   [][]Load       // by daemon, and phase (Options.Marks)
 }
 
 // The model: a datagram takes base to base+spread one way on a whole link. It is a site's, not loopback's: 1 to 3 ms.
@@ -66,6 +73,7 @@
 	seq  uint64
 	ev   view.Event
 	life uint64 // only for this life of the receiver; 0: any
+	size int    // on the wire
 }
 
 type inbox []delivery
@@ -123,6 +131,8 @@
 	opened  int // whom its last exchange is with
 	events  uint64
 	moves   int
+	loads   []Load
+	phase   int // in which its last message was
 }
 
 type seenAct struct {
@@ -210,6 +220,7 @@
 		}
 		r.Traffic = append(r.Traffic, t)
 		r.Views = append(r.Views, a.v)
+		r.Loads = append(r.Loads, a.loads)
 	}
 	return r, nil
 }
@@ -236,7 +247,7 @@
 func (w *world) lifeOf(n int) uint64 { return uint64(n)*2654435761 + 1 }
 
 func (w *world) add(n int, name, addr string) *agent {
-	a := &agent{n: n, name: name, addr: addr, rng: rand.New(rand.NewPCG(w.o.Seed, uint64(n)+2)), next: never}
+	a := &agent{n: n, name: name, addr: addr, rng: rand.New(rand.NewPCG(w.o.Seed, uint64(n)+2)), next: never, loads: make([]Load, len(w.o.Marks)+1)}
 	w.agents = append(w.agents, a)
 	w.byAddr[addr] = n
 	return a
@@ -246,8 +257,13 @@
 
 // run goes through the time.
 func (w *world) run(known []view.Record) {
-	nextSent := time.Second
+	nextSent, phase := time.Second, 0
 	for w.now < w.p.Length {
+		for phase < len(w.o.Marks) && w.now >= w.o.Marks[phase] {
+			if phase++; w.o.Passed != nil {
+				w.o.Passed(phase)
+			}
+		}
 		for len(w.todo) > 0 && w.todo[0].At <= w.now {
 			e := w.todo[0]
 			w.todo = w.todo[1:]
@@ -291,6 +307,9 @@
 			if len(w.todo) > 0 {
 				to = min(to, w.todo[0].At)
 			}
+			if phase < len(w.o.Marks) {
+				to = min(to, w.o.Marks[phase])
+			}
 			w.now = max(end, to)
 		}
 		if w.now >= nextSent {
@@ -339,6 +358,9 @@
 				continue
 			}
 			events = append(events, d.ev)
+			if d.size > 0 {
+				w.load(a, at).In.add(at, d.size)
+			}
 		}
 		a.events += uint64(max(1, len(events)))
 		w.carry(a, at, a.v.Step(at, events...))
@@ -385,9 +407,9 @@
 
 // carry does what a view wants done.
 func (w *world) carry(a *agent, at time.Duration, actions []view.Action) {
-	post := func(to int, after time.Duration, ev view.Event, life uint64) {
+	post := func(to int, after time.Duration, ev view.Event, life uint64, size int) {
 		a.seq++
-		a.out = append(a.out, outgoing{to, delivery{at + max(base, after), a.n, a.seq, ev, life}})
+		a.out = append(a.out, outgoing{to, delivery{at + max(base, after), a.n, a.seq, ev, life, size}})
 	}
 	for _, x := range actions {
 		switch x := x.(type) {
@@ -397,9 +419,10 @@
 				continue
 			}
 			l := w.linkOf(a.n, to)
+			size, read := w.written(a, at, x.Size, x.Message)
 			for range 1 + b2i(l.Duplicate > 0 && a.rng.Float64() < l.Duplicate) {
-				if d, ok := w.way(a, l, x.Size); ok {
-					post(to, d, view.Datagram{Message: x.Message, Size: x.Size}, 0)
+				if d, ok := w.way(a, l, size); ok {
+					post(to, d, view.Datagram{Message: read.(*view.Message), Size: size}, 0, size)
 				}
 			}
 		case view.Open:
@@ -416,13 +439,14 @@
 				if !ok {
 					wait = 2 * base // refused
 				}
-				post(a.n, wait, view.Failed{ID: x.ID}, a.life)
+				post(a.n, wait, view.Failed{ID: x.ID}, a.life, 0)
 				continue
 			}
 			id := uint64(a.n)<<32 | x.ID
 			a.opened = to
-			post(to, w.stream(a, there, back, 3), view.Asked{Stream: id, Message: x.Message}, 0)
-			post(a.n, streamWait, view.Failed{ID: x.ID}, a.life) // does nothing if the answer came before
+			size, read := w.exchanged(a, at, x.Message)
+			post(to, w.stream(a, there, back, 3), view.Asked{Stream: id, Message: read}, 0, size)
+			post(a.n, streamWait, view.Failed{ID: x.ID}, a.life, 0) // does nothing if the answer came before
 		case view.Reply:
 			to := int(x.Stream >> 32)
 			there, back := w.linkOf(a.n, to), w.linkOf(to, a.n)
@@ -430,15 +454,17 @@
 				continue
 			}
 			if x.Message == nil {
-				post(to, w.stream(a, there, back, 1), view.Failed{ID: x.Stream & (1<<32 - 1)}, 0)
+				post(to, w.stream(a, there, back, 1), view.Failed{ID: x.Stream & (1<<32 - 1)}, 0, 0)
 				continue
 			}
-			post(to, w.stream(a, there, back, 1)+sized(len(x.Message.Records)), view.Answered{ID: x.Stream & (1<<32 - 1), Message: x.Message}, 0)
+			size, read := w.exchanged(a, at, x.Message)
+			post(to, w.stream(a, there, back, 1)+sized(len(x.Message.Records)), view.Answered{ID: x.Stream & (1<<32 - 1), Message: read}, 0, size)
 		case view.Finish:
 			if to := a.opened; x.Message != nil {
 				there, back := w.linkOf(a.n, to), w.linkOf(to, a.n)
 				if there.Drop < 1 && back.Drop < 1 && !there.Break && !back.Break {
-					post(to, w.stream(a, there, back, 1)+sized(len(x.Message.Records)), view.Closed{Message: x.Message}, 0)
+					size, read := w.exchanged(a, at, x.Message)
+					post(to, w.stream(a, there, back, 1)+sized(len(x.Message.Records)), view.Closed{Message: read}, 0, size)
 				}
 			}
 		case view.Save:
--- /dev/null
+++ b/internal/peer/carrier/wire_test.go
@@ -0,0 +1,43 @@
+package carrier
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+
+	"vetchhaven/internal/peer/limits"
+	"vetchhaven/internal/peer/verdicts"
+	"vetchhaven/internal/peer/view"
+)
+
+func TestWireIsWhatMembersSendAndReadsItBack(t *testing.T) {
+	w := Wire{Fleet: "f"}
+	ping := &view.Message{From: "a", Boot: 1, Life: 2, Kind: view.Ping, Seq: 3, Addr: "127.0.0.1:1"}
+	exchange := &view.Exchange{From: "a", Records: []view.Record{{Name: "b", Addr: "127.0.0.1:2", Boot: 1, Life: 5}}}
+	for _, m := range []any{ping, exchange, &verdicts.Message{Ask: 7}, &limits.Ask{From: "a", Seq: 4}, &limits.Grant{From: "b", Seq: 4}} {
+		data, err := w.Marshal("a", m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if back, err := w.Unmarshal(data); err != nil || !reflect.DeepEqual(back, m) {
+			t.Errorf("%+v became %+v, %v", m, back, err)
+		}
+	}
+	sent, err := encode("f", ping)
+	if data, _ := w.Marshal("a", ping); err != nil || !bytes.Equal(data, sent) {
+		t.Errorf("%x, members send %x, %v", data, sent, err)
+	}
+	var framed bytes.Buffer
+	err = writeFrame(&framed, "f", exchange)
+	if data, _ := w.Marshal("a", exchange); err != nil || !bytes.Equal(data, framed.Bytes()) {
+		t.Errorf("%x, members send %x, %v", data, framed.Bytes(), err)
+	}
+	if _, err := w.Marshal("a", 1); err == nil {
+		t.Error("a number went as a message")
+	}
+	for _, data := range [][]byte{nil, []byte("vh"), []byte("vh\x01\x01f1234x")} {
+		if m, err := w.Unmarshal(data); err == nil {
+			t.Errorf("%q was read as %+v", data, m)
+		}
+	}
+}
--- /dev/null
+++ b/tools/capacity/flags.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"vetchhaven/internal/drill/hollow"
+	"vetchhaven/tools/capacity/slopes"
+)
+
+// flags are those of each slope of what members share.
+type flags struct {
+	sizes   string
+	seed    uint64
+	toml    bool
+	workers int
+}
+
+func (f *flags) add(c *cobra.Command) {
+	c.Flags().StringVar(&f.sizes, "sizes", f.sizes, "how many agents, in turn")
+	c.Flags().Uint64Var(&f.seed, "seed", 1, "of all chance")
+	c.Flags().BoolVar(&f.toml, "toml", false, "print entries for docs/capacity/slopes.toml, and no table")
+	c.Flags().IntVar(&f.workers, "workers", 3, "cores that the members are stepped on")
+	c.PreRun = func(*cobra.Command, []string) {
+		runtime.GOMAXPROCS(f.workers)
+		debug.SetGCPercent(25) // large views: memory is dearer than time
+		debug.SetMemoryLimit(memoryMost)
+	}
+}
+
+// memoryMost is what a run may use of the machine, in bytes.
+const memoryMost = 6 << 30
+
+func (f *flags) numbers() ([]int, error) {
+	var all []int
+	for _, s := range strings.Split(f.sizes, ",") {
+		n, err := strconv.Atoi(strings.TrimSpace(s))
+		if err != nil || n < 20 {
+			return nil, fmt.Errorf("--sizes: %q is no number of at least 20", s)
+		}
+		all = append(all, n)
+	}
+	if !slices.IsSorted(all) {
+		return nil, fmt.Errorf("--sizes: %v are not ascending", all)
+	}
+	return all, nil
+}
+
+// entry completes an entry by what all of a run have in common.
+func (f *flags) entry(s slopes.Slope, command string) slopes.Slope {
+	s.Command = fmt.Sprintf("go run ./tools/capacity %s --sizes %s --seed %d --toml", command, f.sizes, f.seed)
+	s.Date = time.Now().Format(time.DateOnly)
+	s.Machine = fmt.Sprintf("8 cores, 24 GiB, shared with other runs; this one on %d", f.workers)
+	return s
+}
+
+// series are points of each quantity over one variable.
+type series struct {
+	f                         *flags
+	mechanism, load, variable string
+	note                      string
+	points                    map[string][][2]float64
+}
+
+func (f *flags) series(mechanism, load, variable, note string) *series {
+	return &series{f, mechanism, load, variable, note, map[string][][2]float64{}}
+}
+
+// quantities are what is kept of a phase, with units.
+var quantities = []struct {
+	name, unit string
+	of         func(hollow.Phase) float64
+}{
+	{"bytes_out", "B/s", func(p hollow.Phase) float64 { return p.Out.Bytes }},
+	{"bytes_in", "B/s", func(p hollow.Phase) float64 { return p.In.Bytes }},
+	{"messages_out", "1/s", func(p hollow.Phase) float64 { return p.Out.Messages }},
+	{"messages_in", "1/s", func(p hollow.Phase) float64 { return p.In.Messages }},
+	{"bytes_out_most", "B/s", func(p hollow.Phase) float64 { return float64(p.Out.Most) }},
+	{"bytes_in_most", "B/s", func(p hollow.Phase) float64 { return float64(p.In.Most) }},
+	{"cpu", "core", func(p hollow.Phase) float64 { return p.Processor }},
+}
+
+func (s *series) add(size float64, p hollow.Phase) {
+	for _, q := range quantities {
+		s.points[q.name] = append(s.points[q.name], [2]float64{size, figures(q.of(p))})
+	}
+}
+
+// entries are one for each quantity, named mechanism.quantity.which.
+func (s *series) entries(which, command, form string) (all []slopes.Slope) {
+	for _, q := range quantities {
+		all = append(all, s.f.entry(slopes.Slope{Name: s.mechanism + "." + q.name + "." + which, Role: "agent", Load: s.load, Quantity: q.name, Unit: q.unit,
+			Mechanism: s.mechanism, Variable: s.variable, Form: form, Points: s.points[q.name], Note: s.note}, command))
+	}
+	return all
+}
+
+// figures is a number to four figures.
+func figures(x float64) float64 {
+	if x == 0 {
+		return 0
+	}
+	scale := math.Pow(10, 3-math.Floor(math.Log10(math.Abs(x))))
+	return math.Round(x*scale) / scale
+}
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -24,5 +24,7 @@
 
 // commands are one a slope, a line each.
 func commands() []*cobra.Command {
-	return []*cobra.Command{}
+	return []*cobra.Command{
+		viewCommand(),
+	}
 }
