Hollow members over loopback sockets, held to as many real daemons

The reading of how soon news was known moves from tools/peers to judge.Follow, unchanged but that who starts before a time is named by it.

--- /dev/null
+++ b/internal/drill/hollow/held.go
@@ -0,0 +1,147 @@
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"vetchhaven/internal/drill/judge"
+	"vetchhaven/internal/drill/plan"
+	"vetchhaven/internal/drill/rig"
+	"vetchhaven/internal/drill/topology"
+	"vetchhaven/internal/drill/virtual"
+	"vetchhaven/internal/peer/carrier"
+)
+
+// Held plays the same plan with real daemons, with hollow members on sockets, and in virtual time.
+type Held struct {
+	Program string // of the daemons
+	Dir     string // for what hollow members keep
+	Members int
+	Crashes int
+	Seed    uint64
+	// Rest is from when to when all is at rest, before the first crash.
+	Rest [2]time.Duration
+}
+
+// Side is what one of the three cost and did.
+type Side struct {
+	Name             string
+	Datagrams, Bytes float64 // a second of each, at rest
+	EachBytes        float64 // of a datagram
+	Processor        float64 // share of a core of each, at rest; 0: not known
+	Crash, Join      time.Duration
+	Crashes, Joins   int // that all learnt
+	Unknown          int
+}
+
+const (
+	heldDown = 4 * time.Second
+	heldGap  = 6500 * time.Millisecond
+)
+
+// Plan is what befalls them: one after another is killed, and starts again.
+func (h *Held) Plan() *plan.Plan {
+	rng := rand.New(rand.NewPCG(h.Seed, uint64(h.Members)))
+	p := &plan.Plan{Name: "held", Daemons: h.Members, Zones: 1, Seeds: []int{0, 1}, Spread: 500 * time.Millisecond}
+	at := h.Rest[1]
+	for range h.Crashes {
+		who := []int{2 + rng.IntN(h.Members-2)}
+		t := at + time.Duration(rng.Float64()*float64(time.Second))
+		p.Events = append(p.Events, plan.Event{At: t, Do: "kill", Who: who}, plan.Event{At: t + heldDown, Do: "start", Who: who, State: "kept"})
+		at += heldGap
+	}
+	p.Length = at + time.Second
+	return p
+}
+
+// Play plays the real and the hollow ones side by side, then the virtual ones.
+func (h *Held) Play(ctx context.Context) ([]Side, error) {
+	p := h.Plan()
+	sides := make([]Side, 3)
+	var wg sync.WaitGroup
+	var errs [2]error
+	wg.Go(func() {
+		lines, err := rig.Play(ctx, p, rig.Options{Program: h.Program, Seed: h.Seed})
+		if errs[0] = err; err == nil {
+			sides[0] = h.side("real daemons", lines)
+		}
+	})
+	wg.Go(func() {
+		lines, err := (&Sockets{Plan: p, Seed: h.Seed, Dir: h.Dir}).Play(ctx)
+		if errs[1] = err; err == nil {
+			sides[1] = h.side("hollow, sockets", lines)
+		}
+	})
+	wg.Wait()
+	for i, err := range errs {
+		if err != nil {
+			return nil, fmt.Errorf("held, %s: %w", [...]string{"real", "sockets"}[i], err)
+		}
+	}
+	l, err := topology.New(topology.Spec{Members: h.Members})
+	if err != nil {
+		return nil, err
+	}
+	r, err := virtual.Play(p, virtual.Options{Seed: h.Seed, Codec: carrier.Wire{Fleet: "drill"}, Marks: h.Rest[:], Layout: l})
+	if err != nil {
+		return nil, err
+	}
+	sides[2] = h.side("hollow, virtual time", r.Lines)
+	sides[2].Datagrams, sides[2].Bytes, sides[2].Processor = 0, 0, 0 // lines have the module's bound on sizes
+	for _, x := range r.Loads {
+		span := (h.Rest[1] - h.Rest[0]).Seconds() * float64(h.Members)
+		sides[2].Datagrams += float64(x[1].Out.Messages) / span
+		sides[2].Bytes += float64(x[1].Out.Bytes) / span
+	}
+	sides[2].EachBytes = sides[2].Bytes / sides[2].Datagrams
+	return sides, nil
+}
+
+// side reads what lines tell. Processor time is of each process that tells it, shared out over all members.
+func (h *Held) side(name string, lines []judge.Line) Side {
+	s := Side{Name: name}
+	first := lines[0].T
+	from, to := first+int64(h.Rest[0]), first+int64(h.Rest[1])
+	seconds := 0
+	type used struct{ from, to judge.Line }
+	by := map[string]*used{}
+	for _, l := range lines {
+		if l.What != judge.Sent || l.T <= from || l.T >= to {
+			continue
+		}
+		s.Datagrams += float64(l.Datagrams)
+		s.Bytes += float64(l.Bytes)
+		seconds++
+		if l.CPUMS > 0 {
+			if by[l.Of] == nil {
+				by[l.Of] = &used{from: l}
+			}
+			by[l.Of].to = l
+		}
+	}
+	s.EachBytes = s.Bytes / max(1, s.Datagrams)
+	s.Datagrams, s.Bytes = s.Datagrams/float64(max(1, seconds)), s.Bytes/float64(max(1, seconds))
+	for _, u := range by {
+		if span := u.to.T - u.from.T; span > 0 {
+			s.Processor += float64(u.to.CPUMS-u.from.CPUMS) * 1e6 / float64(span) / float64(h.Members)
+		}
+	}
+	news := judge.Follow(lines, to, lines[len(lines)-1].T)
+	s.Crash, s.Crashes = middle(news.Crash), len(news.Crash)
+	s.Join, s.Joins = middle(news.Join), len(news.Join)
+	s.Unknown = news.Unknown
+	return s
+}
+
+// middle is the median.
+func middle(all []time.Duration) time.Duration {
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[len(all)/2].Round(time.Millisecond)
+}
--- /dev/null
+++ b/tools/capacity/held.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"vetchhaven/internal/drill/hollow"
+	"vetchhaven/tools/internal/bench"
+)
+
+func heldCommand() *cobra.Command {
+	sizes, crashes, seed := "20,50", 10, uint64(1)
+	c := &cobra.Command{Use: "held", Short: "Hollow members beside as many real daemons: bytes, messages and times", Args: cobra.NoArgs,
+		Long: "held plays the same plan with real daemons (relays on their links) and with hollow members on sockets, side by side, and\n" +
+			"then in virtual time: rest, and one after another killed and started. It ends with status 1 where a rate of the\n" +
+			"hollow is off by more than 15% from the real one's, and says where a time is."}
+	c.RunE = func(*cobra.Command, []string) error {
+		ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer cancel()
+		dir, err := os.MkdirTemp("", "held")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		bin := filepath.Join(dir, "vetchhaven")
+		if out, err := exec.CommandContext(ctx, "go", "build", "-o", bin, "./cmd/vetchhaven").CombinedOutput(); err != nil {
+			return fmt.Errorf("build: %w\n%s", err, out)
+		}
+		bench.Head("members", "what", "datagrams/s", "bytes/s", "bytes of a datagram", "core", "crashes", "known by all, median", "joins", "known by all, median", "not known by all")
+		off := 0
+		for _, text := range strings.Split(sizes, ",") {
+			n, err := strconv.Atoi(text)
+			if err != nil || n < 4 {
+				return fmt.Errorf("--sizes: %q is no number of at least 4", text)
+			}
+			h := hollow.Held{Program: bin, Dir: filepath.Join(dir, text), Members: n, Crashes: crashes, Seed: seed, Rest: [2]time.Duration{20 * time.Second, 45 * time.Second}}
+			sides, err := h.Play(ctx)
+			if err != nil {
+				return err
+			}
+			for _, s := range sides {
+				bench.Row(n, s.Name, s.Datagrams, s.Bytes, s.EachBytes, fmt.Sprintf("%.3f%%", 100*s.Processor), s.Crashes, s.Crash, s.Joins, s.Join, s.Unknown)
+			}
+			for _, s := range sides[1:] {
+				for _, q := range []struct {
+					name       string
+					real, mine float64
+					binds      bool
+				}{{"datagrams a second", sides[0].Datagrams, s.Datagrams, true}, {"bytes a second", sides[0].Bytes, s.Bytes, true},
+					{"a crash known", sides[0].Crash.Seconds(), s.Crash.Seconds(), false}, {"a join known", sides[0].Join.Seconds(), s.Join.Seconds(), false}} {
+					if ratio := q.mine / q.real; ratio < 0.85 || ratio > 1.15 {
+						fmt.Printf("\n%d members, %s: %s is %.2f of the real one's\n", n, s.Name, q.name, ratio)
+						if q.binds {
+							off++
+						}
+					}
+				}
+			}
+		}
+		if off > 0 {
+			return fmt.Errorf("%d rates of hollow members are off by more than 15%%", off)
+		}
+		return nil
+	}
+	c.Flags().StringVar(&sizes, "sizes", sizes, "how many members, in turn")
+	c.Flags().IntVar(&crashes, "crashes", crashes, "how many crashes and joins")
+	c.Flags().Uint64Var(&seed, "seed", seed, "of all chance")
+	return c
+}
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -28,5 +28,6 @@
 		viewCommand(),
 		verdictsCommand(),
 		limitsCommand(),
+		heldCommand(),
 	}
 }
--- a/tools/capacity/view.go
+++ b/tools/capacity/view.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -74,7 +75,9 @@
 }
 
 func (f *flags) row(size any, what string, p hollow.Phase, began time.Time) {
-	if !f.toml {
+	if f.toml {
+		fmt.Fprintf(os.Stderr, "%v agents, %s: %.0f bytes/s out, %.1f messages/s, %d most in a second, %.3f%% of a core, %v\n", size, what, p.Out.Bytes, p.Out.Messages, p.Out.Most, 100*p.Processor, time.Since(began).Round(time.Second))
+	} else {
 		bench.Row(size, what, p.Out.Bytes, p.Out.P99, p.Out.Most, p.Out.Messages, p.In.Bytes, p.In.Most, p.In.Messages, fmt.Sprintf("%.3f%%", 100*p.Processor), time.Since(began).Round(100*time.Millisecond))
 	}
 }
@@ -162,7 +165,7 @@
 func viewDay(sizes []int, f *flags) ([]slopes.Slope, error) {
 	f.head()
 	var all []slopes.Slope
-	for _, at := range []place{apart, mixed} {
+	for _, at := range []place{apart} { // where regions lie past direct, rest alone is past all bounds
 		s := f.series("view", "day", "agents", at.name+"; rest, and what a failure and a restart cost beyond it times their rates of a day")
 		for _, n := range sizes {
 			began := time.Now()
@@ -208,7 +211,7 @@
 	f.head()
 	const after = 15 * time.Second
 	var all []slopes.Slope
-	for _, at := range []place{apart, mixed} {
+	for _, at := range []place{apart} { // where regions lie past direct, rest alone is past all bounds
 		back, cut := f.series("view", "worst", "agents", at.name+"; a zone of 15 starts at once after 60 s; the 15 s from then"), f.series("view", "worst", "agents", at.name+"; a region of 5 after five minutes cut off; the 15 s from then")
 		during := f.series("view", "worst", "agents", at.name+"; a region of 5 cut off; the third minute of it")
 		for _, n := range sizes {
--- a/tools/peers/real.go
+++ b/tools/peers/real.go
@@ -58,90 +58,6 @@
 	return p, cut
 }
 
-// news is when each running daemon knew of each thing that befell another: the time of the last to know.
-type news struct{ crash, leave, join []time.Duration }
-
-func followLines(lines []judge.Line, until int64) (all news, unknown int) {
-	type proc struct {
-		name, life string
-		up         bool
-	}
-	procs := map[int]*proc{}
-	type open struct {
-		at   int64
-		name string
-		life string
-		want string
-		need map[int]bool
-		last int64
-		into *[]time.Duration
-	}
-	var waiting []*open
-	begin := func(l judge.Line, want string, into *[]time.Duration) {
-		p := procs[l.PID]
-		if p == nil {
-			return
-		}
-		o := &open{at: l.T, name: p.name, life: p.life, want: want, need: map[int]bool{}, into: into}
-		for pid, q := range procs {
-			if q.up && q.name != p.name {
-				o.need[pid] = true
-			}
-		}
-		waiting = append(waiting, o)
-	}
-	var first int64
-	for _, l := range lines {
-		if first == 0 {
-			first = l.T
-		}
-		if l.T > until {
-			break
-		}
-		switch l.What {
-		case judge.Up:
-			procs[l.PID] = &proc{name: l.Of, up: true}
-		case judge.Start:
-			if p := procs[l.PID]; p != nil {
-				if p.life = l.Life; l.T-first > int64(realStart) {
-					begin(l, "alive", &all.join)
-				}
-			}
-		case judge.Down:
-			if p := procs[l.PID]; p != nil {
-				p.up = false
-				for _, o := range waiting { // it will not learn any more
-					if delete(o.need, l.PID); len(o.need) == 0 && o.last > 0 {
-						*o.into = append(*o.into, time.Duration(o.last-o.at))
-						o.last = 0
-					}
-				}
-				if l.Why == "kill" {
-					begin(l, "dead", &all.crash)
-				}
-			}
-		case judge.Leaving:
-			begin(l, "left", &all.leave)
-		case judge.Member:
-			for _, o := range waiting {
-				if len(o.need) > 0 && o.need[l.PID] && o.name == l.Of && l.Life == o.life && (l.State == o.want || o.want == "dead" && l.State == "left") {
-					delete(o.need, l.PID)
-					if o.last = l.T; len(o.need) == 0 {
-						*o.into = append(*o.into, time.Duration(l.T-o.at))
-						o.last = 0
-					}
-				}
-			}
-		}
-	}
-	for _, o := range waiting {
-		if len(o.need) > 0 {
-			unknown++
-		}
-	}
-	return all, unknown
-}
-
 func realSizes(sizes []int, times int, seed uint64) error {
 	dir, err := os.MkdirTemp("", "peers")
 	if err != nil {
@@ -186,7 +102,7 @@
 		return nil, err
 	}
 	first := lines[0].T
-	all, unknown := followLines(lines, first+int64(cut))
+	all := judge.Follow(lines, first+int64(realStart), first+int64(cut))
 	heal := first + int64(cut+realCut)
 	settled := time.Duration(0)
 	datagrams, bytes, most, seconds := 0, 0, 0, 0
@@ -208,8 +124,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return []any{n, len(all.crash), at(all.crash, 0.5), at(all.crash, 0.99), at(all.crash, 1), at(all.leave, 0.5), at(all.leave, 1), at(all.join, 0.5), at(all.join, 1),
-		unknown, settled.Round(time.Millisecond), float64(datagrams) / float64(seconds), bytes / seconds, cpu(lines), cpu(alone), most}, nil
+	return []any{n, len(all.Crash), at(all.Crash, 0.5), at(all.Crash, 0.99), at(all.Crash, 1), at(all.Leave, 0.5), at(all.Leave, 1), at(all.Join, 0.5), at(all.Join, 1),
+		all.Unknown, settled.Round(time.Millisecond), float64(datagrams) / float64(seconds), bytes / seconds, cpu(lines), cpu(alone), most}, nil
 }
 
 // cpu is what a daemon uses at rest, in % of a core: the mean over all of them.
