--- a/internal/drill/hollow/held.go
+++ b/internal/drill/hollow/held.go
@@ -36,6 +36,8 @@
 	Crash, Join      time.Duration
 	Crashes, Joins   int // that all learnt
 	Unknown          int
+	// Each member's, at rest: how often it found that it had been paused, and how often it took another for a suspect.
+	Doubts, Suspicions float64
 }
 
 const (
@@ -110,7 +112,16 @@
 	type used struct{ from, to judge.Line }
 	by := map[string]*used{}
 	for _, l := range lines {
-		if l.What != judge.Sent || l.T <= from || l.T >= to {
+		if l.T <= from || l.T >= to {
+			continue
+		}
+		switch {
+		case l.What == judge.Doubt:
+			s.Doubts += 1 / float64(h.Members)
+		case l.What == judge.Member && l.State == "suspect":
+			s.Suspicions += 1 / float64(h.Members)
+		}
+		if l.What != judge.Sent {
 			continue
 		}
 		s.Datagrams += float64(l.Datagrams)
--- a/internal/drill/hollow/view_test.go
+++ b/internal/drill/hollow/view_test.go
@@ -65,3 +65,22 @@
 		t.Errorf("3,200 members take %d bytes, 800 take %d", large, small)
 	}
 }
+
+// A few whole members beside the played rest cost what they cost among whole ones.
+func TestAFewWholeMembersCostWhatTheyCostInAWholeFleet(t *testing.T) {
+	whole := rest(t, 60, 20*time.Millisecond, 1, 2)[1]
+	l, err := topology.New(topology.Spec{Members: 60, Regions: 5, Zones: 3, RTT: 20 * time.Millisecond, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	few, err := (&Few{Seed: 1, Layout: l, Members: 60, Whole: 4, Marks: []time.Duration{5 * time.Second}, Length: 65 * time.Second}).Play()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, r := range map[string]float64{"bytes out": few[1].Out.Bytes / whole.Out.Bytes, "messages out": few[1].Out.Messages / whole.Out.Messages,
+		"bytes in": few[1].In.Bytes / whole.In.Bytes} {
+		if r < 0.85 || r > 1.15 {
+			t.Errorf("%s: %.2f of a whole fleet's", name, r)
+		}
+	}
+}
--- a/internal/drill/virtual/load.go
+++ b/internal/drill/virtual/load.go
@@ -34,7 +34,10 @@
 
 // Load is what one daemon sent and took in a phase of the run. Datagrams that were lost on the way, or came to a
 // process that was not there, were sent and not taken.
-type Load struct{ Out, In Flow }
+type Load struct {
+	Out, In Flow
+	Told    uint64 // records that came with datagrams
+}
 
 // load is where a daemon's traffic at a time is counted.
 func (w *world) load(a *agent, at time.Duration) *Load {
--- a/internal/drill/virtual/virtual.go
+++ b/internal/drill/virtual/virtual.go
@@ -359,7 +359,11 @@
 			}
 			events = append(events, d.ev)
 			if d.size > 0 {
-				w.load(a, at).In.Add(at, d.size)
+				l := w.load(a, at)
+				l.In.Add(at, d.size)
+				if m, ok := d.ev.(view.Datagram); ok {
+					l.Told += uint64(len(m.Message.Updates))
+				}
 			}
 		}
 		a.events += uint64(max(1, len(events)))
--- a/tools/capacity/held.go
+++ b/tools/capacity/held.go
@@ -36,7 +36,7 @@
 		if out, err := exec.CommandContext(ctx, "go", "build", "-o", bin, "./cmd/vetchhaven").CombinedOutput(); err != nil {
 			return fmt.Errorf("build: %w\n%s", err, out)
 		}
-		bench.Head("members", "what", "datagrams/s", "bytes/s", "bytes of a datagram", "core", "crashes", "known by all, median", "joins", "known by all, median", "not known by all")
+		bench.Head("members", "what", "datagrams/s", "bytes/s", "bytes of a datagram", "core", "crashes", "known by all, median", "joins", "known by all, median", "not known by all", "suspicions of each at rest", "pauses of a second and more")
 		off := 0
 		for _, text := range strings.Split(sizes, ",") {
 			n, err := strconv.Atoi(text)
@@ -49,7 +49,7 @@
 				return err
 			}
 			for _, s := range sides {
-				bench.Row(n, s.Name, s.Datagrams, s.Bytes, s.EachBytes, fmt.Sprintf("%.3f%%", 100*s.Processor), s.Crashes, s.Crash, s.Joins, s.Join, s.Unknown)
+				bench.Row(n, s.Name, s.Datagrams, s.Bytes, s.EachBytes, fmt.Sprintf("%.3f%%", 100*s.Processor), s.Crashes, s.Crash, s.Joins, s.Join, s.Unknown, s.Suspicions, s.Doubts)
 			}
 			for _, s := range sides[1:] {
 				for _, q := range []struct {
--- a/tools/capacity/view.go
+++ b/tools/capacity/view.go
@@ -23,7 +23,7 @@
 	return measures("view", "The view of the fleet: bytes, messages, processor time and memory of an agent, with regions",
 		"At rest over sizes (one place, five regions 80 ms apart, five regions 20 to 250 ms apart), over round-trip times at one size; the\n"+
 			"ordinary day; a zone and a region that come back; the memory of one member; the figures of the issue.",
-		"100,300,1000", part{"issue", viewIssue}, part{"rest", viewRest}, part{"rounds", viewRounds}, part{"day", viewDay}, part{"worst", viewWorst}, part{"memory", viewMemory})
+		"100,300,1000", part{"issue", viewIssue}, part{"rest", viewRest}, part{"rounds", viewRounds}, part{"day", viewDay}, part{"worst", viewWorst}, part{"memory", viewMemory}, part{"few", viewFew})
 }
 
 const (
@@ -256,19 +256,86 @@
 // viewMemory is what one member holds, by itself: any size fits.
 func viewMemory(_ []int, f *flags) ([]slopes.Slope, error) {
 	if !f.toml {
-		bench.Head("members known", "heap of one view", "for each member")
+		bench.Head("members known", "heap of one view", "for each member", "on a stream, whole")
 	}
-	var points [][2]float64
+	var points, streams [][2]float64
 	for _, n := range []int{120, 1200, 12000} {
 		bytes, err := hollow.Memory(n)
 		if err != nil {
 			return nil, err
 		}
+		whole, err := hollow.Whole(n)
+		if err != nil {
+			return nil, err
+		}
 		if !f.toml {
-			bench.Row(n, fmt.Sprintf("%.2f MB", float64(bytes)/1e6), fmt.Sprintf("%d B", int(bytes)/n))
+			bench.Row(n, fmt.Sprintf("%.2f MB", float64(bytes)/1e6), fmt.Sprintf("%d B", int(bytes)/n), whole)
 		}
+		streams = append(streams, [2]float64{float64(n), float64(whole)})
 		points = append(points, [2]float64{float64(n), figures(float64(bytes))})
 	}
 	return []slopes.Slope{f.entry(slopes.Slope{Name: "view.memory.rest", Role: "agent", Load: "rest", Quantity: "memory", Unit: "B", Mechanism: "view", Variable: "agents",
-		Form: "linear", Points: points, Note: "heap of one whole view of so many members, whose records came off the wire; the default most is 10,000 members"}, "view --part memory")}, nil
+		Form: "linear", Points: points, Note: "heap of one whole view of so many members, whose records came off the wire; the default most is 10,000 members"}, "view --part memory"),
+		f.entry(slopes.Slope{Name: "view.state.join", Role: "agent", Load: "worst", Quantity: "state", Unit: "B", Mechanism: "view", Variable: "agents", Form: "linear", Points: streams,
+			Note: "a whole view on a stream: what a member that starts without one is sent by one other, whose streams are held to bytes_per_s (32 KB) in the mean"}, "view --part memory")}, nil
+}
+
+// viewFew is a few whole members of a large fleet whose rest is played: at rest, and on the ordinary day. How often each
+// hears of one event is measured in a whole fleet of the first size, and grows with the digits of the fleet's size, as
+// often as the view tells it.
+func viewFew(sizes []int, f *flags) ([]slopes.Slope, error) {
+	f.head()
+	const each, gap = 4, 15 * time.Second
+	copies, err := copiesOf(sizes[0], each, gap, f)
+	if err != nil {
+		return nil, err
+	}
+	note := fmt.Sprintf("four whole members beside the traffic of the rest, played; %s; what the rest concludes from them is not there; an event's news came %.1f times to each of %d", apart.name, copies, sizes[0])
+	rests, days := f.series("view", "rest", "agents", note), f.series("view", "day", "agents", note)
+	for _, n := range sizes {
+		began := time.Now()
+		l, err := apart.layout(n, f.seed)
+		if err != nil {
+			return nil, err
+		}
+		few := hollow.Few{Seed: f.seed, Layout: l, Members: n, Whole: 4, Marks: []time.Duration{settle}, Length: settle + 2*measure}
+		rest, err := few.Play()
+		if err != nil {
+			return nil, err
+		}
+		few.Events, few.News = 1/gap.Seconds(), 2*time.Second
+		few.Copies = copies * math.Log2(float64(n)) / math.Log2(float64(sizes[0]))
+		busy, err := few.Play()
+		if err != nil {
+			return nil, err
+		}
+		day := rest[1].Plus(rest[1], busy[1], (dayFailures+dayRestarts)*float64(n)/dayAgents/(24*3600)*gap.Seconds())
+		f.row(n, "at rest, four whole, "+apart.name, rest[1], began)
+		f.row(n, "an event each 15 s", busy[1], began)
+		f.row(n, "the day", day, began)
+		rests.add(float64(n), rest[1])
+		days.add(float64(n), day)
+	}
+	return append(rests.entries("few_rest", "view --part few", "log"), days.entries("few_day", "view --part few", "log")...), nil
+}
+
+// copiesOf is how many datagrams tell each member of one death, in a whole fleet.
+func copiesOf(n, each int, gap time.Duration, f *flags) (float64, error) {
+	l, err := apart.layout(n, f.seed)
+	if err != nil {
+		return 0, err
+	}
+	v := hollow.View{Seed: f.seed, Layout: l, Members: n, Marks: []time.Duration{settle}, Length: settle + time.Duration(each)*gap, Workers: f.workers}
+	for i := range each {
+		v.Events = append(v.Events, plan.Event{At: settle + time.Duration(i)*gap, Do: "kill", Who: []int{n - 1 - i}})
+	}
+	_, r, err := v.Play()
+	if err != nil {
+		return 0, err
+	}
+	told := uint64(0)
+	for _, x := range r.Loads {
+		told += x[1].Told
+	}
+	return float64(told) / float64(each) / float64(n), nil
 }
