--- a/internal/drill/virtual/load.go
+++ b/internal/drill/virtual/load.go
@@ -21,7 +21,8 @@
 	inSecond        uint64
 }
 
-func (f *Flow) add(at time.Duration, size int) {
+// Add counts a message.
+func (f *Flow) Add(at time.Duration, size int) {
 	if s := uint64(at / time.Second); s != f.Second {
 		f.Second, f.inSecond = s, 0
 	}
@@ -33,7 +34,10 @@
 
 // Load is what one daemon sent and took in a phase of the run. Datagrams that were lost on the way, or came to a
 // process that was not there, were sent and not taken.
-type Load struct{ Out, In Flow }
+type Load struct {
+	Out, In Flow
+	Told    uint64 // records that came with datagrams
+}
 
 // load is where a daemon's traffic at a time is counted.
 func (w *world) load(a *agent, at time.Duration) *Load {
@@ -46,14 +50,14 @@
 // written counts what a daemon sends, and is how large it is and what its receiver will read.
 func (w *world) written(a *agent, at time.Duration, size int, message any) (int, any) {
 	if w.o.Codec == nil {
-		w.load(a, at).Out.add(at, size)
+		w.load(a, at).Out.Add(at, size)
 		return size, message
 	}
 	data, err := w.o.Codec.Marshal(a.name, message)
 	if err != nil {
 		panic(fmt.Sprintf("virtual: %T that cannot be written: %v", message, err)) // members' own messages
 	}
-	w.load(a, at).Out.add(at, len(data))
+	w.load(a, at).Out.Add(at, len(data))
 	read, err := w.o.Codec.Unmarshal(data)
 	if err != nil {
 		panic(fmt.Sprintf("virtual: %T that cannot be read: %v", message, err))
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -31,5 +31,8 @@
 		listCommand(),
 		chainCommand(),
 		pathCommand(),
+		verdictsCommand(),
+		limitsCommand(),
+		heldCommand(),
 	}
 }
