Mend: behind idle clients that fill the gate a request waited 2 s for each roomful; EMFILE ended the agent

Where the gate is full, a connection on which no byte has come goes after 0.25 s; one whose first request has begun keeps its time. An accept that found no descriptor ended the agent; now it waits 50 ms and has a quiet client give one back. core: TestSilentOnesGoSoonWhereTheGateIsFull, TestNoDescriptorIsNoEnd; each fails without its lines, tried.

--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -38,6 +38,11 @@
 	// quietLeast is how long a connection without an open request is left alone at the least: a
 	// client may be about to send its first request on it.
 	quietLeast = 2 * time.Second
+	// silentLeast is the same for one that has sent no byte yet, where the gate is full: a request on a connection that
+	// nobody can take waits behind it.
+	silentLeast = 250 * time.Millisecond
+	// noSocketPause is waited after the system had no descriptor for a connection, unless one is free sooner.
+	noSocketPause = 50 * time.Millisecond
 	// HeadTime is what a client has from connecting, or from the first byte of a later request,
 	// until the head has come, and again for the body.
 	HeadTime = quietLeast + 200*time.Millisecond
@@ -48,7 +53,7 @@
 // place only while there is room. Past the mark, those that have been quiet for long are closed
 // for new ones. Where it is full all the same, one that has had an answer goes at once, since a
 // client that meets the close with a further request sends that again elsewhere; one that has yet
-// to send its first is left its time, and new ones wait in the kernel's queue.
+// to send its first byte is left silentLeast, and new ones wait in the kernel's queue.
 //
 // Clients have bounds of their own: those that ask once and keep each connection for good have none
 // left for the next request long before the gate is full. So no more than a quarter are kept
@@ -110,29 +115,28 @@
 
 var aLongTimeAgo = time.Unix(1, 0)
 
+// Accept waits for room, and for a connection.
 func (g *Gate) Accept() (net.Conn, error) {
-	for {
+	var nc net.Conn
+	for nc == nil {
 		wait := g.makeRoom(time.Now())
 		if wait == 0 {
-			break
-		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-g.freed:
-		case <-timer.C:
-		case <-g.done:
+			var err error
+			nc, err = g.Listener.Accept() // nobody else accepts: the room is still there
+			if err != nil && !noSocket(err) {
+				return nil, err
+			}
+			if err != nil { // others have taken them: a quiet client is the first to give one back
+				g.mu.Lock()
+				g.askQuietest(time.Now())
+				g.mu.Unlock()
+				wait = noSocketPause
+			}
 		}
-		timer.Stop()
-		select {
-		case <-g.done:
+		if nc == nil && !g.pause(wait) {
 			return nil, net.ErrClosed
-		default:
 		}
 	}
-	nc, err := g.Listener.Accept() // nobody else accepts: the room is still there
-	if err != nil {
-		return nil, err
-	}
 	stream, ok := nc.(streamConn)
 	if !ok {
 		_ = nc.Close()
@@ -146,6 +150,28 @@
 	return c, nil
 }
 
+// pause waits until a place is free, for so long at the most. It reports false where the gate is closed.
+func (g *Gate) pause(wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-g.freed:
+	case <-timer.C:
+	case <-g.done:
+	}
+	select {
+	case <-g.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// noSocket reports whether the process, or the system, had no descriptor or memory for a connection.
+func noSocket(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
 // makeRoom has what has been quiet for long enough end, down to the mark. It returns 0 if there
 // is room for one more, else how long to wait for it at the most.
 func (g *Gate) makeRoom(now time.Time) time.Duration {
@@ -162,8 +188,8 @@
 			g.ask(c)
 		}
 	}
-	if e := g.idle.Front(); e != nil && len(g.conns)-g.asked >= g.most {
-		g.ask(e.Value.(*clientConn))
+	if len(g.conns)-g.asked >= g.most {
+		wait = min(wait, g.askQuietest(now))
 	}
 	if len(g.conns) < g.most {
 		return 0
@@ -171,6 +197,27 @@
 	return wait
 }
 
+// askQuietest has one connection end for another: the one that has been idle longest, or else silent longest. It returns
+// how long to wait until there is a silent one to be asked. The lock is held.
+func (g *Gate) askQuietest(now time.Time) time.Duration {
+	if e := g.idle.Front(); e != nil {
+		g.ask(e.Value.(*clientConn))
+		return quietLeast
+	}
+	for e := g.fresh.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*clientConn)
+		if c.begun {
+			continue // its request has
+		}
+		if young := silentLeast - now.Sub(c.since); young > 0 {
+			return young
+		}
+		g.ask(c)
+		break
+	}
+	return quietLeast
+}
+
 // ask has a quiet connection's reader end it, by a read deadline that has passed. The gate closes none by itself: its
 // reader may have read a request by then, which would be lost. A reader that gets bytes all the same goes on with them.
 // The lock is held.
--- a/internal/core/gate_test.go
+++ b/internal/core/gate_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -306,3 +307,65 @@
 		t.Errorf("%d are kept that were quiet for long, fewer than %d should be", idle, g.kept)
 	}
 }
+
+// Where the gate is full, a connection that has sent nothing goes soon, so that one behind it is taken; one that has sent a
+// part of its first request is left its time.
+func TestSilentOnesGoSoonWhereTheGateIsFull(t *testing.T) {
+	g, conns := gateFor(t, 2, 2)
+	began, silent := g.fresh.Front().Value.(*clientConn), g.fresh.Back().Value.(*clientConn)
+	if _, err := conns[0].Write([]byte("G")); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := began.Read(make([]byte, 1)); n != 1 || err != nil {
+		t.Fatal(n, err)
+	}
+	if wait := g.makeRoom(silent.since.Add(silentLeast / 2)); wait > silentLeast/2 || g.asked != 0 {
+		t.Errorf("wait %v, %d are asked to end before their time", wait, g.asked)
+	}
+	g.makeRoom(silent.since.Add(silentLeast))
+	if began.asked || !silent.asked {
+		t.Errorf("asked: one whose request has begun %v, a silent one %v", began.asked, silent.asked)
+	}
+	if g.makeRoom(silent.since.Add(silentLeast)); g.asked != 1 {
+		t.Errorf("%d are asked to end for one place", g.asked)
+	}
+}
+
+// poor is a listener of a process that has no descriptor left until told.
+type poor struct {
+	net.Listener
+	asked, rich chan struct{}
+}
+
+func (p poor) Accept() (net.Conn, error) {
+	select {
+	case <-p.rich:
+		return p.Listener.Accept()
+	case p.asked <- struct{}{}:
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+}
+
+// A process that has no descriptor left goes on, and an idle client's is given back for the next one.
+func TestNoDescriptorIsNoEnd(t *testing.T) {
+	g, _ := gateFor(t, 8, 1)
+	kept := g.fresh.Front().Value.(*clientConn)
+	g.Busy(kept)
+	g.Idle(kept)
+	p := poor{g.Listener, make(chan struct{}), make(chan struct{})}
+	g.Listener = p
+	got := make(chan error, 1)
+	go func() { _, err := g.Accept(); got <- err }()
+	dialGate(t, g)
+	testkit.Receive(t, "accept", p.asked)
+	testkit.Receive(t, "accept again", p.asked)
+	g.mu.Lock()
+	if !kept.asked {
+		t.Error("the idle one was not asked to end")
+	}
+	g.mu.Unlock()
+	close(p.rich)
+	if err := testkit.Receive(t, "connection", got); err != nil {
+		t.Error(err)
+	}
+}
