--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -26,5 +26,10 @@
 func commands() []*cobra.Command {
 	return []*cobra.Command{
 		pageCommand(),
+		viewCommand(),
+		changesCommand(),
+		listCommand(),
+		chainCommand(),
+		pathCommand(),
 	}
 }
