Tests: LDAP clients that leave while their connection is not read have no attempt begun for them

A connection is not read while a bind waits (takeBind, for what is open before it and for its answer), nor while this agent stops. The look at a TCP state that both tests need stands in testkit.

--- a/internal/protocol/http1/disconnect_test.go
+++ b/internal/protocol/http1/disconnect_test.go
@@ -11,8 +11,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/source/catalog"
 	"vetchhaven/internal/testkit"
@@ -78,43 +76,12 @@
 // leave is how clients leave, by name. Each returns once their end is with the agent's system, where nothing that it
 // does not take stands before it.
 var leave = map[string]func(t *testing.T, c net.Conn){
-	"close": func(t *testing.T, c net.Conn) { halfClose(t, c); c.Close() },
+	"close": func(t *testing.T, c net.Conn) { testkit.HalfClose(t, c); c.Close() },
 	// Nobody can tell it from a close until an answer is written. It counts as one: see docs/design/crossings.md.
-	"half close": halfClose,
+	"half close": func(t *testing.T, c net.Conn) { testkit.HalfClose(t, c) },
 	"reset":      func(_ *testing.T, c net.Conn) { reset(c) },
 }
 
-// halfClose ends a client's sending, and returns once the other system has said that it knows.
-func halfClose(t *testing.T, c net.Conn) {
-	t.Helper()
-	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
-		t.Fatal(err)
-	}
-	testkit.WaitFor(t, "the end to be known", func() bool {
-		state := tcpState(t, c)
-		return state != established && state != finWait1
-	})
-}
-
-const established, finWait1 = 1, 4 // of Linux's states of TCP
-
-func tcpState(t *testing.T, c net.Conn) (state uint8) {
-	t.Helper()
-	raw, err := c.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if e := raw.Control(func(fd uintptr) {
-		var info *unix.TCPInfo
-		if info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			state = info.State
-		}
-	}); e != nil || err != nil {
-		t.Fatal(e, err)
-	}
-	return state
-}
-
 // leaving is an agent with one server that answers as its test says, and holds its first connections' dial and answers.
 type leaving struct {
 	*running
@@ -320,7 +287,7 @@
 		c := l.connect(t)
 		c.write(headOf("get", "half"))
 		testkit.WaitFor(t, "the request", func() bool { return l.Totals().Requests == 7 })
-		halfClose(t, c.c)
+		testkit.HalfClose(t, c.c)
 		if status, _ := c.answer(); status != http.StatusServiceUnavailable {
 			t.Errorf("%d", status)
 		}
@@ -338,7 +305,7 @@
 		c := l.connect(t)
 		c.write("POST /pay/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: half\r\nContent-Length: 0\r\n\r\n")
 		testkit.Receive(t, "request", l.server.seen)
-		halfClose(t, c.c)
+		testkit.HalfClose(t, c.c)
 		if status, _ := c.answer(); status != http.StatusBadGateway {
 			t.Errorf("%d", status)
 		}
--- /dev/null
+++ b/internal/protocol/ldap/disconnect_test.go
@@ -0,0 +1,71 @@
+package ldap
+
+import (
+	"testing"
+
+	"vetchhaven/internal/protocol/ldapmsg"
+	"vetchhaven/internal/standin/directory"
+	"vetchhaven/internal/testkit"
+)
+
+// A client's connection is not read while a bind of it waits, for what is open before it or for its answer, nor once
+// this agent stops. One that leaves then has no attempt begun for it all the same.
+func TestNoAttemptForAClientThatHasLeft(t *testing.T) {
+	bind, lookup := ldapmsg.SimpleBind(2, []byte("cn=admin"), []byte("secret-1")), rawSearch(1, 0)
+	for name, row := range map[string]struct {
+		sends []byte
+		open  int64
+		stops bool
+	}{
+		"a bind that is queued":                    {bind, 1, false},
+		"an operation before a bind that waits":    {append(append([]byte{}, lookup...), bind...), 1, false},
+		"an operation of an agent that is to stop": {lookup, 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const most = 6 // that one server may have at once, as the module has it at its start
+			d := dir(t, "one", directory.Options{})
+			hold, came := make(chan struct{}), make(chan directory.Op, 100)
+			d.Script(func(o directory.Op) directory.Fault {
+				if came <- o; o.Kind == "search" {
+					return directory.Fault{Stall: hold}
+				}
+				return directory.Fault{}
+			})
+			cfg := testConfig(t, d)
+			for i := range cfg.Settings.Classes {
+				cfg.Settings.Classes[i].Aim = cfg.Settings.Classes[i].Deadline // what waits, waits long
+			}
+			a := start(t, cfg, Options{})
+			others := make(chan error, most)
+			for range most {
+				c := a.dial(t)
+				go func() { _, err := c.Search(whole()); others <- err }()
+			}
+			for range most {
+				testkit.Receive(t, "search at the server", came)
+			}
+			c := a.raw(t)
+			if _, err := c.Write(row.sends); err != nil {
+				t.Fatal(err)
+			}
+			testkit.WaitFor(t, "the operation", func() bool { return a.Totals().Requests == most+row.open })
+			if row.stops {
+				a.stop()
+				testkit.WaitFor(t, "the stop", func() bool { a.p.mu.Lock(); defer a.p.mu.Unlock(); return a.p.draining })
+			}
+			testkit.HalfClose(t, c)
+			c.Close()
+			close(hold)
+			for range most {
+				if err := testkit.Receive(t, "answer", others); err != nil {
+					t.Error(err)
+				}
+			}
+			testkit.WaitFor(t, "its leaving, or an attempt", func() bool { return a.Totals().Gone >= 1 || len(came) > 0 })
+			if len(came) > 0 {
+				t.Errorf("%+v reached the server", <-came)
+			}
+		})
+	}
+}
