--- a/tools/capacity/changes.go
+++ b/tools/capacity/changes.go
@@ -273,7 +273,7 @@
 			}
 			return nil
 		}}
-	c.Flags().IntSliceVar(&sizes, "sizes", []int{10, 30, 100, 300, 1000, 3000}, "members")
+	c.Flags().IntSliceVar(&sizes, "sizes", []int{10, 30, 100, 300, 1000, 3000, 12000}, "members")
 	c.Flags().IntSliceVar(&texts, "texts", []int{512, 4096, 16384, 65536}, "bytes of a policy, of text")
 	c.Flags().StringSliceVar(&what, "what", []string{"even", "day", "minute", "rest", "text", "died", "cut", "size"}, "which")
 	c.Flags().Uint64Var(&seed, "seed", 1, "of chance")
@@ -370,16 +370,25 @@
 	return r, nil
 }
 
-// powerFrom is from how many members on what grows with their square is most of the leader's work.
-const powerFrom = 300
-
 // entry is one of a quantity in the subject of this run.
 func (m *measuring) entry(name, role, load, quantity, unit, variable, form, note string) slopes.Slope {
-	return slopes.Slope{Name: name, Role: role, Load: load, Quantity: quantity, Unit: unit, Mechanism: "policy", Variable: variable, Form: form, Command: m.command + m.what, Note: note}
+	return slopes.Slope{Name: name, Role: role, Load: load, Quantity: quantity, Unit: unit, Mechanism: "policy", Variable: variable, Form: form, Command: m.command + m.what + m.flags(), Note: note}
+}
+
+// flags are those that say which sizes were played.
+func (m *measuring) flags() string {
+	list := func(all []int) string { return strings.Trim(strings.Join(strings.Fields(fmt.Sprint(all)), ","), "[]") }
+	switch m.what {
+	case "size":
+		return ""
+	case "text":
+		return " --texts " + list(m.texts)
+	}
+	return " --sizes " + list(m.sizes)
 }
 
 // loads notes what member, leader and another voter do.
-func (m *measuring) loads(r *changed, when, variable string, size float64, note string, forms map[string]string) {
+func (m *measuring) loads(r *changed, when, variable string, size float64, note string) {
 	for _, who := range []struct {
 		role, name string
 		l          load
@@ -388,19 +397,16 @@
 			quantity, unit string
 			value          float64
 		}{{"messages_out", "1/s", who.l.messagesOut}, {"messages_in", "1/s", who.l.messagesIn}, {"bytes_out", "B/s", who.l.bytesOut}, {"bytes_in", "B/s", who.l.bytesIn}, {"cpu", "core", who.l.cpu}} {
-			form := cmp.Or(forms[who.name+"."+q.quantity], forms[who.name], "linear")
+			form := "power"
+			if who.name == "member" {
+				form = "constant"
+			}
 			n := note
 			if who.role == "voter" {
 				n = strings.TrimPrefix(note+"; "+map[string]string{"leader": "the voter that leads", "follower": "a voter that does not lead"}[who.name], "; ")
 			}
 			if q.quantity == "cpu" {
 				n = strings.TrimPrefix(n+"; module and encoding, without sockets", "; ")
-				if form == "power" {
-					if size < powerFrom {
-						continue
-					}
-					n += fmt.Sprintf("; it looks through the roster at each answer: from %d members on that is most of it", powerFrom)
-				}
 			}
 			m.note(m.entry(fmt.Sprintf("policy.%s.%s.%s", who.name, q.quantity, when), who.role, when, q.quantity, q.unit, variable, form, n), size, q.value)
 		}
@@ -430,13 +436,12 @@
 
 // day is the mean rate of the ordinary day.
 func (m *measuring) day(string) error {
-	forms := map[string]string{"member": "constant", "leader.cpu": "power", "follower.cpu": "linear"}
 	for _, n := range m.sizes {
 		r, err := m.run(changing{members: n, stops: true, every: perSecond(0.74), drawn: true, length: 126 * time.Second}, "0.74 a second, drawn")
 		if err != nil {
 			return err
 		}
-		m.loads(r, "day", "agents", float64(n), "0.74 changes a second, 512 bytes each", forms)
+		m.loads(r, "day", "agents", float64(n), "0.74 changes a second, 512 bytes each")
 		m.note(m.entry("policy.time.day", "agent", "day", "time", "s", "agents", "log", "99 in 100 of those that come into force"), float64(n), quantile(r.everywhere, 0.99))
 		m.note(m.entry("policy.time_p50.day", "agent", "day", "time_p50", "s", "agents", "log", ""), float64(n), quantile(r.everywhere, 0.5))
 		m.note(m.entry("policy.under_way.day", "voter", "day", "under_way", "s", "agents", "log", "one goes at a time: from the question to the first that serves by it, half of them"), float64(n), quantile(r.prepared, 0.5))
@@ -457,10 +462,10 @@
 		if err != nil {
 			return err
 		}
-		m.loads(r, "worst", "agents", float64(n), "7.4 changes a second, 512 bytes each", map[string]string{"member": "constant", "leader.cpu": "power"})
+		m.loads(r, "worst", "agents", float64(n), "7.4 changes a second, 512 bytes each")
 		m.note(m.entry("policy.time.worst", "agent", "worst", "time", "s", "agents", "log", "99 in 100 of those that come into force"), float64(n), quantile(r.everywhere, 0.99))
 		m.note(m.entry("policy.dropped.worst", "agent", "worst", "share_dropped", "share", "agents", "log", "share of changes that were dropped, on whole links"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
-		m.note(m.entry("policy.started.worst", "agent", "worst", "time_start", "s", "agents", "linear", "all start at once: until the last is in the roster and takes requests"), float64(n), r.started.Seconds())
+		m.note(m.entry("policy.started.worst", "agent", "worst", "time_start", "s", "agents", "table", "all start at once: until the last is in the roster and takes requests"), float64(n), r.started.Seconds())
 	}
 	return nil
 }
@@ -474,7 +479,7 @@
 				return err
 			}
 			if stops {
-				m.loads(r, "rest", "agents", float64(n), "no change, stops", map[string]string{"member": "constant"})
+				m.loads(r, "rest", "agents", float64(n), "no change, stops")
 			}
 		}
 	}
@@ -509,7 +514,7 @@
 				return err
 			}
 			mode := map[bool]string{true: "stops", false: "vetoes"}[stops]
-			m.note(m.entry("policy.dropped_"+mode+".died", "agent", "day", "share_dropped", "share", "agents", "table", "share of a minute's changes that were dropped; "+mode+", one machine dies and stays away"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
+			m.note(m.entry("policy.dropped_"+mode+".died", "agent", "day", "share_dropped_died", "share", "agents", "table", "share of a minute's changes that were dropped; "+mode+", one machine dies and stays away"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
 			if stops {
 				m.note(m.entry("policy.time.died", "agent", "day", "time", "s", "agents", "log", "the slowest change where a machine dies, stops"), float64(n), quantile(r.everywhere, 1))
 			}
@@ -537,9 +542,9 @@
 			}
 			mode := map[bool]string{true: "stops", false: "vetoes"}[stops]
 			if stops {
-				m.note(m.entry("policy.time_regions.day", "agent", "day", "time_regions", "s", "agents", "power", "99 in 100, five regions, 40 ms one way between any two"), float64(n), quantile(whole.everywhere, 0.99))
+				m.note(m.entry("policy.time_regions.day", "agent", "day", "time_regions", "s", "agents", "log", "99 in 100, five regions, 40 ms one way between any two"), float64(n), quantile(whole.everywhere, 0.99))
 			}
-			m.note(m.entry("policy.dropped_"+mode+".cut", "agent", "worst", "share_dropped", "share", "agents", "table", "share of a minute's changes that were dropped, one region of five cut off for 20 s; "+mode), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
+			m.note(m.entry("policy.dropped_"+mode+".cut", "agent", "worst", "share_dropped_cut", "share", "agents", "table", "share of a minute's changes that were dropped, one region of five cut off for 20 s; "+mode), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
 			m.note(m.entry("policy.turned_away_"+mode+".cut", "agent", "worst", "share_turned_away", "share", "agents", "table", "share of requests turned away in the region that is cut off for 20 s; "+mode), float64(n), float64(r.turned)/float64(max(1, r.turned+r.serving)))
 		}
 	}
--- a/tools/capacity/page/tables.go
+++ b/tools/capacity/page/tables.go
@@ -15,7 +15,7 @@
 const Far = 4
 
 // Tables are docs/CAPACITY.md's, by name: one for each role, what breaks as the size grows, and the runs behind them. Of
-// each load, mechanism and quantity they have what is greatest at the size aimed at, of what is asked for or bounded; with
+// each load, mechanism and quantity they have what is greatest at the size aimed at, of what is asked for or bounded (of path and chain all); with
 // full there is everything.
 func Tables(s *Size, all []slopes.Slope, full bool) map[string]string {
 	p := &printer{size: s, all: all, full: full, used: map[int]bool{}}
@@ -128,6 +128,9 @@
 // governs reports whether an entry is asked for or bounded, and the greatest of its kind at the size aimed at; same: of
 // those that grow with the same.
 func (p *printer) governs(e *slopes.Slope, same bool) bool {
+	if e.Role == "path" || e.Role == "chain" { // cases beside one another, not mechanisms that add up
+		return true
+	}
 	wanted := slices.ContainsFunc(p.size.Asked, func(a Asked) bool {
 		return a.Role == e.Role && slices.Contains(a.Quantities, e.Quantity) && slices.Contains(a.Mechanisms, e.Mechanism)
 	}) || slices.ContainsFunc(p.size.Bound, func(b Bound) bool { return b.of(e) })
