Capacity: what was measured at the size counts, the worst minute of changes, an operator's tools

Where the size aimed at was measured itself the page has that figure and not the curve's: the share of changes dropped in the worst minute came out as 110% by its logarithm, and was measured as 96%.

--- a/tools/capacity/changes.go
+++ b/tools/capacity/changes.go
@@ -445,7 +445,7 @@
 		m.note(m.entry("policy.time.day", "agent", "day", "time", "s", "agents", "log", "99 in 100 of those that come into force"), float64(n), quantile(r.everywhere, 0.99))
 		m.note(m.entry("policy.time_p50.day", "agent", "day", "time_p50", "s", "agents", "log", ""), float64(n), quantile(r.everywhere, 0.5))
 		m.note(m.entry("policy.under_way.day", "voter", "day", "under_way", "s", "agents", "log", "one goes at a time: from the question to the first that serves by it, half of them"), float64(n), quantile(r.prepared, 0.5))
-		m.note(m.entry("policy.dropped.day", "agent", "day", "share_dropped", "share", "agents", "log", "share of changes that were dropped, on whole links"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
+		m.note(m.entry("policy.dropped.day", "agent", "day", "share_dropped", "share", "agents", "steps", "share of changes that were dropped, on whole links"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
 		m.note(m.entry("policy.leader.state", "voter", "rest", "state", "B", "agents", "linear", "on the disk: roster, the last 16 policies of 512 bytes, the last 256 changes, the log"), float64(n), r.leader.disk)
 		m.note(m.entry("policy.member.state", "agent", "rest", "state", "B", "agents", "constant", "on the disk, with a policy of 512 bytes"), float64(n), r.member.disk)
 		m.note(m.entry("policy.member.memory", "agent", "rest", "memory", "B", "agents", "steps", "heap of the whole play for each member, its disk and what it has in the queue of the play too; the largest fleet counts"), float64(n), r.heap)
@@ -464,7 +464,7 @@
 		}
 		m.loads(r, "worst", "agents", float64(n), "7.4 changes a second, 512 bytes each")
 		m.note(m.entry("policy.time.worst", "agent", "worst", "time", "s", "agents", "log", "99 in 100 of those that come into force"), float64(n), quantile(r.everywhere, 0.99))
-		m.note(m.entry("policy.dropped.worst", "agent", "worst", "share_dropped", "share", "agents", "log", "share of changes that were dropped, on whole links"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
+		m.note(m.entry("policy.dropped.worst", "agent", "worst", "share_dropped", "share", "agents", "steps", "share of changes that were dropped, on whole links"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
 		m.note(m.entry("policy.started.worst", "agent", "worst", "time_start", "s", "agents", "table", "all start at once: until the last is in the roster and takes requests"), float64(n), r.started.Seconds())
 	}
 	return nil
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -29,6 +29,7 @@
 		viewCommand(),
 		changesCommand(),
 		listCommand(),
+		operatorCommand(),
 		chainCommand(),
 		pathCommand(),
 		verdictsCommand(),
--- /dev/null
+++ b/tools/capacity/operator.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"vetchhaven/internal/host/fleet"
+	"vetchhaven/internal/peer/carrier"
+	"vetchhaven/internal/peer/policy"
+	"vetchhaven/tools/capacity/slopes"
+)
+
+// shownView is what `fleet view --json` is told by a daemon that knows n members.
+func shownView(n int) *carrier.Shown {
+	s := &carrier.Shown{Fleet: fleetName, Name: "host-00000", Addr: "10.0.0.1:7946", Boot: 1764633600, Life: "00f1e2d3c4b5a697", State: "in", Digest: "0123456789abcdef", UpS: 86400.123,
+		Count: carrier.ShownCount{Most: n, Least: n, Members: n, Live: n}}
+	for i := range n {
+		s.Members = append(s.Members, carrier.ShownOne{Name: fmt.Sprintf("host-%05d", i), Addr: fmt.Sprintf("10.%d.%d.%d:7946", i>>16&255, i>>8&255, i&255), Zone: fmt.Sprintf("zone-%02d", i%15),
+			Program: "0.8.0", State: "alive", SinceS: 86400.123, Boot: 1764633600, Life: fmt.Sprintf("%016x", uint64(i)*0x9e3779b97f4a7c15), Inc: 1, Instances: 1, Balancers: 1})
+	}
+	return s
+}
+
+// shownPolicy is what `policy show --json` is told by a voter of n members.
+func shownPolicy(n int) *fleet.ShownPolicy {
+	s := &fleet.ShownPolicy{Shown: policy.Shown{Name: "host-00000", Serving: "by the policy in force", Voters: []string{"host-00000", "host-00001", "host-00002"}, Leader: "host-00001"}, Body: policyOf(100)}
+	for i := range n {
+		s.Roster = append(s.Roster, fmt.Sprintf("host-%05d", i))
+	}
+	return s
+}
+
+// read is the size of a JSON document, and the processor time to read it.
+func read[T any](v *T) (size int, took time.Duration, err error) {
+	data, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return 0, 0, err
+	}
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	var all []time.Duration
+	for range 5 {
+		began := threadTime()
+		if err := json.NewDecoder(bytes.NewReader(data)).Decode(new(T)); err != nil {
+			return 0, 0, err
+		}
+		all = append(all, threadTime()-began)
+	}
+	slices.Sort(all)
+	return len(data) + 1, all[2], nil
+}
+
+// operatorCommand measures what an operator's own tools are told.
+func operatorCommand() *cobra.Command {
+	var (
+		sizes   []int
+		asTOML  bool
+		seed    uint64
+		machine string
+	)
+	c := &cobra.Command{Use: "operator", Short: "What an operator's tools are told, by the size of the fleet", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			b := book{command: "go run ./tools/capacity operator", machine: machine}
+			out := table{c.OutOrStdout()}
+			if asTOML {
+				out.to = c.ErrOrStderr()
+			}
+			out.head("members", "fleet view --json, bytes", "read in", "policy show --json at a voter, bytes", "read in")
+			for _, n := range sizes {
+				vs, vt, err := read(shownView(n))
+				if err != nil {
+					return err
+				}
+				ps, pt, err := read(shownPolicy(n))
+				if err != nil {
+					return err
+				}
+				out.row(n, vs, vt, ps, pt)
+				for _, e := range []struct {
+					mechanism, quantity, unit, note string
+					value                           float64
+				}{
+					{"view", "bytes_in", "B", "each time that fleet view is asked", float64(vs)},
+					{"view", "time", "ms", "processor time to read it", float64(vt) / 1e6},
+					{"policy", "bytes_in", "B", "each time that policy show is asked at a voter, with a policy of 100 services", float64(ps)},
+					{"policy", "time", "ms", "processor time to read it", float64(pt) / 1e6},
+				} {
+					b.note(slopes.Slope{Name: "operator." + e.mechanism + "." + e.quantity, Role: "operator", Load: "rest", Quantity: e.quantity, Unit: e.unit, Mechanism: e.mechanism, Variable: "agents",
+						Form: "linear", Command: b.command, Note: e.note}, float64(n), e.value)
+				}
+			}
+			if asTOML {
+				return slopes.Write(c.OutOrStdout(), b.all()...)
+			}
+			return nil
+		}}
+	c.Flags().IntSliceVar(&sizes, "sizes", []int{12, 120, 1200, 12000}, "members")
+	c.Flags().Uint64Var(&seed, "seed", 1, "unused: nothing here is by chance")
+	c.Flags().BoolVar(&asTOML, "toml", false, "entries of docs/capacity/slopes.toml")
+	c.Flags().StringVar(&machine, "machine", machineName(), "for the entries")
+	return c
+}
--- a/tools/capacity/page/page_test.go
+++ b/tools/capacity/page/page_test.go
@@ -130,6 +130,14 @@
 	has(t, got["agent"], "| 4.0 |")
 }
 
+// Where the size aimed at was measured itself, that counts, and not the curve.
+func TestWhatWasMeasuredAtTheSizeCounts(t *testing.T) {
+	got := tables(t, slope(func(s *slopes.Slope) { s.Points = append(s.Points, [2]float64{12000, 5000}) }))
+	has(t, got["agent"], "| 5 KB/s, measured |", "| within |", "| yes |")
+	has(t, got["agent"], "all together", "| 5 KB/s |", "| yes |")
+	has(t, got["breaks"], "| 1 | bytes |", "| 5 KB/s |", "| yes |")
+}
+
 // What a load has no figure of counts as it is at rest; of two entries of one quantity the greater counts.
 func TestABoundOnASumTakesTheGreatestOfEachMechanism(t *testing.T) {
 	flat := func(name, load, quantity, mechanism string, value float64) slopes.Slope {
--- a/tools/capacity/page/tables.go
+++ b/tools/capacity/page/tables.go
@@ -153,7 +153,18 @@
 
 // aimed is an entry's value at the size aimed at.
 func (p *printer) aimed(e *slopes.Slope) float64 {
-	return e.Fit().Value(p.size.variable(e.Variable).at(e.Load))
+	value, _ := at(e, e.Fit(), p.size.variable(e.Variable).at(e.Load))
+	return value
+}
+
+// at is an entry's value at a size: what was measured there, or the curve's.
+func at(e *slopes.Slope, f slopes.Fit, x float64) (value float64, measured bool) {
+	for _, p := range e.Points {
+		if p[0] == x {
+			return p[1], true
+		}
+	}
+	return f.Value(x), false
 }
 
 // missing are the quantities of which a role has no entry.
@@ -177,20 +188,23 @@
 func (p *printer) entry(t *grid, e *slopes.Slope) {
 	v := p.size.variable(e.Variable)
 	f, x := e.Fit(), v.at(e.Load)
-	value := f.Value(x)
+	value, measured := at(e, f, x)
 	low, high := e.Range()
 	over := fmt.Sprintf("%s to %s %s", count(low), count(high), v.Words)
 	if low == high {
 		over = fmt.Sprintf("%s %s", count(low), v.Words)
 	}
-	at, beyond := unit(value, e.Unit), "within"
+	there, beyond := unit(value, e.Unit), "within"
+	if measured {
+		there += ", measured"
+	}
 	if x > high {
 		beyond = fmt.Sprintf("%.1f", x/high)
 		if x/high > Far {
 			beyond = "**" + beyond + "**"
 		}
 		if e.Form == "table" {
-			at = "not extrapolated; " + unit(f.Value(high), e.Unit) + " at " + count(high)
+			there = "not extrapolated; " + unit(f.Value(high), e.Unit) + " at " + count(high)
 		}
 	} else if x < low {
 		beyond = "below"
@@ -215,7 +229,7 @@
 	if e.Note != "" {
 		figure += ": " + e.Note
 	}
-	t.row(loads[e.Load], figure, e.Mechanism, formula(e, f, v), at, residual, over, beyond, bound, kept, p.number(e))
+	t.row(loads[e.Load], figure, e.Mechanism, formula(e, f, v), there, residual, over, beyond, bound, kept, p.number(e))
 }
 
 func met(ok bool) string {
@@ -262,7 +276,8 @@
 	if grows {
 		x *= share
 	}
-	return p.fit.Value(x) * p.by
+	value, _ := at(p.e, p.fit, x)
+	return value * p.by
 }
 
 // parts are what a bound on a sum holds for: of each mechanism and quantity the greatest figure, of the load itself, or
@@ -352,7 +367,7 @@
 					v := p.size.variable(top.e.Variable)
 					at = fmt.Sprintf("at any size, with %s %s", count(v.at(top.as)), v.Words)
 				}
-				all = append(all, crossing{share, []any{b.Name, loads[load], names(parts) + "; most: `" + top.e.Name + "`", at, unit(total(parts, 1), b.Unit), unit(b.Most, b.Unit), met(share > 1)}})
+				all = append(all, crossing{share, []any{b.Name, loads[load], names(parts) + "; most: `" + top.e.Name + "`", at, unit(total(parts, 1), b.Unit), unit(b.Most, b.Unit), met(total(parts, 1) <= b.Most)}})
 			}
 			for j := range p.all {
 				e := &p.all[j]
@@ -372,7 +387,7 @@
 				if b.Sum && share > 1 {
 					continue
 				}
-				all = append(all, crossing{share, []any{b.Name, loads[load], e.Mechanism + " `" + e.Name + "`", where(share, aim, v.Words, e.Points[0][0]), unit(f.Value(aim)*by, b.Unit), unit(b.Most, b.Unit), met(share > 1)}})
+				all = append(all, crossing{share, []any{b.Name, loads[load], e.Mechanism + " `" + e.Name + "`", where(share, aim, v.Words, e.Points[0][0]), unit(p.aimed(e)*by, b.Unit), unit(b.Most, b.Unit), met(p.aimed(e)*by <= b.Most)}})
 			}
 		}
 	}
