View: near members probe one another, a few watch each far region, and a lost region is one word

Need: all that daemons tell one another was told to all, however far. A region cut off was accused member by member for minutes, and one that was cut off alone, or with a few, doubted itself so much that it held the others for alive for longer than ten seconds (100 daemons, 20 cut off: 360 of 29,700 beliefs wrong).

- region in a record (CBOR key 15) and in [peers].
Without any, all stand in one, and nothing of this acts.
- Inside its region a member probes, accuses and tells as in a fleet of that size; every second probe goes through its own zone.
Of other regions it takes the word: a suspicion does not cross, deaths are found by those near.
- Three watchers of a region for each other one, by rank of a hash over those alive, probe it, tell it twice each what is new in their own, and compare digests. far_bytes_per_s bounds what crosses.
- Where none of them reaches a region, directly or through a third one, they say so in their own records (key 16), and all of their region show its members as dead.
No record changes, nobody is accused, Most stays, Least falls; it ends with the first answer.
A watcher that is new has 6 s before its silence about it counts as an answer.
- Nobody heard at all for 20 periods, and at least twice suspect_least and direct and indirect: all others are shown as dead, again without a word.
Three of the last four probes missed, and the process itself on time: its waits are not stretched by its doubts, and ten more probes a period go out.

TestCountFallsByWordAlone holds Count.Live in place of the list of records: one that hears nobody buries nobody now.

--- a/internal/drill/judge/line.go
+++ b/internal/drill/judge/line.go
@@ -17,11 +17,12 @@
 	PID  int    `json:"pid,omitempty"`  // of the process it is about, or that says it
 	What string `json:"what"`
 
-	Of   string `json:"of,omitempty"` // the member, of a daemon's line; the daemon, of the drill's
-	Addr string `json:"addr,omitempty"`
-	Life string `json:"life,omitempty"` // of Of
-	Boot uint64 `json:"boot,omitempty"`
-	Inc  uint32 `json:"inc,omitempty"`
+	Region string `json:"region,omitempty"` // in which the daemon of Up stands
+	Of     string `json:"of,omitempty"`     // the member, of a daemon's line; the daemon, of the drill's
+	Addr   string `json:"addr,omitempty"`
+	Life   string `json:"life,omitempty"` // of Of
+	Boot   uint64 `json:"boot,omitempty"`
+	Inc    uint32 `json:"inc,omitempty"`
 
 	State string `json:"state,omitempty"`
 	Was   string `json:"was,omitempty"`
@@ -38,9 +39,10 @@
 	PauseMS   int64 `json:"pause_ms,omitempty"`
 	Health    int   `json:"health,omitempty"`
 
-	From string  `json:"from,omitempty"` // of a link
-	To   string  `json:"to,omitempty"`
-	Drop float64 `json:"drop,omitempty"`
+	From  string  `json:"from,omitempty"` // of a link
+	To    string  `json:"to,omitempty"`
+	Drop  float64 `json:"drop,omitempty"`
+	WayUS int64   `json:"way_us,omitempty"` // microseconds that the link adds, one way
 	// Rough: the link also doubles, reorders, damages, slows or breaks.
 	Rough bool `json:"rough,omitempty"`
 
@@ -50,6 +52,7 @@
 	Failed    int `json:"failed,omitempty"`
 	Datagrams int `json:"datagrams,omitempty"`
 	Bytes     int `json:"bytes,omitempty"`
+	Far       int `json:"far,omitempty"`      // of Bytes, to other regions
 	Streamed  int `json:"streamed,omitempty"` // bytes on streams
 	CPUMS     int `json:"cpu_ms,omitempty"`   // that the process has used since it started
 
--- a/internal/host/fleet/peers.go
+++ b/internal/host/fleet/peers.go
@@ -19,13 +19,13 @@
 
 // Peers are how the daemon stands among others; nil: it stands alone.
 type Peers struct {
-	Fleet, Name, Zone string
-	Listen            string // udp and tcp
-	Advertise         string
-	Seeds             []string
-	Events            string // a file; empty: none
-	View              view.Settings
-	Verdicts          *verdicts.Settings // nil: what members know of servers is not shared
+	Fleet, Name, Zone, Region string
+	Listen                    string // udp and tcp
+	Advertise                 string
+	Seeds                     []string
+	Events                    string // a file; empty: none
+	View                      view.Settings
+	Verdicts                  *verdicts.Settings // nil: what members know of servers is not shared
 }
 
 // peers is [peers] in the file.
@@ -36,6 +36,7 @@
 	Advertise    string
 	Seeds        []string
 	Zone         string
+	Region       string
 	Events       string
 	Every        tomlfile.Duration
 	Direct       tomlfile.Duration
@@ -43,6 +44,7 @@
 	SuspectLeast tomlfile.Duration `toml:"suspect_least"`
 	Retry        tomlfile.Duration
 	BytesPerS    int `toml:"bytes_per_s"`
+	FarBytesPerS int `toml:"far_bytes_per_s"`
 	Members      int
 	sharedPeers
 }
@@ -54,7 +56,7 @@
 	}
 	in := f.Peers
 	at := func(field string) string { return "peers." + field }
-	p := &Peers{Fleet: in.Fleet, Name: in.Name, Zone: in.Zone, Listen: in.Listen, Advertise: in.Advertise, Seeds: in.Seeds, Events: in.Events}
+	p := &Peers{Fleet: in.Fleet, Name: in.Name, Zone: in.Zone, Region: in.Region, Listen: in.Listen, Advertise: in.Advertise, Seeds: in.Seeds, Events: in.Events}
 	if !view.ValidFleet(p.Fleet) {
 		c.fail(at("fleet"), "%q: 1 to 32 printable characters without spaces are allowed", p.Fleet)
 	}
@@ -82,7 +84,7 @@
 		}
 		return v
 	}
-	s := view.Settings{Name: p.Name, Addr: p.Advertise, Zone: p.Zone, Seeds: p.Seeds, Bytes: in.BytesPerS, Members: in.Members,
+	s := view.Settings{Name: p.Name, Addr: p.Advertise, Zone: p.Zone, Region: p.Region, Seeds: p.Seeds, Bytes: in.BytesPerS, FarBytes: in.FarBytesPerS, Members: in.Members,
 		Every:        limit("every", in.Every, 20*time.Millisecond, 10*time.Second, view.Every),
 		Direct:       limit("direct", in.Direct, 5*time.Millisecond, 10*time.Second, view.Direct),
 		Indirect:     limit("indirect", in.Indirect, 5*time.Millisecond, 10*time.Second, view.Indirect),
@@ -91,6 +93,9 @@
 	if in.BytesPerS < 0 || in.BytesPerS > 0 && in.BytesPerS < 4096 {
 		c.fail(at("bytes_per_s"), "%d: at least 4096 are needed", in.BytesPerS)
 	}
+	if in.FarBytesPerS < 0 || in.FarBytesPerS > 0 && in.FarBytesPerS < 4096 {
+		c.fail(at("far_bytes_per_s"), "%d: at least 4096 are needed", in.FarBytesPerS)
+	}
 	if in.Members < 0 || in.Members > 100_000 {
 		c.fail(at("members"), "%d: up to 100000 are allowed", in.Members)
 	}
--- a/internal/peer/carrier/carrier.go
+++ b/internal/peer/carrier/carrier.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -303,9 +304,22 @@
 // say logs what an operator would know: changes, each once.
 func (c *Carrier) say(a view.Action) {
 	switch a := a.(type) {
+	case view.Reached:
+		if a.Away {
+			c.log.Warn("fleet: region "+strconv.Quote(a.Region)+" is not reached; nothing of its members is known until it is", "members", a.Members)
+		} else {
+			c.log.Info("fleet: region "+strconv.Quote(a.Region)+" is reached again", "members", a.Members)
+		}
+	case view.Alone:
+		if a.Over {
+			c.log.Info("fleet: others are heard again", "members", a.Members)
+		} else {
+			c.log.Warn("fleet: nobody is heard any more; this process serves on, and all others count as silent", "members", a.Members)
+		}
 	case view.Changed:
 		r := &a.Record
 		switch {
+		case a.Why == view.WhyAway, a.Why == view.WhyBack: // said in one line for all of them
 		case r.State == view.Suspect, r.State == view.Alive && a.Was == view.Suspect && !a.New:
 		default:
 			c.log.Info("fleet: "+r.Name+" is "+r.State.String(), "addr", r.Addr, "zone", r.Zone, "was", a.Was.String(), "by", r.By, "why", a.Why)
@@ -348,7 +362,7 @@
 }
 
 func (c *Carrier) saved() *Saved {
-	return &Saved{Boot: c.v.Own().Boot, Records: c.v.Members(), At: time.Now().UnixMilli()}
+	return &Saved{Boot: c.v.Own().Boot, Records: c.v.Records(), At: time.Now().UnixMilli()}
 }
 
 // hear reads datagrams until the socket is closed.
--- a/internal/peer/carrier/show.go
+++ b/internal/peer/carrier/show.go
@@ -8,19 +8,21 @@
 
 // Shown is a member's view, for people and programs.
 type Shown struct {
-	Fleet     string       `json:"fleet"`
-	Name      string       `json:"name"`
-	Addr      string       `json:"addr"`
-	Boot      uint64       `json:"boot"`
-	Life      string       `json:"life"`
-	State     string       `json:"state"` // in, looking (for the fleet), or standing back
-	Digest    string       `json:"digest"`
-	Health    int          `json:"health"` // 0: it hears all that it should
-	UpS       float64      `json:"up_s"`
-	Count     ShownCount   `json:"count"`
-	Traffic   ShownTraffic `json:"traffic"`
-	Members   []ShownOne   `json:"members"`
-	SaveFails bool         `json:"save_fails,omitempty"`
+	Fleet     string        `json:"fleet"`
+	Name      string        `json:"name"`
+	Addr      string        `json:"addr"`
+	Boot      uint64        `json:"boot"`
+	Life      string        `json:"life"`
+	State     string        `json:"state"` // in, looking (for the fleet), or standing back
+	Digest    string        `json:"digest"`
+	Health    int           `json:"health"` // 0: it hears all that it should
+	UpS       float64       `json:"up_s"`
+	Count     ShownCount    `json:"count"`
+	Traffic   ShownTraffic  `json:"traffic"`
+	Regions   []ShownRegion `json:"regions,omitempty"` // where there are several
+	Alone     bool          `json:"alone,omitempty"`   // nobody is heard
+	Members   []ShownOne    `json:"members"`
+	SaveFails bool          `json:"save_fails,omitempty"`
 }
 
 // ShownCount is what the daemon's instances are told of the fleet's size.
@@ -41,6 +43,8 @@
 	Exchanges     uint64  `json:"exchanges"`
 	ExchangeBytes uint64  `json:"exchange_bytes"`
 	Heard         uint64  `json:"heard"`
+	FarBytes      uint64  `json:"far_bytes"` // of all bytes, to other regions
+	FarRate       float64 `json:"far_bytes_s"`
 	Held          uint64  `json:"held_back"` // for the budget
 	Stale         uint64  `json:"stale"`
 	Dropped       uint64  `json:"dropped"` // since this process did not keep up
@@ -55,11 +59,24 @@
 	PolicyUnsent   uint64 `json:"policy_unsent"`
 }
 
+// ShownRegion is a region as it is seen from here.
+type ShownRegion struct {
+	Name     string   `json:"name"`
+	Members  int      `json:"members"` // alive or suspect by their records
+	Silent   int      `json:"silent"`  // dead by them
+	Own      bool     `json:"own,omitempty"`
+	Away     bool     `json:"not_reached,omitempty"` // by none of the watchers
+	SinceS   float64  `json:"since_s,omitempty"`     // seconds of that
+	Watchers []string `json:"watchers,omitempty"`
+	WayMS    float64  `json:"way_ms,omitempty"` // there and back, as this member has measured it
+}
+
 // ShownOne is one member.
 type ShownOne struct {
 	Name      string  `json:"name"`
 	Addr      string  `json:"addr"`
 	Zone      string  `json:"zone,omitempty"`
+	Region    string  `json:"region,omitempty"`
 	Program   string  `json:"program,omitempty"`
 	State     string  `json:"state"`
 	SinceS    float64 `json:"since_s"` // seconds in that state, as seen here
@@ -86,9 +103,14 @@
 		n := v.Count()
 		s.Count = ShownCount{n.Most, n.Least, n.Members, n.Live, n.File}
 		s.Traffic = ShownTraffic{Datagrams: t.Datagrams, Bytes: t.Bytes, DatagramsRate: float64(t.Datagrams) / up, BytesRate: float64(t.Bytes) / up,
-			Exchanges: t.Exchanges, ExchangeBytes: t.ExchangeBytes, Heard: t.Heard, Held: t.Held, Stale: t.Stale, Dropped: c.dropped.Load(),
+			Exchanges: t.Exchanges, ExchangeBytes: t.ExchangeBytes, Heard: t.Heard, FarBytes: t.FarBytes + t.FarExchangeBytes, FarRate: float64(t.FarBytes+t.FarExchangeBytes) / up, Held: t.Held, Stale: t.Stale, Dropped: c.dropped.Load(),
 			Damaged: c.damaged.Load(), Foreign: c.foreign.Load(), OtherFormat: c.formats.Load(), Huge: c.huge.Load(), Odd: c.odd.Load(),
 			PolicyMessages: c.agreeing.sent, PolicyBytes: c.agreeing.bytes, PolicyUnsent: c.agreeing.lost}
+		for _, r := range v.Regions() {
+			s.Regions = append(s.Regions, ShownRegion{r.Name, r.Members, r.Silent, r.Own, r.Away, r.Since.Round(time.Millisecond).Seconds(), r.Watchers,
+				float64(r.Way.Microseconds()) / 1000})
+		}
+		s.Alone = v.Alone()
 		for _, r := range v.Members() {
 			s.Members = append(s.Members, shownOne(r, c.now()-v.Since(r.Name)))
 		}
@@ -98,6 +120,6 @@
 }
 
 func shownOne(r view.Record, since time.Duration) ShownOne {
-	return ShownOne{Name: r.Name, Addr: r.Addr, Zone: r.Zone, Program: r.Program, State: r.State.String(), SinceS: since.Round(time.Millisecond).Seconds(),
+	return ShownOne{Name: r.Name, Addr: r.Addr, Zone: r.Zone, Region: r.Region, Program: r.Program, State: r.State.String(), SinceS: since.Round(time.Millisecond).Seconds(),
 		By: r.By, Boot: r.Boot, Life: hex(r.Life), Inc: r.Inc, Instances: r.Instances, Balancers: r.Balancers}
 }
--- a/internal/peer/view/count.go
+++ b/internal/peer/view/count.go
@@ -19,6 +19,7 @@
 type counter struct {
 	file        int
 	most, least int
+	hidden      int // members alive or suspect that can't be reached
 	told        Count
 	at          time.Duration // the next part of a change is due; 0: none is
 	began       bool
@@ -35,9 +36,12 @@
 	if m.State < Left {
 		c.most += sign * int(m.Balancers)
 	}
-	if m.State == Alive {
+	if m.shown() == Alive {
 		c.least += sign * int(m.Balancers)
 	}
+	if m.shown() != m.State {
+		c.hidden += sign
+	}
 }
 
 func (c *counter) start(v *View) {
@@ -58,7 +62,7 @@
 	if !c.began {
 		return
 	}
-	want := Count{Most: max(c.most, 1), Least: max(c.least, 1), Members: len(v.live) + len(v.silent) + 1, Live: len(v.live) + 1}
+	want := Count{Most: max(c.most, 1), Least: max(c.least, 1), Members: len(v.live) + len(v.silent) + 1, Live: len(v.live) + 1 - c.hidden}
 	if !v.settled && c.file > want.Most {
 		want.Most, want.File = c.file, true
 	}
--- a/internal/peer/view/distance.go
+++ b/internal/peer/view/distance.go
@@ -39,7 +39,7 @@
 // measured takes the time that a member took to answer.
 func (v *View) measured(m *member, took time.Duration) {
 	m.distance.add(took, v.now)
-	for _, at := range [...]place{{"", m.Zone}, {}} {
+	for _, at := range [...]place{{m.Region, m.Zone}, {m.Region, ""}} {
 		d := v.places[at]
 		if d == nil {
 			if len(v.places) >= placesMost {
@@ -56,13 +56,13 @@
 }
 
 // wayBack is how long a way to a member and back takes, at the most, as far as is known: by its own answers, else by
-// those of its zone, else of all.
+// those of its zone, else of its region.
 func (v *View) wayBack(m *member) time.Duration {
 	own, seen := &m.distance, m.distance.mean > 0
 	if seen && float32(v.now.Seconds())-own.at < distanceFresh {
 		return min(own.wait(), waitMost)
 	}
-	for _, at := range [...]place{{"", m.Zone}, {}} {
+	for _, at := range [...]place{{m.Region, m.Zone}, {m.Region, ""}} {
 		if d := v.places[at]; d != nil {
 			if seen {
 				return min(max(own.wait(), d.wait()), waitMost)
--- a/internal/peer/view/exchange.go
+++ b/internal/peer/view/exchange.go
@@ -60,8 +60,14 @@
 // told, something was lost on the way.
 func (v *View) compare(from *member, digest uint64) {
 	if digest == v.digest {
-		v.exchange.differs = 0
 		v.settled = v.settled || v.joined
+	}
+	if v.isFar(from) {
+		v.compareFar(from, digest)
+		return
+	}
+	if digest == v.digest {
+		v.exchange.differs = 0
 		return
 	}
 	x := &v.exchange
@@ -117,10 +123,17 @@
 	case !v.joined:
 		to = v.nextDoor()
 	case to == "":
-		for _, m := range v.some(1, func(m *member) bool { return m.State == Alive }) {
+		list := v.home.live
+		if len(list) == 0 {
+			list = v.live
+		}
+		for _, m := range v.some(list, 1, func(m *member) bool { return m.State == Alive }) {
 			to = m.Addr
 		}
 	}
+	if v.farStreams.fill(v.now); to != "" && v.joined && v.farAt[to] != nil && v.farStreams.level < 0 {
+		return // digests will ask for it again
+	}
 	if to != "" {
 		v.open(to)
 	}
@@ -136,7 +149,7 @@
 		x.until = v.now + doorWait
 	}
 	v.sent.Exchanges++
-	v.streamed(m)
+	v.streamed(m, v.farAt[to] != nil)
 	v.do(Open{ID: x.id, To: to, Message: m})
 }
 
@@ -174,9 +187,14 @@
 
 // streamed books what goes out on a stream. It may leave a debt of one message, however large: nobody else is
 // answered before that is paid off, so that streams take no more a second than datagrams in the long run.
-func (v *View) streamed(x *Exchange) {
-	v.streams.level -= float64(x.size())
-	v.sent.ExchangeBytes += uint64(x.size())
+func (v *View) streamed(x *Exchange, far bool) {
+	size := x.size()
+	v.streams.level -= float64(size)
+	v.sent.ExchangeBytes += uint64(size)
+	if far {
+		v.farStreams.level -= float64(size)
+		v.sent.FarExchangeBytes += uint64(size)
+	}
 }
 
 // onAsked answers another's opening, if not too many have come already: it is told when to come back.
@@ -186,13 +204,20 @@
 		return
 	}
 	v.streams.fill(v.now)
-	if v.streams.level < 0 {
+	v.farStreams.fill(v.now)
+	list, far := v.live, false
+	if len(e.Message.Records) > 0 && e.Message.Records[0].Name == e.Message.From && e.Message.Records[0].check() == nil {
+		if r := v.regionOf(e.Message.Records[0].Region); len(r.live) > 0 {
+			list, far = r.live, r != v.home
+		}
+	}
+	if v.streams.level < 0 || far && v.farStreams.level < 0 {
 		// Others may have time: whoever asks is told of some, so that where hundreds join, all that are in help.
 		busy := &Exchange{From: v.s.Name, Boot: v.self.Boot, Life: v.self.Life, Busy: uint32(200 + v.rng.IntN(800))}
-		for _, m := range v.some(referred, func(m *member) bool { return m.State == Alive }) {
+		for _, m := range v.some(list, referred, func(m *member) bool { return m.State == Alive }) {
 			busy.Records = append(busy.Records, v.told(m))
 		}
-		v.streamed(busy)
+		v.streamed(busy, far)
 		v.do(Reply{Stream: e.Stream, Message: busy})
 		return
 	}
@@ -212,7 +237,7 @@
 			answer.Records = append(answer.Records, v.told(v.members[n]))
 		}
 	}
-	v.streamed(answer)
+	v.streamed(answer, far)
 	v.do(Reply{Stream: e.Stream, Message: answer})
 	v.met = true
 }
@@ -261,7 +286,7 @@
 		}
 	}
 	if len(last.Records) > 0 {
-		v.streamed(last)
+		v.streamed(last, v.farAt[x.to] != nil)
 		v.do(Finish{ID: e.ID, Message: last})
 	} else {
 		v.do(Finish{ID: e.ID})
@@ -275,7 +300,7 @@
 	for _, r := range x.Records {
 		// What the other holds for dead may be alive on this side of a link that was broken: it is accused, so
 		// that it can refute.
-		if m := v.members[r.Name]; m != nil && r.State == Dead && m.State <= Suspect && r.Life == m.Life {
+		if m := v.members[r.Name]; m != nil && r.State == Dead && m.State <= Suspect && r.Life == m.Life && !v.isFar(m) {
 			r.State, r.By, r.Age = Suspect, x.From, 0
 		}
 		v.merge(r, why)
@@ -286,10 +311,10 @@
 // partition heals by itself, with no seed and no operator. After ten minutes it is a fifth of that.
 func (v *View) tryDue() {
 	if v.now >= v.tryAt {
-		rate := min(tryMost, float64(len(v.silent))/float64(len(v.live)+1))
+		rate := min(tryMost, float64(len(v.home.silent))/float64(len(v.home.live)+1))
 		if rate > 0 {
 			v.tryAt = v.now + time.Duration((0.5+v.rng.Float64())/rate*float64(time.Second))
-			m := v.silent[v.rng.IntN(len(v.silent))]
+			m := v.home.silent[v.rng.IntN(len(v.home.silent))]
 			if age := v.now - m.since; age < v.s.Retry && (age < 10*time.Minute || v.rng.IntN(5) == 0) {
 				v.send(m.Addr, &Message{Kind: Ping, Seq: v.nextSeq(), Target: m.Name}, forNews, m)
 			}
--- a/internal/peer/view/merge.go
+++ b/internal/peer/view/merge.go
@@ -14,11 +14,14 @@
 		return
 	}
 	m := v.members[r.Name]
-	if m == nil {
+	if m != nil && r.Life == m.Life && r.Region == "" { // passed on by one that knows no regions
+		r.Region = m.Region
+	}
+	if r = v.normal(r); m == nil {
 		if r.State == Left && time.Duration(r.Age)*time.Second >= leftKept || len(v.members) >= v.s.Members {
 			return
 		}
-		m = &member{since: v.now, heardAt: -never, ackAt: -never}
+		m = &member{since: v.now, heardAt: -never, ackAt: -never, nameHash: nameHash(r.Name)}
 		v.members[r.Name] = m
 		v.insert(r.Name)
 		v.take(m, r, why, true)
@@ -29,6 +32,13 @@
 		if r.State == Suspect && m.suspect != nil {
 			v.charge(m, r.By)
 		}
+		if len(r.Region)+len(r.Mute) > len(m.Region)+len(m.Mute) { // what one that knows no regions has left out
+			r.By, r.Age = m.By, m.Age
+			v.replace(m, r, why, false)
+		}
+	case r.State == Dead && v.far(r.Region) && m.State <= Suspect && r.Life == m.Life && v.now-m.lately() < v.s.SuspectLeast:
+		// Those near it don't hear it, this member does: it is told, and refutes.
+		v.send(m.Addr, &Message{Kind: News, Updates: []Record{r}}, forNews)
 	case r.State == Dead && m.State <= Suspect && r.Life == m.Life && v.now-m.lately() < v.s.SuspectLeast:
 		// This member has just heard it itself.
 		r.State, r.Age = Suspect, 0
@@ -61,7 +71,7 @@
 	if r.State == Suspect {
 		by = r.By
 	}
-	v.news.put(m, by)
+	v.spread(m, by)
 }
 
 // lately is when a member of this life was last known to be there by more than hearsay. never is half of what a
@@ -73,14 +83,16 @@
 
 // replace is where a member's record changes, and nowhere else but for this one's own.
 func (v *View) replace(m *member, r Record, why string, fresh bool) {
-	was := m.Record
+	was, wasShown := m.Record, m.shown()
 	if !fresh {
 		v.counts.add(m, -1)
 	}
 	m.Record = r
-	v.counts.add(m, 1)
 	v.mark(m)
 	v.sort(m)
+	v.standsAt(m, was.Addr)
+	m.hidden = v.hides(m)
+	v.counts.add(m, 1)
 	if changed := fresh || was.State != r.State || was.Boot != r.Boot || was.Life != r.Life; changed {
 		m.since = v.now
 		if r.State >= Dead {
@@ -99,15 +111,28 @@
 		v.suspects = append(v.suspects, m)
 		v.judgeAt = min(v.judgeAt, v.now+v.least())
 	}
-	if !fresh && was.State == Dead && r.State <= Suspect {
+	if !fresh && was.State == Dead && r.State <= Suspect && (!v.isFar(m) || m.region.watch) {
 		v.exchange.with(v, m.Addr) // a link is back: there will be more to tell
 	}
-	if fresh || was.State != r.State || was.Life != r.Life || was.Boot != r.Boot || was.Addr != r.Addr {
-		v.do(Changed{Record: v.told(m), Was: was.State, New: fresh, Why: why})
+	if fresh || wasShown != m.shown() || was.Life != r.Life || was.Boot != r.Boot || was.Addr != r.Addr {
+		v.do(Changed{Record: v.seen(m), Was: wasShown, New: fresh, Why: why})
 	}
 	v.saveSoon()
 }
 
+// standsAt keeps which addresses are far, and has watchers found anew where what they say has changed.
+func (v *View) standsAt(m *member, was string) {
+	if was != m.Addr {
+		delete(v.farAt, was)
+	}
+	if v.isFar(m) {
+		v.farAt[m.Addr] = m.region
+	} else {
+		delete(v.farAt, m.Addr)
+		v.surveyAt = v.now
+	}
+}
+
 func without(all []*member, m *member) []*member {
 	for i, o := range all {
 		if o == m {
@@ -144,7 +169,7 @@
 		v.leaving = 0
 	}
 	v.mark(v.self)
-	v.news.put(v.self, "")
+	v.spread(v.self, "")
 	v.do(Save{})
 }
 
@@ -160,9 +185,16 @@
 	}
 	v.leaving--
 	v.leaveAt = v.now + leaveEvery
-	for _, m := range v.some(leaveTold, func(*member) bool { return true }) {
+	for _, m := range v.some(v.home.live, leaveTold, func(*member) bool { return true }) {
 		v.send(m.Addr, &Message{Kind: News}, forAnswers, v.self)
 	}
+	for _, r := range v.areas { // those that are left of its region tell them too, if any are
+		if r != v.home && (r.watch || len(v.home.live) == 0) {
+			for _, m := range v.some(r.live, 1, func(*member) bool { return true }) {
+				v.send(m.Addr, &Message{Kind: News}, forAnswers, v.self)
+			}
+		}
+	}
 }
 
 // Gone reports whether all is said that a member says when it leaves.
@@ -170,11 +202,11 @@
 
 // forget is an operator's word that a dead member will not come back. If it does, it refutes that as any death.
 func (v *View) forget(name string) {
-	if m := v.members[name]; m != nil && m.State == Dead {
+	if m := v.members[name]; m != nil && m.shown() == Dead {
 		r := m.Record
 		r.State, r.By, r.Age = Left, v.s.Name, 0
 		v.set(m, r, "an operator said that it is gone")
-		v.news.put(m, "")
+		v.spread(m, "")
 	}
 }
 
@@ -190,6 +222,7 @@
 			m.hash = 0
 			v.news.drop(func(o *member) bool { return o == m })
 			delete(v.members, m.Name)
+			delete(v.farAt, m.Addr)
 			v.remove(m.Name)
 			i--
 			v.saveSoon()
--- a/internal/peer/view/message.go
+++ b/internal/peer/view/message.go
@@ -75,7 +75,14 @@
 func (m *Message) Size() int { return m.size(fleetMost) }
 
 func (r *Record) size() int {
-	return recordSize + len(r.Name) + len(r.Addr) + len(r.Zone) + len(r.Program) + len(r.By) + len(r.Note)
+	n := recordSize + len(r.Name) + len(r.Addr) + len(r.Zone) + len(r.Program) + len(r.By) + len(r.Note)
+	if r.Region != "" {
+		n += 3 + len(r.Region)
+	}
+	if len(r.Mute) > 0 {
+		n += 3 + 5*len(r.Mute)
+	}
+	return n
 }
 
 func (x *Exchange) size() int {
@@ -128,7 +135,11 @@
 		m.Addr = v.s.Addr
 	}
 	size := m.size(fleetMost)
-	if !v.budget.may(size, leave) {
+	far := v.farAt[to]
+	may := func(leave float64) bool {
+		return v.budget.may(size, leave) && (far == nil || v.farBudget.may(size, leave))
+	}
+	if !may(leave) {
 		v.sent.Held++
 		return false
 	}
@@ -138,8 +149,17 @@
 			size += m.Updates[len(m.Updates)-1].size()
 		}
 	}
-	if !v.standby && m.Kind != WhoIs && m.Kind != IAm && m.Kind != WhoIsFor && v.budget.may(size, forProbes) {
-		size = v.news.fill(v, m, size, counts)
+	if !v.standby && m.Kind != WhoIs && m.Kind != IAm && m.Kind != WhoIsFor && may(forProbes) {
+		switch {
+		case far == nil:
+			size = v.news.fill(v, m, size, counts, v.times())
+		case far.watch:
+			size = far.news.fill(v, m, size, counts, farTimes)
+		}
+	}
+	if far != nil {
+		v.farBudget.level -= float64(size)
+		v.sent.FarBytes += uint64(size)
 	}
 	v.number++
 	m.Number = v.number
--- a/internal/peer/view/name.go
+++ b/internal/peer/view/name.go
@@ -121,7 +121,7 @@
 	}
 	c.asked++
 	v.send(c.rec.Addr, &Message{Kind: WhoIs, Seq: c.seq, Addr: v.s.Addr}, forAnswers)
-	for _, h := range v.some(2, func(m *member) bool { return m.State == Alive }) {
+	for _, h := range v.some(v.live, 2, func(m *member) bool { return m.State == Alive }) {
 		v.send(h.Addr, &Message{Kind: WhoIsFor, Seq: c.seq, Target: v.s.Name, Addr: c.rec.Addr, Reply: v.s.Addr}, forAnswers)
 	}
 }
--- a/internal/peer/view/news.go
+++ b/internal/peer/view/news.go
@@ -72,15 +72,14 @@
 
 // times is how often each news is told.
 func (v *View) times() int {
-	return spreadFactor * int(math.Ceil(math.Log2(float64(len(v.live)+2))))
+	return spreadFactor * int(math.Ceil(math.Log2(float64(len(v.home.live)+2))))
 }
 
 // fill adds news to a datagram as long as there is room, and returns its new size.
-func (n *news) fill(v *View, m *Message, size int, counts bool) int {
+func (n *news) fill(v *View, m *Message, size int, counts bool, most int) int {
 	if n.empty() {
 		return size
 	}
-	most := v.times()
 	in := make(map[string]bool, len(m.Updates))
 	for i := range m.Updates {
 		in[m.Updates[i].Name] = true
@@ -160,10 +159,10 @@
 			tell(m)
 		}
 	}
-	for _, m := range v.some(fan, func(m *member) bool { return !m.deaf }) {
+	for _, m := range v.some(v.home.live, fan, func(m *member) bool { return !m.deaf }) {
 		tell(m)
 	}
-	for _, m := range v.some(1, func(m *member) bool { return m.deaf }) { // it may be this member that does not hear
+	for _, m := range v.some(v.home.live, 1, func(m *member) bool { return m.deaf }) { // it may be this member that does not hear
 		tell(m)
 	}
 }
@@ -171,6 +170,6 @@
 // tell has something about a member told on.
 func (v *View) tell(m *member) {
 	v.mark(m)
-	v.news.put(m, "")
+	v.spread(m, "")
 	v.saveSoon()
 }
--- a/internal/peer/view/probe.go
+++ b/internal/peer/view/probe.go
@@ -12,6 +12,8 @@
 	until    time.Duration // of the present stage
 	indirect bool          // others were asked too
 	helpers  []*member
+	few      int             // helpers of chance; 0: as many as ever
+	far      *region         // it is of a watcher, for another region
 	nacks    map[string]bool // which of them said that they are there
 }
 
@@ -51,14 +53,20 @@
 	}
 	// Never two at once for a slow clock: what was missed is not made up for.
 	v.probeAt = max(v.probeAt+v.patience(v.s.Every), v.now+v.patience(v.s.Every)/2)
-	m := v.nextTarget()
-	if m == nil {
-		return
+	if m := v.nextTarget(); m != nil {
+		v.ask(m, 0)
 	}
-	p := &probe{target: m.Name, seq: v.nextSeq(), at: v.now, until: v.now + v.patience(v.direct(m))}
-	if v.sendTo(m, &Message{Kind: Ping, Seq: p.seq, Target: m.Name}, forProbes, suspected(m)) {
-		v.probes = append(v.probes, p)
+	v.sweep()
+}
+
+// ask begins a probe. It reports whether the budget had it.
+func (v *View) ask(m *member, few int) bool {
+	p := &probe{target: m.Name, seq: v.nextSeq(), at: v.now, until: v.now + v.patience(v.direct(m)), few: few}
+	if !v.sendTo(m, &Message{Kind: Ping, Seq: p.seq, Target: m.Name}, forProbes, suspected(m)) {
+		return false
 	}
+	v.probes = append(v.probes, p)
+	return true
 }
 
 // suspected is the member, where its own state would be news to it.
@@ -69,25 +77,64 @@
 	return nil
 }
 
-// nextTarget goes through all that are alive or suspect in an order by chance, and then in another one: the time
-// between two probes of one member by another is bounded (SWIM, 4.3).
+// nextTarget goes through all of its region that are alive or suspect in an order by chance, and then in another one:
+// the time between two probes of one member by another is bounded (SWIM, 4.3). Where there are regions, every second
+// probe goes through its own zone in the same way: in the mean each member is still probed once a period, by half of
+// its zone and by half of the region.
 func (v *View) nextTarget() *member {
+	if v.zoneNext = !v.zoneNext && v.s.Region != ""; v.zoneNext {
+		if m := v.next(&v.zoneTurn, v.pool()); m != nil {
+			return m
+		}
+	}
+	return v.next(&v.turn, nil)
+}
+
+func (v *View) next(turn *[]string, of func(*member) bool) *member {
 	for range 2 {
-		for len(v.turn) > 0 {
-			m := v.members[v.turn[len(v.turn)-1]]
-			v.turn = v.turn[:len(v.turn)-1]
-			if m != nil && m.listed == inLive && !v.probing(m.Name) {
+		for len(*turn) > 0 {
+			m := v.members[(*turn)[len(*turn)-1]]
+			*turn = (*turn)[:len(*turn)-1]
+			if m != nil && m.listed == inLive && m.region == v.home && !v.probing(m.Name) {
 				return m
 			}
 		}
-		for _, m := range v.live {
-			v.turn = append(v.turn, m.Name)
+		for _, m := range v.home.live {
+			if of == nil || of(m) {
+				*turn = append(*turn, m.Name)
+			}
 		}
-		v.rng.Shuffle(len(v.turn), func(i, j int) { v.turn[i], v.turn[j] = v.turn[j], v.turn[i] })
+		v.rng.Shuffle(len(*turn), func(i, j int) { (*turn)[i], (*turn)[j] = (*turn)[j], (*turn)[i] })
 	}
 	return nil
 }
 
+// pool tells who is of this member's zone. One that is alone in its zone counts in the first zone that has several, for
+// all that know the same members: else it would be probed half as often.
+func (v *View) pool() func(*member) bool {
+	if len(v.zoneTurn) > 0 {
+		return nil // nobody asks
+	}
+	count := map[string]int{v.self.Zone: 1}
+	for _, m := range v.home.live {
+		count[m.Zone]++
+	}
+	first, found := "", false
+	for zone, n := range count {
+		if n > 1 && (!found || zone < first) {
+			first, found = zone, true
+		}
+	}
+	of := func(m *member) string {
+		if count[m.Zone] == 1 {
+			return first
+		}
+		return m.Zone
+	}
+	own := of(v.self)
+	return func(m *member) bool { return of(m) == own }
+}
+
 func (v *View) probing(name string) bool {
 	for _, p := range v.probes {
 		if p.target == name {
@@ -100,7 +147,7 @@
 // askOthers has helpers probe a member that did not answer in time. One that reached it lately is among them.
 func (v *View) askOthers(p *probe) bool {
 	m := v.members[p.target]
-	if m == nil || m.listed != inLive {
+	if m == nil || m.listed != inLive && p.far == nil {
 		return false
 	}
 	m.deaf = true
@@ -111,6 +158,9 @@
 	if m.State == Suspect { // it is a matter of its name now
 		most *= 2
 	}
+	if p.few > 0 {
+		most = p.few
+	}
 	asked := map[*member]bool{m: true}
 	ask := func(h *member) {
 		if h == nil || h.State != Alive || asked[h] || len(asked) > most {
@@ -121,21 +171,45 @@
 			p.helpers = append(p.helpers, h)
 		}
 	}
+	third := func(h *member) bool {
+		return h.region != v.home && h.region != m.region && !h.region.away && h.State == Alive
+	}
 	ask(v.members[m.via])
-	ask(v.members[v.via]) // who stands between two parts for one stands there for others
-	for _, h := range v.some(most, func(h *member) bool { return !asked[h] && h.State == Alive }) {
+	if p.far != nil { // a third region may reach both
+		if most = farHelpers; p.far.mute {
+			most = 1
+		}
+		v.doubts(p.far)
+		ask(v.members[p.far.via])
+		if len(v.areas) > 2 {
+			for _, h := range v.some(v.live, most, third) {
+				ask(h)
+			}
+		}
+	} else {
+		ask(v.members[v.via]) // who stands between two parts for one stands there for others
+		if v.cutOff() && len(v.areas) > 1 {
+			for _, h := range v.some(v.live, 1, third) {
+				ask(h)
+			}
+		}
+	}
+	if p.far != nil && len(p.helpers) > 0 && len(p.helpers) >= most {
+		most = 0
+	}
+	for _, h := range v.some(v.home.live, most, func(h *member) bool { return !asked[h] && h.State == Alive }) {
 		ask(h)
 	}
 	p.until = v.now + v.patience(v.indirect(m, p.helpers))
 	return true
 }
 
-// some are up to n live members by chance of which ok holds.
-func (v *View) some(n int, ok func(*member) bool) []*member {
+// some are up to n members of a list by chance of which ok holds.
+func (v *View) some(list []*member, n int, ok func(*member) bool) []*member {
 	var all []*member
-	if len(v.live) <= 3*n {
-		for _, i := range v.rng.Perm(len(v.live)) {
-			if m := v.live[i]; len(all) < n && ok(m) {
+	if len(list) <= 3*n {
+		for _, i := range v.rng.Perm(len(list)) {
+			if m := list[i]; len(all) < n && ok(m) {
 				all = append(all, m)
 			}
 		}
@@ -143,7 +217,7 @@
 	}
 draw:
 	for range 6 * n {
-		m := v.live[v.rng.IntN(len(v.live))]
+		m := list[v.rng.IntN(len(list))]
 		for _, o := range all {
 			if o == m {
 				continue draw
@@ -165,9 +239,14 @@
 	if p.again > 0 {
 		v.gaveUp(p.again, p.target, p.againAt)
 	}
+	if p.far != nil {
+		v.missedFar(p.far)
+		return
+	}
 	if m == nil || m.listed != inLive {
 		return
 	}
+	v.result(true)
 	// Helpers that do not even say that they could not: it may be this member that is deaf (Lifeguard).
 	// Those that have fallen silent themselves meanwhile say nothing of it: many may have died at once.
 	for _, h := range p.helpers {
@@ -178,7 +257,7 @@
 	switch {
 	case v.s.Plain.NoSuspicion:
 		v.declare(m, "a probe failed")
-	case v.now < m.muted && m.State == Alive:
+	case v.lone, v.now < m.muted && m.State == Alive:
 	default:
 		v.accuse(m)
 	}
@@ -231,6 +310,7 @@
 		from.number = max(from.number, m.Number)
 		back = from.Addr
 		v.hear(from)
+		v.hearAny(back)
 		v.compare(from, m.Digest)
 	}
 	var wrong []*member
@@ -283,8 +363,17 @@
 			if t == nil {
 				return
 			}
+			if p.far != nil {
+				v.answered(p.far, t)
+			} else {
+				v.result(false)
+			}
 			if t.ackAt = v.now; m.From != p.target {
-				t.via, v.via = m.From, m.From
+				if t.via = m.From; p.far != nil {
+					p.far.via = m.From
+				} else {
+					v.via = m.From
+				}
 				v.gaveUp(p.seq, p.target, p.at)
 			} else {
 				if m.Seq == p.seq {
@@ -293,8 +382,9 @@
 					v.measured(t, v.now-p.againAt)
 					v.gaveUp(p.seq, p.target, p.at)
 				}
-				t.mutes = 0
-				v.better()
+				if t.mutes = 0; p.far == nil {
+					v.better()
+				}
 			}
 			return
 		}
@@ -316,7 +406,13 @@
 	if who {
 		ask = &Message{Kind: WhoIs, Seq: e.seq, Addr: v.s.Addr}
 	}
-	if v.send(m.Addr, ask, forProbes, suspected(v.members[m.Target])) {
+	about := suspected(v.members[m.Target])
+	for _, r := range m.Updates { // from afar it is not for this member to suspect; the suspect must know all the same
+		if about == nil && !who && r.Name == m.Target && r.State == Suspect && r.check() == nil {
+			ask.Updates = []Record{r}
+		}
+	}
+	if v.send(m.Addr, ask, forProbes, about) {
 		v.errands = append(v.errands, e)
 	}
 }
@@ -337,7 +433,9 @@
 
 // hear notes who is heard directly: news goes to these first, so that it finds its way where most can't hear most.
 func (v *View) hear(m *member) {
-	m.heardAt, m.deaf = v.now, false
+	if m.heardAt, m.deaf = v.now, false; v.isFar(m) {
+		return
+	}
 	for i, n := range v.heard {
 		if n == m.Name {
 			copy(v.heard[1:i+1], v.heard[:i])
--- a/internal/peer/view/suspect.go
+++ b/internal/peer/view/suspect.go
@@ -16,7 +16,7 @@
 // least is how long a suspect has at the least, its distance apart. In larger fleets its word takes longer to come
 // round.
 func (v *View) least() time.Duration {
-	n := float64(len(v.live) + 1)
+	n := float64(len(v.home.live) + 1)
 	return time.Duration(float64(v.s.SuspectLeast) * max(1, math.Log10(n)/2))
 }
 
@@ -26,7 +26,7 @@
 func (v *View) lasts(m *member) time.Duration {
 	least, way := v.least(), v.wayBack(m)
 	most := suspectMost * least
-	further := min(accusersMost, len(v.live)-1)
+	further := min(accusersMost, len(v.home.live)-1)
 	if further <= 0 || v.s.Plain.NoHealth {
 		return least + way
 	}
@@ -60,7 +60,7 @@
 
 // suspicionsDue declares dead whoever has not refuted in time.
 func (v *View) suspicionsDue() {
-	if len(v.suspects) == 0 || v.now < v.judgeAt {
+	if len(v.suspects) == 0 || v.now < v.judgeAt || v.lone {
 		return
 	}
 	v.judgeAt = never
@@ -83,7 +83,7 @@
 	r := m.Record
 	r.State, r.By, r.Age = Dead, v.s.Name, 0
 	v.set(m, r, why)
-	v.news.put(m, "")
+	v.spread(m, "")
 }
 
 // acquitted takes note that a suspect has refuted. Whoever accused it wrongly, and could not reach it, waits
