Mend: a restart ended or stood still by the old process's port, a hung disk or an unread log

Seen by reading, then with real processes: the clients' address still held by the old process ended the new one with "address already in use", and so did the peers' and the operators'. The directory of operators' calls was opened before anything else, and a disk (or a lock) that hung there kept the process from being ready for ever. Log lines were written by whoever logged: with a full pipe nothing but the accept loop went on, and SIGTERM was not heard.

Change: `run` tries the clients' address every 10 ms for up to 30 s, and SIGTERM ends that with status 0; the peers' and the operators' addresses are tried in the background; what operators said is waited for for 1 s and holds once it is read; log lines go through a queue of 1,024, past which they are dropped and counted. Ruled out: SO_REUSEPORT (the old process, too, has to have set it, and the kernel goes on giving it connections up to its close, which resets them).

--- /dev/null
+++ b/cmd/vetchhaven/log_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// gatedLog writes once it is let.
+type gatedLog struct {
+	logged
+	open chan struct{}
+}
+
+func (g *gatedLog) Write(p []byte) (int, error) { <-g.open; return g.logged.Write(p) }
+
+// Whoever logs never waits. What there is no room for is counted, and the rest comes in order.
+func TestLogWriterNeverWaits(t *testing.T) {
+	to := &gatedLog{open: make(chan struct{})}
+	w := newLogWriter(to)
+	const all = 2 * logLines
+	for i := range all {
+		fmt.Fprintf(w, "line %d\n", i)
+	}
+	lost := w.dropped.Load()
+	if lost < all-logLines-1 || lost > all-logLines {
+		t.Errorf("%d of %d lines dropped", lost, all)
+	}
+	close(to.open)
+	w.flush()
+	<-w.done
+	if got := to.String(); !strings.HasPrefix(got, "line 0\n") || !strings.Contains(got, fmt.Sprintf("lines=%d\n", lost)) ||
+		strings.Count(got, "line ") != all-int(lost) {
+		t.Errorf("%d bytes: %.200q", len(got), got)
+	}
+}
--- a/cmd/vetchhaven/run.go
+++ b/cmd/vetchhaven/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math"
 	"net/url"
@@ -10,6 +11,8 @@
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,7 +37,9 @@
 
 // runAgent serves until SIGTERM. It ends with status 1 where the configuration makes no sense.
 func runAgent() error {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	w := newLogWriter(os.Stderr)
+	defer w.flush()
+	log := slog.New(slog.NewTextHandler(w, nil))
 	if err := serveAgent(log); err != nil {
 		log.Error("vetchhaven", "error", err)
 		return exit{status: 1}
@@ -58,7 +63,14 @@
 	// The heap is small: collect seldom, but well before the memory limit kills the process.
 	debug.SetGCPercent(400)
 	limitMemory(cfg.MemoryMB)
-	a, err := http1.New(cfg, log.With("agent", cfg.Name), core.Parts{})
+	ln, err := core.Listen(stop, cfg, log)
+	if stop.Err() != nil {
+		return nil // told to end while it waited for the address
+	}
+	if err != nil {
+		return err
+	}
+	a, err := http1.New(cfg, log.With("agent", cfg.Name), core.Parts{Listener: ln})
 	if err != nil {
 		return err
 	}
@@ -73,54 +85,109 @@
 	return a.Run(stop)
 }
 
+// keptWait is how long a start waits for what operators said to the process before it. On a slow disk clients are served
+// without it, and it holds as soon as it is read.
+const keptWait = time.Second
+
+// place is where what operators say is kept for other processes of the agent, once the disk has answered.
+type place struct{ dir atomic.Pointer[upgrade.Dir] }
+
+var errNotKept = errors.New("its directory does not answer")
+
+// Say keeps a change.
+func (p *place) Say(c upgrade.Change) error {
+	if dir := p.dir.Load(); dir != nil {
+		return dir.Say(c)
+	}
+	return errNotKept
+}
+
 // openDoor opens the operators' door. What they say there holds in a process that replaces this one too.
 func openDoor(cfg *core.Config, a *core.Agent, log *slog.Logger) (leave func(), err error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	var keeper ops.Keeper
-	path := filepath.Join(os.TempDir(), "vetchhaven-"+url.PathEscape(cfg.Name+"-"+cfg.Listen))
-	dir, err := upgrade.Open(path)
-	if err != nil { // it serves all the same
-		log.Error("what operators say holds in this process alone", "error", err)
-	} else {
-		keeper = dir
-		apply := func(c upgrade.Change) error {
-			if c.Server == "" {
-				a.Drain(c.On)
-				return nil
-			}
-			limit, done := context.WithTimeout(ctx, time.Second)
-			defer done()
-			_, err := a.Ban(limit, c.Server, c.On, true)
-			return err
-		}
-		// Before any client is served, what was said to the old process holds in this one.
-		n, err := dir.Look(apply)
-		if err != nil {
-			log.Error("what operators said is not known", "error", err)
-		}
-		share := func(n int) {
-			a.Beside(n)
-			limitMemory(cfg.MemoryMB / (n + 1))
-		}
-		if n > 0 {
-			share(n)
-		}
-		go dir.Follow(ctx, n, apply, share, func(err error) { log.Error("what operators said is not known", "error", err) })
+	kept := &place{}
+	looked := make(chan struct{})
+	go follow(ctx, cfg, a, kept, looked, log)
+	limit := time.NewTimer(keptWait)
+	defer limit.Stop()
+	select {
+	case <-looked: // before any client is served, what was said to the old process holds in this one
+	case <-limit.C:
+		log.Error("what operators said is not known yet", "waited", keptWait)
 	}
-	door, err := ops.Open(cfg.Admin, a, keeper, log)
-	if err != nil {
+	door, err := ops.Open(cfg.Admin, a, kept, log)
+	late := make(chan *ops.Door, 1)
+	switch {
+	case err == nil:
+		late <- door
+	case errors.Is(err, syscall.EADDRINUSE): // by the process that this one replaces, as a rule: clients need not wait
+		log.Warn("the operators' address is in use, and tried again", "admin_addr", cfg.Admin)
+		go func() {
+			for ctx.Err() == nil {
+				time.Sleep(doorAgain)
+				if door, err := ops.Open(cfg.Admin, a, kept, log); err == nil {
+					late <- door
+					return
+				}
+			}
+		}()
+	default:
 		cancel()
 		return nil, err
 	}
 	return func() {
 		cancel()
-		_ = door.Close()
-		if dir != nil {
+		select {
+		case door := <-late:
+			_ = door.Close()
+		default:
+		}
+		if dir := kept.dir.Load(); dir != nil {
 			_ = dir.Close()
 		}
 	}, nil
 }
 
+// doorAgain is how often the operators' address is tried while it is in use.
+const doorAgain = 250 * time.Millisecond
+
+// follow takes over what operators say to other processes of the agent, until ctx ends. It closes looked once it has looked
+// for the first time, or can't.
+func follow(ctx context.Context, cfg *core.Config, a *core.Agent, kept *place, looked chan<- struct{}, log *slog.Logger) {
+	look := sync.OnceFunc(func() { close(looked) })
+	defer look()
+	path := filepath.Join(os.TempDir(), "vetchhaven-"+url.PathEscape(cfg.Name+"-"+cfg.Listen))
+	dir, err := upgrade.Open(path)
+	if err != nil { // it serves all the same
+		log.Error("what operators say holds in this process alone", "error", err)
+		return
+	}
+	kept.dir.Store(dir)
+	apply := func(c upgrade.Change) error {
+		if c.Server == "" {
+			a.Drain(c.On)
+			return nil
+		}
+		limit, done := context.WithTimeout(ctx, time.Second)
+		defer done()
+		_, err := a.Ban(limit, c.Server, c.On, true)
+		return err
+	}
+	n, err := dir.Look(apply)
+	if err != nil {
+		log.Error("what operators said is not known", "error", err)
+	}
+	share := func(n int) {
+		a.Beside(n)
+		limitMemory(cfg.MemoryMB / (n + 1))
+	}
+	if n > 0 {
+		share(n)
+	}
+	look()
+	dir.Follow(ctx, n, apply, share, func(err error) { log.Error("what operators said is not known", "error", err) })
+}
+
 // limitMemory keeps the heap well below the limit that kills the process.
 func limitMemory(mb int) {
 	if mb > 0 {
--- a/internal/core/listen.go
+++ b/internal/core/listen.go
@@ -1,11 +1,15 @@
 package core
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"strconv"
 	"syscall"
+	"time"
 )
 
 // inheritedEnv names the descriptor of the clients' listening socket, where the platform holds it and
@@ -27,6 +31,37 @@
 	return fd, nil
 }
 
+const (
+	// listenAgain is how often an address that is in use is tried, and listenMost for how long: the platform takes an
+	// agent that is not ready by then for failed.
+	listenAgain = 10 * time.Millisecond
+	listenMost  = 30 * time.Second
+)
+
+// Listen opens the clients' socket. While its address is in use, by the process that this one replaces and that still
+// drains, it is tried again, until ctx ends.
+func Listen(ctx context.Context, cfg *Config, log *slog.Logger) (net.Listener, error) {
+	ln, err := listen(cfg)
+	if errors.Is(err, syscall.EADDRINUSE) {
+		log.Warn("the clients' address is in use, and tried again", "listen", cfg.Listen)
+		limit, cancel := context.WithTimeout(ctx, listenMost)
+		defer cancel()
+		again := time.NewTicker(listenAgain)
+		defer again.Stop()
+		for errors.Is(err, syscall.EADDRINUSE) && limit.Err() == nil {
+			select {
+			case <-again.C:
+				ln, err = listen(cfg)
+			case <-limit.Done():
+			}
+		}
+	}
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return ln, nil
+}
+
 // listen opens the clients' socket, or takes the one that this process has inherited. Closing it ends
 // accepting here alone: other processes that hold it go on, and what waits in its queue is theirs.
 func listen(cfg *Config) (net.Listener, error) {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
+	"syscall"
+	"time"
 
 	"vetchhaven/decide"
 )
@@ -14,7 +17,8 @@
 
 // peers exchanges datagrams with the other agents of the tier.
 type peers struct {
-	conn    *net.UDPConn
+	local   *net.UDPAddr
+	conn    *net.UDPConn // nil: another process, that this one replaces, still holds the address
 	addrs   []netip.AddrPort
 	numbers map[netip.AddrPort]int
 	out     chan datagram
@@ -36,11 +40,11 @@
 		p.addrs = append(p.addrs, addr)
 		p.numbers[addr] = i
 	}
-	local, err := net.ResolveUDPAddr("udp", cfg.PeerListen)
-	if err == nil {
-		p.conn, err = net.ListenUDP("udp", local)
+	var err error
+	if p.local, err = net.ResolveUDPAddr("udp", cfg.PeerListen); err == nil {
+		p.conn, err = net.ListenUDP("udp", p.local)
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, syscall.EADDRINUSE) {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
 	return p, nil
@@ -60,6 +64,14 @@
 
 // run sends and receives until ctx ends.
 func (p *peers) run(ctx context.Context, post func(any)) {
+	for p.conn == nil { // clients don't wait for it
+		select {
+		case <-time.After(listenAgain):
+			p.conn, _ = net.ListenUDP("udp", p.local)
+		case <-ctx.Done():
+			return
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
 	defer stop()
 	go func() {
