--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -24,5 +24,15 @@
 
 // commands are one a slope, a line each.
 func commands() []*cobra.Command {
-	return []*cobra.Command{}
+	return []*cobra.Command{
+		pageCommand(),
+		viewCommand(),
+		changesCommand(),
+		listCommand(),
+		chainCommand(),
+		pathCommand(),
+		verdictsCommand(),
+		limitsCommand(),
+		heldCommand(),
+	}
 }
--- /dev/null
+++ b/tools/capacity/page/tables.go
@@ -0,0 +1,516 @@
+package page
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"vetchhaven/tools/capacity/slopes"
+)
+
+// Far is by how many times the largest measured size a figure may be extrapolated without a mark.
+const Far = 4
+
+// Tables are docs/CAPACITY.md's, by name: one for each role, what breaks as the size grows, and the runs behind them. Of
+// each load, mechanism and quantity they have what is greatest at the size aimed at, of what is asked for or bounded; with
+// full there is everything.
+func Tables(s *Size, all []slopes.Slope, full bool) map[string]string {
+	p := &printer{size: s, all: all, full: full, used: map[int]bool{}}
+	for i := range all {
+		if r := runOf(&all[i]); !slices.Contains(p.list, r) {
+			p.list = append(p.list, r)
+		}
+	}
+	tables := map[string]string{}
+	for _, role := range slopes.Roles {
+		tables[role] = p.role(role)
+	}
+	if !full {
+		tables["size"] = p.sizes()
+		tables["breaks"] = p.breaks()
+	}
+	tables["runs"] = p.runs() // last: it has those that were named
+	return tables
+}
+
+type printer struct {
+	size *Size
+	all  []slopes.Slope
+	full bool
+	list []run
+	used map[int]bool // by number in the list
+}
+
+// run is a command with its date and machine.
+type run struct{ command, date, machine string }
+
+func runOf(s *slopes.Slope) run { return run{s.Command, s.Date, s.Machine} }
+
+// number is the run's in the last table.
+func (p *printer) number(s *slopes.Slope) string {
+	i := slices.Index(p.list, runOf(s))
+	p.used[i] = true
+	return fmt.Sprintf("[%d]", i+1)
+}
+
+func (p *printer) sizes() string {
+	t := table("what", "at the size", "from")
+	for i := range p.size.Variable {
+		v := &p.size.Variable[i]
+		value := ""
+		if v.Value != nil {
+			value = count(*v.Value)
+		} else {
+			value = fmt.Sprintf("%s at rest, %s on a day, %s in the worst minute", count(*v.Rest), count(*v.Day), count(*v.Worst))
+		}
+		t.row(v.Words, value, v.Source)
+	}
+	for i := range p.size.Bound {
+		b := &p.size.Bound[i]
+		t.row("bound: "+b.Name, unit(b.Most, b.Unit)+" at most", b.Source)
+	}
+	return t.String()
+}
+
+var loads = map[string]string{"rest": "at rest", "day": "ordinary day", "worst": "worst minute"}
+
+// role is the table of one role.
+func (p *printer) role(role string) string {
+	t := table("load", "figure", "carried by", "slope", "at the size", "residual", "measured over", "times beyond", "bound", "met", "run")
+	for _, load := range slopes.Loads {
+		for _, e := range p.of(role, load) {
+			p.entry(t, e)
+		}
+		var missing []string
+		for i := range p.size.Asked {
+			if a := &p.size.Asked[i]; a.Role == role && slices.Contains(a.Loads, load) {
+				for _, m := range a.Mechanisms {
+					if list := p.missing(a, load, m); len(list) > 0 {
+						missing = append(missing, m+": "+strings.Join(list, ", "))
+					}
+				}
+			}
+		}
+		if len(missing) > 0 {
+			t.row(loads[load], strings.Join(missing, "; "), "", "not measured", "", "", "", "", "", "", "")
+		}
+		for i := range p.size.Bound {
+			if b := &p.size.Bound[i]; b.Sum && b.Role == role && b.in(load) {
+				if parts := p.parts(b, load); len(parts) > 0 {
+					sum := total(parts, 1)
+					t.row(loads[load], "**all together: "+b.Name+"**", names(parts), "", unit(sum, b.Unit), "", "", "", unit(b.Most, b.Unit), met(sum <= b.Most), "")
+				}
+			}
+		}
+	}
+	if len(t.rows) == 0 {
+		return "Not measured.\n"
+	}
+	return t.String()
+}
+
+// of are a role's entries of a load, in order.
+func (p *printer) of(role, load string) (rows []*slopes.Slope) {
+	for i := range p.all {
+		if e := &p.all[i]; e.Role == role && e.Load == load && (p.full || p.governs(e, false)) {
+			rows = append(rows, e)
+		}
+	}
+	slices.SortStableFunc(rows, func(a, b *slopes.Slope) int {
+		return cmp.Or(strings.Compare(a.Mechanism, b.Mechanism), strings.Compare(a.Name, b.Name))
+	})
+	return rows
+}
+
+// governs reports whether an entry is asked for or bounded, and the greatest of its kind at the size aimed at; same: of
+// those that grow with the same.
+func (p *printer) governs(e *slopes.Slope, same bool) bool {
+	wanted := slices.ContainsFunc(p.size.Asked, func(a Asked) bool {
+		return a.Role == e.Role && slices.Contains(a.Quantities, e.Quantity) && slices.Contains(a.Mechanisms, e.Mechanism)
+	}) || slices.ContainsFunc(p.size.Bound, func(b Bound) bool { return b.of(e) })
+	if !wanted {
+		return false
+	}
+	for i := range p.all {
+		o := &p.all[i]
+		if o == e || o.Role != e.Role || o.Load != e.Load || o.Mechanism != e.Mechanism || o.Quantity != e.Quantity || same && o.Variable != e.Variable {
+			continue
+		}
+		if by := scale(e.Unit, o.Unit); by > 0 {
+			if a, b := p.aimed(e), by*p.aimed(o); b > a || b == a && o.Name < e.Name {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// aimed is an entry's value at the size aimed at.
+func (p *printer) aimed(e *slopes.Slope) float64 {
+	return e.Fit().Value(p.size.variable(e.Variable).at(e.Load))
+}
+
+// missing are the quantities of which a role has no entry.
+func (p *printer) missing(a *Asked, load, mechanism string) (missing []string) {
+	for _, q := range a.Quantities {
+		if q == "state" && load != "rest" { // it is the same at all loads
+			continue
+		}
+		if !slices.ContainsFunc(p.all, func(e slopes.Slope) bool {
+			return e.Role == a.Role && e.Load == load && e.Mechanism == mechanism && e.Quantity == q
+		}) {
+			missing = append(missing, words(q))
+		}
+	}
+	return missing
+}
+
+func words(quantity string) string { return strings.ReplaceAll(quantity, "_", " ") }
+
+// entry is the row of one.
+func (p *printer) entry(t *grid, e *slopes.Slope) {
+	v := p.size.variable(e.Variable)
+	f, x := e.Fit(), v.at(e.Load)
+	value := f.Value(x)
+	low, high := e.Range()
+	over := fmt.Sprintf("%s to %s %s", count(low), count(high), v.Words)
+	if low == high {
+		over = fmt.Sprintf("%s %s", count(low), v.Words)
+	}
+	at, beyond := unit(value, e.Unit), "within"
+	if x > high {
+		beyond = fmt.Sprintf("%.1f", x/high)
+		if x/high > Far {
+			beyond = "**" + beyond + "**"
+		}
+		if e.Form == "table" {
+			at = "not extrapolated; " + unit(f.Value(high), e.Unit) + " at " + count(high)
+		}
+	} else if x < low {
+		beyond = "below"
+	}
+	residual := "none left"
+	if !math.IsNaN(f.Residual) {
+		residual = fmt.Sprintf("%.1f%%", 100*f.Residual)
+	}
+	if e.Form == "table" || e.Form == "steps" {
+		residual = "read off"
+	}
+	bound, kept := "none", ""
+	for i := range p.size.Bound {
+		if b := &p.size.Bound[i]; b.of(e) && b.in(e.Load) {
+			bound, kept = unit(b.Most, b.Unit), met(value*scale(b.Unit, e.Unit) <= b.Most)
+			if b.Sum {
+				bound += " for all"
+			}
+		}
+	}
+	figure := words(e.Quantity) + " `" + e.Name + "`"
+	if e.Note != "" {
+		figure += ": " + e.Note
+	}
+	t.row(loads[e.Load], figure, e.Mechanism, formula(e, f, v), at, residual, over, beyond, bound, kept, p.number(e))
+}
+
+func met(ok bool) string {
+	if ok {
+		return "yes"
+	}
+	return "**no**"
+}
+
+// formula is a fit in words.
+func formula(e *slopes.Slope, f slopes.Fit, v *Variable) string {
+	one := func(x float64) string { return unit(x, e.Unit) }
+	switch e.Form {
+	case "constant":
+		return one(f.A) + ", flat"
+	case "linear":
+		return fmt.Sprintf("%s + %s x %s", one(f.A), one(f.B), v.Words)
+	case "log":
+		return fmt.Sprintf("%s + %s x ln(%s)", one(f.A), one(f.B), v.Words)
+	case "nlogn":
+		return fmt.Sprintf("%s + %s x n ln n, n %s", one(f.A), one(f.B), v.Words)
+	case "power":
+		return fmt.Sprintf("%s x (%s)^%.2f", one(f.A), v.Words, f.B)
+	}
+	var all []string
+	for _, p := range e.Points {
+		all = append(all, count(p[0])+": "+one(p[1]))
+	}
+	return strings.Join(all, "; ")
+}
+
+// part is a mechanism's share of a sum.
+type part struct {
+	e   *slopes.Slope
+	fit slopes.Fit
+	x   float64 // the size aimed at
+	by  float64 // to the bound's unit
+	as  string  // the load whose figure it is
+}
+
+// at is its value where the fleet has so many times the size aimed at.
+func (p *part) at(share float64, grows bool) float64 {
+	x := p.x
+	if grows {
+		x *= share
+	}
+	return p.fit.Value(x) * p.by
+}
+
+// parts are what a bound on a sum holds for: of each mechanism and quantity the greatest figure, of the load itself, or
+// where it has none, of the next quieter.
+func (p *printer) parts(b *Bound, load string) (all []term) {
+	type key struct{ mechanism, quantity string }
+	best := map[key]term{}
+	var order []key
+	for _, as := range slopes.Loads[:slices.Index(slopes.Loads, load)+1] {
+		found := map[key]bool{}
+		for i := range p.all {
+			e := &p.all[i]
+			if !b.of(e) || e.Load != as {
+				continue
+			}
+			v := p.size.variable(e.Variable)
+			t := term{part{e, e.Fit(), v.at(as), scale(b.Unit, e.Unit), as}, v.Grows}
+			k := key{e.Mechanism, e.Quantity}
+			was, known := best[k]
+			if !known {
+				order = append(order, k)
+			}
+			if !known || !found[k] || t.value(1) > was.value(1) {
+				best[k], found[k] = t, true
+			}
+		}
+	}
+	slices.SortFunc(order, func(a, b key) int { return strings.Compare(a.mechanism+a.quantity, b.mechanism+b.quantity) })
+	for _, k := range order {
+		all = append(all, best[k])
+	}
+	return all
+}
+
+type term struct {
+	part
+	grows bool
+}
+
+func (t term) value(share float64) float64 { return t.at(share, t.grows) }
+
+func total(all []term, share float64) (sum float64) {
+	for _, t := range all {
+		sum += t.value(share)
+	}
+	return sum
+}
+
+func names(all []term) string {
+	var list []string
+	for _, t := range all {
+		if !slices.Contains(list, t.e.Mechanism) {
+			list = append(list, t.e.Mechanism)
+		}
+	}
+	return strings.Join(list, ", ")
+}
+
+// crossing is where a curve crosses its bound.
+type crossing struct {
+	share float64 // of the size aimed at; +Inf: not up to most times it
+	cells []any
+}
+
+const most = 100 // times the size aimed at: farther is not looked
+
+// breaks are the crossings, the first one first.
+func (p *printer) breaks() string {
+	var all []crossing
+	seen := map[string]bool{}
+	for i := range p.size.Bound {
+		b := &p.size.Bound[i]
+		for _, load := range slopes.Loads {
+			if !b.in(load) {
+				continue
+			}
+			if b.Sum {
+				parts := p.parts(b, load)
+				if len(parts) == 0 || !slices.ContainsFunc(parts, func(t term) bool { return t.as == load }) {
+					continue
+				}
+				share := cross(func(x float64) float64 { return total(parts, x) }, b.Most)
+				top := slices.MaxFunc(parts, func(a, b term) int { return cmp.Compare(a.value(1), b.value(1)) })
+				at := where(share, p.size.variable("agents").at(load), "agents", 0)
+				if share == 0 { // what does not grow is too much alone
+					top = slices.MaxFunc(parts, func(a, b term) int { return cmp.Compare(a.value(0), b.value(0)) })
+					v := p.size.variable(top.e.Variable)
+					at = fmt.Sprintf("at any size, with %s %s", count(v.at(top.as)), v.Words)
+				}
+				all = append(all, crossing{share, []any{b.Name, loads[load], names(parts) + "; most: `" + top.e.Name + "`", at, unit(total(parts, 1), b.Unit), unit(b.Most, b.Unit), met(share > 1)}})
+			}
+			for j := range p.all {
+				e := &p.all[j]
+				if !b.of(e) || e.Load != load || seen[e.Name] || e.Form == "table" || !p.governs(e, true) {
+					continue
+				}
+				seen[e.Name] = true
+				v, f := p.size.variable(e.Variable), e.Fit()
+				if b.Sum && v.Grows { // it is in the sum
+					continue
+				}
+				aim, by := v.at(load), scale(b.Unit, e.Unit)
+				if aim == 0 {
+					continue
+				}
+				share := cross(func(x float64) float64 { return f.Value(x*aim) * by }, b.Most)
+				if b.Sum && share > 1 {
+					continue
+				}
+				all = append(all, crossing{share, []any{b.Name, loads[load], e.Mechanism + " `" + e.Name + "`", where(share, aim, v.Words, e.Points[0][0]), unit(f.Value(aim)*by, b.Unit), unit(b.Most, b.Unit), met(share > 1)}})
+			}
+		}
+	}
+	if len(all) == 0 {
+		return "Not measured.\n"
+	}
+	slices.SortStableFunc(all, func(a, b crossing) int {
+		switch {
+		case a.share < b.share:
+			return -1
+		case a.share > b.share:
+			return 1
+		}
+		return 0
+	})
+	t := table("", "bound", "load", "carried by", "crossed at", "at the size aimed at", "bound", "met")
+	for i, c := range all {
+		t.row(append([]any{i + 1}, c.cells...)...)
+	}
+	return t.String()
+}
+
+// where says at which size a bound is crossed; low: the smallest that was measured.
+func where(share, aim float64, words string, low float64) string {
+	switch {
+	case math.IsInf(share, 1):
+		return fmt.Sprintf("not up to %s %s", count(most*aim), words)
+	case share*aim < low:
+		return fmt.Sprintf("below %s %s, the smallest size measured", count(low), words)
+	case share == 0:
+		return "at the smallest size"
+	}
+	return fmt.Sprintf("%s %s (%.2g of the size)", count(round(share*aim)), words, share)
+}
+
+// cross is the share of the size at which a curve that grows passes a bound.
+func cross(value func(share float64) float64, bound float64) float64 {
+	low, high := 1e-6, float64(most)
+	if value(low) > bound {
+		return 0
+	}
+	if value(high) <= bound {
+		return math.Inf(1)
+	}
+	for range 80 {
+		if mid := math.Sqrt(low * high); value(mid) > bound {
+			high = mid
+		} else {
+			low = mid
+		}
+	}
+	return high
+}
+
+// round leaves three figures.
+func round(x float64) float64 {
+	v, _ := strconv.ParseFloat(strconv.FormatFloat(x, 'g', 3, 64), 64)
+	return v
+}
+
+func (p *printer) runs() string {
+	if len(p.used) == 0 {
+		return "None.\n"
+	}
+	t := table("run", "command", "date", "machine")
+	for i, r := range p.list {
+		if !p.used[i] {
+			continue
+		}
+		t.row(fmt.Sprintf("[%d]", i+1), "`"+r.command+"`", r.date, r.machine)
+	}
+	return t.String()
+}
+
+// grid is a table of Markdown.
+type grid struct {
+	head []any
+	rows [][]any
+}
+
+func table(head ...any) *grid { return &grid{head: head} }
+
+func (g *grid) row(cells ...any) { g.rows = append(g.rows, cells) }
+
+func (g *grid) String() string {
+	var b strings.Builder
+	line := func(cells []any) {
+		b.WriteString("|")
+		for _, c := range cells {
+			if text := fmt.Sprint(c); text == "" {
+				b.WriteString(" |")
+			} else {
+				b.WriteString(" " + text + " |")
+			}
+		}
+		b.WriteString("\n")
+	}
+	line(g.head)
+	b.WriteString("|" + strings.Repeat(" --- |", len(g.head)) + "\n")
+	for _, r := range g.rows {
+		line(r)
+	}
+	return b.String()
+}
+
+// count is a number for people: 12,000; 0.74.
+func count(x float64) string {
+	if x != math.Trunc(x) || math.Abs(x) < 1000 {
+		return strconv.FormatFloat(round(x), 'f', -1, 64)
+	}
+	text := strconv.FormatFloat(x, 'f', 0, 64)
+	for i := len(text) - 3; i > 0 && text[i-1] != '-'; i -= 3 {
+		text = text[:i] + "," + text[i:]
+	}
+	return text
+}
+
+// unit is a figure with its unit, in one that people read easily, with three figures.
+func unit(x float64, u string) string {
+	short := func(x float64) string { return count(round(x)) }
+	step := func(x float64, names ...string) string {
+		i := 0
+		for ; i < len(names)-1 && math.Abs(round(x)) >= 1000; i++ {
+			x /= 1000
+		}
+		return short(x) + " " + names[i]
+	}
+	k := units[u]
+	switch {
+	case x == 0 || u == "":
+		return strings.TrimSpace(short(x) + " " + u)
+	case k.kind == "bytes":
+		return step(x*k.of, "B", "KB", "MB", "GB", "TB")
+	case k.kind == "rate":
+		return step(x*k.of, "B/s", "KB/s", "MB/s", "GB/s")
+	case k.kind == "time":
+		return step(x*k.of*1e9, "ns", "us", "ms", "s")
+	case u == "share":
+		return short(100*x) + "%"
+	case u == "core":
+		return short(100*x) + "% of a core"
+	}
+	return short(x) + " " + u
+}
