Mend: the last bytes of a request waited for their server though its client had left

A write to a server that takes nothing went on for its time once it had begun (backends.go exchange, upload), whatever became of the client: with the last bytes in it the request ran late. And while the last piece of an upload waited, nobody read the client's connection (body.go wait stood on the attempt's lock), so that its leaving was not even seen. A write of more than 4 KB ends with the request now; a connection goes on to its next request as the last byte of an upload has been read. wait no longer sets one flag in three cases. poll is asked again where a signal breaks it off.

TestLastBytesThatWaitForTheirServerEndWithTheClient: a connection whose last write waits for its deadline. Without the watch on the write both cases fail; with the watch, and wait as it was, the upload's does.

--- a/internal/core/disconnect.go
+++ b/internal/core/disconnect.go
@@ -24,6 +24,9 @@
 	err = raw.Control(func(fd uintptr) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(fds, 0)
+		for err == unix.EINTR {
+			n, err = unix.Poll(fds, 0)
+		}
 		gone = n > 0 && err == nil && fds[0].Revents&ends != 0
 	})
 	return err != nil || gone // an error: it is closed on this side
--- a/internal/protocol/http1/backends.go
+++ b/internal/protocol/http1/backends.go
@@ -443,7 +443,7 @@
 	until, _ := ctx.Deadline()
 	text := m.on(until)
 	c.wrote = time.Now()
-	n, err := c.Write(text)
+	n, err := c.writeFor(by, text)
 	if err != nil || n < len(text) {
 		return nil, n == len(text) && m.up == nil, err
 	}
@@ -475,6 +475,34 @@
 	return a, true, err
 }
 
+// takenAtOnce is how many bytes a connection with nothing on it takes without waiting for its other side: the least that
+// Linux lets one hold to be written.
+const takenAtOnce = 4 << 10
+
+// writeFor writes a part of a request, and ends with the request: a server may take long to take it, and once the client
+// has left it must not have the last byte.
+func (c *conn) writeFor(by errand, text []byte) (int, error) {
+	if len(text) <= takenAtOnce {
+		return c.Write(text)
+	}
+	written, watched := make(chan struct{}), make(chan bool)
+	go func() {
+		select {
+		case <-by.Over():
+			_ = c.SetWriteDeadline(aLongTimeAgo)
+			watched <- true
+		case <-written:
+			watched <- false
+		}
+	}()
+	n, err := c.Write(text)
+	close(written)
+	if over := <-watched; over && err != nil {
+		err = errOver
+	}
+	return n, err
+}
+
 // errOver is of an attempt whose request has its answer, or another one's.
 var errOver = errors.New("the request is over")
 
@@ -494,7 +522,7 @@
 		if ctx.Err() != nil { // ended meanwhile: its deadline must not be put off
 			return context.Cause(ctx)
 		}
-		_, err := c.Write(text)
+		_, err := c.writeFor(by, text)
 		return err
 	})
 	switch {
--- a/internal/protocol/http1/body.go
+++ b/internal/protocol/http1/body.go
@@ -193,19 +193,19 @@
 func (u *upload) wait(r *core.Request, l *core.Loop, client net.Conn) bool {
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
-	for ended := false; !ended; {
+	for waiting := true; waiting; {
 		select {
 		case <-u.whole:
-			ended = true
-		case <-r.Over():
-			ended = true
-		case <-l.Stopped():
-			ended = true
+			return true // nobody reads it any more, though the server may still be to take its last piece
 		case <-look.C:
 			if core.Disconnected(client) {
 				l.Leave(r)
 			}
+			continue
+		case <-r.Over():
+		case <-l.Stopped():
 		}
+		waiting = false
 	}
 	u.mu.Lock() // an attempt that still reads is about to end
 	defer u.mu.Unlock()
--- a/internal/protocol/http1/disconnect_test.go
+++ b/internal/protocol/http1/disconnect_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -313,3 +314,52 @@
 		close(l.answer)
 	})
 }
+
+// stuckConn has the write that brings a request's last bytes wait, as one to a server that takes nothing, until its deadline
+// has passed.
+type stuckConn struct {
+	net.Conn
+	stuck, passed chan struct{}
+	ended         chan error
+}
+
+func (c *stuckConn) Write(p []byte) (int, error) {
+	if !strings.HasSuffix(string(p), "the last") {
+		return c.Conn.Write(p)
+	}
+	close(c.stuck)
+	<-c.passed
+	c.ended <- os.ErrDeadlineExceeded
+	return 0, os.ErrDeadlineExceeded
+}
+
+func (c *stuckConn) SetWriteDeadline(t time.Time) error {
+	if t.Before(time.Now()) {
+		close(c.passed)
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// A client leaves while the last bytes of its request wait for the server to take them: they are not left to it.
+func TestLastBytesThatWaitForTheirServerEndWithTheClient(t *testing.T) {
+	for name, size := range map[string]int{"kept whole": 2 * takenAtOnce, "upload": 2 * maxWhole} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := startLeaving(t, false, nil)
+			out := &stuckConn{stuck: make(chan struct{}), passed: make(chan struct{}), ended: make(chan error, 1)}
+			plain := l.backends.dialer
+			l.backends.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				c, err := plain(ctx, network, addr)
+				out.Conn = c
+				return out, err
+			}
+			c := l.connect(t)
+			c.write(fmt.Sprintf("POST /put/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: left\r\nIdempotency-Key: k\r\nContent-Length: %d\r\n\r\n%s",
+				size, strings.Repeat("x", size-len("the last"))+"the last"))
+			testkit.Receive(t, "last bytes", out.stuck)
+			c.c.Close()
+			testkit.Receive(t, "end of the write", out.ended)
+			l.notServed(t)
+		})
+	}
+}
