--- a/tools/capacity/chain.go
+++ b/tools/capacity/chain.go
@@ -134,6 +134,14 @@
 			chainPercent(all.VoidShare()), chainSpan(r.Recovered))
 	}
 	fmt.Fprintln(bench.Out)
+	bench.Head("tiers", "worked out: most attempts for a call, full buckets apart", "at errors", "full buckets bring besides, of each agent")
+	for _, p := range start {
+		if p.config.Deadlines {
+			attempts, errors := chain.Worst(chain.Agent, p.config.Tiers)
+			bench.Row(p.config.Tiers, attempts, chainPercent(errors), chain.Burst(p.config.Tiers, 1))
+		}
+	}
+	fmt.Fprintln(bench.Out)
 	bench.Head("tiers", "deadlines handed down", "all started at once: 99 in 100 served after")
 	for _, p := range start {
 		bench.Row(p.config.Tiers, chainYes(p.config.Deadlines), chainSpan(p.result.Settled))
@@ -214,6 +222,11 @@
 				main, of(c.name, chain.Agent, void))
 		}
 	}
+	entry("worst_errors.attempts", "worst", "attempts", "1/call", "table", "worked out: at the share of errors where they are most, full buckets apart", start,
+		func(p *chainPlay) (float64, bool) {
+			attempts, _ := chain.Worst(chain.Agent, p.config.Tiers)
+			return toDigits(attempts, 4), p.config.Deadlines
+		})
 	for _, deadlines := range []bool{true, false} {
 		name, note := "start.settled", "all agents start at once; until 99 in 100 calls are served; deadlines handed down"
 		if !deadlines {
