--- a/tools/capacity/page/page_test.go
+++ b/tools/capacity/page/page_test.go
@@ -171,6 +171,14 @@
 	}
 }
 
+// A bound that is crossed below the smallest size measured is not said to be crossed at a size that nobody measured.
+func TestACrossingBelowWhatWasMeasuredSaysSo(t *testing.T) {
+	got := tables(t, slope(func(s *slopes.Slope) {
+		s.Name, s.Quantity, s.Unit, s.Points = "policy.time.day", "time", "s", [][2]float64{{100, 100}, {300, 300}, {1000, 1000}}
+	}))
+	has(t, got["breaks"], "| 1 | in time |", "below 100 agents, the smallest size measured", "**no**")
+}
+
 // A figure that grows with distance is in the sum at the distance aimed at, and by itself where it alone crosses the bound.
 func TestWhatGrowsWithDistanceBreaksByItself(t *testing.T) {
 	got := tables(t, slope(func(s *slopes.Slope) {
--- a/tools/capacity/slopes/slopes_test.go
+++ b/tools/capacity/slopes/slopes_test.go
@@ -87,7 +87,7 @@
 }
 
 func TestResidualSaysWhatTheFormLeaves(t *testing.T) {
-	s := Slope{Form: "linear", Points: [][2]float64{{0, 0}, {1, 1}, {2, 0}}} // the line is 1/3; it leaves 1/3, 2/3, 1/3
+	s := Slope{Form: "linear", Points: [][2]float64{{0, 0}, {1, 5}, {2, 0}}} // the line is 5/3; it leaves 5/3, 10/3, 5/3, and the largest value is 5
 	if got, want := s.Fit().Residual, math.Sqrt(6.0/9/3); math.Abs(got-want) > 1e-9 {
 		t.Errorf("%v, want %v", got, want)
 	}
