--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -25,9 +25,14 @@
 // commands are one a slope, a line each.
 func commands() []*cobra.Command {
 	return []*cobra.Command{
+		pageCommand(),
 		viewCommand(),
 		verdictsCommand(),
 		limitsCommand(),
 		heldCommand(),
+		changesCommand(),
+		listCommand(),
+		chainCommand(),
+		pathCommand(),
 	}
 }
