Hollow beside real: the machine's part is taken out by a longer wait of probes

Seen: held's test at 8 passed, and by tools/capacity held at 8 to 50 on a machine at load 45 to 90 of 8 cores real daemons sent 1.3 to 2.6 times the datagrams of hollow ones. Checked: real ones took 0.9 (8 members) to 5.1 (9) others for suspects at rest, hollow ones in one process and in virtual time none; none was paused for a second. Ruled out: the relays (on a calm machine the same rig measured 10.0 datagrams and 671 bytes a second at 20, 680 at 50, docs/measure/view.md; hollow in virtual time 675 and 683).

--- a/internal/drill/hollow/held.go
+++ b/internal/drill/hollow/held.go
@@ -25,6 +25,8 @@
 	Seed    uint64
 	// Rest is from when to when all is at rest, before the first crash.
 	Rest [2]time.Duration
+	// Peers are the members' settings. With a longer Direct a busy machine, which lets processes wait, has no part in it.
+	Peers plan.Peers
 }
 
 // Side is what one of the three cost and did.
@@ -48,7 +50,7 @@
 // Plan is what befalls them: one after another is killed, and starts again.
 func (h *Held) Plan() *plan.Plan {
 	rng := rand.New(rand.NewPCG(h.Seed, uint64(h.Members)))
-	p := &plan.Plan{Name: "held", Daemons: h.Members, Zones: 1, Seeds: []int{0, 1}, Spread: 500 * time.Millisecond}
+	p := &plan.Plan{Name: "held", Daemons: h.Members, Zones: 1, Seeds: []int{0, 1}, Spread: 500 * time.Millisecond, Peers: h.Peers}
 	at := h.Rest[1]
 	for range h.Crashes {
 		who := []int{2 + rng.IntN(h.Members-2)}
--- a/internal/drill/hollow/held_test.go
+++ b/internal/drill/hollow/held_test.go
@@ -11,22 +11,23 @@
 	"vetchhaven/internal/drill/plan"
 )
 
-// What a datagram takes does not depend on how busy the machine is; how many there are does, so that is held widely
-// here, and closely by tools/capacity held.
+// Probes wait for ten times as long here as they do by default: on a busy machine processes wait for a core, and what real
+// members then ask anew is the machine's doing. tools/capacity held has the defaults.
 func TestHollowMembersSendWhatRealDaemonsSend(t *testing.T) {
 	t.Parallel()
 	bin := filepath.Join(t.TempDir(), "vetchhaven")
 	if out, err := exec.Command("go", "build", "-o", bin, "vetchhaven/cmd/vetchhaven").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	h := Held{Program: bin, Dir: t.TempDir(), Members: 8, Seed: 1, Rest: [2]time.Duration{4 * time.Second, 8 * time.Second}}
+	h := Held{Program: bin, Dir: t.TempDir(), Members: 8, Seed: 1, Rest: [2]time.Duration{4 * time.Second, 9 * time.Second},
+		Peers: plan.Peers{Direct: time.Second, Indirect: 1500 * time.Millisecond}}
 	sides, err := h.Play(context.Background())
 	if err != nil {
 		t.Fatal(err)
 	}
 	real := sides[0]
 	for _, s := range sides {
-		if s.Datagrams < 1 || s.Datagrams > 4*real.Datagrams || s.Datagrams < real.Datagrams/4 {
+		if r := s.Datagrams / real.Datagrams; !(r > 0.6 && r < 1.7) { // a member that waits for a core probes less
 			t.Errorf("%s: %.1f datagrams a second, real daemons send %.1f", s.Name, s.Datagrams, real.Datagrams)
 		}
 		if r := s.EachBytes / real.EachBytes; r < 0.85 || r > 1.15 {
--- a/tools/capacity/held.go
+++ b/tools/capacity/held.go
@@ -15,11 +15,12 @@
 	"github.com/spf13/cobra"
 
 	"vetchhaven/internal/drill/hollow"
+	"vetchhaven/internal/drill/plan"
 	"vetchhaven/tools/internal/bench"
 )
 
 func heldCommand() *cobra.Command {
-	sizes, crashes, seed := "20,50", 10, uint64(1)
+	sizes, crashes, seed, direct := "20,50", 10, uint64(1), time.Duration(0)
 	c := &cobra.Command{Use: "held", Short: "Hollow members beside as many real daemons: bytes, messages and times", Args: cobra.NoArgs,
 		Long: "held plays the same plan with real daemons (relays on their links) and with hollow members on sockets, side by side, and\n" +
 			"then in virtual time: rest, and one after another killed and started. It ends with status 1 where a rate of the\n" +
@@ -43,7 +44,8 @@
 			if err != nil || n < 4 {
 				return fmt.Errorf("--sizes: %q is no number of at least 4", text)
 			}
-			h := hollow.Held{Program: bin, Dir: filepath.Join(dir, text), Members: n, Crashes: crashes, Seed: seed, Rest: [2]time.Duration{20 * time.Second, 45 * time.Second}}
+			h := hollow.Held{Program: bin, Dir: filepath.Join(dir, text), Members: n, Crashes: crashes, Seed: seed, Rest: [2]time.Duration{20 * time.Second, 45 * time.Second},
+				Peers: plan.Peers{Direct: direct, Indirect: direct + direct/2}}
 			sides, err := h.Play(ctx)
 			if err != nil {
 				return err
@@ -74,6 +76,7 @@
 	}
 	c.Flags().StringVar(&sizes, "sizes", sizes, "how many members, in turn")
 	c.Flags().IntVar(&crashes, "crashes", crashes, "how many crashes and joins")
+	c.Flags().DurationVar(&direct, "direct", 0, "how long a probe waits for its answer, and half as long again for helpers; 0: the default. With 1s what a busy machine delays is no failure")
 	c.Flags().Uint64Var(&seed, "seed", seed, "of all chance")
 	return c
 }
--- a/tools/capacity/shared.go
+++ b/tools/capacity/shared.go
@@ -115,7 +115,7 @@
 func verdictsRate(sizes []int, f *flags) ([]slopes.Slope, error) {
 	f.head()
 	n := sizes[max(0, len(sizes)-2)]
-	s := f.series("verdicts", "rest", "requests_per_s", fmt.Sprintf("%d agents, 0.1%% fail by chance, %s", n, apart.name))
+	s := f.series("verdicts", "rest", "calls_per_s", fmt.Sprintf("%d agents, 0.1%% fail by chance, %s", n, apart.name))
 	for _, rate := range []float64{1, 10, 40, callsEach} {
 		began := time.Now()
 		p, err := verdictsRun(n, rate, f, nil)
