--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -32,6 +32,7 @@
 		heldCommand(),
 		changesCommand(),
 		listCommand(),
+		operatorCommand(),
 		chainCommand(),
 		pathCommand(),
 	}
