Hollow beside real: real daemons share verdicts too, and so do hollow ones now

Checked with sizes written down at the relays (not kept): every second each daemon sent datagrams of 22 bytes besides, of the second format: questions about verdicts and their answers, which [peers] has on.

--- a/internal/drill/hollow/held.go
+++ b/internal/drill/hollow/held.go
@@ -101,6 +101,16 @@
 		sides[2].Datagrams += float64(x[1].Out.Messages) / span
 		sides[2].Bytes += float64(x[1].Out.Bytes) / span
 	}
+	g, err := DrawGraph(GraphSpec{Agents: h.Members, Seed: h.Seed})
+	if err != nil {
+		return nil, err
+	}
+	shared, _, err := (&Verdicts{Seed: h.Seed, Fleet: "drill", Graph: g, Rate: 0.001, Marks: h.Rest[:1], Length: h.Rest[1]}).Play() // no requests, as there
+	if err != nil {
+		return nil, err
+	}
+	sides[2].Datagrams += shared[1].Out.Messages
+	sides[2].Bytes += shared[1].Out.Bytes
 	sides[2].EachBytes = sides[2].Bytes / sides[2].Datagrams
 	return sides, nil
 }
--- a/internal/drill/hollow/verdicts.go
+++ b/internal/drill/hollow/verdicts.go
@@ -1,6 +1,7 @@
 package hollow
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -14,6 +15,7 @@
 // of the services that its own calls.
 type Verdicts struct {
 	Seed    uint64
+	Fleet   string // its name; empty: Fleet
 	Layout  *topology.Layout
 	Graph   *Graph
 	Rate    float64 // requests a second of each agent
@@ -38,7 +40,7 @@
 func (v *Verdicts) Play() ([]Phase, *play.Result, error) {
 	n := len(v.Graph.Of)
 	m := newMeter(n, v.Marks)
-	wire := carrier.Wire{Fleet: Fleet}
+	wire := carrier.Wire{Fleet: cmp.Or(v.Fleet, Fleet)}
 	failing := make([][]Failing, n)
 	for _, f := range v.Failing {
 		for _, s := range f.Servers {
--- a/internal/peer/carrier/carrier.go
+++ b/internal/peer/carrier/carrier.go
@@ -75,7 +75,7 @@
 	agreeing *agreeing
 
 	dropped, odd, huge, foreign, damaged, formats atomic.Uint64
-	datagrams, written                            atomic.Uint64 // of the view: how many were written, and their bytes
+	datagrams, written                            atomic.Uint64 // of the view and of what is shared: how many were written, and their bytes
 }
 
 // input is an event, and where the answer to an Asked goes.
@@ -349,7 +349,7 @@
 	_, _ = c.o.UDP.WriteToUDPAddrPort(data, to) // what is lost is lost: the protocol is made for it
 }
 
-// Sent is how many datagrams of the view this member has written, and their bytes.
+// Sent is how many datagrams of the view, limits and verdicts this member has written, and their bytes.
 func (c *Carrier) Sent() (datagrams, bytes uint64) { return c.datagrams.Load(), c.written.Load() }
 
 // save hands what is known to the disk. The boot alone goes with what was known when the process started.
--- a/internal/peer/carrier/sharing.go
+++ b/internal/peer/carrier/sharing.go
@@ -126,6 +126,8 @@
 	}
 	s.sent++
 	s.bytes += uint64(len(data))
+	s.c.datagrams.Add(1)
+	s.c.written.Add(uint64(len(data)))
 	_, _ = s.c.o.UDP.WriteToUDPAddrPort(data, addr) // what is lost is asked for again
 }
 
