--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -26,7 +26,14 @@
 func commands() []*cobra.Command {
 	return []*cobra.Command{
 		pageCommand(),
+		viewCommand(),
+		changesCommand(),
+		listCommand(),
+		operatorCommand(),
 		chainCommand(),
 		pathCommand(),
+		verdictsCommand(),
+		limitsCommand(),
+		heldCommand(),
 	}
 }
