--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -24,5 +24,16 @@
 
 // commands are one a slope, a line each.
 func commands() []*cobra.Command {
-	return []*cobra.Command{}
+	return []*cobra.Command{
+		pageCommand(),
+		viewCommand(),
+		changesCommand(),
+		listCommand(),
+		operatorCommand(),
+		chainCommand(),
+		pathCommand(),
+		verdictsCommand(),
+		limitsCommand(),
+		heldCommand(),
+	}
 }
--- /dev/null
+++ b/tools/capacity/path_test.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"vetchhaven/internal/source/catalog"
+	"vetchhaven/internal/standin"
+)
+
+// Calls that were meant for the time of a stall count as long as it held them up (no coordinated omission): on one
+// connection that stands still for the first 300 ms, those of its first 200 ms took 100 ms at the least.
+func TestLatencyCountsFromWhenACallWasMeant(t *testing.T) {
+	const stall = 300 * time.Millisecond
+	var first atomic.Bool
+	began := time.Now()
+	form := standin.NewForm("s", func(w http.ResponseWriter, _ *http.Request) {
+		if first.CompareAndSwap(false, true) {
+			time.Sleep(time.Until(began.Add(stall))) // the load of this test, not its synchronisation
+		}
+		_, _ = w.Write(bytes.Repeat([]byte("x"), pathAnswer))
+	})
+	defer form.Close()
+	c := newPathCaller(pathOptions{rate: 100, seed: 1}, []catalog.Member{form.Member("ready")}, []string{strings.TrimPrefix(form.Member("ready").Addr, "http://")})
+	transport := c.client.Transport.(*http.Transport)
+	transport.MaxConnsPerHost = 1
+	defer transport.CloseIdleConnections()
+	began = time.Now()
+	r, err := c.round(stall)
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := int64(0)
+	for _, h := range []int64{r.direct.TotalCount(), r.agent.TotalCount()} {
+		all += h
+	}
+	quick := 0
+	for _, b := range append(r.direct.Distribution(), r.agent.Distribution()...) {
+		if time.Duration(b.To)*time.Microsecond < 100*time.Millisecond {
+			quick += int(b.Count)
+		}
+	}
+	if all < 20 {
+		t.Fatalf("%d calls in %v: nothing is put to the test", all, stall)
+	}
+	if share := float64(quick) / float64(all); share > 0.6 { // a third is expected
+		t.Errorf("%d of %d calls were quick beside a stall of %v", quick, all, stall)
+	}
+}
