Judge: a doubt in one's own region that a busy machine explains has a bound of its own

Seen: regions-cut.toml with 16 real processes on 8 cores under a load of 50: near-calm broken 35 times, each a suspicion between two of one region that was refuted within half a second, before the cut as in it. bounds.doubt says how long one may last (0, none, by default; 1 s in the drills that real processes play); one that lasts longer, or ends in a death, breaks the claim, also where it has no end. In virtual time no file's doubt holds: TestShippedDrills sets it to 0.

--- a/internal/drill/judge/judge_test.go
+++ b/internal/drill/judge/judge_test.go
@@ -125,3 +125,60 @@
 		t.Error(lines, err)
 	}
 }
+
+// Two regions, a and b of one, c of the other, and c is cut off.
+func apart() *story {
+	s := three()
+	for i := range s.lines {
+		if l := &s.lines[i]; l.What == Up {
+			l.Region = map[string]string{"a": "near", "b": "near", "c": "far"}[l.Of]
+		}
+	}
+	for _, n := range []string{"a", "b"} {
+		s.at(10, Line{What: Link, From: n, To: "c", Drop: 1}).at(10, Line{What: Link, From: "c", To: n, Drop: 1})
+	}
+	return s
+}
+
+func TestDoubtsInOnesOwnRegion(t *testing.T) {
+	sent := func(s *story, at float64) *story {
+		return s.at(at, Line{What: Sent, Of: "a", PID: 1, Bytes: 10}).at(at, Line{What: End})
+	}
+	verdict(t, sent(apart(), 30), NearCalm, "kept")
+	verdict(t, sent(three(), 30), NearCalm, "not tried")
+	verdict(t, sent(apart().sees(20, 1, "c", "c1", "dead"), 30), NearCalm, "kept") // it is the other region's
+	doubted := func() *story { return apart().sees(20, 1, "b", "b1", "suspect") }
+	verdict(t, sent(doubted().sees(20.4, 1, "b", "b1", "alive"), 30), NearCalm, "BROKEN")
+	paused := apart().at(19, Line{What: Pause, Of: "b", PID: 2}).sees(20, 1, "b", "b1", "suspect").at(20.2, Line{What: Resume, Of: "b", PID: 2})
+	verdict(t, sent(paused, 30), NearCalm, "kept")
+	was := bounds.Doubt
+	defer func() { bounds.Doubt = was }()
+	bounds.Doubt = time.Second
+	verdict(t, sent(doubted().sees(20.4, 1, "b", "b1", "alive"), 30), NearCalm, "kept")
+	verdict(t, sent(doubted().sees(21.4, 1, "b", "b1", "alive"), 30), NearCalm, "BROKEN")
+	verdict(t, sent(doubted(), 30), NearCalm, "BROKEN")
+	verdict(t, sent(doubted().sees(20.4, 1, "b", "b1", "dead"), 30), NearCalm, "BROKEN")
+}
+
+func TestBytesToOtherRegions(t *testing.T) {
+	was := bounds.BytesFar
+	defer func() { bounds.BytesFar = was }()
+	bounds.BytesFar = 100
+	verdict(t, apart().at(11, Line{What: Sent, Of: "a", PID: 1, Bytes: 500, Far: 101}), BytesFar, "BROKEN")
+	verdict(t, apart().at(11, Line{What: Sent, Of: "a", PID: 1, Bytes: 500, Far: 99}), BytesFar, "kept")
+	verdict(t, three().at(11, Line{What: Sent, Of: "a", PID: 1, Bytes: 500, Far: 101}), BytesFar, "not tried")
+}
+
+func TestWaysByTheLinksAreAddedToBounds(t *testing.T) {
+	was := bounds.Ways
+	defer func() { bounds.Ways = was }()
+	for _, c := range []struct {
+		ways int
+		want string
+	}{{0, "BROKEN"}, {2, "kept"}} {
+		bounds.Ways = c.ways
+		s := three().at(1, Line{What: Link, From: "a", To: "c", WayUS: 200_000}).at(1, Line{What: Link, From: "c", To: "a", WayUS: 200_000}).
+			at(10, Line{What: Down, Of: "c", PID: 3, Why: "kill"}).sees(12, 2, "c", "c1", "dead").sees(13.7, 1, "c", "c1", "dead").at(30, Line{What: End})
+		verdict(t, s, CrashKnown, c.want)
+	}
+}
--- a/internal/drill/virtual/virtual_test.go
+++ b/internal/drill/virtual/virtual_test.go
@@ -43,6 +43,7 @@
 		}
 		t.Run(p.Name, func(t *testing.T) {
 			t.Parallel()
+			p.Bounds.Doubt = 0 // there is no busy machine here
 			for seed := range uint64(8) {
 				r, err := Play(p, Options{Seed: seed + 1, Workers: 1})
 				if err != nil {
