--- a/internal/peer/view/region_test.go
+++ b/internal/peer/view/region_test.go
@@ -534,3 +534,186 @@
 		}
 	}
 }
+
+func TestWatcherOfALostRegionBeginsWithWhatItsRegionHolds(t *testing.T) {
+	v := inRegions(t, 2, 5, 0)
+	r := watching(t, v, true)
+	r.watch, r.mute, r.away = false, false, true // it was none a moment ago
+	v.elect(r)
+	if !r.watch || !muted(v.self, r) {
+		t.Errorf("watch %v, mute %v", r.watch, r.mute)
+	}
+}
+
+func TestRegionIsNotSilentSoonerThanAPauseThatIsBorne(t *testing.T) {
+	v := inRegions(t, 2, 5, 0)
+	r := watching(t, v, true)
+	for range 2 * farMisses {
+		v.missedFar(r)
+	}
+	if r.mute {
+		t.Fatal("silent at once")
+	}
+	v.now += SuspectLeast + Direct + Indirect
+	if v.missedFar(r); !r.mute {
+		t.Error("not silent")
+	}
+	w := inRegions(t, 2, 5, 0) // and a pause of its own is no silence of theirs
+	o := watching(t, w, true)
+	o.missed = farMisses - 1
+	w.Step(w.Next() + 10*time.Second)
+	w.missedFar(o)
+	if o.mute {
+		t.Error("silent after a pause of this member's own")
+	}
+}
+
+func TestDoubtedRegionIsProbedMoreOften(t *testing.T) {
+	v := inRegions(t, 2, 5, 0)
+	r := watching(t, v, true)
+	v.probes, v.actions = nil, nil
+	r.probeAt = v.now + farEvery
+	if v.doubts(r); r.probeAt > v.now+farSoon {
+		t.Errorf("the next in %v", r.probeAt-v.now)
+	}
+	for range 20 {
+		r.probeAt = v.now
+		if v.watchDue(); r.probeAt > v.now+farSoon*3/2 {
+			t.Fatalf("the one after in %v", r.probeAt-v.now)
+		}
+	}
+	r.mute = true // it goes on as at rest
+	r.probeAt = v.now
+	if v.watchDue(); r.probeAt < v.now+farEvery/2 {
+		t.Errorf("silent, and the next in %v", r.probeAt-v.now)
+	}
+}
+
+func TestRegionOfWhichAllAreDeadIsStillProbed(t *testing.T) {
+	v := inRegions(t, 2, 1, 0)
+	r := watching(t, v, true)
+	dead := of(1, 0)
+	dead.State = Dead
+	tells(v, of(0, 0), dead)
+	v.actions, v.probes, r.probeAt = nil, nil, v.now
+	v.watchDue()
+	if got := sent(v.actions, Ping); len(got) != 1 || got[0].Message.Target != "b0" || got[0].Message.Updates[0].State != Dead {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestWatcherBeyondACutIsReplacedWhileItIsSuspect(t *testing.T) {
+	v := inRegions(t, 9, 4, 0)
+	v.Step(v.now + ms)
+	r := v.regions["b"]
+	first := r.top[slices.IndexFunc(r.top, func(w watcher) bool { return w.m != v.self })].m
+	for _, cut := range []bool{false, true} {
+		first.State = Suspect
+		if v.cutUntil = 0; cut {
+			v.cutUntil = v.now + time.Second
+		}
+		v.elect(r)
+		if still := slices.ContainsFunc(r.top, func(w watcher) bool { return w.m == first }); still == cut {
+			t.Errorf("cut %v: it watches %v", cut, still)
+		}
+	}
+}
+
+func TestBySeveralWatchersExchangesComeByRank(t *testing.T) {
+	v := inRegions(t, 2, 3, 0)
+	r := watching(t, v, true)
+	v.news = news{}
+	r.rank, r.differs = 2, v.now-2500*ms
+	v.exchange = exchange{quietAt: time.Hour}
+	if v.compareFar(v.members["b0"], 99); v.exchange.at != 0 {
+		t.Error("the third is not the first")
+	}
+	r.differs = v.now - 3*time.Second
+	if v.compareFar(v.members["b0"], 99); v.exchange.at == 0 {
+		t.Error("and it never comes to it")
+	}
+}
+
+func TestRegionThatIsCutInTwoIsHelpedFromAfar(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		v := inRegions(t, 6, 4, 0)
+		if v.last = 0; cut {
+			v.last = 7
+		}
+		v.now += calmFor
+		v.actions = nil
+		p := &probe{target: "a1", seq: v.nextSeq(), at: v.now}
+		v.askOthers(p)
+		far := slices.ContainsFunc(p.helpers, func(h *member) bool { return h.Region == "b" })
+		if far != cut || len(p.helpers) != helpers {
+			t.Errorf("cut %v: a far helper %v, %d helpers", cut, far, len(p.helpers))
+		}
+	}
+	// The far helper does not suspect; the suspect hears of it all the same.
+	v := inRegions(t, 2, 2, 0)
+	accused := of(1, 0)
+	accused.State, accused.By = Suspect, "b1"
+	acts := v.Step(v.now+ms, from(of(1, 1), 9, Message{Kind: PingFor, Seq: 3, Target: "b0", Addr: accused.Addr, Reply: of(1, 1).Addr, Updates: []Record{accused}}))
+	if got := sent(acts, Ping); len(got) == 0 || len(got[0].Message.Updates) == 0 || got[0].Message.Updates[0].State != Suspect {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestOneThatHearsNobodyAccusesNobodyAndWaitsByItsPeriodAndByPauses(t *testing.T) {
+	v := alone(t)
+	meet(v, 5)
+	v.lone = true
+	if v.missed(&probe{target: "m1"}); state(v, "m1") != Alive {
+		t.Error("it accuses")
+	}
+	v.s.Every = 20 * ms
+	if got := v.loneAfter(); got < 2*SuspectLeast {
+		t.Errorf("%v at 20 ms", got)
+	}
+	v.s.Every = time.Second
+	if got := v.loneAfter(); got < 20*time.Second {
+		t.Errorf("%v at 1 s", got)
+	}
+}
+
+func TestOneThatIsAliveAgainFarAwayIsForWatchersToAsk(t *testing.T) {
+	for near, want := range map[int]bool{2: true, 40: false} {
+		v := inRegions(t, near, 3, 0)
+		watching(t, v, want)
+		r := of(1, 0)
+		r.State = Dead
+		tells(v, of(0, 0), r)
+		v.exchange = exchange{quietAt: time.Hour}
+		r.State, r.Inc = Alive, 1
+		if tells(v, of(0, 0), r); (v.exchange.whom == r.Addr || v.exchange.busy && v.exchange.to == r.Addr) != want {
+			t.Errorf("watcher %v: exchange with %q", want, v.exchange.whom)
+		}
+	}
+}
+
+func TestExchangesWithOtherRegionsHaveTheirOwnBound(t *testing.T) {
+	v := inRegions(t, 2, 3, 0)
+	v.now += ms
+	v.farStreams.fill(v.now)
+	v.farStreams.level = -5000
+	ask := func(r Record) *Exchange {
+		for _, a := range v.Step(v.now+ms, Asked{Stream: 1, Message: &Exchange{From: r.Name, Buckets: []uint64{1}, Records: []Record{r}}}) {
+			if a, ok := a.(Reply); ok {
+				return a.Message
+			}
+		}
+		return nil
+	}
+	if x := ask(of(1, 0)); x == nil || x.Busy == 0 || x.Records[0].Region != "b" {
+		t.Errorf("to one of another region: %+v", x)
+	}
+	if x := ask(of(0, 0)); x == nil || x.Busy != 0 {
+		t.Errorf("to one that is near: %+v", x)
+	}
+	v.farStreams.level = -1e6
+	v.exchange = exchange{quietAt: time.Hour}
+	v.exchange.with(v, of(1, 0).Addr)
+	if got := opens(run(v, v.now+2*time.Second)); len(got) > 0 {
+		t.Error("opened in debt")
+	}
+}
