--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -113,7 +113,8 @@
 	last  bool          // its last answer is out, and the client's reading is waited for
 }
 
-var aLongTimeAgo = time.Unix(1, 0)
+// LongAgo is a deadline that has passed: a read or write that waits ends at once.
+var LongAgo = time.Unix(1, 0)
 
 // Accept waits for room, and for a connection.
 func (g *Gate) Accept() (net.Conn, error) {
@@ -228,7 +229,7 @@
 	}
 	c.asked = true
 	g.asked++
-	_ = c.streamConn.SetReadDeadline(aLongTimeAgo) // one that can't be set is closed already
+	_ = c.streamConn.SetReadDeadline(LongAgo) // one that can't be set is closed already
 }
 
 // goOn takes that back. The lock is held.
--- a/internal/protocol/http1/answer.go
+++ b/internal/protocol/http1/answer.go
@@ -40,7 +40,6 @@
 
 var (
 	errTooLong   = errors.New("longer than a body may be")
-	aLongTimeAgo = time.Unix(1, 0)
 	errNoFraming = errors.New("an answer whose end can't be told")
 )
 
--- a/internal/protocol/http1/backends.go
+++ b/internal/protocol/http1/backends.go
@@ -434,7 +434,7 @@
 // exchange writes m on a connection and reads its answer. It reports whether the last byte of m
 // was written. After an error the connection is of no further use.
 func (b *backends) exchange(ctx context.Context, by errand, c *conn, m *message) (a *answer, whole bool, err error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) })
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(core.LongAgo) })
 	defer func() {
 		if !stop() && err == nil {
 			a.reusable = false // its deadline has passed, or is about to
@@ -489,7 +489,7 @@
 	go func() {
 		select {
 		case <-by.Over():
-			_ = c.SetWriteDeadline(aLongTimeAgo)
+			_ = c.SetWriteDeadline(core.LongAgo)
 			watched <- true
 		case <-written:
 			watched <- false
--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -386,9 +386,9 @@
 	case c.ending:
 		// The reader learns it from its read, and lets the client read this answer.
 		c.closeWrite()
-		_ = c.nc.SetReadDeadline(aLongTimeAgo)
+		_ = c.nc.SetReadDeadline(core.LongAgo)
 	case c.watching: // it goes on with the request that it has
-		_ = c.nc.SetReadDeadline(aLongTimeAgo)
+		_ = c.nc.SetReadDeadline(core.LongAgo)
 	case c.behind:
 		_ = c.nc.SetReadDeadline(time.Now().Add(core.HeadTime))
 	default:
--- a/internal/protocol/ldap/client.go
+++ b/internal/protocol/ldap/client.go
@@ -768,7 +768,7 @@
 		return
 	}
 	s.stopping, s.notice = true, ldapmsg.Disconnection(code, text)
-	_ = s.conn.SetReadDeadline(time.Unix(1, 0)) // the reader stops
+	_ = s.conn.SetReadDeadline(core.LongAgo) // the reader stops
 	s.lastWord()
 	s.mu.Unlock()
 	<-s.quiet
