--- a/internal/core/told_test.go
+++ b/internal/core/told_test.go
@@ -46,6 +46,7 @@
 	call func(at time.Duration) callFate
 	// hush is when open watches fall silent, right after their next beat, and over when they end; 0: never.
 	hush, over time.Duration
+	moves      bool // an agent is sent to another address when it has the change
 	hangs      bool // it is back right after the first call that hangs, or the watch that fell silent
 }
 
@@ -188,6 +189,9 @@
 	l.take(d.translate(cfg.Known, decide.ListCached))
 	running.Go(func() { l.run(ctx) })
 	running.Go(func() { d.run(ctx) })
+	if s.moves {
+		time.AfterFunc(s.has, func() { d.move("list:2") })
+	}
 	select {
 	case at = <-known:
 	case <-time.After(s.since() + time.Minute):
@@ -202,6 +206,7 @@
 	s.mu.Unlock()
 	cancel()
 	running.Wait()
+	time.Sleep(callWait) // of the test's clock: the transport's own dials end
 	return at, calls
 }
 
@@ -297,8 +302,8 @@
 							most = max(most, calls)
 						})
 					}
-					// Full jitter below the ceiling: half of it on average; a dozen while it grows.
-					if per := catalog.ReconnectMost / 2; most > 30+2*int(20*time.Second/per) {
+					// Full jitter below 0.8 s: two and a half calls a second, each seed's 18 s at the most.
+					if most > 4*18 {
 						t.Errorf("%d calls: a storm", most)
 					}
 				})
@@ -306,3 +311,32 @@
 		}
 	}
 }
+
+// SIGHUP names another address while the present one is down, hangs, or has an agent's watch: the new one is asked in that
+// moment, whatever is being waited for.
+func TestAMoveIsFollowedAtOnce(t *testing.T) {
+	for name, fate := range map[string]callFate{"in a wait": fateRefused, "while a connection comes up": fateDropped,
+		"while a call hangs": fateMute, "while a call waits": fateQueued, "while a watch runs": fateServed} {
+		for _, mode := range []string{"subscribe", "automatic"} {
+			t.Run(name+"/"+mode, func(t *testing.T) {
+				for i := range 6 {
+					cfg := testConfig(t, testkit.Setup{Mode: mode, Servers: []catalog.Member{
+						{ID: "one", Addr: "127.0.0.1:8", State: "ready"}}})
+					cfg.Seed, cfg.Settings.AskWithin, cfg.Settings.DrainGrace = uint64(i), time.Hour, time.Hour
+					synctest.Test(t, func(t *testing.T) {
+						has := 13*time.Second + time.Duration(i)*217*time.Millisecond
+						s := &listService{has: has, listScript: listScript{moves: true, call: func(at time.Duration) callFate {
+							if at < has {
+								return fate
+							}
+							return fateServed
+						}}}
+						if at, _ := s.told(t, cfg); at != has {
+							t.Errorf("told %v after", at-has)
+						}
+					})
+				}
+			})
+		}
+	}
+}
