Tests: discovery back for a moment on sockets; the port of a process that was killed

Seen to fail without the version that a list brought, and without SO_REUSEADDR on the listener. testkit.DownAddr is a DeadAddr at which a test may listen itself; DeadAddr is as it was.

--- a/cmd/vetchhaven/restart_test.go
+++ b/cmd/vetchhaven/restart_test.go
@@ -98,6 +98,31 @@
 	terminated(t, next)
 }
 
+// A process that is killed leaves connections of its clients behind that are half open: the next one has the port at once.
+func TestReadyRightAfterAKill(t *testing.T) {
+	listen := freeAddr(t)
+	text := fmt.Sprintf(config, listen, freeAddr(t), freeAddr(t))
+	old, _ := restarting(t, text)
+	waitReady(t, listen)
+	c, err := net.Dial("tcp", listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	_ = old.Process.Kill()
+	_ = old.Wait()
+	next, log := restarting(t, text)
+	waitReady(t, listen)
+	if strings.Contains(log.String(), "in use") {
+		t.Error("it waited for the port")
+	}
+	terminated(t, next)
+}
+
 // A process that is told to end while it waits for the port ends with status 0.
 func TestSigtermWhileThePortIsInUse(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/core/discovery_test.go
+++ b/internal/core/discovery_test.go
@@ -1,8 +1,11 @@
 package core
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -109,6 +112,61 @@
 	testkit.Receive(t, "watch that was asked for", two.Watch)
 }
 
+// Discovery is down, back for as long as it takes to tell one list, and down again, and then back for good: what it told
+// counts, and is what it is asked to go on from. Calls go on all the while.
+func TestDiscoveryIsBackForAMoment(t *testing.T) {
+	for _, mode := range []string{"subscribe", "automatic"} {
+		t.Run(mode, func(t *testing.T) {
+			addr := testkit.DownAddr(t)
+			d, events := follow(t, testConfig(t, testkit.Setup{Mode: mode, Discovery: addr}), nil)
+			failed := func(times int) {
+				t.Helper()
+				for range times {
+					if d.cfg.Settings.Subscribe {
+						d.subscribe()
+					}
+					if e := testkit.Receive(t, "failure", events); e.Kind != decide.ListFailed {
+						t.Errorf("%+v", e)
+					}
+				}
+			}
+			// back serves one call, whole, and is down again.
+			back := func(since string, version int, state string) {
+				t.Helper()
+				ln, err := net.Listen("tcp", addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer ln.Close()
+				if d.cfg.Settings.Subscribe {
+					d.subscribe()
+				}
+				c, err := ln.Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				ln.Close()
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil || req.URL.Query().Get("since") != since {
+					t.Errorf("%v, %v", req, err)
+				}
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s\n", line(version, true, state))
+				c.Close()
+				if e := testkit.Receive(t, "list", events); e.Kind != decide.ListFull || len(e.Backends) != 1 || (e.Backends[0].State == decide.Up) != (state == "ready") {
+					t.Errorf("%+v", e)
+				}
+				if e := testkit.Receive(t, "failure", events); e.Kind != decide.ListFailed {
+					t.Errorf("%+v", e)
+				}
+			}
+			failed(3)
+			back("41", 42, "ready")
+			failed(3)
+			back("42", 43, "draining")
+		})
+	}
+}
+
 // A discovery that is cut off closes nothing: a watch that misses its empty lines is dead.
 func TestSilentWatchIsDead(t *testing.T) {
 	c := testkit.NewCatalog(t)
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -80,12 +80,26 @@
 // DeadAddr is an address at which nothing listens until the test ends: connections are refused. It is kept, or another
 // test's server could get the port, and what is meant for nobody.
 func DeadAddr(t testing.TB) string {
+	t.Helper()
+	return bound(t, 0)
+}
+
+// DownAddr is a DeadAddr at which the test itself may listen, by net.Listen, whenever it likes.
+func DownAddr(t testing.TB) string {
+	t.Helper()
+	return bound(t, 1)
+}
+
+func bound(t testing.TB, reuse int) string {
 	t.Helper()
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, reuse); err != nil {
+		t.Fatal(err)
+	}
 	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
 		t.Fatal(err)
 	}
