--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -27,13 +27,13 @@
 	return []*cobra.Command{
 		pageCommand(),
 		viewCommand(),
+		verdictsCommand(),
+		limitsCommand(),
+		heldCommand(),
 		changesCommand(),
 		listCommand(),
 		operatorCommand(),
 		chainCommand(),
 		pathCommand(),
-		verdictsCommand(),
-		limitsCommand(),
-		heldCommand(),
 	}
 }
