--- a/tools/capacity/changes.go
+++ b/tools/capacity/changes.go
@@ -5,259 +5,27 @@
 	"fmt"
 	"io"
 	"math"
-	"math/rand/v2"
 	"runtime"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
-	"golang.org/x/sys/unix"
 
-	"vetchhaven/internal/drill/agree"
-	"vetchhaven/internal/drill/judge"
-	"vetchhaven/internal/drill/plan"
 	"vetchhaven/internal/peer/carrier"
-	"vetchhaven/internal/peer/policy"
 	"vetchhaven/tools/capacity/slopes"
 )
 
-// fleetName stands in each message; one of this length is usual.
-const fleetName = "fleet"
-
-// changing is one play of a fleet whose policy is changed.
-type changing struct {
-	members, voters int
-	stops           bool
-	every           time.Duration // between two changes, in the mean; 0: there are none
-	drawn           bool          // by chance, each by another member; else at even times, all by one
-	text            int           // bytes of a policy
-	from, length    time.Duration // changes and figures begin then; the play ends
-	streams         int
-	regions         int           // members are by turns in one of so many; 0: all in one
-	delay           time.Duration // one way between two regions
-	cut             int           // this region is cut off, -1: none
-	cutAt, cutFor   time.Duration
-	kill            []int // end then, for good
-	killAt          time.Duration
-	seed            uint64
-}
-
-// changed is what came of it.
-type changed struct {
-	asked, inForce, dropped int
-	why                     map[string]int  // of what was dropped, by the kind of reason
-	prepared, everywhere    []time.Duration // from the question: to the first that serves by it, to the last
-	leader, voter, member   load            // the leader, the mean of other voters, the mean of others
-	heap                    float64         // bytes, for each member
-	started                 time.Duration   // until the last member served, from the start of all at once
-	serving, turned         int             // of who was cut off: served to the end of it, or not
-}
-
-// load is what one member has to do with it, a second.
-type load struct{ messagesIn, messagesOut, bytesIn, bytesOut, cpu, disk float64 }
-
-func (c changing) play() (*changed, error) {
-	out := &changed{why: map[string]int{}}
-	rng := rand.New(rand.NewPCG(c.seed, uint64(c.members)))
-	p := &plan.Plan{Name: "changes", Daemons: c.members, Zones: 1, Length: c.length,
-		Policy: &plan.Policy{Voters: upTo(c.voters), Stops: c.stops, Lease: 5 * time.Second, Within: 10 * time.Second},
-		Bounds: judge.Bounds{Crash: 8 * time.Second, Leave: 2 * time.Second, Join: 5 * time.Second, Settle: 8 * time.Second, Pause: 1500 * time.Millisecond, Spread: 500 * time.Millisecond}}
-	text := strings.Repeat("x", max(0, c.text-6))
-	last := c.length - 10*time.Second // what is asked for later can't be told
-	for t := c.from; c.every > 0 && t < last; {
-		who := min(1, c.members-1)
-		if c.drawn {
-			who = rng.IntN(c.members)
-		}
-		p.Events = append(p.Events, plan.Event{At: t, Do: "apply", Who: []int{who}, Kind: text})
-		if gap := c.every; c.drawn {
-			t += time.Duration(rng.ExpFloat64() * float64(gap))
-		} else {
-			t += gap
-		}
-	}
-	if len(c.kill) > 0 {
-		p.Events = append(p.Events, plan.Event{At: c.killAt, Do: "kill", Who: c.kill})
-	}
-	slices.SortStableFunc(p.Events, func(a, b plan.Event) int { return cmp.Compare(a.At, b.At) })
-
-	spent := make([]time.Duration, c.members)
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	type use struct {
-		first, last time.Duration
-		by          map[int]bool
-	}
-	uses := map[uint64]*use{}
-	region := func(n int) int { return n % max(1, c.regions) }
-	o := agree.Options{Seed: c.seed, Witness: true, Take: time.Hour, Viewers: c.voters, Streams: c.streams, Since: c.from,
-		Size: func(from int, m *policy.Message) int {
-			began := threadTime()
-			size := carrier.PolicySize(fleetName, plan.Name(from), m)
-			spent[from] += threadTime() - began
-			return size
-		},
-		Around: func(now time.Duration, n int, step func()) {
-			if now < c.from {
-				step()
-				spent[n] = 0
-				return
-			}
-			if after.HeapAlloc == 0 && now >= last {
-				runtime.GC()
-				runtime.ReadMemStats(&after)
-			}
-			began := threadTime()
-			step()
-			spent[n] += threadTime() - began
-		},
-		Serves: func(at time.Duration, n int, number uint64) {
-			u := uses[number]
-			if u == nil {
-				u = &use{first: at, by: map[int]bool{}}
-				uses[number] = u
-			}
-			if !u.by[n] {
-				u.by[n], u.last = true, at
-			}
-		}}
-	if c.regions > 1 {
-		o.Delay = func(a, b int) time.Duration {
-			if region(a) != region(b) {
-				return c.delay
-			}
-			return 0
-		}
-		if c.cutFor > 0 {
-			o.Cut = func(now time.Duration, a, b int) bool {
-				return now >= c.cutAt && now < c.cutAt+c.cutFor && (region(a) == c.cut) != (region(b) == c.cut)
-			}
-			o.Take = 500 * time.Millisecond
-		}
-	}
-	runtime.LockOSThread() // its time is what a step costs, whatever else the machine does
-	defer runtime.UnlockOSThread()
-	r, err := agree.Play(p, o)
-	if err != nil {
-		return nil, err
-	}
-	asked, cut := map[string]int64{}, map[string]bool{}
-	for n := range c.members {
-		cut[plan.Name(n)] = c.cutFor > 0 && region(n) == c.cut
-	}
-	for _, l := range r.Lines {
-		switch l.What {
-		case judge.Proposed:
-			out.asked++
-			asked[l.ID] = l.T
-		case judge.Told:
-			if l.State != "in force" {
-				out.dropped++
-				out.why[kindOf(l.Why)]++
-				continue
-			}
-			out.inForce++
-			at := time.Duration(asked[l.ID])
-			if u := uses[l.Number]; u != nil {
-				out.prepared = append(out.prepared, u.first-at)
-				if len(u.by) >= c.members-len(c.kill) {
-					out.everywhere = append(out.everywhere, u.last-at)
-				}
-			}
-		case judge.Took, judge.Turned:
-			if t := time.Duration(l.T); cut[l.Of] && t >= c.cutAt && t < c.cutAt+c.cutFor {
-				if l.What == judge.Took {
-					out.serving++
-				} else {
-					out.turned++
-				}
-			}
-		}
-	}
-	if u := uses[0]; u != nil && len(u.by) == c.members {
-		out.started = u.last
-	}
-	slices.Sort(out.prepared)
-	slices.Sort(out.everywhere)
-	out.heap = max(0, float64(after.HeapAlloc)-float64(before.HeapAlloc)) / float64(c.members)
-	span := (c.length - c.from).Seconds()
-	leads := 0
-	for n, s := range r.Shown {
-		if s.Votes == "leads" {
-			leads = n
-		}
-	}
-	for n, t := range r.Traffic {
-		x := load{float64(t.MessagesIn) / span, float64(t.MessagesOut) / span, float64(t.BytesIn) / span, float64(t.BytesOut) / span, spent[n].Seconds() / span, float64(r.Disks[n])}
-		switch {
-		case n == leads:
-			out.leader = x
-		case n < c.voters:
-			out.voter.add(x, c.voters-1)
-		default:
-			out.member.add(x, c.members-c.voters)
-		}
-	}
-	return out, nil
-}
-
-// threadTime is the processor time of this thread so far.
-func threadTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t); err != nil {
-		panic(err) // there is none without it
-	}
-	return time.Duration(t.Nano())
-}
-
-// add takes one of n into a mean.
-func (l *load) add(x load, n int) {
-	f := 1 / float64(n)
-	l.messagesIn, l.messagesOut, l.bytesIn, l.bytesOut, l.cpu, l.disk = l.messagesIn+f*x.messagesIn, l.messagesOut+f*x.messagesOut, l.bytesIn+f*x.bytesIn, l.bytesOut+f*x.bytesOut, l.cpu+f*x.cpu, l.disk+f*x.disk
-}
-
-// kindOf is a reason without its names.
-func kindOf(why string) string {
-	for _, kind := range []string{"another change is under way", "it was made of policy", "not heard", "it did not reach", "given up"} {
-		if strings.Contains(why, kind) {
-			return kind
-		}
-	}
-	return "other"
-}
-
-func upTo(n int) (all []int) {
-	for i := range n {
-		all = append(all, i)
-	}
-	return all
-}
-
-// quantile is one of sorted times, in seconds; NaN: there are none.
-func quantile(all []time.Duration, q float64) float64 {
-	if len(all) == 0 {
-		return math.NaN()
-	}
-	return all[min(len(all)-1, int(q*float64(len(all))))].Seconds()
-}
-
 // changesCommand measures what a change of policy costs whom.
 func changesCommand() *cobra.Command {
 	var (
-		sizes, texts []int
-		what         []string
-		seed         uint64
-		asTOML       bool
-		machine      string
+		f     plainFlags
+		texts []int
+		what  []string
 	)
 	c := &cobra.Command{Use: "changes", Short: "What a change of the agreed policy costs, in virtual time", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			m := &measuring{seed: seed, sizes: sizes, texts: texts, book: book{command: "go run ./tools/capacity changes --what ", machine: machine}, table: table{c.OutOrStdout()}}
-			if asTOML {
-				m.table.to = c.ErrOrStderr()
-			}
+			m := &measuring{seed: f.seed, sizes: f.sizes, texts: texts, book: f.book("go run ./tools/capacity changes --what "), table: f.table(c)}
 			for _, w := range what {
 				run, ok := map[string]func(string) error{"even": m.even, "day": m.day, "minute": m.minute, "rest": m.rest, "text": m.text, "died": m.died, "cut": m.cutOff, "size": m.size}[w]
 				if !ok {
@@ -268,20 +36,47 @@
 					return err
 				}
 			}
-			if asTOML {
-				return slopes.Write(c.OutOrStdout(), m.book.all()...)
-			}
-			return nil
+			return f.end(c, &m.book)
 		}}
-	c.Flags().IntSliceVar(&sizes, "sizes", []int{10, 30, 100, 300, 1000, 3000, 12000}, "members")
+	f.add(c, "members", 10, 30, 100, 300, 1000, 3000, 12000)
 	c.Flags().IntSliceVar(&texts, "texts", []int{512, 4096, 16384, 65536}, "bytes of a policy, of text")
 	c.Flags().StringSliceVar(&what, "what", []string{"even", "day", "minute", "rest", "text", "died", "cut", "size"}, "which")
-	c.Flags().Uint64Var(&seed, "seed", 1, "of chance")
-	c.Flags().BoolVar(&asTOML, "toml", false, "entries of docs/capacity/slopes.toml")
-	c.Flags().StringVar(&machine, "machine", machineName(), "for the entries")
 	return c
 }
 
+// plainFlags are those of each measurement that runs by itself.
+type plainFlags struct {
+	sizes   []int
+	seed    uint64
+	toml    bool
+	machine string
+}
+
+func (f *plainFlags) add(c *cobra.Command, of string, sizes ...int) {
+	c.Flags().IntSliceVar(&f.sizes, "sizes", sizes, of)
+	c.Flags().Uint64Var(&f.seed, "seed", 1, "of chance, where there is any")
+	c.Flags().BoolVar(&f.toml, "toml", false, "entries of docs/capacity/slopes.toml; the table goes to standard error")
+	c.Flags().StringVar(&f.machine, "machine", machineName(), "for the entries")
+}
+
+func (f *plainFlags) book(command string) book { return book{command: command, machine: f.machine} }
+
+// table is where rows for people go.
+func (f *plainFlags) table(c *cobra.Command) table {
+	if f.toml {
+		return table{c.ErrOrStderr()}
+	}
+	return table{c.OutOrStdout()}
+}
+
+// end prints the entries, if they are asked for.
+func (f *plainFlags) end(c *cobra.Command, b *book) error {
+	if !f.toml {
+		return nil
+	}
+	return slopes.Write(c.OutOrStdout(), b.all()...)
+}
+
 // machineName says where a figure comes from.
 func machineName() string {
 	return fmt.Sprintf("%d cores, shared, GOMAXPROCS=%d, %s", runtime.NumCPU(), runtime.GOMAXPROCS(0), runtime.Version())
--- a/tools/capacity/list.go
+++ b/tools/capacity/list.go
@@ -127,26 +127,17 @@
 
 // listCommand measures what the list of servers costs whom.
 func listCommand() *cobra.Command {
-	var (
-		sizes   []int
-		asTOML  bool
-		seed    uint64
-		machine string
-	)
+	var f plainFlags
 	c := &cobra.Command{Use: "list", Short: "What the list of servers costs, by their number", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			b := book{command: "go run ./tools/capacity list", machine: machine}
-			out := table{c.OutOrStdout()}
-			if asTOML {
-				out.to = c.ErrOrStderr()
-			}
+			b, out := f.book("go run ./tools/capacity list"), f.table(c)
 			delta, err := oneRestart()
 			if err != nil {
 				return err
 			}
 			out.head("servers", "bytes of the list", "at 11 KB/s", "all agents at once", "read", "taken", "memory", "a request", "against the first")
 			var first time.Duration
-			for _, n := range sizes {
+			for _, n := range f.sizes {
 				data, err := wholeList(n)
 				if err != nil {
 					return err
@@ -177,14 +168,8 @@
 				e("list.state", "agent", "rest", "state", "B", "linear", "the list", size)
 				e("list.step", "path", "rest", "step_time", "us", "constant", "processor time of the module for a request and its outcome", float64(r.step)/1e3)
 			}
-			if asTOML {
-				return slopes.Write(c.OutOrStdout(), b.all()...)
-			}
-			return nil
+			return f.end(c, &b)
 		}}
-	c.Flags().IntSliceVar(&sizes, "sizes", []int{12, 120, 1200, 12000}, "servers")
-	c.Flags().Uint64Var(&seed, "seed", 1, "unused: nothing here is by chance")
-	c.Flags().BoolVar(&asTOML, "toml", false, "entries of docs/capacity/slopes.toml")
-	c.Flags().StringVar(&machine, "machine", machineName(), "for the entries")
+	f.add(c, "servers", 12, 120, 1200, 12000)
 	return c
 }
--- a/tools/capacity/operator.go
+++ b/tools/capacity/operator.go
@@ -58,21 +58,12 @@
 
 // operatorCommand measures what an operator's own tools are told.
 func operatorCommand() *cobra.Command {
-	var (
-		sizes   []int
-		asTOML  bool
-		seed    uint64
-		machine string
-	)
+	var f plainFlags
 	c := &cobra.Command{Use: "operator", Short: "What an operator's tools are told, by the size of the fleet", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			b := book{command: "go run ./tools/capacity operator", machine: machine}
-			out := table{c.OutOrStdout()}
-			if asTOML {
-				out.to = c.ErrOrStderr()
-			}
+			b, out := f.book("go run ./tools/capacity operator"), f.table(c)
 			out.head("members", "fleet view --json, bytes", "read in", "policy show --json at a voter, bytes", "read in")
-			for _, n := range sizes {
+			for _, n := range f.sizes {
 				vs, vt, err := read(shownView(n))
 				if err != nil {
 					return err
@@ -95,14 +86,8 @@
 						Form: "linear", Command: b.command, Note: e.note}, float64(n), e.value)
 				}
 			}
-			if asTOML {
-				return slopes.Write(c.OutOrStdout(), b.all()...)
-			}
-			return nil
+			return f.end(c, &b)
 		}}
-	c.Flags().IntSliceVar(&sizes, "sizes", []int{12, 120, 1200, 12000}, "members")
-	c.Flags().Uint64Var(&seed, "seed", 1, "unused: nothing here is by chance")
-	c.Flags().BoolVar(&asTOML, "toml", false, "entries of docs/capacity/slopes.toml")
-	c.Flags().StringVar(&machine, "machine", machineName(), "for the entries")
+	f.add(c, "members", 12, 120, 1200, 12000)
 	return c
 }
