Capacity: a start of all at once is measured where nothing changes meanwhile

The point at 12,000 was 0 s: a change had come into force before the last had started, and such a play says nothing of it. A start that was not seen whole makes no point any more.

--- a/tools/capacity/changes.go
+++ b/tools/capacity/changes.go
@@ -260,7 +260,6 @@
 		m.loads(r, "worst", "agents", float64(n), "7.4 changes a second, 512 bytes each")
 		m.note(m.entry("policy.time.worst", "agent", "worst", "time", "s", "agents", "log", "99 in 100 of those that come into force"), float64(n), quantile(r.everywhere, 0.99))
 		m.note(m.entry("policy.dropped.worst", "agent", "worst", "share_dropped", "share", "agents", "steps", "share of changes that were dropped, on whole links"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
-		m.note(m.entry("policy.started.worst", "agent", "worst", "time_start", "s", "agents", "table", "all start at once: until the last is in the roster and takes requests"), float64(n), r.started.Seconds())
 	}
 	return nil
 }
@@ -275,6 +274,9 @@
 			}
 			if stops {
 				m.loads(r, "rest", "agents", float64(n), "no change, stops")
+				if r.started > 0 {
+					m.note(m.entry("policy.started.worst", "agent", "worst", "time_start", "s", "agents", "table", "all start at once: until the last is in the roster and takes requests"), float64(n), r.started.Seconds())
+				}
 			}
 		}
 	}
--- a/tools/capacity/changing.go
+++ b/tools/capacity/changing.go
@@ -46,7 +46,7 @@
 	prepared, everywhere    []time.Duration // from the question: to the first that serves by it, to the last
 	leader, voter, member   load            // the leader, the mean of other voters, the mean of others
 	heap                    float64         // bytes, for each member
-	started                 time.Duration   // until the last member served, from the start of all at once
+	started                 time.Duration   // until the last member served, from the start of all at once; 0: not all did before the first change was in force
 	serving, turned         int             // of who was cut off: served to the end of it, or not
 }
 
