--- a/tools/capacity/held.go
+++ b/tools/capacity/held.go
@@ -60,7 +60,7 @@
 					binds      bool
 				}{{"datagrams a second", sides[0].Datagrams, s.Datagrams, true}, {"bytes a second", sides[0].Bytes, s.Bytes, true},
 					{"a crash known", sides[0].Crash.Seconds(), s.Crash.Seconds(), false}, {"a join known", sides[0].Join.Seconds(), s.Join.Seconds(), false}} {
-					if ratio := q.mine / q.real; ratio < 0.85 || ratio > 1.15 {
+					if ratio := q.mine / q.real; q.mine > 0 && q.real > 0 && (ratio < 0.85 || ratio > 1.15) {
 						fmt.Printf("\n%d members, %s: %s is %.2f of the real one's\n", n, s.Name, q.name, ratio)
 						if q.binds {
 							off++
