--- a/internal/drill/hollow/held.go
+++ b/internal/drill/hollow/held.go
@@ -25,6 +25,8 @@
 	Seed    uint64
 	// Rest is from when to when all is at rest, before the first crash.
 	Rest [2]time.Duration
+	// Peers are the members' settings. With a longer Direct a busy machine, which lets processes wait, has no part in it.
+	Peers plan.Peers
 }
 
 // Side is what one of the three cost and did.
@@ -48,7 +50,7 @@
 // Plan is what befalls them: one after another is killed, and starts again.
 func (h *Held) Plan() *plan.Plan {
 	rng := rand.New(rand.NewPCG(h.Seed, uint64(h.Members)))
-	p := &plan.Plan{Name: "held", Daemons: h.Members, Zones: 1, Seeds: []int{0, 1}, Spread: 500 * time.Millisecond}
+	p := &plan.Plan{Name: "held", Daemons: h.Members, Zones: 1, Seeds: []int{0, 1}, Spread: 500 * time.Millisecond, Peers: h.Peers}
 	at := h.Rest[1]
 	for range h.Crashes {
 		who := []int{2 + rng.IntN(h.Members-2)}
@@ -99,6 +101,16 @@
 		sides[2].Datagrams += float64(x[1].Out.Messages) / span
 		sides[2].Bytes += float64(x[1].Out.Bytes) / span
 	}
+	g, err := DrawGraph(GraphSpec{Agents: h.Members, Seed: h.Seed})
+	if err != nil {
+		return nil, err
+	}
+	shared, _, err := (&Verdicts{Seed: h.Seed, Fleet: "drill", Graph: g, Rate: 0.001, Marks: h.Rest[:1], Length: h.Rest[1]}).Play() // no requests, as there
+	if err != nil {
+		return nil, err
+	}
+	sides[2].Datagrams += shared[1].Out.Messages
+	sides[2].Bytes += shared[1].Out.Bytes
 	sides[2].EachBytes = sides[2].Bytes / sides[2].Datagrams
 	return sides, nil
 }
