--- a/tools/capacity/page/page_test.go
+++ b/tools/capacity/page/page_test.go
@@ -179,6 +179,15 @@
 	has(t, got["breaks"], "| 1 | in time |", "below 100 agents, the smallest size measured", "**no**")
 }
 
+// The same of a sum: by the mechanism that has a part in it and was measured least far down.
+func TestASumCrossedBelowWhatWasMeasuredSaysSo(t *testing.T) {
+	got := tables(t, slope(func(s *slopes.Slope) { s.Points = [][2]float64{{300, 30000}, {1000, 100000}} }),
+		slope(func(s *slopes.Slope) {
+			s.Name, s.Mechanism, s.Points = "other.bytes_out.rest", "other", [][2]float64{{500, 1}, {1000, 2}}
+		}))
+	has(t, got["breaks"], "| 1 | bytes |", "below 300 agents, the smallest size measured", "**no**")
+}
+
 // A figure that grows with distance is in the sum at the distance aimed at, and by itself where it alone crosses the bound.
 func TestWhatGrowsWithDistanceBreaksByItself(t *testing.T) {
 	got := tables(t, slope(func(s *slopes.Slope) {
--- a/tools/capacity/page/tables.go
+++ b/tools/capacity/page/tables.go
@@ -360,7 +360,14 @@
 				}
 				share := cross(func(x float64) float64 { return total(parts, x) }, b.Most)
 				top := slices.MaxFunc(parts, func(a, b term) int { return cmp.Compare(a.value(1), b.value(1)) })
-				at := where(share, p.size.variable("agents").at(load), "agents", 0)
+				low := 0.0 // of what grows most at the crossing, the smallest that was measured, as agents
+				agents := p.size.variable("agents").at(load)
+				for _, t := range parts {
+					if first := t.e.Points[0][0] / t.x * agents; t.grows && t.x > 0 && t.e.Form != "constant" && !math.IsInf(share, 1) && t.value(share) > total(parts, share)/20 {
+	XX
+					}
+				}
+				at := where(share, agents, "agents", math.Round(low))
 				if share == 0 { // what does not grow is too much alone
 					top = slices.MaxFunc(parts, func(a, b term) int { return cmp.Compare(a.value(0), b.value(0)) })
 					v := p.size.variable(top.e.Variable)
