--- a/tools/capacity/page/tables.go
+++ b/tools/capacity/page/tables.go
@@ -364,7 +364,7 @@
 				agents := p.size.variable("agents").at(load)
 				for _, t := range parts {
 					if first := t.e.Points[0][0] / t.x * agents; t.grows && t.x > 0 && t.e.Form != "constant" && !math.IsInf(share, 1) && t.value(share) > total(parts, share)/20 {
-	XX
+						low = max(low, first)
 					}
 				}
 				at := where(share, agents, "agents", math.Round(low))
