A dial that comes up late goes on, and its attempt goes elsewhere while few do

A request with 200 ms left had no second attempt then. Checked by a trace of each attempt: the first attempt waited on the dial for all that time, and what came up later was closed unused. Wrong: backends.dial knew the settings' time-out alone. It learns now what half of the dials take, and after 16 times that (30 ms at the least) the attempt ends as not connected: it has never run, and the module decides where it goes. The dial goes on, one at a time to a server, and serves the next. Each costs a retry: there are as many as one in 32 answers pays for, 16 saved up at the most. TestOutcomeBrokenWhileDialling waits for the end of a dial that went on before it counts what is open: the place is booked until then. The new tests fail without the early end, without the dial going on, and without the bound (each tried).

--- a/internal/protocol/http1/backends.go
+++ b/internal/protocol/http1/backends.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sort"
 	"strconv"
@@ -80,7 +81,12 @@
 	keepIdle time.Duration
 	idle     map[string][]*conn // by backend id, the latest used last; none empty
 	open     int                // idle, in use or being dialled
+	trip     time.Duration      // what half of the connections come up within
+	leaves   float64            // attempts that may go elsewhere for a late one: what served pays for it
+	late     map[string]bool    // by backend id: one is still being dialled that its attempt did not wait for
 	closed   bool               // the agent has ended: nothing is kept
+	lasting  context.Context    // until then
+	end      func()
 }
 
 // conn is one connection. It carries one request at a time.
@@ -100,14 +106,15 @@
 const restTime = 20 * time.Millisecond
 
 func newBackends(cfg *core.Config, log *slog.Logger) *backends {
-	return &backends{cfg: cfg, log: log, most: core.BackendSockets(cfg.Sockets),
+	lasting, end := context.WithCancel(context.Background())
+	return &backends{cfg: cfg, log: log, lasting: lasting, end: end, most: core.BackendSockets(cfg.Sockets),
 		// Backends may close an idle connection at IdleClose; a request that crosses that is lost
 		// as a reset that may have run. A quarter of the time is far more than any network takes.
 		longest: cfg.Site.IdleClose * 3 / 4, keepIdle: cfg.Site.IdleClose * 3 / 4,
 		answers: core.NewBudget(cfg.BodyMemory()), stall: answerStall,
 		dialer:  (&net.Dialer{KeepAlive: -1}).DialContext,
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
-		idle:    map[string][]*conn{}}
+		idle:    map[string][]*conn{}, late: map[string]bool{}, trip: cfg.Settings.ConnectTimeout, leaves: leavesMost}
 }
 
 // clean reports whether an idle connection is open and has nothing to read: there is no answer
@@ -232,6 +239,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.learnIdle(c.stood, true)
+	b.leaves = min(leavesMost, b.leaves+leavesEach)
 	b.put(id, c, a.reusable)
 }
 
@@ -259,6 +267,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closed = true
+	b.end()
 	for id, list := range b.idle {
 		for _, c := range list {
 			b.drop(c)
@@ -291,19 +300,102 @@
 	}
 }
 
-// dial opens a connection within the connect time-out and ctx. Its place is already counted.
-func (b *backends) dial(ctx context.Context, addr string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, b.cfg.Settings.ConnectTimeout)
-	defer cancel()
-	began := time.Now()
-	c, err := b.dialer(ctx, "tcp", addr)
-	if err != nil {
+const (
+	dialPatience = 16                    // usual trips after which an attempt goes elsewhere, while its dial goes on
+	dialLeast    = 30 * time.Millisecond // and the least: a busy machine may be as late as that
+	leavesEach   = 1.0 / 32              // of such attempts for each answer: each costs a retry, of which the module has few
+	leavesMost   = 16                    // that may be saved up
+	dialWaits    = 8                     // connect time-outs after which nobody expects a connection any more
+)
+
+// dial opens a connection within the connect time-out and ctx. Its place is already counted. Where connections come up
+// soon as a rule, it waits no longer for a late one than that makes likely: nothing has been sent, and the module may
+// have the attempt made elsewhere. The dial goes on, one at a time to a backend, for whoever comes next: what it costs
+// the backend is paid by then. It could hurt where a backend that is slow to accept answers fast: its first requests
+// cost retries then, until enough connections are open.
+func (b *backends) dial(ctx context.Context, id, addr string) (*conn, error) {
+	on, stop := context.WithTimeout(b.lasting, dialWaits*b.cfg.Settings.ConnectTimeout)
+	type dialed struct {
+		c   *conn
+		err error
+	}
+	done := make(chan dialed)
+	left := make(chan bool, 1) // nobody waits for it any more; whether it goes on
+	go func() {
+		defer stop()
+		began := time.Now()
+		c, err := b.dialer(on, "tcp", addr)
+		d := dialed{err: err}
+		if err == nil {
+			d.c = &conn{Conn: c, addr: addr, trip: time.Since(began)}
+		}
+		select {
+		case done <- d:
+		case goesOn := <-left:
+			b.lateDial(id, d.c, goesOn)
+		}
+	}()
+	b.mu.Lock()
+	wait := b.cfg.Settings.ConnectTimeout
+	if b.leaves >= 1 {
+		wait = min(wait, max(dialLeast, dialPatience*b.trip))
+	}
+	b.mu.Unlock()
+	patience := time.NewTimer(wait)
+	defer patience.Stop()
+	var d dialed
+	select {
+	case d = <-done:
+	case <-ctx.Done():
+		stop()
+		d = <-done
+	case <-patience.C:
 		b.mu.Lock()
+		defer b.mu.Unlock()
+		if wait < b.cfg.Settings.ConnectTimeout {
+			b.leaves = max(0, b.leaves-1)
+		}
+		goesOn := !b.late[id] && !b.closed
+		if goesOn {
+			b.late[id] = true
+		} else {
+			stop()
+		}
+		left <- goesOn
+		return nil, os.ErrDeadlineExceeded
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if d.err != nil {
 		b.open--
-		b.mu.Unlock()
-		return nil, err
+		return nil, d.err
+	}
+	b.learnTrip(d.c.trip)
+	return d.c, nil
+}
+
+// lateDial takes what has become of a dial that no attempt waits for; c: nil if nothing.
+func (b *backends) lateDial(id string, c *conn, goesOn bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if goesOn {
+		delete(b.late, id)
+	}
+	if c == nil {
+		b.open--
+		return
+	}
+	b.learnTrip(c.trip)
+	b.put(id, c, true)
+}
+
+// learnTrip moves the usual trip towards the median of what was seen: late ones are late by any length. The lock is held.
+func (b *backends) learnTrip(trip time.Duration) {
+	if trip < b.trip {
+		b.trip -= b.trip / 8
+	} else {
+		b.trip = min(b.trip+b.trip/8+1, b.cfg.Settings.ConnectTimeout)
 	}
-	return &conn{Conn: c, addr: addr, trip: time.Since(began)}, nil
 }
 
 // errand is what an attempt is made for.
@@ -345,7 +437,7 @@
 	}
 	if err == nil && c == nil {
 		by.Dialed()
-		c, err = b.dial(ctx, addr)
+		c, err = b.dial(ctx, id, addr)
 	}
 	if err != nil {
 		if errors.Is(err, core.ErrNoSocket) {
--- a/internal/protocol/http1/backends_test.go
+++ b/internal/protocol/http1/backends_test.go
@@ -161,6 +161,11 @@
 	if result, _, _ := attemptAt(t, b, context.Background(), ""); result != decide.Broke {
 		t.Errorf("not up in time: result %v", result)
 	}
+	testkit.WaitFor(t, "the end of the dial that went on", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.open == 0
+	})
 	b.cfg.Settings.ConnectTimeout = testkit.Patience
 	b.dialer = new(net.Dialer).DialContext // refused: nobody is there
 	b.update(core.List{List: decide.List{Backends: []decide.Backend{{ID: "s"}}}, Addrs: map[string]string{"s": testkit.DeadAddr(t)}})
@@ -598,6 +603,105 @@
 	}
 }
 
+// Where connections come up soon as a rule, an attempt does not wait for a late one: nothing has been sent, and another
+// server may have it. The dial goes on, one to a server, and what comes up serves the next attempt.
+func TestLateDialGoesOnWithoutItsAttempt(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	b := poolFor(t, s.addr)
+	b.trip = time.Millisecond
+	up, dials := make(chan struct{}), make(chan struct{}, 9)
+	b.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dials <- struct{}{}
+		select {
+		case <-up:
+			return new(net.Dialer).DialContext(ctx, network, addr)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	standing := func(open, idle int) func() bool {
+		return func() bool {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.open == open && len(b.idle["s"]) == idle
+		}
+	}
+	for range 2 { // the time-out of the settings is far off
+		if result, _, _ := attemptAt(t, b, context.Background(), ""); result != decide.Broke {
+			t.Fatalf("result %v while no connection comes up", result)
+		}
+	}
+	testkit.WaitFor(t, "the end of the second dial", standing(1, 0))
+	close(up)
+	testkit.WaitFor(t, "the first one's connection", standing(1, 1))
+	rested(b)
+	if result, _, _ := attemptAt(t, b, context.Background(), ""); result != decide.OK || len(dials) != 2 {
+		t.Errorf("result %v after %d dials: what came up late was not used", result, len(dials))
+	}
+}
+
+// Where many come up late, to go elsewhere for each would cost more retries than there are: they are waited for as long
+// as the settings say, until answers have paid for it.
+func TestManyLateDialsAreWaitedFor(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	b := poolFor(t, s.addr)
+	b.trip, b.leaves = time.Millisecond, 0
+	b.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		select {
+		case <-time.After(3 * dialLeast):
+			return new(net.Dialer).DialContext(ctx, network, addr)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	if result, _, _ := attemptAt(t, b, context.Background(), ""); result != decide.OK {
+		t.Errorf("result %v", result)
+	}
+	for range 32 {
+		near, far := net.Pipe()
+		far.Close()
+		b.answered("s", &conn{Conn: near, addr: s.addr}, &answer{})
+	}
+	if b.leaves < 1 {
+		t.Errorf("%v may be left after many answers", b.leaves)
+	}
+}
+
+// No dial outlasts the agent.
+func TestLateDialEndsWithItsAgent(t *testing.T) {
+	b := poolFor(t, "127.0.0.1:9")
+	b.trip = time.Millisecond
+	b.dialer = func(ctx context.Context, _, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }
+	attemptAt(t, b, context.Background(), "")
+	b.shut()
+	testkit.WaitFor(t, "the end of the dial", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.open == 0
+	})
+}
+
+// How long a dial is waited for follows what half of the connections take. Late ones say nothing while they are fewer.
+func TestUsualTripIsLearnt(t *testing.T) {
+	b := poolFor(t, "127.0.0.1:9")
+	late := b.cfg.Settings.ConnectTimeout
+	if b.trip != late {
+		t.Errorf("a trip is taken for %v before any was seen", b.trip)
+	}
+	for i := range 300 {
+		b.learnTrip([]time.Duration{time.Millisecond, time.Millisecond, late}[i%3])
+	}
+	if b.trip > 3*time.Millisecond {
+		t.Errorf("a third are late, and the usual trip is %v", b.trip)
+	}
+	for range 200 {
+		b.learnTrip(late)
+	}
+	if b.trip != late {
+		t.Errorf("all are late, and the usual trip is %v", b.trip)
+	}
+}
+
 // ended is an errand of a test's.
 type ended struct {
 	probing
