Test: a late dial is left well before the settings' connect time-out

Seen: with dial's early end taken out TestLateDialGoesOnWithoutItsAttempt passed, after 30 s: the connect time-out ended the attempt too. It is an hour there now, and an attempt that waits for its context fails the test (tried: it does).

--- a/internal/protocol/http1/backends_test.go
+++ b/internal/protocol/http1/backends_test.go
@@ -626,9 +626,12 @@
 			return b.open == open && len(b.idle["s"]) == idle
 		}
 	}
-	for range 2 { // the time-out of the settings is far off
-		if result, _, _ := attemptAt(t, b, context.Background(), ""); result != decide.Broke {
-			t.Fatalf("result %v while no connection comes up", result)
+	b.cfg.Settings.ConnectTimeout = time.Hour
+	ctx, cancel := context.WithTimeoutCause(context.Background(), testkit.Patience, core.ErrTimedOut)
+	defer cancel()
+	for range 2 {
+		if result, _, _ := attemptAt(t, b, ctx, ""); result != decide.Broke || ctx.Err() != nil {
+			t.Fatalf("result %v while no connection comes up, %v", result, ctx.Err())
 		}
 	}
 	testkit.WaitFor(t, "the end of the second dial", standing(1, 0))
