--- a/internal/drill/virtual/virtual.go
+++ b/internal/drill/virtual/virtual.go
@@ -17,6 +17,7 @@
 
 	"vetchhaven/internal/drill/judge"
 	"vetchhaven/internal/drill/plan"
+	"vetchhaven/internal/drill/topology"
 	"vetchhaven/internal/peer/view"
 )
 
@@ -33,6 +34,17 @@
 	// Instances that each daemon says it runs; 0: 1.
 	Instances int
 	FileCount int // balancers that the daemons' files name; 0: 1
+	// Layout places the daemons in regions and zones: what lies between two is added to the plan's links. nil: one site,
+	// and the plan's zones.
+	Layout *topology.Layout
+	// Codec has each message written and read as on a wire, and its bytes counted; nil: sizes are the module's own bound.
+	Codec Codec
+	// Marks part the run into phases, by which loads are counted: the first ends at the first mark.
+	Marks []time.Duration
+	// Passed is called once a phase has begun, from one goroutine, with its number from 1. It may look at a clock.
+	Passed func(phase int)
+	// OneRegion has the daemons know nothing of the layout's regions: for comparison.
+	OneRegion bool
 }
 
 // Result is what happened.
@@ -41,6 +53,7 @@
 	Traffic []view.Traffic // by daemon, of those that ran at the end
 	Events  uint64         // deliveries and timers
 	Views   []*view.View   // by daemon; nil: it does not run
+	Loads   [][]Load       // by daemon, and phase (Options.Marks)
 }
 
 // The model: a datagram takes base to base+spread one way on a whole link. It is a site's, not loopback's: 1 to 3 ms.
@@ -62,6 +75,7 @@
 	seq  uint64
 	ev   view.Event
 	life uint64 // only for this life of the receiver; 0: any
+	size int    // on the wire
 }
 
 type inbox []delivery
@@ -116,9 +130,12 @@
 	gone    bool
 	twin    bool
 	sent    view.Traffic
+	far     int // bytes to other regions since they were last told
 	opened  int // whom its last exchange is with
 	events  uint64
 	moves   int
+	loads   []Load
+	phase   int // in which its last message was
 }
 
 type seenAct struct {
@@ -129,6 +146,7 @@
 type rule struct {
 	who, to map[int]bool
 	both    bool
+	usual   bool // they are as they were from the start
 	link    plan.Link
 }
 
@@ -173,7 +191,7 @@
 	var known []view.Record
 	if o.Warm {
 		for n := range o.Daemons {
-			known = append(known, view.Record{Name: plan.Name(n), Addr: address(n), Zone: w.zone(n), Program: "virtual", Boot: wallBase, Life: w.lifeOf(n), Instances: uint32(o.Instances), Balancers: uint32(o.Instances)})
+			known = append(known, view.Record{Name: plan.Name(n), Addr: address(n), Zone: w.zone(n), Region: w.region(n), Program: "virtual", Boot: wallBase, Life: w.lifeOf(n), Instances: uint32(o.Instances), Balancers: uint32(o.Instances)})
 		}
 	}
 	var starts []plan.Event
@@ -193,8 +211,8 @@
 	}
 	w.todo = append(starts, w.todo...)
 	slices.SortStableFunc(w.todo, func(a, b plan.Event) int { return int(a.At - b.At) })
-	if p.Link != (plan.Link{}) {
-		w.link(plan.Event{Who: all(o.Daemons), To: all(o.Daemons), Both: true, Link: p.Link})
+	if p.Link != (plan.Link{}) || p.Between != (plan.Link{}) {
+		w.heal(plan.Event{Who: all(o.Daemons), To: all(o.Daemons), Both: true})
 	}
 	w.run(known)
 	r := &Result{Lines: w.lines}
@@ -206,6 +224,7 @@
 		}
 		r.Traffic = append(r.Traffic, t)
 		r.Views = append(r.Views, a.v)
+		r.Loads = append(r.Loads, a.loads)
 	}
 	return r, nil
 }
@@ -222,12 +241,24 @@
 	return "127.77." + strconv.Itoa(n/250) + "." + strconv.Itoa(n%250+1) + ":7946"
 }
 
-func (w *world) zone(n int) string { return "z" + strconv.Itoa(n%w.p.Zones+1) }
+func (w *world) zone(n int) string {
+	if w.o.Layout != nil {
+		return w.o.Layout.ZoneName(n)
+	}
+	return "z" + strconv.Itoa(n%max(1, w.p.Zones)+1)
+}
+
+func (w *world) region(n int) string {
+	if w.o.Layout != nil && !w.o.OneRegion {
+		return w.o.Layout.RegionName(n)
+	}
+	return w.p.Region(n)
+}
 
 func (w *world) lifeOf(n int) uint64 { return uint64(n)*2654435761 + 1 }
 
 func (w *world) add(n int, name, addr string) *agent {
-	a := &agent{n: n, name: name, addr: addr, rng: rand.New(rand.NewPCG(w.o.Seed, uint64(n)+2)), next: never}
+	a := &agent{n: n, name: name, addr: addr, rng: rand.New(rand.NewPCG(w.o.Seed, uint64(n)+2)), next: never, loads: make([]Load, len(w.o.Marks)+1)}
 	w.agents = append(w.agents, a)
 	w.byAddr[addr] = n
 	return a
@@ -237,8 +268,13 @@
 
 // run goes through the time.
 func (w *world) run(known []view.Record) {
-	nextSent := time.Second
+	nextSent, phase := time.Second, 0
 	for w.now < w.p.Length {
+		for phase < len(w.o.Marks) && w.now >= w.o.Marks[phase] {
+			if phase++; w.o.Passed != nil {
+				w.o.Passed(phase)
+			}
+		}
 		for len(w.todo) > 0 && w.todo[0].At <= w.now {
 			e := w.todo[0]
 			w.todo = w.todo[1:]
@@ -282,6 +318,9 @@
 			if len(w.todo) > 0 {
 				to = min(to, w.todo[0].At)
 			}
+			if phase < len(w.o.Marks) {
+				to = min(to, w.o.Marks[phase])
+			}
 			w.now = max(end, to)
 		}
 		if w.now >= nextSent {
@@ -330,6 +369,13 @@
 				continue
 			}
 			events = append(events, d.ev)
+			if d.size > 0 {
+				l := w.load(a, at)
+				l.In.Add(at, d.size)
+				if m, ok := d.ev.(view.Datagram); ok {
+					l.Told += uint64(len(m.Message.Updates))
+				}
+			}
 		}
 		a.events += uint64(max(1, len(events)))
 		w.carry(a, at, a.v.Step(at, events...))
@@ -340,11 +386,25 @@
 	a.next = never
 }
 
-// linkOf is the link from one to another: the last rule that holds.
+// linkOf is the link from one to another: the last rule that holds, on the path that lies between them.
 func (w *world) linkOf(from, to int) plan.Link {
+	l := w.ruled(from, to)
+	if w.o.Layout != nil {
+		p := w.o.Layout.Between(from, to, w.now)
+		l.Delay += p.Delay
+		l.Jitter += p.Jitter
+		l.Drop = 1 - (1-l.Drop)*(1-p.Loss)
+	}
+	return l
+}
+
+func (w *world) ruled(from, to int) plan.Link {
 	for i := len(w.rules) - 1; i >= 0; i-- {
 		r := &w.rules[i]
 		if r.who[from] && r.to[to] || r.both && r.to[from] && r.who[to] {
+			if r.usual {
+				return w.p.Usual(from, to)
+			}
 			return r.link
 		}
 	}
@@ -365,9 +425,9 @@
 
 // carry does what a view wants done.
 func (w *world) carry(a *agent, at time.Duration, actions []view.Action) {
-	post := func(to int, after time.Duration, ev view.Event, life uint64) {
+	post := func(to int, after time.Duration, ev view.Event, life uint64, size int) {
 		a.seq++
-		a.out = append(a.out, outgoing{to, delivery{at + max(base, after), a.n, a.seq, ev, life}})
+		a.out = append(a.out, outgoing{to, delivery{at + max(base, after), a.n, a.seq, ev, life, size}})
 	}
 	for _, x := range actions {
 		switch x := x.(type) {
@@ -376,10 +436,14 @@
 			if !ok {
 				continue
 			}
+			if w.region(a.n) != w.region(to) {
+				a.far += x.Size
+			}
 			l := w.linkOf(a.n, to)
+			size, read := w.written(a, at, x.Size, x.Message)
 			for range 1 + b2i(l.Duplicate > 0 && a.rng.Float64() < l.Duplicate) {
-				if d, ok := w.way(a, l, x.Size); ok {
-					post(to, d, view.Datagram{Message: x.Message, Size: x.Size}, 0)
+				if d, ok := w.way(a, l, size); ok {
+					post(to, d, view.Datagram{Message: read.(*view.Message), Size: size}, 0, size)
 				}
 			}
 		case view.Open:
@@ -396,13 +460,14 @@
 				if !ok {
 					wait = 2 * base // refused
 				}
-				post(a.n, wait, view.Failed{ID: x.ID}, a.life)
+				post(a.n, wait, view.Failed{ID: x.ID}, a.life, 0)
 				continue
 			}
 			id := uint64(a.n)<<32 | x.ID
 			a.opened = to
-			post(to, w.stream(a, there, back, 3), view.Asked{Stream: id, Message: x.Message}, 0)
-			post(a.n, streamWait, view.Failed{ID: x.ID}, a.life) // does nothing if the answer came before
+			size, read := w.exchanged(a, at, x.Message)
+			post(to, w.stream(a, there, back, 3), view.Asked{Stream: id, Message: read}, 0, size)
+			post(a.n, streamWait, view.Failed{ID: x.ID}, a.life, 0) // does nothing if the answer came before
 		case view.Reply:
 			to := int(x.Stream >> 32)
 			there, back := w.linkOf(a.n, to), w.linkOf(to, a.n)
@@ -410,21 +475,23 @@
 				continue
 			}
 			if x.Message == nil {
-				post(to, w.stream(a, there, back, 1), view.Failed{ID: x.Stream & (1<<32 - 1)}, 0)
+				post(to, w.stream(a, there, back, 1), view.Failed{ID: x.Stream & (1<<32 - 1)}, 0, 0)
 				continue
 			}
-			post(to, w.stream(a, there, back, 1)+sized(len(x.Message.Records)), view.Answered{ID: x.Stream & (1<<32 - 1), Message: x.Message}, 0)
+			size, read := w.exchanged(a, at, x.Message)
+			post(to, w.stream(a, there, back, 1)+sized(len(x.Message.Records)), view.Answered{ID: x.Stream & (1<<32 - 1), Message: read}, 0, size)
 		case view.Finish:
 			if to := a.opened; x.Message != nil {
 				there, back := w.linkOf(a.n, to), w.linkOf(to, a.n)
 				if there.Drop < 1 && back.Drop < 1 && !there.Break && !back.Break {
-					post(to, w.stream(a, there, back, 1)+sized(len(x.Message.Records)), view.Closed{Message: x.Message}, 0)
+					size, read := w.exchanged(a, at, x.Message)
+					post(to, w.stream(a, there, back, 1)+sized(len(x.Message.Records)), view.Closed{Message: read}, 0, size)
 				}
 			}
 		case view.Save:
 			a.disk.boot = a.v.Own().Boot
 			if !x.Boot && w.starts[a.n] {
-				a.disk.known = a.v.Members()
+				a.disk.known = a.v.Records()
 			}
 		default:
 			a.acts = append(a.acts, seenAct{at, x})
--- a/internal/protocol/http1/backends.go
+++ b/internal/protocol/http1/backends.go
@@ -401,6 +401,7 @@
 // errand is what an attempt is made for.
 type errand interface {
 	Over() <-chan struct{}  // closed when the request has ended: nothing more is sent for it
+	Disconnected() bool     // its client has left, seen or unseen by who reads it
 	Barred() bool           // its backend was taken out by hand meanwhile, or drains, or is gone
 	Lapsed() bool           // it may not begin any more
 	MayDial() bool          // it may open a connection
@@ -415,6 +416,7 @@
 type probing struct{}
 
 func (probing) Over() <-chan struct{} { return nil }
+func (probing) Disconnected() bool    { return false }
 func (probing) Barred() bool          { return false }
 func (probing) Lapsed() bool          { return false }
 func (probing) MayDial() bool         { return true }
@@ -461,7 +463,7 @@
 		b.give(id, c, true)
 		return decide.Broke, nil, none // never ran, and another backend may have it
 	}
-	if by.Lapsed() {
+	if by.Lapsed() || by.Disconnected() {
 		b.give(id, c, true)
 		return decide.NotSent, nil, none
 	}
@@ -533,7 +535,7 @@
 	until, _ := ctx.Deadline()
 	text := m.on(until)
 	c.wrote = time.Now()
-	n, err := c.Write(text)
+	n, err := c.writeFor(by, text)
 	if err != nil || n < len(text) {
 		return nil, n == len(text) && m.up == nil, err
 	}
@@ -565,6 +567,34 @@
 	return a, true, err
 }
 
+// takenAtOnce is how many bytes a connection with nothing on it takes without waiting for its other side: the least that
+// Linux lets one hold to be written.
+const takenAtOnce = 4 << 10
+
+// writeFor writes a part of a request, and ends with the request: a server may take long to take it, and once the client
+// has left it must not have the last byte.
+func (c *conn) writeFor(by errand, text []byte) (int, error) {
+	if len(text) <= takenAtOnce {
+		return c.Write(text)
+	}
+	written, watched := make(chan struct{}), make(chan bool)
+	go func() {
+		select {
+		case <-by.Over():
+			_ = c.SetWriteDeadline(aLongTimeAgo)
+			watched <- true
+		case <-written:
+			watched <- false
+		}
+	}()
+	n, err := c.Write(text)
+	close(written)
+	if over := <-watched; over && err != nil {
+		err = errOver
+	}
+	return n, err
+}
+
 // errOver is of an attempt whose request has its answer, or another one's.
 var errOver = errors.New("the request is over")
 
@@ -577,14 +607,14 @@
 // upload streams what is left of m's body. A backend that turns it away before the last byte may say so: early
 // is that answer.
 func (b *backends) upload(ctx context.Context, by errand, c *conn, m *message, in *bufio.Reader, src *source) (early *answer, err error) {
-	clients, err := m.up.pump(ctx, by.Over(), func(text []byte) error {
+	clients, err := m.up.pump(ctx, by, func(text []byte) error {
 		if err := c.SetWriteDeadline(time.Now().Add(uploadStall)); err != nil {
 			return err
 		}
 		if ctx.Err() != nil { // ended meanwhile: its deadline must not be put off
 			return context.Cause(ctx)
 		}
-		_, err := c.Write(text)
+		_, err := c.writeFor(by, text)
 		return err
 	})
 	switch {
--- /dev/null
+++ b/tools/capacity/view.go
@@ -0,0 +1,341 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"vetchhaven/internal/drill/hollow"
+	"vetchhaven/internal/drill/plan"
+	"vetchhaven/internal/drill/topology"
+	"vetchhaven/tools/capacity/slopes"
+	"vetchhaven/tools/internal/bench"
+)
+
+// rounds are the round-trip times between regions that the view is measured at, in ms. 0: all in one place.
+var rounds = []float64{0, 20, 80, 120, 160, 250}
+
+func viewCommand() *cobra.Command {
+	return measures("view", "The view of the fleet: bytes, messages, processor time and memory of an agent, with regions",
+		"At rest over sizes (one place, five regions 80 ms apart, five regions 20 to 250 ms apart), over round-trip times at one size; the\n"+
+			"ordinary day; a zone and a region that come back; the memory of one member; the figures of the issue.",
+		"100,300,1000", part{"issue", viewIssue}, part{"rest", viewRest}, part{"rounds", viewRounds}, part{"day", viewDay}, part{"worst", viewWorst}, part{"memory", viewMemory}, part{"few", viewFew})
+}
+
+const (
+	regions = 5
+	zones   = 3 // of each region
+	settle  = 20 * time.Second
+	measure = 40 * time.Second
+)
+
+// place is how the regions lie.
+type place struct {
+	key, name string
+	rtt       float64 // ms, there and back between any two; below 0: topology.Mixed
+}
+
+var (
+	together = place{"0ms", "in one place", 0}
+	apart    = between(80)
+	mixed    = place{"mixed", "five regions, 20 to 250 ms there and back", -1}
+)
+
+// between is five regions, all as far from one another, in ms there and back.
+func between(rtt float64) place {
+	if rtt == 0 {
+		return together
+	}
+	return place{fmt.Sprintf("%vms", rtt), fmt.Sprintf("five regions, %v ms there and back", rtt), rtt}
+}
+
+func (p place) layout(members int, seed uint64) (*topology.Layout, error) {
+	if p.rtt < 0 {
+		return topology.Mixed(members, zones, seed)
+	}
+	return topology.New(topology.Spec{Members: members, Regions: regions, Zones: zones, RTT: time.Duration(p.rtt * float64(time.Millisecond)), Seed: seed})
+}
+
+// atRest plays a fleet that nothing befalls, and is the phase after it has settled.
+func atRest(members int, p place, f *flags) (hollow.Phase, error) {
+	l, err := p.layout(members, f.seed)
+	if err != nil {
+		return hollow.Phase{}, err
+	}
+	v := hollow.View{Seed: f.seed, Layout: l, Members: members, Marks: []time.Duration{settle}, Length: settle + measure, Workers: f.workers}
+	phases, _, err := v.Play()
+	if err != nil {
+		return hollow.Phase{}, err
+	}
+	return phases[1], nil
+}
+
+func (f *flags) row(size any, what string, p hollow.Phase, began time.Time) {
+	if f.toml {
+		fmt.Fprintf(os.Stderr, "%v agents, %s: %.0f bytes/s out, %.1f messages/s, %d most in a second, %.3f%% of a core, %v\n", size, what, p.Out.Bytes, p.Out.Messages, p.Out.Most, 100*p.Processor, time.Since(began).Round(time.Second))
+	} else {
+		bench.Row(size, what, p.Out.Bytes, p.Out.P99, p.Out.Most, p.Out.Messages, p.In.Bytes, p.In.Most, p.In.Messages, fmt.Sprintf("%.3f%%", 100*p.Processor), time.Since(began).Round(100*time.Millisecond))
+	}
+}
+
+func (f *flags) head() {
+	if !f.toml {
+		bench.Head("agents", "what", "bytes/s out", "99 in 100 agents", "most in a second", "messages/s out", "bytes/s in", "most in a second", "messages/s in", "core", "took")
+	}
+}
+
+// viewIssue plays the figures of the issue again: one of them is killed at 24 s, and the regions are delayed.
+func viewIssue(_ []int, f *flags) ([]slopes.Slope, error) {
+	f.head()
+	var points [][2]float64
+	for _, c := range []struct {
+		members int
+		rtt     float64
+	}{{50, 10}, {50, 80}, {50, 160}, {50, 240}, {200, 160}} {
+		began := time.Now()
+		l, err := topology.New(topology.Spec{Members: c.members, Regions: regions, RTT: time.Duration(c.rtt * float64(time.Millisecond))})
+		if err != nil {
+			return nil, err
+		}
+		v := hollow.View{Seed: f.seed, Layout: l, Members: c.members, Marks: []time.Duration{settle}, Length: settle + measure, Workers: f.workers,
+			Events: []plan.Event{{At: 24 * time.Second, Do: "kill", Who: []int{7}}}}
+		phases, _, err := v.Play()
+		if err != nil {
+			return nil, err
+		}
+		f.row(c.members, fmt.Sprintf("%v ms there and back, one killed", c.rtt), phases[1], began)
+		if c.members == 50 {
+			points = append(points, [2]float64{c.rtt, math.Round(phases[1].Out.Bytes)})
+		}
+	}
+	return []slopes.Slope{f.entry(slopes.Slope{Name: "view.bytes_out.issue", Role: "agent", Load: "rest", Quantity: "bytes_out", Unit: "B/s", Mechanism: "view", Variable: "rtt_ms",
+		Form: "table", Points: points, Note: "50 agents in five regions, one killed at 24 s; bytes encoded, no heads of UDP and IP"}, "view --part issue")}, nil
+}
+
+// viewRest is the cost at rest over sizes, in one place and with regions 80 ms apart.
+func viewRest(sizes []int, f *flags) ([]slopes.Slope, error) {
+	f.head()
+	var all []slopes.Slope
+	for _, at := range []place{together, apart, mixed} {
+		s := f.series("view", "rest", "agents", fmt.Sprintf("%s, seed %d", at.name, f.seed))
+		for _, n := range sizes {
+			began := time.Now()
+			p, err := atRest(n, at, f)
+			if err != nil {
+				return nil, err
+			}
+			f.row(n, "at rest, "+at.name, p, began)
+			s.add(float64(n), p)
+		}
+		all = append(all, s.entries("rest_"+at.key, "view --part rest", "log")...)
+	}
+	return all, nil
+}
+
+// viewRounds is the cost at rest over round-trip times, for the largest size but one.
+func viewRounds(sizes []int, f *flags) ([]slopes.Slope, error) {
+	f.head()
+	n := sizes[max(0, len(sizes)-2)]
+	s := f.series("view", "rest", "rtt_ms", fmt.Sprintf("%d agents in five regions, seed %d", n, f.seed))
+	for _, rtt := range rounds {
+		began, at := time.Now(), between(rtt)
+		p, err := atRest(n, at, f)
+		if err != nil {
+			return nil, err
+		}
+		f.row(n, "at rest, "+at.name, p, began)
+		s.add(rtt, p)
+	}
+	return s.entries(fmt.Sprintf("rounds_%d", n), "view --part rounds", "table"), nil
+}
+
+// Of 12,000 agents, on an ordinary day.
+const (
+	dayAgents   = 12000
+	dayFailures = 20.0
+	dayRestarts = 710.0
+)
+
+// viewDay is the ordinary day: what one failure and one restart cost each agent beyond rest, times as many as befall so
+// many agents in a day. They come far oftener here than on that day, each after the last is over.
+func viewDay(sizes []int, f *flags) ([]slopes.Slope, error) {
+	f.head()
+	var all []slopes.Slope
+	for _, at := range []place{apart} { // where regions lie past direct, rest alone is past all bounds
+		s := f.series("view", "day", "agents", at.name+"; rest, and what a failure and a restart cost beyond it times their rates of a day")
+		for _, n := range sizes {
+			began := time.Now()
+			rest, err := atRest(n, at, f)
+			if err != nil {
+				return nil, err
+			}
+			l, err := at.layout(n, f.seed)
+			if err != nil {
+				return nil, err
+			}
+			const each, gap = 4, 15 * time.Second
+			rng := rand.New(rand.NewPCG(f.seed, 7))
+			var events []plan.Event
+			for i := range each {
+				at := settle + time.Duration(i)*gap
+				who := []int{10 + rng.IntN(n-10)}
+				events = append(events, plan.Event{At: at, Do: "kill", Who: who}, plan.Event{At: at + each*gap, Do: "term", Who: []int{10 + (who[0]-9)%(n-10)}},
+					plan.Event{At: at + each*gap + 4*time.Second, Do: "start", Who: []int{10 + (who[0]-9)%(n-10)}, State: "kept"})
+			}
+			v := hollow.View{Seed: f.seed, Layout: l, Members: n, Marks: []time.Duration{settle, settle + each*gap}, Length: settle + 2*each*gap, Workers: f.workers, Events: events}
+			phases, _, err := v.Play()
+			if err != nil {
+				return nil, err
+			}
+			f.row(n, "a failure each 15 s, "+at.name, phases[1], began)
+			f.row(n, "a restart each 15 s, "+at.name, phases[2], began)
+			p := rest
+			share := float64(n) / dayAgents / (24 * 3600) * gap.Seconds()
+			for i, times := range []float64{dayFailures, dayRestarts} {
+				p = p.Plus(rest, phases[i+1], times*share)
+			}
+			f.row(n, "the day, "+at.name, p, began)
+			s.add(float64(n), p)
+		}
+		all = append(all, s.entries("day_"+at.key, "view --part day", "linear")...)
+	}
+	return all, nil
+}
+
+// viewWorst is a zone of fifteen that is lost and comes back at once, and a region that comes back after five minutes.
+func viewWorst(sizes []int, f *flags) ([]slopes.Slope, error) {
+	f.head()
+	const after = 15 * time.Second
+	var all []slopes.Slope
+	for _, at := range []place{apart} { // where regions lie past direct, rest alone is past all bounds
+		back, cut := f.series("view", "worst", "agents", at.name+"; a zone of 15 starts at once after 60 s; the 15 s from then"), f.series("view", "worst", "agents", at.name+"; a region of 5 after five minutes cut off; the 15 s from then")
+		during := f.series("view", "worst", "agents", at.name+"; a region of 5 cut off; the third minute of it")
+		for _, n := range sizes {
+			began := time.Now()
+			l, err := at.layout(n, f.seed)
+			if err != nil {
+				return nil, err
+			}
+			zone := l.InZone(zones) // the first of the second region
+			startAt := settle + time.Minute
+			v := hollow.View{Seed: f.seed, Layout: l, Members: n, Marks: []time.Duration{settle, startAt, startAt + after}, Length: startAt + 2*after, Workers: f.workers,
+				Events: []plan.Event{{At: settle, Do: "kill", Who: zone}, {At: startAt, Do: "start", Who: zone, State: "kept"}}}
+			phases, r, err := v.Play()
+			if err != nil {
+				return nil, err
+			}
+			f.row(n, fmt.Sprintf("a zone back, %s; views at the end: %d", at.name, hollow.Differ(r)), phases[2], began)
+			back.add(float64(n), phases[2])
+			began = time.Now()
+			if l, err = at.layout(n, f.seed); err != nil {
+				return nil, err
+			}
+			cutAt := settle
+			healAt := cutAt + 5*time.Minute
+			l.CutOff(regions-1, cutAt, healAt)
+			v = hollow.View{Seed: f.seed, Layout: l, Members: n, Marks: []time.Duration{cutAt + 2*time.Minute, cutAt + 3*time.Minute, healAt, healAt + after}, Length: healAt + 3*after, Workers: f.workers}
+			if phases, r, err = v.Play(); err != nil {
+				return nil, err
+			}
+			f.row(n, "a region cut off, "+at.name, phases[1], began)
+			f.row(n, fmt.Sprintf("a region back, %s; views at the end: %d", at.name, hollow.Differ(r)), phases[3], began)
+			during.add(float64(n), phases[1])
+			cut.add(float64(n), phases[3])
+		}
+		all = append(all, back.entries("zone_back_"+at.key, "view --part worst", "linear")...)
+		all = append(all, during.entries("region_cut_"+at.key, "view --part worst", "linear")...)
+		all = append(all, cut.entries("region_back_"+at.key, "view --part worst", "linear")...)
+	}
+	return all, nil
+}
+
+// viewMemory is what one member holds, by itself: any size fits.
+func viewMemory(_ []int, f *flags) ([]slopes.Slope, error) {
+	if !f.toml {
+		bench.Head("members known", "heap of one view", "for each member", "on a stream, whole")
+	}
+	var points, streams [][2]float64
+	for _, n := range []int{120, 1200, 12000} {
+		bytes, err := hollow.Memory(n)
+		if err != nil {
+			return nil, err
+		}
+		whole, err := hollow.Whole(n)
+		if err != nil {
+			return nil, err
+		}
+		if !f.toml {
+			bench.Row(n, fmt.Sprintf("%.2f MB", float64(bytes)/1e6), fmt.Sprintf("%d B", int(bytes)/n), whole)
+		}
+		streams = append(streams, [2]float64{float64(n), float64(whole)})
+		points = append(points, [2]float64{float64(n), figures(float64(bytes))})
+	}
+	return []slopes.Slope{f.entry(slopes.Slope{Name: "view.memory.rest", Role: "agent", Load: "rest", Quantity: "memory", Unit: "B", Mechanism: "view", Variable: "agents",
+		Form: "linear", Points: points, Note: "heap of one whole view of so many members, whose records came off the wire; the default most is 10,000 members"}, "view --part memory"),
+		f.entry(slopes.Slope{Name: "view.state.join", Role: "agent", Load: "worst", Quantity: "state", Unit: "B", Mechanism: "view", Variable: "agents", Form: "linear", Points: streams,
+			Note: "a whole view on a stream: what a member that starts without one is sent by one other, whose streams are held to bytes_per_s (32 KB) in the mean"}, "view --part memory")}, nil
+}
+
+// viewFew is a few whole members of a large fleet whose rest is played: at rest, and on the ordinary day. How often each
+// hears of one event is measured in a whole fleet of the first size, and grows with the digits of the fleet's size, as
+// often as the view tells it.
+func viewFew(sizes []int, f *flags) ([]slopes.Slope, error) {
+	f.head()
+	const each, gap = 4, 15 * time.Second
+	copies, err := copiesOf(sizes[0], each, gap, f)
+	if err != nil {
+		return nil, err
+	}
+	note := fmt.Sprintf("four whole members beside the traffic of the rest, played; %s; what the rest concludes from them is not there; an event's news came %.1f times to each of %d", apart.name, copies, sizes[0])
+	rests, days := f.series("view", "rest", "agents", note), f.series("view", "day", "agents", note)
+	for _, n := range sizes {
+		began := time.Now()
+		l, err := apart.layout(n, f.seed)
+		if err != nil {
+			return nil, err
+		}
+		few := hollow.Few{Seed: f.seed, Layout: l, Members: n, Whole: 4, Marks: []time.Duration{settle}, Length: settle + 2*measure}
+		rest, err := few.Play()
+		if err != nil {
+			return nil, err
+		}
+		few.Events, few.News = 1/gap.Seconds(), 2*time.Second
+		few.Copies = copies * math.Log2(float64(n)) / math.Log2(float64(sizes[0]))
+		busy, err := few.Play()
+		if err != nil {
+			return nil, err
+		}
+		day := rest[1].Plus(rest[1], busy[1], (dayFailures+dayRestarts)*float64(n)/dayAgents/(24*3600)*gap.Seconds())
+		f.row(n, "at rest, four whole, "+apart.name, rest[1], began)
+		f.row(n, "an event each 15 s", busy[1], began)
+		f.row(n, "the day", day, began)
+		rests.add(float64(n), rest[1])
+		days.add(float64(n), day)
+	}
+	return append(rests.entries("few_rest", "view --part few", "log"), days.entries("few_day", "view --part few", "log")...), nil
+}
+
+// copiesOf is how many datagrams tell each member of one death, in a whole fleet.
+func copiesOf(n, each int, gap time.Duration, f *flags) (float64, error) {
+	l, err := apart.layout(n, f.seed)
+	if err != nil {
+		return 0, err
+	}
+	v := hollow.View{Seed: f.seed, Layout: l, Members: n, Marks: []time.Duration{settle}, Length: settle + time.Duration(each)*gap, Workers: f.workers}
+	for i := range each {
+		v.Events = append(v.Events, plan.Event{At: settle + time.Duration(i)*gap, Do: "kill", Who: []int{n - 1 - i}})
+	}
+	_, r, err := v.Play()
+	if err != nil {
+		return 0, err
+	}
+	told := uint64(0)
+	for _, x := range r.Loads {
+		told += x[1].Told
+	}
+	return float64(told) / float64(each) / float64(n), nil
+}
