--- a/tools/capacity/shared.go
+++ b/tools/capacity/shared.go
@@ -115,7 +115,7 @@
 func verdictsRate(sizes []int, f *flags) ([]slopes.Slope, error) {
 	f.head()
 	n := sizes[max(0, len(sizes)-2)]
-	s := f.series("verdicts", "rest", "requests_per_s", fmt.Sprintf("%d agents, 0.1%% fail by chance, %s", n, apart.name))
+	s := f.series("verdicts", "rest", "calls_per_s", fmt.Sprintf("%d agents, 0.1%% fail by chance, %s", n, apart.name))
 	for _, rate := range []float64{1, 10, 40, callsEach} {
 		began := time.Now()
 		p, err := verdictsRun(n, rate, f, nil)
@@ -191,7 +191,7 @@
 	if err != nil {
 		return holder, keeper, err
 	}
-	v := hollow.Limits{Seed: f.seed, Layout: l, Members: n, Rate: limitsBusy, Marks: []time.Duration{10 * time.Second}, Length: 20 * time.Second}
+	v := hollow.Limits{Seed: f.seed, Layout: l, Members: n, Rate: limitsBusy, Marks: []time.Duration{8 * time.Second}, Length: 14 * time.Second}
 	if change != nil {
 		change(&v)
 	}
@@ -232,8 +232,8 @@
 }
 
 func limitsWorst(sizes []int, f *flags) ([]slopes.Slope, error) {
-	return limitsTable(sizes, f, "worst", "zone_back", "a zone of 15 starts at once; the 10 s from then", "limits --part worst", func(l *hollow.Limits) {
-		l.Down = []play.Down{{Members: l.Layout.InZone(zones), Start: 5 * time.Second, End: 10 * time.Second}}
+	return limitsTable(sizes, f, "worst", "zone_back", "a zone of 15 starts at once; the 6 s from then", "limits --part worst", func(l *hollow.Limits) {
+		l.Down = []play.Down{{Members: l.Layout.InZone(zones), Start: 3 * time.Second, End: 8 * time.Second}}
 	})
 }
 
