--- a/internal/drill/hollow/view_test.go
+++ b/internal/drill/hollow/view_test.go
@@ -84,3 +84,14 @@
 		}
 	}
 }
+
+// How far regions are from one another costs nothing at rest: probes of far members wait as long as their answers take.
+func TestFarRegionsCostNoMoreAtRest(t *testing.T) {
+	near, far := rest(t, 30, 20*time.Millisecond, 1, 2)[1], rest(t, 30, 250*time.Millisecond, 1, 2)[1]
+	if r := far.Out.Bytes / near.Out.Bytes; r > 1.15 {
+		t.Errorf("250 ms there and back %.0f bytes a second each, 20 ms %.0f: %.2f times as much", far.Out.Bytes, near.Out.Bytes, r)
+	}
+	if r := far.Out.Messages / near.Out.Messages; r > 1.15 {
+		t.Errorf("250 ms there and back %.1f messages a second each, 20 ms %.1f", far.Out.Messages, near.Out.Messages)
+	}
+}
--- a/tools/capacity/entries_test.go
+++ b/tools/capacity/entries_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"vetchhaven/internal/drill/hollow"
 	"vetchhaven/internal/rehearse/chain"
 	"vetchhaven/tools/capacity/slopes"
 )
@@ -48,3 +49,23 @@
 		t.Errorf("%d entries", len(back))
 	}
 }
+
+// So is what view, verdicts and limits print, by whichever size and variable.
+func TestEntriesOfWhatMembersShareAreTaken(t *testing.T) {
+	f := &flags{sizes: "30,100", seed: 1, workers: 1}
+	p := hollow.Phase{Out: hollow.Rate{Bytes: 2, Messages: 1, Most: 3}, In: hollow.Rate{Bytes: 2, Messages: 1, Most: 3}, Processor: 0.001}
+	var all []slopes.Slope
+	for _, c := range []struct{ mechanism, variable, which, form string }{{"view", "agents", "rest_80ms", "log"}, {"verdicts", "calls_per_s", "rate_100", "power"}, {"limits", "agents", "zone_back_keeper", "linear"}} {
+		s := f.series(c.mechanism, "rest", c.variable, "seed 1")
+		s.add(30, p)
+		s.add(100, p)
+		all = append(all, s.entries(c.which, c.mechanism+" --part rest", c.form)...)
+	}
+	var out bytes.Buffer
+	if err := slopes.Write(&out, all...); err != nil {
+		t.Fatal(err)
+	}
+	if back, err := slopes.Parse("entries", out.Bytes()); err != nil || len(back) != 3*len(quantities) {
+		t.Errorf("%d entries of %d, %v", len(back), 3*len(quantities), err)
+	}
+}
