--- a/tools/capacity/view.go
+++ b/tools/capacity/view.go
@@ -23,7 +23,7 @@
 	return measures("view", "The view of the fleet: bytes, messages, processor time and memory of an agent, with regions",
 		"At rest over sizes (one place, five regions 80 ms apart, five regions 20 to 250 ms apart), over round-trip times at one size; the\n"+
 			"ordinary day; a zone and a region that come back; the memory of one member; the figures of the issue.",
-		"100,300,1000", part{"issue", viewIssue}, part{"rest", viewRest}, part{"rounds", viewRounds}, part{"day", viewDay}, part{"worst", viewWorst}, part{"memory", viewMemory}, part{"few", viewFew})
+		"100,300,1000", part{"issue", viewIssue}, part{"rest", viewRest}, part{"rounds", viewRounds}, part{"day", viewDay}, part{"worst", viewWorst}, part{"release", viewRelease}, part{"memory", viewMemory}, part{"few", viewFew})
 }
 
 const (
@@ -253,6 +253,35 @@
 	return all, nil
 }
 
+// viewRelease is all agents that end at once and start within a second, with what they knew on their disks.
+func viewRelease(sizes []int, f *flags) ([]slopes.Slope, error) {
+	f.head()
+	const after = 15 * time.Second
+	at := apart
+	s := f.series("view", "worst", "agents", at.name+"; all agents start within a second, with their disks; the 15 s from then. bytes_per_s bounds datagrams, and streams in the mean: past it a fleet takes longer")
+	for _, n := range sizes {
+		began := time.Now()
+		l, err := at.layout(n, f.seed)
+		if err != nil {
+			return nil, err
+		}
+		rng := rand.New(rand.NewPCG(f.seed, 9))
+		var events []plan.Event
+		for who := range n {
+			events = append(events, plan.Event{At: settle, Do: "kill", Who: []int{who}},
+				plan.Event{At: settle + time.Second + time.Duration(rng.Float64()*float64(time.Second)), Do: "start", Who: []int{who}, State: "kept"})
+		}
+		v := hollow.View{Seed: f.seed, Layout: l, Members: n, Marks: []time.Duration{settle + time.Second, settle + time.Second + after}, Length: settle + 3*after, Workers: f.workers, Events: events}
+		phases, r, err := v.Play()
+		if err != nil {
+			return nil, err
+		}
+		f.row(n, fmt.Sprintf("all start, %s; views at the end: %d", at.name, hollow.Differ(r)), phases[1], began)
+		s.add(float64(n), phases[1])
+	}
+	return s.entries("release_"+at.key, "view --part release", "linear"), nil
+}
+
 // viewMemory is what one member holds, by itself: any size fits.
 func viewMemory(_ []int, f *flags) ([]slopes.Slope, error) {
 	if !f.toml {
