--- a/tools/capacity/held.go
+++ b/tools/capacity/held.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"syscall"
@@ -16,11 +17,12 @@
 
 	"vetchhaven/internal/drill/hollow"
 	"vetchhaven/internal/drill/plan"
+	"vetchhaven/tools/capacity/slopes"
 	"vetchhaven/tools/internal/bench"
 )
 
 func heldCommand() *cobra.Command {
-	sizes, crashes, seed, direct := "20,50", 10, uint64(1), time.Duration(0)
+	sizes, crashes, seed, direct, toml := "20,50", 10, uint64(1), time.Duration(0), false
 	c := &cobra.Command{Use: "held", Short: "Hollow members beside as many real daemons: bytes, messages and times", Args: cobra.NoArgs,
 		Long: "held plays the same plan with real daemons (relays on their links) and with hollow members on sockets, side by side, and\n" +
 			"then in virtual time: rest, and one after another killed and started. It ends with status 1 where a rate of the\n" +
@@ -39,6 +41,7 @@
 		}
 		bench.Head("members", "what", "datagrams/s", "bytes/s", "bytes of a datagram", "core", "crashes", "known by all, median", "joins", "known by all, median", "not known by all", "suspicions of each at rest", "pauses of a second and more")
 		off := 0
+		var used [][2]float64
 		for _, text := range strings.Split(sizes, ",") {
 			n, err := strconv.Atoi(text)
 			if err != nil || n < 4 {
@@ -53,6 +56,7 @@
 			for _, s := range sides {
 				bench.Row(n, s.Name, s.Datagrams, s.Bytes, s.EachBytes, fmt.Sprintf("%.3f%%", 100*s.Processor), s.Crashes, s.Crash, s.Joins, s.Join, s.Unknown, s.Suspicions, s.Doubts)
 			}
+			used = append(used, [2]float64{float64(n), figures(sides[0].Processor)})
 			for _, s := range sides[1:] {
 				for _, q := range []struct {
 					name       string
@@ -69,6 +73,14 @@
 				}
 			}
 		}
+		if toml {
+			f := flags{sizes: sizes, seed: seed, workers: runtime.NumCPU()}
+			e := f.entry(slopes.Slope{Name: "view.cpu.real", Role: "agent", Load: "rest", Quantity: "cpu", Unit: "core", Mechanism: "view", Variable: "agents", Form: "constant", Points: used,
+				Note: "whole daemons with peers and no requests, system calls included; the other entries of processor time are of virtual time"}, fmt.Sprintf("held --crashes %d --direct %v", crashes, direct))
+			if err := slopes.Write(os.Stdout, e); err != nil {
+				return err
+			}
+		}
 		if off > 0 {
 			return fmt.Errorf("%d rates of hollow members are off by more than 15%%", off)
 		}
@@ -77,6 +89,7 @@
 	c.Flags().StringVar(&sizes, "sizes", sizes, "how many members, in turn")
 	c.Flags().IntVar(&crashes, "crashes", crashes, "how many crashes and joins")
 	c.Flags().DurationVar(&direct, "direct", 0, "how long a probe waits for its answer, and half as long again for helpers; 0: the default. With 1s what a busy machine delays is no failure")
+	c.Flags().BoolVar(&toml, "toml", false, "after the table, print the entry for docs/capacity/slopes.toml: processor time of real daemons")
 	c.Flags().Uint64Var(&seed, "seed", seed, "of all chance")
 	return c
 }
