--- a/tools/capacity/entries_test.go
+++ b/tools/capacity/entries_test.go
@@ -24,7 +24,7 @@
 	for _, n := range []int{1, 4} {
 		start = append(start, &chainPlay{config: chain.Default(n)})
 	}
-	o := pathOptions{servers: []int{12, 200}, rate: 408, rounds: 3, length: time.Second}
+	o := pathOptions{servers: []int{12, 200}, rate: 408, rounds: 3, length: time.Second, calm: time.Millisecond}
 	three := []float64{1, 2, 3}
 	row := pathRow{cpu: three, added50: three, added99: three}
 	rows := []pathRow{row, row, {services: 50, servers: 200, cpu: three[:1]}} // the last has too few rounds
@@ -44,6 +44,12 @@
 			t.Errorf("%s has the points %v, two were measured", s.Name, s.Points)
 		}
 	}
+	o.calm = 0
+	for _, s := range pathSlopes(o, rows) {
+		if s.Quantity == "added_p99" {
+			t.Errorf("%s: the 99th of a hundred is told though busy rounds were not set aside", s.Name)
+		}
+	}
 	if len(back) < 15 {
 		t.Errorf("%d entries", len(back))
 	}
--- a/tools/capacity/path.go
+++ b/tools/capacity/path.go
@@ -505,12 +505,18 @@
 			if len(s.Points) == 0 {
 				return
 			}
-			s.Note = fmt.Sprintf("one agent at %g calls a second, %d servers of each service; median of rounds of %s, %d set aside as the machine was busy; least to most: %s",
-				o.rate, servers, o.length, aside, strings.Join(ranges, ", "))
+			busy := "busy ones count too"
+			if o.calm > 0 {
+				busy = fmt.Sprintf("%d set aside as the machine was busy", aside)
+			}
+			s.Note = fmt.Sprintf("one agent at %g calls a second, %d servers of each service; median of rounds of %s, %s; least to most: %s",
+				o.rate, servers, o.length, busy, strings.Join(ranges, ", "))
 			all = append(all, s)
 		}
 		entry("added_p50", "rest", "added_p50", "ms", "constant", 3, func(r pathRow) []float64 { return r.added50 })
-		entry("added_p99", "rest", "added_p99", "ms", "constant", 3, func(r pathRow) []float64 { return r.added99 })
+		if o.calm > 0 { // else it may be the machine's
+			entry("added_p99", "rest", "added_p99", "ms", "constant", 3, func(r pathRow) []float64 { return r.added99 })
+		}
 		entry("cpu", "rest", "cpu", "core", "linear", 4, func(r pathRow) []float64 { return r.cpu })
 		entry("cpu_quiet", "rest", "cpu", "core", "linear", 5, func(r pathRow) []float64 { return []float64{r.idle} })
 		entry("memory", "rest", "memory", "B", "linear", 0, func(r pathRow) []float64 { return []float64{r.resident} })
