--- a/tools/capacity/path.go
+++ b/tools/capacity/path.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"runtime"
 	"slices"
@@ -100,6 +101,8 @@
 
 func paths(o pathOptions) error {
 	runtime.GOMAXPROCS(pathCores)
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM) // the daemon must not outlive this
+	defer cancel()
 	dir, err := os.MkdirTemp("", "path")
 	if err != nil {
 		return err
@@ -114,7 +117,7 @@
 	var rows []pathRow
 	for _, servers := range o.servers {
 		for _, services := range o.services {
-			row, err := measurePath(o, dir, services, servers)
+			row, err := measurePath(ctx, o, dir, services, servers)
 			if err != nil {
 				return fmt.Errorf("%d services with %d servers: %w", services, servers, err)
 			}
@@ -163,7 +166,7 @@
 }
 
 // measurePath starts servers, lists and the agent, and asks both ways.
-func measurePath(o pathOptions, dir string, services, servers int) (row pathRow, err error) {
+func measurePath(ctx context.Context, o pathOptions, dir string, services, servers int) (row pathRow, err error) {
 	row = pathRow{services: services, servers: servers, direct: newPathLatency(), agent: newPathLatency(),
 		allDirect: newPathLatency(), allAgent: newPathLatency()}
 	body := bytes.Repeat([]byte("x"), pathAnswer)
@@ -208,7 +211,7 @@
 		return row, err
 	}
 	c := newPathCaller(o, forms, a.listens)
-	if _, err := c.round(pathWarmup); err != nil {
+	if _, err := c.round(ctx, pathWarmup); err != nil {
 		return row, err
 	}
 	late := newPathLatency()
@@ -218,7 +221,7 @@
 			return row, err
 		}
 		began := time.Now()
-		r, err := c.round(o.length)
+		r, err := c.round(ctx, o.length)
 		if err != nil {
 			return row, err
 		}
@@ -397,17 +400,17 @@
 	last                error
 }
 
-func (c *pathCaller) round(length time.Duration) (*pathRound, error) {
+func (c *pathCaller) round(ctx context.Context, length time.Duration) (*pathRound, error) {
 	runtime.LockOSThread() // the last part of each wait is spent looking at the clock
 	defer runtime.UnlockOSThread()
 	r := &pathRound{direct: newPathLatency(), agent: newPathLatency(), late: newPathLatency()}
-	ctx, cancel := context.WithTimeout(context.Background(), length+2*pathMost)
+	ctx, cancel := context.WithTimeout(ctx, length+2*pathMost)
 	defer cancel()
 	var open sync.WaitGroup
 	began, at, n := time.Now(), time.Duration(0), 0
 	for ; ; n++ {
 		at += time.Duration(c.rng.ExpFloat64() / (2 * c.rate) * float64(time.Second))
-		if at >= length {
+		if at >= length || ctx.Err() != nil {
 			break
 		}
 		way, host, into := 0, c.direct[c.rng.IntN(len(c.direct))], r.direct
@@ -435,6 +438,9 @@
 		})
 	}
 	open.Wait()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	if r.failed[0]+r.failed[1] > r.calls {
 		return nil, fmt.Errorf("half of all calls failed: %d of %d directly, %d of %d through the agent, the last: %w", r.failed[0], n-r.calls, r.failed[1], r.calls, r.last)
 	}
--- a/tools/capacity/path_test.go
+++ b/tools/capacity/path_test.go
@@ -30,7 +30,7 @@
 	transport.MaxConnsPerHost = 1
 	defer transport.CloseIdleConnections()
 	began = time.Now()
-	r, err := c.round(stall)
+	r, err := c.round(t.Context(), stall)
 	if err != nil {
 		t.Fatal(err)
 	}
