--- a/internal/peer/view/cutoff.go
+++ b/internal/peer/view/cutoff.go
@@ -54,7 +54,6 @@
 	v.lone, v.loneAt = true, v.now
 	v.do(Alone{Members: len(v.live)})
 	// What it accused others of on the way here rests on its own silence, and is not told on when it is back.
-	v.news.drop(func(m *member) bool { return m.State == Suspect || m.State == Dead })
 	for _, m := range slices.Clone(v.suspects) {
 		r := m.Record
 		r.State, r.By = Alive, ""
