View: one that looks for the fleet is not stepped each millisecond for hearing nobody

Found by reading: the timer for hearing nobody was set while the finding itself waits for the fleet to be met, so that a view that knew members by another's word, and had met nobody, was stepped each millisecond. One that stood back for its name held what it had not heard meanwhile for silence. Each has a test that fails without its line (tried).

--- a/internal/peer/view/cutoff.go
+++ b/internal/peer/view/cutoff.go
@@ -46,9 +46,14 @@
 	return max(2*v.least()+v.s.Direct+v.s.Indirect, loneEvery*v.s.Every)
 }
 
+// mayBeLone reports whether it matters that nobody is heard.
+func (v *View) mayBeLone() bool {
+	return !v.lone && len(v.live) > 0 && (v.joined || v.met) && !v.s.Plain.NoHealth
+}
+
 // loneDue finds that nobody is heard any more.
 func (v *View) loneDue() {
-	if v.lone || len(v.live) == 0 || !v.joined && !v.met || v.s.Plain.NoHealth || v.now < v.heardAny+v.loneAfter() {
+	if !v.mayBeLone() || v.now < v.heardAny+v.loneAfter() {
 		return
 	}
 	v.lone, v.loneAt = true, v.now
--- a/internal/peer/view/name.go
+++ b/internal/peer/view/name.go
@@ -99,7 +99,7 @@
 			c.at = v.now + standLook + v.random(standLook)
 			return
 		}
-		v.standby, v.self.since, v.probeAt, v.turn = false, v.now, v.now, nil
+		v.standby, v.self.since, v.probeAt, v.turn, v.heardAny = false, v.now, v.now, nil, v.now
 		v.exchange = exchange{quietAt: v.now + exchangeQuiet}
 		v.doors()
 		v.free("its holder no longer answers")
--- a/internal/peer/view/region_test.go
+++ b/internal/peer/view/region_test.go
@@ -723,3 +723,32 @@
 		t.Error("opened in debt")
 	}
 }
+
+// One that looks for the fleet still, and knows of some by another's word, does nothing for hearing nobody: nor is it
+// stepped for that.
+func TestOneThatLooksForTheFleetIsNotSteppedForHearingNobody(t *testing.T) {
+	v := alone(t, "127.0.0.9:1")
+	meet(v, 5)
+	v.joined, v.met = false, false
+	steps := 0
+	for v.now < 30*time.Second {
+		v.Step(v.Next())
+		v.joined, v.met = false, false
+		steps++
+	}
+	if steps > 5000 || v.Alone() {
+		t.Errorf("%d steps in 30 s, alone %v", steps, v.Alone())
+	}
+}
+
+func TestOneThatStoodBackHasHeardNobodyMeanwhile(t *testing.T) {
+	v := alone(t)
+	meet(v, 5)
+	v.joined, v.standby = true, true
+	v.claim = claim{at: v.now + 30*time.Second, misses: standTries, rec: other(9)}
+	v.now = v.claim.at
+	v.due = v.now
+	if v.Step(v.now); v.standby || v.Alone() {
+		t.Errorf("standby %v, alone %v", v.standby, v.Alone())
+	}
+}
--- a/internal/peer/view/view.go
+++ b/internal/peer/view/view.go
@@ -566,7 +566,7 @@
 		}
 		v.watchNext(at)
 		at(v.surveyAt)
-		if !v.lone && len(v.live) > 0 && !v.s.Plain.NoHealth {
+		if v.mayBeLone() {
 			at(v.heardAny + v.loneAfter())
 		}
 		at(v.exchange.due(v))
