--- a/internal/protocol/http1/backends.go
+++ b/internal/protocol/http1/backends.go
@@ -526,7 +526,7 @@
 // exchange writes m on a connection and reads its answer. It reports whether the last byte of m
 // was written. After an error the connection is of no further use.
 func (b *backends) exchange(ctx context.Context, by errand, c *conn, m *message) (a *answer, whole bool, err error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) })
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(core.LongAgo) })
 	defer func() {
 		if !stop() && err == nil {
 			a.reusable = false // its deadline has passed, or is about to
@@ -535,7 +535,12 @@
 	until, _ := ctx.Deadline()
 	text := m.on(until)
 	c.wrote = time.Now()
-	n, err := c.writeFor(by, text)
+	var n int
+	if len(text) <= takenAtOnce { // nothing stands unsent before it
+		n, err = c.Write(text)
+	} else {
+		n, err = c.writeFor(by, text)
+	}
 	if err != nil || n < len(text) {
 		return nil, n == len(text) && m.up == nil, err
 	}
@@ -574,14 +579,11 @@
 // writeFor writes a part of a request, and ends with the request: a server may take long to take it, and once the client
 // has left it must not have the last byte.
 func (c *conn) writeFor(by errand, text []byte) (int, error) {
-	if len(text) <= takenAtOnce {
-		return c.Write(text)
-	}
 	written, watched := make(chan struct{}), make(chan bool)
 	go func() {
 		select {
 		case <-by.Over():
-			_ = c.SetWriteDeadline(aLongTimeAgo)
+			_ = c.SetWriteDeadline(core.LongAgo)
 			watched <- true
 		case <-written:
 			watched <- false
