--- a/tools/capacity/entries_test.go
+++ b/tools/capacity/entries_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"vetchhaven/internal/drill/hollow"
 	"vetchhaven/internal/rehearse/chain"
 	"vetchhaven/tools/capacity/slopes"
 )
@@ -24,7 +25,7 @@
 	for _, n := range []int{1, 4} {
 		start = append(start, &chainPlay{config: chain.Default(n)})
 	}
-	o := pathOptions{servers: []int{12, 200}, rate: 408, rounds: 3, length: time.Second}
+	o := pathOptions{servers: []int{12, 200}, rate: 408, rounds: 3, length: time.Second, calm: time.Millisecond}
 	three := []float64{1, 2, 3}
 	row := pathRow{cpu: three, added50: three, added99: three}
 	rows := []pathRow{row, row, {services: 50, servers: 200, cpu: three[:1]}} // the last has too few rounds
@@ -44,7 +45,33 @@
 			t.Errorf("%s has the points %v, two were measured", s.Name, s.Points)
 		}
 	}
+	o.calm = 0
+	for _, s := range pathSlopes(o, rows) {
+		if s.Quantity == "added_p99" {
+			t.Errorf("%s: the 99th of a hundred is told though busy rounds were not set aside", s.Name)
+		}
+	}
 	if len(back) < 15 {
 		t.Errorf("%d entries", len(back))
 	}
 }
+
+// So is what view, verdicts and limits print, by whichever size and variable.
+func TestEntriesOfWhatMembersShareAreTaken(t *testing.T) {
+	f := &flags{sizes: "30,100", seed: 1, workers: 1}
+	p := hollow.Phase{Out: hollow.Rate{Bytes: 2, Messages: 1, Most: 3}, In: hollow.Rate{Bytes: 2, Messages: 1, Most: 3}, Processor: 0.001}
+	var all []slopes.Slope
+	for _, c := range []struct{ mechanism, variable, which, form string }{{"view", "agents", "rest_80ms", "log"}, {"verdicts", "calls_per_s", "rate_100", "power"}, {"limits", "agents", "zone_back_keeper", "linear"}} {
+		s := f.series(c.mechanism, "rest", c.variable, "seed 1")
+		s.add(30, p)
+		s.add(100, p)
+		all = append(all, s.entries(c.which, c.mechanism+" --part rest", c.form)...)
+	}
+	var out bytes.Buffer
+	if err := slopes.Write(&out, all...); err != nil {
+		t.Fatal(err)
+	}
+	if back, err := slopes.Parse("entries", out.Bytes()); err != nil || len(back) != 3*len(quantities) {
+		t.Errorf("%d entries of %d, %v", len(back), 3*len(quantities), err)
+	}
+}
