CAPACITY.md is a page to read: one compact table a role, all entries in tables.md

Now `page` prints two forms. docs/CAPACITY.md has of each load, mechanism and quantity the greatest figure in one row: short slope, range, times beyond, bound, met, run; messages with their bytes, of two ways the greater, of those that keep a bound each by itself the nearest; a mechanism under a tenth of a shared bound is in the row of the sum alone; what breaks is told as far as it is not met, then two more; tiers of calls stand one row an incident. tables.md has all entries, notes, residuals, sizes with sources, all bounds and all runs.

`put` puts printed entries into slopes.toml by name, so that a new measurement is one command.

The test that holds both pages to the files byte for byte is as it was; those of the rows run on the table with all entries, and the brief form has its own. Share 0 is printed as 0%.

--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -26,6 +26,7 @@
 func commands() []*cobra.Command {
 	return []*cobra.Command{
 		pageCommand(),
+		putCommand(),
 		viewCommand(),
 		verdictsCommand(),
 		limitsCommand(),
--- a/tools/capacity/page/grid.go
+++ b/tools/capacity/page/grid.go
@@ -62,7 +62,7 @@
 	}
 	k := units[u]
 	switch {
-	case x == 0 || u == "":
+	case x == 0 && u != "share" || u == "":
 		return strings.TrimSpace(short(x) + " " + u)
 	case k.kind == "bytes":
 		return step(x*k.of, "B", "KB", "MB", "GB", "TB")
--- a/tools/capacity/page/page.go
+++ b/tools/capacity/page/page.go
@@ -27,7 +27,7 @@
 	if err := size.Fits(slopesPath, data, all); err != nil {
 		return nil, nil, err
 	}
-	return Tables(size, all, false), Tables(size, all, true), nil
+	return Brief(size, all), Tables(size, all), nil
 }
 
 var begin = regexp.MustCompile(`^<!-- tables: begin ([a-z]+) -->$`)
--- a/tools/capacity/page/page_test.go
+++ b/tools/capacity/page/page_test.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return Tables(s, all, false)
+	return Tables(s, all)
 }
 
 // has fails the test unless a table has a row with all of these cells, in their order.
@@ -207,7 +207,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	brief, full := Tables(s, all, false), Tables(s, all, true)
+	brief, full := Brief(s, all), Tables(s, all)
 	for _, c := range []struct {
 		text, name string
 		want       bool
--- a/tools/capacity/page/tables.go
+++ b/tools/capacity/page/tables.go
@@ -13,34 +13,31 @@
 // Far is by how many times the largest measured size a figure may be extrapolated without a mark.
 const Far = 4
 
-// Tables are docs/CAPACITY.md's, by name: one for each role, what breaks as the size grows, and the runs behind them. Of
-// each load, mechanism and quantity they have what is greatest at the size aimed at, of what is asked for or bounded (of path and chain all); with
-// full there is everything.
-func Tables(s *Size, all []slopes.Slope, full bool) map[string]string {
-	p := &printer{size: s, all: all, full: full, used: map[int]bool{}}
-	for i := range all {
-		if r := runOf(&all[i]); !slices.Contains(p.list, r) {
-			p.list = append(p.list, r)
-		}
-	}
-	tables := map[string]string{}
+// Tables are those of docs/capacity/tables.md, by name, with every entry: the size, one for each role, what breaks as the
+// size grows, and the runs behind them. Brief are those of docs/CAPACITY.md.
+func Tables(s *Size, all []slopes.Slope) map[string]string {
+	p := printerOf(s, all)
+	tables := map[string]string{"size": p.sizes(), "breaks": p.breaks(), "runs": p.runs()}
 	for _, role := range slopes.Roles {
 		tables[role] = p.role(role)
 	}
-	if !full {
-		tables["size"] = p.sizes()
-		tables["breaks"] = p.breaks()
-	}
-	tables["runs"] = p.runs() // last: it has those that were named
 	return tables
 }
 
 type printer struct {
 	size *Size
 	all  []slopes.Slope
-	full bool
 	list []run
-	used map[int]bool // by number in the list
+}
+
+func printerOf(s *Size, all []slopes.Slope) *printer {
+	p := &printer{size: s, all: all}
+	for i := range all {
+		if r := runOf(&all[i]); !slices.Contains(p.list, r) {
+			p.list = append(p.list, r)
+		}
+	}
+	return p
 }
 
 // run is a command with its date and machine.
@@ -48,11 +45,9 @@
 
 func runOf(s *slopes.Slope) run { return run{s.Command, s.Date, s.Machine} }
 
-// number is the run's in the last table.
+// number is the run's in the table of runs.
 func (p *printer) number(s *slopes.Slope) string {
-	i := slices.Index(p.list, runOf(s))
-	p.used[i] = true
-	return fmt.Sprintf("[%d]", i+1)
+	return fmt.Sprintf("[%d]", slices.Index(p.list, runOf(s))+1)
 }
 
 func (p *printer) sizes() string {
@@ -83,17 +78,7 @@
 		for _, e := range p.of(role, load) {
 			p.entry(t, e)
 		}
-		var missing []string
-		for i := range p.size.Asked {
-			if a := &p.size.Asked[i]; a.Role == role && slices.Contains(a.Loads, load) {
-				for _, m := range a.Mechanisms {
-					if list := p.missing(a, load, m); len(list) > 0 {
-						missing = append(missing, m+": "+strings.Join(list, ", "))
-					}
-				}
-			}
-		}
-		if len(missing) > 0 {
+		if missing := p.gaps(role, load); len(missing) > 0 {
 			t.row(loads[load], strings.Join(missing, "; "), "", "not measured", "", "", "", "", "", "", "")
 		}
 		for i := range p.size.Bound {
@@ -114,7 +99,7 @@
 // of are a role's entries of a load, in order.
 func (p *printer) of(role, load string) (rows []*slopes.Slope) {
 	for i := range p.all {
-		if e := &p.all[i]; e.Role == role && e.Load == load && (p.full || p.governs(e, false)) {
+		if e := &p.all[i]; e.Role == role && e.Load == load {
 			rows = append(rows, e)
 		}
 	}
@@ -125,9 +110,9 @@
 }
 
 // governs reports whether an entry is asked for or bounded, and the greatest of its kind at the size aimed at; same: of
-// those that grow with the same.
+// those that grow with the same, and of path and chain all, for these are cases beside one another.
 func (p *printer) governs(e *slopes.Slope, same bool) bool {
-	if e.Role == "path" || e.Role == "chain" { // cases beside one another, not mechanisms that add up
+	if same && (e.Role == "path" || e.Role == "chain") {
 		return true
 	}
 	wanted := slices.ContainsFunc(p.size.Asked, func(a Asked) bool {
@@ -166,6 +151,20 @@
 	return f.Value(x), false
 }
 
+// gaps are what a role is asked for in a load and has no entry of, a text for each mechanism.
+func (p *printer) gaps(role, load string) (gaps []string) {
+	for i := range p.size.Asked {
+		if a := &p.size.Asked[i]; a.Role == role && slices.Contains(a.Loads, load) {
+			for _, m := range a.Mechanisms {
+				if list := p.missing(a, load, m); len(list) > 0 {
+					gaps = append(gaps, m+": "+strings.Join(list, ", "))
+				}
+			}
+		}
+	}
+	return gaps
+}
+
 // missing are the quantities of which a role has no entry.
 func (p *printer) missing(a *Asked, load, mechanism string) (missing []string) {
 	for _, q := range a.Quantities {
@@ -189,19 +188,12 @@
 	f, x := e.Fit(), v.at(e.Load)
 	value, measured := at(e, f, x)
 	low, high := e.Range()
-	over := fmt.Sprintf("%s to %s %s", count(low), count(high), v.Words)
-	if low == high {
-		over = fmt.Sprintf("%s %s", count(low), v.Words)
-	}
 	there, beyond := unit(value, e.Unit), "within"
 	if measured {
 		there += ", measured"
 	}
 	if x > high {
-		beyond = fmt.Sprintf("%.1f", x/high)
-		if x/high > Far {
-			beyond = "**" + beyond + "**"
-		}
+		beyond = farther(x / high)
 		if e.Form == "table" {
 			there = "not extrapolated; " + unit(f.Value(high), e.Unit) + " at " + count(high)
 		}
@@ -215,20 +207,13 @@
 	if e.Form == "table" || e.Form == "steps" {
 		residual = "read off"
 	}
-	bound, kept := "none", ""
-	for i := range p.size.Bound {
-		if b := &p.size.Bound[i]; b.of(e) && b.in(e.Load) {
-			bound, kept = unit(b.Most, b.Unit), met(value*scale(b.Unit, e.Unit) <= b.Most)
-			if b.Sum {
-				bound += " for all"
-			}
-		}
-	}
+	bound, kept := p.boundOf(e, value)
+	bound = cmp.Or(bound, "none")
 	figure := words(e.Quantity) + " `" + e.Name + "`"
 	if e.Note != "" {
 		figure += ": " + e.Note
 	}
-	t.row(loads[e.Load], figure, e.Mechanism, formula(e, f, v), there, residual, over, beyond, bound, kept, p.number(e))
+	t.row(loads[e.Load], figure, e.Mechanism, formula(e, f, v), there, residual, over(e, v), beyond, bound, kept, p.number(e))
 }
 
 func met(ok bool) string {
@@ -337,15 +322,21 @@
 
 // crossing is where a curve crosses its bound.
 type crossing struct {
-	share float64 // of the size aimed at; +Inf: not up to most times it
-	cells []any
+	share   float64 // of the size aimed at; +Inf: not up to most times it
+	bound   *Bound
+	load    string
+	carried string // mechanisms
+	top     string // the entry, or of a sum the one with the greatest part
+	at      string // where it crosses, in words
+	value   float64
 }
 
+func (c *crossing) met() bool { return c.value <= c.bound.Most }
+
 const most = 100 // times the size aimed at: farther is not looked
 
-// breaks are the crossings, the first one first.
-func (p *printer) breaks() string {
-	var all []crossing
+// crossings are those of all bounds, the first one first.
+func (p *printer) crossings() (all []crossing) {
 	seen := map[string]bool{}
 	for i := range p.size.Bound {
 		b := &p.size.Bound[i]
@@ -373,7 +364,7 @@
 					v := p.size.variable(top.e.Variable)
 					at = fmt.Sprintf("at any size, with %s %s", count(v.at(top.as)), v.Words)
 				}
-				all = append(all, crossing{share, []any{b.Name, loads[load], names(parts) + "; most: `" + top.e.Name + "`", at, unit(total(parts, 1), b.Unit), unit(b.Most, b.Unit), met(total(parts, 1) <= b.Most)}})
+				all = append(all, crossing{share, b, load, names(parts), top.e.Name, at, total(parts, 1)})
 			}
 			for j := range p.all {
 				e := &p.all[j]
@@ -393,25 +384,27 @@
 				if b.Sum && share > 1 {
 					continue
 				}
-				all = append(all, crossing{share, []any{b.Name, loads[load], e.Mechanism + " `" + e.Name + "`", where(share, aim, v.Words, e.Points[0][0]), unit(p.aimed(e)*by, b.Unit), unit(b.Most, b.Unit), met(p.aimed(e)*by <= b.Most)}})
+				all = append(all, crossing{share, b, load, e.Mechanism, e.Name, where(share, aim, v.Words, e.Points[0][0]), p.aimed(e) * by})
 			}
 		}
 	}
+	slices.SortStableFunc(all, func(a, b crossing) int { return cmp.Compare(a.share, b.share) })
+	return all
+}
+
+// breaks are the crossings.
+func (p *printer) breaks() string {
+	all := p.crossings()
 	if len(all) == 0 {
 		return "Not measured.\n"
 	}
-	slices.SortStableFunc(all, func(a, b crossing) int {
-		switch {
-		case a.share < b.share:
-			return -1
-		case a.share > b.share:
-			return 1
-		}
-		return 0
-	})
 	t := table("", "bound", "load", "carried by", "crossed at", "at the size aimed at", "bound", "met")
 	for i, c := range all {
-		t.row(append([]any{i + 1}, c.cells...)...)
+		carried := c.carried + " `" + c.top + "`"
+		if c.bound.Sum {
+			carried = c.carried + "; most: `" + c.top + "`"
+		}
+		t.row(i+1, c.bound.Name, loads[c.load], carried, c.at, unit(c.value, c.bound.Unit), unit(c.bound.Most, c.bound.Unit), met(c.met()))
 	}
 	return t.String()
 }
@@ -449,14 +442,11 @@
 }
 
 func (p *printer) runs() string {
-	if len(p.used) == 0 {
+	if len(p.list) == 0 {
 		return "None.\n"
 	}
 	t := table("run", "command", "date", "machine")
 	for i, r := range p.list {
-		if !p.used[i] {
-			continue
-		}
 		t.row(fmt.Sprintf("[%d]", i+1), "`"+r.command+"`", r.date, r.machine)
 	}
 	return t.String()
