Drills: a goodbye's line is written before it is said, and outlives who said it

TestRealProcesses/drills/short-crash failed once in a fresh clone with "not tried: [leave-known]", all claims kept.

Cause: Carrier.Leave posted view.Leave to the loop, and asked the loop for the event line "leave" only afterwards (carrier.go, Leave). The loop sends the goodbye in the step between; on a busy machine all three others had written "left" (3 ms after the signal) before the line of the cause had its time. The judge read effects before their cause: it booked three duties at the line that nobody would fulfil any more, and dropped them all 0.1 s later, at the process's end (judge.go, Down), unseen. That drop is a second fault: a leaver ends 0.13 s after its goodbye, so that leave-known, whose bound is seconds, could never be broken by a goodbye that was lost; it went as not tried. Ruled out: the drill's end (14 s after the signal, bound 10 s), a missing end line (d4 logged "stopped"), links (none is touched).

Change: the line is written in the loop's step, right before the view says it. A process killed after its goodbye owes nothing, as before.

Measured: TestLeaves fails in 8 places on the judge before, TestGoodbyeIsWrittenBeforeItIsSaid on the carrier before (no line); both pass now, the latter 20 times with -race.

--- a/internal/drill/judge/judge.go
+++ b/internal/drill/judge/judge.go
@@ -387,7 +387,8 @@
 		j.downAt = l.T
 		j.changed(l.T)
 		j.comp = nil
-		j.drop(func(d *duty) bool { return d.o == p || d.p == p })
+		goodbye := p.left && l.Why == "term" // it is to be heard by all, though who said it has ended since
+		j.drop(func(d *duty) bool { return d.o == p || d.p == p && !(goodbye && d.claim == j.leave) })
 		if l.Why == "kill" && !p.left && !p.twin {
 			j.downs = append(j.downs, l.T)
 			j.crashed(p, wasLinked, l.T)
@@ -657,12 +658,25 @@
 		if !j.whole(l.T) || l.T-o.started < int64(j.b.Join) {
 			return
 		}
-		life := o.life
+		life, at := o.life, l.T
 		for _, w := range j.linked(o) {
-			if w.paused == 0 && l.T-w.started > int64(j.b.Join) && l.T-w.woke > int64(j.b.Settle) {
-				j.owe(&duty{claim: j.leave, from: l.T, by: l.T + int64(j.b.Leave) + j.way(w, o), o: w, p: o, what: o.name + " left",
-					done: func(s *seen) bool { return s.life == life && s.state == "left" }})
+			if w.paused > 0 || l.T-w.started <= int64(j.b.Join) || l.T-w.woke <= int64(j.b.Settle) {
+				continue
+			}
+			d := &duty{claim: j.leave, from: l.T, by: l.T + int64(j.b.Leave) + j.way(w, o), o: w, p: o, what: o.name + " left",
+				done: func(s *seen) bool {
+					if s.life == life {
+						return s.state == "left"
+					}
+					next := j.ofLife(o.name, s.life)
+					return next != nil && next.started > at
+				}}
+			if s := w.view[o.name]; s != nil && d.done(s) { // the line was written late
+				j.leave.Tried++
+				j.leave.took(0)
+				continue
 			}
+			j.owe(d)
 		}
 	case Member:
 		j.member(o, l)
--- a/internal/drill/judge/judge_test.go
+++ b/internal/drill/judge/judge_test.go
@@ -1,6 +1,8 @@
 package judge
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -69,6 +71,45 @@
 	verdict(t, dead().at(11, Line{What: Link, From: "a", To: "b", Drop: 1}).at(30, Line{What: End}), CrashKnown, "not tried")
 }
 
+// A process ends a tenth of a second after its goodbye: what others are to know by a bound of seconds outlives it.
+func TestLeaves(t *testing.T) {
+	for _, c := range []struct {
+		name, want string
+		knows      map[int]float64 // when a and b hold c for gone
+		as         string
+	}{
+		{"all hear it at once", "kept", map[int]float64{1: 10.003, 2: 10.003}, "left"},
+		{"one hears it after the process has ended", "kept", map[int]float64{1: 10.003, 2: 10.9}, "left"},
+		{"all hear it before the line of it is written", "kept", map[int]float64{1: 9.999, 2: 9.999}, "left"},
+		{"one never hears it", "BROKEN", map[int]float64{1: 10.003}, "left"},
+		{"one hears it too late", "BROKEN", map[int]float64{1: 10.003, 2: 11.1}, "left"},
+		{"nobody hears it", "BROKEN", nil, ""},
+		{"all think that it died", "BROKEN", map[int]float64{1: 10.5, 2: 10.5}, "dead"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := three().at(9.99, Line{What: Ending, Of: "c", PID: 3}).at(10, Line{What: Leaving, By: "c", PID: 3}).at(10.13, Line{What: Down, Of: "c", PID: 3, Why: "term"})
+			for pid, at := range c.knows {
+				s.sees(at, pid, "c", "c1", c.as)
+			}
+			s.at(30, Line{What: End})
+			slices.SortStableFunc(s.lines, func(a, b Line) int { return cmp.Compare(a.T, b.T) })
+			verdict(t, s, LeaveKnown, c.want)
+			if r := Judge(bounds, s.lines); r.Of(LeaveKnown).Tried != 2 {
+				t.Errorf("tried %d times, not by each of two", r.Of(LeaveKnown).Tried)
+			}
+		})
+	}
+	// The next process of the name tells that the one before is gone; an earlier one does not.
+	gone := func() *story {
+		return three().at(10, Line{What: Leaving, By: "c", PID: 3}).at(10.1, Line{What: Down, Of: "c", PID: 3, Why: "term"}).sees(10.1, 1, "c", "c1", "left")
+	}
+	verdict(t, gone().at(10.2, Line{What: Up, Of: "c", PID: 4, Balancers: 1}).at(10.3, Line{What: Start, By: "c", PID: 4, Life: "c2"}).
+		sees(10.5, 2, "c", "c2", "alive").at(30, Line{What: End}), LeaveKnown, "kept")
+	verdict(t, gone().sees(10.5, 2, "c", "c0", "dead").at(30, Line{What: End}), LeaveKnown, "BROKEN")
+	// Who is killed after its goodbye may not have said it to all.
+	verdict(t, three().at(10, Line{What: Leaving, By: "c", PID: 3}).at(10.01, Line{What: Down, Of: "c", PID: 3, Why: "kill"}).at(30, Line{What: End}), LeaveKnown, "not tried")
+}
+
 func TestWrongDeaths(t *testing.T) {
 	verdict(t, three().sees(10, 1, "c", "c1", "suspect").sees(11, 1, "c", "c1", "alive").at(30, Line{What: End}), NoWrongDeath, "kept")
 	verdict(t, three().sees(10, 1, "c", "c1", "dead").at(30, Line{What: End}), NoWrongDeath, "BROKEN")
--- a/internal/peer/carrier/carrier.go
+++ b/internal/peer/carrier/carrier.go
@@ -256,6 +256,11 @@
 	if c.o.Inject != nil {
 		c.o.Inject()
 	}
+	for _, e := range batch {
+		if _, ok := e.(view.Leave); ok { // before the view says so to others: what they write of it is later
+			c.events.put(event{What: "leave"})
+		}
+	}
 	for _, a := range c.v.Step(c.now(), batch...) {
 		switch a := a.(type) {
 		case view.Send:
@@ -627,7 +632,6 @@
 	case <-c.done:
 		return
 	}
-	c.do(func() { c.events.put(event{What: "leave"}) })
 	select {
 	case <-c.left:
 	case <-t.C:
--- a/internal/peer/carrier/carrier_test.go
+++ b/internal/peer/carrier/carrier_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"net"
@@ -226,6 +227,36 @@
 	}
 }
 
+// Who reads the lines of both must find the cause before the effect: a goodbye's line is not later than that of anybody
+// who has heard it. It comes with the goodbye, not with whoever asked for it.
+func TestGoodbyeIsWrittenBeforeItIsSaid(t *testing.T) {
+	var told, heard bytes.Buffer
+	a := start(t, "a", "", "", nil, func(o *Options) { o.Events = &told })
+	b := start(t, "b", "", "", []string{a.addr}, func(o *Options) { o.Events = &heard })
+	a.await(t, "b", "alive")
+	b.await(t, "a", "alive")
+	if !a.post(input{event: view.Leave{}}) {
+		t.Fatal("the loop does not take it")
+	}
+	b.await(t, "a", "left")
+	_, _ = a.end(), b.end() // all is written
+	first := func(events *bytes.Buffer, is func(event) bool) *event {
+		for d := json.NewDecoder(events); ; {
+			var e event
+			if err := d.Decode(&e); err != nil {
+				return nil
+			} else if is(e) {
+				return &e
+			}
+		}
+	}
+	said := first(&told, func(e event) bool { return e.What == "leave" })
+	knew := first(&heard, func(e event) bool { return e.What == "member" && e.Of == "a" && e.State == "left" })
+	if said == nil || knew == nil || said.T > knew.T {
+		t.Errorf("said %+v, heard %+v", said, knew)
+	}
+}
+
 func TestBootGrowsOverRestartsAndLostDisks(t *testing.T) {
 	dir := t.TempDir()
 	a := start(t, "a", "", dir, nil, nil)
