A connection that comes up late is not used for a server that has moved meanwhile

Cause: an attempt takes its server's address, waits for a connection, and looks at the list again before its first byte (Attempt.Barred), which tells by the server's id alone. Where the list gave the server another address meanwhile, its old one may be another process's by then, of another group or cold, and the request went there. Connections that stand idle are dropped at such a change, and kept ones are not put back (backends.update, put); the one that was still being opened was the gap. Seen on sockets: a dial is held, the list moves the server, the dial is let go: the request reached the old address.

Ruled out: an id that is gone, drains or is not listed (held by Barred), one whose address another id has taken over once its connection stood idle (dropped).

Change: attempt asks as well whether the server is still where the connection was opened to. It is Broke, as for one that drains: it never ran, and goes elsewhere. Test: the row "moved" of TestLateConnectionToADrainingServerIsNotUsed, which failed.

--- a/internal/protocol/http1/backends.go
+++ b/internal/protocol/http1/backends.go
@@ -227,6 +227,14 @@
 	return true
 }
 
+// at reports whether a backend is still where a connection was opened to it: what has its address by now may be another.
+func (b *backends) at(id, addr string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now, known := b.addrs.Of(id)
+	return known && now == addr
+}
+
 // give puts a connection back, or closes it where it is no longer of use.
 func (b *backends) give(id string, c *conn, reusable bool) {
 	b.mu.Lock()
@@ -459,7 +467,7 @@
 		return decide.Broke, nil, none
 	default:
 	}
-	if by.Barred() {
+	if by.Barred() || !b.at(id, c.addr) {
 		b.give(id, c, true)
 		return decide.Broke, nil, none // never ran, and another backend may have it
 	}
--- a/internal/protocol/http1/crossings_test.go
+++ b/internal/protocol/http1/crossings_test.go
@@ -347,12 +347,13 @@
 	return dialled, release
 }
 
-// A connection that comes up late brings nothing to a server that the list says by then to drain or to be gone:
-// another one has the request.
+// A connection that comes up late brings nothing to a server that the list says by then to drain, to be gone, or to be
+// elsewhere (another process may have its address): another one has the request, or the server where it is now.
 func TestLateConnectionToADrainingServerIsNotUsed(t *testing.T) {
-	for _, state := range []string{"draining", "gone", "not listed"} {
+	for _, state := range []string{"draining", "gone", "not listed", "moved"} {
 		t.Run(state, func(t *testing.T) {
 			one, two := serveRaw(t, func(int) string { return ok200 }), serveRaw(t, func(int) string { return ok200 })
+			moved := serveRaw(t, func(int) string { return ok200 })
 			list := testkit.NewCatalog(t)
 			a := start(t, testConfig(t, testkit.Setup{Discovery: list.Addr, Servers: []catalog.Member{one.member("one")}}))
 			w := testkit.Receive(t, "watch", list.Watch)
@@ -360,10 +361,13 @@
 			got := make(chan exchange, 1)
 			go func() { got <- a.do("POST", "/pay/x", "form") }()
 			testkit.Receive(t, "dial", dialled)
-			if state == "not listed" {
+			switch m := one.member("one"); state {
+			case "not listed":
 				w.Lines <- strings.Replace(testkit.ToLine(t, 42, two.member("two")), `"full":false`, `"full":true`, 1)
-			} else {
-				m := one.member("one")
+			case "moved":
+				m.Addr = moved.addr
+				w.Lines <- testkit.ToLine(t, 42, m, two.member("two"))
+			default:
 				m.State = state
 				w.Lines <- testkit.ToLine(t, 42, m, two.member("two"))
 			}
@@ -372,8 +376,8 @@
 			if x := testkit.Receive(t, "answer", got); x.status != 200 {
 				t.Errorf("%+v", x)
 			}
-			if len(one.seen) != 0 || len(two.seen) != 1 {
-				t.Errorf("%d went to the one that leaves, %d to the other", len(one.seen), len(two.seen))
+			if len(one.seen) != 0 || len(two.seen)+len(moved.seen) != 1 {
+				t.Errorf("%d went to the one that leaves, %d elsewhere", len(one.seen), len(two.seen)+len(moved.seen))
 			}
 		})
 	}
