A request's time runs while it stands behind another one on its connection

Cause: a client's time was counted from when its request was handed on (take, conn.go), which is right where it has just been read. One that came behind another, as clients do that send many commands at once, was read while that one's answer was awaited: its wait there was given to it once more. Its server was told too long a time in X-Expires-In, by as much as the one ahead took, its answer could come after its client's time, and it was sent on when that was over.

Seen on sockets: three requests in one write, the first answered after 0.2 s. The one behind that told 20 s went on with 19.998 s left where 19.80 were; one that told 0.05 s was sent on and answered 200.

Change: the connection notes when its last bytes were read (came), and the time runs from there; a body that streams has its own time from its last byte, as before. One whose time is up by its turn is refused at once, with nothing begun. What is read behind a waiting request in several pieces counts from the last of them: never too early.

Ruled out: retries and late dials, whose X-Expires-In is made as the head is written (message.on). Test: TestTimeOfARequestRunsWhileAnotherIsAheadOfIt, which failed on both counts.

--- a/internal/protocol/http1/body.go
+++ b/internal/protocol/http1/body.go
@@ -108,7 +108,8 @@
 		return 0, err
 	}
 	n, err := c.nc.Read(p)
-	b.waited += time.Since(now)
+	c.came = time.Now()
+	b.waited += c.came.Sub(now)
 	b.got += int64(n)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = errSlow
--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -24,6 +24,7 @@
 	nc         net.Conn
 	buf        []byte
 	start, end int
+	came       time.Time // its last bytes were read
 	fields     []field
 	out        []byte
 	turn       chan struct{} // of one: no answer is awaited
@@ -145,11 +146,11 @@
 		case n == 0 && err != nil:
 			return errors.Is(err, os.ErrDeadlineExceeded)
 		case c.end-c.start < headMost:
-			c.end += n
+			c.end, c.came = c.end+n, time.Now()
 			continue
 		case dropped == 0 && !c.drops():
 			c.buf = append(c.buf[:c.end], scrap[:n]...)
-			c.end += n
+			c.end, c.came = c.end+n, time.Now()
 			return true
 		}
 		scrap = scrap[:cap(scrap)]
@@ -237,9 +238,10 @@
 			}
 		}
 		n, err := c.nc.Read(c.room())
-		if c.end += n; n == 0 && err != nil {
+		if n == 0 && err != nil {
 			return 0, err
 		}
+		c.end, c.came = c.end+n, time.Now()
 	}
 }
 
@@ -322,9 +324,17 @@
 			r.Upload = true
 		}
 	}
-	// A client's time runs from when its request was sent, which ends with the last byte.
-	r.Deadline = time.Now().Add(r.Left)
+	// A client's time runs from when its request was sent, which ends with the last byte. That of one behind another was
+	// read no later than the last bytes that came meanwhile.
+	r.Deadline = c.came.Add(r.Left)
+	if up != nil {
+		r.Deadline = time.Now().Add(r.Left) // of no matter until its own last byte
+	}
 	r.Message = h.message(target, host, body, up).from(c, h.old, r.Left)
+	if up == nil && !time.Now().Before(r.Deadline) { // its time has run out behind another one
+		f.bodies.Put(booked)
+		return c.refuse(r)
+	}
 	// Past what the limits let an agent hold, a request is turned away before anything has run.
 	if f.open.Add(1) > f.most.Load() {
 		f.open.Add(-1)
@@ -332,9 +342,7 @@
 		c.mu.Lock()
 		c.ending = true // as where the gate is crowded
 		c.mu.Unlock()
-		f.loop.Counts(r.Class).Told(core.Answer{Refused: true})
-		c.out = f.appendRefusal(c.out[:0], core.Answer{Refused: true}, true)
-		return c.done(c.out)
+		return c.refuse(r)
 	}
 	// While its answer is awaited a client may be silent. Before that is: from then on next sets what bounds the reader.
 	if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
@@ -367,6 +375,14 @@
 	return nil
 }
 
+// refuse answers a request of which nobody else has heard.
+func (c *clientConn) refuse(r *core.Request) *inputError {
+	a := core.Answer{Refused: true}
+	c.f.loop.Counts(r.Class).Told(a)
+	c.out = c.f.appendRefusal(c.out[:0], a, c.ends())
+	return c.done(c.out)
+}
+
 // ends reports whether the answer that is written now is the last one.
 func (c *clientConn) ends() bool {
 	c.mu.Lock()
--- a/internal/protocol/http1/crossings_test.go
+++ b/internal/protocol/http1/crossings_test.go
@@ -8,7 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -48,8 +51,9 @@
 	testkit.Receive(t, "stop of the loop", h.held)
 }
 
-func headOf(class, id string) string {
-	return fmt.Sprintf("GET /%s/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\n\r\n", class, id)
+func headOf(class, id string, more ...string) string {
+	lines := append([]string{"GET /" + class + "/x HTTP/1.1", "Host: a", "X-Trace-Id: " + id}, more...)
+	return strings.Join(lines, "\r\n") + "\r\n\r\n"
 }
 
 // write sends bytes as they are.
@@ -506,3 +510,42 @@
 		})
 	}
 }
+
+// A request that came behind another one on its connection has waited while that one's answer was awaited: its server is
+// told what is left to its client, and one whose time is up by its turn goes to no server and has its answer at once.
+func TestTimeOfARequestRunsWhileAnotherIsAheadOfIt(t *testing.T) {
+	var told atomic.Value // what the second attempt was told
+	read, release := make(chan time.Time, 1), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Trace-Id") == "ahead" {
+			read <- time.Now() // and by now the agent has read what came with it
+			<-release
+			return
+		}
+		told.Store(r.Header.Get("X-Expires-In"))
+	}))
+	t.Cleanup(server.Close)
+	t.Cleanup(sync.OnceFunc(func() { close(release) }))
+	member := catalog.Member{ID: "s", Addr: server.Listener.Addr().String(), Zone: "a", Kind: "m1", State: "ready", Weight: 1}
+	a := start(t, testConfig(t, testkit.Setup{Servers: []catalog.Member{member}}))
+	c := a.connect(t)
+	c.write(headOf("get", "ahead") + headOf("get", "late", "X-Expires-In: 0.05") + headOf("get", "behind", "X-Expires-In: 20"))
+	from := testkit.Receive(t, "request ahead", read)
+	wait := time.NewTimer(200 * time.Millisecond)
+	<-wait.C
+	waited := time.Since(from)
+	release <- struct{}{}
+	if got, _ := c.answer(); got != 200 {
+		t.Fatalf("the one ahead: %d", got)
+	}
+	if got, _ := c.answer(); got != http.StatusServiceUnavailable {
+		t.Errorf("its time was up, and it has %d", got)
+	}
+	if got, _ := c.answer(); got != 200 {
+		t.Errorf("the one with time left: %d", got)
+	}
+	left, err := strconv.ParseFloat(told.Load().(string), 64)
+	if most := 20 - waited.Seconds() + 0.0005; err != nil || left > most {
+		t.Errorf("its server was told %v s (%v), at most %v s were left", left, err, most)
+	}
+}
