Mend: a request that was overdue before it came to the loop ended the agent with a panic

Cause: Loop.Take starts the timer that finds a request overdue, and then posts the request. Where its time and half of the grace are over by then, the timer's event may be first in the queue: overdue answered it, booked its id as one that had just ended and closed its over channel; arrived then took it for a duplicate of itself, and reject closed that channel once more. The loop ended with "close of closed channel" and with it the agent. Where another request has its id, that one was abandoned in the module in its place, and lost its entry in the table.

When: in the last part of a drain, whose requests are to be answered 0.1 s before its end (ends), so that each that is read after that is overdue as it is taken, and clients go on sending until SIGKILL; and for one with hardly any time left whose reader stands still for half of the grace.

Lines: loop.go, take: arrived did not look whether its request has its answer, and overdue took whatever has the id for its own. Test: TestOverdueMayOvertakeItsRequest, the two events in the order that crosses; it panicked.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -269,6 +269,9 @@
 func (l *Loop) take(e any) {
 	switch e := e.(type) {
 	case arrived:
+		if e.done { // its time was over before it came here: see overdue
+			return
+		}
 		if why := l.closed(); why != "" { // by another policy, or by none: see Taking
 			l.turn(e.Request, why)
 			return
@@ -333,8 +336,10 @@
 			l.counts.late++
 			l.totals.late.Add(1)
 			l.finish(e.Request, Answer{TimedOut: true})
-			l.pending = append(l.pending, decide.Abandoned{Request: e.ID})
-			l.forget(e.Request)
+			if l.requests[e.ID] == e.Request { // else it is still to arrive, and the id may be another one's
+				l.pending = append(l.pending, decide.Abandoned{Request: e.ID})
+				l.forget(e.Request)
+			}
 		}
 	case List:
 		l.started(e)
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -76,6 +76,31 @@
 	}
 }
 
+// The timer that finds a request overdue may overtake it on its way to the loop: one whose time is over as it is taken, as
+// late ones of a drain are. It has one answer, and another one of its id goes on.
+func TestOverdueMayOvertakeItsRequest(t *testing.T) {
+	l, err := newLoop(testConfig(t, testkit.Setup{}), newClock(), none{}, testkit.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, again := asked("1"), asked("1")
+	l.take(arrived{first.Request})
+	for _, r := range []asking{again, asked("2")} {
+		l.take(overdue{r.Request})
+		l.take(arrived{r.Request})
+		l.take(left{r.Request})
+		if a := testkit.Receive(t, "answer", r.reply); !a.TimedOut || len(r.reply) != 0 {
+			t.Errorf("%+v and %d more", a, len(r.reply))
+		}
+	}
+	if l.requests["1"] != first.Request || first.done || len(l.requests) != 1 {
+		t.Error("the first request is not open any more, or others are")
+	}
+	if slices.ContainsFunc(l.pending, func(e decide.Event) bool { _, abandoned := e.(decide.Abandoned); return abandoned }) {
+		t.Error("the module was told that a request ended that it knows of another client")
+	}
+}
+
 // The ids that are remembered stay bounded, by time and by number.
 func TestRecentIDsAreBounded(t *testing.T) {
 	r := newRecent(time.Second)
