Mend: an error of accept that is of one connection, or of the network under it, ended the agent

Cause: the gate went on after accept had found no descriptor or memory, and took every other error for the listener's end: Serve returned it, and the agent with it. accept(2) hands on errors that are pending on the new connection (network down or unreachable, protocol errors, a firewall's refusal), and asks that they be taken for "try again"; the standard library does so for ECONNABORTED alone. Seen on a listener that fails so: each of ten errors ended Accept.

Change: such an error is waited out for 1 ms, so that many in a row do not take the processor, and the next connection is taken; no quiet client is asked to end for it. A listener that is closed, or is none, still ends the agent. Test: TestAConnectionThatFailsInTheQueueIsNoEnd, which failed for each of the ten.

--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -43,6 +43,8 @@
 	silentLeast = 250 * time.Millisecond
 	// noSocketPause is waited after the system had no descriptor for a connection, unless one is free sooner.
 	noSocketPause = 50 * time.Millisecond
+	// failedPause is waited after one that could not be accepted, so that many do not take all of a processor.
+	failedPause = time.Millisecond
 	// HeadTime is what a client has from connecting, or from the first byte of a later request,
 	// until the head has come, and again for the body.
 	HeadTime = quietLeast + 200*time.Millisecond
@@ -124,14 +126,17 @@
 		if wait == 0 {
 			var err error
 			nc, err = g.Listener.Accept() // nobody else accepts: the room is still there
-			if err != nil && !noSocket(err) {
-				return nil, err
-			}
-			if err != nil { // others have taken them: a quiet client is the first to give one back
+			switch {
+			case err == nil:
+			case noSocket(err): // others have taken them: a quiet client is the first to give one back
 				g.mu.Lock()
 				g.askQuietest(time.Now())
 				g.mu.Unlock()
 				wait = noSocketPause
+			case ofOne(err):
+				wait = failedPause
+			default:
+				return nil, err
 			}
 		}
 		if nc == nil && !g.pause(wait) {
@@ -173,6 +178,21 @@
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
 }
 
+// ofOne reports whether accept failed for one connection, or for the network under it as it came (accept(2), error
+// handling): the listener is sound.
+func ofOne(err error) bool {
+	var e syscall.Errno
+	if !errors.As(err, &e) {
+		return false
+	}
+	switch e {
+	case syscall.ECONNABORTED, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EOPNOTSUPP, syscall.ENETDOWN, syscall.ENETUNREACH,
+		syscall.EHOSTDOWN, syscall.EHOSTUNREACH, syscall.ENONET, syscall.EPERM:
+		return true
+	}
+	return false
+}
+
 // makeRoom has what has been quiet for long enough end, down to the mark. It returns 0 if there
 // is room for one more, else how long to wait for it at the most.
 func (g *Gate) makeRoom(now time.Time) time.Duration {
--- a/internal/core/gate_test.go
+++ b/internal/core/gate_test.go
@@ -331,9 +331,10 @@
 	}
 }
 
-// poor is a listener of a process that has no descriptor left until told.
+// poor is a listener that has an error for each connection until told, such as of a process with no descriptor left.
 type poor struct {
 	net.Listener
+	err         error
 	asked, rich chan struct{}
 }
 
@@ -342,7 +343,30 @@
 	case <-p.rich:
 		return p.Listener.Accept()
 	case p.asked <- struct{}{}:
-		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", p.err)}
+	}
+}
+
+// What accept(2) says of one connection, or of the network under it, ends no agent: the next one is taken.
+func TestAConnectionThatFailsInTheQueueIsNoEnd(t *testing.T) {
+	for _, err := range []error{syscall.ECONNABORTED, syscall.EPROTO, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTDOWN,
+		syscall.EHOSTUNREACH, syscall.ENONET, syscall.ENOPROTOOPT, syscall.EOPNOTSUPP, syscall.EPERM} {
+		t.Run(err.Error(), func(t *testing.T) {
+			g, _ := gateFor(t, 8, 1)
+			p := poor{g.Listener, err, make(chan struct{}), make(chan struct{})}
+			g.Listener = p
+			got := make(chan error, 1)
+			go func() { _, err := g.Accept(); got <- err }()
+			dialGate(t, g)
+			testkit.Receive(t, "accept", p.asked)
+			close(p.rich)
+			if err := testkit.Receive(t, "connection", got); err != nil {
+				t.Error(err)
+			}
+			if g.asked != 0 {
+				t.Error("another one was asked to end for it")
+			}
+		})
 	}
 }
 
@@ -352,7 +376,7 @@
 	kept := g.fresh.Front().Value.(*clientConn)
 	g.Busy(kept)
 	g.Idle(kept)
-	p := poor{g.Listener, make(chan struct{}), make(chan struct{})}
+	p := poor{g.Listener, syscall.EMFILE, make(chan struct{}), make(chan struct{})}
 	g.Listener = p
 	got := make(chan error, 1)
 	go func() { _, err := g.Accept(); got <- err }()
