A new process waits for a pushed list's first word also behind a first call that fails

Cause: where lists are pushed, what the list has counts as told from the first moment of a process, so that clients are let in after its first word, 1 s later at the most. A first watch that ended without one (503, reset, ended untold) passed for that word (discovery.run closed tried at each end), and clients were served by the stored list, which may name servers that drained long ago, until the next call told so up to 0.1 s later.

Change: only a word, or that nobody listens there at all, ends the wait; calls go on within it. Ruled out: a list that hangs and one that is not there (as before), lists that are asked for (they have the settings' time). Test: two rows of TestStoredListGivesWayToTheFirstWordOfAPushedOne, which failed.

--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -182,7 +182,8 @@
 
 // pushedWait is how long a starting agent waits for its first word of a pushed list. Its stored list may be old, and what
 // the list has counts as told from the first moment on: nothing may go to a server that drained long ago. Such a list is
-// on the agent's own machine and answers at once; while it is down the agent serves by what it has.
+// on the agent's own machine and answers at once; while it is down the agent serves by what it has. A call that fails is made
+// anew within that time: it has said nothing.
 const pushedWait = time.Second
 
 // await waits for what, for so long at the most, or until the agent is to stop.
--- a/internal/core/agent_test.go
+++ b/internal/core/agent_test.go
@@ -42,10 +42,13 @@
 		word bool
 		dead bool
 		want string
+		ends func(first *testkit.Watcher) // how a first watch ends untold; nil: it goes on
 	}{
-		"it comes":         {testkit.Patience, true, false, "two"},
-		"it does not come": {time.Millisecond, false, false, "one"},
-		"nobody is there":  {testkit.Patience, false, true, "one"},
+		"it comes":                        {testkit.Patience, true, false, "two", nil},
+		"it does not come":                {time.Millisecond, false, false, "one", nil},
+		"nobody is there":                 {testkit.Patience, false, true, "one", nil},
+		"it comes behind a call in vain":  {testkit.Patience, true, false, "two", func(w *testkit.Watcher) { close(w.Fail) }},
+		"it comes behind a watch in vain": {testkit.Patience, true, false, "two", func(w *testkit.Watcher) { close(w.Lines) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			list := testkit.NewCatalog(t)
@@ -68,6 +71,10 @@
 			go func() { done <- a.Run(ctx) }()
 			if !row.dead {
 				w := testkit.Receive(t, "watch", list.Watch)
+				if row.ends != nil {
+					row.ends(w)
+					w = testkit.Receive(t, "next watch", list.Watch)
+				}
 				if row.word {
 					two := member("two", "ready")
 					two.Addr = "127.0.0.1:10"
--- a/internal/core/discovery.go
+++ b/internal/core/discovery.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"vetchhaven/decide"
@@ -38,7 +39,7 @@
 	log     *slog.Logger
 	client  *http.Client
 	silence time.Duration
-	tried   chan struct{} // closed once the first watch has brought something, or has failed
+	tried   chan struct{} // closed once a watch has brought something, or nobody is there to bring it
 	try     func()        // closes it
 }
 
@@ -109,7 +110,9 @@
 		default:
 		}
 		d.post(List{List: decide.List{Kind: decide.ListFailed}})
-		d.try()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			d.try()
+		}
 	}
 }
 
