A request that is rejected before it comes to the loop leaves its timer alone: the two raced

Cause: since a request that is overdue before it arrives has its answer by the loop (reject), the loop read the timer that Take may still be about to note: AfterFunc had fired before its result was stored. Seen by the race detector on a probe that takes requests whose time is over (write in limit, read in finish); no harm came of it, as the pointer is whole either way.

Change: reject does not touch the timer; one that fires later finds the request done. An overdue request that is still to arrive is rejected in place of finished.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -335,11 +335,14 @@
 				"left_on_arrival", e.Left)
 			l.counts.late++
 			l.totals.late.Add(1)
-			l.finish(e.Request, Answer{TimedOut: true})
-			if l.requests[e.ID] == e.Request { // else it is still to arrive, and the id may be another one's
-				l.pending = append(l.pending, decide.Abandoned{Request: e.ID})
-				l.forget(e.Request)
+			a := Answer{TimedOut: true}
+			if l.requests[e.ID] != e.Request { // it is still to arrive, and the id may be another one's
+				l.reject(e.Request, a)
+				return
 			}
+			l.finish(e.Request, a)
+			l.pending = append(l.pending, decide.Abandoned{Request: e.ID})
+			l.forget(e.Request)
 		}
 	case List:
 		l.started(e)
@@ -394,13 +397,11 @@
 	r.reply(a)
 }
 
-// reject gives a request that never comes to the table its final answer. What its connection posts of it later
-// (its client's leaving may be on its way already) finds it done.
+// reject gives a request that never comes to the table its final answer. What its connection and its timer post of it later
+// (its client's leaving may be on its way already) finds it done. The timer is not stopped: whoever takes the request may still
+// be about to note it.
 func (l *Loop) reject(r *Request, a Answer) {
 	r.done = true
-	if r.late != nil {
-		r.late.Stop()
-	}
 	close(r.over)
 	r.reply(a)
 }
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -101,6 +101,35 @@
 	}
 }
 
+// The same as it comes about: thousands whose time is over as they are taken, of which the timers of some overtake them. It
+// ended after 260 at the most.
+func TestRequestsOverdueAsTheyAreTakenAreAnswered(t *testing.T) {
+	l, err := newLoop(testConfig(t, testkit.Setup{}), newClock(), none{}, testkit.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan any, 1)
+	go func() {
+		defer func() { ended <- recover() }()
+		l.run(ctx)
+	}()
+	for n := range 3000 {
+		r := asked(fmt.Sprint(n))
+		r.Deadline = time.Now().Add(-time.Minute)
+		l.Take(r.Request)
+		select {
+		case <-r.reply:
+		case why := <-ended:
+			t.Fatalf("the loop ended at request %d: %v", n, why)
+		case <-time.After(testkit.Patience):
+			t.Fatalf("request %d has no answer", n)
+		}
+	}
+	cancel()
+	testkit.Receive(t, "end of the loop", ended)
+}
+
 // The ids that are remembered stay bounded, by time and by number.
 func TestRecentIDsAreBounded(t *testing.T) {
 	r := newRecent(time.Second)
