A connection that this machine could not begin is no end of a server, nor is one to which nothing leads

Cause: of the errors of a dial, NotConnected knew resets and time-outs, and the agent's own bound on connections; all others counted as a process that has ended (ConnectFailed): the server is down to the module, and cold for the whole ramp once it answers. So did a system with no descriptor, memory or port left (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL), which would have marked every server that was tried, and a machine that a router calls unreachable, which comes back as it was. Seen on a dialer that fails so: seven of ten errors had the wrong result.

Change: the first are NotSent, as where the agent's own bound is met, and logged like it; the second are Broke, as one that does not come up in time. A refused connection stays ConnectFailed. The shares of descriptors (gate.go) keep the first from coming about on the platform; nothing is known there of the second. Test: TestOutcomeOfConnectErrors.

--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -72,8 +72,8 @@
 // NotConnected is the result of an attempt for which there is no connection, by the error that says why.
 func NotConnected(ctx context.Context, err error) decide.Result {
 	switch {
-	case errors.Is(err, ErrNoSocket):
-		return decide.NotSent // no fault of the server
+	case errors.Is(err, ErrNoSocket), noSocket(err), errors.Is(err, syscall.EADDRNOTAVAIL):
+		return decide.NotSent // no fault of the server: this machine had no descriptor, memory or port for it
 	case errors.Is(context.Cause(ctx), ErrCancelled):
 		return decide.Cancelled
 	// ConnectFailed tells the module that the process has ended: its next answer counts as that
@@ -82,9 +82,11 @@
 	// process. Covers also proxies, full accept queues and firewalls that answer with resets.
 	// It could hurt where something in front of a process takes its connections while it
 	// restarts: the restart then shows only in the list. A connection that has not come up in time says as little:
-	// it may be late, and a machine that is cut off comes back as it was. Servers that all others reach are
-	// ejected for it all the same; one that vanished, and starts anew before the list says so, counts as warm until it does.
-	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.ECONNABORTED), ctx.Err() != nil, os.IsTimeout(err):
+	// it may be late, and a machine that is cut off, or that nothing leads to, comes back as it was. Servers that
+	// all others reach are ejected for it all the same; one that vanished, and starts anew before the list says so,
+	// counts as warm until it does.
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.ECONNABORTED), ctx.Err() != nil, os.IsTimeout(err),
+		errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
 		return decide.Broke
 	}
 	return decide.ConnectFailed
--- a/internal/protocol/http1/backends.go
+++ b/internal/protocol/http1/backends.go
@@ -450,10 +450,11 @@
 		c, err = b.dial(ctx, id, addr)
 	}
 	if err != nil {
-		if errors.Is(err, core.ErrNoSocket) {
+		result := core.NotConnected(ctx, err)
+		if result == decide.NotSent {
 			b.log.Warn("attempt not sent", "error", err, "backend", id)
 		}
-		return core.NotConnected(ctx, err), nil, none
+		return result, nil, none
 	}
 	select {
 	case <-by.Over(): // while the connection was being opened
--- a/internal/protocol/http1/backends_test.go
+++ b/internal/protocol/http1/backends_test.go
@@ -10,7 +10,9 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -177,6 +179,29 @@
 	}
 }
 
+// A connection that this machine could not begin is no fault of its backend, and one to a machine that is not reached says
+// nothing of a process: only one that is refused does.
+func TestOutcomeOfConnectErrors(t *testing.T) {
+	for err, want := range map[syscall.Errno]decide.Result{
+		syscall.ECONNREFUSED: decide.ConnectFailed,
+		syscall.EMFILE:       decide.NotSent, syscall.ENFILE: decide.NotSent, syscall.ENOBUFS: decide.NotSent,
+		syscall.ENOMEM: decide.NotSent, syscall.EADDRNOTAVAIL: decide.NotSent,
+		syscall.EHOSTUNREACH: decide.Broke, syscall.ENETUNREACH: decide.Broke, syscall.ETIMEDOUT: decide.Broke,
+		syscall.ECONNRESET: decide.Broke,
+	} {
+		b := poolFor(t, testkit.DeadAddr(t))
+		b.dialer = func(context.Context, string, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", err)}
+		}
+		if result, _, _ := attemptAt(t, b, context.Background(), ""); result != want {
+			t.Errorf("%v: result %v, want %v", err, result, want)
+		}
+		if b.open != 0 {
+			t.Errorf("%v: %d connections counted as open", err, b.open)
+		}
+	}
+}
+
 // A backend that takes the request and says nothing: the attempt ends when the agent stops
 // waiting, may have run, and its connection is not used again.
 func TestOutcomeTimedOut(t *testing.T) {
