Mend: an answer that broke off under an HTTP/1.0 client ended like a whole one

Cause: an answer that has begun to reach its client and can't be finished ends its connection by a reset (conclude, conn.go, which asks the connection for SetLinger). The gate's connection embeds an interface without that method, so that the question was always answered no, and the connection ended as after a whole answer. With a length or in chunks the client can tell all the same; where the end of the connection is the end of the answer, as to an HTTP/1.0 client for an answer of no told length, it took a part for the whole: that is serving what no server made. Seen on sockets: 131,074 bytes of a longer answer, then a clean end, whether the server ended or reset its own connection.

Change: the gate's connection passes SetLinger on. Test: the rows "chunks, to HTTP/1.0" of TestStreamThatBreaks, which failed.

--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -417,6 +417,14 @@
 	return n, err
 }
 
+// SetLinger is the socket's own: with 0 its close is a reset, which tells the client that its answer is not whole.
+func (c *clientConn) SetLinger(seconds int) error {
+	if l, ok := c.streamConn.(interface{ SetLinger(int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported // a unix socket has none
+}
+
 // SyscallConn is the socket's own.
 func (c *clientConn) SyscallConn() (syscall.RawConn, error) {
 	if sc, ok := c.streamConn.(syscall.Conn); ok {
--- a/internal/protocol/http1/stream_test.go
+++ b/internal/protocol/http1/stream_test.go
@@ -255,7 +255,8 @@
 // A server that ends a streamed answer short ends it for the client too, who can tell, and there is no other attempt.
 func TestStreamThatBreaks(t *testing.T) {
 	for name, head := range map[string]string{
-		"length": fmt.Sprintf("Content-Length: %d", 4*maxWholeAnswer), "chunks": "Transfer-Encoding: chunked"} {
+		"length": fmt.Sprintf("Content-Length: %d", 4*maxWholeAnswer), "chunks": "Transfer-Encoding: chunked",
+		"chunks, to HTTP/1.0": "Transfer-Encoding: chunked"} { // which knows of none: the connection's end tells
 		for _, resets := range []bool{false, true} {
 			var asked atomic.Int64
 			begun := make(chan struct{})
@@ -265,7 +266,7 @@
 				}
 				asked.Add(1)
 				text := strings.Repeat("x", 2*maxWholeAnswer)
-				if name == "chunks" {
+				if name != "length" {
 					text = fmt.Sprintf("%x\r\n%s\r\n", 4*maxWholeAnswer, text)
 				}
 				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n\r\n%s", head, text)
@@ -275,7 +276,11 @@
 				}
 			})
 			a := startWith(t, s)
-			resp, err := http.ReadResponse(a.raw(t, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: 1\r\n\r\n"), nil)
+			version := "HTTP/1.1"
+			if name == "chunks, to HTTP/1.0" {
+				version = "HTTP/1.0"
+			}
+			resp, err := http.ReadResponse(a.raw(t, "GET /get/x "+version+"\r\nHost: a\r\nX-Trace-Id: 1\r\n\r\n"), nil)
 			if err != nil || resp.StatusCode != 200 {
 				t.Fatalf("%+v %v", resp, err)
 			}
