--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -252,7 +252,7 @@
 			}
 		}
 		for _, a := range l.balancer.Step(now, events) {
-			l.carryOut(a, now)
+			l.execute(a, now)
 		}
 	}
 }
@@ -447,8 +447,8 @@
 	return fresh || older
 }
 
-// carryOut does one action of the module.
-func (l *Loop) carryOut(a decide.Action, now time.Duration) {
+// execute carries out one action of the module.
+func (l *Loop) execute(a decide.Action, now time.Duration) {
 	switch a := a.(type) {
 	case decide.Send:
 		l.send(a)
--- a/internal/core/sights_test.go
+++ b/internal/core/sights_test.go
@@ -44,7 +44,7 @@
 	refused := func(why decide.Reason) Answer {
 		var got Answer
 		l.requests["r"] = NewRequest("r", 0, func(a Answer) { got = a })
-		l.carryOut(decide.Refuse{Request: "r", Why: why}, l.clock.now())
+		l.execute(decide.Refuse{Request: "r", Why: why}, l.clock.now())
 		return got
 	}
 	if a := refused(decide.NoServer); a.Verdict != "" {
--- a/internal/host/fleet/instances.go
+++ b/internal/host/fleet/instances.go
@@ -33,7 +33,7 @@
 	}
 	if err := d.launch(p); err != nil {
 		d.log.Error("instance not started", "instance", name, "error", err)
-		d.carryOut(d.sup.Step(d.now(), supervise.Failed{Name: name, Reason: err.Error()}))
+		d.execute(d.sup.Step(d.now(), supervise.Failed{Name: name, Reason: err.Error()}))
 		return
 	}
 	d.sup.Step(d.now(), supervise.Started{Name: name})
@@ -140,12 +140,12 @@
 		err = errors.New("it ended by itself")
 	}
 	d.log.Error("instance failed", "instance", name, "error", err)
-	d.carryOut(d.sup.Step(d.now(), supervise.Failed{Name: name, Reason: err.Error()}))
+	d.execute(d.sup.Step(d.now(), supervise.Failed{Name: name, Reason: err.Error()}))
 }
 
-func (d *Daemon) supervise() { d.carryOut(d.sup.Step(d.now())) }
+func (d *Daemon) supervise() { d.execute(d.sup.Step(d.now())) }
 
-func (d *Daemon) carryOut(actions []supervise.Action) {
+func (d *Daemon) execute(actions []supervise.Action) {
 	for _, a := range actions {
 		switch {
 		case a.LeaveDown:
--- a/internal/host/fleet/reload.go
+++ b/internal/host/fleet/reload.go
@@ -89,7 +89,7 @@
 			switch st := d.sup.State(spec.Name); {
 			case st.Down:
 				r.Revived++
-				d.carryOut(d.sup.Step(d.now(), supervise.Revived{Name: spec.Name}))
+				d.execute(d.sup.Step(d.now(), supervise.Revived{Name: spec.Name}))
 			case moved:
 				r.Moved++
 				if p.agent != nil {
--- a/internal/rehearse/emulate/virtual/agent.go
+++ b/internal/rehearse/emulate/virtual/agent.go
@@ -259,7 +259,7 @@
 			}
 		}
 		for _, act := range a.policy.Step(now+clockOffset, events) {
-			a.carryOut(act)
+			a.execute(act)
 		}
 	}
 	if len(a.pending) > 0 {
@@ -274,7 +274,7 @@
 // time for the client to hear the final answer.
 func (a *agent) margin() time.Duration { return a.d.s.Tick }
 
-func (a *agent) carryOut(act decide.Action) {
+func (a *agent) execute(act decide.Action) {
 	switch act := act.(type) {
 	case decide.Send:
 		a.send(act)
