--- a/internal/drill/hollow/view.go
+++ b/internal/drill/hollow/view.go
@@ -33,6 +33,8 @@
 	Workers int
 	// Each hears of each change, in order.
 	Each func(at time.Duration, member int, a view.Action)
+	// Agreed is the last time from which all members that run had the same view, to the end; below 0: they differ at the end.
+	Agreed time.Duration
 }
 
 // Phase is what a run cost an agent between two marks: means over agents and time, but where it says most.
@@ -51,10 +53,16 @@
 
 // Play plays it, from a fleet that has known itself for long.
 func (v *View) Play() ([]Phase, *virtual.Result, error) {
+	v.Agreed = -1
 	p := &plan.Plan{Name: "hollow", Daemons: v.Members, Zones: 1, Seeds: seeds(v.Layout, v.Members), Length: v.Length, Events: v.Events, Peers: v.Peers}
 	used := []time.Duration{processor()}
 	o := virtual.Options{Seed: v.Seed, Warm: true, Layout: v.Layout, Codec: carrier.Wire{Fleet: Fleet}, Marks: v.Marks, Workers: v.Workers,
-		Each: v.Each, Passed: func(int) { used = append(used, processor()) }}
+		Each: v.Each, Passed: func(int) { used = append(used, processor()) },
+		Agreed: func(at time.Duration, same bool) {
+			if v.Agreed = -1; same {
+				v.Agreed = at
+			}
+		}}
 	if o.Each == nil {
 		o.Each = func(time.Duration, int, view.Action) {}
 	}
--- a/internal/drill/hollow/view_test.go
+++ b/internal/drill/hollow/view_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"vetchhaven/internal/drill/plan"
 	"vetchhaven/internal/drill/topology"
 )
 
@@ -95,3 +96,37 @@
 		t.Errorf("250 ms there and back %.1f messages a second each, 20 ms %.1f", far.Out.Messages, near.Out.Messages)
 	}
 }
+
+// Agreed is when the last of them learnt what befell another, and says where they don't agree at the end.
+func TestAgreedIsWhenTheLastHasTheSameView(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		at, length  time.Duration
+		least, most time.Duration
+	}{
+		{"nothing befalls them", time.Hour, 6 * time.Second, 0, time.Second},
+		{"one dies, and time is enough", 2 * time.Second, 20 * time.Second, 3 * time.Second, 12 * time.Second},
+		{"one dies, and they do not know it yet", 2 * time.Second, 2500 * time.Millisecond, 0, time.Second}, // a suspect is not held for dead
+	} {
+		l, err := topology.New(topology.Spec{Members: 12, Regions: 2, Zones: 1, RTT: 20 * time.Millisecond, Seed: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		v := View{Seed: 1, Layout: l, Members: 12, Length: c.length, Events: []plan.Event{{At: c.at, Do: "kill", Who: []int{5}}}}
+		if _, _, err := v.Play(); err != nil {
+			t.Fatal(err)
+		}
+		if v.Agreed < c.least || v.Agreed > c.most {
+			t.Errorf("%s: all have the same view from %v on, want %v to %v", c.name, v.Agreed, c.least, c.most)
+		}
+	}
+	l, err := topology.New(topology.Spec{Members: 12, Regions: 2, Zones: 1, RTT: 20 * time.Millisecond, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.CutOff(1, 0, time.Hour)
+	v := View{Seed: 1, Layout: l, Members: 12, Length: 25 * time.Second, Events: []plan.Event{{At: 2 * time.Second, Do: "kill", Who: []int{5}}, {At: 2 * time.Second, Do: "kill", Who: []int{6}}}}
+	if _, r, err := v.Play(); err != nil || v.Agreed >= 0 || Differ(r) < 2 {
+		t.Errorf("with a cut between them all have the same view from %v on, %d views, %v", v.Agreed, Differ(r), err)
+	}
+}
--- a/internal/drill/virtual/virtual.go
+++ b/internal/drill/virtual/virtual.go
@@ -43,6 +43,9 @@
 	Marks []time.Duration
 	// Passed is called once a phase has begun, from one goroutine, with its number from 1. It may look at a clock.
 	Passed func(phase int)
+	// Agreed is called from one goroutine whenever all daemons that run have come to the same view, or no longer have it:
+	// at steps of the run, so within base of when it was so.
+	Agreed func(at time.Duration, same bool)
 	// OneRegion has the daemons know nothing of the layout's regions: for comparison.
 	OneRegion bool
 }
@@ -268,8 +271,12 @@
 
 // run goes through the time.
 func (w *world) run(known []view.Record) {
-	nextSent, phase := time.Second, 0
+	nextSent, phase, same := time.Second, 0, false
 	for w.now < w.p.Length {
+		if w.o.Agreed != nil && w.agree() != same {
+			same = !same
+			w.o.Agreed(w.now, same)
+		}
 		for phase < len(w.o.Marks) && w.now >= w.o.Marks[phase] {
 			if phase++; w.o.Passed != nil {
 				w.o.Passed(phase)
@@ -331,6 +338,21 @@
 	w.line(judge.Line{What: judge.End})
 }
 
+// agree reports whether all that run have the same view. It ends at the first that differs.
+func (w *world) agree() bool {
+	var first *view.View
+	for _, a := range w.agents {
+		switch {
+		case a.v == nil:
+		case first == nil:
+			first = a.v
+		case a.v.Digest() != first.Digest():
+			return false
+		}
+	}
+	return true
+}
+
 // step has all that are busy do what is due before end, side by side.
 func (w *world) step(busy []*agent, end time.Duration) {
 	if len(busy) < 24 || w.o.Workers < 2 {
--- a/tools/capacity/entries_test.go
+++ b/tools/capacity/entries_test.go
@@ -75,3 +75,29 @@
 		t.Errorf("%d entries of %d, %v", len(back), 3*len(quantities), err)
 	}
 }
+
+// A ceiling is one of bytes in the mean; how long all take to agree is an entry of its own, without who never do.
+func TestEntriesOfWorstMinutesHaveTheirCeilingAndTheirEnd(t *testing.T) {
+	f := &flags{sizes: "30,100,300", seed: 1, workers: 1}
+	s := f.series("view", "worst", "agents", "a zone")
+	s.ceiling = 500
+	for i, n := range []float64{30, 100, 300} {
+		s.add(n, hollow.Phase{Out: hollow.Rate{Bytes: 20, Most: 900}})
+		s.agreed(n, []time.Duration{time.Second, 2 * time.Second, -1}[i])
+	}
+	agreed := 0
+	for _, e := range s.entries("zone", "view --part zone", "linear") {
+		if want := map[string]float64{"bytes_out": 500, "bytes_in": 500}[e.Quantity]; e.Ceiling != want {
+			t.Errorf("%s has a ceiling of %v, want %v", e.Name, e.Ceiling, want)
+		}
+		if e.Quantity == "time_agreed" {
+			agreed++
+			if len(e.Points) != 2 || e.Points[1] != [2]float64{100, 2} || e.Unit != "s" {
+				t.Errorf("%s in %s: %v", e.Name, e.Unit, e.Points)
+			}
+		}
+	}
+	if agreed != 1 {
+		t.Errorf("%d entries say when all agree", agreed)
+	}
+}
--- a/tools/capacity/flags.go
+++ b/tools/capacity/flags.go
@@ -68,10 +68,11 @@
 	mechanism, load, variable string
 	note                      string
 	points                    map[string][][2]float64
+	ceiling                   float64 // of bytes a second in the mean; 0: none
 }
 
 func (f *flags) series(mechanism, load, variable, note string) *series {
-	return &series{f, mechanism, load, variable, note, map[string][][2]float64{}}
+	return &series{f: f, mechanism: mechanism, load: load, variable: variable, note: note, points: map[string][][2]float64{}}
 }
 
 // quantities are what is kept of a phase, with units.
@@ -94,11 +95,33 @@
 	}
 }
 
+// agreed adds how long all members took to have the same view. Who never had has no point.
+func (s *series) agreed(size float64, took time.Duration) {
+	if took >= 0 {
+		s.points[settled] = append(s.points[settled], [2]float64{size, figures(took.Seconds())})
+	}
+}
+
+// settled is the quantity of agreed: a time, by members.
+const settled = "time_agreed"
+
 // entries are one for each quantity, named mechanism.quantity.which.
 func (s *series) entries(which, command, form string) (all []slopes.Slope) {
 	for _, q := range quantities {
-		all = append(all, s.f.entry(slopes.Slope{Name: s.mechanism + "." + q.name + "." + which, Role: "agent", Load: s.load, Quantity: q.name, Unit: q.unit,
-			Mechanism: s.mechanism, Variable: s.variable, Form: form, Points: s.points[q.name], Note: s.note}, command))
+		e := slopes.Slope{Name: s.mechanism + "." + q.name + "." + which, Role: "agent", Load: s.load, Quantity: q.name, Unit: q.unit,
+			Mechanism: s.mechanism, Variable: s.variable, Form: form, Points: s.points[q.name], Note: s.note}
+		if q.name == "bytes_out" || q.name == "bytes_in" {
+			e.Ceiling = s.ceiling
+		}
+		all = append(all, s.f.entry(e, command))
+	}
+	if points := s.points[settled]; len(points) > 0 {
+		form := "linear"
+		if len(points) == 1 {
+			form = "table"
+		}
+		all = append(all, s.f.entry(slopes.Slope{Name: s.mechanism + "." + settled + "." + which, Role: "agent", Load: s.load, Quantity: settled, Unit: "s",
+			Mechanism: s.mechanism, Variable: s.variable, Form: form, Points: points, Note: s.note + ". Until all that run have the same view"}, command))
 	}
 	return all
 }
--- a/tools/capacity/page/brief.go
+++ b/tools/capacity/page/brief.go
@@ -17,10 +17,10 @@
 
 // Brief are the tables of docs/CAPACITY.md, by name: those that Tables has, but the runs, in short. A role's table has of
 // each load, mechanism and quantity what is greatest at the size aimed at, of what is asked for or bounded; of bytes in and
-// out the greater, with its messages; and all that a bound holds for together.
+// out the greater, with its messages; and all that a bound holds for together. What is played as incidents is by size.
 func Brief(s *Size, all []slopes.Slope) map[string]string {
 	p := printerOf(s, all)
-	tables := map[string]string{"size": p.sizeLine(), "breaks": p.firstBreaks(), "chain": p.tiers("chain")}
+	tables := map[string]string{"size": p.sizeLine(), "breaks": p.firstBreaks(), "chain": p.tiers(), "minutes": p.minutes()}
 	for _, role := range slopes.Roles {
 		if role != "chain" {
 			tables[role] = p.brief(role)
@@ -186,11 +186,15 @@
 	}
 	word, _ := way(e.Quantity)
 	if m := p.other(e, e.Quantity, strings.Replace(e.Quantity, "bytes", "messages", 1)); m != nil && word == "bytes" && there != "not extrapolated" {
-		there += fmt.Sprintf(" in %s messages/s", count(round(p.aimed(m))))
+		there += fmt.Sprintf(", %s msg/s", count(round(p.aimed(m))))
 	}
 	bound, kept := p.boundOf(e, value)
 	bound = strings.TrimSuffix(bound, forAll)
-	t.row(e.Load, p.figure(e), shortFormula(e, f), there, over(e, v), beyond, bound, kept, p.number(e))
+	form := shortFormula(e, f)
+	if e.Ceiling > 0 {
+		form += ", at most " + unit(e.Ceiling, e.Unit)
+	}
+	t.row(e.Load, p.figure(e), form, there, over(e, v), beyond, bound, kept, p.number(e))
 }
 
 // farther is how many times beyond what was measured a figure is, marked where that is far.
@@ -314,31 +318,49 @@
 	return t.String()
 }
 
-// tiers is the short table of a role whose figures are incidents, the second word of a name, by a few sizes: a row an
-// incident, a column a quantity, of the entries that are asked for the one named for it.
-func (p *printer) tiers(role string) string {
-	var incidents, quantities []string
+// tiers are the incidents of calls in tiers, the second word of a name.
+func (p *printer) tiers() string {
+	var all []*slopes.Slope
+	for _, load := range slopes.Loads {
+		all = append(all, p.of("chain", load)...)
+	}
+	return p.incidents(all, nil, func(e *slopes.Slope) string { return strings.Split(e.Name, ".")[1] })
+}
+
+// minutes are the view's worst minutes, each the last word of its names.
+func (p *printer) minutes() string {
+	all := slices.DeleteFunc(p.of("agent", "worst"), func(e *slopes.Slope) bool { return e.Mechanism != "view" })
+	return p.incidents(all, []string{"bytes_out", "bytes_out_most", "time_agreed"}, func(e *slopes.Slope) string {
+		return strings.TrimSuffix(e.Name[strings.LastIndex(e.Name, ".")+1:], "_80ms") // all are played at that distance
+	})
+}
+
+// incidents is the short table of figures by a few sizes: a row an incident, a column a quantity (no list: all), of its
+// entries the one that is named for it.
+func (p *printer) incidents(all []*slopes.Slope, quantities []string, of func(*slopes.Slope) string) string {
+	given := len(quantities) > 0
+	var incidents []string
 	var sizes []float64
 	grows := ""
 	cells := map[[2]string]*slopes.Slope{}
-	for _, load := range slopes.Loads {
-		for _, e := range p.of(role, load) {
-			name := strings.Split(e.Name, ".")
-			k := [2]string{name[1], e.Quantity}
-			if !slices.Contains(incidents, k[0]) {
-				incidents = append(incidents, k[0])
-			}
-			if !slices.Contains(quantities, e.Quantity) {
-				quantities = append(quantities, e.Quantity)
-			}
-			if was := cells[k]; was == nil || name[len(name)-1] == e.Quantity {
-				cells[k] = e
-			}
-			grows = p.size.variable(e.Variable).Words
-			for _, at := range e.Points {
-				if !slices.Contains(sizes, at[0]) {
-					sizes = append(sizes, at[0])
-				}
+	for _, e := range all {
+		if given && !slices.Contains(quantities, e.Quantity) {
+			continue
+		}
+		k := [2]string{of(e), e.Quantity}
+		if !slices.Contains(incidents, k[0]) {
+			incidents = append(incidents, k[0])
+		}
+		if !slices.Contains(quantities, e.Quantity) {
+			quantities = append(quantities, e.Quantity)
+		}
+		if cells[k] == nil || strings.HasSuffix(e.Name, "."+e.Quantity) {
+			cells[k] = e
+		}
+		grows = p.size.variable(e.Variable).Words
+		for _, at := range e.Points {
+			if !slices.Contains(sizes, at[0]) {
+				sizes = append(sizes, at[0])
 			}
 		}
 	}
@@ -346,7 +368,11 @@
 		return "Not measured.\n"
 	}
 	slices.Sort(sizes)
-	head := []any{"incident"}
+	var by []string
+	for _, x := range sizes {
+		by = append(by, count(x))
+	}
+	head := []any{"by " + grows + ": " + strings.Join(by, " / ")}
 	for _, q := range quantities {
 		head = append(head, words(q))
 	}
@@ -366,24 +392,29 @@
 		}
 		t.row(append(row, strings.Join(runs, " "))...)
 	}
-	var by []string
-	for _, x := range sizes {
-		by = append(by, count(x))
-	}
-	return wrap(fmt.Sprintf("By %s: %s.", grows, strings.Join(by, " / "))) + "\n" + t.String()
+	return t.String()
 }
 
-// bySize are an entry's values at sizes; -: not measured there.
+// bySize are an entry's values at sizes; -: not measured there. A unit that all have stands once.
 func bySize(e *slopes.Slope, sizes []float64) string {
-	var all []string
+	var all, units []string
 	for _, x := range sizes {
-		text := "-"
+		text, u := "-", ""
 		if i := slices.IndexFunc(e.Points, func(p [2]float64) bool { return p[0] == x }); i >= 0 {
 			text = strings.TrimSuffix(unit(e.Points[i][1], e.Unit), " "+perCall)
+			if _, u, _ = strings.Cut(text, " "); !slices.Contains(units, u) {
+				units = append(units, u)
+			}
 		}
 		all = append(all, text)
 	}
-	return strings.Join(all, " / ")
+	if len(units) != 1 || units[0] == "" {
+		return strings.Join(all, " / ")
+	}
+	for i := range all {
+		all[i] = strings.TrimSuffix(all[i], " "+units[0])
+	}
+	return strings.Join(all, " / ") + " " + units[0]
 }
 
 // perCall is the unit of attempts, which go without it.
--- a/tools/capacity/page/tables.go
+++ b/tools/capacity/page/tables.go
@@ -223,8 +223,15 @@
 	return "**no**"
 }
 
-// formula is a fit in words.
+// formula is a fit in words, and its ceiling.
 func formula(e *slopes.Slope, f slopes.Fit, v *Variable) string {
+	if e.Ceiling > 0 {
+		return curve(e, f, v) + ", at most " + unit(e.Ceiling, e.Unit)
+	}
+	return curve(e, f, v)
+}
+
+func curve(e *slopes.Slope, f slopes.Fit, v *Variable) string {
 	one := func(x float64) string { return unit(x, e.Unit) }
 	switch e.Form {
 	case "constant":
--- a/tools/capacity/slopes/fit.go
+++ b/tools/capacity/slopes/fit.go
@@ -34,7 +34,7 @@
 	if len(s.Points) > s.unknowns() {
 		var sum, top float64
 		for _, p := range s.Points {
-			sum += math.Pow(p[1]-f.Value(p[0]), 2)
+			sum += math.Pow(p[1]-f.curve(p[0]), 2)
 			top = max(top, math.Abs(p[1]))
 		}
 		if f.Residual = math.Sqrt(sum / float64(len(s.Points))); top > 0 {
@@ -81,8 +81,15 @@
 	return my - b*mx, b
 }
 
-// Value is the curve's at a size. Steps hold from a measured size to the next; so do tables.
+// Value is the curve's at a size, up to the entry's ceiling. Steps hold from a measured size to the next; so do tables.
 func (f Fit) Value(x float64) float64 {
+	if v := f.curve(x); f.s.Ceiling == 0 || v < f.s.Ceiling {
+		return v
+	}
+	return f.s.Ceiling
+}
+
+func (f Fit) curve(x float64) float64 {
 	switch f.s.Form {
 	case "constant":
 		return f.A
--- a/tools/capacity/slopes/read.go
+++ b/tools/capacity/slopes/read.go
@@ -1,6 +1,7 @@
 package slopes
 
 import (
+	"cmp"
 	"os"
 	"regexp"
 	"slices"
@@ -75,6 +76,9 @@
 		if err := s.check(); err != "" {
 			return nil, f.Errorf(at("points"), "%s", err)
 		}
+		if top := slices.MaxFunc(s.Points, func(a, b [2]float64) int { return cmp.Compare(a[1], b[1]) }); s.Ceiling < 0 || s.Ceiling > 0 && top[1] > s.Ceiling {
+			return nil, f.Errorf(at("ceiling"), "%s is below a point of %s", number(s.Ceiling), number(top[1]))
+		}
 	}
 	return in.Slope, nil
 }
--- a/tools/capacity/slopes/slopes.go
+++ b/tools/capacity/slopes/slopes.go
@@ -22,6 +22,7 @@
 	Date      string       `toml:"date"`      // YYYY-MM-DD of the run
 	Machine   string       `toml:"machine"`   // cores, memory, what else ran
 	Note      string       `toml:"note,omitempty"`
+	Ceiling   float64      `toml:"ceiling,omitempty"` // a bound by construction that the curve does not know, as the note says; 0: none
 }
 
 // Write writes entries as they stand in docs/capacity/slopes.toml.
--- a/tools/capacity/slopes/slopes_test.go
+++ b/tools/capacity/slopes/slopes_test.go
@@ -39,6 +39,8 @@
 		{`"2026-12-02"`, `"2 December"`, "f.toml:13: slope[0].date: "},
 		{"machine = \"8 cores\"\n", "", "f.toml:2: slope[0].machine: "},
 		{`"view.bytes_out.rest"`, `"view"`, "f.toml:3: slope[0].name: "},
+		{"machine = \"8 cores\"\n", "machine = \"8 cores\"\nceiling = 2009\n", "f.toml:15: slope[0].ceiling: 2009 is below a point of 2010"},
+		{"machine = \"8 cores\"\n", "machine = \"8 cores\"\nceiling = -1\n", "f.toml:15: slope[0].ceiling: -1 is below"},
 		{"machine = \"8 cores\"\n", "machine = \"8 cores\"\n" + entry, "f.toml:17: slope[1].name: \"view.bytes_out.rest\" stands on line 3 already"},
 	} {
 		text := strings.Replace(entry, c.was, c.is, 1)
@@ -105,3 +107,17 @@
 		}
 	}
 }
+
+// What bounds a figure by construction bounds its curve, and is no part of the fit.
+func TestACeilingBoundsTheCurve(t *testing.T) {
+	s := Slope{Form: "linear", Ceiling: 50, Points: [][2]float64{{1, 10}, {2, 20}, {3, 30}}}
+	f := s.Fit()
+	for x, want := range map[float64]float64{2: 20, 4.9: 49, 5: 50, 1000: 50} {
+		if got := f.Value(x); math.Abs(got-want) > 1e-9 {
+			t.Errorf("%v at %v, want %v", got, x, want)
+		}
+	}
+	if math.Abs(f.B-10) > 1e-9 {
+		t.Errorf("the curve is no longer that of its points: %v", f.B)
+	}
+}
--- a/tools/capacity/view.go
+++ b/tools/capacity/view.go
@@ -12,6 +12,8 @@
 	"vetchhaven/internal/drill/hollow"
 	"vetchhaven/internal/drill/plan"
 	"vetchhaven/internal/drill/topology"
+	"vetchhaven/internal/drill/virtual"
+	"vetchhaven/internal/peer/view"
 	"vetchhaven/tools/capacity/slopes"
 	"vetchhaven/tools/internal/bench"
 )
@@ -23,7 +25,7 @@
 	return measures("view", "The view of the fleet: bytes, messages, processor time and memory of an agent, with regions",
 		"At rest over sizes (one place, five regions 80 ms apart, five regions 20 to 250 ms apart), over round-trip times at one size; the\n"+
 			"ordinary day; a zone and a region that come back; the memory of one member; the figures of the issue.",
-		"100,300,1000", part{"issue", viewIssue}, part{"rest", viewRest}, part{"rounds", viewRounds}, part{"day", viewDay}, part{"worst", viewWorst}, part{"release", viewRelease}, part{"memory", viewMemory}, part{"few", viewFew})
+		"100,300,1000", part{"issue", viewIssue}, part{"rest", viewRest}, part{"rounds", viewRounds}, part{"day", viewDay}, part{"worst", viewWorst}, part{"zone", viewZone}, part{"region_restart", viewRegion}, part{"cut", viewCut}, part{"release", viewRelease}, part{"memory", viewMemory}, part{"few", viewFew})
 }
 
 const (
@@ -206,59 +208,119 @@
 	return all, nil
 }
 
+// after is the worst minutes' phase: from when members start, or a region is back.
+const after = 15 * time.Second
+
+// worst is the length of a play from when that phase begins, so that all have time to agree: all of 1,000 that start at
+// once took 33 s, and past 300 the time grows with the fleet, since bytes_per_s bounds what each sends.
+func worst(members int) time.Duration {
+	return max(3*after, time.Duration(members)*45*time.Millisecond)
+}
+
+// ceiling is what a member sends at the most, in the mean over that phase, in a fleet of the size aimed at: bytes_per_s of
+// datagrams, as much on streams, and of each what may come at once: a second's, and one whole view (the drills' claim
+// bytes-most). Past it a fleet takes longer.
+func ceiling() (float64, error) {
+	whole, err := hollow.Whole(dayAgents)
+	return 2*view.Bytes + (2*view.Bytes+float64(whole))/after.Seconds(), err
+}
+
 // viewWorst is a zone of fifteen that is lost and comes back at once, and a region that comes back after five minutes.
 func viewWorst(sizes []int, f *flags) ([]slopes.Slope, error) {
+	zone, err := viewZone(sizes, f)
+	if err != nil {
+		return nil, err
+	}
+	cut, err := viewCut(sizes, f)
+	return append(zone, cut...), err
+}
+
+// viewZone is a zone of fifteen that is lost, and whose members start at once a minute later.
+func viewZone(sizes []int, f *flags) ([]slopes.Slope, error) {
+	return viewBack(sizes, f, "zone", "linear", "a zone of 15", func(l *topology.Layout) []int { return l.InZone(zones) }) // the first of the second region
+}
+
+// viewRegion is the same of a whole region.
+func viewRegion(sizes []int, f *flags) ([]slopes.Slope, error) {
+	return viewBack(sizes, f, "region_restart", "power", "a region of 5", func(l *topology.Layout) []int { return l.InRegion(1) })
+}
+
+func viewBack(sizes []int, f *flags, which, form, words string, of func(*topology.Layout) []int) ([]slopes.Slope, error) {
 	f.head()
-	const after = 15 * time.Second
-	var all []slopes.Slope
-	for _, at := range []place{apart} { // where regions lie past direct, rest alone is past all bounds
-		back, cut := f.series("view", "worst", "agents", at.name+"; a zone of 15 starts at once after 60 s; the 15 s from then"), f.series("view", "worst", "agents", at.name+"; a region of 5 after five minutes cut off; the 15 s from then")
-		during := f.series("view", "worst", "agents", at.name+"; a region of 5 cut off; the third minute of it")
-		for _, n := range sizes {
-			began := time.Now()
-			l, err := at.layout(n, f.seed)
-			if err != nil {
-				return nil, err
-			}
-			zone := l.InZone(zones) // the first of the second region
-			startAt := settle + time.Minute
-			v := hollow.View{Seed: f.seed, Layout: l, Members: n, Marks: []time.Duration{settle, startAt, startAt + after}, Length: startAt + 2*after, Workers: f.workers,
-				Events: []plan.Event{{At: settle, Do: "kill", Who: zone}, {At: startAt, Do: "start", Who: zone, State: "kept"}}}
-			phases, r, err := v.Play()
-			if err != nil {
-				return nil, err
-			}
-			f.row(n, fmt.Sprintf("a zone back, %s; views at the end: %d", at.name, hollow.Differ(r)), phases[2], began)
-			back.add(float64(n), phases[2])
-			began = time.Now()
-			if l, err = at.layout(n, f.seed); err != nil {
-				return nil, err
-			}
-			cutAt := settle
-			healAt := cutAt + 5*time.Minute
-			l.CutOff(regions-1, cutAt, healAt)
-			v = hollow.View{Seed: f.seed, Layout: l, Members: n, Marks: []time.Duration{cutAt + 2*time.Minute, cutAt + 3*time.Minute, healAt, healAt + after}, Length: healAt + 3*after, Workers: f.workers}
-			if phases, r, err = v.Play(); err != nil {
-				return nil, err
-			}
-			f.row(n, "a region cut off, "+at.name, phases[1], began)
-			f.row(n, fmt.Sprintf("a region back, %s; views at the end: %d", at.name, hollow.Differ(r)), phases[3], began)
-			during.add(float64(n), phases[1])
-			cut.add(float64(n), phases[3])
+	at := apart // where regions lie past direct, rest alone is past all bounds
+	back := f.series("view", "worst", "agents", at.name+"; "+words+" starts at once after 60 s; the 15 s from then. bytes_per_s bounds datagrams, and streams in the mean: past it a fleet takes longer")
+	var err error
+	if back.ceiling, err = ceiling(); err != nil {
+		return nil, err
+	}
+	for _, n := range sizes {
+		began := time.Now()
+		l, err := at.layout(n, f.seed)
+		if err != nil {
+			return nil, err
+		}
+		who, startAt := of(l), settle+time.Minute
+		v := hollow.View{Seed: f.seed, Layout: l, Members: n, Marks: []time.Duration{settle, startAt, startAt + after}, Length: startAt + worst(n), Workers: f.workers,
+			Events: []plan.Event{{At: settle, Do: "kill", Who: who}, {At: startAt, Do: "start", Who: who, State: "kept"}}}
+		phases, r, err := v.Play()
+		if err != nil {
+			return nil, err
 		}
-		all = append(all, back.entries("zone_back_"+at.key, "view --part worst", "linear")...)
-		all = append(all, during.entries("region_cut_"+at.key, "view --part worst", "linear")...)
-		all = append(all, cut.entries("region_back_"+at.key, "view --part worst", "linear")...)
+		f.row(n, fmt.Sprintf("%s back, %s; %s", words, at.name, agreed(&v, r, startAt)), phases[2], began)
+		back.add(float64(n), phases[2])
+		back.agreed(float64(n), v.Agreed-startAt)
 	}
-	return all, nil
+	if which == "zone" {
+		return back.entries("zone_back_"+at.key, "view --part zone", form), nil
+	}
+	return back.entries(which+"_"+at.key, "view --part "+which, form), nil
+}
+
+// agreed says when all had the same view, from the beginning of what befell them.
+func agreed(v *hollow.View, r *virtual.Result, from time.Duration) string {
+	if v.Agreed < 0 {
+		return fmt.Sprintf("%d different views at the end", hollow.Differ(r))
+	}
+	return fmt.Sprintf("all the same after %v", (v.Agreed - from).Round(time.Millisecond))
+}
+
+// viewCut is a region that is cut off for five minutes.
+func viewCut(sizes []int, f *flags) ([]slopes.Slope, error) {
+	f.head()
+	at := apart
+	cut, during := f.series("view", "worst", "agents", at.name+"; a region of 5 after five minutes cut off; the 15 s from then"), f.series("view", "worst", "agents", at.name+"; a region of 5 cut off; the third minute of it")
+	for _, n := range sizes {
+		began := time.Now()
+		l, err := at.layout(n, f.seed)
+		if err != nil {
+			return nil, err
+		}
+		cutAt := settle
+		healAt := cutAt + 5*time.Minute
+		l.CutOff(regions-1, cutAt, healAt)
+		v := hollow.View{Seed: f.seed, Layout: l, Members: n, Marks: []time.Duration{cutAt + 2*time.Minute, cutAt + 3*time.Minute, healAt, healAt + after}, Length: healAt + worst(n), Workers: f.workers}
+		phases, r, err := v.Play()
+		if err != nil {
+			return nil, err
+		}
+		f.row(n, "a region cut off, "+at.name, phases[1], began)
+		f.row(n, fmt.Sprintf("a region back, %s; %s", at.name, agreed(&v, r, healAt)), phases[3], began)
+		during.add(float64(n), phases[1])
+		cut.add(float64(n), phases[3])
+		cut.agreed(float64(n), v.Agreed-healAt)
+	}
+	return append(during.entries("region_cut_"+at.key, "view --part cut", "linear"), cut.entries("region_back_"+at.key, "view --part cut", "linear")...), nil
 }
 
 // viewRelease is all agents that end at once and start within a second, with what they knew on their disks.
 func viewRelease(sizes []int, f *flags) ([]slopes.Slope, error) {
 	f.head()
-	const after = 15 * time.Second
 	at := apart
 	s := f.series("view", "worst", "agents", at.name+"; all agents start within a second, with their disks; the 15 s from then. bytes_per_s bounds datagrams, and streams in the mean: past it a fleet takes longer")
+	var err error
+	if s.ceiling, err = ceiling(); err != nil {
+		return nil, err
+	}
 	for _, n := range sizes {
 		began := time.Now()
 		l, err := at.layout(n, f.seed)
@@ -271,15 +333,17 @@
 			events = append(events, plan.Event{At: settle, Do: "kill", Who: []int{who}},
 				plan.Event{At: settle + time.Second + time.Duration(rng.Float64()*float64(time.Second)), Do: "start", Who: []int{who}, State: "kept"})
 		}
-		v := hollow.View{Seed: f.seed, Layout: l, Members: n, Marks: []time.Duration{settle + time.Second, settle + time.Second + after}, Length: settle + 3*after, Workers: f.workers, Events: events}
+		startAt := settle + time.Second
+		v := hollow.View{Seed: f.seed, Layout: l, Members: n, Marks: []time.Duration{startAt, startAt + after}, Length: startAt + worst(n), Workers: f.workers, Events: events}
 		phases, r, err := v.Play()
 		if err != nil {
 			return nil, err
 		}
-		f.row(n, fmt.Sprintf("all start, %s; views at the end: %d", at.name, hollow.Differ(r)), phases[1], began)
+		f.row(n, fmt.Sprintf("all start, %s; %s", at.name, agreed(&v, r, startAt)), phases[1], began)
 		s.add(float64(n), phases[1])
+		s.agreed(float64(n), v.Agreed-startAt)
 	}
-	return s.entries("release_"+at.key, "view --part release", "linear"), nil
+	return s.entries("release_"+at.key, "view --part release", "log"), nil // past 300 it flattens: bytes_per_s
 }
 
 // viewMemory is what one member holds, by itself: any size fits.
@@ -304,7 +368,7 @@
 		points = append(points, [2]float64{float64(n), figures(float64(bytes))})
 	}
 	return []slopes.Slope{f.entry(slopes.Slope{Name: "view.memory.rest", Role: "agent", Load: "rest", Quantity: "memory", Unit: "B", Mechanism: "view", Variable: "agents",
-		Form: "linear", Points: points, Note: "heap of one whole view of so many members, whose records came off the wire; the default most is 10,000 members"}, "view --part memory"),
+		Form: "linear", Points: points, Note: fmt.Sprintf("heap of one whole view of so many members, whose records came off the wire; the default most is %d members", view.Members)}, "view --part memory"),
 		f.entry(slopes.Slope{Name: "view.state.join", Role: "agent", Load: "worst", Quantity: "state", Unit: "B", Mechanism: "view", Variable: "agents", Form: "linear", Points: streams,
 			Note: "a whole view on a stream: what a member that starts without one is sent by one other, whose streams are held to bytes_per_s (32 KB) in the mean"}, "view --part memory")}, nil
 }
