Agents learn how long work takes from servers that have nothing else in hand

So agents admit (0.26 / delay)^2 of what they are asked from the first second on.

Refused clients come again, and their repeats bring no credit.

Wrong: `aimed` in pick.go, which knew of long work by clients' hints alone, and parseLoad in the HTTP/1.1 carrier, which dropped the field `inflight` of load reports. Now an answer whose server reports fewer than 1.5 in hand (reports are noisy) counts into the class's latency at rest, and that stands in for the hint where there is none. Reports that do not say how many are in hand tell nothing, nor do those of servers that hold several: a crush from the very start keeps to the least as before (the tests of that stand unchanged). No new constant but that 1.5.

Rewritten for the same result in fewer lines: the latency for mean work in `observe`.

--- a/decide/api.go
+++ b/decide/api.go
@@ -202,6 +202,7 @@
 type Load struct {
 	Valid        bool
 	Queue        float64       // requests waiting; negative: not reported
+	InFlight     float64       // requests in hand; negative: not reported
 	Service      time.Duration // recent service time without waiting; negative: not reported
 	ErrorsPerSec float64       // negative: not reported
 }
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -41,6 +41,7 @@
 	aimedThin    = 0.26  // the least that a thin agent aims at: hundreds of them can't see one server fill up
 	aimedStretch = 1.3   // or so many times the work that clients tell, as a share of the aim ...
 	aimedMost    = 0.6   // ... up to here
+	alone        = 1.5   // a server that tells of fewer in hand had one at the most: reports are noisy
 	limitCut     = 0.9   // one cut of the in-flight limit
 	limitGrow    = 0.7   // and its growth, in attempts per backend for each round of answers
 	thinPart     = 3.0   // an even part of the limit below this is kept by credit, not by counting
--- a/decide/health.go
+++ b/decide/health.go
@@ -24,19 +24,19 @@
 			}
 		}
 		t.strikes = max(0, t.strikes-strikeHeal)
-		t.lastOK, t.silent = b.now, 0
-		t.seen = true
+		t.lastOK, t.silent, t.seen = b.now, 0, true
 		b.write(note{t.key, byte(min(lat/a.cost, slowBound-0.1) * noteStep), b.now})
-		mean := lat // for mean work: a heavy request tells of no queue
-		if r.work > 0 && c.work > 0 {
-			mean *= c.work / r.work
-		}
+		mean := lat * c.latency / b.expected(r) // for mean work: a heavy request tells of no queue
 		c.latency = blend(c.latency, max(mean, 1))
 		if !a.late {
 			fit := b.fit(a.kind, r.class)
 			*fit += smooth * (min(lat/a.cost, slowBound) - *fit)
 			b.learnSpeed(t, lat/a.cost / *fit)
-			b.pace(min(lat, mean) / max(1, t.slow) / float64(c.Aim)) // a slow one says little of the rest
+			share := min(lat, mean) / max(1, t.slow) / float64(c.Aim) // a slow one says little of the others
+			if e.Load.Valid && e.Load.InFlight >= 0 && e.Load.InFlight < alone {
+				c.rest = blend(c.rest, share)
+			}
+			b.pace(share)
 		}
 	case Full:
 		b.learnSpeed(t, lateSlow) // its queue is longer than those that took what came
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -100,11 +100,11 @@
 	return above / max(all, 1)
 }
 
-// thin reports whether an even part of the in-flight limit is too small to be counted out.
-// Departure: many agents that may each have one attempt in flight have too many together.
-// There an agent admits by credit instead: each first try brings its own work times the
-// square of aimed over present delay, each attempt takes its work. All agents see one
-// fleet's delay, so that all admit the same part of what they are asked, however much that is.
+// thin reports whether an even part of the in-flight limit is too small to be counted out. Departure: many
+// agents that may each have one attempt in flight have too many together. There an agent admits by credit
+// instead: each first try brings its own work times the square of aimed over present delay, each attempt
+// takes its work. All agents see one fleet's delay, so that all admit the same part of what they are asked,
+// however much that is.
 func (b *Balancer) thin() bool {
 	return b.s.Balancers > 1 && startPerBack*float64(b.up) < thinPart*float64(b.s.Balancers)
 }
@@ -119,18 +119,19 @@
 	b.credit = min(b.credit, thinBurst*b.classes[r.class].latency)
 }
 
-// aimed is the delay, as a share of the aim, that a thin agent keeps to. A server that holds many
-// requests works less well, and does not recover while as many agents go on asking it, each of them
-// seldom: all that it holds is given up before it comes to it. None of them can see one server fill
-// up, so that the mean of all has to stay near what an empty one takes. Where the work itself takes a
-// good part of the aim, by what clients tell, that is the measure.
+// aimed is the delay, as a share of the aim, that a thin agent keeps to. A server that holds many requests
+// works less well, and does not recover while as many agents go on asking it, each of them seldom: all that
+// it holds is given up before it comes to it. None of them can see one server fill up, so that the mean of
+// all has to stay near what an empty one takes. Where the work itself takes a good part of the aim, that is
+// the measure: by what clients tell, else by answers of servers that had nothing else in hand. Until those
+// come it aims at the least, which leaves some idle.
 func (b *Balancer) aimed() float64 {
 	if b.notesOn() {
 		return aimedDelay
 	}
 	told, all := 0.0, 0.0
 	for _, c := range b.classes {
-		told += c.arrived * c.work / float64(c.Aim)
+		told += c.arrived * cmp.Or(c.work/float64(c.Aim), c.rest)
 		all += c.arrived
 	}
 	return max(aimedThin, min(aimedStretch*told/max(all, 1e-9), aimedMost))
--- a/decide/state.go
+++ b/decide/state.go
@@ -78,6 +78,7 @@
 	value    float64       // what a unit of work adds to the goal, in this step
 	patience time.Duration // the usual patience of a client's try
 	work     float64       // running mean of the expected work told with requests, ns
+	rest     float64       // running mean latency, as a share of the aim, of answers of servers that had nothing else in hand
 	arrived  float64       // decayed count of requests
 	answered float64       // decayed count of requests answered within the aim
 }
--- a/decide/thin_test.go
+++ b/decide/thin_test.go
@@ -11,6 +11,12 @@
 // serveAt plays a thin agent alone, whose servers all answer after latency, and counts how many of the last
 // 200 of 400 requests went out. Clients tell work with each; 0: nothing.
 func serveAt(t *testing.T, latency, work time.Duration) (sent int) {
+	t.Helper()
+	return serveReporting(t, latency, work, decide.Load{})
+}
+
+// serveReporting is serveAt before servers that report a load with each answer.
+func serveReporting(t *testing.T, latency, work time.Duration, load decide.Load) (sent int) {
 	t.Helper()
 	s := thinSettings()
 	s.Peers, s.MaxAttempts = false, 1
@@ -20,7 +26,7 @@
 		r.step(decide.Request{ID: id, Class: safe, Left: s.Classes[safe].Deadline, Work: work})
 		if len(r.sent[id]) > 0 {
 			r.advance(latency)
-			r.outcome(id, decide.OK, latency)
+			r.step(decide.Outcome{Request: id, Backend: r.sent[id][0], Latency: latency, Done: true, Load: load})
 		}
 		r.advance(200 * ms)
 		if i >= 200 {
@@ -51,6 +57,30 @@
 	}
 }
 
+// Tide-tolls, throng+brink, seed 249848192171: work took 0.3 to 0.4 of short aims and clients told nothing of it, so
+// that agents refused half of what came while servers held one to three requests each. What a server takes that
+// reports nothing else in hand is what the work takes; what one takes that holds many, or does not say, is not.
+func TestThinAgentLearnsFromIdleServersHowLongWorkTakes(t *testing.T) {
+	latency := thinSettings().Classes[safe].Aim * 45 / 100
+	for _, c := range []struct {
+		name        string
+		load        decide.Load
+		work        time.Duration
+		least, most int
+	}{
+		{"none in hand", decide.Load{Valid: true}, 0, 195, 200},
+		{"one, told with noise", decide.Load{Valid: true, InFlight: 1.2}, 0, 195, 200},
+		{"20 in hand", decide.Load{Valid: true, InFlight: 20}, 0, 40, 100},
+		{"none waiting, and not told how many are in hand", decide.Load{Valid: true, InFlight: -1}, 0, 40, 100},
+		{"no report", decide.Load{}, 0, 40, 100},
+		{"none in hand, but clients tell of short work", decide.Load{Valid: true}, latency / 10, 40, 100},
+	} {
+		if sent := serveReporting(t, latency, c.work, c.load); sent < c.least || sent > c.most {
+			t.Errorf("%s: %d of 200 went out at a delay of 0.45 of the aim, want %d to %d", c.name, sent, c.least, c.most)
+		}
+	}
+}
+
 // An agent with a few requests a second keeps to a few servers, and so meets each of them again soon and on
 // the connection that it has. When all of those are replaced it goes on with others, as few.
 func TestThinAgentKeepsToFewServersAndReplacesThem(t *testing.T) {
--- a/internal/protocol/http1/backends.go
+++ b/internal/protocol/http1/backends.go
@@ -702,7 +702,7 @@
 }
 
 // loadNames maps the names of load values on sockets to those of the settings.
-var loadNames = map[string]string{"queue": "backlog", "eps": "errors_per_s", "latency_ms": "recent_ms"}
+var loadNames = map[string]string{"queue": "backlog", "inflight": "outstanding", "eps": "errors_per_s", "latency_ms": "recent_ms"}
 
 // parseLoad reads a load report such as "TEXT inflight=7, queue=2". What it can't read is left out.
 func parseLoad(text string) decide.Load {
--- a/internal/protocol/http1/backends_test.go
+++ b/internal/protocol/http1/backends_test.go
@@ -355,10 +355,10 @@
 
 func TestLoadReport(t *testing.T) {
 	s := serveRaw(t, func(int) string {
-		return "HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: TEXT queue=2, eps=0.5, util=0.61\r\nContent-Length: 5\r\n\r\nhello"
+		return "HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: TEXT queue=2, inflight=7, eps=0.5, util=0.61\r\nContent-Length: 5\r\n\r\nhello"
 	})
 	_, _, load := attemptAt(t, poolFor(t, s.addr), context.Background(), "")
-	if want := wire.Load(map[string]float64{"backlog": 2, "errors_per_s": 0.5}); load != want {
+	if want := wire.Load(map[string]float64{"backlog": 2, "outstanding": 7, "errors_per_s": 0.5}); load != want {
 		t.Errorf("load %+v, want %+v", load, want)
 	}
 }
--- a/internal/protocol/ldap/client.go
+++ b/internal/protocol/ldap/client.go
@@ -856,7 +856,7 @@
 // Attempt sends an operation to a server, once.
 func (p *protocol) Attempt(a *core.Attempt) (decide.Result, any, decide.Load) {
 	result, got := p.servers.attempt(a, a.Message.(*operation))
-	load := decide.Load{Queue: -1, Service: -1, ErrorsPerSec: -1}
+	load := decide.Load{Queue: -1, InFlight: -1, Service: -1, ErrorsPerSec: -1}
 	if got == nil {
 		return result, nil, load
 	}
--- a/internal/protocol/ldap/ldap.go
+++ b/internal/protocol/ldap/ldap.go
@@ -229,7 +229,7 @@
 		p.servers.doubt(c)
 		p.servers.give(c)
 	}
-	return decide.ProbeResult{Backend: server, Result: result, Latency: time.Since(start), Load: decide.Load{Queue: -1, Service: -1, ErrorsPerSec: -1}}
+	return decide.ProbeResult{Backend: server, Result: result, Latency: time.Since(start), Load: decide.Load{Queue: -1, InFlight: -1, Service: -1, ErrorsPerSec: -1}}
 }
 
 // Update takes a change of the list.
--- a/internal/rehearse/emulate/server.go
+++ b/internal/rehearse/emulate/server.go
@@ -488,8 +488,8 @@
 	if now-v.toldAt >= v.report.Every {
 		noisy := func(x float64) float64 { return max(0, x*(1+v.report.Noise*v.rng.NormFloat64())) }
 		v.told = v.next
-		v.next = decide.Load{Valid: true, Queue: noisy(float64(v.Queue())), Service: -1,
-			ErrorsPerSec: noisy(v.failed * decay(now-v.failedAt))}
+		v.next = decide.Load{Valid: true, Queue: noisy(float64(v.Queue())), InFlight: noisy(float64(v.Held())),
+			Service: -1, ErrorsPerSec: noisy(v.failed * decay(now-v.failedAt))}
 		v.toldAt = now
 	}
 	v.told.Valid = true
--- a/internal/rehearse/emulate/sockets/server.go
+++ b/internal/rehearse/emulate/sockets/server.go
@@ -298,6 +298,7 @@
 	}
 	if a.load.Valid {
 		head += "Endpoint-Load-Metrics: TEXT queue=" + strconv.FormatFloat(a.load.Queue, 'f', 2, 64) +
+			", inflight=" + strconv.FormatFloat(a.load.InFlight, 'f', 2, 64) +
 			", eps=" + strconv.FormatFloat(a.load.ErrorsPerSec, 'f', 2, 64) + "\r\n"
 	}
 	_, err := fmt.Fprintf(c.net, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, head, len(body), body)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -298,10 +298,13 @@
 
 // Load translates a load report. What it does not hold is marked as not reported.
 func Load(usage map[string]float64) decide.Load {
-	l := decide.Load{Valid: usage != nil, Queue: -1, Service: -1, ErrorsPerSec: -1}
+	l := decide.Load{Valid: usage != nil, Queue: -1, InFlight: -1, Service: -1, ErrorsPerSec: -1}
 	if v, ok := usage["backlog"]; ok {
 		l.Queue = v
 	}
+	if v, ok := usage["outstanding"]; ok {
+		l.InFlight = v
+	}
 	if v, ok := usage["recent_ms"]; ok {
 		l.Service = duration(v)
 	}
