--- a/decide/state.go
+++ b/decide/state.go
@@ -79,6 +79,7 @@
 	usual    time.Duration // the remaining time that most tries come with
 	votes    int           // for that, less those against it
 	work     float64       // running mean of the expected work told with requests, ns
+	rest     float64       // running mean latency, as a share of the aim, of answers of servers that had nothing else in hand
 	arrived  float64       // decayed count of requests
 	answered float64       // decayed count of requests answered within the aim
 }
