--- a/decide/health.go
+++ b/decide/health.go
@@ -149,6 +149,5 @@
 	}
 }
 
-// limit is what may be in flight now; it follows the list as the fleet grows and shrinks,
-// and a cold backend counts by its warmth.
+// limit is what may be in flight now; it follows the list, where a cold backend counts by its warmth.
 func (b *Balancer) limit() float64 { return max(1, b.perBack*b.share*b.capacity) }
--- a/decide/learnt.go
+++ b/decide/learnt.go
@@ -36,9 +36,8 @@
 	return l
 }
 
-// Restore takes over what another has learnt; call it before the first Step. A backend's slowness
-// counts for the very process that showed it, and gives way to a few answers; what makes no sense
-// is left out.
+// Restore takes over what another has learnt, before the first Step. A backend's slowness counts for the very
+// process that showed it, and gives way to a few answers; what makes no sense is left out.
 func (b *Balancer) Restore(l Learnt) {
 	for i, c := range l.Classes {
 		ok := c.Latency >= 1 && c.Work >= 0
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -101,8 +101,7 @@
 // thin reports whether an even part of the in-flight limit is too small to be counted out. Departure: many
 // agents that may each have one attempt in flight have too many together. There an agent admits by credit
 // instead: each first try brings its own work times the square of aimed over present delay, each attempt
-// takes its work. All agents see one fleet's delay, so that all admit the same part of what they are asked,
-// however much that is.
+// takes its work. All agents see one fleet's delay, so that all admit the same part of what they get.
 func (b *Balancer) thin() bool {
 	return b.s.Balancers > 1 && startPerBack*float64(b.up) < thinPart*float64(b.s.Balancers)
 }
