Mend: a daemon that is stopped during a handover ends after the successor that it kills

By reading it had two faults, and the program one.

The test waited until an operator's call sees "handing over". That lasts until the successor is ready, which is no more than a program's start: the successor has the saved list, and does not wait for the list service that the test had taken down, as its comment said. Calls that a busy machine answers later than that never see it. And it did not look for successors left behind, though its comment claims it.

The program: Handover runs beside Run, and nobody waited for it. A daemon that had stopped could end before Successor had killed the new process (handover.go), which then served on though its daemon had been ended by SIGTERM.

The test has two parts: a successor that never gets ready, as its configuration is a pipe of which it has begun to read: none is left, nobody listens; and one that may be ready at any moment, seen under way or over.

--- a/cmd/vetchhaven/serve_test.go
+++ b/cmd/vetchhaven/serve_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -228,17 +229,68 @@
 	}
 }
 
-// SIGTERM while a successor starts: the old process ends, and leaves none behind.
+// SIGTERM while a successor starts: the old process ends, and leaves none behind that is not ready.
 func TestSigtermDuringHandover(t *testing.T) {
-	_, list := form(t)
-	s := serveFleet(t, list.Addr())
-	list.SetDown(true) // the successor waits for the list, and then goes on without
-	if err := s.cmd.Process.Signal(syscall.SIGUSR2); err != nil {
-		t.Fatal(err)
-	}
-	s.until("handing over", func(st fleet.Status) bool { return st.State == "handing over" })
-	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
+	t.Run("a successor that does not get ready", func(t *testing.T) {
+		_, list := form(t)
+		s := serveFleet(t, list.Addr())
+		before, _ := s.status()
+		if err := os.Remove(s.path); err != nil {
+			t.Fatal(err)
+		}
+		if err := syscall.Mkfifo(s.path, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.cmd.Process.Signal(syscall.SIGUSR2); err != nil {
+			t.Fatal(err)
+		}
+		opened := make(chan *os.File, 1)
+		go func() {
+			f, _ := os.OpenFile(s.path, os.O_WRONLY, 0) // until it reads its configuration, of which nothing comes
+			opened <- f
+		}()
+		select {
+		case f := <-opened:
+			defer f.Close()
+		case <-time.After(patience):
+			t.Fatal("no successor reads the configuration")
+		}
+		starting := children(t, before.PID)
+		if st, ok := s.status(); !ok || st.State != "handing over" || len(starting) == 0 {
+			t.Fatalf("%+v, successors %v", st, starting)
+		}
+		s.term()
+		for _, pid := range starting {
+			if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err == nil && !strings.Contains(string(text), ") Z ") {
+				t.Errorf("left behind: %s", text)
+			}
+		}
+		if st, ok := s.status(); ok {
+			t.Errorf("somebody serves: %+v", st)
+		}
+	})
+	t.Run("a successor that gets ready at any moment", func(t *testing.T) {
+		_, list := form(t)
+		s := serveFleet(t, list.Addr())
+		before, _ := s.status()
+		if err := s.cmd.Process.Signal(syscall.SIGUSR2); err != nil {
+			t.Fatal(err)
+		}
+		// On a busy machine it may be over before anybody has asked how it goes.
+		s.until("handing over", func(st fleet.Status) bool { return st.State == "handing over" || st.PID != before.PID })
+		s.term()
+		// Either the successor was ready just before, and serves, or nobody listens any more.
+		if st, ok := s.status(); ok && st.PID == before.PID {
+			t.Errorf("%+v", st)
+		}
+	})
+}
+
+// term ends it by SIGTERM, unless it has ended, and waits for that.
+func (s *served) term() {
+	s.t.Helper()
+	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		s.t.Fatal(err)
 	}
 	select {
 	case <-s.gone:
@@ -246,11 +298,7 @@
 		_ = s.cmd.Process.Signal(syscall.SIGQUIT) // it tells where it hangs
 		<-s.gone
 		text, _ := os.ReadFile(s.log.Name())
-		t.Fatalf("it does not end\n%s", text)
-	}
-	// Either the successor was ready just before, and serves, or nobody listens any more.
-	if st, ok := s.status(); ok && st.PID == s.cmd.ProcessState.Pid() {
-		t.Errorf("%+v", st)
+		s.t.Fatalf("it does not end\n%s", text)
 	}
 }
 
--- a/internal/host/fleet/daemon_test.go
+++ b/internal/host/fleet/daemon_test.go
@@ -886,3 +886,38 @@
 		post.Body.Close()
 	}
 }
+
+// Stopped while a successor starts, a daemon ends after that one has been killed: who is told that it has ended finds
+// nobody who would serve on in its place.
+func TestStoppedDuringHandoverEndsAfterItsSuccessor(t *testing.T) {
+	s := standin.NewForm("s", nil)
+	defer s.Close()
+	y := newYard(t, s.Member("ready"))
+	y.config(y.instance("a"))
+	started, kill := make(chan struct{}), make(chan struct{})
+	r := y.start(Options{Upgrade: func(ctx context.Context, _ map[Address]*os.File, _ []byte) error {
+		close(started)
+		<-ctx.Done()
+		<-kill // a kill is late on a busy machine
+		return ctx.Err()
+	}})
+	ctx, stop := context.WithCancel(context.Background())
+	handed := make(chan error, 1)
+	go func() { handed <- r.Handover(ctx) }()
+	<-started
+	stop()
+	r.stop()
+	select {
+	case err := <-r.ended:
+		t.Errorf("it ended before: %v", err)
+		r.ended <- err
+	case <-time.After(300 * time.Millisecond): // far more than the end takes that does not wait
+	}
+	close(kill)
+	if err := r.end(); err != nil {
+		t.Error(err)
+	}
+	if err := <-handed; !errors.Is(err, context.Canceled) {
+		t.Error(err)
+	}
+}
--- a/internal/host/fleet/handover.go
+++ b/internal/host/fleet/handover.go
@@ -172,12 +172,14 @@
 			return
 		}
 		d.handing, p = true, d.peering
+		d.others.Add(1) // a daemon that is stopped meanwhile ends after the successor that it has killed
 	}) {
 		return errors.New("the daemon is stopping")
 	}
 	if err != nil {
 		return err
 	}
+	defer d.others.Done()
 	var stands []byte
 	if p != nil { // from here on it says nothing; the successor goes on as the same member
 		if saved := p.carrier.Freeze(); saved != nil {
