--- a/tools/capacity/page/brief.go
+++ b/tools/capacity/page/brief.go
@@ -268,9 +268,10 @@
 	return text
 }
 
-// together is the row of what bounds on sums hold for, of a load that has figures of its own.
+// together is the row of what bounds on sums hold for, of a load that has figures of its own, and how many mechanisms are in it.
 func (p *printer) together(t *grid, role, load string) {
-	var who, values, bounds, kept []string
+	var values, bounds, kept []string
+	who := map[string]bool{}
 	for i := range p.size.Bound {
 		b := &p.size.Bound[i]
 		if !b.Sum || b.Role != role || !b.in(load) {
@@ -280,17 +281,14 @@
 		if !slices.ContainsFunc(parts, func(t term) bool { return t.as == load }) {
 			continue
 		}
-		for _, name := range strings.Split(names(parts), ", ") {
-			if !slices.Contains(who, name) {
-				who = append(who, name)
-			}
+		for _, t := range parts {
+			who[t.e.Mechanism] = true
 		}
 		sum := total(parts, 1)
 		values, bounds, kept = append(values, unit(sum, b.Unit)), append(bounds, unit(b.Most, b.Unit)), append(kept, met(sum <= b.Most))
 	}
 	if len(values) > 0 {
-		slices.Sort(who)
-		t.row(load, "**all together:** "+strings.Join(who, ", "), "", strings.Join(values, "; "), "", "", strings.Join(bounds, "; "), strings.Join(kept, "; "), "")
+		t.row(load, fmt.Sprintf("**all together**, of %d", len(who)), "", strings.Join(values, "; "), "", "", strings.Join(bounds, "; "), strings.Join(kept, "; "), "")
 	}
 }
 
