Test of any script over LDAP: a timer that is 10 ms late on a busy machine is no missing answer

Seen: TestAnyScript of internal/protocol/ldap failed in 2 of 4 runs of its package beside 8 busy loops, "2 had no answer of the module by their deadline", and rapid could not repeat one of them.

Cause: the loop answers in the module's place half of answer_slack after a deadline (internal/core/loop.go, overdue), 10 ms here. The module answers by a timer of its own shortly before; on a busy machine that one is later than 10 ms, and the test counted the loop's word as a failure of the module's. Ruled out: a request that the module forgets (none is left with the mend, all have their one answer).

A module that does not answer at all still fails it, and when it answers is held to, without a clock, by decide's tests of any order of events.

--- a/internal/protocol/ldap/property_test.go
+++ b/internal/protocol/ldap/property_test.go
@@ -12,6 +12,7 @@
 
 	"vetchhaven/internal/protocol/ldapmsg"
 	"vetchhaven/internal/standin/directory"
+	"vetchhaven/internal/testkit"
 )
 
 // rawModify changes one value of an entry.
@@ -70,6 +71,9 @@
 		for i := range cfg.Settings.Classes {
 			cfg.Settings.Classes[i].Aim, cfg.Settings.Classes[i].Deadline = 100*time.Millisecond, 500*time.Millisecond
 		}
+		// The loop answers in the module's place half of this after a deadline. On a busy machine a timer of the module's is
+		// later than the 10 ms that are usual; what it answers when is held to, event by event, in decide.
+		cfg.Settings.AnswerGrace = 2 * testkit.Patience
 		a := start(t, cfg, Options{})
 		defer a.stop()
 		var wait sync.WaitGroup
