Mend: a drained agent closed new connections on which a request was on its way

Seen: TestDrainByHand failed once in a whole run with -race beside other work: "a new connection while drained: 0", no answer at all.

Cause: once clients are sent away by hand, all connections on which nothing was sent are asked to end every 100 ms from 1.2 s on (operate.go, emptyLater), however young (gate.go, CloseSilent).

Change: a drained agent leaves a silent connection 250 ms, as a full gate does (silentLeast). One that stops closes them as before, 250 ms after it took the last one.

--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -224,7 +224,7 @@
 	case <-ctx.Done():
 	}
 	// A connection that has sent nothing by now most likely never will.
-	silent := time.AfterFunc(silentAfterStop, a.gate.CloseSilent)
+	silent := time.AfterFunc(silentAfterStop, func() { a.gate.CloseSilent(0) })
 	defer silent.Stop()
 	err := a.gate.empty(ctx)
 	if e := a.protocol.Close(); e != nil && !errors.Is(e, net.ErrClosed) {
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -356,12 +356,13 @@
 	}
 }
 
-// CloseSilent has the connections end on which nothing was ever sent.
-func (g *Gate) CloseSilent() {
+// CloseSilent has the connections end on which nothing was ever sent, for so long: on a younger one a request may be on
+// its way.
+func (g *Gate) CloseSilent(least time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.conns {
-		if !c.used && !c.begun {
+		if !c.used && !c.begun && time.Since(c.since) >= least {
 			g.ask(c)
 		}
 	}
--- a/internal/core/gate_test.go
+++ b/internal/core/gate_test.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// A connection on which nothing was sent yet is left alone for a while, as a request may be on its way; then it ends.
+func TestAYoungSilentConnectionIsLeft(t *testing.T) {
+	g, kept, _ := pair(t)
+	kept.used = false
+	if g.CloseSilent(testkit.Patience); g.asked != 0 {
+		t.Error("asked to end as soon as it was there")
+	}
+	g.mu.Lock()
+	kept.since = time.Now().Add(-testkit.Patience)
+	g.mu.Unlock()
+	if g.CloseSilent(testkit.Patience); g.asked != 1 {
+		t.Errorf("%d asked to end after a long silence", g.asked)
+	}
+}
+
 // A byte that has been read just before its connection was asked to end is a request's: the connection goes on, and is
 // read for as long as it would have been. Bytes that come after that stay unread, and the client asks again elsewhere.
 func TestAByteThatCrossesTheAskKeepsTheConnection(t *testing.T) {
@@ -127,7 +142,7 @@
 	if n, err := fresh.Read(make([]byte, 1)); n != 1 || err != nil {
 		t.Fatal(n, err)
 	}
-	if g.CloseSilent(); g.asked != 0 {
+	if g.CloseSilent(0); g.asked != 0 {
 		t.Error("a request has begun on it")
 	}
 }
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -209,7 +209,7 @@
 func (a *Agent) emptyLater(wait time.Duration) {
 	a.emptying = time.AfterFunc(wait, func() {
 		a.gate.CloseIdle()
-		a.gate.CloseSilent()
+		a.gate.CloseSilent(silentLeast) // new ones still come, and are served
 		a.drainMu.Lock()
 		defer a.drainMu.Unlock()
 		if a.loop.away.Load() {
--- a/internal/protocol/http1/front_test.go
+++ b/internal/protocol/http1/front_test.go
@@ -294,7 +294,7 @@
 		open, fresh, idle := a.Gate().Counts()
 		return open == 2 && fresh+idle == 1
 	})
-	a.Gate().CloseSilent()
+	a.Gate().CloseSilent(0)
 	if err := c.SetReadDeadline(time.Now().Add(testkit.Patience)); err != nil {
 		t.Fatal(err)
 	}
