--- a/internal/drill/hollow/shared_test.go
+++ b/internal/drill/hollow/shared_test.go
@@ -5,13 +5,21 @@
 	"time"
 )
 
+// ofVerdicts plays services of ten agents, each of which calls the next three: the same to an agent however many there are.
 func ofVerdicts(t *testing.T, agents int, rate float64) Phase {
 	t.Helper()
-	g, err := DrawGraph(GraphSpec{Agents: agents, Seed: 3})
-	if err != nil {
-		t.Fatal(err)
+	const size, calls = 10, 3
+	g := &Graph{Of: make([]int, agents), Services: make([][]int, agents/size), Calls: make([][]int, agents/size), Tier: make([]int, agents/size)}
+	for n := range agents {
+		g.Of[n] = n / size
+		g.Services[n/size] = append(g.Services[n/size], n)
+	}
+	for k := range g.Calls {
+		for o := range calls {
+			g.Calls[k] = append(g.Calls[k], (k+1+o)%len(g.Services))
+		}
 	}
-	v := Verdicts{Seed: 3, Graph: g, Rate: rate, Error: 0.001, Marks: []time.Duration{time.Second}, Length: 4 * time.Second}
+	v := Verdicts{Seed: 3, Graph: g, Rate: rate, Error: 0.001, Marks: []time.Duration{6 * time.Second}, Length: 16 * time.Second}
 	phases, _, err := v.Play()
 	if err != nil {
 		t.Fatal(err)
@@ -19,15 +27,21 @@
 	return phases[1]
 }
 
-// All is told to all, and the more requests each has the more there is to tell: what is measured stays so, in one run.
-func TestWhatVerdictsCostGrowsSlowerThanTheFleet(t *testing.T) {
-	small, large := ofVerdicts(t, 40, 40), ofVerdicts(t, 80, 40)
-	t.Logf("%.0f and %.0f bytes a second", small.Out.Bytes, large.Out.Bytes)
-	if r := large.Out.Bytes / small.Out.Bytes; r > 2 {
-		t.Errorf("80 agents send %.0f bytes a second each, 40 send %.0f", large.Out.Bytes, small.Out.Bytes)
-	}
-	if again := ofVerdicts(t, 40, 40); again.Out != small.Out || again.In != small.In {
-		t.Errorf("the same seed sent %+v, then %+v", small.Out, again.Out)
+// What is told follows a server's subscribers, and chance is told to a few: twice the fleet costs an agent hardly more.
+func TestWhatVerdictsCostIsFlat(t *testing.T) {
+	small, large := ofVerdicts(t, 80, 100), ofVerdicts(t, 160, 100)
+	t.Logf("%.0f and %.0f bytes, %.2f and %.2f messages a second, %.4f and %.4f of a core", small.Out.Bytes, large.Out.Bytes, small.Out.Messages, large.Out.Messages, small.Processor, large.Processor)
+	if r := large.Out.Bytes / small.Out.Bytes; r > 1.3 {
+		t.Errorf("160 agents send %.0f bytes a second each, 80 send %.0f", large.Out.Bytes, small.Out.Bytes)
+	}
+	if r := large.Out.Messages / small.Out.Messages; r > 1.3 {
+		t.Errorf("160 agents send %.2f messages a second each, 80 send %.2f", large.Out.Messages, small.Out.Messages)
+	}
+	if large.Out.Bytes > 1000 {
+		t.Errorf("%.0f bytes a second of each at rest", large.Out.Bytes)
+	}
+	if a, b := ofVerdicts(t, 40, 40), ofVerdicts(t, 40, 40); a.Out != b.Out || a.In != b.In {
+		t.Errorf("the same seed sent %+v, then %+v", a.Out, b.Out)
 	}
 }
 
--- a/internal/drill/hollow/verdicts.go
+++ b/internal/drill/hollow/verdicts.go
@@ -57,6 +57,7 @@
 			}
 			return servers[k]
 		},
+		List: func(server int) string { return fmt.Sprint("svc", v.Graph.Of[server]) },
 		Fails: func(server int, now time.Duration) float64 {
 			for _, f := range failing[server] {
 				if now >= f.Start && now < f.End {
@@ -68,6 +69,9 @@
 		Link:   func(int, int, time.Duration) float64 { return 0 },
 		Peers:  path(v.Layout),
 		Drains: v.Drains}
+	if l := v.Layout; l != nil {
+		o.Place = func(n int) (string, string) { return l.RegionName(n), l.ZoneName(n) }
+	}
 	r, err := play.Play(o)
 	if err != nil {
 		return nil, nil, fmt.Errorf("play the verdicts of %d members: %w", n, err)
--- a/internal/peer/carrier/carrier.go
+++ b/internal/peer/carrier/carrier.go
@@ -73,6 +73,7 @@
 	sharing  *sharing
 	judging  *judging
 	agreeing *agreeing
+	self     view.Self // as it was last told
 
 	dropped, odd, huge, foreign, damaged, formats atomic.Uint64
 	datagrams, written                            atomic.Uint64 // of the view and of what is shared: how many were written, and their bytes
@@ -121,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.v = v
+	c.v, c.self = v, view.Self{Instances: s.Instances, Balancers: s.Balancers}
 	if o.Before != nil {
 		c.base = o.Before.base // what it holds is by that clock
 	}
@@ -191,6 +192,9 @@
 			timer.Stop()
 			continue
 		}
+		if c.judging.untold {
+			batch = append(batch, c.take(input{event: c.self}))
+		}
 		c.step(stop, &others, batch...)
 		c.sharing.due(c.now())
 		c.judging.due(c.now())
@@ -247,6 +251,10 @@
 		return e
 	case view.Failed:
 		delete(c.opened, e.ID)
+	case view.Self:
+		e.Note = c.judging.note
+		c.self, c.judging.untold = e, false
+		return e
 	}
 	return i.event
 }
@@ -282,6 +290,7 @@
 				c.o.Changed(a.Count)
 			}
 		default:
+			c.judging.stale = true
 			c.events.did(a)
 			c.say(a)
 		}
--- a/internal/peer/carrier/judging.go
+++ b/internal/peer/carrier/judging.go
@@ -13,18 +13,26 @@
 
 // judging drives the verdicts about servers. The carrier's loop owns it.
 type judging struct {
-	c     *Carrier
-	m     *verdicts.Member // nil: nothing is shared
-	names time.Duration    // when the members were last told
-	sent  uint64
-	told  map[string]string // verdicts by server, as they were last written
+	c      *Carrier
+	m      *verdicts.Member // nil: nothing is shared
+	names  time.Duration    // when the members were last told
+	stale  bool             // the view has changed since
+	lists  map[string]bool  // those that are read
+	note   []byte           // that says so to others
+	untold bool
+	sent   uint64
+	told   map[string]string // verdicts by server, as they were last written
 }
 
-// namesEvery is how often the members alive are looked up.
-const namesEvery = 250 * time.Millisecond
+// The members alive are looked up so often where the view has changed, and else so seldom: what others tell of their
+// lists need not be a change that the view speaks of.
+const (
+	namesEvery = 250 * time.Millisecond
+	namesRest  = 5 * time.Second
+)
 
 func newJudging(c *Carrier) (*judging, error) {
-	j := &judging{c: c, names: -time.Hour}
+	j := &judging{c: c, names: -time.Hour, lists: map[string]bool{}}
 	if c.o.Verdicts == nil {
 		return j, nil
 	}
@@ -35,7 +43,7 @@
 		return nil, err
 	}
 	if before := c.o.Before; before != nil && before.judging.m != nil { // lists and evidence go on
-		j.m = before.judging.m
+		j.m, j.lists, j.note, j.untold = before.judging.m, before.judging.lists, before.judging.note, true
 	}
 	return j, nil
 }
@@ -73,15 +81,16 @@
 	if j.m == nil || j.c.frozen.Load() {
 		return
 	}
-	if now-j.names >= namesEvery {
-		j.names = now
-		var names []string
-		for _, r := range j.c.v.Members() {
-			if r.State == view.Alive || r.State == view.Suspect {
-				names = append(names, r.Name)
-			}
+	if now-j.names >= namesRest || j.stale && now-j.names >= namesEvery {
+		j.names, j.stale = now, false
+		events = append([]verdicts.Event{membersOf(j.c.v.Members())}, events...)
+	}
+	for _, e := range events {
+		if l, ok := e.(verdicts.Listed); ok && !j.lists[l.Source] {
+			j.lists[l.Source] = true
+			j.note = verdicts.FilterOf(slices.Sorted(maps.Keys(j.lists)))
+			j.untold = true
 		}
-		events = append([]verdicts.Event{verdicts.Members{Names: names}}, events...)
 	}
 	for _, a := range j.m.Step(now, events...) {
 		switch a := a.(type) {
@@ -89,7 +98,7 @@
 			j.sent++
 			j.c.sharing.send(a.To, &packet{Verdicts: a.Message})
 		case verdicts.Judged:
-			j.note(a.All)
+			j.write(a.All)
 			j.c.o.Judged(a.All, j.c.base)
 		case verdicts.Say:
 			j.c.log.Info("fleet: " + a.Text)
@@ -97,8 +106,26 @@
 	}
 }
 
-// note writes what has changed, for drills.
-func (j *judging) note(all []verdicts.Verdict) {
+// lostFor is how long the place of a member that is not heard any more counts: longer than a cut lasts that is mended.
+const lostFor = time.Hour
+
+// membersOf are those that are alive, as far as is known, with what their records tell.
+func membersOf(all []view.Record) verdicts.Members {
+	var e verdicts.Members
+	for _, r := range all {
+		p := verdicts.Peer{Region: r.Region, Zone: r.Zone, Lists: r.Note}
+		switch {
+		case r.State == view.Alive || r.State == view.Suspect:
+			e.Names, e.Peers = append(e.Names, r.Name), append(e.Peers, p)
+		case r.State == view.Dead && time.Duration(r.Age)*time.Second < lostFor:
+			e.Lost = append(e.Lost, p)
+		}
+	}
+	return e
+}
+
+// write writes what has changed, for drills.
+func (j *judging) write(all []verdicts.Verdict) {
 	now := map[string]string{}
 	for _, v := range all {
 		state := "out"
--- /dev/null
+++ b/internal/peer/carrier/judging_test.go
@@ -0,0 +1,114 @@
+package carrier
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"vetchhaven/internal/peer/verdicts"
+	"vetchhaven/internal/peer/view"
+)
+
+func judges(o *Options) {
+	o.Verdicts, o.Judged = &verdicts.Settings{}, func([]verdicts.Verdict, time.Time) {}
+}
+
+// What a daemon tells of its instances later leaves its lists as they are.
+func TestMembersTellWhichListsTheyRead(t *testing.T) {
+	a := start(t, "a", "", "", nil, judges)
+	b := start(t, "b", "", "", []string{a.addr}, judges)
+	a.await(t, "b", "alive")
+	want := func(of string, lists ...string) {
+		t.Helper()
+		var got verdicts.Filter
+		for limit := time.Now().Add(patience); time.Now().Before(limit); time.Sleep(5 * time.Millisecond) {
+			b.do(func() {
+				for _, p := range b.v.Members() {
+					if p.Name == of {
+						got = p.Note
+					}
+				}
+			})
+			if reflect.DeepEqual(got, verdicts.FilterOf(lists)) {
+				return
+			}
+		}
+		t.Fatalf("%s tells %x, want %x", of, got, verdicts.FilterOf(lists))
+	}
+	a.Listed(verdicts.Listed{Source: "main", Servers: []verdicts.Server{{ID: "main/s1", Start: 1}}})
+	want("a", "main")
+	a.Listed(verdicts.Listed{Source: "other"})
+	want("a", "main", "other")
+	a.Tell(view.Self{Instances: 3, Balancers: 3})
+	for limit := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		instances := uint32(0)
+		b.do(func() {
+			for _, p := range b.v.Members() {
+				if p.Name == "a" {
+					instances = p.Instances
+				}
+			}
+		})
+		if instances == 3 {
+			break
+		}
+		if time.Now().After(limit) {
+			t.Fatal("b never hears of a's instances")
+		}
+	}
+	want("a", "main", "other")
+	var peers []verdicts.Peer
+	b.do(func() { peers = membersOf(b.v.Members()).Peers })
+	if len(peers) != 2 || !peers[0].Lists.Has("other") || peers[0].Lists.Has("none") || !peers[1].Lists.Has("none") {
+		t.Errorf("%+v", peers)
+	}
+}
+
+// firstMessage is a message as the version before knew it.
+type firstMessage struct {
+	Ask    uint64           `cbor:"1,keyasint,omitempty"`
+	Answer uint64           `cbor:"2,keyasint,omitempty"`
+	Poke   bool             `cbor:"3,keyasint,omitempty"`
+	Items  []firstItem      `cbor:"4,keyasint,omitempty"`
+	Drains []verdicts.Drain `cbor:"5,keyasint,omitempty"`
+	More   int              `cbor:"6,keyasint,omitempty"`
+	About  []verdicts.Life  `cbor:"7,keyasint,omitempty"`
+}
+
+type firstItem struct {
+	Server string  `cbor:"1,keyasint,omitempty"`
+	Start  int64   `cbor:"2,keyasint,omitempty"`
+	Origin string  `cbor:"3,keyasint,omitempty"`
+	Life   uint64  `cbor:"4,keyasint,omitempty"`
+	Number uint32  `cbor:"5,keyasint,omitempty"`
+	Bad    float32 `cbor:"7,keyasint,omitempty"`
+}
+
+type firstPacket struct {
+	From     string        `cbor:"1,keyasint,omitempty"`
+	Verdicts *firstMessage `cbor:"4,keyasint,omitempty"`
+}
+
+// Both forms of messages stand in one envelope, and each reads of the other's what it knows.
+func TestFormsOfVerdictsReadOneAnother(t *testing.T) {
+	w := Wire{Fleet: "f"}
+	about := []verdicts.Life{{Server: "main/s1", Start: 3}}
+	data, err := w.Marshal("a", &verdicts.Message{Ask: 5, Poke: true, Own: true, Form: 2, About: about, Items: []verdicts.Item{{Server: "main/s1", Origin: "c", Bad: 2, Chance: 0.4}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := &firstPacket{}
+	if err := openAs(sharedForm, "f", data, old); err != nil {
+		t.Fatal(err)
+	}
+	if want := (&firstMessage{Ask: 5, Poke: true, About: about, Items: []firstItem{{Server: "main/s1", Origin: "c", Bad: 2}}}); old.From != "a" || !reflect.DeepEqual(old.Verdicts, want) {
+		t.Errorf("the version before reads %+v", old.Verdicts)
+	}
+	if data, err = enclose(sharedForm, "f", &firstPacket{From: "b", Verdicts: &firstMessage{Answer: 6, More: 1, Items: []firstItem{{Server: "main/s2", Bad: 1}}}}); err != nil {
+		t.Fatal(err)
+	}
+	back, err := w.Unmarshal(data)
+	if want := (&verdicts.Message{Answer: 6, More: 1, Items: []verdicts.Item{{Server: "main/s2", Bad: 1}}}); err != nil || !reflect.DeepEqual(back, want) {
+		t.Errorf("of the version before %+v is read, %v", back, err)
+	}
+}
--- a/internal/peer/verdicts/court.go
+++ b/internal/peer/verdicts/court.go
@@ -18,8 +18,13 @@
 	goodSince time.Duration // it answers those that try it; 0: it does not
 	times     int           // convicted, not long ago
 	lastOut   time.Duration
+	silent    bool          // most that accuse it had no word from it
 	suspected time.Duration // there are voices enough against it since; 0: there are not
-	answers   int           // that had come by then
+	askedAt   time.Duration // and when that was last
+	begun     time.Duration // the first of those that accuse it now began to
+	from      time.Duration // and of those that did when it became suspected
+	spoken    bool          // somebody has had an answer since then
+	answered  []string      // who has answered a question about it since then; if it is silent, only if it sent something to it since they began to
 	share     float64       // of its requests that failed, by all voices
 	place     int           // this member's in the order in which members may use it ...
 	placed    int           // ... by the members of that number
@@ -45,6 +50,8 @@
 	partVoices   = 4                      // members with so many requests, at the least, that have to see it alike
 	answersLeast = 6                      // answers of others without which a verdict waits ...
 	answersWait  = 5 * time.Second        // ... for so long at the most
+	askAgain     = 400 * time.Millisecond // between two rounds of witnesses while it waits for answers
+	answersMute  = 12                     // the same where the server said nothing: of half that are cut off so many are asked once in 4,096 times
 	rounds       = 3                      // questions and answers that a verdict waits for, besides
 	triersMost   = 3                      // members that try one that is out
 	runLeast     = 3                      // answers on end with which it begins to come back; twice as many each time
@@ -54,11 +61,11 @@
 	remembered   = 2 * time.Minute
 )
 
-// judge looks at all servers anew, and tells own agents what has changed.
+// judge looks anew at the servers about which something is said, and tells own agents what has changed. It costs
+// nothing for the others, however many there are.
 func (m *Member) judge() {
 	m.changed, m.lookAt, m.judged = false, 0, m.now
-	for _, id := range m.order {
-		s := m.servers[id]
+	for _, s := range m.live {
 		if s.dirty || s.next > 0 && m.now >= s.next {
 			s.dirty, s.next = false, 0
 			m.try(s)
@@ -67,8 +74,13 @@
 	}
 	held := m.capOf()
 	var all []Verdict
-	for _, id := range m.order {
-		s := m.servers[id]
+	rest := m.live[:0]
+	for _, s := range m.live {
+		if s.quiet(m) {
+			s.live, s.isHot = false, false
+			continue
+		}
+		rest = append(rest, s)
 		if s.next > 0 { // others were looked at meanwhile
 			m.look(s.next)
 		}
@@ -77,7 +89,7 @@
 			m.look(at + m.s.Drains + 1)
 		}
 		was := s.capped
-		s.capped = s.out && held[id]
+		s.capped = s.out && held[s.ID]
 		if s.capped && !was {
 			m.counts.Capped++
 		}
@@ -85,6 +97,8 @@
 			all = append(all, Verdict{s.ID, s.Start, false, s.until(m)})
 		}
 	}
+	clear(m.live[len(rest):])
+	m.live = rest
 	if !slices.EqualFunc(all, m.told, func(a, b Verdict) bool {
 		return a.Server == b.Server && a.Start == b.Start && a.Drain == b.Drain && a.Until-b.Until < time.Second && b.Until-a.Until < time.Second
 	}) {
@@ -93,6 +107,18 @@
 	}
 }
 
+// quiet reports whether nothing is said about a server any more; what was is dropped.
+func (s *server) quiet(m *Member) bool {
+	if s.dirty || s.next > 0 || s.out || s.drainAt > 0 && m.now-s.drainAt <= m.s.Drains {
+		return false
+	}
+	if slices.ContainsFunc(s.voices, func(v *voice) bool { return m.now-v.made <= m.s.Age }) {
+		return false
+	}
+	s.voices = nil
+	return true
+}
+
 // look has judge called by then.
 func (m *Member) look(at time.Duration) {
 	if m.lookAt == 0 || at < m.lookAt {
@@ -170,15 +196,30 @@
 		s.suspected = 0
 		return
 	}
+	if s.suspected > 0 && s.silent && s.spoken { // it is asked anew
+		s.suspected = 0
+	}
 	if s.suspected == 0 {
-		s.suspected, s.answers = m.now, m.answers
-		m.question(m.others(witnesses), []Life{{s.ID, s.Start}})
+		s.suspected, s.answered, s.askedAt, s.from, s.spoken = m.now, nil, m.now, s.begun, false
+		n := witnesses
+		if s.silent {
+			n = witnessesMute
+		}
+		m.questionOf(m.witnesses(n, s.source), &Message{About: []Life{{s.ID, s.Start}}, Own: s.silent})
 	}
 	if at := s.suspected + wait + rounds*m.way; m.now < at { // who is asked has to be heard
 		s.again(m, at)
 		return
 	}
-	if few := min(answersLeast, len(m.names)-1); m.answers-s.answers < few && m.now < s.suspected+answersWait {
+	few := min(answersLeast, len(m.callers(s))-1)
+	if s.silent {
+		few = min(answersMute, len(m.callers(s))-1)
+	}
+	if len(s.answered) < few && m.now < s.suspected+answersWait {
+		if m.now-s.askedAt >= askAgain { // answers were lost, or are late
+			s.askedAt = m.now
+			m.questionOf(m.witnesses(witnesses, s.source), &Message{About: []Life{{s.ID, s.Start}}, Own: s.silent})
+		}
 		s.again(m, m.now)
 		return
 	}
@@ -186,12 +227,23 @@
 	s.out, s.why, s.by, s.since, s.goodSince, s.suspected = true, why, by, m.now, 0, 0
 	s.times++
 	s.lastOut = m.now
+	s.base.strike(m.now)
 	m.counts.Convicted++
 	m.do(Say{fmt.Sprintf("server %s is out: %s, by %s", s.ID, why, strings.Join(by, ", "))})
 	m.news()
 	s.again(m, m.now+stageEvery/4)
 }
 
+// heardWitness takes what a member itself saw of a server that is suspected. It counts if it has sent something to it since
+// the first of those that accuse it began to; with an answer since then, the suspicion is over.
+func (s *server) heardWitness(name string, made, lastOK time.Duration) {
+	if made <= s.from || slices.Contains(s.answered, name) {
+		return
+	}
+	s.answered = append(s.answered, name)
+	s.spoken = s.spoken || lastOK > s.from
+}
+
 // again has a server looked at by then.
 func (s *server) again(m *Member, at time.Duration) {
 	s.next = at + lookGrid - at%lookGrid
@@ -199,11 +251,13 @@
 }
 
 // need is how many voices a verdict needs.
-func (m *Member) need() int { return max(2, min(quorum, len(m.names)-1)) }
+func (m *Member) need(s *server) int { return max(2, min(quorum, len(m.callers(s))-1)) }
 
 // mute is how many it needs where the server said nothing itself: more than half of the members cut off from it would be.
-func (m *Member) mute() int {
-	return max(m.need(), min(voicesMute, (2*len(m.names)+2)/3))
+func (m *Member) mute(s *server) int { return m.muteOf(len(m.callers(s))) }
+
+func (m *Member) muteOf(members int) int {
+	return max(2, min(quorum, members-1), min(voicesMute, (2*members+2)/3))
 }
 
 // against says by whose evidence, and for what, a server should be out, and how long that should be left to those who
@@ -229,8 +283,16 @@
 		slices.Sort(out)
 		return out
 	}
-	if dead, alive := s.dead(voices, m.need(), m.mute()); len(dead) > 0 {
-		enough := min(voicesSure, max(m.need(), len(m.names)-1))
+	if dead, alive := s.dead(m, voices, m.need(s), m.mute(s)); len(dead) > 0 {
+		enough := min(voicesSure, max(m.need(s), len(m.callers(s))-1))
+		proved := 0
+		for _, v := range dead {
+			proved += b2i(v.proves())
+		}
+		s.silent, s.begun = proved < m.need(s), m.now
+		for _, v := range dead {
+			s.begun = min(s.begun, v.began)
+		}
 		switch wait = deafness; {
 		case len(dead) >= enough:
 			wait = deafnessSure
@@ -241,7 +303,7 @@
 	}
 	// It fails in part, by its own word: for about all alike, not for some always and for others never, which is a link.
 	// What was lost without a word is a link's fault for all that can be known.
-	if 2*said < bad || len(part) < m.need() || s.share < max(partLeast, 2*ratio(elseBad, elseOK)+0.05) || bad < partBad {
+	if 2*said < bad || len(part) < m.need(s) || s.share < max(partLeast, 2*ratio(elseBad, elseOK)+0.05) || bad < partBad {
 		return nil, "", 0
 	}
 	seen, alike := 0, 0
@@ -253,16 +315,17 @@
 			alike++
 		}
 	}
-	if seen < min(partVoices, len(m.names)-1) || 5*alike < 4*seen {
+	if seen < min(partVoices, len(m.callers(s))-1) || 5*alike < 4*seen {
 		return nil, "", 0
 	}
+	s.silent, s.begun = false, 0
 	return names(part), fmt.Sprintf("fails %.0f%% of its requests", 100*s.share), 2 * deafness
 }
 
 // dead are the members for which a server fails outright: the most of them, newest first and at least so many, such
 // that since the first of these began to fail nobody is known to have had an answer. Least have to prove that it is the
 // server that fails, or so many more have to say so that it can't be their links.
-func (s *server) dead(voices []*voice, least, mute int) (dead []*voice, alive int) {
+func (s *server) dead(m *Member, voices []*voice, least, mute int) (dead []*voice, alive int) {
 	var all []*voice
 	for _, v := range voices {
 		if v.accuses() {
@@ -275,7 +338,7 @@
 		for _, v := range all[:n] {
 			proved += b2i(v.proves())
 		}
-		if proved < least && n < mute {
+		if proved < least && (n < mute || !m.independent(s, all[:n])) {
 			break
 		}
 		from, alive := all[n-1].began, 0
@@ -345,11 +408,11 @@
 	s.own.bad, s.own.ok, s.own.said = 0, 0, 0
 }
 
-func (m *Member) triers() int { return max(1, min(triersMost, len(m.names)/8)) }
+func (m *Member) triers(s *server) int { return max(1, min(triersMost, len(m.callers(s))/8)) }
 
 // part is the share of the members that may use one that is out.
 func (m *Member) part(s *server) float64 {
-	few := float64(m.triers()) / float64(max(1, len(m.names)))
+	few := float64(m.triers(s)) / float64(max(1, len(m.callers(s))))
 	if s.goodSince == 0 {
 		return min(few, 0.99)
 	}
@@ -361,22 +424,23 @@
 	if s.placed != m.named { // who is there has changed
 		mine := rankOf(m.s.Name, s.ID)
 		s.place, s.placed = 0, m.named
-		for _, n := range m.names {
+		for _, n := range m.callers(s) {
 			if n != m.s.Name && rankOf(n, s.ID) < mine {
 				s.place++
 			}
 		}
 	}
 	before := s.place
-	return float64(before) < max(float64(m.triers()), m.part(s)*float64(len(m.names))) && before < max(1, len(m.names)-1) || len(m.names) <= 1
+	all := len(m.callers(s))
+	return float64(before) < max(float64(m.triers(s)), m.part(s)*float64(all)) && before < max(1, all-1) || all <= 1
 }
 
 // capOf are the servers that would be out, and are not since too many of their zone or pod are: the worst stay out, and
 // of these the ones that are out for longer.
 func (m *Member) capOf() map[string]bool {
 	var outs []*server
-	for _, id := range m.order {
-		if s := m.servers[id]; s.out && s.State == Up {
+	for _, s := range m.live {
+		if s.out && s.State == Up {
 			outs = append(outs, s)
 		}
 	}
@@ -421,12 +485,11 @@
 // Show is all servers about which something is said.
 func (m *Member) Show() []Shown {
 	var all []Shown
-	for _, id := range m.order {
-		s := m.servers[id]
+	for _, s := range m.live {
 		if !s.open(m) {
 			continue
 		}
-		one := Shown{Server: id, Verdict: "accused", Part: 1, Why: s.why, By: s.by}
+		one := Shown{Server: s.ID, Verdict: "accused", Part: 1, Why: s.why, By: s.by}
 		for _, v := range s.heard(m) {
 			one.OK, one.Bad = one.OK+v.ok, one.Bad+v.bad
 			if !s.out && (v.accuses() || v.partly()) {
--- a/internal/peer/verdicts/evidence.go
+++ b/internal/peer/verdicts/evidence.go
@@ -30,6 +30,7 @@
 	Works   uint32  `cbor:"16,keyasint,omitempty"` // the last answer of any other server; 0: none
 	Since   int     `cbor:"17,keyasint,omitempty"` // failures at other servers since then
 	Said    float32 `cbor:"18,keyasint,omitempty"` // of Bad, those that the server said itself
+	Chance  float32 `cbor:"19,keyasint,omitempty"` // failures a second at the server that are chance, by a holder's count; the teller's word, not the origin's
 }
 
 // Drain is a list's word that a server drains or is gone, as one member heard it.
@@ -80,16 +81,26 @@
 		lastOK, lastBad time.Duration
 		began           time.Duration
 		made            time.Duration
+		last            int // failures in the last sight
 	}
 	voices []*voice // of others, and of this member where it has something to say
 	court
-	dirty   bool          // to be looked at
-	next    time.Duration // and by then at the latest; 0: no need
-	isHot   bool          // see hot, when it was last looked at
-	spoke   time.Duration // this member's own voice was last made
-	groups  [2]int        // its zone's and its pod's number
-	drain   State         // told by others or by the own list, ahead of another's
-	drainAt time.Duration // when it was first heard by anyone, at the earliest; 0: never
+	dirty    bool          // to be looked at
+	live     bool          // among those that are gone through
+	wide     time.Duration // this member last told any others of its failures there ...
+	lone     time.Duration // ... or the holders
+	heldBy   []string      // who else holds it ...
+	holds    bool          // ... and whether this member does ...
+	heldAs   int           // ... by the members of that number
+	base     base          // as a holder
+	told     float64       // failures a second that are chance, by a holder's word
+	toldBase time.Duration
+	next     time.Duration // and by then at the latest; 0: no need
+	isHot    bool          // see hot, when it was last looked at
+	spoke    time.Duration // this member's own voice was last made
+	groups   [2]int        // its zone's and its pod's number
+	drain    State         // told by others or by the own list, ahead of another's
+	drainAt  time.Duration // when it was first heard by anyone, at the earliest; 0: never
 }
 
 // onListed takes a list. A server of which it says something else than before, in a running process, is news.
@@ -113,7 +124,7 @@
 		}
 		was := s.Server
 		if l.Start != was.Start { // another process: what was known of the last one is nothing to it
-			*s = server{Server: l, source: e.Source}
+			*s = server{Server: l, source: e.Source, live: s.live}
 		}
 		s.Server, s.source = l, e.Source
 		if l.Start == was.Start && was.State == Up && l.State != Up && again {
@@ -136,18 +147,23 @@
 			}
 		}
 	}
+	if !again {
+		at, _ := slices.BinarySearch(m.reads, e.Source)
+		m.reads = slices.Insert(m.reads, at, e.Source)
+	}
 	m.sources[e.Source] = ids
 	m.group()
-	m.changed = true
 }
 
 // group numbers zones and pods, and counts what is up in each.
 func (m *Member) group() {
 	numbers := map[string]int{}
 	m.ups = m.ups[:0]
+	m.live = m.live[:0]
 	for _, id := range m.order {
 		s := m.servers[id]
-		s.dirty = true
+		s.live = false
+		m.touch(s)
 		for n, name := range []string{fmt.Sprint("zone ", s.source, "/", s.Zone), fmt.Sprint("pod ", s.source, "/", s.Pod)} {
 			g, ok := numbers[name]
 			if !ok {
@@ -169,6 +185,7 @@
 		s.drainAt = m.now
 	}
 	s.drain = max(s.drain, to)
+	m.enliven(s)
 	m.news()
 }
 
@@ -184,12 +201,12 @@
 		m.total.bad += float64(x.Bad)
 		o := &s.own
 		o.fade(m.now)
-		fresh := o.bad < 0.5 && x.Bad > 0
 		o.ok += float64(x.OK)
 		o.bad += float64(x.Bad)
 		o.said += float64(min(x.Said, x.Bad))
-		o.made = m.now
+		o.made, o.last = m.now, x.Bad
 		m.note(s.ID, x)
+		m.saw(s.source, x)
 		if x.OK > 0 {
 			o.lastOK, o.run, o.streak = m.now, o.run+x.OK, 0
 		}
@@ -204,13 +221,12 @@
 		}
 		if x.Bad > 0 || s.open(m) {
 			m.speak(s)
-			m.changed, s.dirty = true, true
+			m.touch(s)
 			switch {
 			case s.out && (x.OK > 0) == (s.goodSince == 0):
 				m.news()
-			case fresh: // perhaps others have seen the like: a few are asked, and told
-				m.question(m.others(pokes), []Life{{s.ID, s.Start}})
-				m.poke()
+			case !s.out && x.Bad > 0:
+				m.failed(s)
 			}
 		}
 	}
@@ -275,10 +291,23 @@
 	return slices.ContainsFunc(s.voices, func(v *voice) bool { return (v.fails() || v.partly()) && m.now-v.made <= m.s.Age })
 }
 
-// hot reports whether what is said against a server is more than one member's bad luck, as far as is known here.
+// hot reports whether what is said against a server is more than chance, as far as is known here.
 func (s *server) hot(m *Member) bool {
-	dead, _ := s.dead(s.heard(m), 2, 2)
-	return s.out || len(dead) > 0
+	if m.s.Form == 1 {
+		dead, _ := s.dead(m, s.heard(m), 2, 2)
+		return s.out || len(dead) > 0
+	}
+	return s.out || m.standsOut(s)
+}
+
+// accusers is how many others accuse a server.
+func (s *server) accusers(m *Member) (n int) {
+	for _, v := range s.voices {
+		if v.origin != m.s.Name && v.accuses() && m.now-v.made <= m.s.Age {
+			n++
+		}
+	}
+	return n
 }
 
 // hear books a voice: the newest of each member, and of many members the newest, as prune says. It reports whether the
@@ -298,6 +327,7 @@
 	at, _ := slices.BinarySearchFunc(s.voices, v.rank, func(o *voice, r uint64) int { return cmp.Compare(o.rank, r) })
 	s.voices = slices.Insert(s.voices, at, v)
 	s.prune(m)
+	m.enliven(s)
 	if m.log = append(m.log, heardOf{s, v}); len(m.log) > 2*logMost {
 		m.log = append(m.log[:0], m.log[logMost:]...)
 	}
@@ -345,128 +375,12 @@
 	_, _ = h.Write([]byte(member))
 	_, _ = h.Write([]byte{0})
 	_, _ = h.Write([]byte(server))
-	x := h.Sum64() // names differ in their last bytes: spread that over all bits
+	return mix(h.Sum64())
+}
+
+// mix spreads over all bits in what the last bytes of names differ.
+func mix(x uint64) uint64 {
 	x = (x ^ x>>33) * 0xff51afd7ed558ccd
 	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
-
-// heardOf is a voice as it came.
-type heardOf struct {
-	s *server
-	v *voice
-}
-
-// answer is what is known here, as much as fits: what was asked about, then what came last, then the rest by turns.
-func (m *Member) answer(seq uint64, about []Life) *Message {
-	x := &Message{Answer: seq}
-	told := map[*voice]bool{}
-	tell := func(s *server, v *voice) {
-		if len(x.Items) == itemsMost || told[v] || v.start != s.Start || m.now-v.made > m.s.Age || v.made <= s.freed {
-			return
-		}
-		told[v] = true
-		i := Item{Server: s.ID, Start: v.start, Origin: v.origin, Life: v.life, Number: v.number, OK: float32(v.ok), Bad: float32(v.bad), Said: float32(v.said), ElseOK: float32(v.elseOK), ElseBad: float32(v.elseBad),
-			Run: v.run, Streak: v.streak, Since: v.since, Age: m.age(v.made)}
-		for _, p := range []struct {
-			to *uint32
-			at time.Duration
-		}{{&i.LastOK, v.lastOK}, {&i.LastBad, v.lastBad}, {&i.Began, v.began}, {&i.Works, v.works}} {
-			if p.at > 0 {
-				*p.to = m.age(p.at)
-			}
-		}
-		x.Items = append(x.Items, i)
-	}
-	// One member's bad luck is told on for a while only; what is more than that, to all.
-	worth := func(s *server, v *voice) bool {
-		return s.isHot || v.origin == m.s.Name || v.fails() && m.now-v.began < freshFor
-	}
-	for _, l := range about[:min(aboutMost, len(about))] {
-		if s := m.servers[l.Server]; s != nil && s.Start == l.Start {
-			m.speak(s)
-			for _, v := range s.voices {
-				tell(s, v)
-			}
-		}
-	}
-	for n := len(m.log) - 1; n >= 0 && len(x.Items) < itemsMost/2; n-- {
-		if o := m.log[n]; worth(o.s, o.v) && m.servers[o.s.ID] == o.s && slices.Contains(o.s.voices, o.v) {
-			tell(o.s, o.v)
-		}
-	}
-	for n := range m.order {
-		at := (m.cursor + n) % len(m.order)
-		s := m.servers[m.order[at]]
-		if s.drainAt > 0 && m.now-s.drainAt <= m.s.Drains && len(x.Drains) < itemsMost {
-			x.Drains = append(x.Drains, Drain{s.ID, s.Start, s.drain, m.age(s.drainAt)})
-		}
-		if len(x.Items) == itemsMost || !s.open(m) {
-			continue
-		}
-		if s.own.made > s.spoke || m.now-s.spoke > speakEach { // how it fares elsewhere may have changed
-			m.speak(s)
-		}
-		for _, v := range s.voices {
-			if worth(s, v) {
-				tell(s, v)
-			}
-		}
-		if len(x.Items) == itemsMost {
-			m.cursor, x.More = at, 1 // from here on the next time
-		}
-	}
-	m.counts.Items += uint64(len(x.Items))
-	return x
-}
-
-// age is how long ago something was, in ms: at the most, whatever the rate of this clock. Never 0.
-func (m *Member) age(at time.Duration) uint32 {
-	d := float64(m.now-at) * (1 + m.s.Drift) / (1 - m.s.Drift)
-	return uint32(min(d/float64(time.Millisecond)+1, math.MaxUint32/2))
-}
-
-// take takes an answer to a question asked at a time: nothing in it is older than it says, plus the time since then.
-func (m *Member) take(asked time.Duration, x *Message) {
-	when := func(age uint32) time.Duration {
-		if age == 0 {
-			return 0
-		}
-		return max(1, asked-time.Duration(age)*time.Millisecond)
-	}
-	news := false
-	for n := range x.Items {
-		i := &x.Items[n]
-		s := m.servers[i.Server]
-		if s == nil || i.Start != s.Start || i.Origin == m.s.Name || i.Origin == "" || i.Age == 0 || !(i.OK >= 0 && i.Bad >= 0 && i.Said >= 0 && i.ElseOK >= 0 && i.ElseBad >= 0) {
-			continue
-		}
-		v := &voice{origin: i.Origin, life: i.Life, number: i.Number, start: i.Start, ok: float64(i.OK), bad: float64(i.Bad), said: float64(i.Said), elseOK: float64(i.ElseOK), elseBad: float64(i.ElseBad), run: i.Run,
-			made: when(i.Age), lastOK: when(i.LastOK), lastBad: when(i.LastBad), began: when(i.Began), streak: i.Streak, works: when(i.Works), since: i.Since, arrived: m.now}
-		if m.now-v.made > m.s.Age {
-			continue
-		}
-		was := s.open(m)
-		if m.hear(s, v) {
-			m.changed, s.dirty = true, true
-			// One failure is chance, as often as not: it is told to who asks. Two of a kind go round.
-			s.isHot = s.hot(m)
-			news = news || s.out && !v.fails() || v.accuses() && !s.out && s.isHot
-			if !was {
-				m.speak(s) // others are to hear what it is like from here
-			}
-		}
-	}
-	for _, d := range x.Drains {
-		s := m.servers[d.Server]
-		if at := when(d.Age); s != nil && s.Start == d.Start && d.State > Up && d.State <= Gone && m.now-at <= m.s.Drains && (s.drainAt == 0 || d.State > s.drain) {
-			s.drain, news, m.changed, s.dirty = max(s.drain, d.State), true, true, true
-			if s.drainAt == 0 || at < s.drainAt { // the earliest: it lapses by that
-				s.drainAt = at
-			}
-		}
-	}
-	if news {
-		m.news()
-	}
-}
--- a/internal/peer/verdicts/play/play.go
+++ b/internal/peer/verdicts/play/play.go
@@ -34,8 +34,15 @@
 	Say   func(now time.Duration, agent int, text string) // nil: nobody
 	Mute  bool                                            // servers that fail say nothing
 	Own   bool                                            // each keeps off by itself what failed lately
-	// Calls are the servers that an agent sends to; nil: all, empty: it sends nothing. Lists name all servers to all members either way.
+	// Calls are the servers that an agent sends to; nil: all, empty: it sends nothing.
 	Calls func(agent int) []int
+	// List is in which list a server stands; an agent reads those of the servers that it sends to. nil: one list, which
+	// all read.
+	List func(server int) string
+	// Place is where an agent, and the server of its number, stands. nil: all in one place, with servers in three zones.
+	Place func(n int) (region, zone string)
+	// First reports whether an agent's version speaks the first form of messages, and tells nothing of its lists. nil: none.
+	First func(agent int) bool
 	// Batch is how often an agent tells its member what it saw; 0: each request by itself. With it requests are drawn so many
 	// at a time, which is much faster at high rates.
 	Batch time.Duration
@@ -58,6 +65,9 @@
 	Asked, Spoilt  int             // requests, and those that failed by the server's own fault while it failed
 	Wrong          int             // verdicts of members about servers that did not fail
 	WrongFor       time.Duration   // how long, in sum
+	WrongAt        []int           // the members that had them
+	WrongElsewhere int             // of the wrong ones, those at members whose own link reaches the server, and has for as long as evidence lasts
+	OutAt          []int           // the members that had a failing server out, as Out
 	Out            []time.Duration // when each member had a failing server out, from when it began to fail
 	Back           []time.Duration // when each could use it again, from when it was well
 	Tries          int             // requests to failing servers by members that had been told
@@ -87,6 +97,7 @@
 	calls []int           // servers; nil: all
 	batch map[int]verdicts.Sight
 	list  []verdicts.Server // its own, once it differs from that of all
+	reads map[string][]verdicts.Server
 }
 
 type world struct {
@@ -107,28 +118,48 @@
 // Play plays it to its end.
 func Play(o Options) (*Result, error) {
 	w := &world{o: o, rng: rand.New(rand.NewPCG(o.Seed, 41)), began: make([]time.Duration, o.Servers), well: make([]time.Duration, o.Servers), sent: make([][]time.Duration, o.Servers)}
-	var names []string
-	for n := range o.Agents {
-		names = append(names, name(n))
-	}
 	var list []verdicts.Server
+	lists := map[string][]verdicts.Server{}
 	for s := range o.Servers {
-		list = append(list, verdicts.Server{ID: serverID(s), Start: 1, Zone: fmt.Sprint(s % 3), Pod: s % 4})
+		one := verdicts.Server{ID: serverID(s), Start: 1, Zone: fmt.Sprint(s % 3), Pod: s % 4}
+		if o.Place != nil {
+			_, one.Zone = o.Place(s)
+		}
+		list = append(list, one)
+		lists[w.listOf(s)] = append(lists[w.listOf(s)], one)
 	}
+	peers := make([]verdicts.Peer, o.Agents)
 	for n := range o.Agents {
 		a := &agent{n: n, out: map[string]time.Duration{}, off: make([]time.Duration, o.Servers), times: make([]int, o.Servers), begin: make([]time.Duration, o.Servers), since: make([]time.Duration, o.Servers)}
+		if o.Calls != nil {
+			a.calls = o.Calls(n)
+		}
+		a.reads = lists
+		if o.List != nil && a.calls != nil {
+			a.reads = map[string][]verdicts.Server{}
+			for _, s := range a.calls {
+				a.reads[o.List(s)] = lists[o.List(s)]
+			}
+		}
+		if o.Place != nil {
+			peers[n].Region, peers[n].Zone = o.Place(n)
+		}
+		first := o.First != nil && o.First(n)
+		if !first {
+			peers[n].Lists = verdicts.FilterOf(slices.Sorted(maps.Keys(a.reads)))
+		}
+		w.agents = append(w.agents, a)
 		if o.Share {
-			m, err := verdicts.New(verdicts.Settings{Name: name(n), Life: 1}, w.rng.Uint64())
+			s := verdicts.Settings{Name: name(n), Life: 1}
+			if first {
+				s.Form = 1
+			}
+			m, err := verdicts.New(s, w.rng.Uint64())
 			if err != nil {
 				return nil, err
 			}
 			a.m = m
-			w.step(a, verdicts.Listed{Source: "main", Servers: list}, verdicts.Members{Names: names})
 		}
-		if o.Calls != nil {
-			a.calls = o.Calls(n)
-		}
-		w.agents = append(w.agents, a)
 		if a.calls != nil && len(a.calls) == 0 {
 			continue // it calls nobody
 		}
@@ -139,6 +170,16 @@
 			w.arrive(a)
 		}
 	}
+	if o.Share {
+		all := members(peers)
+		for _, a := range w.agents {
+			events := []verdicts.Event{all}
+			for _, l := range slices.Sorted(maps.Keys(a.reads)) {
+				events = append(events, verdicts.Listed{Source: l, Servers: a.reads[l]})
+			}
+			w.step(a, events...)
+		}
+	}
 	for _, d := range o.Drains {
 		for _, a := range w.agents {
 			at := d.At + time.Duration(w.rng.Float64()*float64(time.Second))
@@ -161,6 +202,28 @@
 	return &w.r, nil
 }
 
+// listOf is in which list a server stands.
+func (w *world) listOf(server int) string {
+	if w.o.List == nil {
+		return "main"
+	}
+	return w.o.List(server)
+}
+
+// members are all, in the order of their names, as the view tells them.
+func members(peers []verdicts.Peer) verdicts.Members {
+	order := make([]int, len(peers))
+	for n := range order {
+		order[n] = n
+	}
+	slices.SortFunc(order, func(a, b int) int { return strings.Compare(name(a), name(b)) })
+	var e verdicts.Members
+	for _, n := range order {
+		e.Names, e.Peers = append(e.Names, name(n)), append(e.Peers, peers[n])
+	}
+	return e
+}
+
 func (w *world) at(t time.Duration, do func()) {
 	w.agenda.At(max(t, w.now), do)
 }
@@ -242,8 +305,13 @@
 			a.since[s] = w.now
 			if w.began[s] > 0 {
 				w.r.Out = append(w.r.Out, w.now-w.began[s])
+				w.r.OutAt = append(w.r.OutAt, a.n)
 			} else if w.well[s] == 0 || w.now-w.well[s] > verdicts.Age {
 				w.r.Wrong++
+				w.r.WrongAt = append(w.r.WrongAt, a.n)
+				if !w.unreached(a.n, s) {
+					w.r.WrongElsewhere++
+				}
 				a.begin[s] = w.now
 			}
 		case was && !is:
@@ -260,6 +328,16 @@
 	a.out = out
 }
 
+// unreached reports whether an agent's link to a server loses all, or did lately.
+func (w *world) unreached(agent, server int) bool {
+	for ago := time.Duration(0); ago <= verdicts.Age && ago <= w.now; ago += time.Second {
+		if w.o.Link(agent, server, w.now-ago) >= 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // arrive brings an agent its requests.
 func (w *world) arrive(a *agent) {
 	w.at(w.now+time.Duration(w.rng.ExpFloat64()/w.o.Rate*float64(time.Second)), func() {
@@ -296,7 +374,17 @@
 		a.list = slices.Clone(first)
 	}
 	a.list[server].State = state
-	w.step(a, verdicts.Listed{Source: "main", Servers: a.list})
+	l := w.listOf(server)
+	if a.reads[l] == nil {
+		return
+	}
+	var all []verdicts.Server
+	for s, one := range a.list {
+		if w.listOf(s) == l {
+			all = append(all, one)
+		}
+	}
+	w.step(a, verdicts.Listed{Source: l, Servers: all})
 }
 
 // pick is a server by chance.
--- a/internal/peer/verdicts/verdicts.go
+++ b/internal/peer/verdicts/verdicts.go
@@ -7,6 +7,9 @@
 // says plus the time since the question, however long the network kept it. So evidence is never younger than it
 // seems, and acts nowhere past its age.
 //
+// It goes to those that read the server's list (concern.go). What may be chance goes to three of these, who tell a burst
+// from what fails on any day (chance.go); what stands out goes round among all of them (answer.go).
+//
 // A verdict (court.go) needs several voices of members that fare better elsewhere: one whose own link is broken sees
 // all servers fail, and accuses none. Voices to whom the server answered meanwhile speak for it. No more than a share
 // of a zone's or a pod's servers are out by verdict, the worst first. One that is out is tried by a few members alone,
@@ -34,6 +37,7 @@
 	Share  float64       // of a zone's or pod's servers that may be out by verdict; default Share
 	Drift  float64       // by which rates of clocks may differ; default Drift
 	Bytes  int           // a second, sent to others; default Bytes
+	Form   uint8         // of its messages; default 2. 1 is how versions spoke that told all to all: for trials of mixed fleets
 }
 
 // Defaults, each with where it comes from.
@@ -46,26 +50,28 @@
 	Drift  = 0.01
 	Bytes  = 24 << 10
 
-	fan        = 2                     // members asked at a time
-	pokes      = 3                     // members told that there is news
-	pokeGap    = 50 * time.Millisecond // between two such
-	alertLasts = time.Second
-	freshFor   = 3 * time.Second        // one member's bad luck is passed on for so long
-	askGap     = 20 * time.Millisecond  // between two questions that were hurried
-	aboutMost  = 8                      // servers that a question is about
-	witnesses  = 8                      // members asked about one that is suspected
-	endsKept   = 16                     // ends of own requests, by which it is known whether the link works
-	speakEach  = 500 * time.Millisecond // between two looks at what this member itself would say
-	logMost    = 64                     // voices that came last are kept, to be told on first
-	itemsMost  = 16                     // in an answer: with names of 64 bytes it fits a datagram of 2,000
-	voicesMost = 12                     // kept against a server, and as many for it
-	serverMost = 4096                   // of which evidence is kept
-	fades      = 10 * time.Second       // evidence counts for so long, about
-	moreGap    = 100 * time.Millisecond // before who had more to say is asked again
-	easeMost   = 400 * time.Millisecond // while there is always news: between two pokes, or two questions for them
-	easeOver   = 2 * time.Second
-	judgeGap   = 20 * time.Millisecond // between two looks at all that has changed
-	askLasts   = 3 * time.Second       // an answer later than that is not waited for
+	fan           = 2                     // members asked at a time
+	pokes         = 3                     // members told that there is news
+	pokeGap       = 50 * time.Millisecond // between two such
+	alertLasts    = time.Second
+	askGap        = 20 * time.Millisecond  // between two questions that were hurried
+	freshFor      = 3 * time.Second        // one member's bad luck is passed on for so long, by members of the first form
+	aboutMost     = 8                      // servers that a question is about
+	witnesses     = 8                      // members asked about one that is suspected
+	witnessesMute = 16                     // and where the server said nothing to those that accuse it
+	endsKept      = 16                     // ends of own requests, by which it is known whether the link works
+	speakEach     = 500 * time.Millisecond // between two looks at what this member itself would say
+	logMost       = 64                     // voices that came last are kept, to be told on first
+	itemsMost     = 16                     // in an answer: with names of 64 bytes it fits a datagram of 2,000
+	voicesMost    = 12                     // kept against a server, and as many for it
+	serverMost    = 4096                   // of which evidence is kept
+	fades         = 10 * time.Second       // evidence counts for so long, about
+	moreGap       = 100 * time.Millisecond // before who had more to say is asked again
+	easeMost      = 400 * time.Millisecond // while there is always news: between two pokes, or two questions for them
+	easeOver      = 2 * time.Second
+	form          = 2                     // of messages; the first form asked about each failure
+	judgeGap      = 20 * time.Millisecond // between two looks at all that has changed
+	askLasts      = 3 * time.Second       // an answer later than that is not waited for
 )
 
 // Server is one of a list's.
@@ -106,7 +112,11 @@
 	// Seen are sights.
 	Seen struct{ All []Sight }
 	// Members are the names of those alive, this one included, in order.
-	Members struct{ Names []string }
+	Members struct {
+		Names []string
+		Peers []Peer // of each name, in the same order; empty: nothing is known of any
+		Lost  []Peer // those that are not heard any more, since not long ago: their places count, as a cut may be what took them
+	}
 	// Heard is a message of another member.
 	Heard struct {
 		From    string
@@ -154,7 +164,9 @@
 	Items  []Item  `cbor:"4,keyasint,omitempty"`
 	Drains []Drain `cbor:"5,keyasint,omitempty"`
 	More   int     `cbor:"6,keyasint,omitempty"` // 1: there is more than fits
-	About  []Life  `cbor:"7,keyasint,omitempty"` // of a question: what you saw of these yourself, whatever it is
+	About  []Life  `cbor:"7,keyasint,omitempty"` // of a question: what you saw of these yourself, whatever it is; of a poke: what it is about
+	Form   uint8   `cbor:"8,keyasint,omitempty"` // of the sender's messages; 0: the first
+	Own    bool    `cbor:"9,keyasint,omitempty"` // of a question: no other member's evidence is wanted
 }
 
 // Life is one process of a server.
@@ -163,6 +175,12 @@
 	Start  int64  `cbor:"2,keyasint,omitempty"`
 }
 
+// question is one that was asked, and not answered yet.
+type question struct {
+	at    time.Duration
+	about []Life
+}
+
 // Member is one member's part. One goroutine owns it.
 type Member struct {
 	s                 Settings
@@ -170,13 +188,18 @@
 	now               time.Duration
 	actions           []Action
 	servers           map[string]*server
-	order             []string // of servers
+	order             []string          // of servers
+	live              []*server         // those about which something is said, or that are to be looked at, by ID
+	background        map[string]*tally // by source: what own agents saw of all its servers, faded slowly
 	sources           map[string][]string
 	names             []string // members alive
-	named             int      // grows with each change of them
-	asked             map[uint64]time.Duration
+	lost              []Peer
+	peers             []Peer                  // of each; nil: nothing is known
+	subs              map[string]*subscribers // by list
+	reads             []string                // lists, in order
+	named             int                     // grows with each change of them
+	asked             map[uint64]question
 	way               time.Duration // a question and its answer take so long
-	answers           int           // so far
 	seq               uint64
 	number            uint32
 	askAt             time.Duration
@@ -197,7 +220,9 @@
 	pokeWait, askWait easing
 	spentAt           time.Duration
 	counts            Counts
-	ups               []int // servers up, by number of their zone or pod
+	ups               []int         // servers up, by number of their zone or pod
+	lones             int           // asked about lone failures ...
+	lonesAt           time.Duration // ... since then
 }
 
 // Counts are of a member's life.
@@ -210,11 +235,12 @@
 // New returns a member that knows nothing.
 func New(s Settings, seed uint64) (*Member, error) {
 	s.Alert, s.Rest, s.Age, s.Drains = cmp.Or(s.Alert, Alert), cmp.Or(s.Rest, Rest), cmp.Or(s.Age, Age), cmp.Or(s.Drains, Drains)
+	s.Form = cmp.Or(s.Form, form)
 	s.Share, s.Drift, s.Bytes = cmp.Or(s.Share, Share), cmp.Or(s.Drift, Drift), cmp.Or(s.Bytes, Bytes)
-	if s.Name == "" || s.Alert <= 0 || s.Rest < s.Alert || s.Age < 4*s.Alert || s.Share < 0 || s.Share > 1 || s.Drift < 0 || s.Drift > 0.5 || s.Bytes < 4096 {
-		return nil, fmt.Errorf("verdicts: name %q, alert %v, rest %v, age %v, share %v, drift %v, bytes %d make no sense", s.Name, s.Alert, s.Rest, s.Age, s.Share, s.Drift, s.Bytes)
+	if s.Name == "" || s.Alert <= 0 || s.Rest < s.Alert || s.Age < 4*s.Alert || s.Share < 0 || s.Share > 1 || s.Drift < 0 || s.Drift > 0.5 || s.Bytes < 4096 || s.Form > form {
+		return nil, fmt.Errorf("verdicts: name %q, alert %v, rest %v, age %v, share %v, drift %v, bytes %d, form %d make no sense", s.Name, s.Alert, s.Rest, s.Age, s.Share, s.Drift, s.Bytes, s.Form)
 	}
-	return &Member{s: s, rng: rand.New(rand.NewPCG(seed, 31)), servers: map[string]*server{}, sources: map[string][]string{}, asked: map[uint64]time.Duration{}, names: []string{s.Name}, named: 1}, nil
+	return &Member{s: s, rng: rand.New(rand.NewPCG(seed, 31)), servers: map[string]*server{}, background: map[string]*tally{}, subs: map[string]*subscribers{}, sources: map[string][]string{}, asked: map[uint64]question{}, names: []string{s.Name}, named: 1}, nil
 }
 
 // Next is when Step is to be called at the latest.
@@ -244,9 +270,10 @@
 		case Seen:
 			m.onSeen(e)
 		case Members:
-			if !slices.Equal(m.names, e.Names) {
-				m.names, m.changed = e.Names, true
-				m.named++
+			if m.onMembers(e) {
+				for _, s := range m.live {
+					m.touch(s)
+				}
 			}
 		case Heard:
 			m.onHeard(e)
@@ -259,7 +286,7 @@
 		m.judge()
 	}
 	if m.pokeAt > 0 && m.now >= m.pokeAt {
-		m.poke()
+		m.poke(m.subject())
 	}
 	if m.now >= m.askAt {
 		m.ask()
@@ -269,8 +296,27 @@
 
 func (m *Member) do(a Action) { m.actions = append(m.actions, a) }
 
+// touch has a server looked at.
+func (m *Member) touch(s *server) {
+	m.changed, s.dirty = true, true
+	m.enliven(s)
+}
+
+// enliven puts a server among those that are gone through. judge takes it from there.
+func (m *Member) enliven(s *server) {
+	if s.live {
+		return
+	}
+	s.live = true
+	at, _ := slices.BinarySearchFunc(m.live, s.ID, func(o *server, id string) int { return cmp.Compare(o.ID, id) })
+	m.live = slices.Insert(m.live, at, s)
+}
+
 // send sends a message of about so many bytes, unless too much was sent lately.
 func (m *Member) send(to string, x *Message) {
+	if m.s.Form > 1 {
+		x.Form = m.s.Form
+	}
 	size := float64(40 + 64*len(x.Items) + 32*len(x.Drains) + 24*len(x.About))
 	if m.budget < size {
 		m.counts.Held++
@@ -280,20 +326,6 @@
 	m.do(Send{to, x})
 }
 
-// others are some members alive besides this one, by chance.
-func (m *Member) others(n int) []string {
-	var all []string
-	for range min(4*n, 4*len(m.names)) {
-		if len(all) == n {
-			break
-		}
-		if o := m.names[m.rng.IntN(len(m.names))]; o != m.s.Name && !slices.Contains(all, o) {
-			all = append(all, o)
-		}
-	}
-	return all
-}
-
 // alert reports whether there may be something new to be known.
 func (m *Member) alert() bool { return m.newsAt > 0 && m.now-m.newsAt < alertLasts }
 
@@ -304,32 +336,35 @@
 		n, wait = fan, m.s.Alert
 	}
 	m.askAt = m.now + time.Duration((0.75+0.5*m.rng.Float64())*float64(wait))
-	m.question(m.others(n), m.suspects())
-	for seq, at := range m.asked {
-		if m.now-at > askLasts {
+	of := m.subject()
+	m.question(m.others(n, of), m.suspects(of))
+	for seq, q := range m.asked {
+		if m.now-q.at > askLasts {
 			delete(m.asked, seq)
 		}
 	}
 }
 
-// suspects are servers of which evidence is wanted.
-func (m *Member) suspects() []Life {
+// suspects are servers of a list of which evidence is wanted.
+func (m *Member) suspects(source string) []Life {
 	var all []Life
-	for _, id := range m.order {
-		if s := m.servers[id]; s.suspected > 0 && len(all) < aboutMost {
-			all = append(all, Life{id, s.Start})
+	for _, s := range m.live {
+		if s.suspected > 0 && (s.source == source || m.s.Form == 1) && len(all) < aboutMost {
+			all = append(all, Life{s.ID, s.Start})
 		}
 	}
 	return all
 }
 
-func (m *Member) question(who []string, about []Life) {
+func (m *Member) question(who []string, about []Life) { m.questionOf(who, &Message{About: about}) }
+
+func (m *Member) questionOf(who []string, x *Message) {
 	for _, to := range who {
 		m.seq++
-		m.asked[m.seq] = m.now
+		m.asked[m.seq] = question{m.now, x.About}
 		m.lastAsk = m.now
 		m.counts.Asked++
-		m.send(to, &Message{Ask: m.seq, About: about})
+		m.send(to, &Message{Ask: m.seq, About: x.About, Own: x.Own})
 	}
 }
 
@@ -341,9 +376,10 @@
 	}
 }
 
-func (m *Member) poke() {
+// poke tells some of those that read a list.
+func (m *Member) poke(source string) {
 	m.pokeAt, m.poked = 0, m.now
-	for _, to := range m.others(pokes) {
+	for _, to := range m.others(pokes, source) {
 		m.send(to, &Message{Poke: true})
 	}
 }
@@ -371,19 +407,32 @@
 	if x == nil || e.From == m.s.Name {
 		return
 	}
-	if x.Poke && m.now-m.lastAsk >= m.askWait.of(m.now, askGap) {
+	switch {
+	case x.Poke && len(x.About) > 0 && m.s.Form > 1:
+		m.onLone(e.From, x.About)
+	case x.Poke && m.now-m.lastAsk >= m.askWait.of(m.now, askGap):
 		m.askWait.next(m.now, askGap)
 		m.question([]string{e.From}, nil)
 	}
 	if x.Ask > 0 {
 		m.counts.Answered++
-		m.send(e.From, m.answer(x.Ask, x.About))
+		m.send(e.From, m.answer(e.From, x))
 	}
-	if at, ok := m.asked[x.Answer]; ok && x.Answer > 0 {
+	if q, ok := m.asked[x.Answer]; ok && x.Answer > 0 {
 		delete(m.asked, x.Answer)
-		m.way = max(m.now-at, m.way-m.way/16) // the longest lately
-		m.answers++
-		m.take(at, x)
+		m.way = max(m.now-q.at, m.way-m.way/16) // the longest lately
+		m.take(q.at, x)
+		for _, l := range q.about {
+			s := m.servers[l.Server]
+			if s != nil && s.suspected > 0 && !s.silent && !slices.Contains(s.answered, e.From) {
+				s.answered = append(s.answered, e.From) // whatever it says is heard with the rest
+			}
+			for n := range x.Items {
+				if i := &x.Items[n]; s != nil && s.suspected > 0 && s.silent && i.Server == s.ID && i.Start == s.Start && i.Origin == e.From && i.Age > 0 {
+					s.heardWitness(e.From, when(q.at, i.Age), when(q.at, i.LastOK))
+				}
+			}
+		}
 		if x.More > 0 && m.now-m.lastAsk >= moreGap {
 			m.question([]string{e.From}, nil)
 		}
--- a/internal/peer/verdicts/verdicts_test.go
+++ b/internal/peer/verdicts/verdicts_test.go
@@ -26,7 +26,7 @@
 	for i := range 8 {
 		list = append(list, Server{ID: fmt.Sprint("s", i), Start: 7, Zone: "z", Pod: i % 2})
 	}
-	b.step(Listed{"main", list}, Members{[]string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}})
+	b.step(Listed{"main", list}, Members{Names: []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}})
 	return b
 }
 
--- a/tools/capacity/shared.go
+++ b/tools/capacity/shared.go
@@ -93,14 +93,19 @@
 	return phases[1], nil
 }
 
+// settled has a run measured once holders have counted what fails by chance.
+func settled(v *hollow.Verdicts) {
+	v.Marks, v.Length = []time.Duration{20 * time.Second}, 25*time.Second
+}
+
 func verdictsRest(sizes []int, f *flags) ([]slopes.Slope, error) {
 	f.head()
 	var all []slopes.Slope
 	for _, rate := range []float64{1, callsEach} {
-		s := f.series("verdicts", "rest", "agents", fmt.Sprintf("%v requests a second of each, 0.1%% fail by chance, %s", rate, apart.name))
+		s := f.series("verdicts", "rest", "agents", fmt.Sprintf("%v requests a second of each, 0.1%% fail by chance, from 20 s on, %s", rate, apart.name))
 		for _, n := range sizes {
 			began := time.Now()
-			p, err := verdictsRun(n, rate, f, nil)
+			p, err := verdictsRun(n, rate, f, settled)
 			if err != nil {
 				return nil, err
 			}
@@ -115,10 +120,10 @@
 func verdictsRate(sizes []int, f *flags) ([]slopes.Slope, error) {
 	f.head()
 	n := sizes[max(0, len(sizes)-2)]
-	s := f.series("verdicts", "rest", "calls_per_s", fmt.Sprintf("%d agents, 0.1%% fail by chance, %s", n, apart.name))
+	s := f.series("verdicts", "rest", "calls_per_s", fmt.Sprintf("%d agents, 0.1%% fail by chance, from 20 s on, %s", n, apart.name))
 	for _, rate := range []float64{1, 10, 40, callsEach} {
 		began := time.Now()
-		p, err := verdictsRun(n, rate, f, nil)
+		p, err := verdictsRun(n, rate, f, settled)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/tools/verdicts/found.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"vetchhaven/internal/peer/verdicts/play"
+	"vetchhaven/tools/internal/bench"
+)
+
+// found is how soon members find a server that fails, over so many seeds: 24 agents at 10 requests a second of each, 8
+// servers, 0.5% of all requests failing by chance.
+func found(seeds int) error {
+	const agents, servers, begins, ends, length = 24, 8, 10 * time.Second, 22 * time.Second, 40 * time.Second
+	bench.Head("a server", "seeds", "out at, of 24, mean", "the first, mean", "the thirteenth, mean", "the seventeenth, worst", "wrong verdicts", "requests spoilt", "bytes a second of each")
+	for _, c := range []struct {
+		name  string
+		share float64
+		lost  float64
+		mute  bool
+	}{{"fails outright", 1, 0, false}, {"fails a third", 0.33, 0, false}, {"fails outright, half of news is lost", 1, 0.5, false}, {"says nothing", 1, 0, true}} {
+		n, first, middle, worst, wrong, spoilt, bytes := 0, time.Duration(0), time.Duration(0), time.Duration(0), 0, 0, 0
+		for seed := range seeds {
+			late := time.Duration(0)
+			if c.lost > 0 {
+				late = 20 * time.Millisecond
+			}
+			r, err := play.Play(play.Options{Seed: 100 + uint64(seed), Agents: agents, Servers: servers, Rate: 10, Error: 0.005, Own: true, Share: true, Length: length, Mute: c.mute,
+				Fails: func(s int, now time.Duration) float64 {
+					if s == 3 && now >= begins && now < ends {
+						return c.share
+					}
+					return 0
+				},
+				Link:  func(int, int, time.Duration) float64 { return 0 },
+				Peers: func(int, int, time.Duration) (float64, time.Duration) { return c.lost, late }})
+			if err != nil {
+				return err
+			}
+			slices.Sort(r.Out)
+			n, wrong, spoilt, bytes = n+len(r.Out), wrong+r.Wrong, spoilt+r.Spoilt, bytes+r.Bytes
+			if len(r.Out) > 16 {
+				first, middle, worst = first+r.Out[0], middle+r.Out[12], max(worst, r.Out[16])
+			} else {
+				worst = length
+			}
+		}
+		k := time.Duration(seeds)
+		bench.Row(c.name, seeds, fmt.Sprintf("%.1f", float64(n)/float64(seeds)), (first / k).Round(10*time.Millisecond), (middle / k).Round(10*time.Millisecond), worst.Round(10*time.Millisecond), wrong, spoilt,
+			fmt.Sprintf("%.0f", float64(bytes)/float64(seeds)/agents/length.Seconds()))
+	}
+	return nil
+}
--- a/tools/verdicts/main.go
+++ b/tools/verdicts/main.go
@@ -1,7 +1,8 @@
 // Command verdicts measures what it is worth that agents judge servers together. It prints Markdown.
 //
-//	go run ./tools/verdicts worth [-seeds 1] [-agents 300]   requests spoilt until all keep off, beside other ways
+//	go run ./tools/verdicts worth [-seeds 1] [-agents 300] [-only verdicts] [-rate 10] [-fault silent]   requests spoilt until all keep off, beside other ways
 //	go run ./tools/verdicts links [-days 100]                 wrong verdicts under random faults of links
+//	go run ./tools/verdicts found [-seeds 12]                 how soon a failing server is out
 //	go run ./tools/verdicts bytes                             messages and time of an agent, by size of the fleet
 package main
 
@@ -27,14 +28,17 @@
 func main() {
 	f := flag.NewFlagSet("verdicts", flag.ExitOnError)
 	seeds, agents, days := f.Int("seeds", 1, "days of each kind"), f.Int("agents", 300, "agents"), f.Int("days", 100, "days of a minute")
+	befalls := f.String("fault", "", "of worth: the faults with this in their name; empty: all")
+	only, rate := f.String("only", "", "of worth: the ways with this in their name; empty: all"), f.Float64("rate", 0, "of worth: this many requests a second of each; 0: 1 and 10")
 	bench.Main(f,
-		bench.Job{Name: "worth", Run: func() error { return worth(*seeds, *agents) }},
+		bench.Job{Name: "worth", Run: func() error { return worth(*seeds, *agents, *only, *befalls, *rate) }},
 		bench.Job{Name: "links", Run: func() error {
 			if os.Getenv("WHY") != "" {
 				why = func(s string) { fmt.Fprintln(os.Stderr, s) }
 			}
 			return links(*days)
 		}},
+		bench.Job{Name: "found", Run: func() error { return found(*seeds) }},
 		bench.Job{Name: "bytes", Run: bytes})
 }
 
@@ -93,7 +97,7 @@
 	bytes          float64
 }
 
-func worth(seeds, agents int) error {
+func worth(seeds, agents int, only, befalls string, just float64) error {
 	base, err := scenario.Load("scenarios/fleet-calm.toml")
 	if err != nil {
 		return err
@@ -121,8 +125,14 @@
 	var cells []cell
 	var jobs []func() (outcome, error)
 	for _, rate := range []float64{1, 10} {
+		if just != 0 && just != rate {
+			continue
+		}
 		for _, f := range faults {
 			for _, way := range ways {
+				if !strings.Contains(way, only) || !strings.Contains(f.name, befalls) {
+					continue
+				}
 				cells = append(cells, cell{f, rate, way})
 				jobs = append(jobs, func() (outcome, error) {
 					var sum outcome
