--- a/internal/drill/hollow/shared_test.go
+++ b/internal/drill/hollow/shared_test.go
@@ -45,6 +45,27 @@
 	}
 }
 
+// On a drawn graph, where more agents also call more, twice the fleet costs an agent less than twice, from the start.
+func TestWhatVerdictsCostGrowsSlowerThanTheFleet(t *testing.T) {
+	drawn := func(agents int) Phase {
+		g, err := DrawGraph(GraphSpec{Agents: agents, Seed: 3})
+		if err != nil {
+			t.Fatal(err)
+		}
+		v := Verdicts{Seed: 3, Graph: g, Rate: 40, Error: 0.001, Marks: []time.Duration{time.Second}, Length: 4 * time.Second}
+		phases, _, err := v.Play()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return phases[1]
+	}
+	small, large := drawn(40), drawn(80)
+	t.Logf("%.0f and %.0f bytes a second", small.Out.Bytes, large.Out.Bytes)
+	if r := large.Out.Bytes / small.Out.Bytes; r > 2 {
+		t.Errorf("80 agents send %.0f bytes a second each, 40 send %.0f", large.Out.Bytes, small.Out.Bytes)
+	}
+}
+
 func ofLimits(t *testing.T, members int) (holder, keeper Phase) {
 	t.Helper()
 	l := Limits{Seed: 3, Members: members, Rate: 8, Marks: []time.Duration{5 * time.Second}, Length: 7 * time.Second}
