Comments: leftApart counts double jitters; a test named for remaining time

No change of behaviour: the constant is in units of 2 x jitter, as lateTry divides by it, and its comment said widths. The test of late tries takes the field's term in its name; what it checks is as it was.

--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -62,8 +62,8 @@
 	overdueCost  = 3.0   // or this many times the expected latency, if that is later
 	lateSlow     = 3.0   // slowness that an overdue attempt counts for
 	leftJitter   = 0.004 // of the aim: remaining times of one length differ by so much, with no tick too
-	leftApart    = 8     // widths of it: a client's repeat seldom comes nearer to the usual length than that
-	leftSure     = 20    // votes from which that length is believed, and half of the most: ten tries of it
+	leftApart    = 8     // double jitters: a last try seldom comes nearer to the usual length
+	leftSure     = 20    // votes from which that length is believed, those of ten tries; half of the most
 	repeatValue  = 0.1   // value of a client's repeat against a first try: most of its aim has passed
 
 	reportEvery  = 50 * time.Millisecond // between two reports that something lacked a right
--- a/decide/balancer_test.go
+++ b/decide/balancer_test.go
@@ -1150,14 +1150,14 @@
 	}
 }
 
-// A try whose patience is cut short by the client's deadline is a late one: it
+// A try whose remaining time is cut short by the client's deadline is a late one: it
 // does not wait for room, where a first try does.
-func TestPatienceTellsLateTries(t *testing.T) {
+func TestRemainingTimeTellsLateTries(t *testing.T) {
 	r := newRig(t, settings(), 1, backends(1))
 	submit := func(id string, left time.Duration) []decide.Action {
 		return r.step(decide.Request{ID: id, Class: safe, Left: left})
 	}
-	for i := range 20 { // the usual patience, give or take
+	for i := range 20 { // the usual remaining time, give or take
 		submit(fmt.Sprint("f", i), 900*ms+time.Duration(i%3)*ms)
 	}
 	if got := final("first", submit("first", 899*ms)); got != "" {
