--- a/cmd/vetchhaven/policy.go
+++ b/cmd/vetchhaven/policy.go
@@ -6,10 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"os"
 	"os/user"
+	"path/filepath"
 	"slices"
 	"sort"
 	"strconv"
@@ -34,6 +36,7 @@
 		return c
 	}
 	var asJSON bool
+	var part string
 	show := add(&cobra.Command{Use: "show", Short: "Show the policy in force, and how a daemon stands towards it", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 		body, err := ask(config, http.MethodGet, "/policy", 10*time.Second)
 		if err != nil || asJSON {
@@ -44,52 +47,57 @@
 		if err := json.Unmarshal(body, &s); err != nil {
 			return exit{1, err}
 		}
-		showPolicy(&s, os.Stdout)
+		showPolicy(&s, part, os.Stdout)
 		return nil
 	}})
+	show.Flags().StringVar(&part, "part", "", "print this service's part, in place of the part for all")
 	show.Flags().BoolVar(&asJSON, "json", false, "all of it, as JSON")
-	add(&cobra.Command{Use: "check FILE", Short: "Check a policy against this daemon's file, and print what it would change", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
-		body, err := os.ReadFile(args[0])
+	check := add(&cobra.Command{Use: "check PATH", Short: "Check a policy, a service's part or a folder of parts against this daemon's file, and print what it would change", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+		texts, names, err := readParts(args[0], part)
 		if err != nil {
 			return exit{2, err}
 		}
-		if err := fleet.CheckPolicyFile(config, args[0], body); err != nil {
+		if err := fleet.CheckPolicy(config, texts, names); err != nil {
 			return exit{2, err}
 		}
 		if now, err := inForce(config); err == nil {
-			return printDiff(now.Body, string(body), os.Stdout)
+			_, _, err := changed(config, now, texts, os.Stdout)
+			return err
 		}
 		fmt.Println("it makes sense for this file; no daemon answers that could say what it would change")
 		return nil
 	}})
 	var f applyFlags
-	apply := add(&cobra.Command{Use: "apply FILE", Short: "Bring a policy into force at all daemons, or at none", Args: cobra.ExactArgs(1),
-		Long: "apply asks the fleet to decide by another policy, and waits until that is decided. It ends with status 0 where the policy\nis in force, 1 where it was dropped, by whom and why, and 2 where that is not known yet.",
+	apply := add(&cobra.Command{Use: "apply PATH", Short: "Bring a policy, a service's part or a folder of parts into force at all daemons that they concern, or at none", Args: cobra.ExactArgs(1),
+		Long: "apply asks the fleet to decide by another policy, and waits until that is decided. It ends with status 0 where the policy\nis in force, 1 where it was dropped, by whom and why, and 2 where that is not known yet.\nPATH is a file: the part for all, or with --part that of a service; or a folder with a file NAME.toml for each service\nand " + allFile + " for all: those that differ from what is in force are one change, in force all together or none.",
 		RunE: func(_ *cobra.Command, args []string) error {
-			body, err := os.ReadFile(args[0])
+			texts, names, err := readParts(args[0], part)
 			if err != nil {
 				return exit{2, err}
 			}
-			if err := fleet.CheckPolicyFile(config, args[0], body); err != nil {
+			if err := fleet.CheckPolicy(config, texts, names); err != nil {
 				return exit{2, err}
 			}
-			return applyPolicy(config, string(body), &f, os.Stdout)
+			return applyPolicy(config, texts, &f, os.Stdout)
 		}})
 	back := add(&cobra.Command{Use: "back N", Short: "Bring the text of an earlier policy into force, as a new one", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
 		n, err := strconv.ParseUint(args[0], 10, 64)
 		if err != nil || n == 0 {
 			return exit{2, fmt.Errorf("%q is no number of a policy", args[0])}
 		}
-		p, err := past(config, n)
+		p, err := past(config, part, n)
 		if err != nil {
 			return err
 		}
 		if p.Doc == nil {
-			return exit{2, fmt.Errorf("the text of policy %d is not kept any more", n)}
+			return exit{2, fmt.Errorf("the text of policy %d%s is not kept any more", n, ofPart(part))}
 		}
-		f.reason = cmp.Or(f.reason, fmt.Sprintf("back to policy %d", n))
-		return applyPolicy(config, string(p.Doc.Body), &f, os.Stdout)
+		f.reason = cmp.Or(f.reason, fmt.Sprintf("back to policy %d%s", n, ofPart(part)))
+		return applyPolicy(config, map[string]string{part: string(p.Doc.Body)}, &f, os.Stdout)
 	}})
+	for _, c := range []*cobra.Command{check, apply, back} {
+		c.Flags().StringVar(&part, "part", "", "the service whose part it is; without it the part for all")
+	}
 	for _, c := range []*cobra.Command{apply, back} {
 		c.Flags().StringVar(&f.reason, "reason", "", "why, for those who look later")
 		c.Flags().DurationVar(&f.wait, "wait", time.Minute, "for the decision, at the most; 0: not at all")
@@ -105,7 +113,7 @@
 		return await(config, args[0], 10*time.Second, os.Stdout)
 	}})
 	add(&cobra.Command{Use: "history", Short: "Show the last changes, and what became of them", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
-		p, err := past(config, 0)
+		p, err := past(config, "", 0)
 		if err != nil {
 			return err
 		}
@@ -162,8 +170,9 @@
 	return s, json.Unmarshal(body, s)
 }
 
-func past(config string, number uint64) (*policy.Past, error) {
-	body, err := ask(config, http.MethodGet, "/policy/past?number="+strconv.FormatUint(number, 10), 10*time.Second)
+// past are the last changes, and a part's text with a number; 0: of a service's part the one in force.
+func past(config, part string, number uint64) (*policy.Past, error) {
+	body, err := ask(config, http.MethodGet, "/policy/past?number="+strconv.FormatUint(number, 10)+"&part="+url.QueryEscape(part), 10*time.Second)
 	if err != nil {
 		return nil, err
 	}
@@ -174,19 +183,107 @@
 	return p, nil
 }
 
-func applyPolicy(config, body string, f *applyFlags, out io.Writer) error {
+// allFile is the part for all in a folder of parts.
+const allFile = "_all.toml"
+
+// readParts reads a file, which is a part's text, or a folder of them. Names are their files.
+func readParts(path, part string) (texts, names map[string]string, err error) {
+	texts, names = map[string]string{}, map[string]string{}
+	read := func(part, file string) error {
+		data, err := os.ReadFile(file)
+		texts[part], names[part] = string(data), file
+		return err
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	if !info.IsDir() {
+		return texts, names, read(part, path)
+	}
+	if part != "" {
+		return nil, nil, fmt.Errorf("%s is a folder, whose files name their parts: --part %s goes with a file", path, part)
+	}
+	files, err := os.ReadDir(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, f := range files {
+		name, ok := strings.CutSuffix(f.Name(), ".toml")
+		if !ok || name == "" || f.IsDir() || len(name) > policy.NameMost {
+			return nil, nil, fmt.Errorf("%s is no part of a policy: a folder of parts has files NAME.toml, one for each service, and %s", filepath.Join(path, f.Name()), allFile)
+		}
+		if f.Name() == allFile {
+			name = ""
+		}
+		if err := read(name, filepath.Join(path, f.Name())); err != nil {
+			return nil, nil, err
+		}
+	}
+	if len(texts) == 0 {
+		return nil, nil, fmt.Errorf("%s has no parts: a folder of parts has files NAME.toml, one for each service, and %s", path, allFile)
+	}
+	return texts, names, nil
+}
+
+// changed prints what texts change, and returns the numbers in force of which they are made. What changes nothing is left out,
+// unless all of it does.
+func changed(config string, now *fleet.ShownPolicy, texts map[string]string, out io.Writer) (differ map[string]string, bases map[string]uint64, err error) {
+	differ, bases = map[string]string{}, map[string]uint64{}
+	for _, part := range slices.Sorted(maps.Keys(texts)) {
+		was, number := now.Body, now.Force.Number
+		if part != "" && slices.Contains(now.Holds, part) {
+			was, number = now.Bodies[part], 0
+			if i := slices.IndexFunc(now.Parts, func(d policy.Doc) bool { return d.Part == part }); i >= 0 {
+				number = now.Parts[i].Number
+			}
+		} else if part != "" {
+			p, err := past(config, part, 0)
+			if err != nil {
+				return nil, nil, err
+			}
+			if was, number = "", 0; p.Doc != nil {
+				was, number = string(p.Doc.Body), p.Doc.Number
+			}
+		}
+		if len(texts) > 1 {
+			if was == texts[part] && number > 0 {
+				continue
+			}
+			fmt.Fprintf(out, "%s:\n", cmp.Or(part, "for all"))
+		}
+		if err := printDiff(was, texts[part], out); err != nil {
+			return nil, nil, err
+		}
+		differ[part], bases[part] = texts[part], number
+	}
+	if len(differ) == 0 {
+		fmt.Fprintln(out, "it changes nothing")
+	}
+	return differ, bases, nil
+}
+
+// ofPart is a part's name in a line for people.
+func ofPart(part string) string {
+	if part == "" {
+		return ""
+	}
+	return " of " + part
+}
+
+func applyPolicy(config string, texts map[string]string, f *applyFlags, out io.Writer) error {
 	now, err := inForce(config)
 	if err != nil {
 		return err
 	}
-	if err := printDiff(now.Body, body, out); err != nil {
+	texts, bases, err := changed(config, now, texts, out)
+	if err != nil || len(texts) == 0 {
 		return err
 	}
 	if len(now.Outside) > 0 {
 		fmt.Fprintf(out, "alive, and not in the roster: %s: the change is not theirs\n", strings.Join(now.Outside, ", "))
 	}
-	base := now.Force.Number
-	data, err := json.Marshal(fleet.PolicyChange{Body: body, Reason: f.reason, Author: who() + " at " + now.Name, Without: f.without, Base: &base})
+	data, err := json.Marshal(fleet.PolicyChange{Parts: texts, Bases: bases, Reason: f.reason, Author: who() + " at " + now.Name, Without: f.without})
 	if err != nil {
 		return exit{2, err}
 	}
@@ -216,7 +313,16 @@
 		}
 		switch f.State {
 		case "in force":
-			fmt.Fprintf(out, "policy %d is in force at all members (change %s)%s\n", f.Number, id, because(f.Why))
+			numbers := fmt.Sprint(f.Number)
+			for i, r := range f.Parts {
+				if i == 0 {
+					numbers = ""
+				} else {
+					numbers += ", "
+				}
+				numbers += fmt.Sprint(r.Number, ofPart(r.Part))
+			}
+			fmt.Fprintf(out, "policy %s is in force at all members that it concerns (change %s)%s\n", numbers, id, because(f.Why))
 			return nil
 		case "dropped":
 			return exit{1, fmt.Errorf("change %s was dropped by %s%s", id, cmp.Or(f.By, "the voters"), because(f.Why))}
@@ -239,7 +345,7 @@
 	return ": " + why
 }
 
-func showPolicy(s *fleet.ShownPolicy, out io.Writer) {
+func showPolicy(s *fleet.ShownPolicy, part string, out io.Writer) {
 	f := s.Force
 	if f.Number == 0 {
 		fmt.Fprintf(out, "no policy was agreed on yet: each daemon serves by its own file\n")
@@ -274,8 +380,18 @@
 	if s.Epoch > 0 {
 		fmt.Fprintf(out, "rescued %d times\n", s.Epoch)
 	}
-	if s.Body != "" {
-		fmt.Fprintf(out, "\n%s\n", strings.TrimSpace(s.Body))
+	for _, d := range s.Parts {
+		fmt.Fprintf(out, "%s: policy %d, change %s, by %s on %s: %s (digest %s)\n", d.Part, d.Number, d.ID, d.Author, time.UnixMilli(d.At).Format(time.DateTime), d.Reason, d.Digest)
+	}
+	if len(s.Unheld) > 0 {
+		fmt.Fprintf(out, "parts that are not known yet, whose requests are turned away: %s\n", strings.Join(s.Unheld, ", "))
+	}
+	body := s.Body
+	if part != "" {
+		body = s.Bodies[part]
+	}
+	if body != "" {
+		fmt.Fprintf(out, "\n%s\n", strings.TrimSpace(body))
 	}
 }
 
@@ -285,7 +401,7 @@
 	for _, e := range p.All {
 		number, became := "", "dropped by "+cmp.Or(e.By, "the voters")
 		if e.InForce {
-			number, became = strconv.FormatUint(e.Doc.Number, 10), "in force"
+			number, became = numbersOf(&e.Doc), "in force"
 			if len(e.Without) > 0 {
 				became += " without " + strings.Join(e.Without, ", ")
 			}
@@ -299,6 +415,15 @@
 	_ = w.Flush()
 }
 
+// numbersOf are a change's numbers, with the parts that they are of.
+func numbersOf(d *policy.Doc) string {
+	var all []string
+	for _, x := range d.Texts() {
+		all = append(all, fmt.Sprint(x.Number, ofPart(x.Part)))
+	}
+	return strings.Join(all, ", ")
+}
+
 // printDiff prints what a policy changes, by key.
 func printDiff(was, now string, out io.Writer) error {
 	a, err := keysOf(was)
--- a/cmd/vetchhaven/policy_test.go
+++ b/cmd/vetchhaven/policy_test.go
@@ -66,27 +66,27 @@
 	s.untilAnswers("new", http.StatusNotFound)
 	var out bytes.Buffer
 	flags := &applyFlags{reason: "a class more", wait: testkit.Patience}
-	if err := applyPolicy(s.path, aPolicy, flags, &out); err != nil || !strings.Contains(out.String(), "+ class[new].deadline = 60s") || !strings.Contains(out.String(), "policy 1 is in force") {
+	if err := applyPolicy(s.path, map[string]string{"": aPolicy}, flags, &out); err != nil || !strings.Contains(out.String(), "+ class[new].deadline = 60s") || !strings.Contains(out.String(), "policy 1 is in force") {
 		t.Fatalf("%v\n%s", err, out.String())
 	}
 	s.untilAnswers("new", http.StatusOK)
 	out.Reset()
-	if err := applyPolicy(s.path, aPolicy, flags, &out); err != nil || !strings.Contains(out.String(), "it was in force already") {
+	if err := applyPolicy(s.path, map[string]string{"": aPolicy}, flags, &out); err != nil || !strings.Contains(out.String(), "it was in force already") {
 		t.Errorf("the same once more: %v\n%s", err, out.String())
 	}
 	bad := strings.Replace(aPolicy, "5s", "90s", 1)
-	if err := applyPolicy(s.path, bad, flags, &out); statusOf(err) == 0 || !strings.Contains(err.Error(), "policy:4: class[0].aim") {
+	if err := applyPolicy(s.path, map[string]string{"": bad}, flags, &out); statusOf(err) == 0 || !strings.Contains(err.Error(), "policy:4: class[0].aim") {
 		t.Errorf("an aim past its deadline: %v", err)
 	}
-	if err := applyPolicy(s.path, strings.Replace(aPolicy, "new", "newer", 1), flags, &out); err != nil {
+	if err := applyPolicy(s.path, map[string]string{"": strings.Replace(aPolicy, "new", "newer", 1)}, flags, &out); err != nil {
 		t.Fatal(err)
 	}
 	s.untilAnswers("new", http.StatusNotFound)
-	p, err := past(s.path, 1)
+	p, err := past(s.path, "", 1)
 	if err != nil || p.Doc == nil || string(p.Doc.Body) != aPolicy || len(p.All) != 3 {
 		t.Fatalf("%v, %+v", err, p)
 	}
-	if err := applyPolicy(s.path, string(p.Doc.Body), flags, &out); err != nil {
+	if err := applyPolicy(s.path, map[string]string{"": string(p.Doc.Body)}, flags, &out); err != nil {
 		t.Fatal(err)
 	}
 	s.untilAnswers("new", http.StatusOK)
@@ -105,7 +105,7 @@
 		t.Fatalf("%v, %+v", err, now)
 	}
 	out.Reset()
-	showPolicy(now, &out)
+	showPolicy(now, "", &out)
 	showPast(p, &out)
 	for _, want := range []string{"policy 3", "a class more", "host-1 serves by the policy in force", "votes: leads", "roster: host-1", "in force"} {
 		if !strings.Contains(out.String(), want) {
@@ -119,7 +119,7 @@
 	s := agreeing(t, "")
 	s.untilAnswers("get", http.StatusOK)
 	var out bytes.Buffer
-	if err := applyPolicy(s.path, aPolicy, &applyFlags{wait: testkit.Patience}, &out); err != nil {
+	if err := applyPolicy(s.path, map[string]string{"": aPolicy}, &applyFlags{wait: testkit.Patience}, &out); err != nil {
 		t.Fatal(err)
 	}
 	s.untilAnswers("new", http.StatusOK)
@@ -164,7 +164,124 @@
 	dir := t.TempDir()
 	path := filepath.Join(dir, "fleet.toml")
 	write(t, path, fmt.Sprintf(fleetFile, dir, "127.0.0.1:1"))
-	if err := fleet.CheckPolicyFile(path, "new.toml", []byte("[rules]\nspeed = 1\n")); err == nil || !strings.Contains(err.Error(), "new.toml:2: rules.speed") {
+	if err := fleet.CheckPolicy(path, map[string]string{"": "[rules]\nspeed = 1\n"}, map[string]string{"": "new.toml"}); err == nil || !strings.Contains(err.Error(), "new.toml:2: rules.speed") {
 		t.Errorf("%v", err)
 	}
 }
+
+func classNamed(name string) string {
+	return "[[class]]\nname = \"" + name + "\"\nrepeats = \"safe\"\naim = \"5s\"\ndeadline = \"60s\"\n"
+}
+
+// A service's part by itself, a folder of parts as one change, what is shown of them, and one taken back; all of it holds over
+// a kill, and a reload by which the daemon comes to hold another part.
+func TestPartsOfServicesAreAppliedShownAndTakenBack(t *testing.T) {
+	s := agreeing(t, "")
+	s.untilAnswers("get", http.StatusOK)
+	s.untilAnswers("new", http.StatusNotFound)
+	var out bytes.Buffer
+	flags := &applyFlags{reason: "a class more", wait: testkit.Patience}
+	if err := applyPolicy(s.path, map[string]string{"main": classNamed("new")}, flags, &out); err != nil || !strings.Contains(out.String(), "+ class[new].deadline = 60s") || !strings.Contains(out.String(), "policy 1 of main is in force") {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	s.untilAnswers("new", http.StatusOK)
+	s.untilAnswers("get", http.StatusOK)
+	dir := t.TempDir()
+	write(t, filepath.Join(dir, allFile), classNamed("look"))
+	write(t, filepath.Join(dir, "main.toml"), classNamed("newer"))
+	write(t, filepath.Join(dir, "far.toml"), "[[ban]]\nserver = \"s1\"\n")
+	texts, names, err := readParts(dir, "")
+	if err != nil || len(texts) != 3 || texts["main"] != classNamed("newer") || names[""] != filepath.Join(dir, allFile) {
+		t.Fatalf("%v, %v", err, names)
+	}
+	out.Reset()
+	if err := applyPolicy(s.path, texts, flags, &out); err != nil || !strings.Contains(out.String(), "for all:\n+ class[look]") || !strings.Contains(out.String(), "main:\n- class[new]") {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	s.untilAnswers("newer", http.StatusOK)
+	s.untilAnswers("look", http.StatusOK)
+	s.untilAnswers("new", http.StatusNotFound)
+	s.untilAnswers("get", http.StatusNotFound)
+	out.Reset()
+	if err := applyPolicy(s.path, texts, flags, &out); err != nil || out.String() != "it changes nothing\n" {
+		t.Errorf("the same once more: %v\n%s", err, out.String())
+	}
+	p, err := past(s.path, "main", 1)
+	if err != nil || p.Doc == nil || string(p.Doc.Body) != classNamed("new") {
+		t.Fatalf("%v, %+v", err, p)
+	}
+	if p, err := past(s.path, "far", 0); err != nil || p.Doc == nil || p.Doc.Number != 1 { // of a service that this daemon does not have
+		t.Errorf("%v, %+v", err, p)
+	}
+	now, err := inForce(s.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out.Reset()
+	showPolicy(now, "main", &out)
+	showPast(p, &out)
+	for _, want := range []string{"policy 1, change", "main: policy 2, change", "name = \"newer\"", "1 of main", "1, 1 of far, 2 of main"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is not shown:\n%s", want, out.String())
+		}
+	}
+	// The daemon comes to have an instance of far, whose part is in force already.
+	text, err := os.ReadFile(s.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	more := strings.Replace(string(text), "[site]", "[[source]]\nname = \"far\"\nlist = \"127.0.0.1:1\"\n[site]", 1)
+	more = strings.Replace(more, "name = \"one\"", "name = \"one\"\nsource = \"main\"", 1) + fmt.Sprintf("[[instance]]\nname = \"two\"\nlisten = \"unix:%s/two.sock\"\nsource = \"far\"\n", s.dir)
+	write(t, s.path, more)
+	if _, err := ask(s.path, http.MethodPost, "/reload", time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(testkit.Patience); ; time.Sleep(10 * time.Millisecond) {
+		if now, err = inForce(s.path); err == nil && len(now.Parts) == 2 && len(now.Unheld) == 0 && now.Bodies["far"] != "" {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%v, %+v", err, now)
+		}
+	}
+	s.untilAnswers("newer", http.StatusOK)
+	st, _ := s.status()
+	if p, err := os.FindProcess(st.PID); err == nil {
+		_ = p.Kill()
+	}
+	for end := time.Now().Add(testkit.Patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if _, up := s.status(); !up {
+			break
+		}
+	}
+	s.start()
+	s.untilAnswers("newer", http.StatusOK)
+	if err := applyPolicy(s.path, map[string]string{"main": string(p.Doc.Body)}, flags, &out); err != nil {
+		t.Fatal(err)
+	}
+	s.untilAnswers("new", http.StatusOK)
+}
+
+func TestFoldersOfPartsThatMakeNoSenseAreRefused(t *testing.T) {
+	dir := t.TempDir()
+	if _, _, err := readParts(dir, ""); err == nil || !strings.Contains(err.Error(), "has no parts") {
+		t.Errorf("an empty one: %v", err)
+	}
+	write(t, filepath.Join(dir, "main.toml"), "[[ban]]\nserver = 3\n")
+	if _, _, err := readParts(dir, "main"); err == nil || !strings.Contains(err.Error(), "--part main goes with a file") {
+		t.Errorf("a folder with --part: %v", err)
+	}
+	texts, names, err := readParts(dir, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "fleet.toml")
+	write(t, path, fmt.Sprintf(fleetFile, dir, "127.0.0.1:1"))
+	if err := fleet.CheckPolicy(path, texts, names); err == nil || !strings.Contains(err.Error(), "main.toml:2: ban") {
+		t.Errorf("a part that does not do: %v", err)
+	}
+	write(t, filepath.Join(dir, "notes.txt"), "")
+	if _, _, err := readParts(dir, ""); err == nil || !strings.Contains(err.Error(), "notes.txt is no part of a policy") {
+		t.Errorf("a file that is none: %v", err)
+	}
+}
--- a/internal/drill/agree/agree.go
+++ b/internal/drill/agree/agree.go
@@ -38,14 +38,14 @@
 	// Way replaces the policy's own protocol, for baselines: see ways.go.
 	Way Way
 	// What measurements want besides; nil: nothing.
-	Size    func(from int, m *policy.Message) int                // bytes of a message on its way; nil: an estimate
-	Around  func(now time.Duration, member int, step func())     // runs each step of a member's module
-	Since   time.Duration                                        // traffic is counted from then on
-	Serves  func(at time.Duration, member int, number uint64)    // a member serves by a policy, or (0: by its file) again
-	Streams int                                                  // a member has so many open towards others, and sends nothing more on one; 0: any number
-	Viewers int                                                  // only so many members are told what the view knows; 0: all
-	Delay   func(from, to int) time.Duration                     // more on a way between two members
-	Cut     func(now time.Duration, from, to int) (nothing bool) // nothing gets through
+	Size    func(from int, m *policy.Message) int                          // bytes of a message on its way; nil: an estimate
+	Around  func(now time.Duration, member int, step func())               // runs each step of a member's module
+	Since   time.Duration                                                  // traffic is counted from then on
+	Serves  func(at time.Duration, member int, part string, number uint64) // a member serves by a part's text, or (0: by its file) again
+	Streams int                                                            // a member has so many open towards others, and sends nothing more on one; 0: any number
+	Viewers int                                                            // only so many members are told what the view knows; 0: all
+	Delay   func(from, to int) time.Duration                               // more on a way between two members
+	Cut     func(now time.Duration, from, to int) (nothing bool)           // nothing gets through
 }
 
 // Way is by which means a change is brought to all.
@@ -182,6 +182,7 @@
 	left    bool
 	streams int      // that it has open towards others
 	ids     []string // changes that its operators watch
+	parts   []string // of the policy, that it holds besides what holds for all
 }
 
 type world struct {
@@ -243,7 +244,7 @@
 	w.r.Traffic = make([]Traffic, p.Daemons)
 	set := p.Policy
 	back := policy.Settings{Lease: set.Lease, Drift: policy.Drift}
-	w.line(judge.Line{What: judge.Agreed, Hard: set.Stops, PauseMS: back.Back().Milliseconds() + 1, Why: strings.Join(w.voters(), " ")})
+	w.line(judge.Line{What: judge.Agreed, Hard: set.Stops, PauseMS: back.Back().Milliseconds() + 1, Why: strings.Join(w.voters(), " "), Parts: w.later()})
 	for n := range p.Daemons {
 		m := &member{n: n, name: plan.Name(n), disk: &disk{entries: map[uint64][]byte{}}, wake: -1}
 		w.all = append(w.all, m)
@@ -297,6 +298,19 @@
 	return all
 }
 
+// later are members that may vote later.
+func (w *world) later() string {
+	var all []string
+	for _, e := range w.p.Events {
+		if e.Do == "voters" {
+			for _, x := range e.To {
+				all = append(all, plan.Name(x))
+			}
+		}
+	}
+	return strings.Join(all, " ")
+}
+
 func (w *world) at(t time.Duration, do func()) { w.agenda.At(max(t, w.now), do) }
 
 func (w *world) line(l judge.Line) {
@@ -362,11 +376,21 @@
 		return
 	}
 	set := w.p.Policy
+	if m.parts = set.Of(m.n); len(m.parts) > 0 {
+		w.line(judge.Line{What: judge.Holds, Of: m.name, PID: m.pid, Parts: strings.Join(m.parts, " ")})
+	}
 	d := m.disk.load()
 	d.Proved = proved
-	s := policy.Settings{Name: m.name, Life: m.life, Voters: w.voters(), Stops: set.Stops, Last: set.Last, Lease: set.Lease, Within: set.Within}
+	s := policy.Settings{Name: m.name, Life: m.life, Voters: w.voters(), Stops: set.Stops, Last: set.Last, Lease: set.Lease, Within: set.Within, Parts: m.parts}
 	if w.o.Check != nil {
-		s.Check = func(body []byte) error { return w.o.Check(m.n, body) }
+		s.Check = func(all []policy.Doc) error {
+			for _, d := range all {
+				if err := w.o.Check(m.n, d.Body); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
 	}
 	node, err := policy.New(s, d, w.rng.Uint64())
 	if err != nil { // such as a member's part that makes no sense: it serves by its file, and takes no part
@@ -491,24 +515,35 @@
 // serve has a member's instances serve by something else, soon; a lease that is longer or over, at once.
 func (w *world) serve(m *member, s policy.Serving) {
 	m.told++
-	same := m.serving.Doc != nil && s.Doc.Number == m.serving.Doc.Number && (s.Both == nil) == (m.serving.Both == nil)
-	if same || s.Why != "" {
-		if m.serving.Why != "" && s.Why == "" && w.o.Serves != nil {
-			w.o.Serves(w.now, m.n, s.Doc.Number)
-		}
+	if m.serving.Doc != nil && s.Doc.ID == m.serving.Doc.ID && s.Sum() == m.serving.Sum() || s.Why != "" {
+		w.serves(m, &m.serving, &s)
 		m.serving = s
 		return
 	}
 	told, pid := m.told, m.pid
 	w.at(w.now+time.Duration(w.rng.Float64()*float64(applying)), func() {
 		if m.pid == pid && m.told == told {
-			if m.serving = s; w.o.Serves != nil {
-				w.o.Serves(w.now, m.n, s.Doc.Number)
-			}
+			w.serves(m, &m.serving, &s)
+			m.serving = s
 		}
 	})
-	if m.serving.Doc != nil { // until then by the lease that it has
+	if m.serving.Doc != nil { // until then by the lease that it has, and by the parts that both words have
 		m.serving.Until = min(m.serving.Until, s.Until)
+		m.serving.Held = slices.DeleteFunc(slices.Clone(m.serving.Held), func(p string) bool { return !slices.Contains(s.Held, p) })
+	}
+}
+
+// serves tells who measures by which texts a member serves that it did not before.
+func (w *world) serves(m *member, was, now *policy.Serving) {
+	if w.o.Serves == nil || now.Why != "" {
+		return
+	}
+	for _, part := range append([]string{""}, m.parts...) {
+		d, held := now.In(part)
+		before, had := was.In(part)
+		if held && (was.Why != "" || !had || before == nil || before.Number != d.Number) {
+			w.o.Serves(w.now, m.n, part, d.Number)
+		}
 	}
 }
 
@@ -522,16 +557,20 @@
 		if m.paused || m.left {
 			return
 		}
-		s := &m.serving
-		if s.Why != "" || s.Doc == nil || m.own(w.now) >= s.Until {
+		s, part := &m.serving, ""
+		if len(m.parts) > 0 { // a request is one of a service, or goes by what holds for all alone
+			part = append([]string{""}, m.parts...)[w.rng.IntN(1+len(m.parts))]
+		}
+		d, held := s.In(part)
+		if s.Why != "" || d == nil || !held || m.own(w.now) >= s.Until {
 			w.r.Refused++
-			w.line(judge.Line{What: judge.Turned, Of: m.name, PID: m.pid, Why: s.Why})
+			w.line(judge.Line{What: judge.Turned, Of: m.name, PID: m.pid, Why: s.Why, Part: part})
 			return
 		}
 		w.r.Taken++
-		l := judge.Line{What: judge.Took, Of: m.name, PID: m.pid, Number: s.Doc.Number, ID: s.Doc.ID, Alone: s.Alone}
-		if s.Both != nil {
-			l.Both = s.Both.ID
+		l := judge.Line{What: judge.Took, Of: m.name, PID: m.pid, Number: d.Number, ID: d.ID, Alone: s.Alone, Part: part}
+		if b := s.Doubt(part); b != nil {
+			l.Both = b.ID
 		}
 		w.line(l)
 	})
@@ -547,7 +586,9 @@
 	}
 	size := 120 + len(s.Message.Raft)
 	if s.Message.Doc != nil {
-		size += len(s.Message.Doc.Body)
+		for _, d := range s.Message.Doc.Texts() {
+			size += len(d.Body)
+		}
 	}
 	if w.o.Size != nil {
 		size = w.o.Size(m.n, s.Message)
@@ -795,15 +836,28 @@
 	for _, n := range e.To {
 		without = append(without, plan.Name(n))
 	}
-	w.line(judge.Line{What: judge.Proposed, Of: m.name, ID: id, Why: strings.Join(without, " ")})
+	parts := e.Parts
+	if len(parts) == 0 {
+		parts = []string{""}
+	}
+	l := judge.Line{What: judge.Proposed, Of: m.name, ID: id, Why: strings.Join(without, " ")}
+	if len(e.Parts) > 0 {
+		l.Parts = judge.PartsText(e.Parts)
+	}
+	w.line(l)
 	if w.o.Way != Agreed {
 		w.simpleApply(m, id)
 		return
 	}
 	body := []byte(fmt.Sprintf("# %s\n%s", id, e.Kind))
+	p := policy.Proposal{Without: without, Doc: policy.Doc{ID: id, Body: body, Digest: policy.DigestOf(body), Author: m.name, Reason: "drill", Part: parts[0]}, Base: m.node.Text(parts[0]).Number}
+	for _, part := range parts[1:] {
+		body := []byte(fmt.Sprintf("# %s %s\n%s", id, part, e.Kind))
+		p.Doc.More = append(p.Doc.More, policy.Doc{Part: part, Body: body, Digest: policy.DigestOf(body)})
+		p.Bases = append(p.Bases, m.node.Text(part).Number)
+	}
 	m.ids = append(m.ids, id)
-	w.step(m, policy.Propose{Change: policy.Proposal{Base: m.node.Force().Number, Without: without,
-		Doc: policy.Doc{ID: id, Body: body, Digest: policy.DigestOf(body), Author: m.name, Reason: "drill"}}})
+	w.step(m, policy.Propose{Change: p})
 }
 
 func (w *world) link(e plan.Event) {
--- a/internal/drill/agree/measure_test.go
+++ b/internal/drill/agree/measure_test.go
@@ -15,7 +15,7 @@
 	p.Length = 12 * time.Second
 	o.Seed, o.Witness, o.Take = 1, true, time.Hour
 	served := 0
-	o.Serves = func(now time.Duration, _ int, number uint64) {
+	o.Serves = func(now time.Duration, _ int, _ string, number uint64) {
 		if number == 1 {
 			served++
 			took = now - 6*time.Second
@@ -63,7 +63,7 @@
 	p.Length = 12 * time.Second
 	told := map[int]bool{}
 	if _, err := Play(p, Options{Seed: 1, Take: time.Hour, Cut: func(now time.Duration, a, b int) bool { return now > 5*time.Second && (a == 4) != (b == 4) },
-		Serves: func(_ time.Duration, n int, number uint64) { told[n] = told[n] || number == 1 }}); err != nil {
+		Serves: func(_ time.Duration, n int, _ string, number uint64) { told[n] = told[n] || number == 1 }}); err != nil {
 		t.Fatal(err)
 	}
 	if told[4] || !told[0] {
--- a/internal/drill/judge/judge.go
+++ b/internal/drill/judge/judge.go
@@ -217,11 +217,13 @@
 	PolicyServes = "policy-serves"
 	PolicyKept   = "policy-kept"
 	PolicyTold   = "policy-told"
+	PolicyWhole  = "policy-whole"
+	PolicyApart  = "policy-apart"
 )
 
 // Names are all of them.
 var Names = []string{CrashKnown, LeaveKnown, JoinKnown, Settled, NoWrongDeath, OneName, CountEnough, CountFollows, Serving, BytesMost, BytesIdle, BytesFar, NearCalm, LimitHard, LimitSoft, LimitUsed, VerdictKnown, KeptOff, NoWrongOut, BackAgain,
-	PolicyOne, PolicyAll, PolicyStart, PolicyServes, PolicyKept, PolicyTold}
+	PolicyOne, PolicyAll, PolicyStart, PolicyServes, PolicyKept, PolicyTold, PolicyWhole, PolicyApart}
 
 // step is how long a daemon may take to write all that one step of its view changed.
 const step = int64(50 * time.Millisecond)
@@ -266,6 +268,9 @@
 		if l.What == Gap {
 			r.Gaps += l.Asked
 		}
+		if l.By == Drill {
+			j.policy.note(l)
+		}
 		if l.By == Drill && j.policy.line(l) {
 			continue
 		} else if l.By == Drill {
--- a/internal/drill/judge/line.go
+++ b/internal/drill/judge/line.go
@@ -70,6 +70,8 @@
 	Number uint64 `json:"number,omitempty"` // of a policy
 	Both   string `json:"both,omitempty"`   // it went by what this change allows as well
 	Alone  bool   `json:"alone,omitempty"`  // it found nobody, and served by the last policy that it knew
+	Part   string `json:"part,omitempty"`   // of the policy: a service; empty: what holds for all
+	Parts  string `json:"parts,omitempty"`  // several, by spaces; what holds for all is "-"
 }
 
 // Drill is By of what the drill itself did.
@@ -107,13 +109,14 @@
 	Odd     = "odd"     // the drill: a stray datagram; Why is its kind
 	End     = "end"     // the drill
 
-	Agreed   = "agreed"   // the drill: a policy is agreed on; Hard: who is cut off stops, after PauseMS; Why: voters
-	Proposed = "proposed" // the drill: change ID is asked for at Of, without those in Why
+	Agreed   = "agreed"   // the drill: a policy is agreed on; Hard: who is cut off stops, after PauseMS; Why: voters; Parts: who may vote later
+	Proposed = "proposed" // the drill: change ID of these Parts (none: what holds for all) is asked for at Of, without those in Why
 	Told     = "told"     // the drill: the author of change ID is told its State, and Number
 	Took     = "took"     // the drill: Of took a request by policy Number, which change ID made
 	Turned   = "turned"   // the drill: Of turned a request away for the policy
 	Disk     = "disk"     // the drill: the disk of Of is full, slow or well (State)
 	OnDisk   = "on-disk"  // the drill: change ID is on the disk of Of
+	Holds    = "holds"    // the drill: PID holds these Parts of the policy, besides what holds for all
 )
 
 // Read reads lines until the end of r. A line that is no line is an error that names it.
--- a/internal/drill/judge/policy.go
+++ b/internal/drill/judge/policy.go
@@ -32,42 +32,112 @@
 	on      bool
 	stops   bool
 	lapse   time.Duration // a member that is cut off takes nothing so long after it heard last
-	used    map[uint64]*used
-	most    uint64
-	takers  map[int]*taker // by process
+	parts   map[string]*partJudge
+	holds   map[int]map[string]bool // by process, besides what holds for all
 	disks   map[string]map[string]bool
 	without map[string][]string // by change
+	names   map[string][]string // by change: its parts
 	asked   map[string]int64    // changes, and since when
 	told    map[string]*Line    // what authors were told
 	voters  []string
-	changed int64 // a change was asked for, or decided
+	later   []string // who may vote later
+	changed int64    // a change was asked for, or decided
 	// Changes of which nobody has been told yet.
 	under     map[string]bool
 	latest    int64 // a request was taken
 	disksTold bool  // what is on disks is known
 
-	one, all, start, serves, kept, word *Claim
+	wholes map[whole]bool
+	went   map[int]map[string]int64 // by process: changes of several parts by which it took, and since when
+	apart  apartJudge
+
+	one, all, start, serves, kept, word, whole *Claim
+}
+
+// partJudge is what is known of one part of the policy.
+type partJudge struct {
+	p      *policyJudge
+	name   string
+	used   map[uint64]*used
+	most   uint64
+	takers map[int]*taker // by process
+}
+
+// whole is a request that a process took by one part, after it had taken one of another by a change of both.
+type whole struct {
+	pid    int
+	part   string
+	number uint64
+	change string
 }
 
 func (p *policyJudge) begin(j *judge) []*Claim {
-	p.j, p.used, p.takers, p.disks, p.without, p.asked, p.told, p.under = j, map[uint64]*used{}, map[int]*taker{}, map[string]map[string]bool{}, map[string][]string{}, map[string]int64{}, map[string]*Line{}, map[string]bool{}
+	p.j, p.parts, p.holds, p.disks, p.without, p.asked, p.told, p.under = j, map[string]*partJudge{}, map[int]map[string]bool{}, map[string]map[string]bool{}, map[string][]string{}, map[string]int64{}, map[string]*Line{}, map[string]bool{}
+	p.names, p.wholes, p.went = map[string][]string{}, map[whole]bool{}, map[int]map[string]int64{}
 	p.one = &Claim{Name: PolicyOne, Text: "once a policy is used anywhere, no request is taken by an earlier one: on whole links after 'spread', else after the lease"}
-	p.all = &Claim{Name: PolicyAll, Text: "a policy is used by all or by nobody: who had it not on its disk takes nothing by an earlier one, a dropped one is never used"}
-	p.start = &Claim{Name: PolicyStart, Text: "the first request of a process is taken by what is in force"}
+	p.all = &Claim{Name: PolicyAll, Text: "a policy is used by all whom it concerns or by nobody: who had it not on its disk takes nothing by an earlier one, a dropped one is never used"}
+	p.start = &Claim{Name: PolicyStart, Text: "the first request of a process by a part is taken by what is in force"}
 	p.serves = &Claim{Name: PolicyServes, Text: "no request is turned away for the policy where nothing is broken; nor, if cut_off is \"vetoes\", where no change is under way"}
 	p.kept = &Claim{Name: PolicyKept, Text: "what came into force stays: one change a number, never an earlier one again, whatever disks are lost"}
 	p.word = &Claim{Name: PolicyTold, Text: "authors are told what became of their change"}
-	return []*Claim{p.one, p.all, p.start, p.serves, p.kept, p.word}
+	p.whole = &Claim{Name: PolicyWhole, Text: "a change of several parts is in force in all of them or in none: who takes a request by one of them takes none by what was before in another, after 'spread'"}
+	return []*Claim{p.one, p.all, p.start, p.serves, p.kept, p.word, p.whole, p.apart.begin(p)}
+}
+
+func (p *policyJudge) part(name string) *partJudge {
+	q := p.parts[name]
+	if q == nil {
+		q = &partJudge{p: p, name: name, used: map[uint64]*used{}, takers: map[int]*taker{}}
+		p.parts[name] = q
+	}
+	return q
+}
+
+// holding reports whether a process has to do with a part.
+func (p *policyJudge) holding(pid int, part string) bool { return part == "" || p.holds[pid][part] }
+
+// what names a policy for people.
+func (q *partJudge) what(n uint64) string {
+	if q.name == "" {
+		return fmt.Sprintf("policy %d", n)
+	}
+	return fmt.Sprintf("policy %d of %s", n, q.name)
+}
+
+// PartsText is how a line names parts.
+func PartsText(parts []string) string {
+	all := slices.Clone(parts)
+	for i, p := range all {
+		if p == "" {
+			all[i] = "-"
+		}
+	}
+	return strings.Join(all, " ")
+}
+
+func partsIn(text string) (all []string) {
+	for _, p := range strings.Fields(text) {
+		all = append(all, strings.TrimPrefix(p, "-"))
+	}
+	if len(all) == 0 {
+		all = []string{""}
+	}
+	return all
 }
 
 // line takes a line about the policy. It reports whether it was one.
 func (p *policyJudge) line(l *Line) bool {
 	switch l.What {
 	case Agreed:
-		p.on, p.stops, p.lapse, p.voters = true, l.Hard, time.Duration(l.PauseMS)*time.Millisecond, strings.Fields(l.Why)
+		p.on, p.stops, p.lapse, p.voters, p.later = true, l.Hard, time.Duration(l.PauseMS)*time.Millisecond, strings.Fields(l.Why), strings.Fields(l.Parts)
 	case Proposed:
 		p.asked[l.ID], p.changed, p.under[l.ID] = l.T, l.T, true
-		p.without[l.ID] = strings.Fields(l.Why)
+		p.without[l.ID], p.names[l.ID] = strings.Fields(l.Why), partsIn(l.Parts)
+	case Holds:
+		p.holds[l.PID] = map[string]bool{}
+		for _, part := range strings.Fields(l.Parts) {
+			p.holds[l.PID][part] = true
+		}
 	case OnDisk:
 		p.disksTold = true
 		if p.disks[l.Of] == nil {
@@ -86,18 +156,18 @@
 	return true
 }
 
-func (p *policyJudge) taker(pid int) *taker {
-	t := p.takers[pid]
+func (q *partJudge) taker(pid int) *taker {
+	t := q.takers[pid]
 	if t == nil {
 		t = &taker{noDisk: map[uint64]bool{}}
-		p.takers[pid] = t
+		q.takers[pid] = t
 	}
 	return t
 }
 
 // above is when anything later than a number was first used; 0: never.
-func (p *policyJudge) above(n uint64) (at int64, by uint64) {
-	for m, u := range p.used {
+func (q *partJudge) above(n uint64) (at int64, by uint64) {
+	for m, u := range q.used {
 		if m > n && (at == 0 || u.first < at) {
 			at, by = u.first, m
 		}
@@ -109,7 +179,7 @@
 func (p *policyJudge) bound(o *process, t int64) time.Duration {
 	j := p.j
 	calm := o.paused == 0 && t-o.resumed > int64(j.b.Settle) && t > o.starved+int64(j.b.Settle) && t-j.downAt > int64(j.b.Settle) && j.whole(t)
-	for _, v := range p.voters { // one that leads may be paused just as it has decided
+	for _, v := range slices.Concat(p.voters, p.later) { // one that leads may be paused just as it has decided
 		for _, pid := range j.order {
 			if q := j.pids[pid]; q.up && q.name == v && (q.paused > 0 || t-q.resumed <= int64(j.b.Settle)) {
 				calm = false
@@ -126,9 +196,9 @@
 }
 
 // except reports whether an operator has said that a member is down.
-func (p *policyJudge) except(name string, n uint64) bool {
-	u := p.used[n]
-	return u != nil && slices.Contains(p.without[u.id], name)
+func (q *partJudge) except(name string, n uint64) bool {
+	u := q.used[n]
+	return u != nil && slices.Contains(q.p.without[u.id], name)
 }
 
 func (p *policyJudge) took(l *Line) {
@@ -137,29 +207,30 @@
 	if o == nil || !p.on {
 		return
 	}
-	t := p.taker(l.PID)
+	q := p.part(l.Part)
+	t := q.taker(l.PID)
 	n := l.Number
 	p.latest = l.T
 	if l.Alone { // its file says so: shown, not judged
 		return
 	}
-	u := p.used[n]
+	u := q.used[n]
 	switch {
 	case u == nil:
 		u = &used{l.ID, l.T}
-		p.used[n] = u
-		if n > p.most {
-			p.most, p.changed = n, l.T
+		q.used[n] = u
+		if n > q.most {
+			q.most, p.changed = n, l.T
 		}
 		for _, pid := range j.order { // who has it not on its disk?
 			if o := j.pids[pid]; !p.disksTold {
 				break
-			} else if o.up && !o.left && !p.disks[o.name][l.ID] && n > 0 {
-				p.taker(pid).noDisk[n] = true
+			} else if o.up && !o.left && p.holding(pid, l.Part) && !p.disks[o.name][l.ID] && n > 0 {
+				q.taker(pid).noDisk[n] = true
 			}
 		}
 	case u.id != l.ID:
-		p.kept.fail(l.T, j.base, "%s takes by policy %d as change %s made it, and %s was used", l.Of, n, l.ID, u.id)
+		p.kept.fail(l.T, j.base, "%s takes by %s as change %s made it, and %s was used", l.Of, q.what(n), l.ID, u.id)
 	}
 	if said := p.told[l.ID]; said != nil && said.State == "dropped" && n > 0 {
 		p.all.fail(l.T, j.base, "%s takes by change %s, of which its author was told that it was dropped", l.Of, l.ID)
@@ -170,7 +241,7 @@
 	}
 	if n != t.number || first {
 		if n < t.number {
-			p.kept.fail(l.T, j.base, "%s takes by policy %d, and took by %d before", l.Of, n, t.number)
+			p.kept.fail(l.T, j.base, "%s takes by %s, and took by %d before", l.Of, q.what(n), t.number)
 		}
 		if !first && j.quiet() && o.paused == 0 {
 			p.serves.Tried++
@@ -179,33 +250,88 @@
 		p.kept.Tried++
 	}
 	t.any, t.last = true, l.T
-	if p.most > t.tried && l.T > p.used[p.most].first {
-		t.tried = p.most
+	if q.most > t.tried && l.T > q.used[q.most].first {
+		t.tried = q.most
 		p.one.Tried++
 	}
-	if at, m := p.above(n); at > 0 && m > t.failed && !p.except(l.Of, m) && !(l.Both != "" && p.used[m].id == l.Both && m == n+1) {
+	if at, m := q.above(n); at > 0 && m > t.failed && !q.except(l.Of, m) && !(l.Both != "" && q.used[m].id == l.Both && m == n+1) {
 		lag, bound := time.Duration(l.T-at), p.bound(o, l.T)
 		if t.noDisk[m] {
 			bound = j.b.Spread
 			if lag > bound {
-				p.all.fail(l.T, j.base, "%s takes by policy %d %v after %d was first used, which it had not on its disk", l.Of, n, lag, m)
+				p.all.fail(l.T, j.base, "%s takes by %s %v after %d was first used, which it had not on its disk", l.Of, q.what(n), lag, m)
 				t.failed = m
 			}
 		}
-		p.one.near(float64(lag)/float64(bound), "%v of %v (%s, policy %d)", lag.Round(time.Millisecond), bound, l.Of, n)
+		p.one.near(float64(lag)/float64(bound), "%v of %v (%s, %s)", lag.Round(time.Millisecond), bound, l.Of, q.what(n))
 		if lag > bound && t.failed < m {
 			t.failed = m
-			p.one.fail(l.T, j.base, "%s takes by policy %d %v after %d was first used; %v is the most", l.Of, n, lag.Round(time.Millisecond), m, bound)
+			p.one.fail(l.T, j.base, "%s takes by %s %v after %d was first used; %v is the most", l.Of, q.what(n), lag.Round(time.Millisecond), m, bound)
 			if first {
-				p.start.fail(l.T, j.base, "%s begins with policy %d, and %d is in force for %v", l.Of, n, m, lag.Round(time.Millisecond))
+				p.start.fail(l.T, j.base, "%s begins with %s, and %d is in force for %v", l.Of, q.what(n), m, lag.Round(time.Millisecond))
 			}
 		}
 	}
+	p.together(l)
 	if !p.stops && p.away(o) {
 		p.serves.Tried++
 	}
 }
 
+// together takes note of a request, for changes of several parts.
+func (p *policyJudge) together(l *Line) {
+	went := p.went[l.PID]
+	if len(p.names[l.ID]) > 1 && went[l.ID] == 0 {
+		if went == nil {
+			went = map[string]int64{}
+			p.went[l.PID] = went
+		}
+		went[l.ID] = l.T
+	}
+	for id, since := range went {
+		if id != l.ID && l.T-since > int64(p.j.b.Spread) && slices.Contains(p.names[id], l.Part) {
+			p.wholes[whole{l.PID, l.Part, l.Number, id}] = true
+		}
+	}
+}
+
+// wholly looks at changes of several parts once all is known.
+func (p *policyJudge) wholly(t int64) {
+	numbers := map[string]map[string]uint64{} // by change and part
+	for part, q := range p.parts {
+		for n, u := range q.used {
+			if len(p.names[u.id]) > 1 {
+				if numbers[u.id] == nil {
+					numbers[u.id] = map[string]uint64{}
+				}
+				numbers[u.id][part] = n
+			}
+		}
+	}
+	for id, of := range numbers {
+		p.whole.Tried++
+		for _, part := range p.names[id] {
+			if of[part] > 0 {
+				continue
+			}
+			// Nobody used it: then those that used the other part went on to what came after it. Of two changes of one part that
+			// both came into force the one that was asked for later is the later one, for it was made of the other.
+			for pid := range p.went {
+				q := p.part(part)
+				if k := q.takers[pid]; p.went[pid][id] > 0 && k != nil && k.last > p.went[pid][id]+int64(p.j.b.Spread) && p.asked[q.used[k.number].id] < p.asked[id] {
+					p.whole.fail(t, p.j.base, "change %s is used in a part, and never in %q, where process %d goes on by policy %d", id, part, pid, k.number)
+				}
+			}
+		}
+	}
+	for w := range p.wholes {
+		p.whole.Tried++
+		if n := numbers[w.change][w.part]; w.number < n {
+			p.whole.fail(t, p.j.base, "process %d takes by policy %d of %q after it took by change %s, which made that %d", w.pid, w.number, w.part, w.change, n)
+		}
+	}
+}
+
 // majority reports whether a process reaches most of the voters.
 func (p *policyJudge) majority(o *process) bool {
 	n := 0
@@ -241,7 +367,7 @@
 func (p *policyJudge) turn(l *Line) {
 	j := p.j
 	o := j.pids[l.PID]
-	t := p.taker(l.PID)
+	t := p.part(l.Part).taker(l.PID)
 	if o == nil || !p.on || !t.any || l.T-t.turned < int64(time.Second) { // one a second is told
 		return
 	}
@@ -258,11 +384,14 @@
 	delete(p.under, l.ID)
 	p.changed = l.T
 	p.word.Tried++
-	for n, u := range p.used {
-		if u.id == l.ID && n > 0 && l.State == "dropped" {
-			p.word.fail(l.T, p.j.base, "%s is told that change %s was dropped, and it is used as policy %d", l.Of, l.ID, n)
+	for _, q := range p.parts {
+		for n, u := range q.used {
+			if u.id == l.ID && n > 0 && l.State == "dropped" {
+				p.word.fail(l.T, p.j.base, "%s is told that change %s was dropped, and it is used as %s", l.Of, l.ID, q.what(n))
+			}
 		}
 	}
+	p.apart.told(l)
 	if at := p.asked[l.ID]; at > 0 {
 		p.word.took(time.Duration(l.T - at))
 	}
@@ -278,25 +407,30 @@
 		if l.State != "in force" {
 			continue
 		}
-		if u := p.used[l.Number]; u != nil && u.id != id && !strings.HasPrefix(l.Why, "it was in force") {
-			p.kept.fail(t, j.base, "%s was told that change %s is policy %d, and that is %s", l.Of, id, l.Number, u.id)
+		q := p.part(p.first(id))
+		if u := q.used[l.Number]; u != nil && u.id != id && !strings.HasPrefix(l.Why, "it was in force") {
+			p.kept.fail(t, j.base, "%s was told that change %s is %s, and that is %s", l.Of, id, q.what(l.Number), u.id)
 		}
-		if l.Number > p.most && p.traffic() {
+		if l.Number > q.most && q.traffic() {
 			p.all.fail(t, j.base, "%s was told that change %s is in force as %d, and nobody uses it", l.Of, id, l.Number)
 		}
 	}
+	p.wholly(t)
 	if p.latest-j.truthAt < int64(j.b.Settle) || p.latest-p.changed < int64(j.b.Settle) {
 		return
 	}
-	for _, pid := range j.order {
-		o, k := j.pids[pid], p.takers[pid]
-		if !o.up || o.left || o.paused > 0 || k == nil || p.latest-k.last > int64(2*time.Second) {
-			continue
-		}
-		p.all.Tried++
-		p.all.near(0, "all use policy %d", p.most)
-		if k.number != p.most {
-			p.all.fail(t, j.base, "%s takes by policy %d in the end, and %d is in force", o.name, k.number, p.most)
+	for _, part := range sortedKeys(p.parts) {
+		q := p.parts[part]
+		for _, pid := range j.order {
+			o, k := j.pids[pid], q.takers[pid]
+			if !o.up || o.left || o.paused > 0 || k == nil || p.latest-k.last > int64(2*time.Second) {
+				continue
+			}
+			p.all.Tried++
+			p.all.near(0, "all use %s", q.what(q.most))
+			if k.number != q.most {
+				p.all.fail(t, j.base, "%s takes by %s in the end, and %d is in force", o.name, q.what(k.number), q.most)
+			}
 		}
 	}
 	for _, id := range sortedKeys(p.under) {
@@ -304,9 +438,17 @@
 	}
 }
 
-func (p *policyJudge) traffic() bool {
-	for _, k := range p.takers {
-		if p.latest-k.last < int64(2*time.Second) {
+// first is the part whose number authors are told.
+func (p *policyJudge) first(id string) string {
+	if all := p.names[id]; len(all) > 0 {
+		return all[0]
+	}
+	return ""
+}
+
+func (q *partJudge) traffic() bool {
+	for _, k := range q.takers {
+		if q.p.latest-k.last < int64(2*time.Second) {
 			return true
 		}
 	}
--- a/internal/drill/plan/plan.go
+++ b/internal/drill/plan/plan.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"path/filepath"
 	"regexp"
 	"slices"
@@ -51,6 +52,18 @@
 	Stops, Last   bool
 	Lease, Within time.Duration
 	Witness       bool
+	Holds         map[string][]int // by service: the daemons that serve it, and hold its part
+}
+
+// Of are the parts that a daemon holds, by name.
+func (p *Policy) Of(daemon int) (all []string) {
+	for part, who := range p.Holds {
+		if slices.Contains(who, daemon) {
+			all = append(all, part)
+		}
+	}
+	slices.Sort(all)
+	return all
 }
 
 // Limit is one that the daemons share, of all their requests. Late is by how much arrivals at servers may differ from
@@ -151,6 +164,7 @@
 	Fail   float64       // of a server's requests
 	Names  []int         // servers by number, from 0
 	Remove string        // of voters: the one that goes
+	Parts  []string      // of a change of policy; none: what holds for all
 }
 
 type file struct {
@@ -226,9 +240,11 @@
 	Lease     tomlfile.Duration
 	Within    tomlfile.Duration
 	Witness   bool
+	Holds     map[string][]string
 }
 
 type event struct {
+	Parts  []string
 	Remove string
 	Rate   float64
 	Fail   float64
@@ -270,8 +286,8 @@
 	"fresh":    {"servers"}, // the list says that they have just started: they are cold
 	"rate":     {"who", "rate"},
 	"stray":    {"who", "kind", "count"},
-	"forget":   {"who", "to"},         // the operator of the first says that the others are gone
-	"apply":    {"who", "to", "kind"}, // the operator of the first asks for a change of policy, without the others
+	"forget":   {"who", "to"},                  // the operator of the first says that the others are gone
+	"apply":    {"who", "to", "kind", "parts"}, // the operator of the first asks for a change of policy, of these parts, without the others
 	"voters":   {"who", "to", "remove"},
 	"rescue":   {"who"},
 	"trust":    {"who"},
@@ -481,6 +497,15 @@
 	if p.Last = in.WhenAlone == "last"; !p.Last && in.WhenAlone != "" && in.WhenAlone != "none" {
 		r.fail("policy.when_alone", "%q is neither none nor last", in.WhenAlone)
 	}
+	for _, part := range slices.Sorted(maps.Keys(in.Holds)) {
+		if part == "" || strings.ContainsAny(part, " /-") {
+			r.fail("policy.holds", "%q: a service's name has no spaces, slashes or dashes", part)
+		}
+		if p.Holds == nil {
+			p.Holds = map[string][]int{}
+		}
+		p.Holds[part] = r.who("policy.holds."+part, in.Holds[part])
+	}
 	r.p.Policy = p
 }
 
@@ -518,14 +543,14 @@
 		r.fail(at+"do", "%q is none of %s", e.Do, strings.Join(all, ", "))
 		return
 	}
-	for _, key := range []string{"who", "to", "one_way", "for", "state", "clock", "share", "count", "kind", "build", "move", "twin", "rate", "fail", "servers", "remove", "drop",
+	for _, key := range []string{"who", "to", "one_way", "for", "state", "clock", "share", "count", "kind", "build", "move", "twin", "rate", "fail", "servers", "remove", "parts", "drop",
 		"duplicate", "reorder", "damage", "delay", "jitter", "slow", "break"} {
 		if r.Has(at+key) && !slices.Contains(allowed, key) {
 			r.fail(at+key, "%s does not know this key", e.Do)
 		}
 	}
 	ev := Event{At: r.span(at+"at", e.At, 0), Do: e.Do, Who: r.who(at+"who", e.Who), To: r.who(at+"to", e.To), Both: !e.One,
-		State: cmp.Or(e.State, "kept"), Clock: e.Clock.D(), Share: e.Share, Count: cmp.Or(e.Count, 20), Kind: e.Kind, Build: e.Build, Move: e.Move, Twin: e.Twin, For: e.For.D(), Rate: e.Rate, Fail: e.Fail, Remove: e.Remove}
+		State: cmp.Or(e.State, "kept"), Clock: e.Clock.D(), Share: e.Share, Count: cmp.Or(e.Count, 20), Kind: e.Kind, Build: e.Build, Move: e.Move, Twin: e.Twin, For: e.For.D(), Rate: e.Rate, Fail: e.Fail, Remove: e.Remove, Parts: e.Parts}
 	for _, n := range e.Names {
 		k, err := strconv.Atoi(strings.TrimPrefix(n, "s"))
 		if err != nil || k < 1 || k > r.p.Servers || n[0] != 's' {
@@ -554,6 +579,12 @@
 	case "apply", "voters", "rescue", "trust":
 		if r.p.Policy == nil {
 			r.fail(at+"do", "%s: there is no [policy]", e.Do)
+			break
+		}
+		for _, part := range e.Parts {
+			if part != "" && r.p.Policy.Holds[part] == nil {
+				r.fail(at+"parts", "%q is none of policy.holds", part)
+			}
 		}
 	case "disk":
 		if !slices.Contains([]string{"full", "slow", "well"}, e.Kind) {
--- a/internal/drill/rig/policy.go
+++ b/internal/drill/rig/policy.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -19,13 +20,14 @@
 	"vetchhaven/internal/peer/policy"
 )
 
-// policies are the changes that a drill asks for. Each policy has one class of its own, a marker, besides those of all:
-// which marker a daemon serves tells from outside by which policy it takes requests.
+// policies are the changes that a drill asks for. Each text of a part has one class of its own, a marker, besides those of
+// all: which marker an instance serves tells from outside by which text it takes requests.
 type policies struct {
 	mu      sync.Mutex
-	markers []string          // by change, from 0: the daemons' own files
-	numbers map[string]uint64 // of changes that came into force
-	lines   []judge.Line      // what was taken; numbers are filled in at the end
+	changes int
+	markers map[string][]string          // by part, oldest first; for all from the daemons' own files on
+	numbers map[string]map[string]uint64 // of changes that came into force, by part
+	lines   []judge.Line                 // what was taken; numbers are filled in at the end
 }
 
 const (
@@ -55,20 +57,31 @@
 	}
 }
 
-// marked is a policy's text.
-func marked(marker string) string {
+// marked is a part's text.
+func marked(part, marker string) string {
 	one := func(name string) string {
 		return fmt.Sprintf("[[class]]\nname = %q\nrepeats = \"safe\"\naim = \"500ms\"\ndeadline = \"%v\"\nworth = 1.0\n\n", name, plan.Deadline)
 	}
+	if part != "" {
+		return one(marker)
+	}
 	return one("get") + one(marker)
 }
 
+// held are the services that a daemon has besides, and whose parts of the policy it holds.
+func (r *rig) held(d *daemon) []string {
+	if r.p.Policy == nil {
+		return nil
+	}
+	return r.p.Policy.Of(d.n)
+}
+
 // marker is the class by which a daemon's own file is told from a policy.
 func (r *rig) marker() string {
 	if r.p.Policy == nil {
 		return ""
 	}
-	_, text, _ := strings.Cut(marked("p0"), "\n\n")
+	_, text, _ := strings.Cut(marked("", "p0"), "\n\n")
 	return "\n" + text
 }
 
@@ -81,18 +94,20 @@
 	}
 	back := policy.Settings{Lease: p.Lease, Drift: policy.Drift}
 	r.line(judge.Line{What: judge.Agreed, Hard: p.Stops, PauseMS: back.Back().Milliseconds() + 1, Why: strings.Join(voters, " ")})
-	r.policies = policies{markers: []string{"p0"}, numbers: map[string]uint64{"": 0}}
+	r.policies = policies{markers: map[string][]string{"": {"p0"}}, numbers: map[string]map[string]uint64{}}
 	for _, d := range slices.Clone(r.daemons) {
 		if r.o.Blind {
 			break
 		}
-		r.others.Go(func() { r.look(ctx, d) })
+		for _, part := range append([]string{""}, r.held(d)...) {
+			r.others.Go(func() { r.look(ctx, d, part) })
+		}
 	}
 }
 
-// look asks a daemon again and again which marker it serves.
-func (r *rig) look(ctx context.Context, d *daemon) {
-	c := newClients(filepath.Join(d.dir, "client"))
+// look asks a daemon again and again which marker of a part it serves.
+func (r *rig) look(ctx context.Context, d *daemon, part string) {
+	c := newClients(filepath.Join(d.dir, cmp.Or(part, "client")))
 	defer c.http.CloseIdleConnections()
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
@@ -108,25 +123,41 @@
 			continue
 		}
 		r.policies.mu.Lock()
-		markers := slices.Clone(r.policies.markers)
+		markers := slices.Clone(r.policies.markers[part])
 		r.policies.mu.Unlock()
-		order := []int{now}
+		var order []int
+		if now < len(markers) {
+			order = append(order, now)
+		}
 		for k := len(markers) - 1; k >= 0; k-- {
 			if k != now {
 				order = append(order, k)
 			}
 		}
+		begun := carrier.Clock()
+		if part != "" { // none of them in two looks, and yet it serves: by its own file, when the first of them began
+			for k := len(markers) - 1; k >= 0; k-- {
+				order = append(order, k)
+			}
+			order = append(order, len(markers))
+			markers = append(markers, "get")
+		}
 		for _, k := range order {
 			at := carrier.Clock()
-			status, body := c.probe(ctx, fmt.Sprintf("%s/look-%s-%d-%d", markers[k], d.name, n, k))
-			l := judge.Line{T: at, By: judge.Drill, What: judge.Took, Of: d.name, PID: pid, Server: markers[k]}
+			if markers[k] == "get" {
+				at = begun
+			}
+			status, body := c.probe(ctx, fmt.Sprintf("%s/look-%s-%s-%d-%d", markers[k], d.name, part, n, k))
+			l := judge.Line{T: at, By: judge.Drill, What: judge.Took, Of: d.name, PID: pid, Server: markers[k], Part: part}
 			switch {
 			case status == http.StatusNotFound:
 				continue
 			case status == http.StatusServiceUnavailable && strings.Contains(body, "polic"):
 				l.What, l.Why = judge.Turned, body
 			case status == http.StatusOK || status == http.StatusServiceUnavailable || status == http.StatusBadGateway:
-				now = k
+				if now = k; markers[k] == "get" {
+					now = 0
+				}
 			default:
 				l.What = ""
 			}
@@ -163,21 +194,28 @@
 	if d.pid == 0 || d.paused {
 		return nil
 	}
+	parts := slices.Sorted(slices.Values(e.Parts)) // the daemon's order: authors are told the first one's number
+	if len(parts) == 0 {
+		parts = []string{""}
+	}
 	r.policies.mu.Lock()
-	id := fmt.Sprint("c", len(r.policies.markers))
-	marker := fmt.Sprint("p", len(r.policies.markers))
-	r.policies.markers = append(r.policies.markers, marker)
+	r.policies.changes++
+	id, marker := fmt.Sprint("c", r.policies.changes), fmt.Sprint("p", r.policies.changes)
+	texts := map[string]string{}
+	for _, part := range parts {
+		r.policies.markers[part] = append(r.policies.markers[part], marker)
+		texts[part] = marked(part, marker)
+	}
 	r.policies.mu.Unlock()
 	var without []string
 	for _, n := range e.To {
 		without = append(without, plan.Name(n))
 	}
-	r.line(judge.Line{What: judge.Proposed, Of: d.name, ID: id, Why: strings.Join(without, " ")})
-	text := marked(marker)
+	r.line(judge.Line{What: judge.Proposed, Of: d.name, ID: id, Why: strings.Join(without, " "), Parts: judge.PartsText(parts)})
 	if e.Kind != "" {
-		text = e.Kind
+		texts = map[string]string{"": e.Kind}
 	}
-	data, err := json.Marshal(map[string]any{"id": id, "body": text, "reason": "drill", "author": "drill at " + d.name, "without": without})
+	data, err := json.Marshal(map[string]any{"id": id, "parts": texts, "reason": "drill", "author": "drill at " + d.name, "without": without})
 	if err != nil {
 		return err
 	}
@@ -207,6 +245,7 @@
 		var f struct {
 			State, By, Why string
 			Number         uint64
+			Parts          []policy.Ref
 		}
 		ask, end := context.WithTimeout(ctx, 3*time.Second)
 		err := r.adminWith(ask, at, http.MethodGet, "/policy/fate?id="+url.QueryEscape(id), nil, func(body io.Reader) error { return json.NewDecoder(body).Decode(&f) })
@@ -216,7 +255,10 @@
 		case f.State == "in force", f.State == "dropped":
 			r.policies.mu.Lock()
 			if f.State == "in force" && !strings.HasPrefix(f.Why, "it was in force") {
-				r.policies.numbers[id] = f.Number
+				r.policies.numbers[id] = map[string]uint64{"": f.Number}
+				for _, x := range f.Parts {
+					r.policies.numbers[id][x.Part] = x.Number
+				}
 			}
 			r.policies.mu.Unlock()
 			r.line(judge.Line{What: judge.Told, Of: at.name, ID: id, State: f.State, Number: f.Number, Why: strings.TrimPrefix(f.By+": "+f.Why, ": ")})
@@ -238,11 +280,11 @@
 	for _, l := range r.policies.lines {
 		if l.What == judge.Took {
 			id := "c" + strings.TrimPrefix(l.Server, "p")
-			if id == "c0" {
+			if id == "c0" || l.Server == "get" {
 				id = ""
 			}
-			n, ok := r.policies.numbers[id]
-			if !ok { // of which nobody was told that it came into force
+			n, ok := r.policies.numbers[id][l.Part]
+			if !ok && id != "" { // of which nobody was told that it came into force
 				n = 1 << 32
 			}
 			l.ID, l.Number = id, n
--- a/internal/drill/rig/rig.go
+++ b/internal/drill/rig/rig.go
@@ -206,8 +206,13 @@
 %s
 [[instance]]
 name = "%s-1"
+source = "main"
 listen = "unix:%s/client"
 `, d.dir, d.site.list.Addr(), r.ramp(), plan.Deadline, r.marker(), d.name, d.dir)
+	for _, part := range r.held(d) { // a service of the same servers, with an instance of its own
+		fmt.Fprintf(b, "\n[[source]]\nname = %q\nlist = %q\nspread = \"50ms\"\nfirst = \"50ms\"\n\n[[instance]]\nname = \"%s-%s\"\nsource = %q\nlisten = \"unix:%s/%s\"\n",
+			part, d.site.list.Addr(), d.name, part, part, d.dir, part)
+	}
 	if !r.o.Bare {
 		fmt.Fprintf(b, `
 [peers]
@@ -611,7 +616,11 @@
 	if d.twin {
 		what = judge.Twin
 	}
-	r.line(judge.Line{T: at, What: what, Of: d.name, PID: d.pid, Balancers: 1, Region: r.p.Region(d.n)})
+	held := r.held(d)
+	r.line(judge.Line{T: at, What: what, Of: d.name, PID: d.pid, Balancers: 1 + len(held), Region: r.p.Region(d.n)})
+	if len(held) > 0 {
+		r.line(judge.Line{T: at, What: judge.Holds, Of: d.name, PID: d.pid, Parts: judge.PartsText(held)})
+	}
 	return nil
 }
 
--- a/internal/host/fleet/checker.go
+++ b/internal/host/fleet/checker.go
@@ -13,24 +13,38 @@
 
 type checker struct {
 	*tomlfile.File
-	over *overlay // a policy, of which some keys are; nil: none
-	err  error
+	over   *overlay            // a policy, of which some keys are; nil: none
+	placed map[string]placedAt // of the classes of the service that is looked at
+	err    error
 }
 
-// of is where a key stands: in the daemon's file, or in the policy.
-func (c *checker) of(key string) *tomlfile.File {
+// of is where a key stands, and by which key there: in the daemon's file, in the part of the policy for all, or in a service's.
+func (c *checker) of(key string) (*tomlfile.File, string) {
+	if end := strings.Index(key, "]"); end >= 0 {
+		at, ok := c.placed[key[:end+1]]
+		if !ok && c.over != nil {
+			at, ok = c.over.placed[key[:end+1]]
+		}
+		if ok && at.file != nil {
+			return at.file, at.key + key[end+1:]
+		}
+	}
 	if c.over.holds(key) {
-		return c.over.file
+		return c.over.file, key
 	}
-	return c.File
+	return c.File, key
 }
 
 // Has reports whether a key is set.
-func (c *checker) Has(key string) bool { return c.of(key).Has(key) }
+func (c *checker) Has(key string) bool {
+	file, at := c.of(key)
+	return file.Has(at)
+}
 
 func (c *checker) fail(key, format string, args ...any) {
 	if c.err == nil {
-		c.err = c.of(key).Errorf(key, format, args...)
+		file, at := c.of(key)
+		c.err = file.Errorf(at, format, args...)
 	}
 }
 
--- a/internal/host/fleet/config.go
+++ b/internal/host/fleet/config.go
@@ -174,15 +174,15 @@
 	if len(f.Site.Zones) == 0 {
 		f.Site.Zones = []string{""}
 	}
-	settings, classes := c.settings(f)
+	settings, classes := c.settings(f, f.Class)
 	cfg.Balancers, cfg.Peers = settings.Balancers, c.peers(f)
 	cfg.Limits = c.limits(f, cfg, settings, classes)
-	cfg.Policy = c.agree(f, cfg)
 	c.bans(f, cfg)
 	if c.err != nil {
 		return nil, c.err
 	}
 	c.instances(f, cfg, settings, classes)
+	cfg.Policy = c.agree(f, cfg)
 	if c.err == nil {
 		c.shares(f, cfg)
 	}
--- a/internal/host/fleet/daemon.go
+++ b/internal/host/fleet/daemon.go
@@ -60,6 +60,7 @@
 	counted  chan struct{} // the count has changed
 	policied chan struct{} // there is a new word on what to serve by
 	policy   agreed
+	holds    atomic.Pointer[[]string] // the parts of the policy that it is to hold
 	serving  atomic.Pointer[serving]  // nil: no policy is agreed on
 	host     atomic.Pointer[hostText] // the daemon's own file
 	lease    time.Duration
--- a/internal/host/fleet/instances.go
+++ b/internal/host/fleet/instances.go
@@ -104,7 +104,7 @@
 	if !d.ban(p) { // its loop takes this first
 		time.AfterFunc(shareAgain, d.shareSoon)
 	}
-	d.gate(a)
+	d.gate(hosted{a, source})
 	d.limit(p) // before it serves: nothing that is limited goes without a right
 	if at := d.sharing.Load(); at != nil && d.cfg.Limits != nil {
 		at.carrier.Join(number)
--- a/internal/host/fleet/listed.go
+++ b/internal/host/fleet/listed.go
@@ -17,9 +17,31 @@
 	"vetchhaven/internal/wire"
 )
 
+// ownClasses are the classes of a service that has a part of the policy.
+type ownClasses struct {
+	settings decide.Settings
+	classes  []string
+	list     []class
+}
+
+// service checks the classes of a service that has a part of the policy.
+func (c *checker) service(f *file, cfg *Config, name string) (x ownClasses) {
+	x.list, c.placed = c.over.laid.classes(name)
+	x.settings, x.classes = c.settings(f, x.list)
+	for i, k := range x.settings.Classes {
+		if cfg.Limits != nil && k.Deadline > cfg.Limits.Longest {
+			c.fail(fmt.Sprintf("class[%d].deadline", i), "%v is past the longest of the classes for all, %v: limits that the fleet shares are lent for so long", k.Deadline, cfg.Limits.Longest)
+		}
+	}
+	c.placed = nil
+	return x
+}
+
 func (c *checker) instances(f *file, cfg *Config, settings decide.Settings, classes []string) {
 	seen, listens := map[string]string{}, map[Address]string{}
 	options := c.ldap(f)
+	all, common := settings, classes
+	services := map[string]ownClasses{} // those that have a part of the policy
 	add := func(key string, in instance) {
 		at := func(field string) string { return key + "." + field }
 		d := &f.Defaults
@@ -52,6 +74,14 @@
 		if in.MaxOpen < 0 || in.Weight < 0 {
 			c.fail(at("max_open"), "max_open and weight are not negative")
 		}
+		settings, classes, list := all, common, f.Class
+		if c.over != nil && c.over.laid.part(in.Source) != nil {
+			if _, ok := services[in.Source]; !ok {
+				services[in.Source] = c.service(f, cfg, in.Source)
+			}
+			x := services[in.Source]
+			settings, classes, list = x.settings, x.classes, x.list
+		}
 		s := settings
 		site := wire.Site{Zones: f.Site.Zones, Kinds: f.Site.Kinds, MaxOpen: in.MaxOpen,
 			IdleClose: c.span("rules.idle_close", f.Rules.IdleClose, 5*time.Second), LoadInline: true}
@@ -69,7 +99,7 @@
 			if in.Classes == nil {
 				in.Classes = slices.DeleteFunc(slices.Clone(classes), func(n string) bool { return !ldap.Known(n) })
 			}
-			c.operations(at("classes"), in.Classes, f)
+			c.operations(at("classes"), in.Classes, list)
 		default:
 			c.fail(at("protocol"), "%q is none of http, ldap", in.Protocol)
 		}
@@ -117,7 +147,7 @@
 }
 
 // operations checks the classes of an instance that speaks LDAP.
-func (c *checker) operations(key string, names []string, f *file) {
+func (c *checker) operations(key string, names []string, list []class) {
 	for _, n := range ldap.Needed {
 		if !slices.Contains(names, n) {
 			c.fail(key, "an instance that speaks LDAP needs a class %q", n)
@@ -127,7 +157,7 @@
 		if !ldap.Known(n) {
 			c.fail(key, "%q is no class of operations of LDAP", n)
 		}
-		for _, k := range f.Class {
+		for _, k := range list {
 			if k.Name == n && k.Repeats == "keyed" {
 				c.fail(key, "%q is keyed: operations of LDAP have no key", n)
 			}
--- a/internal/host/fleet/overlay.go
+++ b/internal/host/fleet/overlay.go
@@ -20,6 +20,8 @@
 	Limit  []limit
 	Ban    []ban
 	Peers  *sharedPeers
+
+	services []*servicePart // not of a file: what services' parts have besides
 }
 
 // sharedPeers are the keys of [peers] that a policy may hold.
@@ -39,12 +41,15 @@
 	Reason string
 }
 
-// overlay is a policy read into its parts.
+// overlay is a policy read into its tables, with services' parts of it.
 type overlay struct {
 	shared
-	file *tomlfile.File
-	from map[string]bool // the parts that it holds
-	name string
+	file     *tomlfile.File
+	from     map[string]bool // the tables that it holds
+	name     string
+	services []*servicePart      // by name
+	placed   map[string]placedAt // tables of lists that come from elsewhere than their place says
+	laid     shared              // as it was last laid over a file
 }
 
 // readPolicy reads a policy's text; name is what errors call it.
@@ -69,6 +74,10 @@
 		return nil
 	}
 	s := o.complete(f)
+	if err := o.clashes(); err != nil {
+		return err
+	}
+	o.laid = s
 	f.Source, f.Site, f.Rules, f.Class, f.Limit, f.Ban = s.Source, *s.Site, *s.Rules, s.Class, s.Limit, s.Ban
 	if o.from["peers"] {
 		if f.Peers == nil {
@@ -112,6 +121,7 @@
 			take()
 		}
 	}
+	o.layServices(&s)
 	return s
 }
 
@@ -164,7 +174,11 @@
 		return l.Class != "" && !slices.ContainsFunc(m.Class, func(c class) bool { return c.Name == l.Class })
 	})
 	m.Ban = append(slices.Clone(a.Ban), b.Ban...)
-	return &overlay{shared: m, name: "what both policies allow",
+	services, err := meetServices(a, b)
+	if err != nil {
+		return nil, err
+	}
+	return &overlay{shared: m, services: services, name: "what both policies allow",
 		from: map[string]bool{"source": true, "site": true, "rules": true, "class": true, "limit": true, "ban": true, "peers": m.Peers != nil}}, nil
 }
 
@@ -256,6 +270,9 @@
 	if a.Drift = in.Drift; !(a.Drift >= 0 && a.Drift <= 0.2) {
 		c.fail("policy.drift", "%v: 0 to 0.2 are allowed", a.Drift)
 	}
+	if n := len(heldBy(cfg)); n > policy.HoldMost {
+		c.fail("instance", "they have %d sources: with [policy] up to %d are allowed", n, policy.HoldMost)
+	}
 	if n := len(a.Voters); n != 1 && n != 3 && n != 5 {
 		c.fail("policy.voters", "%d voters: 1, 3 or 5 members are to be named", n)
 	}
--- a/internal/host/fleet/policy.go
+++ b/internal/host/fleet/policy.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,8 +30,8 @@
 
 // applied is by which policy the instances serve.
 type applied struct {
-	number   uint64
-	id, both string
+	number uint64 // of the part for all
+	sum    string // of all texts, and of the changes that are allowed for besides
 }
 
 // serving is the last word on what to serve by.
@@ -41,6 +42,12 @@
 	unfit string
 }
 
+// holds reports whether requests of a source's instances may be taken, as far as its part goes.
+func (s *serving) holds(source string) bool {
+	_, held := s.In(source)
+	return held || len(source) > policy.NameMost
+}
+
 const (
 	notKnown  = "the policy in force is not known yet"
 	switched  = "another policy is in force: come again at once"
@@ -64,35 +71,40 @@
 		return
 	}
 	d.policy.disk, d.policy.opened = disk, true
-	doc, err := policy.KeptForce(disk.Member)
+	texts, err := policy.Kept(disk.Member)
 	if err != nil {
 		d.log.Error("what the fleet agreed on can't be read; no request is taken until others tell it", "error", err)
 		d.policy.disk.Member = nil
 		return
 	}
-	cfg := d.cfg
-	if doc.Number > 0 {
-		if cfg, err = d.under(d.cfg, &doc, nil); err != nil {
-			d.log.Error("this daemon can't serve by the last policy that it knows", "policy", doc.Number, "error", err)
-			return
-		}
+	texts = slices.DeleteFunc(texts, func(t policy.Doc) bool { return t.Part != "" && !slices.Contains(heldBy(d.cfg), t.Part) })
+	kept := policy.Serving{Doc: &texts[0], Parts: texts[1:]}
+	cfg, err := d.under(d.cfg, texts, nil)
+	if err != nil {
+		d.log.Error("this daemon can't serve by the last policy that it knows", "policy", kept.Sum(), "error", err)
+		return
 	}
 	d.cfg = cfg
-	d.policy.applied = applied{number: doc.Number, id: doc.ID}
-	if h := d.policy.handed; h != nil && h.Number == doc.Number { // requests are taken on at once
-		first.Why, first.Doc, first.Until, first.base = "", &doc, policy.Never, time.Now()
-		if p.Stops || slices.ContainsFunc(policy.OnDisk(disk.Member), func(id string) bool { return id != doc.ID }) { // or in doubt
+	d.policy.applied = applied{kept.Doc.Number, kept.Sum()}
+	if h := d.policy.handed; h != nil && h.Number == kept.Doc.Number { // requests are taken on at once
+		first.Why, first.Doc, first.Parts, first.Until, first.base = "", kept.Doc, kept.Parts, policy.Never, time.Now()
+		first.Held = h.Held(heldBy(d.cfg), func(part string) policy.Doc { t, _ := kept.In(part); return *t })
+		inForce := func(id string) bool {
+			return slices.ContainsFunc(texts, func(t policy.Doc) bool { return t.ID == id })
+		}
+		if p.Stops || slices.ContainsFunc(policy.OnDisk(disk.Member), func(id string) bool { return !inForce(id) }) { // or in doubt
 			first.Until = max(0, h.Left)
 		}
 	}
 }
 
-// under is the daemon's configuration under a policy, or what two of them both allow.
-func (d *Daemon) under(cfg *Config, doc, both *policy.Doc) (*Config, error) {
-	over, err := overlayOf(doc)
-	if err == nil && both != nil {
+// under is the daemon's configuration under the parts' texts, or what these and the changes that may be in force in their
+// place all allow.
+func (d *Daemon) under(cfg *Config, texts []policy.Doc, both []*policy.Doc) (*Config, error) {
+	over, err := overlayOf(texts)
+	if err == nil && len(both) > 0 {
 		var other *overlay
-		if other, err = overlayOf(both); err == nil {
+		if other, err = overlayOf(lay(texts, both)); err == nil {
 			var own file
 			if err = parseOwn(cfg, &own); err == nil {
 				over, err = meet(over.complete(&own), other.complete(&own))
@@ -105,21 +117,14 @@
 	return build(cfg.Path, cfg.data, over)
 }
 
-func overlayOf(doc *policy.Doc) (*overlay, error) {
-	if doc == nil || doc.Number == 0 {
-		return nil, nil
-	}
-	return readPolicy(fmt.Sprintf("policy %d", doc.Number), doc.Body)
-}
-
-// checkPolicy reports whether this daemon could serve by a policy. The carrier's loop calls it.
-func (d *Daemon) checkPolicy(body []byte) (err error) {
+// checkPolicy reports whether this daemon could serve by these texts of the parts that it holds. The carrier's loop calls it.
+func (d *Daemon) checkPolicy(texts []policy.Doc) (err error) {
 	defer func() { // whatever is wrong with it is a reason not to agree, and no more
 		if p := recover(); p != nil {
 			err = fmt.Errorf("panic: %v", p)
 		}
 	}()
-	over, err := readPolicy("policy", body)
+	over, err := overlayOf(texts)
 	if err != nil {
 		return err
 	}
@@ -144,7 +149,7 @@
 	}
 	d.policy.opened = false
 	s := p.Settings
-	s.Name, s.Life, s.Check, s.Handed = d.cfg.Peers.Name, life, d.checkPolicy, d.policy.handed
+	s.Name, s.Life, s.Check, s.Handed, s.Parts = d.cfg.Peers.Name, life, d.checkPolicy, d.policy.handed, heldBy(d.cfg)
 	if s.Handed != nil { // by this very file: nobody else had it meanwhile
 		disk.Proved = true
 	}
@@ -175,19 +180,23 @@
 	if s.Until < policy.Never {
 		left = time.Until(s.base.Add(s.Until))
 	}
-	d.policy.handed = &policy.Handed{Number: s.Doc.Number, Left: max(0, left), Seq: uint64(time.Now().UnixNano())}
+	d.policy.handed = &policy.Handed{Number: s.Doc.Number, Left: max(0, left), Seq: uint64(time.Now().UnixNano()), Form: policy.Form}
+	for _, part := range s.Held {
+		t, _ := s.In(part)
+		d.policy.handed.Parts = append(d.policy.handed.Parts, policy.Ref{Part: part, Number: t.Number, ID: t.ID})
+	}
 }
 
 // served takes the word on what to serve by. The carrier's loop calls it; it does not wait. A lease that is longer, or
 // over, holds at once; another policy as soon as Run's goroutine comes to it.
 func (d *Daemon) served(s policy.Serving, base time.Time) {
 	next := &serving{Serving: s, base: base}
-	if last := d.serving.Load(); last != nil && last.unfit != "" && last.Doc != nil && s.Doc != nil && last.Doc.ID == s.Doc.ID && idOf(last.Both) == idOf(s.Both) {
+	if last := d.serving.Load(); last != nil && last.unfit != "" && last.Doc != nil && s.Doc != nil && last.Sum() == s.Sum() {
 		next.unfit = last.unfit
 	}
 	d.serving.Store(next)
 	d.agents.Range(func(_, a any) bool {
-		d.gate(a.(hosted).agent)
+		d.gate(a.(hosted))
 		return true
 	})
 	select {
@@ -196,13 +205,6 @@
 	}
 }
 
-func idOf(doc *policy.Doc) string {
-	if doc == nil {
-		return ""
-	}
-	return doc.ID
-}
-
 // knowsPolicy reports whether requests are taken, as far as the policy goes.
 func (d *Daemon) knowsPolicy() bool {
 	s := d.serving.Load()
@@ -211,8 +213,8 @@
 
 // gate tells an instance until when it may take requests. One that serves by another policy than the last word's takes
 // them no longer than both words allow.
-func (d *Daemon) gate(a *core.Agent) {
-	s := d.serving.Load()
+func (d *Daemon) gate(h hosted) {
+	s, a := d.serving.Load(), h.agent
 	if _, closing := d.closing.Load(a); closing || s == nil { // what it was told as it was replaced stands
 		return
 	}
@@ -221,6 +223,8 @@
 		a.Taking(time.Time{}, s.unfit)
 	case s.Why != "":
 		a.Taking(time.Time{}, s.Why)
+	case !s.holds(h.source):
+		a.Taking(time.Time{}, "the policy of "+h.source+" is not known yet")
 	case s.Until >= policy.Never:
 		a.Free()
 	default:
@@ -235,31 +239,54 @@
 	if s == nil || s.Doc == nil || d.cfg.Policy == nil || d.handing {
 		return
 	}
-	want := applied{s.Doc.Number, s.Doc.ID, idOf(s.Both)}
+	want := applied{s.Doc.Number, s.Sum()}
 	if want == d.policy.applied || s.unfit != "" {
 		return
 	}
-	cfg, err := d.under(d.cfg, s.Doc, s.Both)
+	cfg, err := d.under(d.cfg, textsOf(&s.Serving), s.Both)
 	if err == nil {
 		err = d.turnTo(cfg)
 	}
 	if err != nil {
-		what := fmt.Sprintf("this daemon can't serve by policy %d", s.Doc.Number)
-		if s.Both != nil {
-			what = fmt.Sprintf("this daemon does not know whether policy %d or change %s is in force, and can't serve by both", s.Doc.Number, s.Both.ID)
+		what := "this daemon can't serve by policy " + s.Sum()
+		if len(s.Both) > 0 {
+			what = "this daemon does not know whether policy or changes are in force, and can't serve by all: " + s.Sum()
 		}
 		d.log.Error(what, "error", err)
 		unfit := *s
 		unfit.unfit = what + ": " + err.Error()
 		if d.serving.CompareAndSwap(s, &unfit) {
-			d.agents.Range(func(_, a any) bool { d.gate(a.(hosted).agent); return true })
+			d.agents.Range(func(_, a any) bool { d.gate(a.(hosted)); return true })
 		} else {
 			time.AfterFunc(tryAgain, d.wakeTurn)
 		}
 		return
 	}
 	d.policy.applied = want
-	d.log.Info("instances serve by policy", "number", want.number, "change", want.id, "and_what_this_change_allows", want.both)
+	d.log.Info("instances serve by policy", "number", want.number, "texts", want.sum)
+}
+
+// hold tells the fleet which parts this daemon holds from now on.
+func (d *Daemon) hold() {
+	if d.cfg.Policy == nil {
+		return
+	}
+	all := heldBy(d.cfg)
+	d.holds.Store(&all)
+	d.others.Go(func() {
+		for told := false; !told && d.stop.Err() == nil; time.Sleep(50 * time.Millisecond) { // the part that is told may be one that is replaced
+			err := d.onPolicy(func(n *policy.Node, _ time.Duration) []policy.Event {
+				want := *d.holds.Load()
+				if told = slices.Equal(n.Show().Holds, want); told {
+					return nil
+				}
+				return []policy.Event{policy.Hold{Parts: want}}
+			})
+			if err != nil { // the next one begins with what the daemon holds then
+				return
+			}
+		}
+	})
 }
 
 func (d *Daemon) wakeTurn() {
@@ -352,13 +379,18 @@
 	Author  string   `json:"author"`
 	Without []string `json:"without"`
 	Base    *uint64  `json:"base"` // the number in force that its author saw; nil: the daemon's
+	// Parts are the texts of several parts, by name, "" for what holds for all, with the numbers that their author saw, in place of
+	// Body and Base. A number that is missing is the daemon's, which holds that part.
+	Parts map[string]string `json:"parts,omitempty"`
+	Bases map[string]uint64 `json:"bases,omitempty"`
 }
 
 // ShownPolicy is how a daemon stands towards the fleet's policy.
 type ShownPolicy struct {
 	policy.Shown
-	Body    string `json:"body"`
-	Applied uint64 `json:"instances_serve_by"`
+	Body    string            `json:"body"`
+	Bodies  map[string]string `json:"bodies,omitempty"` // of services' parts that it holds
+	Applied uint64            `json:"instances_serve_by"`
 	// Members that the view knows alive and that the roster does not have: they go by their own files, or take nothing. Known at voters.
 	Outside []string `json:"not_in_the_roster,omitempty"`
 	Unfit   string   `json:"unfit,omitempty"`
@@ -367,7 +399,10 @@
 // Policy is how the daemon stands towards the fleet's policy.
 func (d *Daemon) Policy() (s ShownPolicy, err error) {
 	err = d.onPolicy(func(n *policy.Node, now time.Duration) []policy.Event {
-		s.Shown, s.Body = n.Show(), string(n.Force().Body)
+		s.Shown, s.Body, s.Bodies = n.Show(), string(n.Force().Body), map[string]string{}
+		for _, t := range s.Parts {
+			s.Bodies[t.Part] = string(n.Text(t.Part).Body)
+		}
 		return nil
 	})
 	d.do(func() { s.Applied = d.policy.applied.number })
@@ -394,26 +429,75 @@
 
 // ProposePolicy asks the fleet for a change, and says by which ID it is known. What becomes of it, PolicyFate says.
 func (d *Daemon) ProposePolicy(c PolicyChange) (id string, err error) {
-	if err := d.checkPolicy([]byte(c.Body)); err != nil {
-		return "", fmt.Errorf("not asked for: %w", err)
+	if c.Parts == nil {
+		c.Parts = map[string]string{"": c.Body}
+		if c.Base != nil {
+			c.Bases = map[string]uint64{"": *c.Base}
+		}
 	}
 	if c.ID == "" {
 		u := uuid.New()
 		c.ID = hex.EncodeToString(u[:8])
 	}
-	p := policy.Proposal{Without: c.Without, Doc: policy.Doc{ID: c.ID, Body: []byte(c.Body), Digest: policy.DigestOf([]byte(c.Body)),
-		Author: c.Author, Reason: c.Reason, At: time.Now().UnixMilli()}}
-	if err := p.Check(); err != nil {
-		return "", err
-	}
+	var wrong error
 	err = d.onPolicy(func(n *policy.Node, _ time.Duration) []policy.Event {
-		p.Base = n.Force().Number
-		if c.Base != nil {
-			p.Base = *c.Base
+		var p policy.Proposal
+		if p, wrong = c.proposal(n); wrong == nil {
+			if wrong = d.checkChange(n, &p.Doc); wrong != nil {
+				wrong = fmt.Errorf("not asked for: %w", wrong)
+			}
+		}
+		if wrong != nil {
+			return nil
 		}
 		return []policy.Event{policy.Propose{Change: p}}
 	})
-	return c.ID, err
+	return c.ID, errors.Join(err, wrong)
+}
+
+// proposal is the change as the fleet is asked for it.
+func (c *PolicyChange) proposal(n *policy.Node) (p policy.Proposal, err error) {
+	holds := n.Show().Holds
+	p.Without = c.Without
+	for i, part := range slices.Sorted(maps.Keys(c.Parts)) {
+		body := []byte(c.Parts[part])
+		base, ok := c.Bases[part]
+		if !ok {
+			if part != "" && !slices.Contains(holds, part) {
+				return p, fmt.Errorf("not asked for: this daemon has no instance of %s: say of which number the change is made, or ask at one that has", part)
+			}
+			base = n.Text(part).Number
+		}
+		if d := (policy.Doc{Part: part, Body: body, Digest: policy.DigestOf(body)}); i == 0 {
+			d.ID, d.Author, d.Reason, d.At = c.ID, c.Author, c.Reason, time.Now().UnixMilli()
+			p.Doc, p.Base = d, base
+		} else {
+			p.Doc.More, p.Bases = append(p.Doc.More, d), append(p.Bases, base)
+		}
+	}
+	return p, p.Check()
+}
+
+// checkChange reports whether a change makes sense: here by all that is in force, as far as this daemon holds its parts.
+func (d *Daemon) checkChange(n *policy.Node, c *policy.Doc) error {
+	s := n.Show()
+	var held []policy.Doc
+	for _, x := range c.Texts() {
+		if x.Part == "" || slices.Contains(s.Holds, x.Part) {
+			held = append(held, x)
+		} else if _, err := readPart(nameOf(&x), x.Part, x.Body); err != nil {
+			return err
+		}
+	}
+	texts := []policy.Doc{n.Force()}
+	for _, t := range s.Parts {
+		texts = append(texts, n.Text(t.Part))
+	}
+	for i := range held {
+		held[i].More = nil
+		texts = lay(texts, []*policy.Doc{&held[i]})
+	}
+	return d.checkPolicy(texts)
 }
 
 // PolicyFate is what became of a change, as far as this daemon has heard; it goes on asking.
@@ -435,9 +519,11 @@
 	})
 }
 
-// PolicyPast are the last changes, and the text of the policy of a number.
-func (d *Daemon) PolicyPast(number uint64, wait time.Duration) (past *policy.Past, err error) {
-	ask := func(*policy.Node, time.Duration) []policy.Event { return []policy.Event{policy.Past{Number: number}} }
+// PolicyPast are the last changes, and the text of a part with a number; 0: of a service's part the one in force.
+func (d *Daemon) PolicyPast(part string, number uint64, wait time.Duration) (past *policy.Past, err error) {
+	ask := func(*policy.Node, time.Duration) []policy.Event {
+		return []policy.Event{policy.Past{Part: part, Number: number}}
+	}
 	if err := d.onPolicy(ask); err != nil {
 		return nil, err
 	}
@@ -446,7 +532,7 @@
 		if err := d.onPolicy(func(n *policy.Node, _ time.Duration) []policy.Event { past = n.Known(); return nil }); err != nil {
 			return nil, err
 		}
-		if past != nil && past.Number == number {
+		if past != nil && past.Number == number && past.Part == part {
 			return past, nil
 		}
 		if n%20 == 0 {
@@ -466,15 +552,30 @@
 	return d.onPolicy(func(*policy.Node, time.Duration) []policy.Event { return []policy.Event{e} })
 }
 
-// CheckPolicyFile reports whether the daemon of a file could serve by a policy, without a daemon.
-func CheckPolicyFile(config, name string, body []byte) error {
+// CheckPolicy reports whether the daemon of a file could serve by texts of parts, by name, without a daemon. Names are what
+// errors call them.
+func CheckPolicy(config string, texts, names map[string]string) error {
 	cfg, err := Load(config)
 	if err != nil {
 		return err
 	}
-	over, err := readPolicy(name, body)
-	if err != nil {
-		return err
+	over := &overlay{from: map[string]bool{}}
+	if text, ok := texts[""]; ok {
+		if over, err = readPolicy(names[""], []byte(text)); err != nil {
+			return err
+		}
+	}
+	for _, part := range slices.Sorted(maps.Keys(texts)) {
+		if part == "" {
+			continue
+		}
+		p, err := readPart(names[part], part, []byte(texts[part]))
+		if err != nil {
+			return err
+		}
+		if slices.Contains(heldBy(cfg), part) {
+			over.services = append(over.services, p)
+		}
 	}
 	_, err = build(cfg.Path, cfg.data, over)
 	return err
--- a/internal/host/fleet/policy_test.go
+++ b/internal/host/fleet/policy_test.go
@@ -49,7 +49,7 @@
 		t.Fatal("nothing was replaced")
 	}
 	for _, until := range []time.Duration{policy.Never, time.Hour} { // with vetoes, with stops
-		r.served(policy.Serving{Doc: &policy.Doc{Number: 1}, Until: until}, time.Now())
+		r.served(policy.Serving{Doc: &policy.Doc{Number: 1}, Until: until, Held: []string{"main"}}, time.Now())
 		eventually(t, "the replaced copy takes nothing", func() bool { return !old.Takes() })
 		if !now.Takes() {
 			t.Error("the copy in its place takes nothing")
--- a/internal/host/fleet/policyadmin.go
+++ b/internal/host/fleet/policyadmin.go
@@ -31,15 +31,19 @@
 		done(w, s, err)
 	})
 	mux.HandleFunc("POST /policy/check", func(w http.ResponseWriter, r *http.Request) {
+		var wrong error
 		body, err := io.ReadAll(io.LimitReader(r.Body, policy.BodyMost+1))
 		if err == nil {
-			err = d.checkPolicy(body)
+			err = d.onPolicy(func(n *policy.Node, _ time.Duration) []policy.Event {
+				wrong = d.checkChange(n, &policy.Doc{Part: r.FormValue("part"), Body: body})
+				return nil
+			})
 		}
-		done(w, map[string]string{"state": "this daemon could serve by it"}, err)
+		done(w, map[string]string{"state": "this daemon could serve by it"}, errors.Join(err, wrong))
 	})
 	mux.HandleFunc("POST /policy/apply", func(w http.ResponseWriter, r *http.Request) {
 		var c PolicyChange
-		if err := json.NewDecoder(io.LimitReader(r.Body, 8*policy.BodyMost)).Decode(&c); err != nil {
+		if err := json.NewDecoder(io.LimitReader(r.Body, 8*policy.ChangeMost)).Decode(&c); err != nil {
 			fail(w, http.StatusBadRequest, err)
 			return
 		}
@@ -60,7 +64,7 @@
 			fail(w, http.StatusBadRequest, err)
 			return
 		}
-		p, err := d.PolicyPast(n, 5*time.Second)
+		p, err := d.PolicyPast(r.FormValue("part"), n, 5*time.Second)
 		done(w, p, err)
 	})
 	mux.HandleFunc("POST /policy/voters", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/host/fleet/reload.go
+++ b/internal/host/fleet/reload.go
@@ -95,6 +95,7 @@
 				if p.agent != nil {
 					d.agents.Store(p.number, hosted{p.agent, spec.Source})
 					p.agent.Follow(d.hubs[spec.Source].Hub)
+					d.gate(hosted{p.agent, spec.Source})
 				}
 			default:
 				r.Unchanged++
@@ -114,6 +115,9 @@
 		delete(d.memory, name)
 	}
 	d.watchLists()
+	if !slices.Equal(heldBy(old), heldBy(cfg)) {
+		d.hold()
+	}
 	for _, p := range d.parts {
 		if heard := d.ban(p); !d.limit(p) || !heard {
 			time.AfterFunc(shareAgain, d.shareSoon)
--- a/internal/host/fleet/rules.go
+++ b/internal/host/fleet/rules.go
@@ -11,7 +11,7 @@
 )
 
 // settings are what all instances are told alike.
-func (c *checker) settings(f *file) (decide.Settings, []string) {
+func (c *checker) settings(f *file, own []class) (decide.Settings, []string) {
 	r := &f.Rules
 	s := decide.Settings{Balancers: cmp.Or(r.Balancers, 1), ByWork: f.Site.ByWork, MaxAttempts: cmp.Or(r.MaxAttempts, 3), SecondCopies: r.SecondCopies,
 		MayCancel: true, RetryAfter: r.MaxRetryAfter.D() > 0, MaxRetryAfter: c.wait("rules.max_retry_after", r.MaxRetryAfter, 0),
@@ -37,7 +37,7 @@
 		c.fail("rules.cross_zone_price", "%v is negative", r.CrossZonePrice)
 	}
 	var names []string
-	for i, k := range f.Class {
+	for i, k := range own {
 		at := func(field string) string { return fmt.Sprintf("class[%d].%s", i, field) }
 		if k.Name == "" || strings.ContainsAny(k.Name, "/ ?#%") || slices.Contains(names, k.Name) {
 			c.fail(at("name"), "%q is no name for the first part of a path, or is there twice", k.Name)
@@ -58,7 +58,7 @@
 		}
 		s.Classes = append(s.Classes, d)
 	}
-	if len(f.Class) == 0 {
+	if len(own) == 0 {
 		c.fail("class", "at least one [[class]] is needed")
 	}
 	return s, names
--- /dev/null
+++ b/internal/host/fleet/servicepart.go
@@ -0,0 +1,232 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"vetchhaven/internal/peer/policy"
+	"vetchhaven/internal/tomlfile"
+)
+
+// servicePart is a service's part of the policy: its source, classes that only requests of its instances have, and servers
+// of it that are out. A service is what a source names; a daemon holds the parts of the sources of its instances.
+type servicePart struct {
+	name   string
+	file   *tomlfile.File
+	Source []source
+	Class  []class
+	Ban    []ban
+	whole  bool // its classes are all that the service has: what two policies both allow
+}
+
+// placedAt is where a table of a list comes from; file nil: from the file or the part for all, where key says.
+type placedAt struct {
+	file *tomlfile.File
+	key  string
+}
+
+// readPart reads a service's part. What is in it is the service's alone, so that two parts never touch the same thing.
+func readPart(name, service string, body []byte) (*servicePart, error) {
+	p := &servicePart{name: service}
+	var in struct {
+		Source []source
+		Class  []class
+		Ban    []ban
+	}
+	var err error
+	if p.file, err = tomlfile.Parse(name, body, &in); err != nil {
+		return nil, err
+	}
+	p.Source, p.Class, p.Ban = in.Source, in.Class, in.Ban
+	for i := range p.Source {
+		s, at := &p.Source[i], fmt.Sprintf("source[%d].name", i)
+		if s.Name == "" {
+			s.Name = service
+		}
+		if s.Name != service || i > 0 {
+			return nil, p.file.Errorf(at, "%q: the part of %s has one source at the most, which has its name or none", s.Name, service)
+		}
+	}
+	for i := range p.Ban {
+		b, at := &p.Ban[i], fmt.Sprintf("ban[%d].source", i)
+		if b.Source == "" {
+			b.Source = service
+		}
+		if b.Source != service {
+			return nil, p.file.Errorf(at, "%q: the part of %s bans servers of its own source", b.Source, service)
+		}
+	}
+	return p, nil
+}
+
+// part is a service's part; nil: it has none.
+func (s *shared) part(service string) *servicePart {
+	if i := slices.IndexFunc(s.services, func(p *servicePart) bool { return p.name == service }); i >= 0 {
+		return s.services[i]
+	}
+	return nil
+}
+
+// layServices puts services' sources and bans among the others. Their classes are laid over for each service by itself.
+func (o *overlay) layServices(s *shared) {
+	s.services, o.placed = o.services, map[string]placedAt{}
+	s.Source, s.Ban = slices.Clone(s.Source), slices.Clone(s.Ban)
+	for _, p := range o.services {
+		for i, one := range p.Source {
+			n := slices.IndexFunc(s.Source, func(x source) bool { return x.Name == one.Name })
+			if n < 0 {
+				n = len(s.Source)
+				s.Source = append(s.Source, one)
+			}
+			s.Source[n] = one
+			o.placed[fmt.Sprintf("source[%d]", n)] = placedAt{p.file, fmt.Sprintf("source[%d]", i)}
+		}
+		for i, one := range p.Ban {
+			o.placed[fmt.Sprintf("ban[%d]", len(s.Ban))] = placedAt{p.file, fmt.Sprintf("ban[%d]", i)}
+			s.Ban = append(s.Ban, one)
+		}
+	}
+}
+
+// clashes reports what services' parts have that the part for all has as well: which of the two holds nobody could say.
+func (o *overlay) clashes() error {
+	for _, p := range o.services {
+		for i, k := range p.Class {
+			if p.file != nil && o.from["class"] && slices.ContainsFunc(o.Class, func(x class) bool { return x.Name == k.Name }) {
+				return p.file.Errorf(fmt.Sprintf("class[%d].name", i), "%q is a class of the part for all", k.Name)
+			}
+		}
+		if p.file != nil && len(p.Source) > 0 && o.from["source"] && slices.ContainsFunc(o.Source, func(x source) bool { return x.Name == p.name }) {
+			return p.file.Errorf("source[0].name", "%q is a source of the part for all", p.name)
+		}
+	}
+	return nil
+}
+
+// classes are those that a service's instances may have: the part's in the place of others of their name, or besides. Placed
+// says where each comes from.
+func (s *shared) classes(service string) (all []class, placed map[string]placedAt) {
+	all = s.Class
+	p := s.part(service)
+	if p == nil {
+		return all, nil
+	}
+	if all = slices.Clone(all); p.whole {
+		all = nil
+	}
+	placed = map[string]placedAt{}
+	for i, k := range p.Class {
+		n := slices.IndexFunc(all, func(x class) bool { return x.Name == k.Name })
+		if n < 0 {
+			n = len(all)
+			all = append(all, k)
+		}
+		all[n] = k
+		if p.file != nil {
+			placed[fmt.Sprintf("class[%d]", n)] = placedAt{p.file, fmt.Sprintf("class[%d]", i)}
+		}
+	}
+	return all, placed
+}
+
+// meetServices are, of services that have a part in either policy, the classes that both allow; sources and bans are met
+// with all others.
+func meetServices(a, b shared) (all []*servicePart, err error) {
+	var names []string
+	for _, p := range slices.Concat(a.services, b.services) {
+		names = append(names, p.name)
+	}
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
+		p := &servicePart{name: name, whole: true}
+		as, _ := a.classes(name)
+		bs, _ := b.classes(name)
+		for _, x := range as {
+			if i := slices.IndexFunc(bs, func(y class) bool { return y.Name == x.Name }); i >= 0 {
+				p.Class = append(p.Class, meetClass(x, bs[i]))
+			}
+		}
+		if len(p.Class) == 0 {
+			return nil, fmt.Errorf("the two policies have no class of %s in common", name)
+		}
+		all = append(all, p)
+	}
+	return all, nil
+}
+
+// heldBy are the parts that a daemon of a configuration holds: of the sources of its instances.
+func heldBy(cfg *Config) (all []string) {
+	for _, i := range cfg.Instances {
+		if len(i.Source) <= policy.NameMost {
+			all = append(all, i.Source)
+		}
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// textsOf are the parts' texts by which a word says to serve, that for all first.
+func textsOf(s *policy.Serving) []policy.Doc {
+	return append([]policy.Doc{*s.Doc}, s.Parts...)
+}
+
+// lay puts changes in the place of texts.
+func lay(texts []policy.Doc, changes []*policy.Doc) []policy.Doc {
+	all := slices.Clone(texts)
+	for _, c := range changes {
+		for _, x := range c.Texts() {
+			if i := slices.IndexFunc(all, func(d policy.Doc) bool { return d.Part == x.Part }); i >= 0 {
+				all[i] = x
+			} else {
+				all = append(all, x)
+			}
+		}
+	}
+	return all
+}
+
+// nameOf is what errors call a text.
+func nameOf(d *policy.Doc) string {
+	name := "policy"
+	if d.Number > 0 {
+		name = fmt.Sprintf("policy %d", d.Number)
+	}
+	if d.Part != "" {
+		name += " of " + d.Part
+	}
+	return name
+}
+
+// overlayOf reads the parts' texts; nil: none has any.
+func overlayOf(texts []policy.Doc) (*overlay, error) {
+	var o *overlay
+	for i := range texts {
+		d := &texts[i]
+		if d.Part != "" || d.Number == 0 && len(d.Body) == 0 {
+			continue
+		}
+		var err error
+		if o, err = readPolicy(nameOf(d), d.Body); err != nil {
+			return nil, err
+		}
+	}
+	for i := range texts {
+		d := &texts[i]
+		if d.Part == "" || d.Number == 0 && len(d.Body) == 0 {
+			continue
+		}
+		if o == nil {
+			o = &overlay{from: map[string]bool{}, name: nameOf(d)}
+		}
+		p, err := readPart(nameOf(d), d.Part, d.Body)
+		if err != nil {
+			return nil, err
+		}
+		o.services = append(o.services, p)
+	}
+	if o != nil {
+		slices.SortFunc(o.services, func(a, b *servicePart) int { return strings.Compare(a.name, b.name) })
+	}
+	return o, nil
+}
--- a/internal/peer/carrier/agreeing.go
+++ b/internal/peer/carrier/agreeing.go
@@ -159,7 +159,7 @@
 		e.State = "holds"
 	case s.Alone:
 		e.State = "alone"
-	case s.Both != nil:
+	case len(s.Both) > 0:
 		e.State = "both"
 	}
 	if s.Doc != nil {
--- a/internal/peer/policy/member.go
+++ b/internal/peer/policy/member.go
@@ -1,7 +1,9 @@
 package policy
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -12,17 +14,27 @@
 //   - not before the leader has told this life that it is in the roster, and by which policy;
 //   - with Stops: until Lease after it asked, each time that it is told so;
 //   - else: without end, but not while it has a change on its disk of which it does not know what became. Then until
-//     Lease after it asked, and from then on only by what both allow: nobody else's change can come between, since each
-//     needs this member.
+//     Lease after it asked, and from then on only by what all allow: nobody else's change of these parts can come between,
+//     since each needs this member;
+//   - by a service's part only if the roster has it that this member holds it: else it is not waited for.
 type member struct {
 	n        *Node
-	force    Doc
-	prepared *Doc          // it is on the disk, and this member can serve by it
-	sure     time.Duration // since when it is there
-	nay, why string        // the change that it can't serve by
+	force    Doc                      // the part ""
+	texts    map[string]Doc           // the others that have a text in force
+	upto     uint64                   // it knows all that came into force up to this Order; 0: nothing
+	want     []string                 // parts that it is to hold, besides "", in order
+	held     []string                 // those that the roster has for it, and whose text in force is here if they have one
+	holds    uint64                   // the sum of those that the roster has for it, by the last answer
+	asks     bool                     // that answer said that the roster has none, and wants them
+	prepared []*Doc                   // changes: on the disk, and this member can serve by them
+	sure     map[string]time.Duration // since when they are there
+	nays     map[string]string        // changes that it can't serve by, and why
+	need     map[string]Ref           // in force by the last answer, and not here, by part
 
 	saving  uint64 // number of what is being put on the disk; 0: nothing
-	wanted  *Doc   // the change that is in it
+	wanted  []*Doc // the changes that are in it for the first time
+	ready   []*Doc // those that go there next
+	apart   []*Doc // in force, and this member can't serve by them without others that it has not yet
 	dirty   bool   // the disk has another policy in force than this member
 	dirtyAt time.Duration
 
@@ -46,9 +58,7 @@
 	avoid    string // a leader that did not answer, until ...
 	avoidTo  time.Duration
 	asksTo   string
-	fetching string
-	inForce  string // the change that made the policy in force, by the last answer
-	fetchAt  time.Duration
+	fetching map[string]time.Duration // changes whose texts were asked for, and when
 	about    []watched
 	changes  []*change
 	tries    int // questions since the last answer
@@ -75,6 +85,19 @@
 	Prepared *Doc     `cbor:"2,keyasint,omitempty"`
 	Voters   []string `cbor:"3,keyasint,omitempty"`
 	Epoch    uint64   `cbor:"4,keyasint,omitempty"`
+	Texts    []Doc    `cbor:"5,keyasint,omitempty"` // from form 2 on, as what follows
+	More     []*Doc   `cbor:"6,keyasint,omitempty"` // prepared besides
+	Upto     uint64   `cbor:"7,keyasint,omitempty"`
+	Form     uint8    `cbor:"8,keyasint,omitempty"`
+	Holds    uint64   `cbor:"9,keyasint,omitempty"` // the sum of the parts of which Upto tells
+}
+
+// changes are those that are prepared.
+func (s *savedMember) changes() []*Doc {
+	if s.Prepared == nil {
+		return s.More
+	}
+	return append([]*Doc{s.Prepared}, s.More...)
 }
 
 const (
@@ -94,7 +117,7 @@
 func (m *member) due() {
 	n := m.n
 	if m.dirty && m.saving == 0 && n.now >= m.dirtyAt {
-		m.save(nil)
+		m.save()
 	}
 	if n.now >= m.askAt {
 		m.ask()
@@ -139,7 +162,7 @@
 	s := Serving{Doc: &m.force}
 	switch {
 	case !m.ever && n.s.Last && n.now >= m.aloneAt():
-		s.Until, s.Alone, s.Both = Never, true, m.prepared
+		s.Until, s.Alone, s.Both, s.Held = Never, true, m.prepared, m.want
 	case !m.ever:
 		s.Why = "the policy in force is not known yet: no voter has answered"
 		if m.refused != "" {
@@ -150,7 +173,7 @@
 		if m.refused != "" {
 			s.Why = m.refused
 		}
-	case !n.s.Stops && m.prepared == nil:
+	case !n.s.Stops && len(m.prepared) == 0:
 		s.Until = Never
 	case n.now < m.lease:
 		s.Until = m.lease
@@ -159,26 +182,142 @@
 	default:
 		s.Why = "no voter has answered for " + n.s.Lease.String() + ": the policy may change without this member"
 	}
-	t := &m.told
-	if t.Doc != nil && t.Doc.Number == s.Doc.Number && t.Doc.ID == s.Doc.ID && idOfDoc(t.Both) == idOfDoc(s.Both) && t.Until == s.Until && t.Alone == s.Alone && t.Why == s.Why {
-		return
+	if s.Why == "" && !s.Alone {
+		s.Held = m.held
 	}
 	doc := m.force
-	s.Doc = &doc
+	s.Doc, s.Parts, s.Both = &doc, m.inForceParts(), slices.Clone(s.Both)
+	if m.told.Doc != nil && m.told.same(&s) {
+		return
+	}
 	m.told = s
 	n.do(Serve{s})
 }
 
-func idOfDoc(d *Doc) string {
-	if d == nil {
-		return ""
+// same reports whether two words say the same.
+func (s *Serving) same(o *Serving) bool {
+	same := func(a, b Doc) bool { return a.Part == b.Part && a.Number == b.Number && a.ID == b.ID }
+	return same(*s.Doc, *o.Doc) && slices.EqualFunc(s.Parts, o.Parts, same) && slices.Equal(idsOf(s.Both), idsOf(o.Both)) && slices.Equal(s.Held, o.Held) &&
+		s.Until == o.Until && s.Alone == o.Alone && s.Why == o.Why
+}
+
+// Sum tells by which texts it serves, and by what besides: two that are the same have the same.
+func (s *Serving) Sum() string {
+	var b strings.Builder
+	if s.Doc != nil {
+		fmt.Fprintf(&b, "%d %s", s.Doc.Number, s.Doc.ID)
+	}
+	for i := range s.Parts {
+		fmt.Fprintf(&b, ", %s %d %s", s.Parts[i].Part, s.Parts[i].Number, s.Parts[i].ID)
+	}
+	for _, d := range s.Both {
+		fmt.Fprintf(&b, " and %s", d.ID)
+	}
+	return b.String()
+}
+
+// In is the text by which a part is served, and whether it may be.
+func (s *Serving) In(part string) (d *Doc, held bool) {
+	if part == "" {
+		return s.Doc, true
+	}
+	held = slices.Contains(s.Held, part)
+	if i := slices.IndexFunc(s.Parts, func(x Doc) bool { return x.Part == part }); i >= 0 {
+		return &s.Parts[i], held
 	}
-	return d.ID
+	return &Doc{Part: part}, held
+}
+
+// Doubt is the change that may be in force in place of a part's text; nil: none.
+func (s *Serving) Doubt(part string) *Doc {
+	if i := slices.IndexFunc(s.Both, func(d *Doc) bool { return d.Names(part) }); i >= 0 {
+		return s.Both[i]
+	}
+	return nil
+}
+
+func idsOf(all []*Doc) []string {
+	var ids []string
+	for _, d := range all {
+		ids = append(ids, d.ID)
+	}
+	return ids
+}
+
+// text is a part's text in force here; Number 0: it has none.
+func (m *member) text(part string) Doc {
+	if part == "" {
+		return m.force
+	}
+	if d, ok := m.texts[part]; ok {
+		return d
+	}
+	return Doc{Part: part}
+}
+
+// inForceParts are the texts in force but that for all, by name.
+func (m *member) inForceParts() []Doc {
+	var all []Doc
+	for _, p := range sorted(m.texts) {
+		all = append(all, m.texts[p])
+	}
+	return all
+}
+
+// hold takes note of what it is to hold from now on.
+func (m *member) hold(parts []string) {
+	want, err := partsOf(parts)
+	if err != nil {
+		m.n.say(true, "%v", err)
+		return
+	}
+	if slices.Equal(want, m.want) {
+		return
+	}
+	m.want, m.upto = want, 0 // what is in force is learnt of all parts, also of those that are new here
+	clear(m.asked)           // answers that are on their way were made by the parts of before
+	m.held = slices.DeleteFunc(slices.Clone(m.held), func(p string) bool { return !slices.Contains(want, p) })
+	m.forget()
+	m.dirty, m.dirtyAt = true, m.n.now
+	m.soon()
+}
+
+// rescued takes note that an operator has gone on without most voters: what is in force, and what the roster has, is learnt anew.
+func (m *member) rescued() {
+	m.upto, m.holds, m.held = 0, 0, nil
+	m.dirty, m.dirtyAt = true, m.n.now
+}
+
+// forget gives up texts of parts that it does not hold.
+func (m *member) forget() {
+	for p := range m.texts {
+		if !m.mine(p) {
+			delete(m.texts, p)
+		}
+	}
+	for p := range m.need {
+		if !m.mine(p) {
+			delete(m.need, p)
+		}
+	}
+}
+
+// mine reports whether a part is one that it is to hold.
+func (m *member) mine(part string) bool {
+	if part == "" {
+		return true
+	}
+	_, ok := slices.BinarySearch(m.want, part)
+	return ok
+}
+
+func (m *member) isPrepared(id string) bool {
+	return slices.ContainsFunc(m.prepared, func(d *Doc) bool { return d.ID == id })
 }
 
 // needs reports whether it waits for an answer.
 func (m *member) needs() bool {
-	return !m.joined || m.prepared != nil || m.fetching != "" || m.n.now >= m.lease-m.n.s.Lease/4 && m.n.s.Stops || slices.ContainsFunc(m.about, func(w watched) bool { return w.fate.State <= UnderWay })
+	return !m.joined || len(m.prepared) > 0 || len(m.need) > 0 || len(m.fetching) > 0 || m.holds != sumOf(m.want) || m.n.now >= m.lease-m.n.s.Lease/4 && m.n.s.Stops || slices.ContainsFunc(m.about, func(w watched) bool { return w.fate.State <= UnderWay })
 }
 
 // ask asks a voter.
@@ -210,9 +349,17 @@
 	m.seq++
 	m.asked[m.seq] = n.now
 	m.askedAt = n.now
-	a := &Ask{Name: n.s.Name, Life: n.s.Life, Seq: m.seq, Force: m.force.Number, Nay: m.nay, Why: m.why, Join: m.free && !m.joined, Over: m.joined && n.now >= m.lease, Stops: n.s.Stops, LeaseMS: uint32(n.s.Lease / time.Millisecond)}
-	if m.prepared != nil {
-		a.Prepared = m.prepared.ID
+	a := &Ask{Name: n.s.Name, Life: n.s.Life, Seq: m.seq, Force: m.force.Number, Join: m.free && !m.joined, Over: m.joined && n.now >= m.lease, Stops: n.s.Stops, LeaseMS: uint32(n.s.Lease / time.Millisecond),
+		Form: Form, Upto: m.upto, Have: idsOf(m.prepared), Holds: sumOf(m.want)}
+	if i := slices.IndexFunc(m.prepared, func(d *Doc) bool { return d.plain() }); i >= 0 { // for a leader of form 1
+		a.Prepared = m.prepared[i].ID
+	}
+	if ids := sorted(m.nays); len(ids) > 0 { // by turns
+		a.Nay = ids[m.turn%len(ids)]
+		a.Why = m.nays[a.Nay]
+	}
+	if !m.joined || m.holds != a.Holds || m.asks {
+		a.Parts = m.want
 	}
 	for i := range m.about { // by turns, where there are many
 		if w := m.about[(m.turn+i)%len(m.about)]; w.fate.State <= UnderWay && len(a.About) < aboutMost {
@@ -275,78 +422,175 @@
 			n.say(true, "policy: not taken into the fleet's roster: %s", a.Refused)
 		}
 	}
-	m.inForce = a.ForceID
-	if a.Force > m.force.Number {
-		if m.prepared != nil && m.prepared.ID == a.ForceID {
-			m.enter(*m.prepared)
-		} else {
-			m.joined = false
-			m.fetch(a.ForceID)
-			return
+	refs, under, holds := a.Changed, a.Under, a.Holds
+	if a.Form == 0 { // a leader of form 1 knows one part, and counts this member for every change
+		refs, under, holds = nil, nil, sumOf(m.want)
+		if a.Force != m.force.Number || a.ForceID != m.force.ID {
+			refs = []Ref{{Number: a.Force, ID: a.ForceID}}
+		}
+		if a.Pending != "" {
+			under = []string{a.Pending}
 		}
 	}
-	if a.Force < m.force.Number { // older than what this member knows: a rescue has given that up
-		if n.epochAt > 0 && at > n.epochAt {
-			n.say(true, "policy %d is given up: after a rescue %d is in force", m.force.Number, a.Force)
-			m.joined = false
-			m.fetch(a.ForceID)
-			if a.ForceID == "" {
-				m.enter(Doc{})
+	m.holds, m.asks = holds, a.Say
+	known := holds == sumOf(m.want) || a.Every // by which parts the answer was made, or all
+	rescued := n.epochAt > 0 && at > n.epochAt
+	if a.All && known { // what it does not name has no text: a rescue has given that up
+		for _, part := range append([]string{""}, sorted(m.texts)...) {
+			if d := m.text(part); d.Number > 0 && !slices.ContainsFunc(refs, func(r Ref) bool { return r.Part == part }) {
+				refs = append(refs, Ref{Part: part})
 			}
 		}
-		return
 	}
-	if m.prepared != nil && a.Pending != m.prepared.ID && at > m.sure { // it was dropped
-		m.prepared, m.dirty = nil, true
+	clear(m.need)
+	for _, r := range refs {
+		switch d := m.text(r.Part); {
+		case !m.mine(r.Part):
+		case r.Number > d.Number:
+			m.need[r.Part] = r
+		case r.Number < d.Number && !rescued: // an answer that knows less than this member, which nobody gave up
+			clear(m.need)
+			return
+		case r.Number == 0 && d.Number > 0:
+			n.say(true, "policy %d%s is given up: after a rescue none is in force", d.Number, ofPart(r.Part))
+			m.enter(Doc{Part: r.Part})
+		case r.Number < d.Number || r.ID != d.ID:
+			n.say(true, "policy %d%s is given up: after a rescue %d is in force", d.Number, ofPart(r.Part), r.Number)
+			m.need[r.Part] = r
+		}
+	}
+	for _, d := range slices.Clone(m.prepared) {
+		m.arrived(d)
 	}
-	if m.nay != "" && a.Pending != m.nay {
-		m.nay, m.why = "", ""
+	if len(m.need) > 0 {
+		wait := false // by what it serves by now it goes on, by what is not here it can't
+		for _, part := range sorted(m.need) {
+			wait = wait || part == "" || slices.Contains(m.held, part)
+			m.fetch(m.need[part].ID)
+		}
+		if wait || !m.joined {
+			m.joined = false
+			return
+		}
+	} else if a.Form > 0 && known {
+		m.upto = a.Upto
+	}
+	// What is not under way any more, and not in force, was dropped.
+	m.prepared = slices.DeleteFunc(m.prepared, func(d *Doc) bool {
+		gone := !slices.Contains(under, d.ID) && at > m.sure[d.ID]
+		if gone {
+			delete(m.sure, d.ID)
+			m.dirty = true
+		}
+		return gone
+	})
+	for id := range m.nays {
+		if !slices.Contains(under, id) {
+			delete(m.nays, id)
+		}
 	}
-	if m.fetching != a.Pending && m.fetching != a.ForceID {
-		m.fetching = ""
+	for id := range m.fetching {
+		if !slices.Contains(under, id) && !m.needs1(id) {
+			delete(m.fetching, id)
+		}
 	}
-	if a.Pending != "" && (m.prepared == nil || m.prepared.ID != a.Pending) && m.nay != a.Pending {
-		m.fetch(a.Pending)
+	for _, id := range under {
+		if m.nays[id] == "" && !m.isPrepared(id) {
+			m.fetch(id)
+		}
 	}
-	m.joined = a.Known
-	if a.Known {
-		m.ever = true
+	if m.joined = a.Known; a.Known {
+		if m.ever = true; known && len(m.need) == 0 {
+			m.held = m.want
+		}
 		m.lease = max(m.lease, at+n.s.Lease)
 		if !m.needs() {
 			m.askAt = n.now + time.Duration((0.75+0.5*n.rng.Float64())*float64(n.s.Lease/3))
+		} else if !known {
+			m.soon()
 		}
 	} else {
 		m.askAt = min(m.askAt, n.now+askSoon/4)
 	}
 }
 
-// enter has a policy in force here.
+// ofPart is a part's name in a line for people.
+func ofPart(part string) string {
+	if part == "" {
+		return ""
+	}
+	return " of " + part
+}
+
+// needs1 reports whether a change made a text that is in force and not here.
+func (m *member) needs1(id string) bool {
+	for _, r := range m.need {
+		if r.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// enter has a part's text in force here; Number 0: none.
 func (m *member) enter(d Doc) {
-	m.force, m.prepared, m.dirty, m.dirtyAt = d, nil, true, m.n.now
-	m.nay, m.why = "", ""
-	m.n.say(false, "policy %d (%s) is in force here", d.Number, d.ID)
+	if d.Part == "" {
+		m.force = d
+	} else if d.Number == 0 {
+		delete(m.texts, d.Part)
+	} else {
+		m.texts[d.Part] = d
+	}
+	delete(m.need, d.Part)
+	m.dirty, m.dirtyAt = true, m.n.now
+	if d.Number > 0 {
+		m.n.say(false, "policy %d%s (%s) is in force here", d.Number, ofPart(d.Part), d.ID)
+	}
 	m.soon() // the leader is to know
 }
 
-// fetch asks for a change's text.
+// arrived has those texts of a change in force here that are needed. It reports whether there were any: then the change is
+// under way no more.
+func (m *member) arrived(d *Doc) (any bool) {
+	for _, x := range d.Texts() {
+		if r, ok := m.need[x.Part]; ok && r.ID == x.ID && r.Number == x.Number {
+			m.enter(x)
+			any = true
+		}
+	}
+	if any {
+		m.prepared = slices.DeleteFunc(m.prepared, func(p *Doc) bool { return p.ID == d.ID })
+		delete(m.sure, d.ID)
+		delete(m.nays, d.ID)
+		delete(m.fetching, d.ID)
+	}
+	return any
+}
+
+// fetch asks for a change's texts.
 func (m *member) fetch(id string) {
 	n := m.n
-	if id == "" || m.fetching == id && n.now-m.fetchAt < fetchWait || m.wanted != nil && m.wanted.ID == id && m.saving > 0 {
+	asked, again := m.fetching[id]
+	has := func(d *Doc) bool { return d.ID == id }
+	if id == "" || again && n.now-asked < fetchWait || m.saving > 0 && slices.ContainsFunc(m.wanted, has) || slices.ContainsFunc(m.ready, has) {
 		return
 	}
 	to := m.contact()
-	if m.fetching == id && to == m.leader {
+	if again && to == m.leader {
 		to = m.voter() // the leader is perhaps not to be reached directly; any voter has it soon
 	}
-	m.fetching, m.fetchAt = id, n.now
+	m.fetching[id] = n.now
 	if n.v != nil {
-		if d := n.v.state.doc(id); d != nil {
-			doc := *d
-			m.got(&doc)
+		if d := n.v.state.doc(id, m.mine); d != nil {
+			m.got(d)
 			return
 		}
 	}
-	n.send(to, &Message{Fetch: id})
+	msg := &Message{Fetch: id}
+	if !m.joined || m.holds != sumOf(m.want) { // else the voters know what it holds
+		msg.Parts = m.want
+	}
+	n.send(to, msg)
 }
 
 // leaderOrAny is who leads, or any voter, which passes on what is for the leader.
@@ -365,44 +609,114 @@
 	return m.leaderOrAny()
 }
 
-// got takes a change's text.
+// got takes a change's texts.
 func (m *member) got(d *Doc) {
 	n := m.n
-	if d.ID != m.fetching || d.Digest != DigestOf(d.Body) || len(d.Body) > BodyMost {
+	if _, ok := m.fetching[d.ID]; !ok {
 		return
 	}
-	m.fetching = ""
-	if d.Number <= m.force.Number && n.epochAt == 0 {
+	size := 0
+	for _, x := range d.Texts() {
+		if size += len(x.Body); x.Digest != DigestOf(x.Body) || len(x.Body) > BodyMost || size > ChangeMost {
+			return
+		}
+	}
+	if d = d.only(m.mine); d == nil {
+		return
+	}
+	delete(m.fetching, d.ID)
+	news := m.needs1(d.ID)
+	for _, x := range d.Texts() {
+		news = news || x.Number > m.text(x.Part).Number || n.epochAt > 0
+	}
+	if !news || m.isPrepared(d.ID) {
+		return
+	}
+	if m.needs1(d.ID) {
+		m.gotInForce(d)
 		return
 	}
 	if err := m.check(d); err != nil {
-		if m.nay != d.ID {
+		if m.nays[d.ID] == "" {
 			n.say(true, "policy: change %s (by %s: %s) does not do for this daemon: %v", d.ID, d.Author, d.Reason, err)
 		}
-		m.nay, m.why = d.ID, err.Error()
+		m.nays[d.ID] = err.Error()
 		m.soon()
 		return
 	}
-	if m.saving > 0 {
-		return // it is fetched again
+	m.ready = append(m.ready, d)
+	if m.saving == 0 {
+		m.save()
+	}
+}
+
+// gotInForce takes texts that are in force: with those that came before and make sense only with them, or by themselves.
+func (m *member) gotInForce(d *Doc) {
+	check := m.n.s.Check
+	all := append(slices.DeleteFunc(m.apart, func(x *Doc) bool { return x.ID == d.ID || !m.needs1(x.ID) }), d)
+	m.apart = nil
+	switch {
+	case check == nil || check(m.laid(all)) == nil:
+		m.ready = append(m.ready, all...)
+	default:
+		m.apart = all
+		err := check(m.laid([]*Doc{d}))
+		if err == nil {
+			m.ready, m.apart = append(m.ready, d), all[:len(all)-1]
+		} else if m.nays[d.ID] == "" {
+			m.n.say(true, "policy: %s, which is in force (by %s: %s), does not do for this daemon: %v", d.ID, d.Author, d.Reason, err)
+			m.nays[d.ID] = err.Error()
+		}
+	}
+	if m.saving == 0 && len(m.ready) > 0 {
+		m.save()
 	}
-	m.save(d)
 }
 
+// check reports whether this member could serve by a change: with what is in force, and with all that is under way besides.
+// What services' parts say does not touch other services, so between these two lies all that can come to be.
 func (m *member) check(d *Doc) error {
 	if m.n.s.Check == nil {
 		return nil
 	}
-	return m.n.s.Check(d.Body)
+	if err := m.n.s.Check(m.laid([]*Doc{d})); err != nil {
+		return err
+	}
+	if others := slices.Concat(m.prepared, m.wanted, m.ready); len(others) > 0 {
+		if err := m.n.s.Check(m.laid(append(others, d))); err != nil {
+			return fmt.Errorf("with %s, which is under way: %w", strings.Join(idsOf(others), ", "), err)
+		}
+	}
+	return nil
 }
 
-// save puts the member's part on the disk, with a change that it is to have.
-func (m *member) save(d *Doc) {
-	s := savedMember{Force: m.force, Prepared: m.prepared, Voters: m.n.voters, Epoch: m.n.epoch}
-	if d != nil {
-		s.Prepared = d
+// laid are the texts in force with those of changes in their place, that for all first.
+func (m *member) laid(changes []*Doc) []Doc {
+	texts := map[string]Doc{"": m.force}
+	for p, d := range m.texts {
+		texts[p] = d
+	}
+	for _, c := range changes {
+		for _, x := range c.Texts() {
+			texts[x.Part] = x
+		}
+	}
+	var all []Doc
+	for _, p := range sorted(texts) {
+		all = append(all, texts[p])
 	}
-	m.wanted = d
+	return all
+}
+
+// save puts the member's part on the disk, with the changes that it is to have: all that have come meanwhile, at once.
+func (m *member) save() {
+	s := savedMember{Force: m.force, Voters: m.n.voters, Epoch: m.n.epoch, Texts: m.inForceParts(), Upto: m.upto, Form: Form, Holds: sumOf(m.want)}
+	s.More = slices.Concat(m.prepared, m.ready)
+	if i := slices.IndexFunc(s.More, func(d *Doc) bool { return d.plain() }); i >= 0 { // where form 1 has it
+		s.Prepared = s.More[i]
+		s.More = slices.Delete(s.More, i, i+1)
+	}
+	m.wanted, m.ready = m.ready, nil
 	m.dirty = false
 	m.saving = m.n.persist(Batch{Member: encode(&s)})
 }
@@ -412,27 +726,34 @@
 	if m.saving == 0 || seq != m.saving {
 		return
 	}
-	d := m.wanted
+	all := m.wanted
 	m.saving, m.wanted = 0, nil
-	switch {
-	case err != nil && d != nil && d.ID == m.inForce: // it serves without: it has to ask at its next start anyway
-		m.n.say(true, "policy %d is in force and can't be put on the disk: %v", d.Number, err)
-		m.enter(*d)
-		m.dirtyAt = m.n.now + 5*time.Second
-	case err != nil && d != nil:
-		m.nay, m.why = d.ID, "it can't be put on the disk: "+err.Error()
-		m.n.say(true, "policy: change %s: %s", d.ID, m.why)
-		m.soon()
-	case err != nil:
+	if err != nil && len(all) == 0 {
 		m.dirty, m.dirtyAt = true, m.n.now+5*time.Second
-	case d != nil && d.ID == m.inForce && d.Number > m.force.Number:
-		m.enter(*d)
-	case d != nil && d.Number > m.force.Number:
-		m.prepared, m.sure = d, m.n.now
-		m.nay, m.why = "", ""
-		m.soon()
-	case d != nil: // after a rescue
-		m.enter(*d)
+	}
+	for _, d := range all {
+		inForce := m.needs1(d.ID)
+		switch {
+		case err != nil && inForce: // it serves without: it has to ask at its next start anyway
+			m.n.say(true, "policy %s is in force and can't be put on the disk: %v", d.ID, err)
+			m.arrived(d)
+			m.dirtyAt = m.n.now + 5*time.Second
+		case err != nil:
+			m.nays[d.ID] = "it can't be put on the disk: " + err.Error()
+			m.n.say(true, "policy: change %s: %s", d.ID, m.nays[d.ID])
+			m.soon()
+		case inForce:
+			m.arrived(d)
+		case slices.ContainsFunc(d.Texts(), func(x Doc) bool { return x.Number <= m.text(x.Part).Number }): // it came to nothing meanwhile
+			m.dirty, m.dirtyAt = true, m.n.now
+		default:
+			m.prepared, m.sure[d.ID] = append(m.prepared, d), m.n.now
+			delete(m.nays, d.ID)
+			m.soon()
+		}
+	}
+	if len(m.ready) > 0 {
+		m.save()
 	}
 }
 
--- a/internal/peer/policy/node.go
+++ b/internal/peer/policy/node.go
@@ -37,14 +37,23 @@
 		return nil, err
 	}
 	n := &Node{s: s, rng: rand.New(rand.NewPCG(seed, s.Life)), disk: &d, names: map[uint64]string{}, who: map[string]Who{}}
-	n.m = member{n: n, asked: map[uint64]time.Duration{}}
+	n.m = member{n: n, asked: map[uint64]time.Duration{}, texts: map[string]Doc{}, sure: map[string]time.Duration{}, nays: map[string]string{}, fetching: map[string]time.Duration{}, need: map[string]Ref{}, want: n.s.Parts}
 	n.learnVoters(s.Voters)
 	if d.Member != nil {
 		var saved savedMember
 		if err := decoding.Unmarshal(d.Member, &saved); err != nil {
 			return nil, fmt.Errorf("policy: the member's part on the disk: %w", err)
 		}
-		n.m.force, n.m.prepared, n.epoch = saved.Force, saved.Prepared, saved.Epoch
+		if saved.Form > Form {
+			return nil, fmt.Errorf("policy: the member's part on the disk has form %d, and this build knows 1 to %d", saved.Form, Form)
+		}
+		n.m.force, n.m.prepared, n.epoch, n.m.upto = saved.Force, saved.changes(), saved.Epoch, saved.Upto
+		if saved.Holds != sumOf(n.s.Parts) { // its file has other services now
+			n.m.upto = 0
+		}
+		for _, d := range saved.Texts {
+			n.m.texts[d.Part] = d
+		}
 		if len(saved.Voters) > 0 {
 			n.learnVoters(saved.Voters)
 		}
@@ -57,15 +66,22 @@
 	d := n.disk
 	n.began, n.disk = true, nil
 	n.m.began, n.m.askAt = n.now, n.now
-	if p := n.m.prepared; p != nil {
+	n.m.forget()
+	before := n.m.prepared
+	n.m.prepared = nil
+	for _, p := range before {
 		if err := n.m.check(p); err != nil { // another build or another file: what it agreed to it can't any more
-			n.m.prepared, n.m.nay, n.m.why = nil, p.ID, err.Error()
+			n.m.nays[p.ID] = err.Error()
 		} else {
-			n.m.sure = n.now
+			n.m.prepared, n.m.sure[p.ID] = append(n.m.prepared, p), n.now
 		}
 	}
+	if n.epoch > 0 && n.m.upto == 0 { // it ended before it knew what a rescue had given up
+		n.epochAt = max(1, n.now)
+	}
 	if h := n.s.Handed; h != nil && h.Number == n.m.force.Number { // its requests go on
 		n.m.joined, n.m.ever, n.m.lease, n.m.seq, n.m.last = true, true, n.now+h.Left, h.Seq+1, h.Seq
+		n.m.held = h.Held(n.m.want, n.m.text)
 	}
 	if d.Snapshot != nil || d.Member == nil && slices.Contains(n.s.Voters, n.s.Name) {
 		v, err := newVoter(n, d, false)
@@ -125,6 +141,8 @@
 			}
 		case Refresh:
 			n.m.askAt = n.now
+		case Hold:
+			n.m.hold(e.Parts)
 		case Past:
 			n.m.past = nil
 			n.send(n.m.voter(), &Message{Past: &e})
@@ -191,7 +209,7 @@
 		}
 	case m.Epoch > n.epoch:
 		n.epoch, n.epochAt = m.Epoch, max(1, n.now)
-		n.m.dirty, n.m.dirtyAt = true, n.now
+		n.m.rescued()
 		if n.v != nil && n.v.epoch < m.Epoch {
 			n.retire("an operator has gone on without it (rescue)")
 		}
@@ -227,9 +245,8 @@
 		}
 	case m.Fetch != "":
 		if n.v != nil {
-			if d := n.v.state.doc(m.Fetch); d != nil {
-				doc := *d
-				n.send(from, &Message{Doc: &doc})
+			if d := n.v.state.doc(m.Fetch, n.v.state.wants(from, m.Parts)); d != nil {
+				n.send(from, &Message{Doc: d})
 			}
 		}
 	case m.Doc != nil:
@@ -242,7 +259,7 @@
 		n.m.past = m.Past
 	case m.Past != nil:
 		if n.v != nil {
-			p := n.v.state.past(m.Past.Number)
+			p := n.v.state.past(m.Past.Part, m.Past.Number)
 			n.send(from, &Message{Past: p})
 		}
 	}
@@ -287,10 +304,17 @@
 		v.lead.drop(v, p)
 		return
 	}
-	if v.state.fate(p.Doc.ID).State == Unknown {
+	if v.state.fate(p.Doc.ID).State == Unknown && !v.waits(p.Doc.ID) {
 		d := p.Doc
+		if !d.plain() && v.state.Form < Form {
+			if v.lead.raise(v) { // its author offers it again
+				return
+			}
+			v.propose(&command{Do: doDrop, ID: d.ID, By: n.s.Name, Why: "services have no parts yet: not all voters have been heard to be of this version"})
+			return
+		}
 		d.Number = 0
-		v.propose(&command{Do: doPropose, Doc: &d, Base: p.Base, Without: p.Without})
+		v.propose(&command{Do: doPropose, Doc: &d, Base: p.Base, Without: p.Without, Bases: p.Bases})
 	}
 }
 
@@ -342,6 +366,6 @@
 	}
 	n.epoch++
 	n.epochAt = max(1, n.now)
-	n.m.dirty, n.m.dirtyAt = true, n.now
-	n.say(true, "an operator has had this voter go on alone (rescue %d): what only the others knew is given up; in force is policy %d (%s)", n.epoch, n.v.state.Force.Number, n.v.state.Force.ID)
+	n.m.rescued()
+	n.say(true, "an operator has had this voter go on alone (rescue %d): what only the others knew is given up; in force is policy %d (%s) and the texts of %d services", n.epoch, n.v.state.Force.Number, n.v.state.Force.ID, len(n.v.state.Parts))
 }
--- a/internal/peer/policy/policy.go
+++ b/internal/peer/policy/policy.go
@@ -1,13 +1,14 @@
-// Package policy has the agents of a fleet agree on what they decide by: one numbered policy is in force at a time, and a
-// change of it takes hold everywhere or nowhere. It decides only: messages, time, what the disk has taken and what the
-// operators ask come in as events; messages, what is to be kept, and what the daemon is to serve by go out as actions. No
-// clock, socket, file or goroutine; its own chance is from a seed.
+// Package policy has the agents of a fleet agree on what they decide by. The policy has parts, one for what holds for all
+// ("") and one for each service that has any; each part has its own number, one text of a part is in force at a time, and a
+// change takes hold at every member that holds one of its parts, or nowhere. It decides only: messages, time, what the disk has
+// taken and what the operators ask come in as events; messages, what is to be kept, and what the daemon is to serve by go
+// out as actions. No clock, socket, file or goroutine; its own chance is from a seed.
 //
 // A few members, the voters, keep a log of the changes by Raft (Ongaro and Ousterhout, 2014; go.etcd.io/raft, a state
 // machine without I/O). The log holds who is in the fleet's roster (state.go), the change under way, and what became of
 // the last ones. Everybody else, and the voters as well, is a member (member.go): it asks the voters now and then, keeps
-// a change that is under way on its disk, and says so. The voter that leads (steward.go) brings a change into force once
-// all of the roster have it on their disks, or certainly take no requests; else it drops it.
+// changes that are under way and concern it on its disk, and says so. The voter that leads (steward.go) brings a change
+// into force once all that it concerns have it on their disks, or certainly take no requests; else it drops it.
 //
 // docs/design/policy.md has the claims, what they rest on, and the argument for each.
 package policy
@@ -22,22 +23,79 @@
 	"time"
 )
 
-// Doc is a policy, and the change that made it.
+// Form is the version of messages, log and disk that this build writes. Form 1 had one part, "", and one change at a time; what
+// it wrote is understood. Of voters or members of form 1 nothing is asked that they don't know.
+const Form = 2
+
+// Doc is the text of a part, and the change that made it; or a change, with the texts of all its parts.
 type Doc struct {
-	Number uint64 `cbor:"1,keyasint,omitempty"` // of those that came into force, from 1; 0: what each daemon's own file says
+	Number uint64 `cbor:"1,keyasint,omitempty"` // of the part's texts that came into force, from 1; 0: what each daemon's own file says
 	ID     string `cbor:"2,keyasint,omitempty"` // of the change
 	Digest string `cbor:"3,keyasint,omitempty"` // see DigestOf
 	Body   []byte `cbor:"4,keyasint,omitempty"` // the file's text
 	Author string `cbor:"5,keyasint,omitempty"` // the member at which it was asked for, and who asked
 	Reason string `cbor:"6,keyasint,omitempty"`
-	At     int64  `cbor:"7,keyasint,omitempty"` // ms, Unix, by the author's clock: for people
+	At     int64  `cbor:"7,keyasint,omitempty"`  // ms, Unix, by the author's clock: for people
+	Part   string `cbor:"8,keyasint,omitempty"`  // a service's name; empty: what holds for all
+	Order  uint64 `cbor:"9,keyasint,omitempty"`  // among all texts of all parts that came into force
+	More   []Doc  `cbor:"10,keyasint,omitempty"` // the change's other parts: they come into force with it, or not at all
+}
+
+// Texts are a change's parts, one by one. The texts have the change's ID, and no More.
+func (d *Doc) Texts() []Doc {
+	one := *d
+	one.More = nil
+	all := []Doc{one}
+	for _, x := range d.More {
+		x.ID, x.Author, x.Reason, x.At, x.More = d.ID, d.Author, d.Reason, d.At, nil
+		all = append(all, x)
+	}
+	return all
+}
+
+// Names reports whether a change is one of a part.
+func (d *Doc) Names(part string) bool {
+	return d.Part == part || slices.ContainsFunc(d.More, func(x Doc) bool { return x.Part == part })
+}
+
+// plain reports whether form 1 has it as well.
+func (d *Doc) plain() bool { return d.Part == "" && len(d.More) == 0 }
+
+// only is a change with those of its parts that a member holds; nil: it holds none.
+func (d *Doc) only(holds func(part string) bool) *Doc {
+	texts := slices.DeleteFunc(d.Texts(), func(x Doc) bool { return !holds(x.Part) })
+	return changeOf(texts)
+}
+
+// changeOf makes a change of its texts; nil: there are none.
+func changeOf(texts []Doc) *Doc {
+	if len(texts) == 0 {
+		return nil
+	}
+	c := texts[0]
+	for _, x := range texts[1:] {
+		c.More = append(c.More, Doc{Part: x.Part, Number: x.Number, Digest: x.Digest, Body: x.Body, Order: x.Order})
+	}
+	return &c
+}
+
+// Ref says which text of a part is in force.
+type Ref struct {
+	Part   string `cbor:"1,keyasint,omitempty" json:"part"`
+	Number uint64 `cbor:"2,keyasint,omitempty" json:"number"`
+	ID     string `cbor:"3,keyasint,omitempty" json:"id,omitempty"`
 }
 
 // Bounds of a change.
 const (
-	BodyMost   = 64 << 10 // bytes of a policy
-	ReasonMost = 500      // and of the reason for it
-	namesMost  = 16       // members that an answer names
+	BodyMost   = 64 << 10  // bytes of a part
+	ChangeMost = 128 << 10 // and of all parts of one change: two go into a message of the log
+	partsMost  = 16        // parts of a change
+	NameMost   = 64        // bytes of a part's name
+	HoldMost   = 1024      // parts that a member holds: more than the services of the largest fleet thought of
+	textsMost  = 1 << 20   // bytes of all parts in force: with the texts before them a snapshot is half of what a stream takes
+	ReasonMost = 500       // and of the reason for it
+	namesMost  = 16        // members that an answer names
 )
 
 // DigestOf is the first 16 bytes of a text's SHA-256, in hexadecimal.
@@ -54,13 +112,15 @@
 	// Stops: a member that is cut off takes no more requests once its lease has ended, and changes go on without it.
 	// Else it serves on, and a change is dropped while a member can't be reached.
 	Stops  bool
-	Last   bool                    // a member that starts and finds nobody serves by the last policy that it knows
-	Lease  time.Duration           // default Lease
-	Within time.Duration           // a change has so long to reach all; default Within
-	Alone  time.Duration           // a start that finds nobody for so long is alone; default Alone
-	Drift  float64                 // by which rates of clocks may differ, each way; default Drift
-	Check  func(body []byte) error // whether this member could serve by a policy; must not wait
-	Handed *Handed                 // from the process, or the part of it, whose place this one takes without a gap; nil: none
+	Last   bool          // a member that starts and finds nobody serves by the last policy that it knows
+	Lease  time.Duration // default Lease
+	Within time.Duration // a change has so long to reach all; default Within
+	Alone  time.Duration // a start that finds nobody for so long is alone; default Alone
+	Drift  float64       // by which rates of clocks may differ, each way; default Drift
+	Parts  []string      // that this member holds at its start, besides "": see Hold
+	// Check says whether this member could serve by these texts, one of each part that it holds and that has any; must not wait.
+	Check  func(all []Doc) error
+	Handed *Handed // from the process, or the part of it, whose place this one takes without a gap; nil: none
 }
 
 // Handed is what a process knows that another one takes the place of.
@@ -68,6 +128,21 @@
 	Number uint64        `cbor:"1,keyasint,omitempty"` // in force, as it knew
 	Left   time.Duration `cbor:"2,keyasint,omitempty"` // of its lease
 	Seq    uint64        `cbor:"3,keyasint,omitempty"` // its last question
+	Parts  []Ref         `cbor:"4,keyasint,omitempty"` // that it held, with what was in force
+	Form   uint8         `cbor:"5,keyasint,omitempty"` // 0: the first, whose roster counts it for every part
+}
+
+// Held are those of the parts that may be served by on: what was in force is what is known here.
+func (h *Handed) Held(want []string, text func(part string) Doc) (all []string) {
+	if h.Form == 0 {
+		return want
+	}
+	for _, r := range h.Parts {
+		if d := text(r.Part); slices.Contains(want, r.Part) && d.Number == r.Number && d.ID == r.ID {
+			all = append(all, r.Part)
+		}
+	}
+	return all
 }
 
 // Defaults, each with where it comes from.
@@ -88,6 +163,11 @@
 	case s.Lease < 500*time.Millisecond || s.Within < time.Second || s.Alone <= 0 || s.Drift < 0 || s.Drift > 0.2:
 		return fmt.Errorf("policy: lease %v, within %v, alone %v, drift %v make no sense", s.Lease, s.Within, s.Alone, s.Drift)
 	}
+	parts, err := partsOf(s.Parts)
+	if err != nil {
+		return err
+	}
+	s.Parts = parts
 	for i, v := range s.Voters {
 		if v == "" || slices.Index(s.Voters, v) != i {
 			return fmt.Errorf("policy: voter %q is no name, or is there twice", v)
@@ -96,6 +176,21 @@
 	return nil
 }
 
+// partsOf are a member's parts, in order, each once; "" is everybody's and not named.
+func partsOf(names []string) ([]string, error) {
+	all := slices.Compact(slices.Sorted(slices.Values(names)))
+	all = slices.DeleteFunc(all, func(p string) bool { return p == "" })
+	if len(all) > HoldMost {
+		return nil, fmt.Errorf("policy: a member with %d parts: up to %d are allowed", len(all), HoldMost)
+	}
+	for _, p := range all {
+		if len(p) > NameMost {
+			return nil, fmt.Errorf("policy: part %q: names have up to %d bytes", p, NameMost)
+		}
+	}
+	return all, nil
+}
+
 // Back is when what a member was told has certainly lapsed, counted from when the leader told it: the member counts
 // Lease from when it asked, which was earlier, and its clock may be slow where the leader's is fast.
 func (s *Settings) Back() time.Duration {
@@ -131,12 +226,16 @@
 	Trust struct{}
 	// Refresh has it ask the leader now.
 	Refresh struct{}
+	// Hold says which parts this member holds from now on, besides "". One that it did not hold before is not served by until
+	// Serving says so; by one that it holds no more nothing is served any more when this event comes.
+	Hold struct{ Parts []string }
 	// Past asks a voter for the last changes, and for the text of the policy of a number; with Told it is the answer.
 	Past struct {
 		Told   bool    `cbor:"1,keyasint,omitempty"`
 		Number uint64  `cbor:"2,keyasint,omitempty"`
 		All    []Ended `cbor:"3,keyasint,omitempty"` // oldest first
 		Doc    *Doc    `cbor:"4,keyasint,omitempty"` // nil: it is not kept any more
+		Part   string  `cbor:"5,keyasint,omitempty"` // whose number it is
 	}
 	// Freed says that this process has its name for itself.
 	Freed struct{ Alone bool }
@@ -152,6 +251,7 @@
 func (Trust) event()     {}
 func (Freed) event()     {}
 func (Refresh) event()   {}
+func (Hold) event()      {}
 func (Past) event()      {}
 
 // Who is a member as the view has it.
@@ -194,8 +294,10 @@
 
 // Serving is what a member serves by.
 type Serving struct {
-	Doc   *Doc          // Number 0: what its own file says
-	Both  *Doc          // not nil: only what both allow
+	Doc   *Doc          // the part "". Number 0: what its own file says
+	Parts []Doc         // the others that it holds and that have a text in force, by name
+	Held  []string      // the parts that it may serve by, besides "": with a text, or by its own file
+	Both  []*Doc        // not empty: only what those in force and these changes all allow
 	Until time.Duration // no request is taken from then on, by this member's clock
 	Alone bool          // it found nobody, and its file says that it serves all the same
 	Why   string        // none is taken
@@ -238,6 +340,7 @@
 	Voters *Replace  `cbor:"12,keyasint,omitempty"`
 	Hops   int       `cbor:"13,keyasint,omitempty"` // of what voters pass on to their leader
 	Past   *Past     `cbor:"14,keyasint,omitempty"`
+	Parts  []string  `cbor:"15,keyasint,omitempty"` // of a Fetch: the parts of that change that are wanted; none: all
 }
 
 // Large reports whether a message may be too large for a datagram.
@@ -260,6 +363,12 @@
 	Stops    bool     `cbor:"11,keyasint,omitempty"` // its settings, which have to be the leader's
 	LeaseMS  uint32   `cbor:"12,keyasint,omitempty"`
 	Over     bool     `cbor:"13,keyasint,omitempty"` // its lease is over: it takes nothing
+	// From form 2 on.
+	Form  uint8    `cbor:"14,keyasint,omitempty"`
+	Upto  uint64   `cbor:"15,keyasint,omitempty"` // it knows all that came into force up to this Order; 0: nothing
+	Have  []string `cbor:"16,keyasint,omitempty"` // all changes that it has on its disk, and can serve by; in place of Prepared
+	Holds uint64   `cbor:"17,keyasint,omitempty"` // the sum of the parts that it holds: see sumOf
+	Parts []string `cbor:"18,keyasint,omitempty"` // these, where the voters may not know them
 }
 
 // Answer is the leader's. It was certainly the leader after the question had come.
@@ -273,6 +382,15 @@
 	Voters  []string `cbor:"7,keyasint,omitempty"`
 	About   []Fate   `cbor:"8,keyasint,omitempty"`
 	Refused string   `cbor:"9,keyasint,omitempty"` // why it is not taken into the roster
+	// From form 2 on.
+	Form    uint8    `cbor:"10,keyasint,omitempty"`
+	Upto    uint64   `cbor:"11,keyasint,omitempty"` // Order of the last that came into force
+	Changed []Ref    `cbor:"12,keyasint,omitempty"` // of its parts: what came into force since the question's Upto
+	All     bool     `cbor:"13,keyasint,omitempty"` // these are all that are in force
+	Under   []string `cbor:"14,keyasint,omitempty"` // changes under way that concern it
+	Holds   uint64   `cbor:"15,keyasint,omitempty"` // the sum of the parts that the roster has for it
+	Every   bool     `cbor:"16,keyasint,omitempty"` // the roster has none for it, and counts it for every part
+	Say     bool     `cbor:"17,keyasint,omitempty"` // they are wanted
 }
 
 // Fate is what became of a change.
@@ -286,6 +404,7 @@
 	Have    int      `cbor:"6,keyasint,omitempty" json:"have,omitempty"`
 	Of      int      `cbor:"7,keyasint,omitempty" json:"of,omitempty"`
 	Missing []string `cbor:"8,keyasint,omitempty" json:"missing,omitempty"`
+	Parts   []Ref    `cbor:"9,keyasint,omitempty" json:"parts,omitempty"` // in force: of one of services' parts, or of several, all their numbers
 }
 
 // State is a change's.
@@ -308,6 +427,7 @@
 	Base    uint64   `cbor:"2,keyasint,omitempty"` // the number in force that its author saw
 	Without []string `cbor:"3,keyasint,omitempty"` // members that are down, by the author's word
 	Drop    string   `cbor:"4,keyasint,omitempty"` // no change: the one of this ID is to be dropped
+	Bases   []uint64 `cbor:"5,keyasint,omitempty"` // as Base, of the parts in Doc.More
 }
 
 // Check says what is wrong with a proposal that came from elsewhere.
@@ -317,15 +437,33 @@
 		return nil
 	case p.Doc.ID == "" || len(p.Doc.ID) > 64:
 		return errors.New("a change needs an ID of 1 to 64 characters")
-	case len(p.Doc.Body) > BodyMost:
-		return fmt.Errorf("a policy of %d bytes: up to %d are allowed", len(p.Doc.Body), BodyMost)
-	case p.Doc.Digest != DigestOf(p.Doc.Body):
-		return errors.New("the policy's digest does not fit its text")
+	case len(p.Doc.More) >= partsMost:
+		return fmt.Errorf("a change of %d parts: up to %d are allowed", len(p.Doc.More)+1, partsMost)
+	case len(p.Bases) != len(p.Doc.More):
+		return fmt.Errorf("a change of %d parts made of %d", len(p.Doc.More)+1, len(p.Bases)+1)
 	case len(p.Doc.Reason) > ReasonMost || len(p.Doc.Author) > ReasonMost:
 		return fmt.Errorf("reason and author: up to %d bytes are allowed", ReasonMost)
 	case len(p.Without) > 1000:
 		return fmt.Errorf("without %d members: up to 1000 are allowed", len(p.Without))
 	}
+	size, seen := 0, map[string]bool{}
+	for _, x := range p.Doc.Texts() {
+		size += len(x.Body)
+		switch {
+		case len(x.Part) > NameMost:
+			return fmt.Errorf("part %q: names have up to %d bytes", x.Part, NameMost)
+		case seen[x.Part]:
+			return fmt.Errorf("part %q is there twice", x.Part)
+		case len(x.Body) > BodyMost:
+			return fmt.Errorf("part %q has %d bytes: up to %d are allowed", x.Part, len(x.Body), BodyMost)
+		case x.Digest != DigestOf(x.Body):
+			return fmt.Errorf("part %q: its digest does not fit its text", x.Part)
+		}
+		seen[x.Part] = true
+	}
+	if size > ChangeMost {
+		return fmt.Errorf("a change of %d bytes: up to %d are allowed", size, ChangeMost)
+	}
 	return nil
 }
 
@@ -345,4 +483,5 @@
 	LastIndex uint64   `cbor:"5,keyasint,omitempty"`
 	Voters    []string `cbor:"6,keyasint,omitempty"`
 	Applied   uint64   `cbor:"7,keyasint,omitempty"`
+	Start     uint64   `cbor:"8,keyasint,omitempty"` // of the one that answers: the Number of its own calls; 0: it does not say
 }
--- a/internal/peer/policy/policy_test.go
+++ b/internal/peer/policy/policy_test.go
@@ -32,7 +32,7 @@
 		t.Fatal("in force, though one came meanwhile who may not have it")
 	}
 	apply(s, command{Do: doCommit, ID: "x", Version: s.Version})
-	if s.Force.Number != 1 || s.Force.ID != "x" || s.Pending != nil {
+	if s.Force.Number != 1 || s.Force.ID != "x" || len(s.Under) != 0 {
 		t.Errorf("%+v", s)
 	}
 }
@@ -76,10 +76,12 @@
 	held  map[string][]Persist
 	serve map[string]Serving
 	names []string
+	parts map[string][]string // that they hold
+	form1 map[string]bool     // whose questions are as form 1 has them
 }
 
 func newBench(t *testing.T, stops bool, names ...string) *bench {
-	b := &bench{t: t, nodes: map[string]*Node{}, disks: map[string]*Disk{}, cut: map[string]bool{}, slow: map[string]bool{}, held: map[string][]Persist{}, serve: map[string]Serving{}, names: names}
+	b := &bench{t: t, nodes: map[string]*Node{}, disks: map[string]*Disk{}, cut: map[string]bool{}, slow: map[string]bool{}, held: map[string][]Persist{}, serve: map[string]Serving{}, names: names, parts: map[string][]string{}, form1: map[string]bool{}}
 	for i, n := range names {
 		b.start(n, uint64(i+1), stops, Disk{})
 	}
@@ -88,7 +90,7 @@
 
 func (b *bench) start(name string, life uint64, stops bool, d Disk) {
 	b.t.Helper()
-	n, err := New(Settings{Name: name, Life: life, Voters: []string{"a", "b", "c"}, Stops: stops}, d, life)
+	n, err := New(Settings{Name: name, Life: life, Voters: []string{"a", "b", "c"}, Stops: stops, Parts: b.parts[name]}, d, life)
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -117,6 +119,9 @@
 		for _, a := range n.Step(b.now, x.events...) {
 			switch a := a.(type) {
 			case Send:
+				if q := a.Message.Ask; q != nil && b.form1[q.Name] {
+					q.Form, q.Upto, q.Have, q.Holds, q.Parts = 0, 0, nil, 0, nil
+				}
 				if !b.cut[x.name+">"+a.To] {
 					all = append(all, todo{a.To, []Event{Heard{x.name, a.Message}}})
 				}
@@ -243,7 +248,7 @@
 
 func TestWhoCantServeByItDropsTheChange(t *testing.T) {
 	b := settled(t, false)
-	b.nodes["c"].s.Check = func([]byte) error { return errors.New("zone north is none of this daemon's") }
+	b.nodes["c"].s.Check = func([]Doc) error { return errors.New("zone north is none of this daemon's") }
 	b.propose("a", "x")
 	b.wait(2 * time.Second)
 	if f := b.nodes["a"].Fate("x"); f.State != Dropped || f.By != "c" || !strings.Contains(f.Why, "zone north") {
@@ -278,7 +283,7 @@
 	if f := b.nodes["a"].Fate("x"); f.State != Dropped || f.By != "d" {
 		t.Errorf("%+v", f)
 	}
-	if !b.takes("d") || b.serve["d"].Both != nil {
+	if !b.takes("d") || len(b.serve["d"].Both) > 0 {
 		t.Errorf("%+v", b.serve["d"])
 	}
 }
@@ -300,11 +305,11 @@
 		t.Fatalf("all had it on their disks: %+v", b.nodes["a"].Fate("x"))
 	}
 	b.wait(Lease)
-	if got := b.serve["d"]; got.Both == nil || got.Both.ID != "x" || got.Doc.Number != 0 || !b.takes("d") {
+	if got := b.serve["d"]; len(got.Both) != 1 || got.Both[0].ID != "x" || got.Doc.Number != 0 || !b.takes("d") {
 		t.Errorf("%v after the cut: %+v", b.now-cut, got)
 	}
 	b.isolate("d", false)
-	if b.wait(2 * time.Second); b.serve["d"].Doc.Number != 1 || b.serve["d"].Both != nil {
+	if b.wait(2 * time.Second); b.serve["d"].Doc.Number != 1 || len(b.serve["d"].Both) > 0 {
 		t.Errorf("%+v", b.serve["d"])
 	}
 }
@@ -337,7 +342,7 @@
 	lead := b.leader()
 	v := b.nodes[lead].v
 	v.lead.members["d"].out = true
-	v.lead.joins["d"] = joining{v.lead.members["d"].life, b.now + time.Hour} // and that is under way
+	v.lead.joins["d"] = joining{v.lead.members["d"].life, 0, b.now + time.Hour} // and that is under way
 	before := b.serve["d"].Until
 	b.wait(Lease / 2)
 	if b.serve["d"].Until > before {
@@ -358,7 +363,7 @@
 	last := m.lease
 	b.step("d", Heard{"a", &Message{Answer: &Answer{Seq: 900, Leader: "a", Known: true}}}) // doubled
 	b.step("d", Heard{"a", &Message{Answer: &Answer{Seq: 5, Leader: "a", Known: true, Pending: "z"}}})
-	if m.lease != last || m.fetching == "z" {
+	if m.lease != last || len(m.fetching) > 0 {
 		t.Error("an answer to nothing was taken")
 	}
 }
@@ -455,7 +460,7 @@
 	if len(s.Ended) != endedMost || len(s.Kept) != keptMost || s.Force.Number != endedMost+20 {
 		t.Errorf("%d ended, %d kept, number %d", len(s.Ended), len(s.Kept), s.Force.Number)
 	}
-	if p := s.past(s.Force.Number - 3); p.Doc == nil || p.Doc.ID != fmt.Sprint("x", endedMost+16) || slices.ContainsFunc(p.All, func(e Ended) bool { return e.Doc.Body != nil }) {
+	if p := s.past("", s.Force.Number-3); p.Doc == nil || p.Doc.ID != fmt.Sprint("x", endedMost+16) || slices.ContainsFunc(p.All, func(e Ended) bool { return e.Doc.Body != nil }) {
 		t.Errorf("%+v", p.Doc)
 	}
 }
--- a/internal/peer/policy/show.go
+++ b/internal/peer/policy/show.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -10,8 +11,11 @@
 type Shown struct {
 	Name     string        `json:"name"`
 	Force    Doc           `json:"in_force"`
-	Pending  string        `json:"under_way,omitempty"` // the change that it has on its disk
-	Nay      string        `json:"nay,omitempty"`       // the one that it can't serve by
+	Parts    []Doc         `json:"parts,omitempty"` // of services, those in force that it holds
+	Holds    []string      `json:"holds,omitempty"` // services whose parts it holds
+	Unheld   []string      `json:"not_held_yet,omitempty"`
+	Pending  string        `json:"under_way,omitempty"` // the changes that it has on its disk
+	Nay      string        `json:"nay,omitempty"`       // one that it can't serve by
 	Why      string        `json:"why,omitempty"`
 	Serving  string        `json:"serving"` // as the last word to its instances was
 	Until    time.Duration `json:"until_ns,omitempty"`
@@ -29,16 +33,26 @@
 // Show is how this member stands.
 func (n *Node) Show() Shown {
 	m := &n.m
-	s := Shown{Name: n.s.Name, Force: m.force, Nay: m.nay, Why: m.why, Alone: m.told.Alone, Stops: n.s.Stops, Voters: n.voters, Leader: m.leader, HeardAgo: n.now - m.heardAt, Epoch: n.epoch, Stats: n.stats}
+	s := Shown{Name: n.s.Name, Force: m.force, Holds: m.want, Alone: m.told.Alone, Stops: n.s.Stops, Voters: n.voters, Leader: m.leader, HeardAgo: n.now - m.heardAt, Epoch: n.epoch, Stats: n.stats}
 	s.Force.Body = nil
-	if m.prepared != nil {
-		s.Pending = m.prepared.ID
+	for _, d := range m.inForceParts() {
+		d.Body = nil
+		s.Parts = append(s.Parts, d)
+	}
+	for _, p := range m.want {
+		if !slices.Contains(m.held, p) {
+			s.Unheld = append(s.Unheld, p)
+		}
+	}
+	s.Pending = strings.Join(idsOf(m.prepared), ", ")
+	if ids := sorted(m.nays); len(ids) > 0 {
+		s.Nay, s.Why = ids[0], m.nays[ids[0]]
 	}
 	switch t := &m.told; {
 	case t.Why != "":
 		s.Serving = t.Why
-	case t.Both != nil:
-		s.Serving = "by what both the policy in force and the change under way allow"
+	case len(t.Both) > 0:
+		s.Serving = "by what both the policy in force and the changes under way allow"
 	case t.Alone:
 		s.Serving = "alone, by the last policy known"
 	default:
@@ -72,24 +86,32 @@
 	if !n.m.joined {
 		return nil
 	}
-	return &Handed{Number: n.m.force.Number, Left: max(0, n.m.lease-now), Seq: n.m.seq}
+	h := &Handed{Number: n.m.force.Number, Left: max(0, n.m.lease-now), Seq: n.m.seq, Form: Form}
+	for _, p := range n.m.held {
+		d := n.m.text(p)
+		h.Parts = append(h.Parts, Ref{p, d.Number, d.ID})
+	}
+	return h
 }
 
-// KeptForce is the policy in force as a member's part on the disk has it.
-func KeptForce(part []byte) (Doc, error) {
+// Kept are the texts in force as a member's part on the disk has them, that for all first.
+func Kept(part []byte) ([]Doc, error) {
 	var s savedMember
 	if part == nil {
-		return Doc{}, nil
+		return []Doc{{}}, nil
 	}
 	if err := decoding.Unmarshal(part, &s); err != nil {
-		return Doc{}, fmt.Errorf("policy: the member's part on the disk: %w", err)
+		return nil, fmt.Errorf("policy: the member's part on the disk: %w", err)
 	}
-	return s.Force, nil
+	return append([]Doc{s.Force}, s.Texts...), nil
 }
 
-// Force is the policy in force here.
+// Force is the part for all that is in force here.
 func (n *Node) Force() Doc { return n.m.force }
 
+// Text is a part's text in force here; Number 0: it has none, or this member does not hold it.
+func (n *Node) Text(part string) Doc { return n.m.text(part) }
+
 // Fate is what became of a change that is watched, as far as this member has heard.
 func (n *Node) Fate(id string) Fate {
 	if i := slices.IndexFunc(n.m.about, func(w watched) bool { return w.fate.ID == id }); i >= 0 {
@@ -107,18 +129,17 @@
 // Told is what the daemon was last told to serve by.
 func (n *Node) Told() Serving { return n.m.told }
 
-// OnDisk are the changes that a member's part has on the disk: the one in force, and one that is under way.
+// OnDisk are the changes of which a member's part has texts on the disk: those in force, and those under way.
 func OnDisk(part []byte) []string {
 	var s savedMember
 	if part == nil || decoding.Unmarshal(part, &s) != nil {
 		return nil
 	}
 	var all []string
-	if s.Force.ID != "" {
-		all = append(all, s.Force.ID)
-	}
-	if s.Prepared != nil {
-		all = append(all, s.Prepared.ID)
+	for _, d := range append([]Doc{s.Force}, s.Texts...) {
+		if d.ID != "" {
+			all = append(all, d.ID)
+		}
 	}
-	return all
+	return append(all, idsOf(s.changes())...)
 }
--- a/internal/peer/policy/steward.go
+++ b/internal/peer/policy/steward.go
@@ -29,17 +29,32 @@
 	askedAt time.Duration
 	sure    []assured // confirmed; what was decided by then is to be applied yet
 
-	members  map[string]*known // by name
-	pending  string            // the change that it looks at
+	members map[string]*known     // by name
+	under   map[string]*following // changes under way, by ID
+	fresh   []recent              // came into force lately: some may not know it
+	looks   int                   // through those that a change under way concerns
+	joins   map[string]joining
+	pokeAt  time.Duration
+	poked   int
+	lookAt  time.Duration
+	raised  time.Duration // it proposed the form of this build
+}
+
+// following is what a leader knows of a change under way.
+type following struct {
 	since    time.Duration
-	lacking  int           // members that had it not on their disks at the last look through the roster, less those that have said so since
-	looks    int           // through the roster, for a change under way
+	concerns []place // of the roster of a version
+	version  uint64
+	lacking  int           // of these that had it not on their disks at the last look, less those that have said so since
 	proposed string        // what it proposed of it: "commit" or "drop"
 	said     time.Duration // and when
-	joins    map[string]joining
-	pokeAt   time.Duration
-	poked    int
-	lookAt   time.Duration
+}
+
+// recent is a change that came into force, and whom it concerned.
+type recent struct {
+	order    uint64
+	at       time.Duration
+	concerns []place
 }
 
 // question is a member's, and by whom it came.
@@ -57,18 +72,21 @@
 // known is what a leader knows of a member.
 type known struct {
 	life     uint64
+	form     uint8
 	heard    time.Duration // it asked last
 	granted  time.Duration // it was told that it may go on; 0: not by this leader
-	force    uint64
-	prepared string
+	upto     uint64        // it knows what came into force up to this Order
+	have     []string
 	nay, why string
 	out      bool // it is being taken out of the roster: it is told nothing meanwhile
 	deaf     int  // questions on end by which its lease is over, though it was answered
 }
 
+func (m *known) has(id string) bool { return slices.Contains(m.have, id) }
+
 type joining struct {
-	life uint64
-	at   time.Duration
+	life, holds uint64
+	at          time.Duration
 }
 
 const (
@@ -94,7 +112,7 @@
 		return
 	}
 	if l.term != s.HardState.GetTerm() {
-		*l = steward{term: s.HardState.GetTerm(), began: n.now, members: map[string]*known{}, joins: map[string]joining{}}
+		*l = steward{term: s.HardState.GetTerm(), began: n.now, members: map[string]*known{}, joins: map[string]joining{}, under: map[string]*following{}}
 		n.say(false, "this voter leads in term %d", l.term)
 	}
 	l.at = n.now + lookEvery
@@ -102,7 +120,7 @@
 	if n.now >= l.lookAt {
 		l.lookAt = n.now + lookEvery
 		l.roster(v)
-		l.change(v)
+		l.changes(v)
 		l.poke(v)
 	}
 }
@@ -163,46 +181,146 @@
 		m = &known{life: a.Life}
 		l.members[a.Name] = m
 	}
-	told := s.Pending != nil && a.Prepared == s.Pending.ID && m.prepared != a.Prepared
-	m.heard, m.force, m.prepared, m.nay, m.why = n.now, a.Force, a.Prepared, a.Nay, a.Why
+	m.heard, m.form, m.upto, m.nay, m.why = n.now, a.Form, a.Upto, a.Nay, a.Why
+	had := m.have
+	if m.have = a.Have; a.Form == 0 {
+		if m.have = nil; a.Prepared != "" {
+			m.have = []string{a.Prepared}
+		}
+		if m.upto = 0; a.Force == s.Force.Number {
+			m.upto = s.Commits
+		}
+	}
 	switch {
 	case !a.Over:
 		m.deaf = 0
 	case m.granted > 0 && n.now-m.granted < n.s.Lease:
 		m.deaf++
 	}
-	if n.s.Stops && m.deaf >= deafAfter && s.Pending != nil && m.prepared != s.Pending.ID {
+	at, in := s.find(a.Name)
+	in = in && s.Roster[at].Life == a.Life
+	var p *place
+	if in {
+		p = &s.Roster[at]
+	}
+	var under []*underWay // that concern it
+	lacks := false
+	for i := range s.Under {
+		if u := &s.Under[i]; in && s.concerns(&u.Doc, p) || !in && l.offered(a, &u.Doc) {
+			under = append(under, u)
+			lacks = lacks || in && !m.has(u.Doc.ID)
+		}
+	}
+	if n.s.Stops && m.deaf >= deafAfter && lacks {
 		return // it hears no answer: the change goes on without it once what it was told is over
 	}
-	x := &Answer{Seq: a.Seq, Force: s.Force.Number, ForceID: s.Force.ID, Voters: s.Voters}
+	x := &Answer{Seq: a.Seq, Voters: s.Voters, Form: Form, Upto: s.Commits, All: a.Upto == 0}
+	join := false
 	switch {
 	case a.Stops != n.s.Stops || time.Duration(a.LeaseMS)*time.Millisecond != n.s.Lease:
 		x.Refused = fmt.Sprintf("its file's cut_off or lease are not those of %s, which leads (lease %v)", n.s.Name, n.s.Lease)
-	case s.has(a.Name, a.Life):
-		x.Known = !m.out
+	case in:
+		x.Known, x.Every = !m.out, p.Form == 0
+		x.Say = x.Every && s.Form >= Form
+		// What it holds has changed, or was not known to a leader of an earlier form.
+		join = a.Form > 0 && a.Holds == sumOf(a.Parts) && s.Form >= Form && (x.Every || sumOf(s.names(p)) != a.Holds)
 	case a.Join:
-		if j := l.joins[a.Name]; j.life != a.Life || n.now-j.at > sayAgain {
-			l.joins[a.Name] = joining{a.Life, n.now}
-			v.propose(&command{Do: doJoin, Name: a.Name, Life: a.Life})
+		join = true
+	}
+	// While something about its place is on its way into the log, what the roster has for it may be over at any moment: nothing is
+	// said of it, and what was lost is asked for again.
+	j, pending := l.joins[a.Name]
+	if pending = pending && j.life == a.Life && in && a.Form > 0; pending {
+		x.Every = false
+		join = join || a.Holds == sumOf(a.Parts) && s.Form >= Form && n.now-j.at > sayAgain
+	}
+	if join && (j.life != a.Life || j.holds != a.Holds || n.now-j.at > sayAgain) {
+		l.joins[a.Name] = joining{a.Life, a.Holds, n.now}
+		c := &command{Do: doJoin, Name: a.Name, Life: a.Life}
+		if parts, err := partsOf(a.Parts); a.Form > 0 && s.Form >= Form && err == nil {
+			c.Form, c.Parts = Form, parts
 		}
+		v.propose(c)
 	}
 	if x.Known {
 		m.granted = n.now
 	}
-	if s.Pending != nil {
-		x.Pending = s.Pending.ID
+	if a.Form > 0 {
+		holds := func(part string) bool { return part == "" || slices.Contains(a.Parts, part) }
+		switch x.Holds = sumOf(a.Parts); {
+		case x.Every:
+			holds, x.Holds = func(string) bool { return true }, a.Holds
+		case in:
+			holds, x.Holds = func(part string) bool { return s.holds(p, part) }, sumOf(s.names(p))
+		}
+		if x.Changed = s.since(a.Upto, holds); pending {
+			x.Holds = ^a.Holds
+		}
+	}
+	for _, u := range under {
+		x.Under = append(x.Under, u.Doc.ID)
+	}
+	if a.Form == 0 { // it knows one part
+		x = &Answer{Seq: x.Seq, Voters: x.Voters, Known: x.Known, Refused: x.Refused, Force: s.Force.Number, ForceID: s.Force.ID}
+		if i := slices.IndexFunc(under, func(u *underWay) bool { return u.Doc.plain() }); i >= 0 {
+			x.Pending = under[i].Doc.ID
+		}
 	}
 	for _, id := range a.About[:min(aboutMost, len(a.About))] {
 		x.About = append(x.About, l.fate(v, id))
 	}
 	l.reply(v, q, x)
-	// Only who may be the last one to have it is worth a look through the roster now; each 100 ms there is one anyway.
-	if told && s.has(a.Name, a.Life) {
-		l.lacking--
+	if !in {
+		return
 	}
-	if s.Pending != nil && (m.nays(s.Pending.ID) || told && (l.lacking <= 0 || l.pending != s.Pending.ID)) {
-		l.change(v)
+	// Only who may be the last one to have a change is worth a look at all whom it concerns now; each 100 ms there is one anyway.
+	for _, u := range under {
+		f, id := l.under[u.Doc.ID], u.Doc.ID
+		told := m.has(id) && !slices.Contains(had, id)
+		if told && f != nil {
+			f.lacking--
+		}
+		if m.nays(id) || told && (f == nil || f.lacking <= 0) {
+			l.look(v, u)
+		}
+	}
+}
+
+// offered reports whether a change is one of the parts that a member would hold once it is in the roster.
+func (l *steward) offered(a *Ask, d *Doc) bool {
+	return d.Names("") || slices.ContainsFunc(a.Parts, d.Names)
+}
+
+// knows reports whether a member is known to read the log as it is.
+func (l *steward) knows(v *voter, name string) bool {
+	if i, ok := v.state.find(name); ok && v.state.Roster[i].Form >= v.state.Form {
+		return true
 	}
+	m := l.members[name]
+	return v.state.Form == 0 || m != nil && m.form >= v.state.Form
+}
+
+// raise has the log take on this build's form, for good, at the first change of a service's part: until then an earlier
+// build can be gone back to. It reports whether all voters are known to read it.
+func (l *steward) raise(v *voter) bool {
+	if !l.votersOf(v, Form) {
+		return false
+	}
+	if v.n.now-l.raised > sayAgain {
+		l.raised = v.n.now
+		v.propose(&command{Do: doForm, Form: Form})
+	}
+	return true
+}
+
+// votersOf reports whether all voters are known to be of a form, or a later one.
+func (l *steward) votersOf(v *voter, form uint8) bool {
+	for _, name := range v.state.Voters {
+		if m := l.members[name]; m == nil || m.form < form {
+			return false
+		}
+	}
+	return true
 }
 
 func (l *steward) reply(v *voter, q question, x *Answer) {
@@ -217,10 +335,10 @@
 // fate is what became of a change, or how far it is.
 func (l *steward) fate(v *voter, id string) Fate {
 	f := v.state.fate(id)
-	if f.State == UnderWay {
-		missing := l.missing(v)
-		for _, p := range v.state.Roster {
-			if !slices.Contains(v.state.Without, p.Name) {
+	if u := v.state.under(id); u != nil {
+		missing := l.missing(v, u)
+		for _, p := range l.follow(v, u).concerns {
+			if !slices.Contains(u.Without, p.Name) {
 				f.Of++
 			}
 		}
@@ -230,39 +348,87 @@
 	return f
 }
 
-// missing are the members that have to have the change under way on their disks, and have not said so.
-func (l *steward) missing(v *voter) []string {
+// follow is what is known of a change under way, with whom it concerns now.
+func (l *steward) follow(v *voter, u *underWay) *following {
+	f := l.under[u.Doc.ID]
+	if f == nil {
+		f = &following{since: v.n.now}
+		l.under[u.Doc.ID] = f
+		l.pokeAt = v.n.now
+	}
+	if f.concerns == nil || f.version != v.state.Version {
+		f.concerns, f.version = v.state.concerned(&u.Doc), v.state.Version
+	}
+	return f
+}
+
+// missing are the members that have to have a change under way on their disks, and have not said so.
+func (l *steward) missing(v *voter, u *underWay) []string {
 	var all []string
-	s := v.state
-	for _, p := range s.Roster {
-		if m := l.members[p.Name]; (m == nil || m.life != p.Life || m.prepared != s.Pending.ID) && !slices.Contains(s.Without, p.Name) {
+	for _, p := range l.follow(v, u).concerns {
+		if l.lacks(&p, u) {
 			all = append(all, p.Name)
 		}
 	}
 	return all
 }
 
+func (l *steward) lacks(p *place, u *underWay) bool {
+	m := l.members[p.Name]
+	return (m == nil || m.life != p.Life || !m.has(u.Doc.ID)) && !slices.Contains(u.Without, p.Name)
+}
+
 // applied takes note of what the log has done.
-func (l *steward) applied(v *voter, c *command, was uint64) {
+func (l *steward) applied(v *voter, c *command) {
 	switch c.Do {
+	case doMany:
+		for i := range c.All {
+			l.applied(v, &c.All[i])
+		}
 	case doJoin, doOut:
 		delete(l.joins, c.Name)
 		if m := l.members[c.Name]; m != nil && m.life == c.Life {
 			m.out = false
 		}
 	case doCommit:
-		if v.state.Force.Number != was {
-			v.n.say(false, "policy %d (%s, by %s: %s) is in force", v.state.Force.Number, v.state.Force.ID, v.state.Force.Author, v.state.Force.Reason)
-		} else if l.proposed == "commit" { // somebody came in between
-			l.proposed = ""
+		f := l.under[c.ID]
+		if v.state.under(c.ID) != nil {
+			if f != nil && f.proposed == "commit" { // somebody came in between
+				f.proposed = ""
+			}
+			break
+		}
+		for i := len(v.state.Ended) - 1; i >= 0 && f != nil; i-- {
+			if e := &v.state.Ended[i]; e.Doc.ID == c.ID {
+				if e.InForce {
+					v.n.say(false, "%s is in force", said(&e.Doc))
+					l.fresh = append(l.fresh, recent{v.state.Commits, v.n.now, f.concerns})
+				}
+				break
+			}
 		}
+		delete(l.under, c.ID)
 	case doDrop:
+		delete(l.under, c.ID)
 		v.n.say(false, "change %s was dropped by %s: %s", c.ID, c.By, c.Why)
 	}
 	l.lookAt, l.pokeAt = v.n.now, v.n.now
 	l.at = v.n.now
 }
 
+// said names a change for people.
+func said(d *Doc) string {
+	var parts []string
+	for _, x := range d.Texts() {
+		if x.Part == "" {
+			parts = append(parts, fmt.Sprintf("policy %d", x.Number))
+		} else {
+			parts = append(parts, fmt.Sprintf("policy %d of %s", x.Number, x.Part))
+		}
+	}
+	return fmt.Sprintf("%s (%s, by %s: %s)", strings.Join(parts, " and "), d.ID, d.Author, d.Reason)
+}
+
 // roster takes out who has left in order.
 func (l *steward) roster(v *voter) {
 	for _, name := range sorted(v.n.who) {
@@ -289,7 +455,7 @@
 		return
 	}
 	m.out = m.life == life
-	l.joins[name] = joining{life, v.n.now}
+	l.joins[name] = joining{life, 0, v.n.now}
 	v.propose(&command{Do: doOut, Name: name, Life: life, Why: why})
 }
 
@@ -302,35 +468,46 @@
 	return v.n.now > from+v.n.s.Back()+slackOut
 }
 
-// change looks at the change under way.
-func (l *steward) change(v *voter) {
-	n, p := v.n, v.state.Pending
-	if p == nil {
-		l.pending = ""
-		return
-	}
-	if l.pending != p.ID {
-		l.pending, l.since, l.proposed = p.ID, n.now, ""
-		l.pokeAt = n.now
+// changes looks at all changes under way.
+func (l *steward) changes(v *voter) {
+	ids := map[string]bool{}
+	for i := range v.state.Under { // a look decides nothing itself: what it proposes comes through the log
+		ids[v.state.Under[i].Doc.ID] = true
+		l.look(v, &v.state.Under[i])
+	}
+	for id := range l.under {
+		if !ids[id] {
+			delete(l.under, id)
+		}
 	}
-	if l.proposed != "" && n.now-l.said < sayAgain {
+}
+
+// look looks at a change under way.
+func (l *steward) look(v *voter, u *underWay) {
+	n, id := v.n, u.Doc.ID
+	f := l.follow(v, u)
+	if f.proposed != "" && n.now-f.said < sayAgain {
 		return
 	}
 	propose := func(what string, c *command) {
 		if v.propose(c) {
-			l.proposed, l.said = what, n.now
+			f.proposed, f.said = what, n.now
 		}
 	}
-	missing := l.missing(v)
-	l.lacking, l.looks = len(missing), l.looks+1
+	missing := l.missing(v, u)
+	f.lacking, l.looks = len(missing), l.looks+1
 	for _, name := range missing {
-		if m := l.members[name]; m.nays(p.ID) {
-			propose("drop", &command{Do: doDrop, ID: p.ID, By: name, Why: m.why})
+		switch m := l.members[name]; {
+		case m.nays(id):
+			propose("drop", &command{Do: doDrop, ID: id, By: name, Why: m.why})
+			return
+		case m != nil && m.form < Form && !u.Doc.plain() && n.now-m.heard < aliveFor:
+			propose("drop", &command{Do: doDrop, ID: id, By: name, Why: "it is of an earlier version, and knows no parts of services"})
 			return
 		}
 	}
 	if len(missing) == 0 {
-		propose("commit", &command{Do: doCommit, ID: p.ID, Version: v.state.Version})
+		propose("commit", &command{Do: doCommit, ID: id, Version: f.version})
 		return
 	}
 	if n.s.Stops { // whose lease is over takes nothing: the change goes on without it
@@ -345,9 +522,9 @@
 	if n.s.Stops { // a lease may have been given at the last moment
 		late += n.s.Back()
 	}
-	if n.now-l.since > late {
+	if n.now-f.since > late {
 		why := "not heard, or it has not put the change on its disk within " + n.s.Within.String()
-		propose("drop", &command{Do: doDrop, ID: p.ID, By: some(missing), Why: why})
+		propose("drop", &command{Do: doDrop, ID: id, By: some(missing), Why: why})
 	}
 }
 
@@ -368,18 +545,32 @@
 		return
 	}
 	l.pokeAt = n.now + pokeEvery
-	var all []string
-	for _, p := range s.Roster {
-		m := l.members[p.Name]
-		switch {
-		case m == nil || m.life != p.Life:
-			if s.Pending != nil || n.now-l.began < n.s.Lease {
-				all = append(all, p.Name)
+	who := map[string]bool{}
+	for i := range s.Under {
+		u := &s.Under[i]
+		f := l.follow(v, u)
+		for _, p := range f.concerns {
+			if m := l.members[p.Name]; l.lacks(&p, u) && (m == nil || m.life != p.Life || n.now-f.since < n.s.Within) {
+				who[p.Name] = true
+			}
+		}
+	}
+	l.fresh = slices.DeleteFunc(l.fresh, func(r recent) bool { return n.now-r.at > 2*n.s.Lease })
+	for _, r := range l.fresh {
+		for _, p := range r.concerns {
+			if m := l.members[p.Name]; m != nil && m.life == p.Life && m.upto < r.order && n.now-m.heard < 2*n.s.Lease {
+				who[p.Name] = true
+			}
+		}
+	}
+	if n.now-l.began < n.s.Lease {
+		for _, p := range s.Roster {
+			if m := l.members[p.Name]; m == nil || m.life != p.Life {
+				who[p.Name] = true
 			}
-		case s.Pending != nil && m.prepared != s.Pending.ID && n.now-l.since < n.s.Within, m.force < s.Force.Number && n.now-m.heard < 2*n.s.Lease:
-			all = append(all, p.Name)
 		}
 	}
+	all := sorted(who)
 	if len(all) > pokesMost { // by turns
 		from := l.poked % len(all)
 		all = append(all[from:], all[:from]...)[:pokesMost]
--- a/internal/peer/policy/voter.go
+++ b/internal/peer/policy/voter.go
@@ -41,6 +41,7 @@
 	waiting uint64        // its number; 0: nothing waits
 	again   time.Duration // it failed, and is tried then
 	reset   bool          // it begins anew once nothing waits
+	rehear  bool          // and asks the others first
 	snap    bool          // a snapshot is due
 	tickAt  time.Duration
 	standAt time.Duration // it stands for election then, if nobody leads; 0: it did
@@ -54,11 +55,20 @@
 	blank  bool     // it is being taken in, or its disk was lost: it votes once it has what its leader had
 	commit uint64   // of that leader, when it first told
 
-	lead  steward
-	short map[string]int           // answers on end of a voter that has less than it once said
+	lead    steward
+	group   []command     // are to go into the log together
+	groupAt time.Duration // at the latest then; before it nothing else goes
+
+	short map[string]shorter       // voters that say that they have less than they once said
 	snaps map[uint64]time.Duration // when a snapshot was last sent, by voter
 }
 
+// shorter is a voter that says that it has less than it once said.
+type shorter struct {
+	answers int // on end
+	since   time.Duration
+}
+
 // position is how far a log goes.
 type position struct{ term, index uint64 }
 
@@ -78,7 +88,10 @@
 	standMore    = 300 * time.Millisecond
 	diskAgain    = 500 * time.Millisecond
 	snapWait     = 3 * time.Second
-	shortMost    = 3 // one may be late, from before it had more
+	shortMost    = 3                      // one may be late, from before it had more
+	shortFor     = 500 * time.Millisecond // and several that were doubled or passed by others; a stream is sent again after 200 ms
+	groupFor     = 10 * time.Millisecond  // a fifth of a short change: several writes of a disk
+	groupMost    = 512                    // commands of one entry: joins of a fleet that starts
 )
 
 // idOf is a voter's number in Raft.
@@ -114,13 +127,13 @@
 	if s == nil {
 		s = &state{Voters: slices.Sorted(slices.Values(voters))}
 	}
-	return &raftpb.Snapshot{Data: encode(s), Metadata: &raftpb.SnapshotMetadata{ConfState: conf, Index: new(uint64(1)), Term: new(epoch + 1)}}
+	return &raftpb.Snapshot{Data: encodeState(s), Metadata: &raftpb.SnapshotMetadata{ConfState: conf, Index: new(uint64(1)), Term: new(epoch + 1)}}
 }
 
 // newVoter is a voter as its disk has it; blank: it is being taken in, and knows nothing yet.
 func newVoter(n *Node, d *Disk, blank bool) (*voter, error) {
 	v := &voter{n: n, id: idOf(n.s.Name), epoch: d.Epoch, store: raft.NewMemoryStorage(), hard: &raftpb.HardState{}, state: &state{}, conf: &raftpb.ConfState{},
-		proved: d.Proved, said: map[string]*Said{}, short: map[string]int{}, snaps: map[uint64]time.Duration{}, call: n.rng.Uint64(), tickAt: n.now + tick, callAt: n.now}
+		proved: d.Proved, said: map[string]*Said{}, short: map[string]shorter{}, snaps: map[uint64]time.Duration{}, call: n.rng.Uint64(), tickAt: n.now + tick, callAt: n.now}
 	switch {
 	case blank:
 		v.epoch, v.blank = n.epoch, true
@@ -230,9 +243,14 @@
 	}
 	hard, _, err := v.store.InitialState()
 	if err == nil {
-		v.hard, v.rn, v.lead = hard, nil, steward{}
+		v.hard, v.rn, v.lead, v.group = hard, nil, steward{}, nil
 		err = v.restore(must(v.store.Snapshot()))
 	}
+	if err == nil && v.rehear {
+		v.rehear, v.floor, v.proved, v.callAt = false, position{}, false, v.n.now
+		clear(v.said)
+		return
+	}
 	if err == nil {
 		err = v.begin()
 	}
@@ -279,6 +297,7 @@
 	v.lateSnaps()
 	v.pump()
 	v.lead.due(v)
+	v.together()
 	v.pump()
 }
 
@@ -315,6 +334,9 @@
 	if v.leads() {
 		at = min(at, v.lead.at)
 	}
+	if len(v.group) > 0 {
+		at = min(at, v.groupAt)
+	}
 	if v.standAt > 0 {
 		at = min(at, v.standAt)
 	}
@@ -405,7 +427,17 @@
 
 // called answers a voter that has just started. If it has less than it once said, whoever leads forgets how far it was.
 func (v *voter) called(from string, c *Call) {
-	s := &Said{Number: c.Number, Proved: !v.blank && (v.rn != nil || v.proved), Voters: v.state.Voters, Applied: v.applied}
+	s := &Said{Number: c.Number, Proved: !v.blank && (v.rn != nil || v.proved), Voters: v.state.Voters, Applied: v.applied, Start: v.call}
+	// What it said before it started anew, it may have lost with its disk: a floor that nobody has any more would never be reached.
+	// One that takes part with such a floor asks all again, as at its start: who heard of an entry by one alone may not vote
+	// without it before it knows that others have not confirmed it.
+	if was := v.said[from]; was != nil && was.Start != 0 && was.Start != c.Number {
+		delete(v.said, from)
+		if v.rn != nil && v.floor != (position{}) && !v.blank {
+			v.rehear = true
+			v.restart()
+		}
+	}
 	if v.rn != nil {
 		s.Term = v.status().HardState.GetTerm()
 	} else {
@@ -437,7 +469,7 @@
 	if !v.reset {
 		v.n.say(false, "voter %s has lost what it had: this one leads no more, so that nobody counts on it", name)
 	}
-	v.short = map[string]int{}
+	v.short = map[string]shorter{}
 	v.restart()
 }
 
@@ -464,7 +496,11 @@
 		return
 	case raftpb.MsgAppResp: // it has less than it once said: Raft would send it the same for ever
 		if match := v.match(from); m.GetReject() && m.GetRejectHint() < match {
-			if v.short[from]++; v.short[from] >= shortMost {
+			s := v.short[from]
+			if s.answers++; s.answers == 1 {
+				s.since = v.n.now
+			}
+			if v.short[from] = s; s.answers >= shortMost && v.n.now-s.since >= shortFor {
 				v.lost(from)
 			}
 			return
@@ -664,10 +700,9 @@
 			v.n.say(true, "an entry of the policy's log makes no sense to this version: %v", err)
 			return
 		}
-		was := v.state.Force.Number
 		v.state.apply(c)
 		if v.leads() {
-			v.lead.applied(v, c, was)
+			v.lead.applied(v, c)
 		}
 	}
 }
@@ -679,7 +714,7 @@
 		return
 	}
 	v.snap = false
-	snap, err := v.store.CreateSnapshot(v.applied, v.conf, encode(v.state))
+	snap, err := v.store.CreateSnapshot(v.applied, v.conf, encodeState(v.state))
 	if err != nil {
 		return
 	}
@@ -692,9 +727,51 @@
 	v.n.persist(b)
 }
 
-// propose puts a command into the log, if this one leads.
+// propose puts a command into the log, if this one leads; soon after another, together with all that come within
+// groupFor (group commit). It may be lost.
 func (v *voter) propose(c *command) bool {
-	return v.leads() && v.rn.Propose(encode(c)) == nil
+	if !v.leads() {
+		return false
+	}
+	if v.state.Form < Form {
+		return v.rn.Propose(encode(c)) == nil
+	}
+	v.group = append(v.group, *c)
+	v.together()
+	return true
+}
+
+// waits reports whether a change is to go into the log, and does not yet.
+func (v *voter) waits(id string) bool {
+	return slices.ContainsFunc(v.group, func(c command) bool { return c.Do == doPropose && c.Doc.ID == id })
+}
+
+// together puts what is to go into the log there, as one entry, once it is time.
+func (v *voter) together() {
+	if len(v.group) == 0 || v.n.now < v.groupAt {
+		return
+	}
+	all := v.group
+	v.group, v.groupAt = nil, v.n.now+groupFor
+	for v.leads() && len(all) > 0 {
+		n, size := 0, 0
+		for n < len(all) && n < groupMost && (n == 0 || size < ChangeMost) {
+			if d := all[n].Doc; d != nil {
+				for _, x := range d.Texts() {
+					size += len(x.Body)
+				}
+			}
+			n++
+		}
+		c := &all[0]
+		if n > 1 {
+			c = &command{Do: doMany, All: all[:n]}
+		}
+		if v.rn.Propose(encode(c)) != nil {
+			return // whoever asked for it asks again
+		}
+		all = all[n:]
+	}
 }
 
 // replace changes the voters, if this one leads.
@@ -708,6 +785,8 @@
 		return fmt.Errorf("%s votes already", r.Add)
 	case r.Remove != "" && !slices.Contains(v.state.Voters, r.Remove):
 		return fmt.Errorf("%s does not vote", r.Remove)
+	case r.Add != "" && !v.lead.knows(v, r.Add):
+		return fmt.Errorf("%s is not heard, or is of an earlier version, which can't read this log", r.Add)
 	case r.Remove != "" && r.Add == "" && len(v.state.Voters) == 1:
 		return errors.New("the last voter stays")
 	}
@@ -728,14 +807,15 @@
 	n := v.n
 	s := *v.state
 	s.Voters = []string{n.s.Name}
-	if s.Pending != nil {
-		s.end(*s.Pending, false, n.s.Name, "voters were lost, and an operator has gone on without them")
-		s.Pending, s.Without = nil, nil
+	for _, u := range slices.Clone(s.Under) {
+		s.end(u.Doc, false, n.s.Name, "voters were lost, and an operator has gone on without them", nil)
 	}
+	s.Under = nil
 	snap := beginning(s.Voters, epoch, &s)
 	snap.Metadata.Term = new(max(v.last().term, v.hard.GetTerm()) + 1)
 	snap.Metadata.Index = new(v.last().index + 1)
 	v.epoch, v.store, v.hard, v.rn, v.lead = epoch, raft.NewMemoryStorage(), &raftpb.HardState{}, nil, steward{}
+	v.group = nil
 	v.queue, v.doing, v.base, v.waiting, v.floor, v.proved = nil, nil, false, 0, position{}, true
 	if err := v.store.ApplySnapshot(snap); err != nil {
 		return err
--- a/tools/capacity/changes.go
+++ b/tools/capacity/changes.go
@@ -19,17 +19,18 @@
 // changesCommand measures what a change of policy costs whom.
 func changesCommand() *cobra.Command {
 	var (
-		f     plainFlags
-		texts []int
-		what  []string
+		f      plainFlags
+		texts  []int
+		what   []string
+		length time.Duration
 	)
 	c := &cobra.Command{Use: "changes", Short: "What a change of the agreed policy costs, in virtual time", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			m := &measuring{seed: f.seed, sizes: f.sizes, texts: texts, book: f.book("go run ./tools/capacity changes --what "), table: f.table(c)}
+			m := &measuring{seed: f.seed, sizes: f.sizes, texts: texts, length: length, book: f.book("go run ./tools/capacity changes --what "), table: f.table(c)}
 			for _, w := range what {
-				run, ok := map[string]func(string) error{"even": m.even, "day": m.day, "minute": m.minute, "rest": m.rest, "text": m.text, "died": m.died, "cut": m.cutOff, "size": m.size}[w]
+				run, ok := map[string]func(string) error{"even": m.even, "day": m.day, "minute": m.minute, "rest": m.rest, "text": m.text, "died": m.died, "cut": m.cutOff, "size": m.size, "stream": m.stream}[w]
 				if !ok {
-					return fmt.Errorf("--what %q is none of even, day, minute, rest, text, died, cut, size", w)
+					return fmt.Errorf("--what %q is none of even, day, minute, rest, text, died, cut, size, stream", w)
 				}
 				m.what = w
 				if err := run(w); err != nil {
@@ -39,6 +40,7 @@
 			return f.end(c, &m.book)
 		}}
 	f.add(c, "members", 10, 30, 100, 300, 1000, 3000, 12000)
+	c.Flags().DurationVar(&length, "length", 126*time.Second, "of a day's play, of stream")
 	c.Flags().IntSliceVar(&texts, "texts", []int{512, 4096, 16384, 65536}, "bytes of a policy, of text")
 	c.Flags().StringSliceVar(&what, "what", []string{"even", "day", "minute", "rest", "text", "died", "cut", "size"}, "which")
 	return c
@@ -131,6 +133,7 @@
 	seed         uint64
 	sizes, texts []int
 	what         string
+	length       time.Duration // of a day's play in parts
 	table        table
 	headed       string
 }
@@ -348,6 +351,43 @@
 	return nil
 }
 
+// stream is the ordinary day and the worst minute with one text for all, and with parts of services beside it.
+func (m *measuring) stream(string) error {
+	for _, rate := range []float64{0.74, 7.4} {
+		for _, n := range m.sizes {
+			for _, parts := range []bool{false, true} {
+				c := changing{members: n, stops: true, every: perSecond(rate), drawn: true, parts: parts, length: m.length}
+				if rate > 1 {
+					c.length = 76 * time.Second
+				}
+				label := fmt.Sprintf("%v a second, one text for all", rate)
+				if parts {
+					label = fmt.Sprintf("%v a second, parts of services", rate)
+				}
+				r, err := m.run(c, label)
+				if err != nil {
+					return err
+				}
+				if !parts {
+					continue
+				}
+				when := map[bool]string{false: "day", true: "worst"}[rate > 1]
+				note := fmt.Sprintf("%v changes a second of parts of 512 bytes, each of a service, one in %d for all", rate, forAll)
+				m.note(m.entry("policy.parts.dropped."+when, "agent", when, "share_dropped", "share", "agents", "steps", note+": share dropped, on whole links"), float64(n), float64(r.dropped)/float64(max(1, r.asked)))
+				m.note(m.entry("policy.parts.time."+when, "agent", when, "time", "s", "agents", "log", note+": 99 in 100, all whom it concerns"), float64(n), quantile(r.everywhere, 0.99))
+				for _, who := range []struct {
+					role, name string
+					l          load
+				}{{"agent", "member", r.member}, {"voter", "leader", r.leader}} {
+					m.note(m.entry("policy.parts."+who.name+".bytes_in."+when, who.role, when, "bytes_in", "B/s", "agents", "power", note), float64(n), who.l.bytesIn)
+					m.note(m.entry("policy.parts."+who.name+".bytes_out."+when, who.role, when, "bytes_out", "B/s", "agents", "power", note), float64(n), who.l.bytesOut)
+				}
+			}
+		}
+	}
+	return nil
+}
+
 // policyOf is a policy's text that has a class, two limits and a source for each of n services.
 func policyOf(n int) string {
 	var b strings.Builder
--- a/tools/capacity/changing.go
+++ b/tools/capacity/changing.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"runtime"
@@ -12,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"vetchhaven/internal/drill/agree"
+	"vetchhaven/internal/drill/hollow"
 	"vetchhaven/internal/drill/judge"
 	"vetchhaven/internal/drill/plan"
 	"vetchhaven/internal/peer/carrier"
@@ -36,6 +39,7 @@
 	cutAt, cutFor   time.Duration
 	kill            []int // end then, for good
 	killAt          time.Duration
+	parts           bool // each change is of a service's part, one in a hundred of what holds for all; else all are of that
 	seed            uint64
 }
 
@@ -60,13 +64,28 @@
 		Policy: &plan.Policy{Voters: upTo(c.voters), Stops: c.stops, Lease: 5 * time.Second, Within: 10 * time.Second},
 		Bounds: judge.Bounds{Crash: 8 * time.Second, Leave: 2 * time.Second, Join: 5 * time.Second, Settle: 8 * time.Second, Pause: 1500 * time.Millisecond, Spread: 500 * time.Millisecond}}
 	text := strings.Repeat("x", max(0, c.text-6))
+	holders := map[string][]int{}
+	var names []string
+	if c.parts {
+		var err error
+		if holders, err = holding(c.members, c.seed); err != nil {
+			return nil, err
+		}
+		p.Policy.Holds = holders
+		names = slices.Sorted(maps.Keys(holders))
+	}
 	last := c.length - 10*time.Second // what is asked for later can't be told
 	for t := c.from; c.every > 0 && t < last; {
 		who := min(1, c.members-1)
 		if c.drawn {
 			who = rng.IntN(c.members)
 		}
-		p.Events = append(p.Events, plan.Event{At: t, Do: "apply", Who: []int{who}, Kind: text})
+		e := plan.Event{At: t, Do: "apply", Who: []int{who}, Kind: text}
+		if c.parts && rng.IntN(forAll) > 0 {
+			part := names[rng.IntN(len(names))]
+			e.Parts, e.Who = []string{part}, []int{holders[part][rng.IntN(len(holders[part]))]}
+		}
+		p.Events = append(p.Events, e)
 		if gap := c.every; c.drawn {
 			t += time.Duration(rng.ExpFloat64() * float64(gap))
 		} else {
@@ -86,7 +105,11 @@
 		first, last time.Duration
 		by          map[int]bool
 	}
-	uses := map[uint64]*use{}
+	type textOf struct {
+		part   string
+		number uint64
+	}
+	uses := map[textOf]*use{}
 	region := func(n int) int { return n % max(1, c.regions) }
 	o := agree.Options{Seed: c.seed, Witness: true, Take: time.Hour, Viewers: c.voters, Streams: c.streams, Since: c.from,
 		Size: func(from int, m *policy.Message) int {
@@ -109,11 +132,12 @@
 			step()
 			spent[n] += threadTime() - began
 		},
-		Serves: func(at time.Duration, n int, number uint64) {
-			u := uses[number]
+		Serves: func(at time.Duration, n int, part string, number uint64) {
+			key := textOf{part, number}
+			u := uses[key]
 			if u == nil {
 				u = &use{first: at, by: map[int]bool{}}
-				uses[number] = u
+				uses[key] = u
 			}
 			if !u.by[n] {
 				u.by[n], u.last = true, at
@@ -139,7 +163,7 @@
 	if err != nil {
 		return nil, err
 	}
-	asked, cut := map[string]int64{}, map[string]bool{}
+	asked, of, cut := map[string]int64{}, map[string]string{}, map[string]bool{}
 	for n := range c.members {
 		cut[plan.Name(n)] = c.cutFor > 0 && region(n) == c.cut
 	}
@@ -147,7 +171,7 @@
 		switch l.What {
 		case judge.Proposed:
 			out.asked++
-			asked[l.ID] = l.T
+			asked[l.ID], of[l.ID] = l.T, l.Parts
 		case judge.Told:
 			if l.State != "in force" {
 				out.dropped++
@@ -156,9 +180,13 @@
 			}
 			out.inForce++
 			at := time.Duration(asked[l.ID])
-			if u := uses[l.Number]; u != nil {
+			if u := uses[textOf{of[l.ID], l.Number}]; u != nil {
 				out.prepared = append(out.prepared, u.first-at)
-				if len(u.by) >= c.members-len(c.kill) {
+				concerned := c.members - len(c.kill)
+				if part := of[l.ID]; part != "" {
+					concerned = len(slices.DeleteFunc(slices.Clone(holders[part]), func(n int) bool { return slices.Contains(c.kill, n) }))
+				}
+				if len(u.by) >= concerned {
 					out.everywhere = append(out.everywhere, u.last-at)
 				}
 			}
@@ -172,7 +200,7 @@
 			}
 		}
 	}
-	if u := uses[0]; u != nil && len(u.by) == c.members {
+	if u := uses[textOf{}]; u != nil && len(u.by) == c.members {
 		out.started = u.last
 	}
 	slices.Sort(out.prepared)
@@ -199,6 +227,28 @@
 	return out, nil
 }
 
+// forAll: one change in so many is of what holds for all.
+const forAll = 100
+
+// holding is who holds which services' parts: each member is one of the agents of the size aimed at, evenly taken, and holds
+// the part of the service that it has and of those that it calls.
+func holding(members int, seed uint64) (map[string][]int, error) {
+	const agents = 12000
+	g, err := hollow.DrawGraph(hollow.GraphSpec{Agents: agents, Seed: seed})
+	if err != nil {
+		return nil, err
+	}
+	all := map[string][]int{}
+	for n := range members {
+		own := g.Of[n*agents/max(members, 1)]
+		for _, k := range append([]int{own}, g.Calls[own]...) {
+			name := fmt.Sprintf("service-%03d", k)
+			all[name] = append(all[name], n)
+		}
+	}
+	return all, nil
+}
+
 // threadTime is the processor time of this thread so far.
 func threadTime() time.Duration {
 	var t unix.Timespec
--- a/tools/policy/main.go
+++ b/tools/policy/main.go
@@ -1,6 +1,7 @@
 // Command policy measures how a fleet changes what it decides by. It prints Markdown; docs/measure/policy.md has its figures.
 //
 //	go run ./tools/policy schedules [-n 2000]   random faults with a change every few seconds: each claim, and how often it was tried
+//	go run ./tools/policy parts [-n 2000]       the same of a policy in parts: two changes a second, regions cut, voters moved
 //	go run ./tools/policy points [-pairs 2000]  whoever acts is killed at each write and message of a change, one at a time, then two
 //	go run ./tools/policy times                 from the question to in force at all, in virtual time
 //	go run ./tools/policy real                  the same with real processes, and what it costs at rest
@@ -33,7 +34,8 @@
 	whole := f.Bool("all", false, "of points: all pairs, of the smallest fleet alone")
 	n, pairs, program := f.Int("n", 2000, "schedules"), f.Int("pairs", 2000, "pairs of points, by chance"), f.String("program", "bin/vetchhaven", "for real processes")
 	bench.Main(f,
-		bench.Job{Name: "schedules", Run: func() error { return schedules(*n) }},
+		bench.Job{Name: "schedules", Run: func() error { return schedules(*n, agree.Draw) }},
+		bench.Job{Name: "parts", Run: func() error { return schedules(*n, agree.DrawParts) }},
 		bench.Job{Name: "points", Run: func() error { return points(*pairs, *whole) }},
 		bench.Job{Name: "times", Run: times},
 		bench.Job{Name: "real", Run: func() error { return realTimes(*program, *sizes) }},
@@ -85,33 +87,73 @@
 	}
 }
 
-func schedules(n int) error {
+func schedules(n int, draw func(seed uint64, most int) (*plan.Plan, agree.Options)) error {
 	s := newSums()
 	var taken, changes int
+	told, befell := map[string]int{}, map[string]int{}
 	began := time.Now()
-	err := each(n, func(i int) (*judge.Report, error) {
-		p, o := agree.Draw(uint64(i), 10)
+	err := each(n, func(i int) (played, error) {
+		p, o := draw(uint64(i), 10)
 		r, err := agree.Play(p, o)
 		if err != nil {
-			return nil, err
+			return played{}, err
 		}
 		c := judge.Policy(p.Bounds, r.Lines)
-		c.Lines, c.Gaps = r.Taken, 0
+		x := played{r: c, taken: r.Taken, told: map[string]int{}, befell: map[string]int{}}
 		for _, l := range r.Lines {
-			if l.What == judge.Proposed {
-				c.Gaps++
+			switch l.What {
+			case judge.Proposed:
+				x.changes++
+			case judge.Told:
+				x.told[kindOf(l)]++
 			}
 		}
-		return c, nil
-	}, func(i int, r *judge.Report) {
-		taken, changes = taken+r.Lines, changes+r.Gaps
-		s.add(fmt.Sprint("schedule ", i), r)
+		for _, e := range p.Events {
+			switch {
+			case e.Do == "link" || e.Do == "kill" || e.Do == "term" || e.Do == "pause" || e.Do == "voters":
+				x.befell[e.Do]++
+			case e.Do == "start" && e.State != "kept":
+				x.befell["disk "+e.State]++
+			case e.Do == "disk" && e.Kind != "well":
+				x.befell["disk "+e.Kind]++
+			}
+		}
+		return x, nil
+	}, func(i int, x played) {
+		taken, changes = taken+x.taken, changes+x.changes
+		for k, n := range x.told {
+			told[k] += n
+		}
+		for k, n := range x.befell {
+			befell[k] += n
+		}
+		s.add(fmt.Sprint("schedule ", i), x.r)
 	})
-	fmt.Printf("%d schedules of 90 s, %d changes asked for, %d requests taken, in %v\n\n", n, changes, taken, time.Since(began).Round(time.Second))
+	fmt.Printf("%d schedules of 90 s, %d changes asked for, %d requests taken, in %v\n\ntold: %v\n\nbefell: %v\n\n", n, changes, taken, time.Since(began).Round(time.Second), told, befell)
 	s.show()
 	return err
 }
 
+// played is what came of a schedule.
+type played struct {
+	r              *judge.Report
+	taken, changes int
+	told, befell   map[string]int
+}
+
+// kindOf is what a change came to, and for what kind of reason.
+func kindOf(l judge.Line) string {
+	if l.State != "dropped" {
+		return l.State
+	}
+	for _, kind := range []string{"another change", "it was made of", "not heard", "did not reach", "given up", "can't be put on the disk"} {
+		if strings.Contains(l.Why, kind) {
+			return l.State + ": " + kind
+		}
+	}
+	return l.State
+}
+
 func everyone(n int) (all []int) {
 	for i := range n {
 		all = append(all, i)
