--- a/internal/peer/policy/parts_test.go
+++ b/internal/peer/policy/parts_test.go
@@ -607,3 +607,20 @@
 		t.Errorf("%+v", b.serve["b"])
 	}
 }
+
+// A daemon that starts with another file has other services: what was in force of them before it ended is told to it.
+func TestAStartWithOtherServicesLearnsTheirTexts(t *testing.T) {
+	b := held(t, false)
+	b.ask("b", of("two", "y"), 0)
+	b.wait(time.Second)
+	disk := *b.disks["d"]
+	var saved savedMember
+	if err := decoding.Unmarshal(disk.Member, &saved); err != nil || saved.Upto == 0 {
+		t.Fatalf("%v, %+v", err, saved)
+	}
+	b.nodes["d"], b.parts["d"] = nil, []string{"x", "y"}
+	b.start("d", 55, false, disk)
+	if b.wait(3 * time.Second); b.number("d", "x") != 1 || b.number("d", "y") != 1 || !b.takes("d") {
+		t.Errorf("%+v", b.serve["d"])
+	}
+}
