--- a/tools/capacity/changes_test.go
+++ b/tools/capacity/changes_test.go
@@ -63,6 +63,26 @@
 	}
 }
 
+// At a rate at which one text for all drops most changes, parts of services drop none; and ten times the members cost a member
+// no more, and are waited for no longer.
+func TestPartsOfServicesCostAMemberNoMore(t *testing.T) {
+	c := changing{members: 100, length: 22 * time.Second, every: 300 * time.Millisecond, drawn: true}
+	whole := played(t, c)
+	c.parts = true
+	b := played(t, c)
+	c.members = 10
+	a := played(t, c)
+	if whole.dropped < whole.asked/3 || a.dropped+b.dropped > 0 || a.asked < 20 || b.asked < 20 || len(b.everywhere) != b.asked {
+		t.Errorf("one text: %d of %d dropped; parts: %d of %d and %d of %d, in force at all whom they concern %d", whole.dropped, whole.asked, a.dropped, a.asked, b.dropped, b.asked, len(b.everywhere))
+	}
+	if b.member.bytesIn > 1.3*a.member.bytesIn || b.member.bytesIn > whole.member.bytesIn/2 {
+		t.Errorf("a member is sent %.0f bytes a second among 10, %.0f among 100, %.0f there with one text", a.member.bytesIn, b.member.bytesIn, whole.member.bytesIn)
+	}
+	if p50 := quantile(b.everywhere, 0.5); p50 > quantile(whole.everywhere, 0.5)/2 {
+		t.Errorf("half of the changes take %.2f s", p50)
+	}
+}
+
 // The list's bytes are in proportion to its servers.
 func TestTheListGrowsInProportion(t *testing.T) {
 	a, err := wholeList(100)
--- a/tools/capacity/changing.go
+++ b/tools/capacity/changing.go
@@ -266,6 +266,9 @@
 
 // kindOf is a reason without its names.
 func kindOf(why string) string {
+	if strings.Contains(why, "another change of part") {
+		return "another change is under way"
+	}
 	for _, kind := range []string{"another change is under way", "it was made of policy", "not heard", "it did not reach", "given up"} {
 		if strings.Contains(why, kind) {
 			return kind
