Capacity page: what is carried otherwise since keeps its points and is held to no bound

Need: rows of one policy text for all stood first in what breaks, though services' changes go in parts now, and a policy's bound was that of one text.

Change: an entry of slopes.toml may say `instead`, the entry of what carries it since. It stays in tables.md and says so; the page, sums and bounds have the other.

Test: TestWhatIsCarriedOtherwiseSinceIsHeldToNoBound.

--- a/tools/capacity/page/page_test.go
+++ b/tools/capacity/page/page_test.go
@@ -219,6 +219,30 @@
 	}
 }
 
+// What another mechanism carries since is kept beside it with its name, and held to no bound; the page has the other alone.
+func TestWhatIsCarriedOtherwiseSinceIsHeldToNoBound(t *testing.T) {
+	old, now := slope(func(s *slopes.Slope) { s.Instead = "view.bytes_out.now" }), slope(func(s *slopes.Slope) {
+		s.Name, s.Points = "view.bytes_out.now", [][2]float64{{100, 20}, {300, 40}, {1000, 110}}
+	})
+	s, err := ParseSize("size.toml", []byte(size))
+	if err != nil {
+		t.Fatal(err)
+	}
+	brief, full := Brief(s, []slopes.Slope{old, now}), Tables(s, []slopes.Slope{old, now})
+	has(t, full["agent"], "`view.bytes_out.rest`; since carried by `view.bytes_out.now`", "| 12.1 KB/s |", "| none |")
+	has(t, full["agent"], "**all together: bytes**", "| 1.21 KB/s |", "yes")
+	has(t, full["breaks"], "| 1 | bytes |", "`view.bytes_out.now`", "yes")
+	if strings.Contains(brief["agent"], "view.bytes_out.rest") || !strings.Contains(brief["agent"], "view.bytes_out.now") {
+		t.Errorf("the page has what is no more, or not what is:\n%s", brief["agent"])
+	}
+	for _, instead := range []string{"view.bytes_out.none", "view.bytes_out.rest"} {
+		old.Instead = instead
+		if err := s.Fits("f.toml", []byte("[[slope]]\ninstead = \"x\"\n"), []slopes.Slope{old, now}); err == nil || !strings.HasPrefix(err.Error(), "f.toml:2: slope[0].instead: ") {
+			t.Errorf("instead %s: %v", instead, err)
+		}
+	}
+}
+
 func TestATableIsNotExtrapolated(t *testing.T) {
 	got := tables(t, slope(func(s *slopes.Slope) { s.Form = "table" }))
 	has(t, got["agent"], "100: 200 B/s; 300: 400 B/s; 1,000: 1.1 KB/s", "not extrapolated; 1.1 KB/s at 1,000", "read off")
--- a/tools/capacity/page/size.go
+++ b/tools/capacity/page/size.go
@@ -51,9 +51,9 @@
 	Source     string   `toml:"source"`
 }
 
-// of reports whether a bound holds for an entry, its load apart.
+// of reports whether a bound holds for an entry, its load apart. What another mechanism carries since is held to none.
 func (b *Bound) of(s *slopes.Slope) bool {
-	return b.Role == s.Role && slices.Contains(b.Quantities, s.Quantity) && (len(b.Mechanisms) == 0 || slices.Contains(b.Mechanisms, s.Mechanism))
+	return s.Instead == "" && b.Role == s.Role && slices.Contains(b.Quantities, s.Quantity) && (len(b.Mechanisms) == 0 || slices.Contains(b.Mechanisms, s.Mechanism))
 }
 
 func (b *Bound) in(load string) bool { return len(b.Loads) == 0 || slices.Contains(b.Loads, load) }
@@ -152,6 +152,9 @@
 		if s.variable(e.Variable) == nil {
 			return f.Errorf(fmt.Sprintf("slope[%d].variable", i), "%q is none of docs/capacity/size.toml's: add it there, with its value and source", e.Variable)
 		}
+		if e.Instead != "" && !slices.ContainsFunc(all, func(o slopes.Slope) bool { return o.Name == e.Instead && o.Instead == "" }) {
+			return f.Errorf(fmt.Sprintf("slope[%d].instead", i), "%q is no entry that holds today", e.Instead)
+		}
 		for j := range s.Bound {
 			if b := &s.Bound[j]; b.of(e) && b.in(e.Load) && scale(b.Unit, e.Unit) == 0 {
 				return f.Errorf(fmt.Sprintf("slope[%d].unit", i), "%q: the bound on it (%s) is in %s", e.Unit, b.Name, b.Unit)
--- a/tools/capacity/page/tables.go
+++ b/tools/capacity/page/tables.go
@@ -112,6 +112,9 @@
 // governs reports whether an entry is asked for or bounded, and the greatest of its kind at the size aimed at; same: of
 // those that grow with the same, and of path and chain all, for these are cases beside one another.
 func (p *printer) governs(e *slopes.Slope, same bool) bool {
+	if e.Instead != "" {
+		return false
+	}
 	if same && (e.Role == "path" || e.Role == "chain") {
 		return true
 	}
@@ -123,7 +126,7 @@
 	}
 	for i := range p.all {
 		o := &p.all[i]
-		if o == e || o.Role != e.Role || o.Load != e.Load || o.Mechanism != e.Mechanism || o.Quantity != e.Quantity || same && o.Variable != e.Variable {
+		if o == e || o.Instead != "" || o.Role != e.Role || o.Load != e.Load || o.Mechanism != e.Mechanism || o.Quantity != e.Quantity || same && o.Variable != e.Variable {
 			continue
 		}
 		if by := scale(e.Unit, o.Unit); by > 0 {
@@ -213,6 +216,9 @@
 	if e.Note != "" {
 		figure += ": " + e.Note
 	}
+	if e.Instead != "" {
+		figure += "; since carried by `" + e.Instead + "`"
+	}
 	t.row(loads[e.Load], figure, e.Mechanism, formula(e, f, v), there, residual, over(e, v), beyond, bound, kept, p.number(e))
 }
 
--- a/tools/capacity/slopes/slopes.go
+++ b/tools/capacity/slopes/slopes.go
@@ -23,6 +23,7 @@
 	Machine   string       `toml:"machine"`   // cores, memory, what else ran
 	Note      string       `toml:"note,omitempty"`
 	Ceiling   float64      `toml:"ceiling,omitempty"` // a bound by construction that the curve does not know, as the note says; 0: none
+	Instead   string       `toml:"instead,omitempty"` // the entry of what carries it since: this one is kept, and held to no bound; "": none
 }
 
 // Write writes entries as they stand in docs/capacity/slopes.toml.
