One draw of broken links, one set of defaults, one kill in tests of verdicts and policy

Tests of plays fill in what is whole in one place; a daemon is killed and started in one. No behaviour, no assertion is changed.

--- a/cmd/vetchhaven/policy_test.go
+++ b/cmd/vetchhaven/policy_test.go
@@ -114,6 +114,21 @@
 	}
 }
 
+// killed kills it, and starts it again.
+func (s *served) killed() {
+	s.t.Helper()
+	st, _ := s.status()
+	if p, err := os.FindProcess(st.PID); err == nil {
+		_ = p.Kill()
+	}
+	for end := time.Now().Add(testkit.Patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if _, up := s.status(); !up {
+			break
+		}
+	}
+	s.start()
+}
+
 // What was agreed on holds over a kill, a handover and a reload; a file that does not go with it is refused.
 func TestAPolicyHoldsOverStarts(t *testing.T) {
 	s := agreeing(t, "")
@@ -133,16 +148,7 @@
 		t.Fatal(err)
 	}
 	s.untilAnswers("new", http.StatusOK)
-	st, _ := s.status()
-	if p, err := os.FindProcess(st.PID); err == nil {
-		_ = p.Kill()
-	}
-	for end := time.Now().Add(testkit.Patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if _, up := s.status(); !up {
-			break
-		}
-	}
-	s.start()
+	s.killed()
 	s.untilAnswers("new", http.StatusOK)
 	if now, err := inForce(s.path); err != nil || now.Force.Number != 1 || now.Applied != 1 {
 		t.Errorf("%v, %+v", err, now)
@@ -245,16 +251,7 @@
 		}
 	}
 	s.untilAnswers("newer", http.StatusOK)
-	st, _ := s.status()
-	if p, err := os.FindProcess(st.PID); err == nil {
-		_ = p.Kill()
-	}
-	for end := time.Now().Add(testkit.Patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if _, up := s.status(); !up {
-			break
-		}
-	}
-	s.start()
+	s.killed()
 	s.untilAnswers("newer", http.StatusOK)
 	if err := applyPolicy(s.path, map[string]string{"main": string(p.Doc.Body)}, flags, &out); err != nil {
 		t.Fatal(err)
--- a/internal/peer/verdicts/play/places_test.go
+++ b/internal/peer/verdicts/play/places_test.go
@@ -42,20 +42,7 @@
 	if o.Place == nil {
 		o.Place = place
 	}
-	if o.Fails == nil {
-		o.Fails = from(-1, 0)
-	}
-	if o.Link == nil {
-		o.Link = none
-	}
-	if o.Peers == nil {
-		o.Peers = whole
-	}
-	r, err := Play(o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return r
+	return played(t, o)
 }
 
 // While a region is cut off, it judges what it does not reach for itself, and nobody else's servers for others.
--- a/internal/peer/verdicts/play/play_test.go
+++ b/internal/peer/verdicts/play/play_test.go
@@ -25,9 +25,9 @@
 	}
 }
 
-func run(t *testing.T, o Options) *Result {
+// played plays options in which what is not given is whole: no server fails, no link breaks.
+func played(t *testing.T, o Options) *Result {
 	t.Helper()
-	o.Agents, o.Servers, o.Error, o.Own, o.Share, o.Length = 24, 8, 0.005, true, true, 40*time.Second
 	if o.Fails == nil {
 		o.Fails = from(-1, 0)
 	}
@@ -41,6 +41,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return r
+}
+
+func run(t *testing.T, o Options) *Result {
+	t.Helper()
+	o.Agents, o.Servers, o.Error, o.Own, o.Share, o.Length = 24, 8, 0.005, true, true, 40*time.Second
+	r := played(t, o)
 	slices.Sort(r.Out)
 	slices.Sort(r.Back)
 	return r
--- a/tools/verdicts/main.go
+++ b/tools/verdicts/main.go
@@ -9,7 +9,6 @@
 import (
 	"flag"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"runtime"
 	"slices"
@@ -250,45 +249,15 @@
 	var jobs []func() (got, error)
 	for d := range days {
 		jobs = append(jobs, func() (got, error) {
-			rng := rand.New(rand.NewPCG(uint64(d), 61))
-			agents, servers := 10+rng.IntN(90), 5+rng.IntN(45)
-			type broken struct {
-				agents, servers map[int]bool
-				from, to        time.Duration
-				share           float64
-			}
-			var all []broken
-			for range 3 + rng.IntN(4) {
-				b := broken{map[int]bool{}, map[int]bool{}, time.Duration(rng.Float64() * float64(50*time.Second)), 0, 0.2 + 0.8*rng.Float64()}
-				b.to = b.from + time.Duration(1+rng.IntN(20))*time.Second
-				part, some := []float64{0.02, 0.1, 0.3, 0.5}[rng.IntN(4)], []float64{0.05, 0.3, 1}[rng.IntN(3)]
-				for a := range agents {
-					b.agents[a] = rng.Float64() < part
-				}
-				for s := range servers {
-					b.servers[s] = rng.Float64() < some
+			o := play.BrokenLinks(uint64(d))
+			o.Say = func(now time.Duration, a int, text string) {
+				if why != nil && strings.Contains(text, " is out: ") {
+					lost, late := o.Peers(0, a, now)
+					why(fmt.Sprintf("day %d, %v, member %d of %d: %s (%.0f%% lost, %v late)", d, now.Round(time.Millisecond), a, o.Agents, text, 100*lost, late))
 				}
-				all = append(all, b)
 			}
-			lost, late := 0.4*rng.Float64(), time.Duration(rng.IntN(200))*time.Millisecond
-			r, err := play.Play(play.Options{Seed: uint64(d), Agents: agents, Servers: servers, Rate: []float64{10, 1, 0.1}[d%3], Length: time.Minute, Share: true, Own: true, Error: 0.003,
-				Fails: func(int, time.Duration) float64 { return 0 },
-				Link: func(a, s int, now time.Duration) float64 {
-					p := 0.0
-					for i := range all {
-						if b := &all[i]; now >= b.from && now < b.to && b.agents[a] && b.servers[s] {
-							p = max(p, b.share)
-						}
-					}
-					return p
-				},
-				Peers: func(int, int, time.Duration) (float64, time.Duration) { return lost, late },
-				Say: func(now time.Duration, a int, text string) {
-					if why != nil && strings.Contains(text, " is out: ") {
-						why(fmt.Sprintf("day %d, %v, member %d of %d: %s (%.0f%% lost, %v late)", d, now.Round(time.Millisecond), a, agents, text, 100*lost, late))
-					}
-				}})
-			return got{r, fmt.Sprintf("%v a second", []float64{10, 1, 0.1}[d%3])}, err
+			r, err := play.Play(o)
+			return got{r, fmt.Sprintf("%v a second", o.Rate)}, err
 		})
 	}
 	var out []got
