Mend: a lease of another policy opened copies that served by the one before

Cause: served (policy.go) has each word hold at once for all copies, and gate went by the word's lease whichever policy a copy served by, against its own comment. Where the lease had lapsed, the word that brings policy 2 opened the copies of policy 1 until turn had replaced them, and turnTo let replaced ones take for 0.1 s more. Ruled out: an answer that lengthened the lease while policy 2 was missing (member.go leaves it).

Change: a copy is known with the sum of the texts that it was built by; by a word of other texts it takes no longer than it was told before (core: Shorten). Copies that a change leaves as they were are told once it is laid; so is what a change or a handover leaves behind.

Test: TestALeaseOfAnotherPolicyOpensNoOldCopy fails in three places with gate as it was.

--- a/internal/core/taking.go
+++ b/internal/core/taking.go
@@ -12,9 +12,19 @@
 }
 
 // Taking has requests taken until a moment by the process's own clock, and turned away at once from then on, with why.
-// What was taken by then is finished. The zero time: none is taken. Free takes the bound away. Neither waits.
+// What was taken by then is finished. The zero time: none is taken. Free takes the bound away. None of these waits.
 func (a *Agent) Taking(until time.Time, why string) { a.loop.hold.Store(&hold{until, why}) }
 
+// Shorten has requests taken no longer than until a moment: one that was told to end sooner, or takes none by now, stays so.
+func (a *Agent) Shorten(until time.Time, why string) {
+	for {
+		h := a.loop.hold.Load()
+		if h != nil && !h.until.After(until) || a.loop.hold.CompareAndSwap(h, &hold{until, why}) {
+			return
+		}
+	}
+}
+
 // Free has requests taken without end.
 func (a *Agent) Free() { a.loop.hold.Store(nil) }
 
--- a/internal/host/fleet/instances.go
+++ b/internal/host/fleet/instances.go
@@ -96,7 +96,8 @@
 	ctx, end := context.WithCancel(context.Background())
 	p.agent, p.end = a, end
 	p.number, p.told, p.floors = number, nil, 0
-	d.agents.Store(number, hosted{a, source})
+	h := hosted{a, source, d.policy.serves}
+	d.agents.Store(number, h)
 	if v := d.verdicts.Load(); v != nil {
 		a.Judge(v.of(source))
 	}
@@ -104,7 +105,7 @@
 	if !d.ban(p) { // its loop takes this first
 		time.AfterFunc(shareAgain, d.shareSoon)
 	}
-	d.gate(hosted{a, source})
+	d.gate(h)
 	d.limit(p) // before it serves: nothing that is limited goes without a right
 	if at := d.sharing.Load(); at != nil && d.cfg.Limits != nil {
 		at.carrier.Join(number)
--- a/internal/host/fleet/policy.go
+++ b/internal/host/fleet/policy.go
@@ -26,6 +26,7 @@
 	opened  bool // disk is as it was read, and nobody has used it yet
 	handed  *policy.Handed
 	applied applied
+	serves  string // the sum of the texts by which instances are built now: those applied, or about to be
 }
 
 // applied is by which policy the instances serve.
@@ -85,7 +86,7 @@
 		return
 	}
 	d.cfg = cfg
-	d.policy.applied = applied{kept.Doc.Number, kept.Sum()}
+	d.policy.applied, d.policy.serves = applied{kept.Doc.Number, kept.Sum()}, kept.Sum()
 	if h := d.policy.handed; h != nil && h.Number == kept.Doc.Number { // requests are taken on at once
 		first.Why, first.Doc, first.Parts, first.Until, first.base = "", kept.Doc, kept.Parts, policy.Never, time.Now()
 		first.Held = h.Held(heldBy(d.cfg), func(part string) policy.Doc { t, _ := kept.In(part); return *t })
@@ -212,7 +213,7 @@
 }
 
 // gate tells an instance until when it may take requests. One that serves by another policy than the last word's takes
-// them no longer than both words allow.
+// them no longer than both words allow: a lease that is new is not its own, however short the time until it is replaced.
 func (d *Daemon) gate(h hosted) {
 	s, a := d.serving.Load(), h.agent
 	if _, closing := d.closing.Load(a); closing || s == nil { // what it was told as it was replaced stands
@@ -225,13 +226,28 @@
 		a.Taking(time.Time{}, s.Why)
 	case !s.holds(h.source):
 		a.Taking(time.Time{}, "the policy of "+h.source+" is not known yet")
-	case s.Until >= policy.Never:
+	case s.Until >= policy.Never && h.serves == s.Sum():
 		a.Free()
+	case s.Until >= policy.Never:
+	case h.serves == s.Sum():
+		a.Taking(s.base.Add(s.Until), d.leaseOver())
 	default:
-		a.Taking(s.base.Add(s.Until), "no voter of the fleet's policy has answered for "+d.lease.String())
+		a.Shorten(s.base.Add(s.Until), d.leaseOver())
 	}
 }
 
+// leaseOver is why no request is taken past a lease.
+func (d *Daemon) leaseOver() string {
+	return "no voter of the fleet's policy has answered for " + d.lease.String()
+}
+
+// hostCopy makes an instance's copy known by the policy that it is built by, and has it take requests as the last word allows.
+func (d *Daemon) hostCopy(p *part) {
+	h := hosted{p.agent, p.spec.Source, d.policy.serves}
+	d.agents.Store(p.number, h)
+	d.gate(h)
+}
+
 // turn has all instances serve by what the last word says. All that can be wrong leaves them taking no request, which
 // they say.
 func (d *Daemon) turn() {
@@ -245,9 +261,11 @@
 	}
 	cfg, err := d.under(d.cfg, textsOf(&s.Serving), s.Both)
 	if err == nil {
+		d.policy.serves = want.sum
 		err = d.turnTo(cfg)
 	}
 	if err != nil {
+		d.policy.serves = d.policy.applied.sum
 		what := "this daemon can't serve by policy " + s.Sum()
 		if len(s.Both) > 0 {
 			what = "this daemon does not know whether policy or changes are in force, and can't serve by all: " + s.Sum()
@@ -263,6 +281,11 @@
 		return
 	}
 	d.policy.applied = want
+	for _, p := range d.parts { // those that the change left as they were serve by it as well
+		if p.agent != nil {
+			d.hostCopy(p)
+		}
+	}
 	d.log.Info("instances serve by policy", "number", want.number, "texts", want.sum)
 }
 
@@ -314,7 +337,7 @@
 	}
 	for a, spec := range old {
 		d.closing.Store(a, true)
-		a.Taking(until, switched)
+		a.Shorten(until, switched)
 		i := slices.IndexFunc(cfg.Instances, func(n Instance) bool { return n.Name == spec.Name })
 		if i >= 0 {
 			a.Narrow(windows(&spec.Agent, &cfg.Instances[i].Agent))
--- a/internal/host/fleet/policy_test.go
+++ b/internal/host/fleet/policy_test.go
@@ -61,6 +61,46 @@
 	}
 }
 
+// A member that was cut off past its lease hears of another policy: its copies go by the one before until they are replaced,
+// and take nothing by the lease that comes with the new one. So do those that a handover or a change leaves behind.
+func TestALeaseOfAnotherPolicyOpensNoOldCopy(t *testing.T) {
+	s := standin.NewForm("s", nil)
+	defer s.Close()
+	y := newYard(t, s.Member("ready"))
+	y.config(y.instance("a"))
+	r := y.start(Options{})
+	var a *core.Agent
+	r.do(func() { a = r.parts["a"].agent })
+	word := func(number uint64, until time.Duration) {
+		r.served(policy.Serving{Doc: &policy.Doc{Number: number}, Until: until, Held: []string{"main"}}, time.Now())
+	}
+	r.do(func() {
+		r.policy.serves = (&policy.Serving{Doc: &policy.Doc{Number: 1}}).Sum()
+		r.hostCopy(r.parts["a"])
+	})
+	word(1, time.Hour)
+	if !a.Takes() {
+		t.Fatal("within its lease it takes nothing")
+	}
+	word(2, time.Hour)
+	if !a.Takes() {
+		t.Error("within the lease of its own policy it takes nothing")
+	}
+	word(1, -time.Millisecond)
+	for _, until := range []time.Duration{time.Hour, policy.Never} {
+		if word(2, until); a.Takes() {
+			t.Errorf("its lease is over, and it takes requests by that of another policy (%v)", until)
+		}
+	}
+	a.Shorten(time.Now().Add(time.Hour), switched)
+	if a.Takes() {
+		t.Error("it was to take no longer, and takes again")
+	}
+	if word(1, policy.Never); !a.Takes() {
+		t.Error("by its own policy it takes nothing")
+	}
+}
+
 // agreeing is the part of a daemon's file with which it agrees on policies, as a, with these voters.
 func agreeing(listen, seed string, voters string) string {
 	return peersTable("a", listen, seed) + fmt.Sprintf("[policy]\nvoters = [%s]\ncut_off = \"vetoes\"\n", voters)
--- a/internal/host/fleet/reload.go
+++ b/internal/host/fleet/reload.go
@@ -93,9 +93,8 @@
 			case moved:
 				r.Moved++
 				if p.agent != nil {
-					d.agents.Store(p.number, hosted{p.agent, spec.Source})
 					p.agent.Follow(d.hubs[spec.Source].Hub)
-					d.gate(hosted{p.agent, spec.Source})
+					d.hostCopy(p)
 				}
 			default:
 				r.Unchanged++
--- a/internal/host/fleet/verdicts.go
+++ b/internal/host/fleet/verdicts.go
@@ -14,6 +14,7 @@
 type hosted struct {
 	agent  *core.Agent
 	source string
+	serves string // the sum of the texts of the policy that it was built by
 }
 
 // A server is named in the fleet by its source's name, a slash, and its id there: sources of one name are one list,
