Failing tests: a held-up write follows the final answer, accept errors end the agent

The check that a request is still owed, its first byte and its final answer are three steps. Gate.Accept ends the process for each errno that is not on its list, and Agent.Run returns at once where the listener has ended: the request in flight gets 502.

--- a/internal/core/gate_test.go
+++ b/internal/core/gate_test.go
@@ -408,3 +408,22 @@
 		t.Error(err)
 	}
 }
+
+// An error of accept that nobody thought of is no reason to end the requests in flight: it is tried again after a pause.
+func TestAnUnknownAcceptErrorOfAMomentIsNoEnd(t *testing.T) {
+	for _, err := range []error{syscall.EIO, syscall.EINVAL, syscall.EFAULT, syscall.EACCES, errors.New("of another kind")} {
+		t.Run(err.Error(), func(t *testing.T) {
+			g, _ := gateFor(t, 8, 1)
+			p := poor{g.Listener, err, make(chan struct{}), make(chan struct{})}
+			g.Listener = p
+			got := make(chan error, 1)
+			go func() { _, err := g.Accept(); got <- err }()
+			dialGate(t, g)
+			testkit.Receive(t, "accept", p.asked)
+			close(p.rich)
+			if err := testkit.Receive(t, "connection", got); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/protocol/http1/sendguard_test.go
@@ -0,0 +1,127 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/source/catalog"
+	"vetchhaven/internal/testkit"
+)
+
+// heldFor is how long a write is held past the moment in which its request should have its final answer.
+const heldFor = 400 * time.Millisecond
+
+// A process may be held up between its last check and the write. Whatever gives the request its final answer meanwhile,
+// the answer waits for that write: nothing is sent for a request behind its final answer.
+func TestNothingIsWrittenAfterTheFinalAnswer(t *testing.T) {
+	for name, end := range map[string]struct {
+		expires string
+		finish  func(r *running, blow *atomic.Bool)
+	}{
+		"deadline":    {"0.100", func(*running, *atomic.Bool) {}},
+		"agent's end": {"30", func(r *running, blow *atomic.Bool) { blow.Store(true); go r.do("GET", "/get/other", "") }},
+		"drain":       {"0.100", func(r *running, _ *atomic.Bool) { r.stop() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := serveRaw(t, func(int) string { return ok200 })
+			cfg := testConfig(t, testkit.Setup{Servers: []catalog.Member{server.member("s")}, Deadline: 31000})
+			var blow atomic.Bool
+			held := make(chan *testkit.HeldWrite, 1)
+			r := startParts(t, cfg, core.Parts{NoLateConnections: true}, func(a *core.Agent) {
+				a.Inject(func(core.Totals) {
+					if blow.Load() {
+						panic("brought about")
+					}
+				})
+			})
+			r.backends.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				c, err := new(net.Dialer).DialContext(ctx, network, addr)
+				if err != nil {
+					return nil, err
+				}
+				h := testkit.NewHeldWrite(c)
+				held <- h
+				return h, nil
+			}
+			answered := make(chan exchange, 1)
+			go func() { answered <- r.do("GET", "/get/x", "", "X-Expires-In", end.expires) }()
+			h := testkit.Receive(t, "dial", held)
+			testkit.Receive(t, "write", h.Entered)
+			end.finish(r, &blow)
+			hold := time.NewTimer(heldFor)
+			defer hold.Stop()
+			select {
+			case x := <-answered:
+				t.Errorf("the final answer came (%+v) while a write for its request was under way, which follows it", x)
+				answered <- x
+			case <-hold.C:
+			}
+			close(h.Release)
+			if x := testkit.Receive(t, "final answer", answered); x.err != nil {
+				t.Errorf("%+v", x)
+			}
+		})
+	}
+}
+
+// breakableListener fails for good once broken is closed.
+type breakableListener struct {
+	net.Listener
+	broken chan struct{}
+	err    error
+}
+
+func (l *breakableListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.broken:
+		return nil, l.err
+	default:
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, l.err
+	}
+	return c, nil
+}
+
+// A listener that can't go on has the agent drain as a SIGTERM does: what was taken is answered, and then it ends with
+// the error.
+func TestAListenerThatCannotGoOnDrains(t *testing.T) {
+	for name, err := range map[string]error{"closed": net.ErrClosed, "bad descriptor": syscall.EBADF} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			server := serveRaw(t, func(int) string { <-release; return ok200 })
+			cfg := testConfig(t, testkit.Setup{Servers: []catalog.Member{server.member("s")}})
+			l := &breakableListener{Listener: testkit.Listen(t), broken: make(chan struct{}), err: err}
+			now := make(chan time.Time)
+			close(now)
+			a, _, e := newAgent(cfg, testkit.Quiet, core.Parts{Listener: l, AcceptAfterStop: now})
+			if e != nil {
+				t.Fatal(e)
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- a.Run(context.Background()) }()
+			r := &running{Agent: a, base: "http://" + a.Addr().String()}
+			answered := make(chan exchange, 1)
+			go func() { answered <- r.do("GET", "/get/x", "") }()
+			testkit.Receive(t, "request at the server", server.seen)
+			close(l.broken)
+			l.Listener.Close()
+			testkit.WaitFor(t, "the end of taking clients", func() bool { return !a.Accepting() || len(ended) > 0 })
+			close(release)
+			if x := testkit.Receive(t, "answer", answered); x.status != 200 {
+				t.Errorf("what was taken: %+v", x)
+			}
+			if e := testkit.Receive(t, "end", ended); e == nil {
+				t.Error("an agent whose listener broke ended without an error")
+			}
+		})
+	}
+}
