One guard for each write to a server and the final answer of its request

Cause: the look at whether a request is still owed, its first byte and its final answer were separate steps, in three places over HTTP and two over LDAP; a process held up between them sent behind the answer. What ends an agent answered past all of them (failOpen, failAll, the reader's panic). Change: sendGuard (internal/core/sendguard.go). A write opens only before the answer, the answer waits for open writes and interrupts those that wait for their server; a streamed answer waits for other attempts' writes likewise. BeginWrite looks at the attempt's end, the list, the window (with 0.15 s of margin) and the client's socket in that same step, in both protocols, also for the bind of a new LDAP connection. Refusals are counted by reason. Request.Abort is the one answer of an ending agent. writeFor and its goroutine for each large write are gone.

--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -163,18 +163,21 @@
 		a.await(stop, a.discovery.tried, a.firstWord)
 	}
 	served := make(chan error, 1)
-	go func() { served <- a.protocol.Serve(a.gate) }()
+	go func() { served <- a.protocol.Serve(a.gate); close(served) }()
 	a.serving.Store(true)
 	a.log.Info("serving", "listen", a.gate.Addr().String(), "backends", known)
 	select {
 	case err := <-served:
+		a.log.Error("no more clients can be accepted: draining", "error", err)
+		a.drain(served)
 		return fmt.Errorf("listen: %w", err)
 	case err := <-a.faults:
 		a.collapse(cancel, served)
 		return err
 	case <-stop.Done():
 	}
-	return a.drain(served)
+	a.drain(served)
+	return nil // a stop that was asked for is no failure
 }
 
 // pushedWait is how long a starting agent waits for its first word of a pushed list. Its stored list may be old, and what
@@ -361,7 +364,7 @@
 
 // drain keeps taking connections for a while, closes each once it has its answer, and returns
 // when nothing is open, or when the platform is about to kill.
-func (a *Agent) drain(served <-chan error) error {
+func (a *Agent) drain(served <-chan error) {
 	a.log.Info("stopping")
 	end := time.Now().Add(a.drainMost())
 	limit, cancel := context.WithDeadline(context.Background(), end)
@@ -375,8 +378,7 @@
 		a.leaving()
 		a.gate.CloseIdle()
 		select {
-		case err := <-served:
-			return fmt.Errorf("listen: %w", err)
+		case <-served: // the listener is broken: what was taken is answered all the same
 		case <-a.accept():
 		}
 	}
@@ -385,7 +387,6 @@
 		a.log.Error("stopping with requests unanswered", "open", open, "error", err)
 	}
 	a.log.Info("stopped")
-	return nil // a stop that was asked for is no failure
 }
 
 // drainMost is what a drain may take: the longest deadline, however long, and a little more. The platform kills after that deadline
--- a/internal/core/disconnect.go
+++ b/internal/core/disconnect.go
@@ -32,9 +32,8 @@
 	return err != nil || gone // an error: it is closed on this side
 }
 
-// Disconnected reports whether the request's client has left, and if so tells the loop. It is asked of the socket right
-// before the first byte goes out: whoever reads the client's connection may be behind, or wait for something else. The
-// attempt is NotSent then.
+// Disconnected reports whether the request's client has left, and if so tells the loop. The socket is asked: whoever reads
+// the client's connection may be behind, or wait for something else.
 func (a *Attempt) Disconnected() bool {
 	if a.Client == nil || !Disconnected(a.Client) {
 		return false
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -93,6 +93,7 @@
 	guard    func(func())                    // runs a goroutine's work and keeps its panic to this agent
 	held     func([]rights.Holding)          // told how rights stand; must not wait; nil: nobody
 	turned   map[string]int                  // by the fleet's limits, since the last summary
+	refusals [sendRefusals]atomic.Int64      // writes that the send guards did not admit, by reason
 	sights   sights
 	kept     kept
 	hold     atomic.Pointer[hold] // nil: requests are taken without end
@@ -305,7 +306,7 @@
 		e.open--
 		e.timedOut = e.timedOut || e.outcome.Result == decide.TimedOut
 		if e.outcome.Result == decide.OK && !e.done {
-			if by := e.stream.Load(); by > 0 && by != int32(e.N)+1 {
+			if e.guard.streaming(e.N) {
 				// Another attempt's answer is on its way to the client: this one is not the final answer.
 				e.outcome.Result = decide.Cancelled
 			} else {
@@ -389,12 +390,10 @@
 // finish gives a request its final answer, once.
 func (l *Loop) finish(r *Request, a Answer) {
 	r.done = true
-	r.stream.CompareAndSwap(0, -1) // no part of another answer begins from now on
 	if r.late != nil {
 		r.late.Stop()
 	}
-	close(r.over)
-	r.reply(a)
+	r.guard.finish(r.over, func() { r.reply(a) })
 }
 
 // reject gives a request that never comes to the table its final answer. What its connection and its timer post of it later
@@ -402,8 +401,7 @@
 // be about to note it.
 func (l *Loop) reject(r *Request, a Answer) {
 	r.done = true
-	close(r.over)
-	r.reply(a)
+	r.guard.finish(r.over, func() { r.reply(a) })
 }
 
 // forget drops a request that is done with and has nothing out. Until then its id stays taken.
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -149,10 +149,9 @@
 	}
 }
 
-// Barred reports whether an operator has taken the attempt's server out since it was decided, or the list says that
-// it drains or is gone: then it must not be sent. It is asked right before the first byte goes out, since a
-// connection may take long to come up.
-func (a *Attempt) Barred() bool {
+// barred reports whether an operator has taken the attempt's server out since it was decided, or the list says that
+// it drains or is gone: then it must not be sent. A connection may take long to come up.
+func (a *Attempt) barred() bool {
 	if up := a.loop.up.Load(); up != nil && !(*up)[a.Server] {
 		return true
 	}
--- a/internal/core/protocol.go
+++ b/internal/core/protocol.go
@@ -72,7 +72,7 @@
 	reply   func(Answer)
 	over    chan struct{} // closed with the final answer
 	unbound atomic.Bool   // its answer has begun, and the client waits for its end
-	stream  atomic.Int32  // 0: nothing of an answer is out; n+1: attempt n streams; -1: final answer given
+	guard   sendGuard
 
 	done     bool // has its final answer, or its client is gone
 	open     int  // attempts out
@@ -81,8 +81,8 @@
 	late     *time.Timer
 }
 
-// NewRequest is a request whose final answer is given by reply. That is called at most once, by the
-// loop, and must not wait.
+// NewRequest is a request whose final answer is given by reply. That is called at most once, by any goroutine, and must
+// not wait.
 func NewRequest(id string, class int, reply func(Answer)) *Request {
 	return &Request{ID: id, Class: class, reply: reply, over: make(chan struct{})}
 }
@@ -91,6 +91,9 @@
 // any more.
 func (r *Request) Over() <-chan struct{} { return r.over }
 
+// Abort answers a request as failed where the loop has ended and will not. One that has its answer keeps it.
+func (r *Request) Abort() { r.guard.finish(r.over, func() { r.reply(Answer{}) }) }
+
 // Answer is a final answer. Exactly one of the first fields is set, or none: failed. Gone may be Refused too.
 type Answer struct {
 	Served     any // what the attempt returned
@@ -133,7 +136,7 @@
 	if worked && a.begins == 0 && !a.timer.Stop() {
 		return false // its time is up
 	}
-	if !a.stream.CompareAndSwap(0, int32(a.N)+1) && a.stream.Load() != int32(a.N)+1 {
+	if !a.guard.stream(a.N) {
 		return false
 	}
 	if a.begins++; a.begins == 1 {
@@ -160,10 +163,9 @@
 // Dialed says that it opens one.
 func (a *Attempt) Dialed() { a.dialed = true }
 
-// Lapsed reports whether it is too late to begin: what it would use of the fleet's limits may be another agent's by
-// now. It is asked right before the first byte goes out, and the attempt is NotSent then. A process that is stopped
-// between the answer and the write sends late all the same; no program can close that gap.
-func (a *Attempt) Lapsed() bool { return !a.until.IsZero() && !time.Now().Before(a.until) }
+// lapsed reports whether it is too late to begin: the window of a keyed repeat closes, or what it would use of the fleet's
+// limits may be another agent's, before a process that is held up has written.
+func (a *Attempt) lapsed() bool { return !a.until.IsZero() && !time.Now().Add(holdUp).Before(a.until) }
 
 // Spent says that what was sent can't be sent again.
 func (a *Attempt) Spent() { a.spent = true }
--- /dev/null
+++ b/internal/core/sendguard.go
@@ -0,0 +1,191 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"vetchhaven/decide"
+)
+
+// SendRefusal says why an attempt must not write to its server.
+type SendRefusal int
+
+// The reasons, in the order in which they are looked at.
+const (
+	SendAllowed        SendRefusal = iota
+	RequestAnswered                // the request has its final answer, or another attempt's answer has begun
+	AttemptEnded                   // the attempt timed out or was cancelled, or the agent has ended
+	ServerWithdrawn                // an operator took the server out, or it drains or is gone by the list
+	WindowClosed                   // the deduplication window or the lease under which it may begin is over
+	ClientDisconnected             // nobody waits for the answer any more
+	sendRefusals
+)
+
+var sendRefusalNames = [sendRefusals]string{"allowed", "request_answered", "attempt_ended", "server_withdrawn", "window_closed", "client_disconnected"}
+
+// String is the name under which refusals of this kind are counted.
+func (s SendRefusal) String() string { return sendRefusalNames[s] }
+
+// Result is what an attempt reports whose first byte was refused; ctx is its own.
+func (s SendRefusal) Result(ctx context.Context) decide.Result {
+	switch {
+	case s == AttemptEnded && errors.Is(context.Cause(ctx), ErrCancelled):
+		return decide.Cancelled
+	case s == AttemptEnded, s == ServerWithdrawn:
+		return decide.Broke // another server may have it
+	}
+	return decide.NotSent
+}
+
+// holdUp is how long a process may be held up between a look at its clock and the write that goes by it (the platform's
+// figure). A window that closes sooner than that counts as closed.
+const holdUp = 150 * time.Millisecond
+
+// sendGuard is the one place through which each write to a server and the final answer of its request go. A write and
+// the answer exclude each other: while a write is open the answer waits for its end, and after the answer none opens.
+// So a process that stands still between a check and its write sends nothing behind the answer.
+//
+// An answer waits no longer than a write takes: small ones are taken by the system at once, and larger ones are
+// interrupted.
+type sendGuard struct {
+	mu       sync.Mutex
+	ended    sync.Cond // a write has; its Locker is mu
+	writes   []openWrite
+	answered bool
+	streamer int    // the attempt whose answer the client has a part of, counted from 1; 0: none
+	deferred func() // gives the answer once no write is open
+}
+
+// openWrite is a write that may be under way.
+type openWrite struct {
+	attempt   int
+	interrupt func() // ends a write that waits for its server; must not wait
+}
+
+// open admits a write, which ends with end.
+func (g *sendGuard) open(attempt int, interrupt func()) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.answered || g.streamer != 0 && g.streamer != attempt+1 {
+		return false
+	}
+	g.writes = append(g.writes, openWrite{attempt, interrupt})
+	return true
+}
+
+// end is the end of an attempt's write. The last one gives the answer that waited for it.
+func (g *sendGuard) end(attempt int) {
+	g.mu.Lock()
+	for i, w := range g.writes {
+		if w.attempt == attempt {
+			g.writes = append(g.writes[:i], g.writes[i+1:]...)
+			break
+		}
+	}
+	var answer func()
+	if len(g.writes) == 0 {
+		answer, g.deferred = g.deferred, nil
+	}
+	if g.ended.L != nil {
+		g.ended.Broadcast()
+	}
+	g.mu.Unlock()
+	if answer != nil {
+		answer()
+	}
+}
+
+// finish gives the request its final answer, or has the last open write give it. It reports false where there was one.
+func (g *sendGuard) finish(over chan struct{}, answer func()) bool {
+	g.mu.Lock()
+	if g.answered {
+		g.mu.Unlock()
+		return false
+	}
+	g.answered = true
+	close(over)
+	if len(g.writes) > 0 {
+		g.deferred = answer
+		for _, w := range g.writes {
+			w.interrupt()
+		}
+		g.mu.Unlock()
+		return true
+	}
+	g.mu.Unlock()
+	answer()
+	return true
+}
+
+// stream gives the client's connection to an attempt's answer, once no other attempt writes. It reports false where
+// another one has it, or the final answer was given.
+func (g *sendGuard) stream(attempt int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.answered || g.streamer != 0 {
+		return !g.answered && g.streamer == attempt+1
+	}
+	g.streamer = attempt + 1
+	g.ended.L = &g.mu
+	for _, w := range g.writes {
+		w.interrupt()
+	}
+	for len(g.writes) > 0 {
+		g.ended.Wait()
+	}
+	return true
+}
+
+// streaming reports whether another attempt's answer is on its way to the client.
+func (g *sendGuard) streaming(besides int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.streamer != 0 && g.streamer != besides+1
+}
+
+// BeginWrite admits the attempt's first byte, right before it is written: all that may have changed since the attempt was
+// decided is looked at here, in one step with the final answer. Unless it is refused, EndWrite follows. interrupt is
+// called, at most once and not after EndWrite, where the request ends meanwhile.
+func (a *Attempt) BeginWrite(interrupt func()) SendRefusal {
+	if !a.guard.open(a.N, interrupt) {
+		return a.refused(RequestAnswered)
+	}
+	refusal := SendAllowed
+	switch {
+	case a.Context.Err() != nil:
+		refusal = AttemptEnded
+	case a.barred():
+		refusal = ServerWithdrawn
+	case a.lapsed():
+		refusal = WindowClosed
+	case a.Disconnected():
+		refusal = ClientDisconnected
+	default:
+		return SendAllowed
+	}
+	a.EndWrite()
+	return a.refused(refusal)
+}
+
+// ContinueWrite admits a further part of what BeginWrite began.
+func (a *Attempt) ContinueWrite(interrupt func()) SendRefusal {
+	if !a.guard.open(a.N, interrupt) {
+		return a.refused(RequestAnswered)
+	}
+	if a.Context.Err() != nil {
+		a.EndWrite()
+		return a.refused(AttemptEnded)
+	}
+	return SendAllowed
+}
+
+// EndWrite says that an admitted write has returned.
+func (a *Attempt) EndWrite() { a.guard.end(a.N) }
+
+// refused counts a refusal.
+func (a *Attempt) refused(s SendRefusal) SendRefusal {
+	a.loop.refusals[s].Add(1)
+	return s
+}
--- a/internal/protocol/http1/backends.go
+++ b/internal/protocol/http1/backends.go
@@ -406,37 +406,39 @@
 	}
 }
 
-// errand is what an attempt is made for.
-type errand interface {
-	Over() <-chan struct{}  // closed when the request has ended: nothing more is sent for it
-	Disconnected() bool     // its client has left, seen or unseen by who reads it
-	Barred() bool           // its backend was taken out by hand meanwhile, or drains, or is gone
-	Lapsed() bool           // it may not begin any more
-	MayDial() bool          // it may open a connection
-	Dialed()                // it opens one
-	Sent()                  // its last byte is written
-	Uploaded()              // that was the last byte of an upload
-	Spent()                 // what was sent can't be sent again
-	Begin(worked bool) bool // whether its answer may begin to reach the client
-}
-
-// probing is an errand that ends by its context alone.
+// purpose is what an attempt is made for: a request, or a probe.
+type purpose interface {
+	BeginWrite(interrupt func()) core.SendRefusal    // admits the first byte
+	ContinueWrite(interrupt func()) core.SendRefusal // admits what comes behind it
+	EndWrite()                                       // what was admitted is written
+	Over() <-chan struct{}                           // closed when the request has ended: nothing more is sent for it
+	Disconnected() bool                              // its client has left, seen or unseen by who reads it
+	MayDial() bool                                   // it may open a connection
+	Dialed()                                         // it opens one
+	Sent()                                           // its last byte is written
+	Uploaded()                                       // that was the last byte of an upload
+	Spent()                                          // what was sent can't be sent again
+	Begin(worked bool) bool                          // whether its answer may begin to reach the client
+}
+
+// probing is the purpose of a probe, which ends by its context alone.
 type probing struct{}
 
-func (probing) Over() <-chan struct{} { return nil }
-func (probing) Disconnected() bool    { return false }
-func (probing) Barred() bool          { return false }
-func (probing) Lapsed() bool          { return false }
-func (probing) MayDial() bool         { return true }
-func (probing) Dialed()               {}
-func (probing) Sent()                 {}
-func (probing) Uploaded()             {}
-func (probing) Spent()                {}
-func (probing) Begin(bool) bool       { return false }
+func (probing) BeginWrite(func()) core.SendRefusal    { return core.SendAllowed }
+func (probing) ContinueWrite(func()) core.SendRefusal { return core.SendAllowed }
+func (probing) EndWrite()                             {}
+func (probing) Over() <-chan struct{}                 { return nil }
+func (probing) Disconnected() bool                    { return false }
+func (probing) MayDial() bool                         { return true }
+func (probing) Dialed()                               {}
+func (probing) Sent()                                 {}
+func (probing) Uploaded()                             {}
+func (probing) Spent()                                {}
+func (probing) Begin(bool) bool                       { return false }
 
 // attempt sends m to a backend once and waits until ctx ends at the latest. The result follows
 // the protocol's table of outcomes; where it is not certain that nothing ran, it says so.
-func (b *backends) attempt(ctx context.Context, by errand, id string, m *message) (decide.Result, *answer, decide.Load) {
+func (b *backends) attempt(ctx context.Context, by purpose, id string, m *message) (decide.Result, *answer, decide.Load) {
 	none := wire.Load(nil)
 	c, addr, err := b.take(id)
 	if err == nil && c == nil && !by.MayDial() {
@@ -456,27 +458,16 @@
 		}
 		return result, nil, none
 	}
-	select {
-	case <-by.Over(): // while the connection was being opened
-		b.give(id, c, true)
-		return decide.NotSent, nil, none
-	case <-ctx.Done(): // the same: its time is up, or the agent has ended and answered for it
-		b.give(id, c, true)
-		if cause := context.Cause(ctx); errors.Is(cause, core.ErrCancelled) {
-			return decide.Cancelled, nil, none
-		}
-		return decide.Broke, nil, none
-	default:
-	}
-	if by.Barred() || !b.at(id, c.addr) {
+	if !b.at(id, c.addr) {
 		b.give(id, c, true)
 		return decide.Broke, nil, none // never ran, and another backend may have it
 	}
-	if by.Lapsed() || by.Disconnected() {
-		b.give(id, c, true)
-		return decide.NotSent, nil, none
-	}
 	a, whole, err := b.exchange(ctx, by, c, m)
+	var refused *refusedError
+	if errors.As(err, &refused) && refused.first {
+		b.give(id, c, refused.reusable)
+		return refused.why.Result(ctx), nil, none
+	}
 	if err != nil {
 		result := failure(context.Cause(ctx), err, whole)
 		b.failed(id, c, result)
@@ -505,7 +496,7 @@
 		return decide.NotSent // no fault of the backend, and nobody is left to try for
 	case errors.Is(err, errClient):
 		return decide.Cancelled
-	case errors.Is(err, errOver) && cause == nil:
+	case errors.Is(err, errOver) && cause == nil, isRefused(err, core.RequestAnswered) && cause == nil:
 		return decide.Cancelled
 	case errors.Is(cause, core.ErrCancelled):
 		return decide.Cancelled
@@ -534,7 +525,7 @@
 
 // exchange writes m on a connection and reads its answer. It reports whether the last byte of m
 // was written. After an error the connection is of no further use.
-func (b *backends) exchange(ctx context.Context, by errand, c *conn, m *message) (a *answer, whole bool, err error) {
+func (b *backends) exchange(ctx context.Context, by purpose, c *conn, m *message) (a *answer, whole bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(core.LongAgo) })
 	defer func() {
 		if !stop() && err == nil {
@@ -544,11 +535,13 @@
 	until, _ := ctx.Deadline()
 	text := m.on(until)
 	c.wrote = time.Now()
-	var n int
-	if len(text) <= takenAtOnce { // nothing stands unsent before it
-		n, err = c.Write(text)
-	} else {
-		n, err = c.writeFor(by, text)
+	if why := by.BeginWrite(c.interruptWrite); why != core.SendAllowed {
+		return nil, false, &refusedError{why: why, first: true, reusable: stop()}
+	}
+	n, err := c.Write(text)
+	by.EndWrite()
+	if err != nil && n < len(text) && over(by) {
+		err = errOver
 	}
 	if err != nil || n < len(text) {
 		return nil, n == len(text) && m.up == nil, err
@@ -581,31 +574,34 @@
 	return a, true, err
 }
 
-// takenAtOnce is how many bytes a connection with nothing on it takes without waiting for its other side: the least that
-// Linux lets one hold to be written.
-const takenAtOnce = 4 << 10
+// interruptWrite ends a write that waits for its server: once the client has its answer, or has left, the server must not
+// have the last byte.
+func (c *conn) interruptWrite() { _ = c.SetWriteDeadline(core.LongAgo) }
 
-// writeFor writes a part of a request, and ends with the request: a server may take long to take it, and once the client
-// has left it must not have the last byte.
-func (c *conn) writeFor(by errand, text []byte) (int, error) {
-	written, watched := make(chan struct{}), make(chan bool)
-	go func() {
-		select {
-		case <-by.Over():
-			_ = c.SetWriteDeadline(core.LongAgo)
-			watched <- true
-		case <-written:
-			watched <- false
-		}
-	}()
-	n, err := c.Write(text)
-	close(written)
-	if over := <-watched; over && err != nil {
-		err = errOver
+// over reports whether a request has ended.
+func over(by purpose) bool {
+	select {
+	case <-by.Over():
+		return true
+	default:
+		return false
 	}
-	return n, err
 }
 
+// refusedError is of a write that the request's guard did not admit.
+type refusedError struct {
+	why      core.SendRefusal
+	first    bool // nothing of the request was written
+	reusable bool // the connection is as it was
+}
+
+func isRefused(err error, why core.SendRefusal) bool {
+	var refused *refusedError
+	return errors.As(err, &refused) && refused.why == why
+}
+
+func (e *refusedError) Error() string { return "not sent: " + e.why.String() }
+
 // errOver is of an attempt whose request has its answer, or another one's.
 var errOver = errors.New("the request is over")
 
@@ -617,7 +613,7 @@
 
 // upload streams what is left of m's body. A backend that turns it away before the last byte may say so: early
 // is that answer.
-func (b *backends) upload(ctx context.Context, by errand, c *conn, m *message, in *bufio.Reader, src *source) (early *answer, err error) {
+func (b *backends) upload(ctx context.Context, by purpose, c *conn, m *message, in *bufio.Reader, src *source) (early *answer, err error) {
 	clients, err := m.up.pump(ctx, by, func(text []byte) error {
 		if err := c.SetWriteDeadline(time.Now().Add(uploadStall)); err != nil {
 			return err
@@ -625,7 +621,14 @@
 		if ctx.Err() != nil { // ended meanwhile: its deadline must not be put off
 			return context.Cause(ctx)
 		}
-		_, err := c.writeFor(by, text)
+		if why := by.ContinueWrite(c.interruptWrite); why != core.SendAllowed {
+			return &refusedError{why: why}
+		}
+		_, err := c.Write(text)
+		by.EndWrite()
+		if err != nil && over(by) {
+			err = errOver
+		}
 		return err
 	})
 	switch {
@@ -647,7 +650,7 @@
 }
 
 // passOn gives the client an answer as it comes. Its server is done with it.
-func (b *backends) passOn(ctx context.Context, by errand, m *message, a *answer, src *source) error {
+func (b *backends) passOn(ctx context.Context, by purpose, m *message, a *answer, src *source) error {
 	if m.to == nil {
 		return errTooLong
 	}
--- a/internal/protocol/http1/backends_test.go
+++ b/internal/protocol/http1/backends_test.go
@@ -730,7 +730,7 @@
 	}
 }
 
-// ended is an errand of a test's.
+// ended is a purpose of a test's.
 type ended struct {
 	probing
 	over                   chan struct{}
@@ -738,6 +738,15 @@
 }
 
 func (e ended) Over() <-chan struct{} { return e.over }
-func (e ended) Barred() bool          { return e.barred }
-func (e ended) Lapsed() bool          { return e.lapsed }
-func (e ended) MayDial() bool         { return !e.noDial }
+func (e ended) BeginWrite(func()) core.SendRefusal {
+	switch {
+	case over(e):
+		return core.RequestAnswered
+	case e.barred:
+		return core.ServerWithdrawn
+	case e.lapsed:
+		return core.WindowClosed
+	}
+	return core.SendAllowed
+}
+func (e ended) MayDial() bool { return !e.noDial }
--- a/internal/protocol/http1/body.go
+++ b/internal/protocol/http1/body.go
@@ -215,7 +215,7 @@
 }
 
 // pump writes what is left of the body to w, in pieces as they come. It reports whether a failure is the client's.
-func (u *upload) pump(ctx context.Context, by errand, w func([]byte) error) (clients bool, err error) {
+func (u *upload) pump(ctx context.Context, by purpose, w func([]byte) error) (clients bool, err error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.begun {
--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -68,9 +68,13 @@
 	defer func() {
 		p := recover()
 		if p != nil { // it ends the agent, and is no reason to leave this client without an answer
-			c.send(c.f.appendError(nil, http.StatusBadGateway, "failed", "", true))
+			if c.waits() {
+				c.failOpen()
+			} else {
+				c.send(c.f.appendError(nil, http.StatusBadGateway, "failed", "", true))
+			}
 		}
-		c.hungUp(p == nil)
+		c.hungUp(p == nil || c.waits())
 		_ = c.nc.Close() // nothing can be done about a socket that does not close
 		if p != nil {
 			panic(p)
@@ -483,8 +487,7 @@
 	end bool
 }
 
-// say tells the writer. It never waits: the loop answers a request once, and what ends the agent answers it
-// once more at the most.
+// say tells the writer. It never waits: a request is answered once.
 func (c *clientConn) say(r reply) {
 	select {
 	case c.replies <- r:
@@ -494,8 +497,11 @@
 
 // failOpen answers what is open failed, where the loop has ended and will not.
 func (c *clientConn) failOpen() {
-	if c.waits() {
-		c.say(reply{})
+	c.mu.Lock()
+	r := c.open
+	c.mu.Unlock()
+	if r != nil {
+		r.Abort()
 	}
 }
 
--- a/internal/protocol/http1/disconnect_test.go
+++ b/internal/protocol/http1/disconnect_test.go
@@ -347,7 +347,7 @@
 // A client leaves while the last bytes of its request wait for the server to take them: they are not left to it. The last
 // piece of an upload may be a few bytes, behind many that the server has yet to take.
 func TestLastBytesThatWaitForTheirServerEndWithTheClient(t *testing.T) {
-	for name, size := range map[string]int{"kept whole": 2 * takenAtOnce, "upload": 2 * maxWhole, "upload, a small last piece": 2 * maxWhole} {
+	for name, size := range map[string]int{"a few bytes": len("the last"), "kept whole": 8 << 10, "upload": 2 * maxWhole, "upload, a small last piece": 2 * maxWhole} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			l := startLeaving(t, false, nil)
--- a/internal/protocol/ldap/client.go
+++ b/internal/protocol/ldap/client.go
@@ -379,7 +379,7 @@
 	ended := p.ended
 	p.mu.Unlock()
 	if ended { // the loop may have ended before it saw this one
-		o.finish(core.Answer{})
+		o.request.Abort()
 	}
 }
 
@@ -816,7 +816,7 @@
 	}
 	s.mu.Unlock()
 	for _, o := range all {
-		o.finish(core.Answer{})
+		o.request.Abort()
 	}
 }
 
--- a/internal/protocol/ldap/server.go
+++ b/internal/protocol/ldap/server.go
@@ -410,8 +410,25 @@
 	return nil
 }
 
+// writeGuard admits a message of an attempt right before its first byte, and is told that it is out.
+type writeGuard interface {
+	BeginWrite(interrupt func()) core.SendRefusal
+	EndWrite()
+}
+
+// unguarded is the guard of what belongs to no request.
+type unguarded struct{}
+
+func (unguarded) BeginWrite(func()) core.SendRefusal { return core.SendAllowed }
+func (unguarded) EndWrite()                          {}
+
+// refusedError is of a message that its guard did not admit: nothing was written.
+type refusedError struct{ why core.SendRefusal }
+
+func (e *refusedError) Error() string { return "not sent: " + e.why.String() }
+
 // start sends a request. It reports whether its last byte was written; a call is returned only then.
-func (c *serverConn) start(ctx context.Context, op byte, rest []byte) (*call, error) {
+func (c *serverConn) start(ctx context.Context, guard writeGuard, op byte, rest []byte) (*call, error) {
 	k := &call{wants: ldapmsg.ResponseTo(op), parts: make(chan part, partsMost), left: make(chan struct{}), lost: make(chan struct{})}
 	c.mu.Lock()
 	if c.broken != nil || c.calls == nil {
@@ -430,7 +447,7 @@
 	c.calls[k.id] = k
 	c.mu.Unlock()
 	text := ldapmsg.WithID(k.id, rest)
-	n, err := c.send(ctx, text)
+	n, err := c.send(ctx, guard, text)
 	if op == ldapmsg.BindRequest {
 		clear(text)
 	}
@@ -447,7 +464,7 @@
 }
 
 // send writes one message.
-func (c *serverConn) send(ctx context.Context, text []byte) (int, error) {
+func (c *serverConn) send(ctx context.Context, guard writeGuard, text []byte) (int, error) {
 	c.writes.Lock()
 	defer c.writes.Unlock()
 	until, ok := ctx.Deadline()
@@ -460,6 +477,10 @@
 	if err := ctx.Err(); err != nil {
 		return 0, err
 	}
+	if why := guard.BeginWrite(func() { _ = c.conn.SetWriteDeadline(core.LongAgo) }); why != core.SendAllowed {
+		return 0, &refusedError{why}
+	}
+	defer guard.EndWrite()
 	return c.conn.Write(text)
 }
 
@@ -473,7 +494,7 @@
 		c.lastID++
 		own := c.lastID
 		c.mu.Unlock()
-		_, _ = c.send(ctx, ldapmsg.Abandon(own, id)) // it has no answer
+		_, _ = c.send(ctx, unguarded{}, ldapmsg.Abandon(own, id)) // it has no answer
 	}()
 }
 
@@ -485,7 +506,7 @@
 	if err != nil {
 		return ldapmsg.Other
 	}
-	k, err := c.start(ctx, m.Op, m.Rest)
+	k, err := c.start(ctx, unguarded{}, m.Op, m.Rest)
 	if err != nil {
 		return ldapmsg.Other
 	}
@@ -515,18 +536,11 @@
 		return result, nil
 	}
 	defer v.give(c)
-	select {
-	case <-a.Over(): // meanwhile
-		return decide.NotSent, nil
-	default:
-	}
-	switch {
-	case a.Barred():
-		return decide.Broke, nil // never ran, and another server may have it
-	case a.Lapsed(), a.Disconnected():
-		return decide.NotSent, nil
+	k, err := c.start(a.Context, a, o.m.Op, o.m.Rest)
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		return refused.why.Result(a.Context), nil
 	}
-	k, err := c.start(a.Context, o.m.Op, o.m.Rest)
 	if err != nil {
 		v.doubt(c)
 		if errors.Is(context.Cause(a.Context), core.ErrCancelled) {
@@ -762,7 +776,11 @@
 	if err != nil {
 		return decide.Broke
 	}
-	k, err := c.start(a.Context, m.Op, m.Rest)
+	k, err := c.start(a.Context, a, m.Op, m.Rest)
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		return refused.why.Result(a.Context)
+	}
 	if err != nil {
 		return decide.Broke
 	}
