--- a/internal/host/laststate/laststate.go
+++ b/internal/host/laststate/laststate.go
@@ -22,9 +22,11 @@
 
 // State is what is saved.
 type State struct {
-	Saved     int64                       `json:"saved_ms"`  // Unix time
-	Sources   map[string]*catalog.Members `json:"sources"`   // by the list's address
-	Instances map[string]*core.Memory     `json:"instances"` // by name
+	Saved     int64                       `json:"saved_ms"`          // Unix time
+	Boot      string                      `json:"boot,omitempty"`    // of the machine: names the start that SinceBoot counts from
+	SinceBoot int64                       `json:"boot_ms,omitempty"` // ms, monotonic
+	Sources   map[string]*catalog.Members `json:"sources"`           // by the list's address
+	Instances map[string]*core.Memory     `json:"instances"`         // by name
 	// Peers is how the daemon stood in its fleet, for one that takes its place without a gap.
 	Peers []byte `json:"peers,omitempty"`
 }
@@ -65,9 +67,16 @@
 	return out.Bytes(), nil
 }
 
+// Moment is a time as a machine has it.
+type Moment struct {
+	Wall      time.Time     // may be stepped
+	Boot      string        // names the machine's start; empty: it is not known
+	SinceBoot time.Duration // monotonic, suspended time included
+}
+
 // Decode reads what Encode wrote. It believes nothing that was saved more than most ago, or that
 // lies in the future by more than that.
-func Decode(data []byte, now time.Time, most time.Duration) (*State, error) {
+func Decode(data []byte, now Moment, most time.Duration) (*State, error) {
 	head, body, found := bytes.Cut(data, []byte{'\n'})
 	if !bytes.HasPrefix(head, []byte(magic+" ")) {
 		if len(data) < len(magic)+1 && bytes.HasPrefix([]byte(magic+" "), data) {
@@ -88,7 +97,7 @@
 	if err := json.Unmarshal(body, s); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrTorn, err)
 	}
-	age := now.Sub(time.UnixMilli(s.Saved))
+	age := now.Wall.Sub(time.UnixMilli(s.Saved))
 	if age > most || age < -most {
 		return nil, fmt.Errorf("%w: saved %v ago, at most %v are believed", ErrOld, age.Round(time.Second), most)
 	}
--- a/internal/host/laststate/laststate_test.go
+++ b/internal/host/laststate/laststate_test.go
@@ -28,7 +28,7 @@
 }
 
 func TestRoundTrip(t *testing.T) {
-	s, err := Decode(encoded(t), now.Add(time.Minute), time.Hour)
+	s, err := Decode(encoded(t), Moment{Wall: now.Add(time.Minute)}, time.Hour)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,19 +42,19 @@
 func TestTornAtEachByte(t *testing.T) {
 	whole := encoded(t)
 	for n := range whole {
-		if s, err := Decode(whole[:n], now, time.Hour); err == nil || s != nil {
+		if s, err := Decode(whole[:n], Moment{Wall: now}, time.Hour); err == nil || s != nil {
 			t.Fatalf("cut at %d of %d: believed", n, len(whole))
 		}
-		if s, err := Decode(append(bytes.Clone(whole[:n]), whole[n]^0x20), now, time.Hour); err == nil || s != nil {
+		if s, err := Decode(append(bytes.Clone(whole[:n]), whole[n]^0x20), Moment{Wall: now}, time.Hour); err == nil || s != nil {
 			t.Fatalf("cut after a changed byte at %d: believed", n)
 		}
 		bad := bytes.Clone(whole)
 		bad[n] ^= 0x01
-		if s, err := Decode(bad, now, time.Hour); err == nil || s != nil {
+		if s, err := Decode(bad, Moment{Wall: now}, time.Hour); err == nil || s != nil {
 			t.Fatalf("byte %d changed: believed", n)
 		}
 	}
-	if _, err := Decode(append(bytes.Clone(whole), 'x'), now, time.Hour); !errors.Is(err, ErrTorn) {
+	if _, err := Decode(append(bytes.Clone(whole), 'x'), Moment{Wall: now}, time.Hour); !errors.Is(err, ErrTorn) {
 		t.Errorf("with more behind: %v", err)
 	}
 }
@@ -75,7 +75,7 @@
 		{"from the future", whole, now.Add(-time.Hour - time.Second), ErrOld},
 		{"just not old", whole, now.Add(time.Hour), nil},
 	} {
-		if _, err := Decode(tt.data, tt.at, time.Hour); !errors.Is(err, tt.want) {
+		if _, err := Decode(tt.data, Moment{Wall: tt.at}, time.Hour); !errors.Is(err, tt.want) {
 			t.Errorf("%s: %v, want %v", tt.name, err, tt.want)
 		}
 	}
@@ -85,9 +85,37 @@
 	f.Add(encoded(f))
 	f.Add([]byte("vetchhaven-state 1 0 0\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		s, err := Decode(data, now, time.Hour)
+		s, err := Decode(data, Moment{Wall: now}, time.Hour)
 		if (s == nil) != (err != nil) {
 			t.Errorf("%v, %v", s, err)
 		}
 	})
 }
+
+// The age of a snapshot of this boot of the machine is monotonic: a step of the wall clock neither discards a good one nor
+// makes an old one fresh. That of another boot is a hint, and no less than the time since this boot.
+func TestASnapshotsAgeOutlastsAClockStep(t *testing.T) {
+	s := sample()
+	s.Boot, s.SinceBoot = "boot-1", (10 * time.Hour).Milliseconds()
+	data, err := Encode(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const most = time.Hour
+	for name, tt := range map[string]struct {
+		at   Moment
+		want error
+	}{
+		"a minute later, clock a day ahead":            {Moment{now.Add(24 * time.Hour), "boot-1", 10*time.Hour + time.Minute}, nil},
+		"a minute later, clock a day behind":           {Moment{now.Add(-24 * time.Hour), "boot-1", 10*time.Hour + time.Minute}, nil},
+		"two hours later, clock stepped back as much":  {Moment{now, "boot-1", 12 * time.Hour}, ErrOld},
+		"another boot, a minute ago by the clock":      {Moment{now.Add(time.Minute), "boot-2", time.Minute}, nil},
+		"another boot, up for longer than is believed": {Moment{now, "boot-2", 2 * time.Hour}, ErrOld},
+		"another boot, a day ago by the clock":         {Moment{now.Add(24 * time.Hour), "boot-2", time.Minute}, ErrOld},
+		"the boot is not known, a minute ago":          {Moment{Wall: now.Add(time.Minute)}, nil},
+	} {
+		if _, err := Decode(data, tt.at, most); !errors.Is(err, tt.want) {
+			t.Errorf("%s: %v, want %v", name, err, tt.want)
+		}
+	}
+}
--- a/internal/source/catalog/catalog.go
+++ b/internal/source/catalog/catalog.go
@@ -17,6 +17,7 @@
 
 // Members is a list of servers as the list service writes it.
 type Members struct {
+	Saved   bool     `json:"-"` // read from a disk: how old it is, is not known
 	Version int64    `json:"version"`
 	Full    bool     `json:"full"`
 	Servers []Member `json:"servers"`
