--- a/internal/host/fleet/policystore_test.go
+++ b/internal/host/fleet/policystore_test.go
@@ -1,11 +1,15 @@
 package fleet
 
 import (
+	"bytes"
+	"errors"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"testing"
 
+	"golang.org/x/sys/unix"
+
 	"vetchhaven/internal/peer/policy"
 )
 
@@ -114,3 +118,69 @@
 		t.Error("written")
 	}
 }
+
+// noDescriptors leaves the process none to open until the function that it returns is called.
+func noDescriptors(t *testing.T) (restore func()) {
+	t.Helper()
+	var was unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
+		t.Fatal(err)
+	}
+	next, err := unix.Dup(0) // the lowest that is free
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = unix.Close(next)
+	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(next), Max: was.Max}); err != nil {
+		t.Fatal(err)
+	}
+	return func() {
+		if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A voter must not forget its vote for a failure of a moment: only a file whose content was read and is wrong is set aside,
+// and a sound one is not written as it is opened.
+func TestOnlyAFileWhoseContentIsWrongIsSetAside(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, policyFile)
+	s, _ := opened(t, dir, "")
+	s.now(t, policy.Batch{Hard: []byte("voted for b in term 7"), Epoch: 1})
+	s.close()
+	before, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	s = newPolicyStore(dir, "", "host-1", slog.New(slog.DiscardHandler))
+	restore := noDescriptors(t)
+	_, err = s.open()
+	restore()
+	if !errors.Is(err, unix.EMFILE) {
+		t.Errorf("without a descriptor: %v", err)
+	}
+	s.close()
+	if _, err := os.Stat(path + ".bad"); err == nil {
+		t.Fatal("a sound file was set aside for want of a descriptor")
+	}
+	s, d := opened(t, dir, "")
+	s.close()
+	if string(d.Hard) != "voted for b in term 7" {
+		t.Errorf("the vote is %q", d.Hard)
+	}
+	if after, err := os.ReadFile(path); err != nil || !bytes.Equal(before, after) {
+		t.Errorf("opening a sound file wrote to it: on a full disk it could not be opened (%v)", err)
+	}
+
+	if err := os.WriteFile(path, bytes.Repeat([]byte("x"), len(before)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, d = opened(t, dir, ""); d.Hard != nil {
+		t.Errorf("%+v", d)
+	}
+	if _, err := os.Stat(path + ".bad"); err != nil {
+		t.Errorf("a file that makes no sense was not kept aside: %v", err)
+	}
+}
--- a/internal/wholefile/wholefile.go
+++ b/internal/wholefile/wholefile.go
@@ -6,6 +6,9 @@
 	"path/filepath"
 )
 
+// syncDirectory is replaced by tests alone.
+var syncDirectory = (*os.File).Sync
+
 // Replace puts a new file in the place of the one called name in dir: written beside it, synced, renamed, and the
 // directory synced, so that it outlasts a crash of the machine too. The directory is made if it is missing.
 func Replace(dir, name string, data []byte) error {
@@ -31,7 +34,7 @@
 		return err
 	}
 	if d, err := os.Open(dir); err == nil {
-		_ = d.Sync() // not all file systems can
+		_ = syncDirectory(d) // not all file systems can
 		_ = d.Close()
 	}
 	return nil
--- a/internal/wholefile/writer.go
+++ b/internal/wholefile/writer.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"sync"
+	"time"
 )
 
 // Writer writes the latest of what it is given to one file, each whole or not at all, in a goroutine of its own: a
@@ -73,6 +74,15 @@
 	w.failed = err != nil
 }
 
+// Waits between tries of a write that failed.
+const (
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 5 * time.Second
+)
+
+// again is how long to wait until a write that failed is tried again.
+func (w *Writer) again() time.Duration { return 0 }
+
 // Pending reports whether something is still to be written.
 func (w *Writer) Pending() bool {
 	w.mu.Lock()
