Disks that fail for a while: writes are tried again, only wrong content sets policy.db aside

Cause: Writer.Flush dropped its data whether or not it was written; a failed sync of the directory was passed over; policyStore.open took any failure but two (EMFILE, ENOSPC, EIO among them) for wrong content, and wrote at each open; a member whose disk could not be read began with an empty one, so that a voter forgot its vote. Change: what fails waits and is tried again, from 50 ms to 5 s apart with jitter, until it is there; a directory that can't be synced is a failed save unless its file system has no such sync. Only an error without an errno, and no time-out, is wrong content. A sound file is not written as it is opened. The peers' part does not begin before the file was read: it is tried again with the waits of any part that fails. Measured: the four failing tests pass; race tests of wholefile, fleet and carrier pass.

--- a/internal/host/fleet/peers.go
+++ b/internal/host/fleet/peers.go
@@ -192,6 +192,12 @@
 
 func (d *Daemon) newPeering(saved *carrier.Saved) (*peering, error) {
 	spec := d.cfg.Peers
+	takesOver := d.before != nil && saved != nil && saved.Parallel
+	if d.cfg.Policy != nil && !takesOver {
+		if err := d.readPolicy(); err != nil {
+			return nil, err
+		}
+	}
 	tcp, err := copyOf(d.sockets[Address{"tcp", spec.Listen}])
 	if err != nil {
 		return nil, err
@@ -217,7 +223,7 @@
 	}
 	if d.cfg.Policy != nil {
 		o.Agree = d.newAgreement
-		if d.before != nil && saved != nil && saved.Parallel {
+		if takesOver {
 			o.Agreement, o.Before = d.before.Agreement(), d.before // its times go on by the same clock
 		}
 	}
--- a/internal/host/fleet/policy.go
+++ b/internal/host/fleet/policy.go
@@ -70,7 +70,7 @@
 	d.serving.Store(first)
 	disk, err := d.policy.store.open()
 	if err != nil {
-		d.log.Error("what the fleet agreed on can't be read; no request is taken until others tell it", "error", err)
+		d.log.Error("what the fleet agreed on can't be read yet; no request is taken until it is, and is tried again", "error", err)
 		return
 	}
 	d.policy.disk, d.policy.opened = disk, true
@@ -136,6 +136,20 @@
 	return err
 }
 
+// readPolicy reads what the last life of the member left on the disk. Without that no member begins: a voter would forget
+// its vote and what it acknowledged.
+func (d *Daemon) readPolicy() error {
+	if d.policy.opened {
+		return nil
+	}
+	disk, err := d.policy.store.reload()
+	if err != nil {
+		return fmt.Errorf("what the fleet agreed on can't be read: %w", err)
+	}
+	d.policy.disk, d.policy.opened = disk, true
+	return nil
+}
+
 // newAgreement is the daemon's part in the policy, for a member's life.
 func (d *Daemon) newAgreement(life uint64) *carrier.Agreement {
 	p := d.cfg.Policy
@@ -144,12 +158,6 @@
 	}
 	store := d.policy.store
 	disk := d.policy.disk
-	if !d.policy.opened {
-		var err error
-		if disk, err = store.reload(); err != nil {
-			d.log.Error("what the fleet agreed on can't be read", "error", err)
-		}
-	}
 	d.policy.opened = false
 	s := p.Settings
 	s.Name, s.Life, s.Check, s.Handed, s.Parts = d.cfg.Peers.Name, life, d.checkPolicy, d.policy.handed, heldBy(d.cfg)
--- a/internal/host/fleet/policystore.go
+++ b/internal/host/fleet/policystore.go
@@ -8,10 +8,12 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
 	"go.etcd.io/bbolt"
+	bberrors "go.etcd.io/bbolt/errors"
 
 	"vetchhaven/internal/peer/policy"
 )
@@ -77,7 +79,7 @@
 		return d, err
 	}
 	db, err := openBolt(s.path)
-	if err != nil && !errors.Is(err, bbolt.ErrTimeout) && !errors.Is(err, os.ErrPermission) {
+	if err != nil && wrongContent(err) {
 		aside := s.path + ".bad"
 		s.log.Error("the policy's file makes no sense: it is set aside, and what it held is learnt anew from others", "file", s.path, "as", aside, "error", err)
 		if err = os.Rename(s.path, aside); err == nil {
@@ -98,6 +100,14 @@
 	return d, nil
 }
 
+// wrongContent reports whether a file could be read and is none of the store's. A failure of the system, of a moment or for
+// good (no descriptor, no space, a bad sector, another process that has the file), says nothing of what is in it.
+func wrongContent(err error) bool {
+	var system syscall.Errno
+	return !errors.As(err, &system) && !errors.Is(err, bberrors.ErrTimeout)
+}
+
+// openBolt opens the file, and writes to it only where something that every store has is missing.
 func openBolt(path string) (db *bbolt.DB, err error) {
 	defer func() { // a file that was cut short can make bbolt panic
 		if p := recover(); p != nil {
@@ -108,7 +118,25 @@
 	if err != nil {
 		return nil, err
 	}
-	err = db.Update(func(tx *bbolt.Tx) error {
+	complete := false
+	err = db.View(func(tx *bbolt.Tx) error {
+		meta := tx.Bucket(bucketMeta)
+		complete = meta != nil && meta.Get(keyID) != nil && tx.Bucket(bucketLog) != nil
+		return nil
+	})
+	if err == nil && !complete {
+		err = initialize(db)
+	}
+	if err != nil {
+		_ = db.Close()
+		return nil, err
+	}
+	return db, nil
+}
+
+// initialize writes what every store has.
+func initialize(db *bbolt.DB) error {
+	return db.Update(func(tx *bbolt.Tx) error {
 		meta, err := tx.CreateBucketIfNotExists(bucketMeta)
 		if err != nil {
 			return err
@@ -121,11 +149,6 @@
 		_, err = tx.CreateBucketIfNotExists(bucketLog)
 		return err
 	})
-	if err != nil {
-		_ = db.Close()
-		return nil, err
-	}
-	return db, nil
 }
 
 func load(db *bbolt.DB) (d policy.Disk, id string, writes uint64, err error) {
--- a/internal/wholefile/wholefile.go
+++ b/internal/wholefile/wholefile.go
@@ -2,8 +2,10 @@
 package wholefile
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
+	"syscall"
 )
 
 // syncDirectory is replaced by tests alone.
@@ -33,9 +35,19 @@
 		_ = os.Remove(f.Name())
 		return err
 	}
-	if d, err := os.Open(dir); err == nil {
-		_ = syncDirectory(d) // not all file systems can
-		_ = d.Close()
+	return syncParent(dir)
+}
+
+// syncParent has the new name outlast a crash of the machine. Not all file systems can.
+func syncParent(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	err = syncDirectory(d)
+	if errors.Is(err, syscall.EINVAL) || errors.Is(err, errors.ErrUnsupported) {
+		return nil
 	}
-	return nil
+	return err
 }
--- a/internal/wholefile/writer.go
+++ b/internal/wholefile/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -13,10 +14,10 @@
 	What      string // it holds, for the log
 	Log       *slog.Logger
 
-	mu     sync.Mutex
-	next   []byte
-	wake   chan struct{}
-	failed bool
+	mu    sync.Mutex
+	next  []byte
+	wake  chan struct{}
+	fails int // writes in a row that failed
 }
 
 // NewWriter returns one that has written nothing yet.
@@ -38,20 +39,28 @@
 	}
 }
 
-// Run writes until stop is closed, and what is left then.
+// Run writes until stop is closed, and what is left then. What can't be written is tried again, and again.
 func (w *Writer) Run(stop <-chan struct{}) {
+	retry := time.NewTimer(time.Hour)
+	defer retry.Stop()
 	for {
 		select {
 		case <-w.wake:
 			w.Flush()
+		case <-retry.C:
+			w.Flush()
 		case <-stop:
 			w.Flush()
 			return
 		}
+		retry.Stop()
+		if w.Failed() {
+			retry.Reset(w.again())
+		}
 	}
 }
 
-// Flush writes what is waiting, now.
+// Flush writes what is waiting, now. What fails goes on waiting, unless something newer has come.
 func (w *Writer) Flush() {
 	w.mu.Lock()
 	data := w.next
@@ -62,16 +71,19 @@
 	err := Replace(w.Dir, w.Name, data)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.next) > 0 && &w.next[0] == &data[0] {
-		w.next = nil // nothing newer has come meanwhile
+	if err != nil {
+		if w.fails++; w.fails == 1 {
+			w.Log.Error(w.What+" not saved; this is said once until it can be", "error", err)
+		}
+		return
 	}
-	if err != nil && !w.failed {
-		w.Log.Error(w.What+" not saved; this is said once until it can be", "error", err)
+	if w.fails > 0 {
+		w.Log.Info(w.What+" saved again", "failed", w.fails)
 	}
-	if err == nil && w.failed {
-		w.Log.Info(w.What + " saved again")
+	w.fails = 0
+	if len(w.next) > 0 && len(data) > 0 && &w.next[0] == &data[0] {
+		w.next = nil // nothing newer has come meanwhile
 	}
-	w.failed = err != nil
 }
 
 // Waits between tries of a write that failed.
@@ -80,8 +92,13 @@
 	retryMost  = 5 * time.Second
 )
 
-// again is how long to wait until a write that failed is tried again.
-func (w *Writer) again() time.Duration { return 0 }
+// again is how long to wait until a write that failed is tried again: with jitter, below a ceiling that doubles.
+func (w *Writer) again() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ceiling := min(retryMost, retryFirst<<min(max(w.fails-1, 0), 10))
+	return ceiling/2 + rand.N(ceiling/2)
+}
 
 // Pending reports whether something is still to be written.
 func (w *Writer) Pending() bool {
@@ -94,5 +111,5 @@
 func (w *Writer) Failed() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.failed
+	return w.fails > 0
 }
