--- a/internal/host/upgrade/dir_test.go
+++ b/internal/host/upgrade/dir_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 
+	"golang.org/x/sys/unix"
+
 	"vetchhaven/internal/testkit"
 )
 
@@ -220,3 +222,71 @@
 		}
 	}
 }
+
+// A change that holds here, and could not be noted for others in a moment of trouble, is noted at the next look: whoever
+// said it waits for that.
+func TestANoteThatFailedIsWrittenAtTheNextLook(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "kept")
+	one, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer one.Close()
+	other, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	if _, err := one.keep(Change{Server: "s", On: true}); err != nil {
+		t.Fatal(err)
+	}
+	apply := func(Change) error { return nil }
+	live := other.live
+	if other.live, err = os.Open(live.Name() + liveEnding); err != nil { // for reading: a write fails
+		t.Fatal(err)
+	}
+	if _, err := other.Look(apply); err == nil {
+		t.Error("a note that could not be written is no error")
+	}
+	other.live.Close()
+	other.live = live
+	if _, err := other.Look(apply); err != nil {
+		t.Fatal(err)
+	}
+	versions, err := one.others()
+	if err != nil || len(versions) != 1 || versions[0] != 1 {
+		t.Errorf("the others have noted %v, %v", versions, err)
+	}
+}
+
+// A process that can't be looked at for want of a descriptor is not one that has ended.
+func TestAProcessThatCannotBeLookedAtIsAlive(t *testing.T) {
+	d, err := Open(filepath.Join(t.TempDir(), "kept"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	name := d.live.Name() + liveEnding
+	var was unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
+		t.Fatal(err)
+	}
+	next, err := unix.Dup(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = unix.Close(next)
+	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(next), Max: was.Max}); err != nil {
+		t.Fatal(err)
+	}
+	_, alive := version(name)
+	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
+		t.Fatal(err)
+	}
+	if !alive {
+		t.Error("it counts as ended: this one would take its descriptors and its memory")
+	}
+	if _, alive := version(name + "not"); alive {
+		t.Error("one without a file counts as alive")
+	}
+}
--- a/internal/protocol/ldap/sendguard_test.go
+++ b/internal/protocol/ldap/sendguard_test.go
@@ -8,6 +8,7 @@
 
 	client "github.com/go-ldap/ldap/v3"
 
+	"vetchhaven/internal/source/catalog"
 	"vetchhaven/internal/standin/directory"
 	"vetchhaven/internal/testkit"
 )
@@ -48,3 +49,38 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// A server that moves while a connection to its old address comes up gets nothing there: another one may have that address.
+func TestNothingGoesToTheOldAddressOfAServerThatMoved(t *testing.T) {
+	old, now := dir(t, "one", directory.Options{}), dir(t, "one", directory.Options{})
+	r := start(t, testConfig(t, old), Options{})
+	held, going := make(chan struct{}), make(chan struct{}, 4)
+	dial := r.p.servers.dialer
+	r.p.servers.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if addr == old.Addr() {
+			going <- struct{}{}
+			<-held
+		}
+		return dial(ctx, network, addr)
+	}
+	c := r.dial(t)
+	done := make(chan error, 1)
+	go func() { _, err := c.Search(one()); done <- err }()
+	testkit.Receive(t, "dial", going)
+	hub := catalog.NewHub(catalog.HubOptions{Log: testkit.Quiet})
+	hub.Apply(&catalog.Members{Version: 42, Full: true, Servers: []catalog.Member{now.Member("ready")}})
+	r.Follow(hub)
+	testkit.WaitFor(t, "the list", func() bool {
+		r.p.servers.mu.Lock()
+		defer r.p.servers.mu.Unlock()
+		addr, _ := r.p.servers.addrs.Of("one")
+		return addr == now.Addr()
+	})
+	close(held)
+	if err := testkit.Receive(t, "answer", done); err != nil {
+		t.Error(err)
+	}
+	if n := old.Served("search") + old.Served("lookup"); n != 0 {
+		t.Errorf("the old address had %d searches", n)
+	}
+}
