--- a/internal/host/upgrade/dir.go
+++ b/internal/host/upgrade/dir.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"vetchhaven/internal/wholefile"
 )
 
 const (
@@ -34,7 +36,8 @@
 	live   *os.File      // locked while this process is alive; holds the version that it has carried out
 
 	mu    sync.Mutex
-	known Said // carried out here
+	known Said  // carried out here
+	noted int64 // the version of it that the others see
 }
 
 // Open takes a place in the directory. What was said before holds where another process is alive; else it
@@ -138,9 +141,12 @@
 // version is what a process has carried out, if it is alive.
 func version(name string) (v int64, alive bool) {
 	f, err := os.OpenFile(name, os.O_RDWR, 0)
-	if err != nil {
+	if errors.Is(err, fs.ErrNotExist) {
 		return 0, false // it has just left
 	}
+	if err != nil {
+		return 0, true // this process can't look at it now, for want of a descriptor perhaps
+	}
 	defer f.Close()
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB); err == nil {
 		_ = os.Remove(name)
@@ -216,14 +222,7 @@
 		if err != nil {
 			return err
 		}
-		next := d.file("next")
-		if err = os.WriteFile(next, text, 0o600); err == nil {
-			err = os.Rename(next, d.file(saidName))
-		}
-		if err != nil {
-			_ = os.Remove(next)
-		}
-		return err
+		return wholefile.Replace(d.path, saidName, text)
 	})
 	if err == nil {
 		// Of what another process has kept meanwhile this one still has to hear: the version stays.
@@ -268,14 +267,22 @@
 			return err
 		}
 	}
-	if d.known.Version == now.Version {
+	d.known = now
+	return d.note()
+}
+
+// note has the others see which version holds here. The lock is held. What fails is tried again at the next look.
+func (d *Dir) note() error {
+	if d.noted == d.known.Version {
 		return nil
 	}
-	d.known = now
 	var text [8]byte
-	binary.BigEndian.PutUint64(text[:], uint64(now.Version))
-	_, err = d.live.WriteAt(text[:], 0)
-	return err
+	binary.BigEndian.PutUint64(text[:], uint64(d.known.Version))
+	if _, err := d.live.WriteAt(text[:], 0); err != nil {
+		return err
+	}
+	d.noted = d.known.Version
+	return nil
 }
 
 // Follow looks until ctx ends, and tells whenever the number of processes beside this one has changed from
--- a/internal/protocol/ldap/server.go
+++ b/internal/protocol/ldap/server.go
@@ -18,6 +18,8 @@
 
 var (
 	errSecure = errors.New("TLS with a server failed")
+	// errMovedMeanwhile is of a connection to where a server was as it was dialled.
+	errMovedMeanwhile = errors.New("the server has moved while a connection to it came up")
 )
 
 // pool names the connections that may serve an operation: those to a server that are bound alike.
@@ -301,6 +303,11 @@
 		v.open--
 		return nil, err
 	}
+	if now, known := v.addrs.Of(server); !known || now != addr { // meanwhile: what has its address by now may be another
+		v.open--
+		_ = nc.Close()
+		return nil, errMovedMeanwhile
+	}
 	c := &serverConn{v: v, server: server, conn: nc, uses: 1, alone: true, since: time.Now(), calls: map[int32]*call{}}
 	v.conns[pool{server, ""}] = append(v.conns[pool{server, ""}], c)
 	go c.read()
@@ -734,6 +741,9 @@
 		if errors.Is(err, core.ErrNoSocket) || errors.Is(err, errSecure) {
 			v.log.Warn("attempt not sent", "error", err, "server", a.Server)
 		}
+		if errors.Is(err, errMovedMeanwhile) {
+			return nil, decide.Broke // never ran, and another server may have it
+		}
 		if errors.Is(err, errSecure) && !errors.Is(context.Cause(a.Context), core.ErrCancelled) {
 			return nil, decide.Broke // somebody was there
 		}
