--- a/internal/protocol/http1/backends_test.go
+++ b/internal/protocol/http1/backends_test.go
@@ -187,7 +187,10 @@
 		syscall.EMFILE:       decide.NotSent, syscall.ENFILE: decide.NotSent, syscall.ENOBUFS: decide.NotSent,
 		syscall.ENOMEM: decide.NotSent, syscall.EADDRNOTAVAIL: decide.NotSent,
 		syscall.EHOSTUNREACH: decide.Broke, syscall.ENETUNREACH: decide.Broke, syscall.ETIMEDOUT: decide.Broke,
-		syscall.ECONNRESET: decide.Broke,
+		syscall.ECONNRESET: decide.Broke, syscall.ECONNABORTED: decide.Broke,
+		// None of these says that a process has ended: only a refusal does.
+		syscall.ENETDOWN: decide.Broke, syscall.EPERM: decide.Broke, syscall.EACCES: decide.Broke, syscall.EIO: decide.Broke,
+		syscall.EHOSTDOWN: decide.Broke, syscall.EINVAL: decide.Broke,
 	} {
 		b := poolFor(t, testkit.DeadAddr(t))
 		b.dialer = func(context.Context, string, string) (net.Conn, error) {
