Admin endpoints outlast accept errors of a moment; only a refusal says that a process has ended

core.SteadyListener for both admin endpoints, the same rule as the gate's; the peers' datagram reader pauses after an error in place of spending a processor on a socket that is broken.

--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -45,10 +45,6 @@
 	noSocketPause = 50 * time.Millisecond
 	// failedPause is waited after one that could not be accepted, so that many do not take all of a processor.
 	failedPause = time.Millisecond
-	// unknownPause is waited after an error of accept that is on no list, and acceptMost is for how long accept may fail
-	// so without a connection before the listener is taken for broken.
-	unknownPause = 20 * time.Millisecond
-	acceptMost   = time.Second
 	// HeadTime is what a client has from connecting, or from the first byte of a later request,
 	// until the head has come, and again for the body.
 	HeadTime = quietLeast + 200*time.Millisecond
@@ -125,7 +121,7 @@
 // Accept waits for room, and for a connection.
 func (g *Gate) Accept() (net.Conn, error) {
 	var nc net.Conn
-	var failing time.Time // since then accept has failed in no known way
+	var failures acceptFailures // of no known kind
 	for nc == nil {
 		wait := g.makeRoom(time.Now())
 		if wait == 0 {
@@ -140,11 +136,7 @@
 				wait = noSocketPause
 			case ofOne(err):
 				wait = failedPause
-			case errors.Is(err, net.ErrClosed):
-				return nil, err
-			case failing.IsZero():
-				failing, wait = time.Now(), unknownPause
-			case time.Since(failing) < acceptMost:
+			case failures.goOn(err):
 				wait = unknownPause
 			default:
 				return nil, err
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -93,7 +93,13 @@
 			return
 		}
 		if err != nil {
-			continue // an earlier datagram's ICMP error; the socket itself is fine
+			// An earlier datagram's ICMP error, as a rule: the socket itself is fine. Where it is not, all of a
+			// processor is not spent on it.
+			select {
+			case <-ctx.Done():
+			case <-time.After(failedPause):
+			}
+			continue
 		}
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		if number, known := p.numbers[from]; known && n <= maxDatagram {
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"os"
 	"syscall"
 
 	"vetchhaven/decide"
@@ -77,17 +76,17 @@
 	case errors.Is(context.Cause(ctx), ErrCancelled):
 		return decide.Cancelled
 	// ConnectFailed tells the module that the process has ended: its next answer counts as that
-	// of a cold one, for the whole ramp. A connection that is reset, even before dial has returned,
-	// had somebody at its other end; and that an attempt's own time is up says nothing of a
-	// process. Covers also proxies, full accept queues and firewalls that answer with resets.
+	// of a cold one, for the whole ramp. Only a refusal says so, or that the list has no address for it.
+	case errors.Is(err, syscall.ECONNREFUSED) && ctx.Err() == nil, errors.Is(err, ErrMoved):
+		return decide.ConnectFailed
+	}
+	// A connection that is reset, even before dial has returned, had somebody at its other end; and that an
+	// attempt's own time is up says nothing of a process, nor does what this machine's network says of itself.
+	// Covers also proxies, full accept queues and firewalls that answer with resets.
 	// It could hurt where something in front of a process takes its connections while it
 	// restarts: the restart then shows only in the list. A connection that has not come up in time says as little:
 	// it may be late, and a machine that is cut off, or that nothing leads to, comes back as it was. Servers that
 	// all others reach are ejected for it all the same; one that vanished, and starts anew before the list says so,
 	// counts as warm until it does.
-	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.ECONNABORTED), ctx.Err() != nil, os.IsTimeout(err),
-		errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
-		return decide.Broke
-	}
-	return decide.ConnectFailed
+	return decide.Broke
 }
--- a/internal/host/fleet/admin.go
+++ b/internal/host/fleet/admin.go
@@ -185,7 +185,7 @@
 		return server
 	}
 	d.others.Go(func() {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(core.NewSteadyListener(ln)); !errors.Is(err, http.ErrServerClosed) {
 			d.log.Error("admin", "error", err)
 		}
 	})
--- a/internal/host/ops/door.go
+++ b/internal/host/ops/door.go
@@ -77,7 +77,7 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
 	d.server.SetKeepAlivesEnabled(false)
 	go func() {
-		if err := d.server.Serve(ln); !errors.Is(err, net.ErrClosed) {
+		if err := d.server.Serve(core.NewSteadyListener(ln)); !errors.Is(err, net.ErrClosed) {
 			log.Error("admin", "error", err)
 		}
 	}()
