--- a/internal/protocol/http1/sendguard_test.go
+++ b/internal/protocol/http1/sendguard_test.go
@@ -125,3 +125,47 @@
 		})
 	}
 }
+
+// slowWriter has a listener's connections held up for a while at each write.
+type slowWriter struct {
+	net.Listener
+	hold time.Duration
+}
+
+func (l slowWriter) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return slowWriterConn{c.(*net.TCPConn), l.hold}, nil
+}
+
+type slowWriterConn struct {
+	*net.TCPConn
+	hold time.Duration
+}
+
+func (c slowWriterConn) Write(p []byte) (int, error) {
+	time.Sleep(c.hold) // the fault itself: a process that is not run between its look at the clock and the write
+	return c.TCPConn.Write(p)
+}
+
+// A request that comes late in a drain has its last answer in time to be written by an agent that is held up for 0.15 s.
+func TestALastAnswerThatIsHeldUpComesBeforeTheEnd(t *testing.T) {
+	silent := make(chan struct{})
+	defer close(silent)
+	server := serveRaw(t, func(int) string { <-silent; return "" })
+	cfg := testConfig(t, testkit.Setup{Servers: []catalog.Member{server.member("s")}, Deadline: 300})
+	accept := make(chan time.Time)
+	r := startParts(t, cfg, core.Parts{Listener: slowWriter{testkit.Listen(t), 150 * time.Millisecond}, AcceptAfterStop: accept}, nil)
+	testkit.WaitFor(t, "clients", r.Accepting)
+	r.stop()
+	time.Sleep(500 * time.Millisecond) // so late in the drain that the request's own time reaches past its end
+	answered := make(chan exchange, 1)
+	go func() { answered <- r.do("GET", "/get/x", "") }()
+	testkit.Receive(t, "request at the server", server.seen)
+	close(accept)
+	if x := testkit.Receive(t, "answer", answered); x.err != nil || x.status == 0 {
+		t.Errorf("%+v", x)
+	}
+}
