--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -71,9 +71,10 @@
 // kills 0.7 s after the longest deadline.
 const drainSlack = 600 * time.Millisecond
 
-// lastAnswers is kept free before a drain's end, for answers to be written and read. A request that comes late in the
-// drain, on a connection whose client writes slowly, has until then and not its own time: it would be lost.
-const lastAnswers = 100 * time.Millisecond
+// lastAnswers is kept free before a drain's end, for answers to be written and read: 0.1 s, and the 0.15 s for which an
+// agent may be held up before the write. A request that comes late in the drain, on a connection whose client writes
+// slowly, has until then and not its own time: it would be lost.
+const lastAnswers = 250 * time.Millisecond
 
 // New sets up an agent with what it is given, or listens by itself. Clients are served once Run is
 // called. The protocol is made with the loop to which it gives requests.
