--- /dev/null
+++ b/internal/drill/soak/client.go
@@ -0,0 +1,309 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// ClientTrouble is what clients do besides asking and waiting.
+type ClientTrouble int
+
+// The ways of clients.
+const (
+	ClientsBehave  ClientTrouble = iota
+	ClientsLeave                 // close, half close or reset while they wait, at any moment
+	ClientsHurry                 // have milliseconds, or next to nothing, left
+	ClientsStall                 // stop within a request, and stay
+	ClientsRude                  // send what is no request, too much, or leave within it
+	ClientsBurst                 // all ask at once, again and again
+	ClientsDribble               // write requests in small pieces
+)
+
+// class is one that clients ask for.
+type class struct {
+	name   string
+	method string
+	key    bool
+	share  float64
+}
+
+var classes = []class{{"get", http.MethodGet, false, 0.5}, {"put", http.MethodPost, true, 0.2}, {"pin", http.MethodPost, true, 0.15}, {"pay", http.MethodPost, false, 0.15}}
+
+// clients are those of one agent. Each has at most one connection, on which it asks one thing after the other.
+type clients struct {
+	agent   int
+	addr    string
+	rec     *Recorder
+	trouble atomic.Int32
+	pause   time.Duration // between a client's requests, in the mean
+	last    atomic.Int64
+	// open ends where no new connection comes any more, 0.4 s after the agent was told to end, and begins anew with the
+	// next process.
+	open atomic.Bool
+	all  sync.WaitGroup
+}
+
+// clientConn is a client's connection, with what has come on it.
+type clientConn struct {
+	net.Conn
+	in   *bufio.Reader
+	used bool // a request on it has had its answer
+}
+
+// run has so many clients ask until ctx ends, and returns once each has its answer.
+func (c *clients) run(ctx context.Context, count int, seed uint64) {
+	for n := range count {
+		c.all.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, uint64(n)))
+			var conn *clientConn
+			for ctx.Err() == nil {
+				pause := time.Duration(rng.ExpFloat64() * float64(c.pause))
+				trouble := ClientTrouble(c.trouble.Load())
+				if trouble == ClientsBurst {
+					now := c.rec.Now()
+					pause = now.Truncate(300*time.Millisecond) + 300*time.Millisecond - now
+				}
+				time.Sleep(min(pause, 2*time.Second))
+				switch {
+				case trouble == ClientsStall && rng.Float64() < 0.3:
+					c.stall(rng)
+				case trouble == ClientsRude && rng.Float64() < 0.4:
+					c.rude(rng)
+				default:
+					conn = c.ask(rng, conn, trouble)
+				}
+				if conn != nil && rng.Float64() < 0.05 {
+					_ = conn.Close() // between requests
+					conn = nil
+				}
+			}
+			if conn != nil {
+				_ = conn.Close()
+			}
+		})
+	}
+	c.all.Wait()
+}
+
+func (c *clients) dial() *clientConn {
+	if !c.open.Load() {
+		return nil
+	}
+	nc, err := net.DialTimeout("tcp", c.addr, time.Second)
+	if err != nil {
+		return nil
+	}
+	return &clientConn{Conn: nc, in: bufio.NewReader(nc)}
+}
+
+// request is one that is asked.
+type request struct {
+	id, class string
+	text      string
+	left      time.Duration
+}
+
+func (c *clients) request(rng *rand.Rand, trouble ClientTrouble) request {
+	k, draw := classes[0], rng.Float64()
+	for _, x := range classes {
+		if draw -= x.share; draw < 0 {
+			k = x
+			break
+		}
+	}
+	r := request{id: fmt.Sprintf("a%d-%d", c.agent, c.last.Add(1)), class: k.name, left: 300*time.Millisecond + time.Duration(rng.Float64()*float64(700*time.Millisecond))}
+	if trouble == ClientsHurry {
+		r.left = time.Millisecond + time.Duration(rng.ExpFloat64()*float64(40*time.Millisecond))
+	}
+	body := ""
+	if k.method == http.MethodPost {
+		body = strings.Repeat("b", rng.IntN(300))
+		if rng.Float64() < 0.05 {
+			body = strings.Repeat("B", rng.IntN(60<<10))
+		}
+	}
+	head := fmt.Sprintf("%s /%s/%d HTTP/1.1\r\nHost: soak\r\nX-Trace-Id: %s\r\nX-Expires-In: %.3f\r\n", k.method, k.name, rng.IntN(100), r.id, r.left.Seconds())
+	if k.key {
+		head += "Idempotency-Key: key-" + r.id + "\r\n"
+	}
+	if k.method == http.MethodPost {
+		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	r.text = head + "\r\n" + body
+	return r
+}
+
+// ask sends one request and waits for its answer. It returns the connection for the next one; nil: it has ended.
+func (c *clients) ask(rng *rand.Rand, conn *clientConn, trouble ClientTrouble) *clientConn {
+	if conn == nil {
+		if conn = c.dial(); conn == nil {
+			return nil
+		}
+	}
+	r := c.request(rng, trouble)
+	sent := false
+	for {
+		if err := c.send(rng, conn, r, trouble); err != nil {
+			if conn.used && !sent { // an end that crossed it
+				_ = conn.Close()
+				if conn = c.dial(); conn == nil {
+					return nil
+				}
+				continue
+			}
+			_ = conn.Close()
+			return nil
+		}
+		if !sent {
+			c.rec.Put(Event{Kind: RequestSent, Agent: c.agent, Request: r.id, Class: r.class, Left: r.left})
+		}
+		sent = true
+		if trouble == ClientsLeave && rng.Float64() < 0.5 {
+			if c.leave(rng, conn, r) {
+				return nil
+			}
+		}
+		again, next := c.await(conn, r)
+		if !again {
+			return next
+		}
+		_ = conn.Close()
+		if conn = c.dial(); conn == nil {
+			// Nobody takes it any more: it was never read, and its client knows.
+			c.rec.Put(Event{Kind: ClientLeft, Agent: c.agent, Request: r.id, Note: "no agent to ask again"})
+			return nil
+		}
+		c.rec.Put(Event{Kind: RequestResent, Agent: c.agent, Request: r.id})
+	}
+}
+
+// send writes a request.
+func (c *clients) send(rng *rand.Rand, conn *clientConn, r request, trouble ClientTrouble) error {
+	_ = conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
+	text := r.text
+	if trouble == ClientsDribble {
+		for len(text) > 200 && len(r.text) < 2000 {
+			n := 1 + rng.IntN(200)
+			if _, err := io.WriteString(conn, text[:n]); err != nil {
+				return err
+			}
+			text = text[n:]
+			time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+		}
+	}
+	_, err := io.WriteString(conn, text)
+	return err
+}
+
+// leave may have the client go while it waits. It reports whether it has.
+func (c *clients) leave(rng *rand.Rand, conn *clientConn, r request) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(time.Duration(rng.Float64() * 0.2 * float64(time.Second))))
+	if _, err := conn.in.Peek(1); err == nil {
+		return false // its answer was there first
+	}
+	left := Event{Kind: ClientLeft, Agent: c.agent, Request: r.id}
+	if rng.Float64() < 0.3 {
+		abort(conn.Conn)
+	} else {
+		_ = conn.Close()
+	}
+	c.rec.Put(left)
+	return true
+}
+
+// answerMost is how long a client that does not leave waits for the end of an answer.
+const answerMost = 20 * time.Second
+
+// await reads the answer. again: the connection ended without one, as an end between requests may.
+func (c *clients) await(conn *clientConn, r request) (again bool, next *clientConn) {
+	_ = conn.SetReadDeadline(time.Now().Add(answerMost))
+	if _, err := conn.in.Peek(1); err != nil {
+		if conn.used {
+			return true, nil
+		}
+		c.rec.Put(Event{Kind: ConnectionEnded, Agent: c.agent, Request: r.id, Note: err.Error()})
+		_ = conn.Close()
+		return false, nil
+	}
+	resp, err := http.ReadResponse(conn.in, nil)
+	if err != nil {
+		c.rec.Put(Event{Kind: ConnectionEnded, Agent: c.agent, Request: r.id, Note: err.Error()})
+		_ = conn.Close()
+		return false, nil
+	}
+	body, err := io.ReadAll(resp.Body)
+	c.rec.Put(Event{Kind: AnswerRead, Agent: c.agent, Request: r.id, Status: resp.StatusCode, Broken: err != nil,
+		Own: strings.HasPrefix(string(body), bodyOf(r.id)), Note: note(err, body)})
+	if err != nil || resp.Close {
+		_ = conn.Close()
+		return false, nil
+	}
+	conn.used = true
+	return false, conn
+}
+
+func note(err error, body []byte) string {
+	if err != nil {
+		return err.Error()
+	}
+	return string(body[:min(len(body), 60)])
+}
+
+// stallMost is when a client that has stopped within a request gives up waiting to be told.
+const stallMost = 6 * time.Second
+
+// stall sends a part of a request, and stays until it is told or its connection ends.
+func (c *clients) stall(rng *rand.Rand) {
+	conn := c.dial()
+	if conn == nil {
+		return
+	}
+	defer conn.Close()
+	r := c.request(rng, ClientsBehave)
+	text := r.text
+	if rng.Float64() < 0.5 { // within a body
+		text = strings.Replace(r.text, "GET", "POST", 1)
+	}
+	if _, err := io.WriteString(conn, text[:rng.IntN(len(text))]); err != nil {
+		return
+	}
+	mark := fmt.Sprintf("stall a%d-%d", c.agent, c.last.Add(1))
+	c.rec.Put(Event{Kind: StallBegan, Agent: c.agent, Note: mark})
+	_ = conn.SetReadDeadline(time.Now().Add(stallMost))
+	_, _ = conn.in.Peek(1)
+	c.rec.Put(Event{Kind: StallEnded, Agent: c.agent, Note: mark})
+}
+
+// rude sends what is no request, or a request and goes, or a flood.
+func (c *clients) rude(rng *rand.Rand) {
+	conn := c.dial()
+	if conn == nil {
+		return
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(time.Second))
+	switch rng.IntN(5) {
+	case 0:
+		_, _ = io.WriteString(conn, "GET / HTTP/9\r\nwhat: is\x00 this\r\n\r\n")
+	case 1:
+		_, _ = io.WriteString(conn, strings.Repeat("GET /get/x HTTP/1.1\r\n", 4000))
+	case 2: // nothing at all
+		time.Sleep(300 * time.Millisecond)
+	case 3: // a head, and gone within the body
+		_, _ = io.WriteString(conn, "POST /put/x HTTP/1.1\r\nHost: soak\r\nX-Trace-Id: rude\r\nIdempotency-Key: k\r\nContent-Length: 5000\r\n\r\nhalf")
+		abort(conn.Conn)
+		return
+	default:
+		_, _ = io.WriteString(conn, "POST /get/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nabc")
+	}
+	_, _ = conn.in.Peek(1)
+}
--- /dev/null
+++ b/internal/drill/soak/list.go
@@ -0,0 +1,241 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"vetchhaven/internal/source/catalog"
+)
+
+// ListTrouble is what a list service does with calls.
+type ListTrouble int
+
+// The ways of lists.
+const (
+	ListServes ListTrouble = iota
+	ListDown               // calls are reset, watches end
+	ListSilent             // open watches bring nothing, not even empty lines
+	ListSlow               // calls and changes wait for a second
+	ListBusy               // 503 after a wait
+	ListCuts               // watches end within an object
+)
+
+const (
+	heartbeat = 2 * time.Second
+	listWait  = time.Second // of ListSlow and ListBusy
+)
+
+// directory is the one truth about servers, of which each agent has a list service of its own.
+type directory struct {
+	mu      sync.Mutex
+	version int64
+	members map[string]entry
+	changed map[string]int64 // at which version, of servers that are gone too
+	bump    chan struct{}    // closed at each change
+}
+
+type entry struct {
+	catalog.Member
+	process int
+	began   time.Duration // of that process, in the play's time
+}
+
+func newDirectory() *directory {
+	return &directory{members: map[string]entry{}, changed: map[string]int64{}, bump: make(chan struct{})}
+}
+
+// set tells a server's state.
+func (d *directory) set(e entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version++
+	d.changed[e.ID] = d.version
+	if d.members[e.ID] = e; e.State == Gone {
+		delete(d.members, e.ID)
+	}
+	close(d.bump)
+	d.bump = make(chan struct{})
+}
+
+// since is what has changed after a version, or the whole list after 0, and what to wait for.
+func (d *directory) since(version int64) (m catalog.Members, entries map[string]entry, bump chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m = catalog.Members{Version: d.version, Full: version == 0 || version > d.version, Servers: []catalog.Member{}}
+	for id, at := range d.changed {
+		if !m.Full && at <= version {
+			continue
+		}
+		e, there := d.members[id]
+		if !there && m.Full {
+			continue
+		}
+		if !there {
+			e = entry{Member: catalog.Member{ID: id, State: Gone, Weight: 1}}
+		}
+		m.Servers = append(m.Servers, e.Member)
+	}
+	return m, maps.Clone(d.members), d.bump
+}
+
+// known is the whole list.
+func (d *directory) known() catalog.Members {
+	m, _, _ := d.since(0)
+	return m
+}
+
+// ids are all servers that ever were.
+func (d *directory) ids() (all []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id := range d.changed {
+		all = append(all, id)
+	}
+	return all
+}
+
+// list is one agent's list service.
+type list struct {
+	agent int
+	dir   *directory
+	rec   *Recorder
+
+	mu      sync.Mutex
+	server  *http.Server
+	addrs   []string // it listens at each: an agent may be told to go from one to another
+	trouble ListTrouble
+	turned  chan struct{} // closed when the trouble changes
+}
+
+func newList(agent int, dir *directory, rec *Recorder) (*list, error) {
+	l := &list{agent: agent, dir: dir, rec: rec, turned: make(chan struct{})}
+	l.server = &http.Server{Handler: l, ReadHeaderTimeout: 10 * time.Second}
+	for range listAddrs {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("list of agent %d: %w", agent, err)
+		}
+		l.addrs = append(l.addrs, ln.Addr().String())
+		go func() { _ = l.server.Serve(ln) }()
+	}
+	return l, nil
+}
+
+const listAddrs = 2
+
+// behave has it do something else from now on.
+func (l *list) behave(t ListTrouble) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.trouble = t
+	close(l.turned)
+	l.turned = make(chan struct{})
+}
+
+func (l *list) now() (ListTrouble, chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.trouble, l.turned
+}
+
+func (l *list) close() { _ = l.server.Close() }
+
+func (l *list) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	out := http.NewResponseController(w)
+	trouble, _ := l.now()
+	switch trouble {
+	case ListDown:
+		l.reset(w)
+		return
+	case ListBusy:
+		time.Sleep(listWait)
+		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+		return
+	case ListSlow:
+		time.Sleep(listWait)
+	}
+	version, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	for first := true; ; first = false {
+		m, entries, bump := l.dir.since(version)
+		trouble, turned := l.now()
+		switch trouble {
+		case ListDown:
+			l.reset(w)
+			return
+		case ListSilent:
+			if !first {
+				select {
+				case <-turned:
+				case <-r.Context().Done():
+					return
+				}
+				continue
+			}
+		case ListSlow:
+			time.Sleep(listWait)
+		}
+		if first || len(m.Servers) > 0 {
+			raw, err := json.Marshal(m)
+			if err != nil {
+				return
+			}
+			if trouble == ListCuts && !first {
+				_, _ = w.Write(raw[:len(raw)/2])
+				_ = out.Flush()
+				l.reset(w)
+				return
+			}
+			if _, err := w.Write(append(raw, '\n')); err != nil || out.Flush() != nil {
+				return
+			}
+			l.told(m, entries)
+			version = m.Version
+		} else if _, err := w.Write([]byte("\n")); err != nil || out.Flush() != nil {
+			return
+		}
+		if r.URL.Query().Get("follow") == "" {
+			return
+		}
+		beat := time.NewTimer(heartbeat)
+		select {
+		case <-bump:
+		case <-beat.C:
+		case <-turned:
+		case <-r.Context().Done():
+			beat.Stop()
+			return
+		}
+		beat.Stop()
+	}
+}
+
+// reset ends a call without a word.
+func (l *list) reset(w http.ResponseWriter) {
+	if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		abort(c)
+	}
+}
+
+// told records what was written. What a whole list does not name is gone.
+func (l *list) told(m catalog.Members, entries map[string]entry) {
+	named := map[string]bool{}
+	for _, s := range m.Servers {
+		named[s.ID] = true
+		e := entries[s.ID]
+		l.rec.Put(Event{Kind: StateTold, Agent: l.agent, Server: s.ID, State: s.State, Process: e.process, Began: e.began})
+	}
+	if !m.Full {
+		return
+	}
+	for _, id := range l.dir.ids() {
+		if !named[id] {
+			l.rec.Put(Event{Kind: StateTold, Agent: l.agent, Server: id, State: Gone})
+		}
+	}
+}
--- /dev/null
+++ b/internal/drill/soak/plan.go
@@ -0,0 +1,160 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// What says what kind of trouble one is.
+type What string
+
+// Kinds of trouble. Those of processes hold for one that is drawn, those of servers and lists for some, those of clients for
+// all of some agents.
+const (
+	AgentTerm   What = "agent-term"   // SIGTERM, and a new process
+	AgentKill   What = "agent-kill"   // SIGKILL, and a new process
+	AgentReload What = "agent-reload" // SIGHUPs in a row
+	AgentHold   What = "agent-hold"   // SIGSTOP for up to 0.15 s, again and again
+	DaemonHand  What = "daemon-handover"
+
+	ServersMisbehave What = "servers"
+	ServersCrash     What = "servers-crash"  // and come back at another address, cold
+	ServersDrain     What = "servers-drain"  // by the list, and come back later
+	ServersRejoin    What = "servers-rejoin" // are gone by the list, and come back with a new process
+	ListTroubled     What = "list"
+	ClientsTroubled  What = "clients"
+)
+
+// Trouble is one trouble of a play.
+type Trouble struct {
+	What  What          `json:"what"`
+	At    time.Duration `json:"at"`
+	For   time.Duration `json:"for"`
+	Picks []int         `json:"picks"` // the agents or servers that have it
+	Way   int           `json:"way"`   // Misbehaviour, ListTrouble or ClientTrouble
+}
+
+func (t Trouble) String() string {
+	return fmt.Sprintf("%s way %d at %.1f s for %.1f s: %v", t.What, t.Way, t.At.Seconds(), t.For.Seconds(), t.Picks)
+}
+
+// Plan is a play as its seed draws it.
+type Plan struct {
+	Seed     uint64        `json:"seed"`
+	Agents   int           `json:"agents"`  // processes of run
+	Daemons  int           `json:"daemons"` // of serve
+	Servers  int           `json:"servers"`
+	Length   time.Duration `json:"length"`
+	Faults   []string      `json:"faults"` // of all processes: the environment of a build with faults
+	Troubles []Trouble     `json:"troubles"`
+}
+
+func (p Plan) String() string {
+	lines := []string{fmt.Sprintf("seed %d: %d agents, %d daemons, %d servers, %v", p.Seed, p.Agents, p.Daemons, p.Servers, p.Length), "  faults: " + strings.Join(p.Faults, " ")}
+	for _, t := range p.Troubles {
+		lines = append(lines, "  "+t.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Size is how large plays are.
+type Size struct {
+	Agents, Daemons, Servers int
+	Length                   time.Duration
+}
+
+// processFaults are sets of faults, of which a play has one or two, or none.
+var processFaults = [][]string{
+	nil, nil,
+	{"VETCHHAVEN_FAULT_WRITE_HOLD=30", "VETCHHAVEN_FAULT_WRITE_HOLD_MS=150"},
+	{"VETCHHAVEN_FAULT_CLOCK_S=-3600"},
+	{"VETCHHAVEN_FAULT_CLOCK_S=3600"},
+	{"VETCHHAVEN_FAULT_CLOCK_STEP_S=-3600", "VETCHHAVEN_FAULT_CLOCK_AFTER_S=3"},
+	{"VETCHHAVEN_FAULT_CLOCK_STEP_S=7", "VETCHHAVEN_FAULT_CLOCK_AFTER_S=4"},
+	{"VETCHHAVEN_FAULT_ACCEPT=10"},
+	{"VETCHHAVEN_FAULT_CONNECT=20"},
+	{"VETCHHAVEN_FAULT_SHORT=4"},
+	{"VETCHHAVEN_FAULT_RESET_ERRNO=110"},
+	{"VETCHHAVEN_FAULT_RESET_ERRNO=113"},
+	{"VETCHHAVEN_FAULT_DISK_FROM_MS=1000", "VETCHHAVEN_FAULT_DISK_TO_MS=6000"},
+}
+
+// Draw is the plan of a seed: moments at which two or three troubles begin, which last into the next one.
+func Draw(seed uint64, size Size) Plan {
+	rng := rand.New(rand.NewPCG(seed, 0x736f616b))
+	p := Plan{Seed: seed, Agents: size.Agents, Daemons: size.Daemons, Servers: size.Servers, Length: size.Length}
+	for range 1 + rng.IntN(2) {
+		p.Faults = append(p.Faults, processFaults[rng.IntN(len(processFaults))]...)
+	}
+	p.Faults = append(p.Faults, fmt.Sprintf("VETCHHAVEN_FAULT_SEED=%d", rng.Uint32()))
+	last := size.Length - size.Length/4
+	for at := time.Duration(0.5 * float64(time.Second)); at < last; at += time.Duration((1.5 + 1.5*rng.Float64()) * float64(time.Second)) {
+		for range 2 + rng.IntN(2) {
+			t := drawTrouble(rng, size)
+			t.At = at + time.Duration(rng.Float64()*0.6*float64(time.Second))
+			p.Troubles = append(p.Troubles, t)
+		}
+	}
+	slices.SortStableFunc(p.Troubles, func(a, b Trouble) int { return int(a.At - b.At) })
+	return p.WithFaults(p.Faults)
+}
+
+// WithFaults is the plan with these faults of its processes. A process is held up for 0.15 s by one means alone: what the
+// rules allow for is one hold between a look and its act.
+func (p Plan) WithFaults(faults []string) Plan {
+	p.Faults = faults
+	if p.holdsWrites() {
+		p.Troubles = slices.DeleteFunc(slices.Clone(p.Troubles), func(t Trouble) bool { return t.What == AgentHold })
+	}
+	return p
+}
+
+// holdsWrites reports whether writes of its processes are held up.
+func (p Plan) holdsWrites() bool {
+	return slices.ContainsFunc(p.Faults, func(f string) bool { return strings.HasPrefix(f, "VETCHHAVEN_FAULT_WRITE_HOLD_MS") })
+}
+
+func drawTrouble(rng *rand.Rand, size Size) Trouble {
+	span := func(least, most float64) time.Duration {
+		return time.Duration((least + (most-least)*rng.Float64()) * float64(time.Second))
+	}
+	agents := func(most int) []int { return pick(rng, size.Agents+size.Daemons, 1+rng.IntN(max(1, most))) }
+	servers := func() []int { return pick(rng, size.Servers, 1+rng.IntN(max(1, size.Servers/4))) }
+	switch rng.IntN(16) {
+	case 0, 1, 2:
+		return Trouble{What: AgentTerm, For: span(0, 0.5), Picks: agents((size.Agents + size.Daemons) / 4)}
+	case 3:
+		return Trouble{What: AgentKill, For: span(0, 0.5), Picks: agents(2)}
+	case 4:
+		return Trouble{What: AgentReload, For: span(0.2, 1.5), Picks: agents(3)}
+	case 5:
+		return Trouble{What: AgentHold, For: span(0.5, 2), Picks: agents(2)}
+	case 6:
+		if size.Daemons > 0 {
+			return Trouble{What: DaemonHand, Picks: []int{size.Agents + rng.IntN(size.Daemons)}}
+		}
+		return Trouble{What: AgentReload, For: span(0.2, 1.5), Picks: agents(3)}
+	case 7:
+		return Trouble{What: ServersCrash, For: span(0.2, 2), Picks: servers()}
+	case 8:
+		return Trouble{What: ServersDrain, For: span(1, 4), Picks: servers()}
+	case 9:
+		return Trouble{What: ServersRejoin, For: span(0.3, 1.5), Picks: servers()}
+	case 10, 11:
+		return Trouble{What: ServersMisbehave, For: span(0.5, 3), Picks: servers(), Way: 1 + rng.IntN(int(Silent))}
+	case 12, 13:
+		return Trouble{What: ListTroubled, For: span(0.5, 5), Picks: pick(rng, size.Agents+size.Daemons, size.Agents+size.Daemons), Way: 1 + rng.IntN(int(ListCuts))}
+	default:
+		return Trouble{What: ClientsTroubled, For: span(1, 4), Picks: agents(size.Agents + size.Daemons), Way: 1 + rng.IntN(int(ClientsDribble))}
+	}
+}
+
+func pick(rng *rand.Rand, from, count int) []int {
+	all := rng.Perm(from)
+	all = all[:min(count, from)]
+	slices.Sort(all)
+	return all
+}
--- /dev/null
+++ b/internal/drill/soak/play.go
@@ -0,0 +1,282 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"vetchhaven/internal/source/catalog"
+)
+
+// Of a play's servers and clients.
+const (
+	workers         = 4
+	service         = 60 * time.Millisecond
+	clientsEach     = 3
+	clientPause     = 120 * time.Millisecond
+	cellsOfServers  = 2
+	measurementSlip = 60 * time.Millisecond // by which times that are recorded on a busy machine may be off
+)
+
+// stage is what a play runs on.
+type stage struct {
+	plan    Plan
+	rec     *Recorder
+	dir     *directory
+	servers []*server
+	agents  []*agentProcess
+	files   string
+	release []func()
+
+	mu     sync.Mutex
+	failed error
+	busy   map[int]bool // agents of which one trouble has the process
+}
+
+// Play runs a plan's processes under its troubles, with the built program and files in a directory of the play's own. It
+// returns the history and the rules to check it by.
+func Play(ctx context.Context, p Plan, program, files string) (history []Event, rules Rules, err error) {
+	// A successor of a daemon that hands over is its child: it comes to this process when that one ends.
+	if err := unix.Prctl(unix.PR_SET_CHILD_SUBREAPER, 1, 0, 0, 0); err != nil {
+		return nil, rules, fmt.Errorf("soak: %w", err)
+	}
+	s := &stage{plan: p, rec: NewRecorder(), dir: newDirectory(), files: files, busy: map[int]bool{}}
+	defer s.close()
+	if err := s.build(program); err != nil {
+		return nil, rules, err
+	}
+	if err := s.startAll(ctx); err != nil {
+		return nil, rules, err
+	}
+	asking, stop := context.WithTimeout(ctx, p.Length)
+	defer stop()
+	var running sync.WaitGroup
+	for _, a := range s.agents {
+		running.Go(func() { a.clients.run(asking, clientsEach, p.Seed<<8+uint64(a.n)) })
+	}
+	begin := s.rec.Now()
+	for _, t := range p.Troubles {
+		running.Go(func() {
+			select {
+			case <-time.After(begin + t.At - s.rec.Now()):
+				s.trouble(ctx, t)
+			case <-asking.Done():
+			}
+		})
+	}
+	running.Wait()
+	for _, a := range s.agents {
+		running.Go(a.terminate)
+	}
+	running.Wait()
+	for _, a := range s.agents {
+		if err := a.readLog(); err != nil {
+			return nil, rules, err
+		}
+	}
+	return s.rec.History(), s.rules(), s.failed
+}
+
+func (s *stage) rules() Rules {
+	r := Rules{Slack: measurementSlip, LateMost: 500 * time.Millisecond, LeftMost: 100 * time.Millisecond, StallMost: 3 * time.Second, StopMost: stopMost,
+		ReadyMost: readyMost, DrainGrace: drainGrace, DeadlineOver: 150 * time.Millisecond, Zones: map[string]string{},
+		Classes:   map[string]ClassRules{"get": {}, "put": {Effect: Keyed, Window: keyedWindow}, "pin": {Effect: Keyed, Window: keyedWindow, Zone: true}, "pay": {Effect: Once}},
+		ColdShare: coldShare, RampTime: rampTime, FallMultiple: fallMultiple, FallWindow: fallWindow, Capacity: workers / service.Seconds()}
+	if s.plan.holdsWrites() {
+		r.HoldUp = 150 * time.Millisecond
+	}
+	for _, x := range s.servers {
+		r.Zones[x.id] = x.zone
+	}
+	return r
+}
+
+func (s *stage) build(program string) error {
+	for n := range s.plan.Servers {
+		x, err := newServer(fmt.Sprintf("s%d", n), []string{"a", "b"}[n%2], n%cellsOfServers, workers, service, s.rec, s.plan.Seed<<8+uint64(n))
+		if err != nil {
+			return err
+		}
+		s.servers = append(s.servers, x)
+		s.list(x, Ready)
+	}
+	for n := range s.plan.Agents + s.plan.Daemons {
+		addr, release, err := reservePort()
+		if err != nil {
+			return err
+		}
+		s.release = append(s.release, release)
+		l, err := newList(n, s.dir, s.rec)
+		if err != nil {
+			return err
+		}
+		a := &agentProcess{n: n, serve: n >= s.plan.Agents, pushed: n%2 == 1, program: program, dir: filepath.Join(s.files, fmt.Sprintf("n%d", n)),
+			listen: addr, env: s.plan.Faults, rec: s.rec, list: l, dirs: s.dir, clients: &clients{agent: n, addr: addr, rec: s.rec, pause: clientPause}}
+		s.agents = append(s.agents, a)
+		if err := os.MkdirAll(a.dir, 0o700); err != nil {
+			return err
+		}
+		if err := a.configure(s.plan.Agents+s.plan.Daemons, s.dir.known()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *stage) startAll(ctx context.Context) error {
+	var all sync.WaitGroup
+	for _, a := range s.agents {
+		all.Go(func() { s.fail(a.start(ctx)) })
+	}
+	all.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
+func (s *stage) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil && s.failed == nil {
+		s.failed = err
+	}
+}
+
+// list tells all agents a server's state.
+func (s *stage) list(x *server, state string) {
+	addr, process, started := x.member()
+	e := entry{Member: catalog.Member{ID: x.id, Addr: addr, Zone: x.zone, Kind: "k", Cell: x.cell, State: state, Weight: 1}, process: process}
+	if !started.IsZero() {
+		e.Started, e.began = started.UnixMilli(), started.Sub(s.rec.base)
+	} else {
+		e.process = 0 // long ago: warm
+	}
+	s.dir.set(e)
+}
+
+// take books an agent's process for one trouble.
+func (s *stage) take(n int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.busy[n] {
+		return false
+	}
+	s.busy[n] = true
+	return true
+}
+
+func (s *stage) give(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy[n] = false
+}
+
+// trouble brings one about, and returns when it is over.
+func (s *stage) trouble(ctx context.Context, t Trouble) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	for _, n := range t.Picks {
+		all.Go(func() {
+			switch t.What {
+			case AgentTerm, AgentKill, AgentReload, AgentHold, DaemonHand:
+				if !s.take(n) {
+					return
+				}
+				defer s.give(n)
+				s.troubleAgent(ctx, t, s.agents[n])
+			case ServersMisbehave, ServersCrash, ServersDrain, ServersRejoin:
+				s.troubleServer(t, s.servers[n])
+			case ListTroubled:
+				s.agents[n].list.behave(ListTrouble(t.Way))
+				time.Sleep(t.For)
+				s.agents[n].list.behave(ListServes)
+			case ClientsTroubled:
+				s.agents[n].clients.trouble.Store(int32(t.Way))
+				time.Sleep(t.For)
+				s.agents[n].clients.trouble.Store(int32(ClientsBehave))
+			}
+		})
+	}
+}
+
+func (s *stage) troubleAgent(ctx context.Context, t Trouble, a *agentProcess) {
+	switch t.What {
+	case AgentTerm:
+		a.terminate()
+		time.Sleep(t.For)
+		s.fail(a.start(ctx))
+	case AgentKill:
+		a.kill()
+		time.Sleep(t.For)
+		s.fail(a.start(ctx))
+	case AgentReload:
+		for end := s.rec.Now() + t.For; s.rec.Now() < end; time.Sleep(100 * time.Millisecond) {
+			if !a.serve {
+				a.at++
+				s.fail(a.configure(s.plan.Agents+s.plan.Daemons, s.dir.known()))
+			}
+			a.signal(syscall.SIGHUP)
+		}
+	case AgentHold:
+		for end := s.rec.Now() + t.For; s.rec.Now() < end; time.Sleep(200 * time.Millisecond) {
+			a.hold(150 * time.Millisecond)
+		}
+	case DaemonHand:
+		s.fail(a.handOver(ctx))
+	}
+}
+
+func (s *stage) troubleServer(t Trouble, x *server) {
+	switch t.What {
+	case ServersMisbehave:
+		x.behave(Misbehaviour(t.Way))
+		time.Sleep(t.For)
+		x.behave(Behaves)
+	case ServersCrash: // the list hears of it when it is back
+		if !x.take() {
+			return
+		}
+		defer x.give()
+		x.crash()
+		time.Sleep(t.For)
+		s.fail(x.start(time.Now()))
+		s.list(x, Ready)
+	case ServersDrain:
+		if !x.take() {
+			return
+		}
+		defer x.give()
+		s.list(x, Draining)
+		time.Sleep(t.For)
+		s.list(x, Ready)
+	case ServersRejoin:
+		if !x.take() {
+			return
+		}
+		defer x.give()
+		s.list(x, Gone)
+		x.crash()
+		time.Sleep(t.For)
+		s.fail(x.start(time.Now()))
+		s.list(x, Ready)
+	}
+}
+
+func (s *stage) close() {
+	for _, a := range s.agents {
+		a.signal(syscall.SIGKILL)
+		a.list.close()
+	}
+	for _, x := range s.servers {
+		x.close()
+	}
+	for _, f := range s.release {
+		f()
+	}
+}
--- /dev/null
+++ b/internal/drill/soak/process.go
@@ -0,0 +1,358 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"vetchhaven/internal/source/catalog"
+)
+
+// agentProcess is an agent of `run`, or a daemon of `serve` with one instance, and the processes that it is one after the
+// other.
+type agentProcess struct {
+	n       int
+	serve   bool
+	pushed  bool // its list is pushed; else it asks
+	program string
+	dir     string
+	listen  string
+	env     []string
+	rec     *Recorder
+	clients *clients
+	list    *list
+	dirs    *directory
+
+	mu      sync.Mutex
+	exited  chan struct{}
+	process int
+	pid     int
+	at      int // the list's address that its configuration names
+	config  string
+}
+
+// deadline is the longest of all classes; a process has that and a little more to stop.
+const deadline = 1000 * time.Millisecond
+
+// Of the settings that agents are told.
+const (
+	drainGrace     = 800 * time.Millisecond
+	keyedWindow    = 900 * time.Millisecond
+	connectTimeout = 250 * time.Millisecond
+	idleClose      = 3 * time.Second
+	coldShare      = 0.3
+	rampTime       = 3 * time.Second
+	fallMultiple   = 2.5
+	fallWindow     = time.Second
+)
+
+const settings = `{
+ "Balancers": %d, "Me": %d, "Zone": %d, "Dcs": ["a", "b"], "Kinds": ["k"], "MembershipMode": %q,
+ "TickMs": 5, "CountedBy": "request",
+ "Profiles": [
+  {"Name": "get", "AimMs": 300, "DeadlineMs": %[5]d, "Worth": 1, "LateValue": 0.3, "Semantics": "repeatable"},
+  {"Name": "put", "AimMs": 300, "DeadlineMs": %[5]d, "Worth": 3, "LateValue": 0.3, "Semantics": "by_key", "Group": "all", "WindowMs": %[6]d},
+  {"Name": "pin", "AimMs": 300, "DeadlineMs": %[5]d, "Worth": 3, "LateValue": 0.3, "Semantics": "by_key", "Group": "zone", "WindowMs": %[6]d},
+  {"Name": "pay", "AimMs": 300, "DeadlineMs": %[5]d, "Worth": 5, "LateValue": 0.3, "Semantics": "once"}],
+ "PolicyLimits": {"TryLimit": 3, "ConnectTimeoutMs": %[7]d, "IdleCloseMs": %[8]d, "MaxOpen": 300,
+  "RetryAfter": true, "MaxRetryAfterMs": 1500, "MayProbe": true, "Cancel": true, "SecondCopies": true},
+ "Contract": {"AskWithinMs": 3000, "DrainGraceMs": %[9]d, "GraceToAnswerMs": 20, "ColdFrom": %[10]g, "RampTimeMs": %[11]d, "FallMultiple": %[12]g, "FallMs": %[13]d},
+ "Goal": {"Whole": 1}, "Report": {"Source": "off"}}`
+
+const fleetFile = `admin = "unix:%s"
+state_dir = %q
+[[source]]
+name = "list"
+list = %q
+spread = "50ms"
+first = "50ms"
+[site]
+zones = ["a", "b"]
+kinds = ["k"]
+[rules]
+balancers = %d
+max_attempts = 3
+second_copies = true
+connect_timeout = %q
+idle_close = %q
+drain_grace = %q
+cold_share = %g
+ramp_time = %q
+fall_multiple = %g
+fall_window = %q
+`
+
+const fleetClass = `[[class]]
+name = %q
+repeats = %q
+aim = "300ms"
+deadline = %q
+worth = 1.0
+late = 0.3
+`
+
+// configure writes its configuration.
+func (a *agentProcess) configure(agents int, known catalog.Members) error {
+	if a.serve {
+		return a.configureServe(agents)
+	}
+	mode := "subscribe"
+	if a.pushed {
+		mode = "automatic"
+	}
+	raw, err := json.Marshal(map[string]any{
+		"name": fmt.Sprintf("n%d", a.n), "listen": a.listen, "discovery": a.list.addrs[a.at%listAddrs], "seed": fmt.Sprintf("%016x", a.n+1),
+		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 512}, "known": known,
+		"settings": json.RawMessage(fmt.Sprintf(settings, agents, a.n, a.n%2, mode, deadline.Milliseconds(), keyedWindow.Milliseconds(),
+			connectTimeout.Milliseconds(), idleClose.Milliseconds(), drainGrace.Milliseconds(), coldShare, rampTime.Milliseconds(), fallMultiple,
+			fallWindow.Milliseconds())),
+	})
+	if err != nil {
+		return err
+	}
+	a.config = filepath.Join(a.dir, "config.json")
+	return os.WriteFile(a.config, raw, 0o600)
+}
+
+func (a *agentProcess) configureServe(agents int) error {
+	text := fmt.Sprintf(fleetFile, filepath.Join(a.dir, "admin"), filepath.Join(a.dir, "state"), a.list.addrs[0], agents, connectTimeout, idleClose,
+		drainGrace, coldShare, rampTime, fallMultiple, fallWindow)
+	for _, k := range []struct{ name, repeats, more string }{{"get", "safe", ""},
+		{"put", "keyed", fmt.Sprintf("group = \"all\"\nwindow = %q\n", keyedWindow)},
+		{"pin", "keyed", fmt.Sprintf("group = \"zone\"\nwindow = %q\n", keyedWindow)}, {"pay", "unsafe", ""}} {
+		text += fmt.Sprintf(fleetClass, k.name, k.repeats, deadline) + k.more
+	}
+	text += fmt.Sprintf("[[instance]]\nname = \"n%d\"\nlisten = %q\nzone = %q\n", a.n, a.listen, []string{"a", "b"}[a.n%2])
+	a.config = filepath.Join(a.dir, "fleet.toml")
+	return os.WriteFile(a.config, []byte(text), 0o600)
+}
+
+// start begins a process, and returns once it takes clients.
+func (a *agentProcess) start(ctx context.Context) error {
+	a.mu.Lock()
+	cmd := exec.Command(a.program, "run")
+	if a.serve {
+		cmd = exec.Command(a.program, "serve", "--config", a.config)
+	}
+	cmd.Env = append(append(os.Environ(), a.env...), "PROXY_CONFIG="+a.config, "PROXY_NAME=", "PROXY_LISTEN=", "PROXY_DISCOVERY=")
+	log, err := os.OpenFile(a.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err == nil {
+		cmd.Stderr = log
+		err = cmd.Start()
+		_ = log.Close()
+	}
+	if err != nil {
+		a.mu.Unlock()
+		return fmt.Errorf("agent %d: %w", a.n, err)
+	}
+	exited := a.begin(cmd.Process.Pid)
+	a.mu.Unlock()
+	return a.awaitReady(ctx, exited)
+}
+
+func (a *agentProcess) logPath() string { return filepath.Join(a.dir, "log") }
+
+// begin takes a process for the present one. The lock is held.
+func (a *agentProcess) begin(pid int) (exited chan struct{}) {
+	a.process++
+	a.pid, a.exited = pid, make(chan struct{})
+	exited = a.exited
+	process := a.process
+	a.rec.Put(Event{Kind: ProcessStarted, Agent: a.n, Process: process})
+	go func() {
+		a.rec.Put(Event{Kind: ProcessExited, Agent: a.n, Process: process, Status: await(pid)})
+		close(exited)
+	}()
+	return exited
+}
+
+// await returns a process's exit status once it has ended, -1 for an end by a signal. A successor is not this process's
+// child before its parent has ended; of one that ended before it, the status is not known, and counts as 0.
+func await(pid int) int {
+	for {
+		var status syscall.WaitStatus
+		switch _, err := syscall.Wait4(pid, &status, 0, nil); {
+		case err == nil && status.Exited():
+			return status.ExitStatus()
+		case err == nil && status.Signaled():
+			return -1
+		case errors.Is(err, syscall.ECHILD) && syscall.Kill(pid, 0) != nil:
+			return 0 // it ended before its parent, which alone knows how
+		case errors.Is(err, syscall.ECHILD):
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// present is the number of the present process.
+func (a *agentProcess) present() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.process
+}
+
+// handOver has a daemon hand over to a successor, which is the present process from then on.
+func (a *agentProcess) handOver(ctx context.Context) error {
+	a.mu.Lock()
+	old := a.pid
+	a.mu.Unlock()
+	a.rec.Put(Event{Kind: ProcessHandedOver, Agent: a.n, Process: a.present()})
+	a.signal(syscall.SIGUSR2)
+	for end := time.Now().Add(readyMost); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+		text, err := os.ReadFile(a.logPath())
+		if err != nil {
+			return err
+		}
+		all := readyLine.FindAllSubmatch(text, -1)
+		if len(all) == 0 {
+			continue
+		}
+		pid, err := strconv.Atoi(string(all[len(all)-1][1]))
+		if err != nil || pid == old {
+			continue
+		}
+		a.mu.Lock()
+		a.begin(pid)
+		a.mu.Unlock()
+		a.rec.Put(Event{Kind: ProcessReady, Agent: a.n, Process: a.present()})
+		return nil
+	}
+	if strings.Contains(strings.Join(a.env, " "), "FAULT_DISK") { // no room for what the successor has to know: the old one goes on
+		return nil
+	}
+	return fmt.Errorf("agent %d has not handed over after %v", a.n, readyMost)
+}
+
+var readyLine = regexp.MustCompile(`msg=ready .*pid=([0-9]+)`)
+
+// readyMost is how long a process may take to be ready.
+const readyMost = 10 * time.Second
+
+func (a *agentProcess) awaitReady(ctx context.Context, exited chan struct{}) error {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(2 * readyMost); time.Now().Before(end); {
+		resp, err := client.Get("http://" + a.listen + "/_health")
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				a.rec.Put(Event{Kind: ProcessReady, Agent: a.n, Process: a.present()})
+				a.clients.open.Store(true)
+				return nil
+			}
+		}
+		select {
+		case <-exited:
+			return fmt.Errorf("agent %d ended before it was ready", a.n)
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	a.rec.Put(Event{Kind: ProcessReady, Agent: a.n, Process: a.present(), Note: "never"})
+	return fmt.Errorf("agent %d is not ready after %v", a.n, 2*readyMost)
+}
+
+// readLog records the violations that the guards of its processes counted.
+func (a *agentProcess) readLog() error {
+	text, err := os.ReadFile(a.logPath())
+	if err != nil {
+		return err
+	}
+	for line := range strings.Lines(string(text)) {
+		if strings.Contains(line, "invariant violated") || strings.Contains(line, "panic") {
+			a.rec.Put(Event{Kind: InvariantLogged, Agent: a.n, Note: strings.TrimSpace(line)})
+		}
+	}
+	return nil
+}
+
+func (a *agentProcess) signal(s syscall.Signal) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.pid != 0 {
+		_ = syscall.Kill(a.pid, s) // one that has ended needs none
+	}
+}
+
+// lateConnections is for how long clients still connect after SIGTERM, and stopMost when the platform kills.
+const (
+	lateConnections = 400 * time.Millisecond
+	stopMost        = deadline + 700*time.Millisecond
+)
+
+// terminate has the present process end, and kills it where it does not.
+func (a *agentProcess) terminate() {
+	a.rec.Put(Event{Kind: ProcessTerminated, Agent: a.n, Process: a.present()})
+	a.signal(syscall.SIGTERM)
+	late := time.AfterFunc(lateConnections, func() { a.clients.open.Store(false) })
+	defer late.Stop()
+	a.mu.Lock()
+	exited := a.exited
+	a.mu.Unlock()
+	select {
+	case <-exited:
+	case <-time.After(stopMost):
+		a.rec.Put(Event{Kind: ProcessKilled, Agent: a.n, Process: a.present()})
+		a.signal(syscall.SIGKILL)
+		<-exited
+	}
+	a.clients.open.Store(false)
+}
+
+// kill ends the present process at once.
+func (a *agentProcess) kill() {
+	a.rec.Put(Event{Kind: ProcessKilled, Agent: a.n, Process: a.present()})
+	a.signal(syscall.SIGKILL)
+	a.mu.Lock()
+	exited := a.exited
+	a.mu.Unlock()
+	<-exited
+	a.clients.open.Store(false)
+}
+
+// hold stops the present process for a moment, as a machine that does not run it.
+func (a *agentProcess) hold(d time.Duration) {
+	a.rec.Put(Event{Kind: ProcessHeld, Agent: a.n, Left: d})
+	a.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	a.signal(syscall.SIGCONT)
+}
+
+// reservePort holds a port that nobody else gets, and at which a process may listen.
+func reservePort() (addr string, release func(), err error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return "", nil, err
+	}
+	fail := func(err error) (string, func(), error) {
+		_ = syscall.Close(fd)
+		return "", nil, err
+	}
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return fail(err)
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return fail(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		return fail(err)
+	}
+	in, ok := at.(*syscall.SockaddrInet4)
+	if !ok {
+		return fail(errors.New("no IPv4 address"))
+	}
+	return net.JoinHostPort("127.0.0.1", fmt.Sprint(in.Port)), func() { _ = syscall.Close(fd) }, nil
+}
--- /dev/null
+++ b/internal/drill/soak/server.go
@@ -0,0 +1,301 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Misbehaviour is what a server does with the requests that come.
+type Misbehaviour int
+
+// The ways of servers.
+const (
+	Behaves    Misbehaviour = iota
+	Hangs                   // takes requests and answers none
+	Resets                  // resets connections under requests that have begun
+	Errs                    // 500, or 503 with word that nothing ran
+	Spoils                  // sends more behind an answer, at once or some milliseconds later
+	ClosesIdle              // closes or resets connections soon after an answer, and forgets them without a word
+	Drips                   // sends answers in small pieces, some of them never to the end
+	Silent                  // reads nothing, as a machine that has vanished
+)
+
+// server is a stand-in server. Its process may end and start anew at another address.
+type server struct {
+	id, zone string
+	cell     int
+	rec      *Recorder
+	workers  chan struct{}
+	service  time.Duration // in the mean
+
+	mu      sync.Mutex
+	ln      net.Listener
+	process int
+	started time.Time // of its process; zero: long ago
+	conns   map[net.Conn]bool
+	ways    Misbehaviour
+	silence chan struct{} // closed when Silent ends
+	rng     *rand.Rand
+	running sync.WaitGroup
+	taken   bool // its process is one trouble's
+}
+
+// take books its process for one trouble.
+func (s *server) take() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.taken {
+		return false
+	}
+	s.taken = true
+	return true
+}
+
+func (s *server) give() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.taken = false
+}
+
+func newServer(id, zone string, cell, workers int, service time.Duration, rec *Recorder, seed uint64) (*server, error) {
+	s := &server{id: id, zone: zone, cell: cell, rec: rec, workers: make(chan struct{}, workers), service: service, conns: map[net.Conn]bool{},
+		rng: rand.New(rand.NewPCG(seed, 11)), silence: make(chan struct{})}
+	return s, s.start(time.Time{})
+}
+
+// start begins a process of it.
+func (s *server) start(at time.Time) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("server %s: %w", s.id, err)
+	}
+	s.mu.Lock()
+	s.ln, s.started = ln, at
+	s.process++
+	process := s.process
+	s.mu.Unlock()
+	s.running.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns[c] = true
+			s.mu.Unlock()
+			s.running.Go(func() { s.serve(c, process) })
+		}
+	})
+	return nil
+}
+
+// crash ends its process: connections are reset, new ones refused.
+func (s *server) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.ln.Close()
+	for c := range s.conns {
+		abort(c)
+	}
+}
+
+func abort(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// behave has it do something else from now on.
+func (s *server) behave(way Misbehaviour) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ways == Silent && way != Silent { // the machine is back: what it knew nothing of is reset
+		close(s.silence)
+		s.silence = make(chan struct{})
+		for c := range s.conns {
+			abort(c)
+		}
+	}
+	s.ways = way
+}
+
+func (s *server) way() (Misbehaviour, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ways, s.silence
+}
+
+// chance draws by the server's seed.
+func (s *server) chance(p float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Float64() < p
+}
+
+func (s *server) between(least, most time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return least + time.Duration(s.rng.Float64()*float64(most-least))
+}
+
+func (s *server) member() (addr string, process int, started time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ln.Addr().String(), s.process, s.started
+}
+
+func (s *server) serve(c net.Conn, process int) {
+	defer func() {
+		_ = c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	in := bufio.NewReader(c)
+	for {
+		if way, over := s.way(); way == Silent {
+			<-over
+			return
+		}
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		began := s.rec.Now()
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if way, over := s.way(); way == Silent {
+			<-over
+			return
+		}
+		if !s.answer(c, in, req, process, began) {
+			return
+		}
+	}
+}
+
+// answer handles one request. It reports whether the connection goes on.
+func (s *server) answer(c net.Conn, in *bufio.Reader, req *http.Request, process int, began time.Duration) bool {
+	if req.URL.Path == "/ping" || req.URL.Path == "/_load" {
+		return write(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+	way, _ := s.way()
+	id := req.Header.Get("X-Trace-Id")
+	left, _ := strconv.ParseFloat(req.Header.Get("X-Expires-In"), 64)
+	neverRan := way == Errs && s.chance(0.5)
+	arrived := Event{Kind: RequestArrived, Request: id, Server: s.id, Process: process, Began: began, Left: time.Duration(left * float64(time.Second)),
+		Class: strings.SplitN(strings.TrimPrefix(req.URL.Path, "/"), "/", 2)[0], Ran: !neverRan}
+	select {
+	case s.workers <- struct{}{}:
+		defer func() { <-s.workers }()
+	default:
+		if len(s.workers) == cap(s.workers) && !s.queue() {
+			arrived.Ran = false
+			s.rec.Put(arrived)
+			return write(c, "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+		defer func() { <-s.workers }()
+	}
+	s.rec.Put(arrived)
+	defer s.rec.Put(Event{Kind: RequestDone, Request: id, Server: s.id, Process: process})
+	switch way {
+	case Hangs:
+		_, _ = in.Peek(1) // until the agent gives up
+		return false
+	case Resets:
+		time.Sleep(s.between(0, s.service))
+		if s.chance(0.5) {
+			abort(c)
+			return false
+		}
+	case Errs:
+		if neverRan {
+			return write(c, "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+		return write(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+	}
+	time.Sleep(s.between(s.service/4, s.service*7/4))
+	return s.served(c, way, id)
+}
+
+// queueMost is how long a request waits for a worker.
+const queueMost = 100 * time.Millisecond
+
+func (s *server) queue() bool {
+	limit := time.NewTimer(queueMost)
+	defer limit.Stop()
+	select {
+	case s.workers <- struct{}{}:
+		return true
+	case <-limit.C:
+		return false
+	}
+}
+
+// served writes an answer, in one of the framings that the protocol allows.
+func (s *server) served(c net.Conn, way Misbehaviour, id string) bool {
+	body := bodyOf(id) + strings.Repeat("x", int(s.between(0, 2000)))
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	goesOn := true
+	switch {
+	case s.chance(0.15):
+		text = fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	case s.chance(0.05):
+		text, goesOn = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+body, false
+	}
+	switch way {
+	case Drips:
+		for len(text) > 0 {
+			n := min(len(text), 400)
+			if !write(c, text[:n]) || s.chance(0.05) {
+				return false
+			}
+			text = text[n:]
+			time.Sleep(5 * time.Millisecond)
+		}
+		return goesOn
+	case Spoils:
+		if !write(c, text) {
+			return false
+		}
+		time.Sleep(s.between(0, 15*time.Millisecond))
+		return write(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray") && goesOn
+	case ClosesIdle:
+		if !write(c, text) {
+			return false
+		}
+		time.Sleep(s.between(0, 60*time.Millisecond))
+		if s.chance(0.5) {
+			abort(c)
+		}
+		return false
+	}
+	return write(c, text) && goesOn
+}
+
+// bodyOf begins the answer to a request: its client knows by it that it is its own.
+func bodyOf(id string) string { return "done " + id + "\n" }
+
+func write(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
+func (s *server) close() {
+	s.behave(Behaves)
+	s.crash()
+	s.running.Wait()
+}
