--- a/internal/core/gate_test.go
+++ b/internal/core/gate_test.go
@@ -197,12 +197,6 @@
 	return len(g.conns)
 }
 
-func (g *Gate) quietOnes() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.fresh.Len() + g.idle.Len()
-}
-
 // Clients that connect and say nothing once filled the listener for as long as they liked, and
 // nobody else came in. Past the mark those testkit.Quiet longest go, but none before its time: a client
 // may be about to send its first request. Those with an open request stay.
--- a/internal/core/upload_test.go
+++ b/internal/core/upload_test.go
@@ -82,8 +82,8 @@
 	inLoop(t, 1000, attempt, func(l *Loop) {
 		r := uploadOf(time.Second)
 		l.Take(r.Request)
-		if a := <-r.reply; !a.TimedOut || time.Now().After(end) || end.Sub(time.Now()) > 100*time.Millisecond {
-			t.Errorf("%+v, %v before its time is up", a, end.Sub(time.Now()))
+		if a := <-r.reply; !a.TimedOut || time.Now().After(end) || time.Until(end) > 100*time.Millisecond {
+			t.Errorf("%+v, %v before its time is up", a, time.Until(end))
 		}
 	})
 }
@@ -113,7 +113,7 @@
 	for _, worked := range []bool{true, false} {
 		attempt := func(a *Attempt) (decide.Result, any) {
 			time.Sleep(100 * time.Millisecond)
-			if !a.Begin(worked) || !a.Begin(worked) {
+			if first, second := a.Begin(worked), a.Begin(worked); !first || !second {
 				return decide.Cancelled, nil
 			}
 			select {
--- a/internal/drill/judge/policy.go
+++ b/internal/drill/judge/policy.go
@@ -15,15 +15,14 @@
 
 // taker is what a process has taken requests by.
 type taker struct {
-	number  uint64
-	any     bool
-	tried   uint64 // the highest policy for which it has been looked at
-	failed  uint64
-	since   int64 // it takes by its number since
-	last    int64
-	turned  int64
-	noDisk  map[uint64]bool // policies that it had not on its disk as they came into force
-	started bool
+	number uint64
+	any    bool
+	tried  uint64 // the highest policy for which it has been looked at
+	failed uint64
+	since  int64 // it takes by its number since
+	last   int64
+	turned int64
+	noDisk map[uint64]bool // policies that it had not on its disk as they came into force
 }
 
 // policyJudge judges the policy that a fleet agrees on by what requests were taken by.
--- a/internal/drill/judge/servers.go
+++ b/internal/drill/judge/servers.go
@@ -13,7 +13,6 @@
 	failed  int64 // it last failed
 	known   map[string]bool
 	settled bool // whether all knew it was looked at
-	links   int  // daemons whose link to it is broken
 }
 
 // serversJudge judges verdicts about servers.
--- a/internal/drill/rig/rig.go
+++ b/internal/drill/rig/rig.go
@@ -60,7 +60,6 @@
 	twin    bool
 	moves   int
 	paused  bool
-	starve  chan struct{} // closed when it is over
 }
 
 type rig struct {
--- a/internal/host/fleet/daemon_test.go
+++ b/internal/host/fleet/daemon_test.go
@@ -589,7 +589,7 @@
 		t.Fatal(err)
 	}
 	y.list.SetDown(true)
-	r = y.start(Options{})
+	y.start(Options{})
 	for range 20 {
 		y.wantServed("a")
 	}
--- a/internal/peer/carrier/agreeing.go
+++ b/internal/peer/carrier/agreeing.go
@@ -54,7 +54,6 @@
 	c       *Carrier
 	a       *Agreement // nil: none is agreed on
 	members time.Duration
-	free    bool
 	sent    uint64
 	bytes   uint64
 	lost    uint64
--- a/internal/peer/policy/policy_test.go
+++ b/internal/peer/policy/policy_test.go
@@ -98,11 +98,6 @@
 	b.step(name, Freed{Alone: true})
 }
 
-type sent struct {
-	from string
-	s    Send
-}
-
 // step steps one, and all that comes of it: messages take no time.
 func (b *bench) step(name string, events ...Event) {
 	type todo struct {
--- a/internal/peer/view/view.go
+++ b/internal/peer/view/view.go
@@ -315,7 +315,6 @@
 	areas   []*region // the same, in the order of their names
 	home    *region   // this member's
 	digest  uint64
-	left    int // members that left
 
 	turn     []string // to be probed next, shuffled
 	zoneTurn []string // the same, of its own zone
--- a/internal/protocol/ldap/ldap.go
+++ b/internal/protocol/ldap/ldap.go
@@ -65,9 +65,6 @@
 
 var kindElse = [kinds]kind{kindSearch, kindModify, kindSearch, kindSearch, kindSearch, kindModify, kindModify, kindModify, kindModify, kindModify}
 
-// safeKinds have no effect, and may be repeated by what the protocol says.
-var safeKinds = [kinds]bool{kindSearch: true, kindBind: true, kindLookup: true, kindCompare: true}
-
 // Needed are the classes that every instance has.
 var Needed = []string{kindNames[kindSearch], kindNames[kindModify]}
 
--- a/internal/rehearse/emulate/world.go
+++ b/internal/rehearse/emulate/world.go
@@ -223,7 +223,7 @@
 			truth(p, decide.Up, w.S.List.Up)
 		}
 	case ListLate:
-		r.Tells = append(r.Tells, w.List.Step(now, SetLate{op.By})...)
+		r.Tells = append(r.Tells, w.List.Step(now, SetLate(op))...)
 	case ListDown:
 		r.Tells = append(r.Tells, w.List.Step(now, SetDown{op.On})...)
 	case Cut:
@@ -233,7 +233,7 @@
 	case Lost:
 		w.Net.lost = op.Share
 	case ListRefuse:
-		r.Tells = append(r.Tells, w.List.Step(now, SetRefuse{op.Share})...)
+		r.Tells = append(r.Tells, w.List.Step(now, SetRefuse(op))...)
 	}
 	return r
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -172,7 +172,7 @@
 		}
 		e.Open = &Open{Seed: *m.RandomSeed}
 		if e.Open.Settings, _, err = ParseSettings(m.Facts); err != nil {
-			err = fmt.Errorf("Facts: %w", err)
+			err = fmt.Errorf("field Facts: %w", err)
 		}
 	case "Retire":
 		e.Retire = true
@@ -229,7 +229,7 @@
 		}
 		data, err := hex.DecodeString(*m.Text)
 		if err != nil {
-			return fmt.Errorf("Msg: %w", err)
+			return fmt.Errorf("field Msg: %w", err)
 		}
 		e.Event = decide.PeerMessage{From: *m.From, Data: data}
 	default:
@@ -291,7 +291,7 @@
 	}
 	list, ok := r.lists[*m.Sheet]
 	if !ok {
-		return nil, fmt.Errorf("Sheet %d was never defined", *m.Sheet)
+		return nil, fmt.Errorf("sheet %d was never defined", *m.Sheet)
 	}
 	return decide.List{Kind: kind, Backends: list}, nil
 }
--- a/tools/members/main.go
+++ b/tools/members/main.go
@@ -73,7 +73,6 @@
 	told    []time.Duration // when the list told that it drains or is gone; 0: it did not
 	pods    []int
 	records []membership.Server // as published
-	readAt  time.Duration
 }
 
 func server(i int, w *world) membership.Server {
--- a/tools/verdicts/main.go
+++ b/tools/verdicts/main.go
@@ -90,7 +90,6 @@
 
 type outcome struct {
 	spoilt, after5 int
-	offKept        time.Duration
 	service        float64
 	broken         int
 	bytes          float64
