--- a/internal/drill/soak/server.go
+++ b/internal/drill/soak/server.go
@@ -196,7 +196,8 @@
 	id := req.Header.Get("X-Trace-Id")
 	left, _ := strconv.ParseFloat(req.Header.Get("X-Expires-In"), 64)
 	neverRan := way == Errs && s.chance(0.5)
-	arrived := Event{Kind: RequestArrived, Request: id, Server: s.id, Process: process, Began: began, Left: time.Duration(left * float64(time.Second)),
+	// Its time is that of its last byte, whenever a worker is free for it.
+	arrived := Event{Kind: RequestArrived, At: s.rec.Now(), Request: id, Server: s.id, Process: process, Began: began, Left: time.Duration(left * float64(time.Second)),
 		Class: strings.SplitN(strings.TrimPrefix(req.URL.Path, "/"), "/", 2)[0], Ran: !neverRan}
 	select {
 	case s.workers <- struct{}{}:
