Invariants with one guard each, counted, logged and shown; why a request or connection ended

A violation is refused, counted, logged with request, attempt, endpoint and reason, and panics in tests. Counted besides: refusals of the send guard, ends of attempts, reasons of requests that were not served, why clients' connections were asked to end. GET /metrics of a daemon, and ?format=prometheus of an agent's admin endpoint (whose JSON stays as it is), by client_golang. A debug line for each attempt and request that ends.

--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -276,6 +276,9 @@
 	Requests, Served, Refused, Failed, Gone, Attempts, Late, Open int64
 }
 
+// Name is by which it is known.
+func (a *Agent) Name() string { return a.cfg.Name }
+
 // Totals tells what the agent did. It may be called at any time.
 func (a *Agent) Totals() Totals {
 	t := &a.loop.totals
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -50,6 +50,30 @@
 	HeadTime = quietLeast + 200*time.Millisecond
 )
 
+// closeReason is why a client's connection was asked to end.
+type closeReason int
+
+const (
+	closeQuiet  closeReason = iota // quiet for long, past the mark
+	closeRoom                      // for another, where there was no room
+	closeIdle                      // kept after its answer, as the agent stops or sends clients away
+	closeSilent                    // nothing was ever sent on it, as the agent stops or sends clients away
+	closeReasons
+)
+
+var closeReasonNames = [closeReasons]string{"quiet", "room", "idle", "silent"}
+
+// closes are how many were, by why.
+func (g *Gate) closes() map[string]int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := map[string]int64{}
+	for why, n := range g.askedFor {
+		all[closeReasonNames[why]] = n
+	}
+	return all
+}
+
 // Gate accepts clients' connections, no more than so many at once: running out of descriptors
 // would fail attempts at healthy backends too. A connection that carries no request holds its
 // place only while there is room. Past the mark, those that have been quiet for long are closed
@@ -67,9 +91,10 @@
 	mu               sync.Mutex
 	most, mark, kept int
 	conns            map[*clientConn]bool
-	fresh            *list.List    // of *clientConn that have sent no request yet, oldest first
-	idle             *list.List    // of *clientConn between requests, idle longest first
-	asked            int           // connections whose readers have been asked to end them
+	fresh            *list.List // of *clientConn that have sent no request yet, oldest first
+	idle             *list.List // of *clientConn between requests, idle longest first
+	asked            int        // connections whose readers have been asked to end them
+	askedFor         [closeReasons]int64
 	freed            chan struct{} // of one: a place has become free
 	done             chan struct{}
 	once             sync.Once
@@ -209,7 +234,7 @@
 				wait = min(wait, young)
 				break
 			}
-			g.ask(c)
+			g.ask(c, closeQuiet)
 		}
 	}
 	if len(g.conns)-g.asked >= g.most {
@@ -225,7 +250,7 @@
 // how long to wait until there is a silent one to be asked. The lock is held.
 func (g *Gate) askQuietest(now time.Time) time.Duration {
 	if e := g.idle.Front(); e != nil {
-		g.ask(e.Value.(*clientConn))
+		g.ask(e.Value.(*clientConn), closeRoom)
 		return quietLeast
 	}
 	for e := g.fresh.Front(); e != nil; e = e.Next() {
@@ -236,7 +261,7 @@
 		if young := silentLeast - now.Sub(c.since); young > 0 {
 			return young
 		}
-		g.ask(c)
+		g.ask(c, closeRoom)
 		break
 	}
 	return quietLeast
@@ -245,12 +270,13 @@
 // ask has a quiet connection's reader end it, by a read deadline that has passed. The gate closes none by itself: its
 // reader may have read a request by then, which would be lost. A reader that gets bytes all the same goes on with them.
 // The lock is held.
-func (g *Gate) ask(c *clientConn) {
+func (g *Gate) ask(c *clientConn, why closeReason) {
 	g.unquiet(c)
 	if c.asked {
 		return
 	}
 	c.asked = true
+	g.askedFor[why]++
 	g.asked++
 	_ = c.streamConn.SetReadDeadline(LongAgo) // one that can't be set is closed already
 }
@@ -353,7 +379,7 @@
 	for e := g.idle.Front(); e != nil; e = next {
 		next = e.Next()
 		if c := e.Value.(*clientConn); !c.last {
-			g.ask(c)
+			g.ask(c, closeIdle)
 		}
 	}
 }
@@ -386,7 +412,7 @@
 	defer g.mu.Unlock()
 	for c := range g.conns {
 		if !c.used && !c.begun && time.Since(c.since) >= least {
-			g.ask(c)
+			g.ask(c, closeSilent)
 		}
 	}
 }
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -98,12 +98,14 @@
 	guard    func(func())                    // runs a goroutine's work and keeps its panic to this agent
 	held     func([]rights.Holding)          // told how rights stand; must not wait; nil: nobody
 	turned   map[string]int                  // by the fleet's limits, since the last summary
-	refusals [sendRefusals]atomic.Int64      // writes that the send guards did not admit, by reason
-	sights   sights
-	starts   startTimes
-	kept     kept
-	hold     atomic.Pointer[hold] // nil: requests are taken without end
-	narrow   atomic.Pointer[[]time.Duration]
+	counters counters
+	// toleratesViolations is set by tests of the invariants alone.
+	toleratesViolations bool
+	sights              sights
+	starts              startTimes
+	kept                kept
+	hold                atomic.Pointer[hold] // nil: requests are taken without end
+	narrow              atomic.Pointer[[]time.Duration]
 }
 
 // totals are what the agent did since its start, for others to read.
@@ -324,7 +326,10 @@
 		l.limit(e.Request)
 		l.pending = append(l.pending, decide.Uploaded{Request: e.ID, Attempt: e.N, Left: time.Until(e.Deadline) - l.margin})
 	case ended:
-		e.open--
+		if e.open--; e.open < 0 {
+			l.violated(AttemptsClosed, e.ID, e.N, e.Server, "more attempts have ended than were begun")
+		}
+		l.attemptEnded(e.Attempt, e.outcome.Result)
 		e.timedOut = e.timedOut || e.outcome.Result == decide.TimedOut
 		if e.outcome.Result == decide.OK && !e.done {
 			if e.guard.streaming(e.N) {
@@ -411,6 +416,10 @@
 
 // finish gives a request its final answer, once.
 func (l *Loop) finish(r *Request, a Answer) {
+	if r.done {
+		l.violated(AnsweredOnce, r.ID, len(r.attempts), "", "a second final answer")
+		return
+	}
 	r.done = true
 	if r.late != nil {
 		r.late.Stop()
@@ -478,6 +487,7 @@
 		}
 	case decide.Refuse:
 		if r := l.requests[a.Request]; r != nil && !r.done {
+			l.requestEnded(r, "refused", a.Why)
 			l.counts.refused++
 			l.totals.refused.Add(1)
 			l.limited(a.Limit)
@@ -486,6 +496,7 @@
 		}
 	case decide.Fail:
 		if r := l.requests[a.Request]; r != nil && !r.done {
+			l.requestEnded(r, "failed", a.Why)
 			l.counts.failed++
 			l.totals.failed.Add(1)
 			l.limited(a.Limit)
@@ -530,9 +541,9 @@
 // than MaxAttempts for each request that is open.
 func (l *Loop) send(a decide.Send) {
 	r := l.requests[a.Request]
-	if r != nil && !r.done && l.narrowed(r) {
+	if r != nil && !r.done && (l.narrowed(r) || !l.mayStart(r, a.Backend)) {
 		l.pending = append(l.pending, decide.Outcome{Request: a.Request, Attempt: len(r.attempts), Backend: a.Backend, Result: decide.NotSent, Done: r.done})
-		r.attempts = append(r.attempts, &Attempt{Request: r, N: len(r.attempts), Server: a.Backend, cancel: func(error) {}})
+		r.attempts = append(r.attempts, &Attempt{Request: r, N: len(r.attempts), Server: a.Backend, cancel: func(error) {}, ended: true, result: decide.NotSent})
 		return
 	}
 	if r == nil || r.done { // after a final answer nothing more is sent
@@ -557,6 +568,9 @@
 	t.timer = time.AfterFunc(until.Sub(start), func() { cancel(ErrTimedOut) })
 	r.attempts = append(r.attempts, t)
 	r.open++
+	if t.N > 0 {
+		l.counters.retries.Add(1)
+	}
 	l.counts.attempts++
 	l.totals.attempts.Add(1)
 	go func() {
--- a/internal/core/protocol.go
+++ b/internal/core/protocol.go
@@ -115,12 +115,14 @@
 	Server  string
 	Context context.Context // ends when the attempt has to; its cause is ErrTimedOut or ErrCancelled
 
-	start   time.Time // of its server's work
-	until   time.Time // it may begin until then: see Lapsed; zero: at any time
-	noDial  bool      // see MayDial
-	process int64     // when its server's started, as the list said, ms, Unix
-	dialed  bool      // see Dialed
-	spent   bool      // see Spent
+	start   time.Time     // of its server's work
+	until   time.Time     // it may begin until then: see Lapsed; zero: at any time
+	noDial  bool          // see MayDial
+	process int64         // when its server's started, as the list said, ms, Unix
+	dialed  bool          // see Dialed
+	spent   bool          // see Spent
+	ended   bool          // its outcome is known: see result
+	result  decide.Result // what became of it
 	timer   *time.Timer
 	cancel  context.CancelCauseFunc
 	loop    *Loop
--- a/internal/core/sendguard.go
+++ b/internal/core/sendguard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"vetchhaven/decide"
@@ -70,14 +71,13 @@
 	return true
 }
 
-// end is the end of an attempt's write. The last one gives the answer that waited for it.
-func (g *sendGuard) end(attempt int) {
+// end is the end of an attempt's write. The last one gives the answer that waited for it. It reports false where no write
+// of the attempt is open.
+func (g *sendGuard) end(attempt int) bool {
 	g.mu.Lock()
-	for i, w := range g.writes {
-		if w.attempt == attempt {
-			g.writes = append(g.writes[:i], g.writes[i+1:]...)
-			break
-		}
+	at := slices.IndexFunc(g.writes, func(w openWrite) bool { return w.attempt == attempt })
+	if at >= 0 {
+		g.writes = slices.Delete(g.writes, at, at+1)
 	}
 	var answer func()
 	if len(g.writes) == 0 {
@@ -90,6 +90,7 @@
 	if answer != nil {
 		answer()
 	}
+	return at >= 0
 }
 
 // finish gives the request its final answer, or has the last open write give it. It reports false where there was one.
@@ -177,10 +178,14 @@
 }
 
 // EndWrite says that an admitted write has returned.
-func (a *Attempt) EndWrite() { a.guard.end(a.N) }
+func (a *Attempt) EndWrite() {
+	if !a.guard.end(a.N) {
+		a.loop.violated(WriteMatched, a.ID, a.N, a.Server, "the end of a write that was not admitted")
+	}
+}
 
 // refused counts a refusal.
 func (a *Attempt) refused(s SendRefusal) SendRefusal {
-	a.loop.refusals[s].Add(1)
+	a.loop.counters.sendRefusals[s].Add(1)
 	return s
 }
--- a/internal/host/fleet/admin.go
+++ b/internal/host/fleet/admin.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"vetchhaven/internal/core"
+	"vetchhaven/internal/host/metrics"
 	"vetchhaven/internal/source/catalog"
 )
 
@@ -91,6 +92,18 @@
 	return s
 }
 
+// agentsCounted is what the instances that run have counted since their starts.
+func (d *Daemon) agentsCounted() (all []metrics.Agent) {
+	d.do(func() {
+		for name, p := range d.parts {
+			if p.agent != nil {
+				all = append(all, metrics.Agent{Name: name, Totals: p.agent.Totals(), Counters: p.agent.Counters()})
+			}
+		}
+	})
+	return all
+}
+
 // serveAdmin answers operators. The daemon's own socket stays open for a successor.
 func (d *Daemon) serveAdmin(master net.Listener) *http.Server {
 	mux := http.NewServeMux()
@@ -127,6 +140,7 @@
 			reply(w, http.StatusOK, short)
 		}
 	})
+	mux.Handle("GET /metrics", metrics.Handler(d.agentsCounted))
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		if s, ok := d.Status(); ok {
 			reply(w, http.StatusOK, s)
--- a/internal/host/ops/door.go
+++ b/internal/host/ops/door.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"vetchhaven/internal/core"
+	"vetchhaven/internal/host/metrics"
 	"vetchhaven/internal/host/upgrade"
 )
 
@@ -114,6 +115,24 @@
 	}
 }
 
+// Counting is an agent that tells what it has counted.
+type Counting interface {
+	Name() string
+	Totals() core.Totals
+	Counters() core.Counters
+}
+
+// counters shows what the agent has counted; nil: it counts nothing.
+func (d *Door) counters() http.Handler {
+	a, counts := d.agent.(Counting)
+	if !counts {
+		return nil
+	}
+	return metrics.Handler(func() []metrics.Agent {
+		return []metrics.Agent{{Name: a.Name(), Totals: a.Totals(), Counters: a.Counters()}}
+	})
+}
+
 func (d *Door) calls() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
@@ -121,7 +140,12 @@
 			http.Error(w, "takes no clients", http.StatusServiceUnavailable)
 		}
 	})
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+	counted := d.counters()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		if counted != nil && r.URL.Query().Get("format") == "prometheus" {
+			counted.ServeHTTP(w, r)
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(Encode(d.agent.Figures(figuresTime)))
 	})
