--- a/cmd/vetchhaven/restart_test.go
+++ b/cmd/vetchhaven/restart_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"vetchhaven/internal/standin"
 )
 
 // restarting starts a program whose log may be read while it runs.
@@ -165,14 +168,14 @@
 	}
 }
 
-// Nobody reads the log, and there is no room for more of it: a process is ready, and ends when it is told to.
-func TestReadyWithALogThatIsNotWritten(t *testing.T) {
+// fullPipe is a pipe that nobody reads, with no room left: a write to it blocks.
+func fullPipe(t *testing.T) *os.File {
+	t.Helper()
 	in, out, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer in.Close()
-	defer out.Close()
+	t.Cleanup(func() { _, _ = in.Close(), out.Close() })
 	raw, err := out.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
@@ -189,6 +192,12 @@
 	if !full {
 		t.Fatal("the pipe never filled up")
 	}
+	return out
+}
+
+// Nobody reads the log, and there is no room for more of it: a process is ready, and ends when it is told to.
+func TestReadyWithALogThatIsNotWritten(t *testing.T) {
+	out := fullPipe(t)
 	listen := freeAddr(t)
 	path := filepath.Join(t.TempDir(), "config.json")
 	write(t, path, fmt.Sprintf(config, listen, freeAddr(t), freeAddr(t)))
@@ -203,6 +212,52 @@
 	terminated(t, cmd)
 }
 
+// The same for a daemon: none of its instances waits for the log.
+func TestDaemonServesWithALogThatIsNotWritten(t *testing.T) {
+	server := standin.NewForm("s", nil)
+	defer server.Close()
+	list, err := standin.NewList("", server.Member("ready"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer list.Close()
+	dir, err := os.MkdirTemp("", "serve") // short: a path of a socket has a bound
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "fleet.toml")
+	write(t, path, fmt.Sprintf(fleetFile, dir, list.Addr()))
+	cmd := exec.Command(os.Args[0], "serve", "--config", path)
+	cmd.Env = append(os.Environ(), "VETCHHAVEN_TEST_MAIN=1")
+	cmd.Stderr = fullPipe(t) // blocks from here on
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "unix", filepath.Join(dir, "one.sock"))
+	}}}
+	served := 0
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && served < 5; time.Sleep(20 * time.Millisecond) {
+		req, err := http.NewRequest(http.MethodGet, "http://one/get/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X-Trace-Id", fmt.Sprint("r", time.Now().UnixNano()))
+		if resp, err := client.Do(req); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				served++
+			}
+		}
+	}
+	if served < 5 {
+		t.Errorf("%d requests were served", served)
+	}
+	terminated(t, cmd)
+}
+
 // The disk on which operators' calls are kept hangs: a process is ready all the same, and its operators' door opens.
 func TestReadyWhileTheDiskHangs(t *testing.T) {
 	listen, door, tmp := freeAddr(t), freeAddr(t), t.TempDir()
