--- a/cmd/vetchhaven/log.go
+++ b/cmd/vetchhaven/log.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"sync/atomic"
 	"time"
 )
@@ -12,6 +13,22 @@
 	logFlush = 500 * time.Millisecond // what is left is written for so long at an end
 )
 
+// logEnv sets the least level of the lines that are logged: debug adds one for each attempt and each request that ends
+// without being served.
+const logEnv = "VETCHHAVEN_LOG"
+
+// logLevel is what it says, or info.
+func logLevel(getenv func(string) string) (level slog.Level, err error) {
+	text := getenv(logEnv)
+	if text == "" {
+		return slog.LevelInfo, nil
+	}
+	if err := level.UnmarshalText([]byte(text)); err != nil {
+		return level, fmt.Errorf("%s: %q: debug, info, warn and error are allowed", logEnv, text)
+	}
+	return level, nil
+}
+
 // logWriter has a log written by a goroutine of its own: whoever logs never waits for a slow disk, or for a pipe that
 // nobody reads.
 type logWriter struct {
--- a/cmd/vetchhaven/log_test.go
+++ b/cmd/vetchhaven/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"strings"
 	"testing"
 )
@@ -34,3 +35,14 @@
 		t.Errorf("%d bytes: %.200q", len(got), got)
 	}
 }
+
+func TestLogLevel(t *testing.T) {
+	for text, want := range map[string]slog.Level{"": slog.LevelInfo, "debug": slog.LevelDebug, "WARN": slog.LevelWarn} {
+		if got, err := logLevel(func(string) string { return text }); err != nil || got != want {
+			t.Errorf("%q: %v, %v", text, got, err)
+		}
+	}
+	if _, err := logLevel(func(string) string { return "loud" }); err == nil || !strings.Contains(err.Error(), logEnv) {
+		t.Errorf("%v", err)
+	}
+}
--- a/cmd/vetchhaven/run.go
+++ b/cmd/vetchhaven/run.go
@@ -37,9 +37,14 @@
 
 // runAgent serves until SIGTERM. It ends with status 1 where the configuration makes no sense.
 func runAgent() error {
+	level, err := logLevel(os.Getenv)
+	if err != nil {
+		slog.Error("vetchhaven", "error", err)
+		return exit{status: 1}
+	}
 	w := newLogWriter(os.Stderr)
 	defer w.flush()
-	log := slog.New(slog.NewTextHandler(w, nil))
+	log := slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level}))
 	if err := serveAgent(log); err != nil {
 		log.Error("vetchhaven", "error", err)
 		return exit{status: 1}
--- a/cmd/vetchhaven/serve.go
+++ b/cmd/vetchhaven/serve.go
@@ -38,7 +38,13 @@
 }
 
 func serve(path string) error {
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelInfo}))
+	level, err := logLevel(os.Getenv)
+	if err != nil {
+		return exit{2, err}
+	}
+	w := newLogWriter(os.Stderr)
+	defer w.flush()
+	log := slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level}))
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	signals := make(chan os.Signal, 4)
