--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -32,6 +32,7 @@
 	keep      string
 	shrink    int
 	plan      string
+	faults    []string
 }
 
 func main() {
@@ -51,6 +52,7 @@
 	f.StringVar(&o.buildOnly, "build-only", "", "build the program with faults as this file, and play nothing")
 	f.StringVar(&o.keep, "keep", "", "a directory for plans, histories and logs of plays that fail")
 	f.IntVar(&o.shrink, "shrink", 0, "plays at most that look for a smaller plan that fails too")
+	f.StringArrayVar(&o.faults, "fault", nil, "a fault of all processes, NAME=VALUE as in internal/drill/faultbuild, in place of those that seeds draw")
 	f.StringVar(&o.plan, "plan", "", "play this plan, as --keep wrote it, in place of seeds")
 	if err := c.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
@@ -99,7 +101,11 @@
 	}
 	var all []soak.Plan
 	for seed := from; seed <= to; seed++ {
-		all = append(all, soak.Draw(seed, o.size))
+		p := soak.Draw(seed, o.size)
+		if len(o.faults) > 0 {
+			p = p.WithFaults(o.faults)
+		}
+		all = append(all, p)
 	}
 	return all, nil
 }
