--- a/cmd/vetchhaven/main_test.go
+++ b/cmd/vetchhaven/main_test.go
@@ -170,6 +170,36 @@
 	}
 }
 
+// A configuration that can't be read as SIGHUP comes, since its file is being replaced or there is no descriptor for it, is
+// read again: the order was given once.
+func TestAReloadOutlastsAFileThatIsNotThere(t *testing.T) {
+	one, first := watches(t)
+	two, second := watches(t)
+	path, listen := filepath.Join(t.TempDir(), "config.json"), freeAddr(t)
+	with := func(discovery string) string { return fmt.Sprintf(config, listen, discovery, freeAddr(t)) }
+	write(t, path, with(one))
+	cmd, log := programAt(t, path)
+	waitReady(t, listen)
+	select {
+	case <-first:
+	case <-time.After(patience):
+		t.Fatal("no watch at the first address")
+	}
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond) // lets it meet the file that is not there; without this the test is weaker, not wrong
+	write(t, path, with(two))
+	select {
+	case <-second:
+	case <-time.After(5 * time.Second):
+		t.Errorf("no watch at the second address; log %q", log)
+	}
+}
+
 // SIGTERM with a request in flight: it gets its answer, and the program ends with status 0. So it does where SIGTERM
 // comes again, and SIGHUP with it, before the answer, and where the list has fallen silent by then.
 func TestSigtermWithARequestInFlight(t *testing.T) {
--- a/cmd/vetchhaven/restart_test.go
+++ b/cmd/vetchhaven/restart_test.go
@@ -258,6 +258,34 @@
 	terminated(t, cmd)
 }
 
+// The directory in which operators' calls are kept can't be opened as a process starts: they are kept once it can be.
+func TestOperatorsCallsAreKeptOnceTheirDirectoryOpens(t *testing.T) {
+	listen, door, tmp := freeAddr(t), freeAddr(t), t.TempDir()
+	dir := filepath.Join(tmp, "vetchhaven-"+url.PathEscape("n0-"+listen))
+	write(t, dir, "a file where the directory is to be")
+	restarting(t, fmt.Sprintf(config, listen, freeAddr(t), freeAddr(t)), "PROXY_ADMIN_ADDR="+door, "TMPDIR="+tmp)
+	waitReady(t, listen)
+	if err := os.Remove(dir); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		req, err := http.NewRequest(http.MethodPut, "http://"+door+"/drain", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			resp.Body.Close()
+		}
+		if _, err := os.Stat(filepath.Join(dir, "said.json")); err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("what operators say is not kept, though it could be")
+		}
+	}
+}
+
 // The disk on which operators' calls are kept hangs: a process is ready all the same, and its operators' door opens.
 func TestReadyWhileTheDiskHangs(t *testing.T) {
 	listen, door, tmp := freeAddr(t), freeAddr(t), t.TempDir()
--- a/internal/drill/faultbuild/testdata/probe/main.go
+++ b/internal/drill/faultbuild/testdata/probe/main.go
@@ -38,7 +38,9 @@
 		_, _ = c.Write([]byte("some bytes"))
 		fmt.Printf("hold=%v ", time.Since(began) > 100*time.Millisecond)
 	}
+	dialled := time.Now()
 	_, connectErr := net.Dial("tcp", to.String())
+	fmt.Printf("late=%v ", time.Since(dialled) > 20*time.Millisecond)
 	diskErr := os.WriteFile(filepath.Join(os.Args[1], "file"), []byte("x"), 0o600)
 	var resetErr error
 	if c != nil {
