Reloads, starts and the kept directory outlast failures that may pass

A reload whose file can't be read, or makes no sense, is tried again for 3 s; a start without descriptors, memory or a disk that answers, for 10 s (the clients' address 30 s, as before for one in use); the directory of operators' calls, for good.

--- a/cmd/vetchhaven/run.go
+++ b/cmd/vetchhaven/run.go
@@ -58,7 +58,7 @@
 	// Caught from the very start: the default of SIGHUP is to end the process.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	cfg, err := core.LoadConfig(os.Getenv)
+	cfg, err := loadConfig(stop, log)
 	if err != nil {
 		return err
 	}
@@ -94,6 +94,9 @@
 // without it, and it holds as soon as it is read.
 const keptWait = time.Second
 
+// keptAgain is how often it is tried to open the directory of what operators say.
+const keptAgain = time.Second
+
 // place is where what operators say is kept for other processes of the agent, once the disk has answered.
 type place struct{ dir atomic.Pointer[upgrade.Dir] }
 
@@ -164,8 +167,18 @@
 	path := filepath.Join(os.TempDir(), "vetchhaven-"+url.PathEscape(cfg.Name+"-"+cfg.Listen))
 	dir, err := upgrade.Open(path)
 	if err != nil { // it serves all the same
-		log.Error("what operators say holds in this process alone", "error", err)
-		return
+		log.Error("what operators say holds in this process alone, until its directory can be opened", "error", err)
+		look()
+	}
+	for err != nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(keptAgain):
+		}
+		if dir, err = upgrade.Open(path); err == nil {
+			log.Info("what operators say is kept", "directory", path)
+		}
 	}
 	kept.dir.Store(dir)
 	apply := func(c upgrade.Change) error {
@@ -200,15 +213,66 @@
 	}
 }
 
+// A configuration that can't be read, or makes no sense, as SIGHUP comes may be about to be replaced: it is read again, so
+// often and for so long. What the new one says counts as told 4 s after the signal.
+const (
+	reloadAgain = 100 * time.Millisecond
+	reloadMost  = 3 * time.Second
+)
+
 // reload reads the configuration again at each SIGHUP. Those that come meanwhile count as one. A
 // file that makes no sense changes nothing.
 func reload(a *core.Agent, hup <-chan os.Signal, log *slog.Logger) {
-	for range hup {
+	again := time.NewTimer(reloadAgain)
+	defer again.Stop()
+	var asked time.Time // by the last signal that has not been carried out; zero: there is none
+	for {
+		select {
+		case <-hup:
+			asked = time.Now()
+		case <-again.C:
+			if asked.IsZero() {
+				continue
+			}
+		}
 		cfg, err := core.ReloadConfig(os.Getenv)
-		if err != nil {
-			log.Error("configuration not reloaded, the old one holds", "error", err)
+		if err == nil {
+			a.Reload(cfg)
+			asked = time.Time{}
 			continue
 		}
-		a.Reload(cfg)
+		if time.Since(asked) < reloadAgain { // once for each signal
+			log.Error("configuration not reloaded, the old one holds", "error", err, "tried_again_for", reloadMost)
+		}
+		if time.Since(asked) >= reloadMost {
+			log.Error("configuration not reloaded, and not tried again", "error", err)
+			asked = time.Time{}
+			continue
+		}
+		again.Reset(reloadAgain)
+	}
+}
+
+// startAgain is how often a start that fails for want of descriptors, memory or a disk is tried again, and startMost for how
+// long: the platform takes an agent that is not ready after 30 s for failed.
+const (
+	startAgain = 50 * time.Millisecond
+	startMost  = 10 * time.Second
+)
+
+// loadConfig reads the configuration. A failure of the system that may pass is tried again; a file that is not there, or
+// makes no sense, is not.
+func loadConfig(stop context.Context, log *slog.Logger) (*core.Config, error) {
+	for began := time.Now(); ; {
+		cfg, err := core.LoadConfig(os.Getenv)
+		if err == nil || !core.MayPass(err) || time.Since(began) > startMost {
+			return cfg, err
+		}
+		log.Warn("the configuration can't be read yet", "error", err)
+		select {
+		case <-stop.Done():
+			return nil, err
+		case <-time.After(startAgain):
+		}
 	}
 }
--- a/internal/core/accept_test.go
+++ b/internal/core/accept_test.go
@@ -66,3 +66,16 @@
 		t.Error("it was given up at once")
 	}
 }
+
+func TestErrorsThatMayPass(t *testing.T) {
+	for _, err := range []syscall.Errno{syscall.EADDRINUSE, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.EIO, syscall.ENOSPC, syscall.EADDRNOTAVAIL} {
+		if !MayPass(&net.OpError{Op: "listen", Err: err}) {
+			t.Errorf("%v is taken for final", err)
+		}
+	}
+	for _, err := range []error{nil, errors.New("of another kind"), syscall.EACCES, syscall.ENOENT, syscall.EISDIR, syscall.EINVAL} {
+		if MayPass(err) {
+			t.Errorf("%v is tried again", err)
+		}
+	}
+}
--- a/internal/core/listen.go
+++ b/internal/core/listen.go
@@ -38,17 +38,32 @@
 	listenMost  = 30 * time.Second
 )
 
-// Listen opens the clients' socket. While its address is in use, by the process that this one replaces and that still
-// drains, it is tried again, until ctx ends.
+// MayPass reports whether an error is one of the system's that may be over in a moment: an address in use, by a process
+// that this one replaces, no descriptor or memory, a disk or a network that fails.
+func MayPass(err error) bool {
+	var e syscall.Errno
+	if !errors.As(err, &e) {
+		return false
+	}
+	switch e {
+	case syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSPC, syscall.EIO,
+		syscall.EINTR, syscall.EAGAIN, syscall.EBUSY, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.ESTALE, syscall.ETIMEDOUT:
+		return true
+	}
+	return false
+}
+
+// Listen opens the clients' socket. While that fails in a way that may pass, as its address is in use by the process that
+// this one replaces and that still drains, it is tried again, until ctx ends.
 func Listen(ctx context.Context, cfg *Config, log *slog.Logger) (net.Listener, error) {
 	ln, err := listen(cfg)
-	if errors.Is(err, syscall.EADDRINUSE) {
-		log.Warn("the clients' address is in use, and tried again", "listen", cfg.Listen)
+	if MayPass(err) {
+		log.Warn("the clients' address can't be listened at yet, and is tried again", "listen", cfg.Listen, "error", err)
 		limit, cancel := context.WithTimeout(ctx, listenMost)
 		defer cancel()
 		again := time.NewTicker(listenAgain)
 		defer again.Stop()
-		for errors.Is(err, syscall.EADDRINUSE) && limit.Err() == nil {
+		for MayPass(err) && limit.Err() == nil {
 			select {
 			case <-again.C:
 				ln, err = listen(cfg)
