--- /dev/null
+++ b/internal/host/fleet/sockets_test.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A unix socket whose queue is full refuses connections for a moment: it is somebody's all the same, and stays. One that
+// nobody listens on any more goes.
+func TestAUnixSocketWithAFullQueueIsSomebodys(t *testing.T) {
+	dir, err := os.MkdirTemp("", "sock")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "s")
+	fd, err := syscall.Socket(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := syscall.Bind(fd, &syscall.SockaddrUnix{Name: path}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	for err == nil {
+		var c net.Conn
+		if c, err = net.DialTimeout("unix", path, 100*time.Millisecond); err == nil {
+			defer c.Close()
+		}
+	}
+	if !errors.Is(err, syscall.EAGAIN) {
+		t.Fatalf("the queue is not full: %v", err)
+	}
+	if ln, err := listenOn(Address{"unix", path}); !errors.Is(err, syscall.EADDRINUSE) {
+		if ln != nil {
+			ln.Close()
+		}
+		t.Errorf("listening where another does: %v", err)
+	}
+	if _, err := os.Stat(path); err != nil {
+		t.Errorf("the other's socket: %v", err)
+	}
+	_ = syscall.Close(fd)
+	ln, err := listenOn(Address{"unix", path})
+	if err != nil {
+		t.Fatalf("where nobody listens any more: %v", err)
+	}
+	ln.Close()
+}
