Only a refused connection says that a unix socket is nobody's

EAGAIN (its queue is full) and EMFILE counted as well, and the socket was removed under the daemon that listens. The admin endpoint of an agent, and its peers' address, are tried again whatever failed for a moment.

--- a/cmd/vetchhaven/run.go
+++ b/cmd/vetchhaven/run.go
@@ -128,8 +128,8 @@
 	switch {
 	case err == nil:
 		late <- door
-	case errors.Is(err, syscall.EADDRINUSE): // by the process that this one replaces, as a rule: clients need not wait
-		log.Warn("the operators' address is in use, and tried again", "admin_addr", cfg.Admin)
+	case core.MayPass(err): // in use by the process that this one replaces, as a rule: clients need not wait
+		log.Warn("the operators' address can't be listened at yet, and is tried again", "admin_addr", cfg.Admin, "error", err)
 		go func() {
 			for ctx.Err() == nil {
 				time.Sleep(doorAgain)
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
-	"syscall"
 	"time"
 
 	"vetchhaven/decide"
@@ -44,7 +42,7 @@
 	if p.local, err = net.ResolveUDPAddr("udp", cfg.PeerListen); err == nil {
 		p.conn, err = net.ListenUDP("udp", p.local)
 	}
-	if err != nil && !errors.Is(err, syscall.EADDRINUSE) {
+	if err != nil && !MayPass(err) {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
 	return p, nil
--- a/internal/host/fleet/sockets.go
+++ b/internal/host/fleet/sockets.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -50,9 +51,11 @@
 	ln, err := net.Listen(a.Network, a.Addr)
 	if err != nil && a.Network == "unix" {
 		if info, stat := os.Stat(a.Addr); stat == nil && info.Mode()&os.ModeSocket != 0 {
-			if c, dial := net.DialTimeout("unix", a.Addr, time.Second); dial == nil {
+			c, dial := net.DialTimeout("unix", a.Addr, time.Second)
+			switch {
+			case dial == nil:
 				_ = c.Close() // someone listens
-			} else if os.Remove(a.Addr) == nil {
+			case errors.Is(dial, syscall.ECONNREFUSED) && os.Remove(a.Addr) == nil: // nobody does: any other error is of this moment
 				ln, err = net.Listen(a.Network, a.Addr)
 			}
 		}
