Failing test: an LDAP operation that was cancelled, with success, runs all the same

Its client's word is booked at once and its attempt learns of it from the loop, which may be late; the cancel's success promises that nothing is done.

--- a/internal/protocol/ldap/sendguard_test.go
+++ b/internal/protocol/ldap/sendguard_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	client "github.com/go-ldap/ldap/v3"
 
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/protocol/ldapmsg"
 	"vetchhaven/internal/source/catalog"
 	"vetchhaven/internal/standin/directory"
 	"vetchhaven/internal/testkit"
@@ -84,3 +87,84 @@
 		t.Errorf("the old address had %d searches", n)
 	}
 }
+
+// An operation that its client abandons, or cancels, while a connection for it comes up goes to no server, though the loop is
+// late to hear of it.
+func TestAnAbandonedOperationIsNotSent(t *testing.T) {
+	for name, giveUp := range map[string][]byte{"abandon": ldapmsg.Abandon(8, 7), "cancel": ldapmsg.Cancel(8, 7)} {
+		t.Run(name, func(t *testing.T) {
+			d := dir(t, "one", directory.Options{})
+			a, p, err := newAgent(testConfig(t, d), Options{}, testkit.Quiet, core.Parts{NoLateConnections: true, Silence: 2 * testkit.Patience})
+			if err != nil {
+				t.Fatal(err)
+			}
+			var stop atomic.Bool
+			standing, release := make(chan struct{}), make(chan struct{})
+			a.Inject(func(core.Totals) {
+				if stop.CompareAndSwap(true, false) {
+					close(standing)
+					<-release
+				}
+			})
+			dial := p.servers.dialer
+			dialling, goOn := make(chan struct{}, 4), make(chan struct{})
+			p.servers.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				dialling <- struct{}{}
+				<-goOn
+				return dial(ctx, network, addr)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- a.Run(ctx) }()
+			r := &running{Agent: a, p: p, log: &logs{}}
+			c := r.raw(t)
+			send := func(b []byte) {
+				t.Helper()
+				if _, err := c.Write(b); err != nil {
+					t.Fatal(err)
+				}
+			}
+			send(rawModify(7, "cn=a,dc=ward", "x"))
+			testkit.Receive(t, "dial", dialling)
+			stop.Store(true)
+			send(rawSearch(6, 0)) // has the loop make a step, at which it stands
+			testkit.Receive(t, "stop of the loop", standing)
+			send(giveUp)
+			testkit.WaitFor(t, "the client's word", func() bool {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				for s := range p.sessions {
+					s.mu.Lock()
+					o := s.ops[7]
+					s.mu.Unlock()
+					if o == nil {
+						continue
+					}
+					o.mu.Lock()
+					defer o.mu.Unlock()
+					return o.abandoned || o.cancelled
+				}
+				return false
+			})
+			close(goOn)
+			testkit.WaitFor(t, "the end of the attempt", func() bool {
+				p.servers.mu.Lock()
+				defer p.servers.mu.Unlock()
+				for _, list := range p.servers.conns {
+					for _, c := range list {
+						if c.uses == 0 {
+							return true
+						}
+					}
+				}
+				return len(d.Ran()) > 0
+			})
+			close(release)
+			if got := d.Ran()["modify cn=a,dc=ward x"]; got != 0 {
+				t.Errorf("it ran %d times", got)
+			}
+			cancel()
+			testkit.Receive(t, "end", ended)
+		})
+	}
+}
