LDAP: a cancelled or abandoned operation and its first byte exclude each other

The client's word and BeginWrite meet under the operation's lock; a Cancel that comes while the operation is being written is answered cannotCancel.

--- a/internal/protocol/ldap/client.go
+++ b/internal/protocol/ldap/client.go
@@ -102,10 +102,38 @@
 	mu        sync.Mutex
 	on        *serverConn // where its present attempt is
 	onID      int32
+	begun     bool // an attempt writes it, or has: it may run
 	abandoned bool // its client wants no answer
 	cancelled bool // by a Cancel, before it was sent
 }
 
+// begin admits the first byte of an attempt, unless the client has abandoned or cancelled the operation: the two exclude
+// each other.
+func (o *operation) begin() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.begun = !o.abandoned && !o.cancelled
+	return o.begun
+}
+
+// operationGuard is the guard of an operation's attempt: the request's own, and its client's word.
+type operationGuard struct {
+	*core.Attempt
+	o *operation
+}
+
+// BeginWrite admits the attempt's first byte.
+func (g operationGuard) BeginWrite(interrupt func()) core.SendRefusal {
+	if why := g.Attempt.BeginWrite(interrupt); why != core.SendAllowed {
+		return why
+	}
+	if !g.o.begin() {
+		g.EndWrite()
+		return core.ClientDisconnected
+	}
+	return core.SendAllowed
+}
+
 // hold keeps what an operation needs, for an attempt; false: it is wiped already.
 func (o *operation) hold() bool {
 	for n := o.uses.Load(); n > 0; n = o.uses.Load() {
@@ -131,7 +159,7 @@
 // put notes where the present attempt is; an abandon that came just before is passed on.
 func (o *operation) put(c *serverConn, id int32) {
 	o.mu.Lock()
-	o.on, o.onID = c, id
+	o.on, o.onID, o.begun = c, id, c != nil
 	late := c != nil && o.abandoned
 	o.mu.Unlock()
 	if late {
@@ -656,10 +684,15 @@
 	}
 	o.mu.Lock()
 	c, on := o.on, o.onID
-	if c == nil {
+	underWay := c == nil && o.begun // it is being written: nobody can say yet whether it runs
+	if c == nil && !underWay {
 		o.cancelled = true
 	}
 	o.mu.Unlock()
+	if underWay {
+		s.answer(m.ID, m.Op, ldapmsg.CannotCancel, "")
+		return
+	}
 	if c == nil {
 		s.p.loop.Leave(o.request)
 		s.answer(m.ID, m.Op, ldapmsg.Success, "")
--- a/internal/protocol/ldap/server.go
+++ b/internal/protocol/ldap/server.go
@@ -543,12 +543,13 @@
 		return result, nil
 	}
 	defer v.give(c)
-	k, err := c.start(a.Context, a, o.m.Op, o.m.Rest)
+	k, err := c.start(a.Context, operationGuard{a, o}, o.m.Op, o.m.Rest)
 	var refused *refusedError
 	if errors.As(err, &refused) {
 		return refused.why.Result(a.Context), nil
 	}
 	if err != nil {
+		o.put(nil, 0)
 		v.doubt(c)
 		if errors.Is(context.Cause(a.Context), core.ErrCancelled) {
 			return decide.Cancelled, nil
