--- a/internal/drill/soak/check.go
+++ b/internal/drill/soak/check/check.go
@@ -1,4 +1,4 @@
-package soak
+package check
 
 import (
 	"fmt"
--- a/internal/drill/soak/client.go
+++ b/internal/drill/soak/client.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"vetchhaven/internal/drill/soak/check"
 )
 
 // ClientTrouble is what clients do besides asking and waiting.
@@ -164,7 +166,7 @@
 			return nil
 		}
 		if !sent {
-			c.rec.Put(Event{Kind: RequestSent, Agent: c.agent, Request: r.id, Class: r.class, Left: r.left})
+			c.rec.Put(check.Event{Kind: check.RequestSent, Agent: c.agent, Request: r.id, Class: r.class, Left: r.left})
 		}
 		sent = true
 		if trouble == ClientsLeave && rng.Float64() < 0.5 {
@@ -179,10 +181,10 @@
 		_ = conn.Close()
 		if conn = c.dial(); conn == nil {
 			// Nobody takes it any more: it was never read, and its client knows.
-			c.rec.Put(Event{Kind: ClientLeft, Agent: c.agent, Request: r.id, Note: "no agent to ask again"})
+			c.rec.Put(check.Event{Kind: check.ClientLeft, Agent: c.agent, Request: r.id, Note: "no agent to ask again"})
 			return nil
 		}
-		c.rec.Put(Event{Kind: RequestResent, Agent: c.agent, Request: r.id})
+		c.rec.Put(check.Event{Kind: check.RequestResent, Agent: c.agent, Request: r.id})
 	}
 }
 
@@ -210,7 +212,7 @@
 	if _, err := conn.in.Peek(1); err == nil {
 		return false // its answer was there first
 	}
-	left := Event{Kind: ClientLeft, Agent: c.agent, Request: r.id}
+	left := check.Event{Kind: check.ClientLeft, Agent: c.agent, Request: r.id}
 	if rng.Float64() < 0.3 {
 		abort(conn.Conn)
 	} else {
@@ -230,18 +232,18 @@
 		if conn.used {
 			return true, nil
 		}
-		c.rec.Put(Event{Kind: ConnectionEnded, Agent: c.agent, Request: r.id, Note: err.Error()})
+		c.rec.Put(check.Event{Kind: check.ConnectionEnded, Agent: c.agent, Request: r.id, Note: err.Error()})
 		_ = conn.Close()
 		return false, nil
 	}
 	resp, err := http.ReadResponse(conn.in, nil)
 	if err != nil {
-		c.rec.Put(Event{Kind: ConnectionEnded, Agent: c.agent, Request: r.id, Note: err.Error()})
+		c.rec.Put(check.Event{Kind: check.ConnectionEnded, Agent: c.agent, Request: r.id, Note: err.Error()})
 		_ = conn.Close()
 		return false, nil
 	}
 	body, err := io.ReadAll(resp.Body)
-	c.rec.Put(Event{Kind: AnswerRead, Agent: c.agent, Request: r.id, Status: resp.StatusCode, Broken: err != nil,
+	c.rec.Put(check.Event{Kind: check.AnswerRead, Agent: c.agent, Request: r.id, Status: resp.StatusCode, Broken: err != nil,
 		Own: strings.HasPrefix(string(body), bodyOf(r.id)), Note: note(err, body)})
 	if err != nil || resp.Close {
 		_ = conn.Close()
@@ -277,10 +279,10 @@
 		return
 	}
 	mark := fmt.Sprintf("stall a%d-%d", c.agent, c.last.Add(1))
-	c.rec.Put(Event{Kind: StallBegan, Agent: c.agent, Note: mark})
+	c.rec.Put(check.Event{Kind: check.StallBegan, Agent: c.agent, Note: mark})
 	_ = conn.SetReadDeadline(time.Now().Add(stallMost))
 	_, _ = conn.in.Peek(1)
-	c.rec.Put(Event{Kind: StallEnded, Agent: c.agent, Note: mark})
+	c.rec.Put(check.Event{Kind: check.StallEnded, Agent: c.agent, Note: mark})
 }
 
 // rude sends what is no request, or a request and goes, or a flood.
--- a/internal/drill/soak/process.go
+++ b/internal/drill/soak/process.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"vetchhaven/internal/drill/soak/check"
 	"vetchhaven/internal/source/catalog"
 )
 
@@ -170,9 +171,9 @@
 	a.pid, a.exited = pid, make(chan struct{})
 	exited = a.exited
 	process := a.process
-	a.rec.Put(Event{Kind: ProcessStarted, Agent: a.n, Process: process})
+	a.rec.Put(check.Event{Kind: check.ProcessStarted, Agent: a.n, Process: process})
 	go func() {
-		a.rec.Put(Event{Kind: ProcessExited, Agent: a.n, Process: process, Status: await(pid)})
+		a.rec.Put(check.Event{Kind: check.ProcessExited, Agent: a.n, Process: process, Status: await(pid)})
 		close(exited)
 	}()
 	return exited
@@ -208,7 +209,7 @@
 	a.mu.Lock()
 	old := a.pid
 	a.mu.Unlock()
-	a.rec.Put(Event{Kind: ProcessHandedOver, Agent: a.n, Process: a.present()})
+	a.rec.Put(check.Event{Kind: check.ProcessHandedOver, Agent: a.n, Process: a.present()})
 	a.signal(syscall.SIGUSR2)
 	for end := time.Now().Add(readyMost); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
 		text, err := os.ReadFile(a.logPath())
@@ -226,7 +227,7 @@
 		a.mu.Lock()
 		a.begin(pid)
 		a.mu.Unlock()
-		a.rec.Put(Event{Kind: ProcessReady, Agent: a.n, Process: a.present()})
+		a.rec.Put(check.Event{Kind: check.ProcessReady, Agent: a.n, Process: a.present()})
 		return nil
 	}
 	if strings.Contains(strings.Join(a.env, " "), "FAULT_DISK") { // no room for what the successor has to know: the old one goes on
@@ -247,7 +248,7 @@
 		if err == nil {
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
-				a.rec.Put(Event{Kind: ProcessReady, Agent: a.n, Process: a.present()})
+				a.rec.Put(check.Event{Kind: check.ProcessReady, Agent: a.n, Process: a.present()})
 				a.clients.open.Store(true)
 				return nil
 			}
@@ -260,7 +261,7 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
-	a.rec.Put(Event{Kind: ProcessReady, Agent: a.n, Process: a.present(), Note: "never"})
+	a.rec.Put(check.Event{Kind: check.ProcessReady, Agent: a.n, Process: a.present(), Note: "never"})
 	return fmt.Errorf("agent %d is not ready after %v", a.n, 2*readyMost)
 }
 
@@ -272,7 +273,7 @@
 	}
 	for line := range strings.Lines(string(text)) {
 		if strings.Contains(line, "invariant violated") || strings.Contains(line, "panic") {
-			a.rec.Put(Event{Kind: InvariantLogged, Agent: a.n, Note: strings.TrimSpace(line)})
+			a.rec.Put(check.Event{Kind: check.InvariantLogged, Agent: a.n, Note: strings.TrimSpace(line)})
 		}
 	}
 	return nil
@@ -294,7 +295,7 @@
 
 // terminate has the present process end, and kills it where it does not.
 func (a *agentProcess) terminate() {
-	a.rec.Put(Event{Kind: ProcessTerminated, Agent: a.n, Process: a.present()})
+	a.rec.Put(check.Event{Kind: check.ProcessTerminated, Agent: a.n, Process: a.present()})
 	a.signal(syscall.SIGTERM)
 	late := time.AfterFunc(lateConnections, func() { a.clients.open.Store(false) })
 	defer late.Stop()
@@ -304,7 +305,7 @@
 	select {
 	case <-exited:
 	case <-time.After(stopMost):
-		a.rec.Put(Event{Kind: ProcessKilled, Agent: a.n, Process: a.present()})
+		a.rec.Put(check.Event{Kind: check.ProcessKilled, Agent: a.n, Process: a.present()})
 		a.signal(syscall.SIGKILL)
 		<-exited
 	}
@@ -313,7 +314,7 @@
 
 // kill ends the present process at once.
 func (a *agentProcess) kill() {
-	a.rec.Put(Event{Kind: ProcessKilled, Agent: a.n, Process: a.present()})
+	a.rec.Put(check.Event{Kind: check.ProcessKilled, Agent: a.n, Process: a.present()})
 	a.signal(syscall.SIGKILL)
 	a.mu.Lock()
 	exited := a.exited
@@ -324,7 +325,7 @@
 
 // hold stops the present process for a moment, as a machine that does not run it.
 func (a *agentProcess) hold(d time.Duration) {
-	a.rec.Put(Event{Kind: ProcessHeld, Agent: a.n, Left: d})
+	a.rec.Put(check.Event{Kind: check.ProcessHeld, Agent: a.n, Left: d})
 	a.signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	a.signal(syscall.SIGCONT)
--- a/internal/drill/soak/server.go
+++ b/internal/drill/soak/server.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"vetchhaven/internal/drill/soak/check"
 )
 
 // Misbehaviour is what a server does with the requests that come.
@@ -197,7 +199,7 @@
 	left, _ := strconv.ParseFloat(req.Header.Get("X-Expires-In"), 64)
 	neverRan := way == Errs && s.chance(0.5)
 	// Its time is that of its last byte, whenever a worker is free for it.
-	arrived := Event{Kind: RequestArrived, At: s.rec.Now(), Request: id, Server: s.id, Process: process, Began: began, Left: time.Duration(left * float64(time.Second)),
+	arrived := check.Event{Kind: check.RequestArrived, At: s.rec.Now(), Request: id, Server: s.id, Process: process, Began: began, Left: time.Duration(left * float64(time.Second)),
 		Class: strings.SplitN(strings.TrimPrefix(req.URL.Path, "/"), "/", 2)[0], Ran: !neverRan}
 	select {
 	case s.workers <- struct{}{}:
@@ -211,7 +213,7 @@
 		defer func() { <-s.workers }()
 	}
 	s.rec.Put(arrived)
-	defer s.rec.Put(Event{Kind: RequestDone, Request: id, Server: s.id, Process: process})
+	defer s.rec.Put(check.Event{Kind: check.RequestDone, Request: id, Server: s.id, Process: process})
 	switch way {
 	case Hangs:
 		_, _ = in.Peek(1) // until the agent gives up
--- a/internal/house/house_test.go
+++ b/internal/house/house_test.go
@@ -37,6 +37,7 @@
 	"internal/peer/policy":       nil,
 	"internal/peer/agenda":       nil,
 	"internal/drill/judge":       nil,
+	"internal/drill/soak/check":  nil,
 	"internal/drill/topology":    nil,
 	"internal/protocol/ldapmsg":  nil,
 	"internal/rehearse/judge":    {"decide"},
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -20,6 +20,7 @@
 
 	"vetchhaven/internal/drill/faultbuild"
 	"vetchhaven/internal/drill/soak"
+	"vetchhaven/internal/drill/soak/check"
 )
 
 // options are the command's flags.
@@ -133,7 +134,7 @@
 			return err
 		}
 	}
-	total, failed, played := map[soak.Invariant]int{}, 0, 0
+	total, failed, played := map[check.Invariant]int{}, 0, 0
 	for began := time.Now(); len(plans) > 0 && time.Since(began) < o.most && ctx.Err() == nil; plans = plans[1:] {
 		report, err := o.play(ctx, plans[0], dir)
 		if ctx.Err() != nil {
@@ -141,7 +142,7 @@
 		}
 		played++
 		if err == nil && len(report.Violations) == 0 {
-			fmt.Fprintf(out, "seed %d: kept, %d requests\n", plans[0].Seed, report.Exercised[soak.OneAnswer])
+			fmt.Fprintf(out, "seed %d: kept, %d requests\n", plans[0].Seed, report.Exercised[check.OneAnswer])
 		} else {
 			failed++
 			o.tell(ctx, out, plans[0], dir, report, err)
@@ -151,7 +152,7 @@
 		}
 	}
 	fmt.Fprintf(out, "\n%d plays, %d failed, %d not played\n", played, failed, len(plans))
-	for _, i := range soak.Invariants {
+	for _, i := range check.Invariants {
 		fmt.Fprintf(out, "%-22s at stake %d times\n", i, total[i])
 	}
 	if failed > 0 || ctx.Err() != nil {
@@ -161,14 +162,14 @@
 }
 
 // play plays a plan in a directory of its own, and keeps what is wanted of one that failed.
-func (o *options) play(ctx context.Context, p soak.Plan, dir string) (soak.Report, error) {
+func (o *options) play(ctx context.Context, p soak.Plan, dir string) (check.Report, error) {
 	files, err := os.MkdirTemp(dir, "play")
 	if err != nil {
-		return soak.Report{}, err
+		return check.Report{}, err
 	}
 	defer os.RemoveAll(files)
 	history, rules, err := soak.Play(ctx, p, o.program, files)
-	report := soak.Check(rules, history)
+	report := check.Check(rules, history)
 	if o.keep != "" && (err != nil || len(report.Violations) > 0) {
 		if e := keep(filepath.Join(o.keep, fmt.Sprintf("seed-%d", p.Seed)), files, p, history, report); e != nil {
 			return report, errors.Join(err, e)
@@ -180,7 +181,7 @@
 const toldMost = 12 // violations that are printed of one play
 
 // tell prints what failed, and a smaller plan that fails too.
-func (o *options) tell(ctx context.Context, out io.Writer, p soak.Plan, dir string, report soak.Report, err error) {
+func (o *options) tell(ctx context.Context, out io.Writer, p soak.Plan, dir string, report check.Report, err error) {
 	fmt.Fprintf(out, "seed %d: FAILED, %d violations, error %v\n%s\n", p.Seed, len(report.Violations), err, p)
 	for i, v := range report.Violations {
 		if i == toldMost {
@@ -208,7 +209,7 @@
 }
 
 // keep copies what shows a failure.
-func keep(to, files string, p soak.Plan, history []soak.Event, report soak.Report) error {
+func keep(to, files string, p soak.Plan, history []check.Event, report check.Report) error {
 	if err := os.MkdirAll(to, 0o700); err != nil {
 		return err
 	}
