--- /dev/null
+++ b/internal/core/actions.go
@@ -0,0 +1,56 @@
+package core
+
+import (
+	"container/heap"
+	"time"
+	"vetchhaven/decide"
+)
+
+// execute carries out one action of the module.
+func (l *Loop) execute(a decide.Action, now time.Duration) {
+	switch a := a.(type) {
+	case decide.Send:
+		l.send(a)
+	case decide.Cancel:
+		if r := l.requests[a.Request]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) && l.cfg.Settings.MayCancel {
+			r.attempts[a.Attempt].cancel(ErrCancelled)
+		}
+	case decide.Refuse:
+		if r := l.requests[a.Request]; r != nil && !r.done {
+			l.requestEnded(r, "refused", a.Why)
+			l.counts.refused++
+			l.totals.refused.Add(1)
+			l.limited(a.Limit)
+			l.finish(r, Answer{Refused: true, RetryAfter: a.RetryAfter, Limit: a.Limit, Verdict: l.keptFrom(a.Why, now)})
+			l.forget(r)
+		}
+	case decide.Fail:
+		if r := l.requests[a.Request]; r != nil && !r.done {
+			l.requestEnded(r, "failed", a.Why)
+			l.counts.failed++
+			l.totals.failed.Add(1)
+			l.limited(a.Limit)
+			l.finish(r, Answer{TimedOut: r.timedOut, Limit: a.Limit})
+			l.forget(r)
+		}
+	case decide.SetTimer:
+		heap.Push(&l.timers, timer{now + a.After, a.Token})
+	case decide.Probe:
+		if l.cfg.Settings.MayProbe && !l.probing[a.Backend] {
+			l.probing[a.Backend] = true
+			go l.guard(func() { l.post(l.protocol.Probe(a.Backend)) })
+		}
+	case decide.TellPeer:
+		if l.peers != nil {
+			l.peers.tell(a.To, a.Data)
+		}
+	case decide.Subscribe:
+		l.watch()
+	case decide.Held:
+		if l.held != nil {
+			l.held(a.All)
+		}
+	default:
+		l.log.Error("unknown action", "action", a)
+	}
+}
--- a/internal/core/taking_test.go
+++ b/internal/core/admission_test.go
@@ -9,7 +9,7 @@
 )
 
 func bare() *Loop {
-	return &Loop{cfg: &Config{}, clock: newClock(), log: slog.New(slog.DiscardHandler), requests: map[string]*Request{}, turned: map[string]int{}, recent: newRecent(time.Second)}
+	return &Loop{cfg: &Config{}, clock: newClock(), log: slog.New(slog.DiscardHandler), requests: map[string]*Request{}, shedBy: map[string]int{}, recent: newRecent(time.Second)}
 }
 
 // The clock is looked at as a request is taken, not as the lease came: one that was stopped past it takes nothing.
@@ -17,17 +17,17 @@
 	l := bare()
 	a := &Agent{loop: l}
 	take := func(id string) (got Answer, taken bool) {
-		l.take(arrived{NewRequest(id, 0, func(x Answer) { got = x })})
+		l.take(requestArrived{NewRequest(id, 0, func(x Answer) { got = x })})
 		return got, l.requests[id] != nil
 	}
 	if _, taken := take("a"); !taken {
 		t.Error("without a bound it is not taken")
 	}
-	a.Taking(time.Now().Add(time.Hour), "no lease")
+	a.AdmitUntil(time.Now().Add(time.Hour), "no lease")
 	if _, taken := take("b"); !taken {
 		t.Error("within the lease it is not taken")
 	}
-	a.Taking(time.Now().Add(-time.Millisecond), "no lease")
+	a.AdmitUntil(time.Now().Add(-time.Millisecond), "no lease")
 	got, taken := take("c")
 	if taken || !got.Refused || got.Policy != "no lease" || got.RetryAfter < time.Second || len(l.pending) != 2 {
 		t.Errorf("%+v, taken %v, %d events for the module", got, taken, len(l.pending))
@@ -35,7 +35,7 @@
 	if l.requests["a"].done || l.requests["b"].done {
 		t.Error("what was taken before is not finished")
 	}
-	a.Free()
+	a.AdmitAlways()
 	if _, taken := take("d"); !taken {
 		t.Error("freed, and it is not taken")
 	}
--- a/internal/core/disconnect.go
+++ b/internal/core/disconnect.go
@@ -38,6 +38,6 @@
 	if a.Client == nil || !Disconnected(a.Client) {
 		return false
 	}
-	a.loop.Leave(a.Request)
+	a.loop.ClientDisconnected(a.Request)
 	return true
 }
--- /dev/null
+++ b/internal/core/events.go
@@ -0,0 +1,53 @@
+package core
+
+import (
+	"time"
+	"vetchhaven/decide"
+)
+
+// What is posted to the loop, besides List and the module's own ProbeResult and PeerMessage.
+type (
+	requestArrived     struct{ *Request }
+	clientDisconnected struct{ *Request }
+	// deadlineExceeded says that a request's time and half of the grace are over and no answer is there.
+	deadlineExceeded struct{ *Request }
+	// answerBegan says that a part of an attempt's answer is about to reach the client.
+	answerBegan struct {
+		*Attempt
+		worked  bool
+		latency time.Duration
+	}
+	// uploadCompleted says that a request's last byte is out.
+	uploadCompleted struct {
+		*Attempt
+		at time.Time
+	}
+	attemptEnded struct {
+		*Attempt
+		outcome decide.Outcome
+		answer  any
+	}
+)
+
+// What the loop tells itself.
+type (
+	stopping   struct{}
+	summaryDue struct{}
+)
+
+// learntQuery asks the loop for what its module has learnt.
+type learntQuery struct{ reply chan learnt }
+
+// learnt is that, with the starts of the servers' processes as the list has them, ms, Unix.
+type learnt struct {
+	decide.Learnt
+	starts map[string]int64
+}
+
+func (l *Loop) learnt() learnt {
+	now := learnt{l.balancer.Learnt(), map[string]int64{}}
+	for _, b := range now.Backends {
+		now.starts[b.ID] = l.starts.told(b.ID)
+	}
+	return now
+}
--- a/internal/core/invariants.go
+++ b/internal/core/invariants.go
@@ -110,8 +110,8 @@
 	return true
 }
 
-// ended notes what became of an attempt.
-func (l *Loop) attemptEnded(t *Attempt, result decide.Result) {
+// noteResult notes what became of an attempt.
+func (l *Loop) noteResult(t *Attempt, result decide.Result) {
 	t.ended, t.result = true, result
 	l.counters.results[result].Add(1)
 	if l.log.Enabled(context.Background(), slog.LevelDebug) {
--- a/internal/core/invariants_test.go
+++ b/internal/core/invariants_test.go
@@ -37,7 +37,7 @@
 	}
 	s.base, s.toleratesViolations = context.Background(), true
 	s.request.Class, s.request.Deadline = class, time.Now().Add(time.Minute)
-	s.take(arrived{s.request.Request})
+	s.take(requestArrived{s.request.Request})
 	return s
 }
 
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -20,10 +20,10 @@
 	}
 	r := asked("1")
 	r.Deadline = time.Now()
-	l.take(arrived{r.Request})
-	l.take(overdue{r.Request})
-	l.take(overdue{r.Request}) // once only
-	l.take(left{r.Request})
+	l.take(requestArrived{r.Request})
+	l.take(deadlineExceeded{r.Request})
+	l.take(deadlineExceeded{r.Request}) // once only
+	l.take(clientDisconnected{r.Request})
 	if a := testkit.Receive(t, "final answer", r.reply); !a.TimedOut {
 		t.Errorf("%+v", a)
 	}
@@ -44,14 +44,14 @@
 	}
 	r := asked("1")
 	r.Deadline = time.Now().Add(time.Minute)
-	l.take(arrived{r.Request})
-	l.take(left{r.Request})
+	l.take(requestArrived{r.Request})
+	l.take(clientDisconnected{r.Request})
 	done := make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { l.run(ctx); close(done) }()
 	next := asked("2")
 	next.Deadline = time.Now().Add(time.Second)
-	l.post(arrived{next.Request})
+	l.post(requestArrived{next.Request})
 	testkit.Receive(t, "answer to the next request", next.reply)
 	cancel()
 	testkit.Receive(t, "end of the loop", done)
@@ -64,10 +64,10 @@
 		t.Fatal(err)
 	}
 	first, again := asked("1"), asked("1")
-	l.take(arrived{first.Request})
-	l.take(arrived{again.Request})
-	l.take(left{again.Request})
-	l.take(overdue{again.Request})
+	l.take(requestArrived{first.Request})
+	l.take(requestArrived{again.Request})
+	l.take(clientDisconnected{again.Request})
+	l.take(deadlineExceeded{again.Request})
 	if a := testkit.Receive(t, "answer", again.reply); !a.Duplicate || len(again.reply) != 0 {
 		t.Errorf("%+v and %d more", a, len(again.reply))
 	}
@@ -84,11 +84,11 @@
 		t.Fatal(err)
 	}
 	first, again := asked("1"), asked("1")
-	l.take(arrived{first.Request})
+	l.take(requestArrived{first.Request})
 	for _, r := range []asking{again, asked("2")} {
-		l.take(overdue{r.Request})
-		l.take(arrived{r.Request})
-		l.take(left{r.Request})
+		l.take(deadlineExceeded{r.Request})
+		l.take(requestArrived{r.Request})
+		l.take(clientDisconnected{r.Request})
 		if a := testkit.Receive(t, "answer", r.reply); !a.TimedOut || len(r.reply) != 0 {
 			t.Errorf("%+v and %d more", a, len(r.reply))
 		}
--- a/internal/core/protocol.go
+++ b/internal/core/protocol.go
@@ -144,7 +144,7 @@
 	}
 	if a.begins++; a.begins == 1 {
 		a.unbound.Store(worked)
-		a.loop.post(began{a, worked, time.Since(a.start)})
+		a.loop.post(answerBegan{a, worked, time.Since(a.start)})
 	}
 	return true
 }
@@ -157,7 +157,7 @@
 	if a.timer.Stop() {
 		a.timer.Reset(a.Left - a.loop.margin)
 	}
-	a.loop.post(uploaded{a, now})
+	a.loop.post(uploadCompleted{a, now})
 }
 
 // MayDial reports whether the attempt may open a connection. Without one that is open it ends as NotSent then.
--- a/internal/core/sights_test.go
+++ b/internal/core/sights_test.go
@@ -40,7 +40,7 @@
 
 // A request for which there is no server while verdicts hold is told which servers they keep from it; no other is.
 func TestRefusalNamesTheVerdictsThatStandInItsWay(t *testing.T) {
-	l := &Loop{clock: newClock(), log: slog.New(slog.DiscardHandler), requests: map[string]*Request{}, turned: map[string]int{}, recent: newRecent(time.Second)}
+	l := &Loop{clock: newClock(), log: slog.New(slog.DiscardHandler), requests: map[string]*Request{}, shedBy: map[string]int{}, recent: newRecent(time.Second)}
 	refused := func(why decide.Reason) Answer {
 		var got Answer
 		l.requests["r"] = NewRequest("r", 0, func(a Answer) { got = a })
--- /dev/null
+++ b/internal/core/timers.go
@@ -0,0 +1,22 @@
+package core
+
+import "time"
+
+// timer is a SetTimer that is pending.
+type timer struct {
+	at    time.Duration
+	token int64
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	*h = (*h)[:last]
+	return t
+}
--- a/internal/host/fleet/handover.go
+++ b/internal/host/fleet/handover.go
@@ -237,7 +237,7 @@
 			d.agents.Range(func(_, a any) bool {
 				one := a.(hosted).agent
 				d.closing.Store(one, true)
-				one.Shorten(time.Now().Add(lateAfter), switched)
+				one.ShortenAdmission(time.Now().Add(lateAfter), switched)
 				return true
 			})
 		}
--- a/internal/host/fleet/policy.go
+++ b/internal/host/fleet/policy.go
@@ -239,18 +239,18 @@
 	}
 	switch {
 	case s.unfit != "":
-		a.Taking(time.Time{}, s.unfit)
+		a.AdmitUntil(time.Time{}, s.unfit)
 	case s.Why != "":
-		a.Taking(time.Time{}, s.Why)
+		a.AdmitUntil(time.Time{}, s.Why)
 	case !s.holds(h.source):
-		a.Taking(time.Time{}, "the policy of "+h.source+" is not known yet")
+		a.AdmitUntil(time.Time{}, "the policy of "+h.source+" is not known yet")
 	case s.Until >= policy.Never && h.serves == s.Sum():
-		a.Free()
+		a.AdmitAlways()
 	case s.Until >= policy.Never:
 	case h.serves == s.Sum():
-		a.Taking(s.base.Add(s.Until), d.leaseOver())
+		a.AdmitUntil(s.base.Add(s.Until), d.leaseOver())
 	default:
-		a.Shorten(s.base.Add(s.Until), d.leaseOver())
+		a.ShortenAdmission(s.base.Add(s.Until), d.leaseOver())
 	}
 }
 
@@ -355,7 +355,7 @@
 	}
 	for a, spec := range old {
 		d.closing.Store(a, true)
-		a.Shorten(until, switched)
+		a.ShortenAdmission(until, switched)
 		i := slices.IndexFunc(cfg.Instances, func(n Instance) bool { return n.Name == spec.Name })
 		if i >= 0 {
 			a.Narrow(windows(&spec.Agent, &cfg.Instances[i].Agent))
--- a/internal/host/fleet/policy_test.go
+++ b/internal/host/fleet/policy_test.go
@@ -50,8 +50,8 @@
 	}
 	for _, until := range []time.Duration{policy.Never, time.Hour} { // with vetoes, with stops
 		r.served(policy.Serving{Doc: &policy.Doc{Number: 1}, Until: until, Held: []string{"main"}}, time.Now())
-		eventually(t, "the replaced copy takes nothing", func() bool { return !old.Takes() })
-		if !now.Takes() {
+		eventually(t, "the replaced copy takes nothing", func() bool { return !old.Admits() })
+		if !now.Admits() {
 			t.Error("the copy in its place takes nothing")
 		}
 	}
@@ -79,24 +79,24 @@
 		r.hostCopy(r.parts["a"])
 	})
 	word(1, time.Hour)
-	if !a.Takes() {
+	if !a.Admits() {
 		t.Fatal("within its lease it takes nothing")
 	}
 	word(2, time.Hour)
-	if !a.Takes() {
+	if !a.Admits() {
 		t.Error("within the lease of its own policy it takes nothing")
 	}
 	word(1, -time.Millisecond)
 	for _, until := range []time.Duration{time.Hour, policy.Never} {
-		if word(2, until); a.Takes() {
+		if word(2, until); a.Admits() {
 			t.Errorf("its lease is over, and it takes requests by that of another policy (%v)", until)
 		}
 	}
-	a.Shorten(time.Now().Add(time.Hour), switched)
-	if a.Takes() {
+	a.ShortenAdmission(time.Now().Add(time.Hour), switched)
+	if a.Admits() {
 		t.Error("it was to take no longer, and takes again")
 	}
-	if word(1, policy.Never); !a.Takes() {
+	if word(1, policy.Never); !a.Admits() {
 		t.Error("by its own policy it takes nothing")
 	}
 }
--- a/internal/protocol/http1/body.go
+++ b/internal/protocol/http1/body.go
@@ -200,7 +200,7 @@
 			return true // nobody reads it any more, though the server may still be to take its last piece
 		case <-look.C:
 			if core.Disconnected(client) {
-				l.Leave(r)
+				l.ClientDisconnected(r)
 			}
 			continue
 		case <-r.Over():
--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -470,7 +470,7 @@
 		c.say(reply{end: true})
 		return
 	}
-	c.f.loop.Leave(r)
+	c.f.loop.ClientDisconnected(r)
 	if lastWord {
 		limit := time.NewTimer(lingerTime) // one that does not read holds nothing up
 		defer limit.Stop()
--- a/internal/protocol/ldap/client.go
+++ b/internal/protocol/ldap/client.go
@@ -179,7 +179,7 @@
 	o.mu.Lock()
 	o.abandoned = true
 	o.mu.Unlock()
-	o.s.p.loop.Leave(o.request)
+	o.s.p.loop.ClientDisconnected(o.request)
 }
 
 func (p *protocol) serve(nc net.Conn) {
@@ -660,7 +660,7 @@
 	if c != nil {
 		c.sendAbandon(on)
 	}
-	s.p.loop.Leave(o.request)
+	s.p.loop.ClientDisconnected(o.request)
 }
 
 // cancel carries out a Cancel (RFC 3909). One that is on a server is the server's to cancel: both
@@ -694,7 +694,7 @@
 		return
 	}
 	if c == nil {
-		s.p.loop.Leave(o.request)
+		s.p.loop.ClientDisconnected(o.request)
 		s.answer(m.ID, m.Op, ldapmsg.Success, "")
 		return
 	}
@@ -882,7 +882,7 @@
 		if c != nil && o.m.Op == ldapmsg.SearchRequest {
 			c.sendAbandon(on)
 		}
-		s.p.loop.Leave(o.request)
+		s.p.loop.ClientDisconnected(o.request)
 	}
 }
 
