--- a/internal/drill/soak/process.go
+++ b/internal/drill/soak/process.go
@@ -53,9 +53,9 @@
 	keyedWindow    = 900 * time.Millisecond
 	connectTimeout = 250 * time.Millisecond
 	idleClose      = 3 * time.Second
-	coldShare      = 0.1
-	rampTime       = 4 * time.Second
-	fallMultiple   = 1.5
+	coldShare      = 0.05
+	rampTime       = 10 * time.Second
+	fallMultiple   = 1.2
 	fallWindow     = time.Second
 )
 
