--- /dev/null
+++ b/internal/protocol/http1/probe.go
@@ -0,0 +1,51 @@
+package http1
+
+import (
+	"context"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+	"vetchhaven/decide"
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/wire"
+)
+
+// probe examines a backend: with its load report where probes bring one.
+func (b *backends) probe(id string) decide.ProbeResult {
+	start := time.Now()
+	path := "/ping"
+	if b.cfg.Site.LoadProbed {
+		path = "/_load"
+	}
+	m := &message{head: []byte("GET " + path + " HTTP/1.1\r\nHost: probe\r\n")}
+	// The settings name no time-out for probes; one that takes longer than a connect may is no use.
+	ctx, cancel := context.WithTimeoutCause(context.Background(), b.cfg.Settings.ConnectTimeout, core.ErrTimedOut)
+	defer cancel()
+	result, a, load := b.attempt(ctx, probing{}, id, m)
+	if a != nil && b.cfg.Site.LoadProbed {
+		load = parseLoad(string(a.body))
+	}
+	return decide.ProbeResult{Backend: id, Result: result, Latency: time.Since(start), Load: load}
+}
+
+// loadNames maps the names of load values on sockets to those of the settings.
+var loadNames = map[string]string{"queue": "backlog", "inflight": "outstanding", "eps": "errors_per_s", "latency_ms": "recent_ms"}
+
+// parseLoad reads a load report such as "TEXT inflight=7, queue=2". What it can't read is left out.
+func parseLoad(text string) decide.Load {
+	usage := map[string]float64{}
+	text = strings.TrimSpace(text)
+	text = strings.TrimPrefix(strings.TrimPrefix(text, "Endpoint-Load-Metrics:"), " ")
+	for _, pair := range strings.Split(strings.TrimPrefix(text, "TEXT "), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		// Loads are counts and times: what is none says nothing.
+		if v, err := strconv.ParseFloat(value, 64); err == nil && v >= 0 && v <= math.MaxInt32 {
+			if known, ok := loadNames[name]; ok {
+				name = known
+			}
+			usage[name] = v
+		}
+	}
+	return wire.Load(usage)
+}
