--- a/internal/protocol/http1/sendguard_test.go
+++ b/internal/protocol/http1/sendguard_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net"
+	"net/url"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"vetchhaven/decide"
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/source/catalog"
 	"vetchhaven/internal/testkit"
@@ -169,3 +171,25 @@
 		t.Errorf("%+v", x)
 	}
 }
+
+// answeredMeanwhile is a purpose whose request has its answer while its first byte is being admitted.
+type answeredMeanwhile struct{ probing }
+
+func (answeredMeanwhile) BeginWrite(interrupt func()) core.SendRefusal {
+	interrupt()
+	return core.RequestAnswered
+}
+
+// A connection on which nothing was written after all serves the next request as if nothing had been.
+func TestAConnectionWhoseWriteWasRefusedServesTheNext(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	b := poolFor(t, s.addr)
+	m := newMessage("GET", "a", &url.URL{Path: "/get/x"}, nil, nil)
+	if r, _, _ := b.attempt(context.Background(), answeredMeanwhile{}, "s", m); r != decide.NotSent {
+		t.Fatalf("result %v", r)
+	}
+	rested(b)
+	if r, _, _ := b.attempt(context.Background(), probing{}, "s", m); r != decide.OK || b.open != 1 {
+		t.Errorf("result %v, %d connections", r, b.open)
+	}
+}
