--- a/internal/protocol/http1/attempt.go
+++ b/internal/protocol/http1/attempt.go
@@ -144,7 +144,8 @@
 	text := m.on(until)
 	c.wrote = time.Now()
 	if why := by.BeginWrite(c.interruptWrite); why != core.SendAllowed {
-		return nil, false, &refusedError{why: why, first: true, reusable: stop()}
+		// The request's end may have interrupted what was not begun: its deadline must not meet the next one.
+		return nil, false, &refusedError{why: why, first: true, reusable: stop() && c.SetDeadline(time.Time{}) == nil}
 	}
 	n, err := c.Write(text)
 	by.EndWrite()
