--- a/internal/core/starttimes.go
+++ b/internal/core/starttimes.go
@@ -9,7 +9,9 @@
 
 // startTimes are when servers' processes started, by the agent's monotonic clock. A list tells a start in Unix time by
 // the clock of another machine, which may be off from this one's by any span; what this process observed bounds it: a
-// start that a list tells for the first time lies between the last list that lacked it and now.
+// start that a list tells for the first time lies between the last list that lacked it and now. Where the told time lies
+// there too it is taken for true; else the start counts as of now, the coldest that it can be. A list that tells a start
+// after it has told something later makes the server colder by as much as it is late.
 //
 // A start on the first list that was read, or behind one that was saved, has no such lower bound: there the told time is
 // taken for true unless it lies in the future. With a wall clock that is ahead by d, a server that started less than a
@@ -99,7 +101,10 @@
 		s.known[id] = last
 		return last.at
 	}
-	at := min(max(hint, s.listed), now)
+	at := min(hint, now)
+	if at < s.listed { // the told time is proved wrong, or was told late: nothing says where in between it started
+		at = now
+	}
 	if known {
 		at = max(at, last.at+1) // another process: it counts as one, whatever the bounds leave
 	}
--- a/internal/drill/soak/list.go
+++ b/internal/drill/soak/list.go
@@ -181,6 +181,9 @@
 		case ListSlow:
 			time.Sleep(listWait)
 		}
+		if r.Context().Err() != nil { // the agent has ended this call meanwhile, to watch elsewhere: it hears nothing here
+			return
+		}
 		if first || len(m.Servers) > 0 {
 			raw, err := json.Marshal(m)
 			if err != nil {
