--- a/internal/core/starttimes_test.go
+++ b/internal/core/starttimes_test.go
@@ -27,9 +27,9 @@
 		return func(now time.Time) time.Time { return now.Add(-d) }
 	}
 	for name, tt := range map[string]startTold{
-		"clocks agree":                    {started: ago(time.Second), least: time.Second, most: time.Second},
-		"own clock an hour behind":        {started: ago(-time.Hour), least: 0, most: 0},
-		"own clock a second behind":       {started: ago(-time.Second), least: 0, most: 0},
+		"clocks agree":              {started: ago(time.Second), least: time.Second, most: time.Second},
+		"own clock an hour behind":  {started: ago(-time.Hour), least: 0, most: 0},
+		"own clock a second behind": {started: ago(-time.Second), least: 0, most: 0},
 		// What is told is proved wrong, and nothing says where between the lists it started: it is as cold as it may be.
 		"own clock an hour ahead":         {started: ago(time.Hour), least: 0, most: 0},
 		"own clock five seconds ahead":    {started: ago(5 * time.Second), least: 0, most: 0},
--- a/internal/drill/soak/check/check_test.go
+++ b/internal/drill/soak/check/check_test.go
@@ -130,3 +130,32 @@
 		t.Errorf("held long before: %v", got)
 	}
 }
+
+// A machine that did not run the process holds its deadlines up too, at that moment and as long as it did, and on top of a
+// hold of the play's own.
+func TestWhatTheMachineHeldUpIsAllowedFor(t *testing.T) {
+	late := arrived("s", 1250*ms)
+	late.Left = 550 * ms // the client has 250
+	held := func(at, left time.Duration) Event {
+		return Event{Kind: ProcessHeld, At: at, Left: left, Note: "ready to run, and not run by the machine"}
+	}
+	for name, row := range map[string]struct {
+		held Event
+		kept bool
+	}{
+		"nothing":             {held(100*ms, 0), false},
+		"long before":         {held(100*ms, 300*ms), false},
+		"for less":            {held(1000*ms, 200*ms), false},
+		"for as long, at it":  {held(1000*ms, 300*ms), true},
+		"on top of its build": {held(1000*ms, 150*ms), true},
+	} {
+		rules := testRules()
+		if name == "on top of its build" {
+			rules.HoldUp = 150 * ms
+		}
+		got := Check(rules, []Event{sent("get"), row.held, late, answered(1300*ms, 200)}).Violations
+		if (len(got) == 0) != row.kept {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
--- a/internal/drill/soak/play.go
+++ b/internal/drill/soak/play.go
@@ -58,7 +58,10 @@
 	asking, stop := context.WithTimeout(ctx, p.Length)
 	defer stop()
 	var running sync.WaitGroup
+	watching, unwatch := context.WithCancel(ctx)
+	defer unwatch()
 	for _, a := range s.agents {
+		go a.watchScheduling(watching)
 		running.Go(func() { a.clients.run(asking, clientsEach, p.Seed<<8+uint64(a.n)) })
 	}
 	begin := s.rec.Now()
