Layers: internal/house and its page by the field's names, with a diagram and a request's way

The page is docs/design/architecture.md; its diagram is what the test of imports keeps. No change of behaviour. The list of files that read Unix time follows the clock to internal/core/clock.go: the test was red since loop.go was split, as only core's own tests had been run.

--- a/internal/house/house_test.go
+++ b/internal/layers/layers_test.go
@@ -1,5 +1,5 @@
-// Package house holds the order of floors: docs/design/house.md draws it, this test keeps it.
-package house
+// Package layers holds the order of layers: docs/design/architecture.md draws it, these tests keep it.
+package layers
 
 import (
 	"encoding/json"
@@ -10,9 +10,9 @@
 	"testing"
 )
 
-// floors go from the ground up. A package stands on the floor of the longest prefix that fits, and imports only
-// from its own floor or below.
-var floors = [][]string{
+// layers go from the lowest up. A package belongs to the layer of the longest prefix that fits, and imports only
+// from its own layer or below.
+var layers = [][]string{
 	{"decide"},
 	{"internal/wire", "internal/tomlfile", "internal/wholefile", "internal/protocol/ldapmsg", "internal/source/catalog", "internal/source/membership", "internal/testkit", "internal/standin"},
 	{"internal/source"},
@@ -43,16 +43,16 @@
 	"internal/rehearse/judge":    {"decide"},
 }
 
-func floorOf(path string) (floor int, ok bool) {
+func layerOf(path string) (layer int, ok bool) {
 	longest := -1
-	for n, all := range floors {
+	for n, all := range layers {
 		for _, p := range all {
 			if (path == p || strings.HasPrefix(path, p+"/")) && len(p) > longest {
-				floor, ok, longest = n, true, len(p)
+				layer, ok, longest = n, true, len(p)
 			}
 		}
 	}
-	return floor, ok
+	return layer, ok
 }
 
 func TestNoPackageImportsUpwards(t *testing.T) {
@@ -74,12 +74,12 @@
 			t.Fatal(err)
 		}
 		path := strings.TrimPrefix(p.ImportPath, module)
-		if path == "internal/house" {
+		if path == "internal/layers" {
 			continue
 		}
-		own, ok := floorOf(path)
+		own, ok := layerOf(path)
 		if !ok {
-			t.Errorf("%s stands on no floor", path)
+			t.Errorf("%s is in no layer", path)
 		}
 		allowed, pure := free[path]
 		for _, i := range p.Imports {
@@ -91,8 +91,8 @@
 				continue
 			}
 			seen++
-			if below, _ := floorOf(i); below > own {
-				t.Errorf("%s imports %s, which stands above it", path, i)
+			if below, _ := layerOf(i); below > own {
+				t.Errorf("%s imports %s, which is above it", path, i)
 			}
 			if pure && !strings.Contains(" "+strings.Join(allowed, " ")+" ", " "+i+" ") {
 				t.Errorf("%s imports %s, and is to be free of it", path, i)
--- a/internal/house/wallclock_test.go
+++ b/internal/layers/wallclock_test.go
@@ -1,4 +1,4 @@
-package house
+package layers
 
 import (
 	"go/ast"
@@ -12,7 +12,7 @@
 
 // wallClockUses are the files that may read or make a wall-clock time, by which function, and why no span is taken from it.
 var wallClockUses = map[string]string{
-	"internal/core/loop.go UnixMilli":                     "the hint that starttimes.go bounds",
+	"internal/core/clock.go UnixMilli":                    "the hint that starttimes.go bounds",
 	"internal/core/gate.go Unix":                          "LongAgo, a deadline that has passed",
 	"internal/protocol/http1/front.go Unix":               "the Date field",
 	"internal/host/laststate/laststate.go UnixMilli":      "the age of a snapshot of another boot, a hint with a bound",
