--- a/internal/drill/soak/check/check_test.go
+++ b/internal/drill/soak/check/check_test.go
@@ -90,6 +90,8 @@
 		{"told again while it drains", NothingToWithdrawn, []Event{told(100*ms, Ready), told(400*ms, Draining), told(900*ms, Gone), sent("get"), arrived("s", 1010*ms), answered(1100*ms, 200)}},
 		{"within the grace", "", []Event{told(100*ms, Ready), told(600*ms, Draining), sent("get"), arrived("s", 1010*ms), answered(1100*ms, 200)}},
 		{"to one that is back", "", []Event{told(100*ms, Draining), told(900*ms, Ready), sent("get"), arrived("s", 1010*ms), answered(1100*ms, 200)}},
+		{"to one whose return is just being written", "", []Event{told(100*ms, Draining), told(1011*ms, Ready), sent("get"), arrived("s", 1010*ms), answered(1100*ms, 200)}},
+		{"to one that returns later", NothingToWithdrawn, []Event{told(100*ms, Draining), told(1030*ms, Ready), sent("get"), arrived("s", 1010*ms), answered(1100*ms, 200)}},
 		{"of a new process, not told yet", "", []Event{told(100*ms, Ready), told(400*ms, Draining), process(ProcessStarted, 900*ms, 0), sent("get"), arrived("s", 1010*ms), answered(1100*ms, 200)}},
 		{"more time than the client has", DeadlinePassedOn, []Event{sent("get"), longer, answered(1100*ms, 200)}},
 		{"a little more", "", []Event{sent("get"), slightlyLonger, answered(1100*ms, 200)}},
