--- a/internal/core/gate_test.go
+++ b/internal/core/gate_test.go
@@ -356,23 +356,29 @@
 	}
 }
 
+// acceptAfter has a gate whose listener fails once take the next connection.
+func acceptAfter(t *testing.T, err error) *Gate {
+	t.Helper()
+	g, _ := gateFor(t, 8, 1)
+	p := poor{g.Listener, err, make(chan struct{}), make(chan struct{})}
+	g.Listener = p
+	got := make(chan error, 1)
+	go func() { _, err := g.Accept(); got <- err }()
+	dialGate(t, g)
+	testkit.Receive(t, "accept", p.asked)
+	close(p.rich)
+	if err := testkit.Receive(t, "connection", got); err != nil {
+		t.Error(err)
+	}
+	return g
+}
+
 // What accept(2) says of one connection, or of the network under it, ends no agent: the next one is taken.
 func TestAConnectionThatFailsInTheQueueIsNoEnd(t *testing.T) {
 	for _, err := range []error{syscall.ECONNABORTED, syscall.EPROTO, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTDOWN,
 		syscall.EHOSTUNREACH, syscall.ENONET, syscall.ENOPROTOOPT, syscall.EOPNOTSUPP, syscall.EPERM} {
 		t.Run(err.Error(), func(t *testing.T) {
-			g, _ := gateFor(t, 8, 1)
-			p := poor{g.Listener, err, make(chan struct{}), make(chan struct{})}
-			g.Listener = p
-			got := make(chan error, 1)
-			go func() { _, err := g.Accept(); got <- err }()
-			dialGate(t, g)
-			testkit.Receive(t, "accept", p.asked)
-			close(p.rich)
-			if err := testkit.Receive(t, "connection", got); err != nil {
-				t.Error(err)
-			}
-			if g.asked != 0 {
+			if g := acceptAfter(t, err); g.asked != 0 {
 				t.Error("another one was asked to end for it")
 			}
 		})
@@ -407,17 +413,7 @@
 func TestAnUnknownAcceptErrorOfAMomentIsNoEnd(t *testing.T) {
 	for _, err := range []error{syscall.EIO, syscall.EINVAL, syscall.EFAULT, syscall.EACCES, errors.New("of another kind")} {
 		t.Run(err.Error(), func(t *testing.T) {
-			g, _ := gateFor(t, 8, 1)
-			p := poor{g.Listener, err, make(chan struct{}), make(chan struct{})}
-			g.Listener = p
-			got := make(chan error, 1)
-			go func() { _, err := g.Accept(); got <- err }()
-			dialGate(t, g)
-			testkit.Receive(t, "accept", p.asked)
-			close(p.rich)
-			if err := testkit.Receive(t, "connection", got); err != nil {
-				t.Error(err)
-			}
+			acceptAfter(t, err)
 		})
 	}
 }
--- a/internal/drill/soak/play_test.go
+++ b/internal/drill/soak/play_test.go
@@ -11,9 +11,6 @@
 
 // A few fixed seeds with real processes, one of them with writes that are held up, one with a wall clock that is off.
 func TestShortPlays(t *testing.T) {
-	if testing.Short() {
-		t.Skip("plays with real processes")
-	}
 	program := filepath.Join(t.TempDir(), "vetchhaven")
 	if err := faultbuild.Build(t.Context(), "vetchhaven/cmd/vetchhaven", program); err != nil {
 		t.Fatal(err)
--- a/internal/protocol/http1/sendguard_test.go
+++ b/internal/protocol/http1/sendguard_test.go
@@ -42,15 +42,7 @@
 					}
 				})
 			})
-			r.backends.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
-				c, err := new(net.Dialer).DialContext(ctx, network, addr)
-				if err != nil {
-					return nil, err
-				}
-				h := testkit.NewHeldWrite(c)
-				held <- h
-				return h, nil
-			}
+			r.backends.dialer = testkit.HoldWrites(held)
 			answered := make(chan exchange, 1)
 			go func() { answered <- r.do("GET", "/get/x", "", "X-Expires-In", end.expires) }()
 			h := testkit.Receive(t, "dial", held)
--- a/internal/protocol/ldap/sendguard_test.go
+++ b/internal/protocol/ldap/sendguard_test.go
@@ -25,15 +25,7 @@
 	}
 	r := start(t, cfg, Options{})
 	held := make(chan *testkit.HeldWrite, 1)
-	r.p.servers.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := new(net.Dialer).DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		h := testkit.NewHeldWrite(c)
-		held <- h
-		return h, nil
-	}
+	r.p.servers.dialer = testkit.HoldWrites(held)
 	c := r.dial(t)
 	answered := make(chan error, 1)
 	go func() { answered <- c.Modify(modify("x")) }()
--- a/internal/testkit/heldwrite.go
+++ b/internal/testkit/heldwrite.go
@@ -1,6 +1,7 @@
 package testkit
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -23,6 +24,19 @@
 	return &HeldWrite{Conn: c, Entered: make(chan struct{}), Release: make(chan struct{})}
 }
 
+// HoldWrites is a dialer that hands each of its connections to the test, with its first write to be held.
+func HoldWrites(held chan<- *HeldWrite) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		h := NewHeldWrite(c)
+		held <- h
+		return h, nil
+	}
+}
+
 func (h *HeldWrite) Write(p []byte) (int, error) {
 	h.once.Do(func() {
 		h.setHolding(true)
