--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -17,6 +17,13 @@
 	"vetchhaven/decide"
 )
 
+// Keys of the simulator's messages, as errors name them.
+const (
+	keyFacts   = "Facts"
+	keyMessage = "Msg"
+	keySheet   = "Sheet"
+)
+
 // Open tells that an instance starts with no state.
 type Open struct {
 	Seed     uint64
@@ -172,7 +179,7 @@
 		}
 		e.Open = &Open{Seed: *m.RandomSeed}
 		if e.Open.Settings, _, err = ParseSettings(m.Facts); err != nil {
-			err = fmt.Errorf("field Facts: %w", err)
+			err = fmt.Errorf("%s: %w", keyFacts, err)
 		}
 	case "Retire":
 		e.Retire = true
@@ -229,7 +236,7 @@
 		}
 		data, err := hex.DecodeString(*m.Text)
 		if err != nil {
-			return fmt.Errorf("field Msg: %w", err)
+			return fmt.Errorf("%s: %w", keyMessage, err)
 		}
 		e.Event = decide.PeerMessage{From: *m.From, Data: data}
 	default:
@@ -291,7 +298,7 @@
 	}
 	list, ok := r.lists[*m.Sheet]
 	if !ok {
-		return nil, fmt.Errorf("sheet %d was never defined", *m.Sheet)
+		return nil, fmt.Errorf("%s %d was never defined", keySheet, *m.Sheet)
 	}
 	return decide.List{Kind: kind, Backends: list}, nil
 }
