--- a/cmd/vetchhaven/run.go
+++ b/cmd/vetchhaven/run.go
@@ -263,12 +263,15 @@
 // loadConfig reads the configuration. A failure of the system that may pass is tried again; a file that is not there, or
 // makes no sense, is not.
 func loadConfig(stop context.Context, log *slog.Logger) (*core.Config, error) {
-	for began := time.Now(); ; {
+	began := time.Now()
+	for try := 0; ; try++ {
 		cfg, err := core.LoadConfig(os.Getenv)
 		if err == nil || !core.MayPass(err) || time.Since(began) > startMost {
 			return cfg, err
 		}
-		log.Warn("the configuration can't be read yet", "error", err)
+		if try == 0 { // not a line for every try
+			log.Warn("the configuration can't be read yet", "error", err, "tried_again_for", startMost)
+		}
 		select {
 		case <-stop.Done():
 			return nil, err
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -23,39 +23,39 @@
 	peers    *peers
 	watch    func() // asks discovery for a watch
 
-	events   chan any
-	stopped  chan struct{}
-	ready    atomic.Bool
-	listed   chan struct{} // closed once a list has named servers
-	margin   time.Duration
-	requests map[string]*Request
-	recent   recent // ids of requests that have ended
-	timers   timerHeap
-	pending  []decide.Event
-	probing  map[string]bool // one probe of a backend at a time
-	counts   counts
-	totals   totals
-	told     []Counts // by class
-	standing standing
-	away     atomic.Bool                     // an operator has sent clients away
-	barred   atomic.Pointer[map[string]bool] // taken out by hand; never changed in place
-	up       atomic.Pointer[map[string]bool] // ready by the list; never changed in place; nil: none has come
-	ends     atomic.Pointer[time.Time]       // when the last answers are given; nil: it is not to end
-	base     context.Context                 // of attempts: ends with the loop
-	ending   bool                            // it is to end
-	summing  bool                            // a summary is due
-	inject   func()                          // a test's; else nil
-	guard    func(func())                    // runs a goroutine's work and keeps its panic to this agent
-	held     func([]rights.Holding)          // told how rights stand; must not wait; nil: nobody
-	shedBy   map[string]int                  // by a limit of the fleet, or the policy, since the last summary
-	counters counters
-	// toleratesViolations is set by tests of the invariants alone.
-	toleratesViolations bool
-	sights              sights
-	starts              startTimes
-	kept                kept
-	admission           atomic.Pointer[admissionBound] // nil: requests are admitted without end
-	windows             atomic.Pointer[[]time.Duration]
+	events    chan any
+	stopped   chan struct{}
+	ready     atomic.Bool
+	listed    chan struct{} // closed once a list has named servers
+	margin    time.Duration
+	requests  map[string]*Request
+	recent    recent // ids of requests that have ended
+	timers    timerHeap
+	pending   []decide.Event
+	probing   map[string]bool // one probe of a backend at a time
+	counts    counts
+	totals    totals
+	told      []Counts // by class
+	standing  standing
+	away      atomic.Bool                     // an operator has sent clients away
+	barred    atomic.Pointer[map[string]bool] // taken out by hand; never changed in place
+	up        atomic.Pointer[map[string]bool] // ready by the list; never changed in place; nil: none has come
+	ends      atomic.Pointer[time.Time]       // when the last answers are given; nil: it is not to end
+	base      context.Context                 // of attempts: ends with the loop
+	ending    bool                            // it is to end
+	summing   bool                            // a summary is due
+	inject    func()                          // a test's; else nil
+	guard     func(func())                    // runs a goroutine's work and keeps its panic to this agent
+	held      func([]rights.Holding)          // told how rights stand; must not wait; nil: nobody
+	shedBy    map[string]int                  // by a limit of the fleet, or the policy, since the last summary
+	counters  counters
+	sights    sights
+	starts    startTimes
+	kept      kept
+	admission atomic.Pointer[admissionBound]  // nil: requests are admitted without end
+	windows   atomic.Pointer[[]time.Duration] // by class, see Narrow; nil: the policy's own
+
+	toleratesViolations bool // set by tests of the invariants alone
 }
 
 // totals are what the agent did since its start, for others to read.
--- a/internal/drill/soak/play.go
+++ b/internal/drill/soak/play.go
@@ -139,7 +139,7 @@
 			return err
 		}
 		a := &agentProcess{n: n, serve: n >= s.plan.Agents, pushed: n%2 == 1, program: program, dir: filepath.Join(s.files, fmt.Sprintf("n%d", n)),
-			listen: addr, env: s.plan.Faults, rec: s.rec, list: l, dirs: s.dir, clients: &clients{agent: n, addr: addr, rec: s.rec, pause: clientPause}}
+			listen: addr, env: s.plan.Faults, rec: s.rec, list: l, clients: &clients{agent: n, addr: addr, rec: s.rec, pause: clientPause}}
 		s.agents = append(s.agents, a)
 		if err := os.MkdirAll(a.dir, 0o700); err != nil {
 			return err
--- a/internal/drill/soak/process.go
+++ b/internal/drill/soak/process.go
@@ -34,7 +34,6 @@
 	rec     *Recorder
 	clients *clients
 	list    *list
-	dirs    *directory
 
 	mu      sync.Mutex
 	exited  chan struct{}
