ldap: only the reader ends a session, so that each request that was read is answered

Symptom: a client's first request on a connection that was accepted just before a drain was dropped behind the Notice of Disconnection (TestLDAPInstance, "unable to read LDAP response packet: EOF", about 1 in 100 runs). Cause: closeWithNotice looked whether an operation was open, and sent the notice, while the reader held a request that it had not entered yet; serve had stored hasRequested by then, so that drain skipped its fresh period. The same stood behind an eviction (evictQuiet looked, and closed in another goroutine), a read that timed out with a message just come, a bind step, a Cancel that was with the server, and a TLS handshake, which was cut off or got the notice in plain. Mend: the notice is sent once no request is open and the reader has ended. Who closes a session wakes the reader by a read deadline that has passed; the reader serves what has arrived by then, looks at the socket without waiting, rejects at once what comes while operations are open (unavailable: nothing was done), and looks once more. Look and close of an eviction are one step under the session's lock. Nothing is queued behind the notice. TestSASLBindKeepsItsServerConnection held that a request whose reserved server connection has ended gets the notice alone; it has to have a response of its own before it, so the test now wants both.

--- a/internal/protocol/ldap/bind_test.go
+++ b/internal/protocol/ldap/bind_test.go
@@ -172,8 +172,16 @@
 	two.Kill()
 	testkit.WaitFor(t, "the connections to end", func() bool { return one.Conns()+two.Conns() == 0 })
 	testkit.WaitFor(t, "the end to be seen", func() bool { a.p.pool.mu.Lock(); defer a.p.pool.mu.Unlock(); return a.p.pool.open == 0 })
-	if m := ask(ldapmsg.Extended(50, ldapmsg.OIDWhoAmI, nil)); m.ID != 0 || m.Op != ldapmsg.ExtResponse {
-		t.Errorf("no notice: %+v", m)
+	m := ask(ldapmsg.Extended(50, ldapmsg.OIDWhoAmI, nil))
+	if code, _ := m.Code(); m.ID != 50 || m.Op != ldapmsg.ExtResponse || code != ldapmsg.Unavailable || !strings.Contains(string(m.Content), "nothing was done") {
+		t.Errorf("no response of its own: %+v", m)
+	}
+	raw, err := in.Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, err := ldapmsg.Parse(raw); err != nil || m.ID != 0 || m.Op != ldapmsg.ExtResponse || !strings.Contains(string(m.Content), ldapmsg.OIDDisconnection) {
+		t.Errorf("no notice: %+v, %v", m, err)
 	}
 	if _, err := in.Next(); !errors.Is(err, io.EOF) {
 		t.Errorf("%v", err)
@@ -185,11 +193,10 @@
 	if _, err := c2.Write(ldapmsg.WithID(1, append([]byte{ldapmsg.BindRequest, byte(len(body))}, body...))); err != nil {
 		t.Fatal(err)
 	}
-	raw, err := ldapmsg.NewReader(c2, 1<<20).Next()
-	if err != nil {
+	if raw, err = ldapmsg.NewReader(c2, 1<<20).Next(); err != nil {
 		t.Fatal(err)
 	}
-	m, _ := ldapmsg.Parse(raw)
+	m, _ = ldapmsg.Parse(raw)
 	if n, _ := m.Code(); n != ldapmsg.AuthMethodNotSupported {
 		t.Errorf("%d", n)
 	}
--- a/internal/protocol/ldap/cancel.go
+++ b/internal/protocol/ldap/cancel.go
@@ -61,9 +61,21 @@
 		s.respond(m.ID, m.Op, ldapmsg.Success, "")
 		return
 	}
+	s.mu.Lock()
+	s.cancels++
+	s.mu.Unlock()
 	own := ldapmsg.Message{ID: m.ID, Op: m.Op}
 	go s.protocol.loop.ContainPanic(func() {
 		code := c.sendCancel(attemptID, time.Until(o.request.Deadline))
-		s.respond(own.ID, own.Op, code, "")
+		s.finishCancel(own, code)
 	})
 }
+
+// finishCancel queues the response of a Cancel that was with a server.
+func (s *session) finishCancel(m ldapmsg.Message, code int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancels--
+	s.enqueue(ldapmsg.Response(m.ID, ldapmsg.ResponseTo(m.Op), code, ""))
+	s.sendNoticeIfIdle()
+}
--- a/internal/protocol/ldap/clienttls.go
+++ b/internal/protocol/ldap/clienttls.go
@@ -12,11 +12,11 @@
 // startTLS handles a StartTLS request (RFC 4511, 4.14).
 func (s *session) startTLS(m ldapmsg.Message) (more bool, err error) {
 	s.mu.Lock()
-	open := len(s.operations)
+	open := s.hasOpen()
 	secured := s.secured
 	s.mu.Unlock()
 	switch {
-	case secured || open > 0:
+	case secured || open:
 		s.respond(m.ID, m.Op, ldapmsg.OperationsError, "TLS is there already, or operations are open")
 		return true, nil
 	case s.protocol.tls == nil:
@@ -26,6 +26,10 @@
 		// Bytes sent in plain must not be taken for bytes under TLS.
 		return false, fmt.Errorf("%w: something came behind StartTLS", ldapmsg.ErrMalformed)
 	}
+	if !s.beginHandshake() {
+		s.respond(m.ID, m.Op, ldapmsg.Unavailable, closingText)
+		return true, nil
+	}
 	success := ldapmsg.Response(m.ID, ldapmsg.ExtResponse, ldapmsg.Success, "")
 	if err := s.conn.SetWriteDeadline(time.Now().Add(core.HeadTimeout)); err != nil {
 		return false, nil
@@ -43,9 +47,17 @@
 	return true, nil
 }
 
+// beginHandshake takes note that a TLS handshake follows, which is not interrupted. It reports false if the session closes.
+func (s *session) beginHandshake() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handshaking = !s.closing
+	return s.handshaking
+}
+
 // acceptTLS makes the TLS handshake, within core.HeadTimeout.
 func (s *session) acceptTLS() error {
-	c := tls.Server(s.raw, s.protocol.tls)
+	c := tls.Server(s.client, s.protocol.tls)
 	if err := s.raw.SetDeadline(time.Now().Add(core.HeadTimeout)); err != nil {
 		return err
 	}
@@ -53,12 +65,16 @@
 		s.protocol.log.Warn("TLS with a client failed", "client", s.raw.RemoteAddr().String(), "error", err)
 		return err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := s.raw.SetDeadline(time.Time{}); err != nil {
 		return err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.conn = c
 	s.secured = true
+	s.handshaking = false
+	if s.closing { // meanwhile
+		s.interruptRead()
+	}
 	return nil
 }
--- a/internal/protocol/ldap/closing_test.go
+++ b/internal/protocol/ldap/closing_test.go
@@ -295,7 +295,7 @@
 		t.Fatal(err)
 	}
 	testkit.WaitFor(t, "the first step", func() bool { return r.Totals().Served == 1 })
-	testkit.WaitFor(t, "its end", s.isIdle)
+	testkit.WaitFor(t, "its end", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.operations) == 0 })
 	received := s.lastReceived.Load()
 	s.mu.Lock()
 	if _, err := c.Write(twoStep(2)); err != nil {
--- a/internal/protocol/ldap/ldap.go
+++ b/internal/protocol/ldap/ldap.go
@@ -8,7 +8,9 @@
 // calls Serve, Update, Resize, Shutdown and the like.
 //
 //	ldap.go, kind.go, options.go               the protocol, its classes of operations, its settings
-//	session.go, sessionwrite.go, clienttls.go  a client's connection
+//	session.go, clienttls.go                   a client's connection
+//	sessionread.go, clientreader.go            its reader, and how that ends
+//	sessionwrite.go                            its writer
 //	request.go, bind.go, cancel.go             checks and submits a client's requests
 //	operation.go, identity.go                  an operation, and as whom it runs
 //	attempt.go, responsestream.go              makes one attempt of an operation
@@ -22,13 +24,14 @@
 	"crypto/rand"
 	"crypto/tls"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"vetchhaven/decide"
 	"vetchhaven/internal/core"
-	"vetchhaven/internal/protocol/ldapmsg"
 )
 
 // protocol implements core.Protocol.
@@ -139,19 +142,16 @@
 func (p *protocol) evictQuiet() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.sessions)/8 + 1
-	for range n {
-		var oldest *session
-		for s := range p.sessions {
-			if s.quietFor() > minQuiet && (oldest == nil || s.quietFor() > oldest.quietFor()) && s.isIdle() {
-				oldest = s
-			}
-		}
-		if oldest == nil {
+	sessions := slices.Collect(maps.Keys(p.sessions))
+	slices.SortFunc(sessions, func(a, b *session) int { return cmp.Compare(a.lastReceived.Load(), b.lastReceived.Load()) })
+	remaining := len(sessions)/8 + 1
+	for _, s := range sessions {
+		if remaining == 0 || s.quietFor() <= minQuiet {
 			return
 		}
-		delete(p.sessions, oldest)
-		go oldest.closeWithNotice(ldapmsg.Unavailable, "too many connections: this one was quiet for longest")
+		if s.evict() {
+			remaining--
+		}
 	}
 }
 
--- a/internal/protocol/ldap/request.go
+++ b/internal/protocol/ldap/request.go
@@ -10,6 +10,9 @@
 	"vetchhaven/internal/protocol/ldapmsg"
 )
 
+// closingText is the diagnostic message of a request that comes on a session that closes.
+const closingText = "this connection is closed: nothing was done, ask again on a new one"
+
 // handleMessage handles a client's message. more is false where the connection has come to its end; an error is about bytes
 // that make no sense.
 func (s *session) handleMessage(raw []byte, m ldapmsg.Message) (more bool, err error) {
@@ -31,21 +34,23 @@
 	s.mu.Lock()
 	_, used := s.operations[m.ID]
 	open := len(s.operations)
-	closing := s.closing
 	stickyConn := s.stickyConn
 	s.mu.Unlock()
 	switch {
 	case used: // RFC 4511, 4.1.1.1
 		return false, fmt.Errorf("%w: messageID %d is in use", ldapmsg.ErrMalformed, m.ID)
-	case closing:
-		return true, nil // it comes behind the Notice of Disconnection
+	case s.rejects():
+		s.respond(m.ID, m.Op, ldapmsg.Unavailable, closingText)
+		return true, nil
 	case open >= s.protocol.options.MaxOpen:
 		s.respond(m.ID, m.Op, ldapmsg.Busy, "too many operations at once on this connection: nothing was done")
 		return true, nil
 	case m.Op == ldapmsg.BindRequest:
 		return s.handleBind(raw, m)
 	case stickyConn != nil && stickyConn.isUnusable():
-		s.closeWithNotice(ldapmsg.Unavailable, "the server connection of this SASL bind has ended")
+		const ended = "the server connection of this SASL bind has ended"
+		s.respond(m.ID, m.Op, ldapmsg.Unavailable, ended+": nothing was done")
+		s.endWithNotice(ldapmsg.Unavailable, ended)
 		return false, nil
 	case m.Op == ldapmsg.ExtRequest:
 		return s.handleExtended(raw, m)
@@ -156,12 +161,12 @@
 	}
 }
 
-// addOperation enters an operation among the open ones. It reports false if the session has begun to close since the request
-// was read: no response may follow a Notice of Disconnection (RFC 4511, 4.4.1), so nothing may be executed.
+// addOperation enters an operation among the open ones. It reports false behind the Notice of Disconnection, which no response
+// may follow (RFC 4511, 4.4.1), so that nothing may be executed; and where the client has disconnected.
 func (s *session) addOperation(o *operation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing {
+	if s.noticeSent || s.closed {
 		return false
 	}
 	s.operations[o.id] = o
--- a/internal/protocol/ldap/session.go
+++ b/internal/protocol/ldap/session.go
@@ -2,13 +2,11 @@
 
 import (
 	"crypto/tls"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"vetchhaven/internal/core"
 	"vetchhaven/internal/protocol/ldapmsg"
 )
 
@@ -28,23 +26,29 @@
 type session struct {
 	protocol     *protocol
 	raw          net.Conn // as the connection limiter accepted it
+	client       *clientReader
 	in           *ldapmsg.Reader
 	lastReceived atomic.Int64 // when a message came, in ns since protocol.startedAt
 	hasRequested atomic.Bool  // a message was received
 
 	mu          sync.Mutex
-	conn        net.Conn // raw, or TLS on it
+	conn        net.Conn // client, or TLS on it
 	secured     bool
+	handshaking bool       // a TLS handshake is under way
+	phase       readPhase  // what the reader does
+	readerEnded bool       // no message is handled any more
 	writeSpace  *sync.Cond // signalled when queuedBytes falls, or the session is closed
 	operations  map[int32]*operation
+	cancels     int // Cancels that are with a server
 	writeQueue  [][]byte
 	queuedBytes int
 	writing     bool
 	identity    *identity
 	stickyConn  *serverConn // of a SASL bind: all operations go there; nil: none
 	pagedConns  map[string]*serverConn
-	closing     bool // takes no further request; closes when all are answered
+	closing     bool // what has arrived is served, further requests are rejected; closes when all are answered
 	notice      []byte
+	noticeSent  bool // nothing follows it, and nothing may be executed any more
 	closed      bool
 	done        chan struct{} // closed when the session is closed
 }
@@ -54,10 +58,12 @@
 	s := &session{
 		protocol:   p,
 		raw:        nc,
-		conn:       nc,
+		client:     &clientReader{Conn: nc},
 		operations: map[int32]*operation{},
 		done:       make(chan struct{}),
 	}
+	s.conn = s.client
+	s.handshaking = p.options.LDAPS
 	s.writeSpace = sync.NewCond(&s.mu)
 	s.markReceived()
 	p.mu.Lock()
@@ -79,54 +85,8 @@
 	if draining {
 		go s.drain()
 	}
-	for {
-		raw, err := s.in.Next()
-		if err != nil {
-			s.readFailed(err)
-			return
-		}
-		s.markReceived()
-		s.hasRequested.Store(true)
-		m, err := ldapmsg.Parse(raw)
-		if err == nil && m.Op != ldapmsg.BindRequest {
-			err = ldapmsg.CheckDepth(raw)
-		}
-		if err != nil {
-			s.readFailed(err)
-			return
-		}
-		more, err := s.handleMessage(raw, m)
-		if err != nil {
-			s.readFailed(err)
-			return
-		}
-		if !more {
-			return
-		}
-	}
-}
-
-// startReader reads from the present connection. A client has core.HeadTimeout for its first message, and for each message
-// from its first byte on; between messages it may be quiet for Options.MaxIdle.
-func (s *session) startReader() {
-	first := s.in == nil
-	s.in = ldapmsg.NewReader(s.conn, s.protocol.options.MaxMessage)
-	s.in.OnWait = func() {
-		wait := s.protocol.options.MaxIdle
-		if first {
-			wait, first = core.HeadTimeout, false
-		}
-		s.setReadDeadline(time.Now().Add(wait))
-	}
-	s.in.OnPartial = func() { s.setReadDeadline(time.Now().Add(core.HeadTimeout)) }
-}
-
-// setReadDeadline bounds the next read, unless the session is closing: then reading has ended.
-func (s *session) setReadDeadline(t time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.closing {
-		_ = s.conn.SetReadDeadline(t) // a dead connection shows by its read
+	if err := s.readMessages(); err != nil {
+		s.readFailed(err)
 	}
 }
 
@@ -138,29 +98,8 @@
 	return time.Since(s.protocol.startedAt) - time.Duration(s.lastReceived.Load())
 }
 
-// isIdle reports whether no operation is open.
-func (s *session) isIdle() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.operations) == 0
-}
-
-// readFailed ends a session after an error of its reader: after malformed bytes or a timeout with a Notice of Disconnection,
-// once what was admitted is answered; after the connection's end at once, since nobody is there to get a response.
-func (s *session) readFailed(err error) {
-	var netErr net.Error
-	switch {
-	case errors.Is(err, ldapmsg.ErrMalformed):
-		s.protocol.log.Warn("client connection ended", "client", s.raw.RemoteAddr().String(), "error", err)
-		s.closeWithNotice(ldapmsg.ProtocolErrorCode, err.Error())
-	case errors.As(err, &netErr) && netErr.Timeout():
-		if s.isClosing() { // reading was ended: responses are still to be written
-			<-s.done
-			return
-		}
-		s.closeWithNotice(ldapmsg.Unavailable, "nothing, or no whole message, has come for long")
-	}
-}
+// hasOpen reports whether a request has yet to get its response. The lock is held.
+func (s *session) hasOpen() bool { return len(s.operations) > 0 || s.cancels > 0 }
 
 func (s *session) isClosing() bool {
 	s.mu.Lock()
@@ -182,29 +121,55 @@
 	s.closeWithNotice(ldapmsg.Unavailable, "this agent stops: ask again on a new connection")
 }
 
-// closeWithNotice ends the session with a Notice of Disconnection (RFC 4511, 4.4.1), once all that was admitted is answered.
-// It takes no further request, and returns when the session is closed.
+// closeWithNotice ends the session with a Notice of Disconnection (RFC 4511, 4.4.1), once all that was read is answered. The
+// reader serves what has arrived, rejects what comes later, and ends.
 func (s *session) closeWithNotice(code int, text string) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.closing || s.closed {
-		s.mu.Unlock()
 		return
 	}
+	s.beginClosing(code, text)
+	s.interruptRead()
+	s.sendNoticeIfIdle()
+}
+
+// evict closes the session if no request is open and none has come for minQuiet: the look and the close are one step.
+func (s *session) evict() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isQuiet() {
+		return false
+	}
+	s.beginClosing(ldapmsg.Unavailable, "too many connections: this one was quiet for longest")
+	s.interruptRead()
+	return true
+}
+
+// isQuiet reports whether the session may be evicted. The lock is held.
+func (s *session) isQuiet() bool {
+	return !s.closing && !s.closed && !s.hasOpen() && s.quietFor() > minQuiet
+}
+
+// beginClosing has the session end with a notice. The lock is held.
+func (s *session) beginClosing(code int, text string) {
 	s.closing = true
 	s.notice = ldapmsg.Disconnection(code, text)
-	_ = s.conn.SetReadDeadline(core.LongAgo) // the reader ends
-	s.sendNoticeIfIdle()
-	s.mu.Unlock()
-	<-s.done
 }
 
-// sendNoticeIfIdle sends the notice of a session that is closing, once no operation is open. The lock is held.
+// sendNoticeIfIdle sends the notice of a session that is closing, once no request is open and the reader has ended. Where it
+// still reads, it is woken for its last look. The lock is held.
 func (s *session) sendNoticeIfIdle() {
-	if !s.closing || len(s.operations) > 0 || s.notice == nil {
+	switch {
+	case !s.closing || s.noticeSent || s.hasOpen():
+		return
+	case !s.readerEnded:
+		s.interruptRead()
 		return
 	}
 	s.enqueue(s.notice)
 	s.notice = nil
+	s.noticeSent = true
 	go s.linger()
 }
 
--- a/internal/protocol/ldap/sessionwrite.go
+++ b/internal/protocol/ldap/sessionwrite.go
@@ -33,9 +33,9 @@
 	return true
 }
 
-// enqueue queues bytes for the client, and starts the writer. The lock is held.
+// enqueue queues bytes for the client, and starts the writer. Nothing follows the Notice of Disconnection. The lock is held.
 func (s *session) enqueue(text []byte) {
-	if s.closed {
+	if s.closed || s.noticeSent {
 		return
 	}
 	s.writeQueue = append(s.writeQueue, text)
