--- a/internal/host/daemon/instances_test.go
+++ b/internal/host/daemon/instances_test.go
@@ -17,6 +17,7 @@
 	"vetchhaven/internal/host/daemonconfig"
 	"vetchhaven/internal/source/discovery"
 	"vetchhaven/internal/standin"
+	"vetchhaven/internal/testkit"
 )
 
 func TestInstancesShareOneReadingOfTheList(t *testing.T) {
@@ -217,3 +218,50 @@
 		tb.expectServed("a")
 	}
 }
+
+// The end of a removed instance's agent is not taken for the end of the agent of a new instance with its name. Agents were told
+// apart by a count that began anew with each instance: the first agent of the new one had the number of the first of the removed
+// one. As that ended, the daemon forgot the agent that served: no reload replaced it, and a stop never ended it. A goroutine
+// dump of a daemon that did not end showed it: eight agents in core.(*Agent).Run, waiting for a stop, after 25 removals.
+func TestEndOfARemovedInstanceLeavesItsNamesakeAlone(t *testing.T) {
+	s, came, release := newHoldingServer()
+	defer s.Close()
+	defer release()
+	tb := newTestbed(t, s.Member("ready"))
+	tb.writeConfig(tb.instanceText("a", "b"))
+	r := tb.start(Options{})
+	answered := make(chan error, 1)
+	go func() {
+		_, _, err := sendRequest(client(tb.socketPath("b"), false), "pay")
+		answered <- err
+	}()
+	testkit.Receive(t, "the request", came)
+	for _, names := range [][]string{{"a"}, {"a", "b"}} {
+		tb.writeConfig(tb.instanceText(names...))
+		if _, err := r.Reload(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	running := func() (agent *core.Agent) {
+		r.call(func() { agent = r.instances["b"].agent })
+		return agent
+	}
+	before := running()
+	release()
+	if err := testkit.Receive(t, "the answer", answered); err != nil {
+		t.Error(err)
+	}
+	eventually(t, "the end of the removed instance's agent", func() bool {
+		agents := 0
+		r.rangeAgents(func(agentHandle) { agents++ })
+		return agents == 2
+	})
+	r.call(func() {}) // what the end posted was run
+	if now := running(); now == nil || now != before {
+		t.Errorf("the daemon knows of %p as b's agent; %p serves", now, before)
+	}
+	tb.expectServed("b")
+	if err := r.end(); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/protocol/http1/queue_test.go
@@ -0,0 +1,76 @@
+package http1
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"vetchhaven/internal/core"
+	"vetchhaven/internal/source/discovery"
+	"vetchhaven/internal/testkit"
+)
+
+// heldListener accepts nothing until held is closed: connections wait in the kernel's queue.
+type heldListener struct {
+	*net.TCPListener
+	held chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l heldListener) Accept() (net.Conn, error) {
+	<-l.held
+	return l.TCPListener.Accept()
+}
+
+// A connection that stands in the kernel's queue as an agent ends accepting is accepted before the listener is closed. It was
+// reset: a client that had connected, and had sent its request, saw "connection reset by peer" or a broken pipe (8 of 1,312
+// connections over 20 stops). The agent closed its listener without a look at the queue, and the last close of a listening
+// socket resets what waits on it.
+func TestQueuedConnectionIsServedBeforeTheListenerCloses(t *testing.T) {
+	s := serveRaw(t, func(int) string { return ok200 })
+	held := make(chan struct{})
+	l := heldListener{testkit.Listen(t).(*net.TCPListener), held}
+	accept := make(chan time.Time)
+	r := startParts(t, testConfig(t, testkit.Setup{Servers: []discovery.Member{s.member("s")}}),
+		core.Parts{Listener: l, StopAccepting: accept}, nil)
+	const queued = 5
+	answers := make(chan exchange, queued)
+	for range queued {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		go func() { answers <- askOn(c) }()
+	}
+	r.stop()
+	close(accept)
+	time.Sleep(50 * time.Millisecond) // the agent has closed its listener, or knows that it is to do so
+	close(held)
+	for range queued {
+		if got := testkit.Receive(t, "answer", answers); got.err != nil || got.status != 200 {
+			t.Errorf("%+v", got)
+		}
+	}
+	if err := testkit.Receive(t, "end of the agent", r.done); err != nil {
+		t.Error(err)
+	}
+}
+
+// askOn sends a request on a connection, and reads the response.
+func askOn(c net.Conn) exchange {
+	if err := c.SetDeadline(time.Now().Add(testkit.Patience)); err != nil {
+		return exchange{err: err}
+	}
+	if _, err := fmt.Fprintf(c, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\n\r\n", newID()); err != nil {
+		return exchange{err: err}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return exchange{err: err}
+	}
+	return exchange{status: resp.StatusCode}
+}
