daemon: an agent's end is told by the agent, not by a count that restarts with its instance

Symptom: after a reload that removes an instance and one that adds it again while the removed one still drains, the daemon does not end at SIGTERM, and no reload replaces the new instance's agent. Cause: agentEnded compared a generation that begins at 0 with each hostedInstance. The removed instance's agent and its namesake's both had 1, so the end of the first cleared agent and stop of the second, which ran on unowned. Mend: the agents themselves are compared. Looked for elsewhere: numbers towards the transport (lastAgentNumber) are never used again; hubs are compared by their source. Measured: TestEndOfARemovedInstanceLeavesItsNamesakeAlone fails before (nil agent, "the daemon did not stop"), passes.

--- a/internal/host/daemon/instances.go
+++ b/internal/host/daemon/instances.go
@@ -21,7 +21,6 @@
 	agent      *core.Agent        // nil: it does not run
 	stop       context.CancelFunc // has the agent end once everything it admitted is answered
 	number     uint32             // of the agent, towards the transport; never used again
-	generation int                // counts the agents: the end of an earlier one is not this one's
 	pastTotals core.Totals        // of earlier agents
 
 	// What the agent was last passed.
@@ -80,7 +79,6 @@
 	instance.stop = stop
 	instance.number = number
 	d.prepareAgent(instance, size)
-	instance.generation++
 	d.runAgent(ctx, instance)
 	return nil
 }
@@ -173,14 +171,13 @@
 	agent := instance.agent
 	stop := instance.stop
 	number := instance.number
-	generation := instance.generation
 	d.running.Go(func() {
 		err := agent.Run(ctx)
 		stopped := ctx.Err() != nil
 		stop()
 		d.agents.Delete(number)
 		d.replaced.Delete(agent)
-		d.post(func() { d.agentEnded(agentEnd{name, generation, agent, err, stopped}) })
+		d.post(func() { d.agentEnded(agentEnd{name, agent, err, stopped}) })
 		if p := d.activePeering.Load(); p != nil && err == nil { // nothing of it is in flight
 			p.transport.RemoveAgent(number)
 		}
@@ -189,18 +186,17 @@
 
 // agentEnd is the end of an agent.
 type agentEnd struct {
-	name       string // of its instance
-	generation int
-	agent      *core.Agent
-	err        error
-	stopped    bool // it was asked to end
+	name    string // of its instance
+	agent   *core.Agent
+	err     error
+	stopped bool // it was asked to end
 }
 
 // agentEnded takes note of the end of an agent.
 func (d *Daemon) agentEnded(end agentEnd) {
 	instance := d.instances[end.name]
-	if instance == nil || instance.generation != end.generation {
-		return // the instance was removed, or the agent replaced, and it has drained
+	if instance == nil || instance.agent != end.agent {
+		return // the instance was removed, or the agent replaced, and it has drained; another instance may have its name
 	}
 	instance.pastTotals = addTotals(instance.pastTotals, end.agent.Totals())
 	instance.agent = nil
