daemon, core: a stop accepts as long as run does, and takes the queue before it closes

Cause: every instance had NoLateConnections, meant for one whose listener has a successor; stopServing closed the daemon's copies at once. And nobody looked at the kernel's queue before the last close of a listening socket, which resets what waits there. Mend: an agent accepts until its daemon says (AcceptUntil); the daemon closes its own copies after core.AcceptAfterStop, a Unix socket's path first, and then each limiter accepts what is in the queue, without waiting, and closes (ConnLimiter.CloseAfterQueue; 0.25 s at most where no slot is free). run takes its queue too, unless the platform holds the socket. An instance that a reload removes takes its queue. With a successor nothing changes: the queue is its. Not closed: between the last look at a TCP queue and the close a connection may come about (microseconds).

--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -38,7 +38,7 @@
 	serving  atomic.Bool // clients' connections are accepted
 	stopping atomic.Bool
 
-	drainMu    sync.Mutex
+	drainMu    sync.Mutex // of idleCloser and stopAccepting
 	idleCloser *time.Timer // closes idle connections while an operator drains the agent
 }
 
@@ -54,7 +54,7 @@
 	// kernel's queue, where they would otherwise be refused for want of servers.
 	ListWait time.Duration
 	// StopAccepting, if set, ends the time in which a stopping agent still accepts connections; else that is
-	// acceptAfterStop.
+	// AcceptAfterStop.
 	StopAccepting <-chan time.Time
 	// ReportUsage receives the use of the agent's leases. The agent's loop calls it; it must not wait.
 	ReportUsage func([]quota.Usage)
@@ -121,7 +121,7 @@
 	case parts.StopAccepting != nil:
 		return func() <-chan time.Time { return parts.StopAccepting }
 	}
-	return func() <-chan time.Time { return time.After(acceptAfterStop) }
+	return func() <-chan time.Time { return time.After(AcceptAfterStop) }
 }
 
 // Name is the agent's name by its configuration.
--- a/internal/core/connlimiter.go
+++ b/internal/core/connlimiter.go
@@ -3,8 +3,10 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -94,6 +96,7 @@
 	slotFreed    chan struct{} // holds one: a slot has become free
 	closed       chan struct{}
 	closeOnce    sync.Once
+	closing      bool // see CloseAfterQueue
 }
 
 // NewConnLimiter accepts no more than maxConns connections of a listener at once.
@@ -139,7 +142,7 @@
 	for {
 		wait := cl.reclaimSlots(time.Now())
 		if wait == 0 {
-			nc, err := cl.Listener.Accept() // nobody else accepts: the slot is still free
+			nc, err := cl.acceptNext() // nobody else accepts: the slot is still free
 			if err == nil {
 				return cl.add(nc)
 			}
@@ -153,6 +156,42 @@
 	}
 }
 
+// acceptNext waits for a connection; after CloseAfterQueue it takes one from the queue, and closes the listener where that
+// is empty.
+func (cl *ConnLimiter) acceptNext() (net.Conn, error) {
+	if !cl.closesAfterQueue() {
+		nc, err := cl.Listener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nc, err
+		}
+	}
+	nc, err := acceptQueued(cl.Listener)
+	if errors.Is(err, errQueueEmpty) {
+		_ = cl.Close()
+		return nil, net.ErrClosed
+	}
+	return nc, err
+}
+
+func (cl *ConnLimiter) closesAfterQueue() bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.closing
+}
+
+// CloseAfterQueue has Accept take what stands in the kernel's queue, for so long at most, and close the listener then: the
+// last close of a listening socket resets the connections in its queue, whose clients may have sent requests. It must not
+// be called where another process or agent accepts on the same socket: what is in its queue is theirs.
+func (cl *ConnLimiter) CloseAfterQueue(limit time.Duration) {
+	cl.mu.Lock()
+	cl.closing = true
+	cl.mu.Unlock()
+	time.AfterFunc(limit, func() { _ = cl.Close() })
+	if !interruptAccept(cl.Listener) {
+		_ = cl.Close()
+	}
+}
+
 // retryDelay is how long to wait after an error of accept, or the error if the listener can't go on.
 func (cl *ConnLimiter) retryDelay(err error, failures *acceptFailures) (time.Duration, error) {
 	switch {
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// acceptAfterStop is how long new connections are accepted after a SIGTERM: clients learn of a planned restart up to
+	// AcceptAfterStop is how long new connections are accepted after a SIGTERM: clients learn of a planned restart up to
 	// 0.4 s late. Shorter refuses some of them; longer delays the restart.
-	acceptAfterStop = 450 * time.Millisecond
+	AcceptAfterStop = 450 * time.Millisecond
+	// maxQueueTime is how long at most a stopping agent takes connections from its listener's queue, which can't empty
+	// while no slot is free. Longer delays the restart.
+	maxQueueTime = 250 * time.Millisecond
 	// closeSilentAfterStop is how long after the listener is closed a connection may still bring its first request.
 	closeSilentAfterStop = 250 * time.Millisecond
 	// drainSlack is what a drain may take past the longest deadline. The platform kills 0.7 s after that.
@@ -30,8 +33,8 @@
 // drain ends the agent's service in these steps, all within maxDrain from its start:
 //
 //  1. New requests get deadlines of finalAnswersReserve before the end.
-//  2. Idle connections are closed. New ones are accepted for acceptAfterStop, unless NoLateConnections is set.
-//  3. The listener is closed. Each connection is closed once it has its answer; those without a byte go after
+//  2. Idle connections are closed. New ones are accepted for AcceptAfterStop, unless NoLateConnections is set.
+//  3. Connections in the listener's queue are accepted, unless NoLateConnections is set, and it is closed. Each connection is closed once it has its answer; those without a byte go after
 //     closeSilentAfterStop.
 //  4. It returns when no connection is open, or when the platform is about to kill the process.
 func (a *Agent) drain(served <-chan error) {
@@ -44,12 +47,13 @@
 	// Idle connections are closed at once: a client whose request crosses the close opens a new connection, which is
 	// still accepted.
 	a.stopping.Store(true)
-	if a.stopAccepting != nil {
+	if late := a.lateConnections(); late != nil {
 		a.updateDraining()
 		a.limiter.CloseIdle()
 		select {
 		case <-served: // the listener is broken: requests that were read are answered all the same
-		case <-a.stopAccepting():
+		case <-late():
+			a.acceptQueue(limit, served)
 		}
 	}
 	err := a.closeConnections(limit, served)
@@ -59,6 +63,36 @@
 	a.log.Info("stopped")
 }
 
+// lateConnections is what ends the time in which the stopping agent accepts connections; nil: it ends at once, and the
+// listener's queue is another's.
+func (a *Agent) lateConnections() func() <-chan time.Time {
+	a.drainMu.Lock()
+	defer a.drainMu.Unlock()
+	return a.stopAccepting
+}
+
+// AcceptUntil has the agent accept connections, once it is stopped, until a channel is closed, and then those in the
+// listener's queue. It is for an agent that was made with NoLateConnections, and whose listener no other one has after
+// all. It must be called before the agent is stopped.
+func (a *Agent) AcceptUntil(closed <-chan time.Time) {
+	a.drainMu.Lock()
+	defer a.drainMu.Unlock()
+	a.stopAccepting = func() <-chan time.Time { return closed }
+}
+
+// acceptQueue accepts the connections in the listener's queue, and closes it. A listener that the platform passed on stays
+// open elsewhere: what is in its queue is accepted there.
+func (a *Agent) acceptQueue(ctx context.Context, served <-chan error) {
+	if a.cfg.InheritedFD != 0 {
+		return
+	}
+	a.limiter.CloseAfterQueue(maxQueueTime)
+	select {
+	case <-served:
+	case <-ctx.Done():
+	}
+}
+
 // maxDrain is how long a drain may take: the longest deadline, however long, and a little more. A fixed bound of 3 s lost
 // requests of sites with longer deadlines.
 func (a *Agent) maxDrain() time.Duration { return a.cfg.MaxDeadline() + drainSlack }
--- a/internal/host/daemon/daemon.go
+++ b/internal/host/daemon/daemon.go
@@ -62,6 +62,7 @@
 	ctx         context.Context // ends when everything admitted is answered
 	reloads     int
 	handingOver bool           // a successor is being started
+	stopping    bool           // the instances were asked to end: none is started any more
 	running     sync.WaitGroup // instances, draining ones too
 	background  sync.WaitGroup // other goroutines
 
--- a/internal/host/daemon/reload.go
+++ b/internal/host/daemon/reload.go
@@ -63,7 +63,9 @@
 	for _, spec := range cfg.Instances {
 		d.applyInstance(spec, isMoved, &result)
 	}
-	d.removeInstances(cfg, &result)
+	socketsClosed := make(chan time.Time)
+	defer close(socketsClosed)
+	d.removeInstances(cfg, socketsClosed, &result)
 	d.watchLists()
 	if !slices.Equal(old.HeldParts(), cfg.HeldParts()) {
 		d.announceParts()
@@ -156,8 +158,10 @@
 	}
 }
 
-// removeInstances ends the instances that a configuration does not have. What they have admitted is answered.
-func (d *Daemon) removeInstances(cfg *daemonconfig.Config, result *ReloadResult) {
+// removeInstances ends the instances that a configuration does not have. What they have admitted is answered; and once
+// socketsClosed is closed, what is in the queue of a socket that no other instance has.
+func (d *Daemon) removeInstances(cfg *daemonconfig.Config, socketsClosed <-chan time.Time, result *ReloadResult) {
+	addresses := listenAddresses(cfg)
 	configured := map[string]bool{}
 	for _, spec := range cfg.Instances {
 		configured[spec.Name] = true
@@ -168,6 +172,9 @@
 		}
 		result.Removed++
 		if instance.stop != nil {
+			if !slices.Contains(addresses, instance.spec.Listen) {
+				instance.agent.AcceptUntil(socketsClosed)
+			}
 			instance.stop()
 		}
 		d.supervisor.Step(d.now(), supervise.Removed{Name: name})
--- a/internal/host/daemon/run.go
+++ b/internal/host/daemon/run.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"vetchhaven/internal/core"
 )
 
 const (
@@ -38,7 +40,6 @@
 		d.saveSnapshot()
 	}
 	d.stopServing(handedOver)
-	d.drain()
 	if p := d.peering; p != nil && !handedOver { // nothing is sent from here any more
 		p.transport.Leave(leaveTimeout)
 	}
@@ -102,13 +103,38 @@
 	return handedOver
 }
 
-// stopServing has the instances end once they have answered, and closes the sockets. A successor has copies of these.
+// stopServing has the instances end once they have answered, closes the sockets, and returns when all have ended. A successor
+// has copies of the sockets, and accepts what is in their queues. Without one the instances accept as long as an agent of the
+// platform does, and take what is in the queues before the last copies are closed.
 func (d *Daemon) stopServing(handedOver bool) {
+	d.stopping = true
+	acceptEnded := make(chan time.Time)
 	for _, instance := range d.instances {
-		if instance.stop != nil {
-			instance.stop()
+		if instance.stop == nil {
+			continue
+		}
+		if !handedOver {
+			instance.agent.AcceptUntil(acceptEnded)
 		}
+		instance.stop()
+	}
+	if !handedOver {
+		accepting, cancel := context.WithTimeout(context.Background(), core.AcceptAfterStop)
+		defer cancel()
+		d.runCalls(accepting.Done())
 	}
+	d.closeListeners(handedOver) // a Unix socket's path goes first: nobody connects while its queue is taken
+	close(acceptEnded)
+	drained := make(chan struct{})
+	go func() {
+		d.running.Wait()
+		close(drained)
+	}()
+	d.runCalls(drained)
+}
+
+// closeListeners closes the daemon's own copies of the sockets.
+func (d *Daemon) closeListeners(handedOver bool) {
 	for _, listener := range d.listeners {
 		if unix, ok := listener.(*net.UnixListener); ok && !handedOver {
 			unix.SetUnlinkOnClose(true)
@@ -120,18 +146,13 @@
 	}
 }
 
-// drain waits until all instances have ended. Their ends and operators' requests are handled meanwhile.
-func (d *Daemon) drain() {
-	drained := make(chan struct{})
-	go func() {
-		d.running.Wait()
-		close(drained)
-	}()
+// runCalls handles instances' ends and operators' requests until a channel is closed.
+func (d *Daemon) runCalls(until <-chan struct{}) {
 	for {
 		select {
 		case f := <-d.calls:
 			f()
-		case <-drained:
+		case <-until:
 			return
 		}
 	}
