daemon: a test of a reload and a handover while the daemon stops (it fails)

SIGHUP in a drain with a changed file: {Added:1 Replaced:1}, and the daemon never ends, since nobody stops what was started. A handover is begun as well.

--- a/internal/host/daemon/stop_test.go
+++ b/internal/host/daemon/stop_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +15,7 @@
 	"testing"
 	"time"
 
+	"vetchhaven/internal/host/daemonconfig"
 	"vetchhaven/internal/protocol/ldapmsg"
 	"vetchhaven/internal/standin"
 	"vetchhaven/internal/standin/directory"
@@ -245,3 +248,39 @@
 	over.Store(true)
 	clients.Wait()
 }
+
+// A reload that comes while the daemon stops is refused, and changes nothing. It was applied by the loop that waits for the
+// instances' ends: what it added was started, nobody stopped that, and the daemon did not end.
+func TestReloadWhileStoppingIsRefused(t *testing.T) {
+	s, came, release := newHoldingServer()
+	defer s.Close()
+	defer release()
+	tb := newTestbed(t, s.Member("ready"))
+	tb.writeConfig(tb.instanceText("a"))
+	r := tb.start(Options{Upgrade: func(context.Context, map[daemonconfig.Address]*os.File, []byte) error { return nil }})
+	answered := make(chan error, 1)
+	go func() {
+		_, _, err := sendRequest(client(tb.socketPath("a"), false), "pay")
+		answered <- err
+	}()
+	testkit.Receive(t, "the request", came)
+	r.stop()
+	eventually(t, "the stop", func() bool { return tb.log.count("msg=stopping") > 0 })
+	tb.writeConfig(tb.instanceText("a", "b"))
+	if got, err := r.Reload(); !errors.Is(err, errStopping) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	if err := r.Handover(context.Background()); !errors.Is(err, errStopping) {
+		t.Errorf("handover: %v", err)
+	}
+	release()
+	if err := testkit.Receive(t, "the answer", answered); err != nil {
+		t.Error(err)
+	}
+	if err := r.end(); err != nil {
+		t.Error(err)
+	}
+	if _, err := os.Stat(tb.socketPath("b")); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("a socket is left: %v", err)
+	}
+}
