daemon: no reload and no handover once the daemon stops

Symptom: SIGHUP in the drain, with a changed file, is applied, and the daemon does not end: it is killed with what it had admitted. Cause: runCalls (drain) handles what is posted until all instances have ended, and checkChangeable did not know of the stop: what apply started had nobody to stop it. Mend: stopServing sets d.stopping on Run's goroutine, on which apply and beginHandover look at it.

--- a/internal/host/daemon/handover.go
+++ b/internal/host/daemon/handover.go
@@ -70,7 +70,11 @@
 // a daemon that is stopped waits until background.Done is called: it ends after the successor that it has killed.
 func (d *Daemon) beginHandover() (p *peering, err error) {
 	running := d.call(func() {
-		if d.handingOver {
+		switch {
+		case d.stopping:
+			err = errStopping
+			return
+		case d.handingOver:
 			err = errHandoverBegun
 			return
 		}
--- a/internal/host/daemon/reload.go
+++ b/internal/host/daemon/reload.go
@@ -89,6 +89,8 @@
 // checkChangeable returns an error for what can't change in a running daemon.
 func (d *Daemon) checkChangeable(cfg *daemonconfig.Config) error {
 	switch {
+	case d.stopping:
+		return errStopping
 	case d.handingOver:
 		return errors.New("a successor is being started: it reads the file itself")
 	case cfg.Admin != d.cfg.Admin || cfg.StateDir != d.cfg.StateDir:
