daemon: ready comes after one limit, however many lists are down

Symptom: with two lists down and none saved the daemon serves after 5 s and never says that it is ready; a handover to it is given up after 30 s, a service manager restarts it. Cause: awaitLists and awaitInstances shared a timer's channel, which delivers once: it ended the wait for the first list, and the wait for the second had no end. Mend: a context with the limit, whose end holds for every wait; each list that is missing has its line then. Looked for elsewhere: no other timer channel in the tree is waited on twice (grep of time.After and NewTimer(...).C).

--- a/internal/host/daemon/run.go
+++ b/internal/host/daemon/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -182,18 +183,17 @@
 
 // awaitReady calls Ready once each hub has a list and each instance that runs has it, or after readyTimeout.
 func (d *Daemon) awaitReady(ctx context.Context) {
-	limit := time.After(readyTimeout)
-	if !d.awaitLists(ctx, limit) || !d.awaitInstances(ctx, limit) {
-		return
-	}
-	if d.options.Ready != nil {
+	limited, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	d.awaitLists(limited)
+	d.awaitInstances(limited)
+	if ctx.Err() == nil && d.options.Ready != nil {
 		d.options.Ready()
 	}
 }
 
-// awaitLists waits until each hub has a list. It reports false if the daemon ends. The limit fires once: it ends the wait
-// for one hub.
-func (d *Daemon) awaitLists(ctx context.Context, limit <-chan time.Time) bool {
+// awaitLists waits until each hub has a list, or the limit has passed: then it says of each list that is missing.
+func (d *Daemon) awaitLists(limited context.Context) {
 	var hubs []*hub
 	d.call(func() {
 		for _, h := range d.hubs {
@@ -203,32 +203,27 @@
 	for _, h := range hubs {
 		select {
 		case <-h.Ready():
-		case <-limit:
+		case <-limited.Done():
+		}
+		if !h.hasList() && errors.Is(limited.Err(), context.DeadlineExceeded) {
 			d.log.Warn("no list yet; instances refuse until there is one", "list", h.source.List)
-		case <-ctx.Done():
-			return false
 		}
 	}
-	return true
 }
 
 // awaitInstances waits until each instance has its list, and the policy lets it admit requests, or the limit has passed.
-// It reports false if the daemon ends.
-func (d *Daemon) awaitInstances(ctx context.Context, limit <-chan time.Time) bool {
+func (d *Daemon) awaitInstances(limited context.Context) {
 	poll := time.NewTicker(readyPollInterval)
 	defer poll.Stop()
-	for {
+	for limited.Err() == nil {
 		ready := false
 		d.call(func() { ready = d.instancesReady() })
+		if ready {
+			return
+		}
 		select {
 		case <-poll.C:
-		case <-limit:
-			return true
-		case <-ctx.Done():
-			return false
-		}
-		if ready {
-			return true
+		case <-limited.Done():
 		}
 	}
 }
--- a/internal/host/daemon/sources.go
+++ b/internal/host/daemon/sources.go
@@ -16,6 +16,16 @@
 	unwatch func() // ends the transport's watch of the list; nil: there is none
 }
 
+// hasList reports whether the hub has a list.
+func (h *hub) hasList() bool {
+	select {
+	case <-h.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
 // followSources has a hub for each source of a configuration, and for no others. It returns those that are dropped:
 // instances that follow them are moved, and then they are stopped.
 func (d *Daemon) followSources(cfg *daemonconfig.Config) (dropped []*hub) {
