serve: a reload during a handover is applied by whichever process serves then

Symptom: SIGHUP, or vetchhaven reload, while a successor starts is refused with "a successor is being started: it reads the file itself"; where the successor has read the file by then, nobody serves what was added, and nothing says so. Cause: two steps in two processes, with up to 30 s between: the successor's reading, and the old one's refusal. Mend: Reload waits for the handover's end. If the successor was given up, it is applied here; if it serves, it gets a SIGHUP, which is also what becomes of one that comes while this process drains. Reload reads the file within its turn, so that of two the one that read last is applied last, and by a path that does not change: it read Run's state from other goroutines. Looked for elsewhere: a policy change is held off and caught up from the fleet (switchPolicy, store); an operator's ban at serve is a policy or a file; lists are watched by the successor itself.

--- a/cmd/vetchhaven/serve.go
+++ b/cmd/vetchhaven/serve.go
@@ -67,6 +67,7 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 	}
+	var successor *exec.Cmd // set by Upgrade
 	d, err := daemon.New(daemon.Options{Config: cfg, Log: log, Program: version, WallSkew: clockOff, Inherit: before.Sockets, State: before.State,
 		Ready: func() {
 			log.Info("ready", "instances", len(cfg.Instances), "pid", os.Getpid())
@@ -84,15 +85,18 @@
 			defer context.AfterFunc(stop, end)()
 			cmd := exec.Command(self, os.Args[1:]...)
 			cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+			successor = cmd
 			return daemon.Successor(either, cmd, sockets, state, daemon.ReadyTimeout)
-		}})
+		},
+		ReloadSuccessor: func() error { return successor.Process.Signal(syscall.SIGHUP) },
+	})
 	if err != nil {
 		return exit{1, err}
 	}
 	go func() {
 		for s := range signals {
 			if s == syscall.SIGHUP {
-				if _, err := d.Reload(); err != nil {
+				if _, err := d.Reload(); err != nil && !errors.Is(err, daemon.ErrReloadPassedOn) {
 					log.Error("configuration not applied, the old one holds", "error", err)
 				}
 			} else {
--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -38,7 +38,7 @@
 	serving  atomic.Bool // clients' connections are accepted
 	stopping atomic.Bool
 
-	drainMu    sync.Mutex // of idleCloser and stopAccepting
+	drainMu    sync.Mutex  // of idleCloser and stopAccepting
 	idleCloser *time.Timer // closes idle connections while an operator drains the agent
 }
 
--- a/internal/host/daemon/daemon.go
+++ b/internal/host/daemon/daemon.go
@@ -40,6 +40,8 @@
 	// Upgrade starts a successor with these sockets and this snapshot, and returns when that is ready; nil: this daemon
 	// can't hand over.
 	Upgrade func(ctx context.Context, sockets map[daemonconfig.Address]*os.File, state []byte) error
+	// ReloadSuccessor tells the successor that Upgrade has started to read its file again.
+	ReloadSuccessor func() error
 	// Fault may make an instance panic: tests set it.
 	Fault func(name string) func(core.Totals)
 	// PeerFault is called in each step of failure detection, and may make it panic: tests set it.
@@ -61,10 +63,15 @@
 	done        chan struct{}
 	ctx         context.Context // ends when everything admitted is answered
 	reloads     int
-	handingOver bool           // a successor is being started
-	stopping    bool           // the instances were asked to end: none is started any more
-	running     sync.WaitGroup // instances, draining ones too
-	background  sync.WaitGroup // other goroutines
+	handingOver bool // a successor is being started, or serves
+	// handoverEnded is closed when the handover that is under way ends, well or not; nil: none is, and none went well.
+	handoverEnded chan struct{}
+	stopping      bool           // the instances were asked to end: none is started any more
+	running       sync.WaitGroup // instances, draining ones too
+	background    sync.WaitGroup // other goroutines
+
+	reloadMu        sync.Mutex  // one Reload at a time
+	successorServes atomic.Bool // the handover went well
 
 	// Sockets. Nobody accepts or reads on these: copies are used.
 	listeners   map[daemonconfig.Address]net.Listener
--- a/internal/host/daemon/handover.go
+++ b/internal/host/daemon/handover.go
@@ -28,7 +28,7 @@
 // Handover starts a successor that takes over the sockets, and ends this daemon once that one is ready. A successor that
 // fails to get ready leaves this one serving. The steps:
 //
-//  1. Reloads and policy switches are held off.
+//  1. Policy switches are held off. Reloads wait for the end, and are applied by whichever process serves then.
 //  2. The transport is frozen: it is silent from here on. policy.db is closed.
 //  3. The sockets are duplicated, and the state is encoded.
 //  4. The successor is started with a pipe, the state and the sockets. It accepts connections before it is ready.
@@ -79,6 +79,7 @@
 			return
 		}
 		d.handingOver = true
+		d.handoverEnded = make(chan struct{})
 		d.background.Add(1)
 		p = d.peering
 	})
@@ -128,6 +129,8 @@
 func (d *Daemon) abortHandover(p *peering) {
 	d.call(func() {
 		d.handingOver = false
+		close(d.handoverEnded)
+		d.handoverEnded = nil
 		if store := d.policy.store; store != nil {
 			if _, err := store.Open(); err != nil {
 				d.log.Error("the policy's file can't be opened again", "error", err)
@@ -144,6 +147,8 @@
 // completeHandover has Run end: the successor serves.
 func (d *Daemon) completeHandover() {
 	d.log.Info("a successor is ready")
+	d.successorServes.Store(true)
+	close(d.handoverEnded)
 	if d.cfg.Policy != nil {
 		d.rangeAgents(func(h agentHandle) {
 			d.replaced.Store(h.agent, true)
--- a/internal/host/daemon/reload.go
+++ b/internal/host/daemon/reload.go
@@ -22,16 +22,53 @@
 	Revived   int `json:"revived"` // were left down, and are tried again as a configuration is applied
 }
 
+// ErrReloadPassedOn says that this daemon has handed over, and that its successor was told to read the file again.
+var ErrReloadPassedOn = errors.New("a successor serves by now: it was told to apply the file, and logs what becomes of that")
+
 // Reload reads the file again and changes what differs. If it has a mistake, or an address can't be opened, nothing changes.
+// One that comes during a handover waits for its end, 30 s at most, and is applied by whichever process serves then: the
+// successor may have read the file before. If that is the successor, the error is ErrReloadPassedOn.
 func (d *Daemon) Reload() (result ReloadResult, err error) {
-	text, err := os.ReadFile(d.cfg.Path)
-	if err != nil {
-		return result, err
+	d.reloadMu.Lock() // the file that is read last is applied last
+	defer d.reloadMu.Unlock()
+	for {
+		if d.successorServes.Load() {
+			return result, d.passReloadOn()
+		}
+		text, err := os.ReadFile(d.options.Config.Path)
+		if err != nil {
+			return result, err
+		}
+		var handoverEnded <-chan struct{}
+		running := d.call(func() {
+			if handoverEnded = d.handoverEnded; handoverEnded == nil {
+				result, err = d.reload(text)
+			}
+		})
+		switch {
+		case !running && !d.successorServes.Load():
+			return result, errStopping
+		case running && handoverEnded == nil:
+			return result, err
+		case running:
+			select {
+			case <-handoverEnded:
+			case <-d.done:
+			}
+		}
+	}
+}
+
+// passReloadOn tells the successor to read the file again.
+func (d *Daemon) passReloadOn() error {
+	if d.options.ReloadSuccessor == nil {
+		return errors.New("a successor serves by now: ask that one")
 	}
-	if !d.call(func() { result, err = d.reload(text) }) {
-		return result, errStopping
+	if err := d.options.ReloadSuccessor(); err != nil {
+		return fmt.Errorf("a successor serves by now, and could not be told to apply the file: %w", err)
 	}
-	return result, err
+	d.log.Info("a reload was passed on to the successor")
+	return ErrReloadPassedOn
 }
 
 func (d *Daemon) reload(text []byte) (ReloadResult, error) {
@@ -92,7 +129,7 @@
 	case d.stopping:
 		return errStopping
 	case d.handingOver:
-		return errors.New("a successor is being started: it reads the file itself")
+		return errors.New("a successor is being started")
 	case cfg.Admin != d.cfg.Admin || cfg.StateDir != d.cfg.StateDir:
 		return fmt.Errorf("%s: admin and state_dir can't change in a running daemon: hand over instead", cfg.Path)
 	case !reflect.DeepEqual(cfg.Policy, d.cfg.Policy):
