--- a/internal/host/daemon/handover_test.go
+++ b/internal/host/daemon/handover_test.go
@@ -135,3 +135,36 @@
 		t.Error(err)
 	}
 }
+
+// A stop that comes in the moment in which the successor gets ready leaves the successor its sockets. Run went by what it knew
+// as it left its loop, and removed the Unix sockets' paths: the successor served on, and nobody could connect to it.
+func TestStopAsTheSuccessorGetsReadyLeavesItsSockets(t *testing.T) {
+	s := standin.NewForm("s", nil)
+	defer s.Close()
+	tb := newTestbed(t, s.Member("ready"))
+	tb.writeConfig(tb.instanceText("a"))
+	stopping := make(chan struct{})
+	started := make(chan struct{})
+	r := tb.start(Options{Upgrade: func(context.Context, map[daemonconfig.Address]*os.File, []byte) error {
+		close(started)
+		<-stopping
+		return nil // its byte was read before the stop was seen
+	}})
+	handed := make(chan error, 1)
+	go func() { handed <- r.Handover(context.Background()) }()
+	<-started
+	r.stop()
+	eventually(t, "the stop", func() bool { return tb.log.count("msg=stopping") > 0 })
+	close(stopping)
+	if err := <-handed; err != nil {
+		t.Error(err)
+	}
+	if err := r.end(); !errors.Is(err, ErrHandedOver) {
+		t.Errorf("it ended with %v", err)
+	}
+	for _, name := range []string{"a", "admin"} {
+		if _, err := os.Stat(tb.socketPath(name)); err != nil {
+			t.Errorf("the successor's socket: %v", err)
+		}
+	}
+}
