daemon: a successor that gets ready in the moment of a stop keeps its sockets

Symptom: after SIGTERM in that moment the successor serves on sockets whose paths are removed; clients get "no such file". Cause: Run decided once, as it left its loop, that nobody had taken over; completeHandover ran later, in the drain. Mend: stopServing looks again before it closes the sockets, and waits for a handover that is under way, whose successor the stop kills. Measured: TestStopAsTheSuccessorGetsReadyLeavesItsSockets fails before, passes.

--- a/internal/host/daemon/run.go
+++ b/internal/host/daemon/run.go
@@ -40,7 +40,7 @@
 	if !handedOver {
 		d.saveSnapshot()
 	}
-	d.stopServing(handedOver)
+	handedOver = d.stopServing(handedOver)
 	if p := d.peering; p != nil && !handedOver { // nothing is sent from here any more
 		p.transport.Leave(leaveTimeout)
 	}
@@ -106,8 +106,9 @@
 
 // stopServing has the instances end once they have answered, closes the sockets, and returns when all have ended. A successor
 // has copies of the sockets, and accepts what is in their queues. Without one the instances accept as long as an agent of the
-// platform does, and take what is in the queues before the last copies are closed.
-func (d *Daemon) stopServing(handedOver bool) {
+// platform does, and take what is in the queues before the last copies are closed. It reports whether there is a successor: one
+// that gets ready in the moment of the stop keeps its sockets.
+func (d *Daemon) stopServing(handedOver bool) bool {
 	d.stopping = true
 	acceptEnded := make(chan time.Time)
 	for _, instance := range d.instances {
@@ -123,6 +124,10 @@
 		accepting, cancel := context.WithTimeout(context.Background(), core.AcceptAfterStop)
 		defer cancel()
 		d.runCalls(accepting.Done())
+		if ended := d.handoverEnded; ended != nil {
+			d.runCalls(ended) // at once: a successor that is not ready is killed by the stop
+		}
+		handedOver = d.successorServes.Load()
 	}
 	d.closeListeners(handedOver) // a Unix socket's path goes first: nobody connects while its queue is taken
 	close(acceptEnded)
@@ -132,6 +137,7 @@
 		close(drained)
 	}()
 	d.runCalls(drained)
+	return handedOver
 }
 
 // closeListeners closes the daemon's own copies of the sockets.
