--- a/internal/faulttest/soak/check/check.go
+++ b/internal/faulttest/soak/check/check.go
@@ -27,11 +27,26 @@
 	CleanStop          Invariant = "clean_stop"           // a process ends by a signal alone, in time, with status 0
 	ReadyInTime        Invariant = "ready_in_time"        // a process that was started takes clients
 	NoGuardViolation   Invariant = "no_guard_violation"   // no guard of the program counted a violation
+	ConnectedIsRead    Invariant = "connected_is_read"    // a process that serves, or ended less than 0.4 s ago, takes connections
+	NothingBehind      Invariant = "nothing_behind"       // no message follows a Notice of Disconnection
 )
 
+// What is counted besides, under the same heading of a report.
+const (
+	DirectoryRequests Invariant = "ldap_requests"
+	FirstRequests     Invariant = "ldap_first_requests" // of their connections
+	SentInDrain       Invariant = "sent_in_drain"       // requests of any protocol between SIGTERM and the process's end
+	MadeInDrain       Invariant = "made_in_drain"       // connections
+	Crowds            Invariant = "crowds"
+)
+
+// Counts are all that is counted besides.
+var Counts = []Invariant{DirectoryRequests, FirstRequests, SentInDrain, MadeInDrain, Crowds}
+
 // Invariants are all of them, in the order of reports.
 var Invariants = []Invariant{OneAnswer, OwnAnswer, NothingAfterAnswer, NothingForLeft, EffectOnce, KeyedScope, RefusalNoEffect,
-	NothingToWithdrawn, SlowStartBudget, DeadlinePassedOn, StalledAnswered, CleanStop, ReadyInTime, NoGuardViolation}
+	NothingToWithdrawn, SlowStartBudget, DeadlinePassedOn, StalledAnswered, CleanStop, ReadyInTime, NoGuardViolation,
+	ConnectedIsRead, NothingBehind}
 
 // Rules are the figures by which a history is checked.
 type Rules struct {
@@ -41,6 +56,8 @@
 	LeftMost     time.Duration // an attempt may begin so long after its client has left
 	StallMost    time.Duration // a stalled client has its error or close by then
 	StopMost     time.Duration // after SIGTERM
+	AcceptLeast  time.Duration // after SIGTERM connections are taken for so long
+	StartLeast   time.Duration // a process that gets SIGTERM sooner after its start may end by the signal
 	ReadyMost    time.Duration
 	DrainGrace   time.Duration
 	DeadlineOver time.Duration // the deadline passed on may exceed what is left by so much
@@ -99,6 +116,9 @@
 	told     map[toldKey][]Event
 	arrivals map[string][]Event // by server's process
 	starts   map[string]time.Duration
+
+	crowds      map[int][]Event // of agents
+	connections []Event
 }
 
 type toldKey struct {
@@ -119,7 +139,7 @@
 // Check reads a history.
 func Check(rules Rules, history []Event) Report {
 	c := &checker{rules: rules, report: Report{Exercised: map[Invariant]int{}}, requests: map[string]*requestHistory{}, agents: map[int][]Event{},
-		told: map[toldKey][]Event{}, arrivals: map[string][]Event{}, starts: map[string]time.Duration{}}
+		told: map[toldKey][]Event{}, arrivals: map[string][]Event{}, starts: map[string]time.Duration{}, crowds: map[int][]Event{}}
 	events := slices.Clone(history)
 	sort.SliceStable(events, func(i, j int) bool { return events[i].At < events[j].At })
 	for _, e := range events {
@@ -130,6 +150,7 @@
 		c.checkRequest(c.requests[id])
 	}
 	c.checkProcesses()
+	c.checkConnections()
 	c.checkSlowStart()
 	slices.SortStableFunc(c.report.Violations, func(a, b Violation) int { return int(a.At - b.At) })
 	return c.report
@@ -185,6 +206,14 @@
 		}
 	case ProcessStarted, ProcessReady, ProcessTerminated, ProcessKilled, ProcessHandedOver, ProcessHeld, ProcessExited:
 		c.agents[e.Agent] = append(c.agents[e.Agent], e)
+	case CrowdBegan, CrowdEnded:
+		c.crowds[e.Agent] = append(c.crowds[e.Agent], e)
+	case ConnectionMade, ConnectFailed, ConnectionLost:
+		c.connections = append(c.connections, e)
+	case NoticeRead:
+		c.exercised(NothingBehind)
+	case BehindNotice:
+		c.violated(NothingBehind, e.At, e.Agent, "", "", "behind a Notice of Disconnection: %q", e.Note)
 	case InvariantLogged:
 		c.violated(NoGuardViolation, e.At, e.Agent, "", "", "%s", e.Note)
 	}
@@ -217,6 +246,7 @@
 		return
 	}
 	class := c.rules.Classes[s.Class]
+	c.countRequest(s)
 	c.checkAnswer(r)
 	if r.left != nil {
 		c.exercised(NothingForLeft)
@@ -241,6 +271,7 @@
 		c.violated(OneAnswer, r.answers[1].At, s.Agent, s.Request, "", "%d final answers", len(r.answers))
 	case len(r.answers) == 1 && r.answers[0].At > due:
 		c.violated(OneAnswer, r.answers[0].At, s.Agent, s.Request, "", "its answer came %v after its deadline", r.answers[0].At-s.At-s.Left)
+	case r.ended != nil && c.crowdedAt(s.Agent, r.ended.At): // a new connection may be shut unread then
 	case len(r.answers) == 0 && r.left == nil && !c.killedWithin(s.Agent, s.At-c.rules.Slack, due):
 		text := "no final answer"
 		if r.ended != nil {
@@ -364,7 +395,7 @@
 
 // checkProcesses holds processes to a clean start and stop.
 func (c *checker) checkProcesses() {
-	type life struct{ started, terminated, killed, handedOver *Event }
+	type life struct{ started, ready, terminated, killed, handedOver *Event }
 	for agent, events := range c.agents {
 		lives := map[int]*life{}
 		for _, e := range events {
@@ -377,6 +408,7 @@
 			case ProcessStarted:
 				l.started = &e
 			case ProcessReady:
+				l.ready = &e
 				c.exercised(ReadyInTime)
 				if l.started != nil && e.At-l.started.At > c.rules.ReadyMost+c.rules.Slack {
 					c.violated(ReadyInTime, e.At, agent, "", "", "ready after %v", e.At-l.started.At)
@@ -391,6 +423,7 @@
 				c.exercised(CleanStop)
 				switch terminated, killed := l.terminated, l.killed; {
 				case killed != nil && terminated == nil, l.handedOver != nil && e.Status == 0:
+				case terminated != nil && l.ready == nil && terminated.At-l.started.At < c.rules.StartLeast+c.rules.Slack:
 				case terminated == nil:
 					c.violated(CleanStop, e.At, agent, "", "", "ended by itself, status %d", e.Status)
 				case killed != nil || e.At-terminated.At > c.rules.StopMost+c.rules.Slack:
--- /dev/null
+++ b/internal/faulttest/soak/check/connections.go
@@ -0,0 +1,105 @@
+package check
+
+import (
+	"slices"
+	"time"
+)
+
+// crowdedAt reports whether idle clients filled an agent's descriptors at a time, or had just gone.
+func (c *checker) crowdedAt(agent int, at time.Duration) bool {
+	crowded := false
+	for _, e := range c.crowds[agent] {
+		switch {
+		case e.Kind == CrowdBegan && e.At <= at:
+			crowded = true
+		case e.Kind == CrowdEnded && e.At+c.rules.StallMost <= at:
+			crowded = false
+		}
+	}
+	return crowded
+}
+
+// countRequest counts what a request adds to Counts.
+func (c *checker) countRequest(sent Event) {
+	if sent.Class == "search" || sent.Class == "modify" {
+		c.exercised(DirectoryRequests)
+		if sent.First {
+			c.exercised(FirstRequests)
+		}
+	}
+	if serving, stoppedAt := c.servingAt(sent.Agent, sent.At); !serving && stoppedAt > 0 {
+		c.exercised(SentInDrain)
+	}
+}
+
+// servingAt reports whether an agent's process was ready at a time and had got no signal to end. stoppedAt is when it got
+// SIGTERM, if that was the last that happened to it; else 0.
+func (c *checker) servingAt(agent int, at time.Duration) (serving bool, stoppedAt time.Duration) {
+	handedOver := map[int]bool{}
+	for _, e := range c.agents[agent] {
+		if e.At > at {
+			break
+		}
+		switch e.Kind {
+		case ProcessReady:
+			serving, stoppedAt = e.Note == "", 0
+		case ProcessHandedOver:
+			handedOver[e.Process] = true
+		case ProcessTerminated:
+			if serving || stoppedAt == 0 {
+				stoppedAt = e.At
+			}
+			serving = false
+		case ProcessStarted:
+			if !handedOver[e.Process-1] {
+				serving, stoppedAt = false, 0
+			}
+		case ProcessKilled:
+			serving, stoppedAt = false, 0
+		case ProcessExited:
+			if !handedOver[e.Process] {
+				serving, stoppedAt = false, 0
+			}
+		}
+	}
+	return serving, stoppedAt
+}
+
+// checkConnections holds an agent to taking the connections of its clients while it serves, and for a while after SIGTERM:
+// clients learn of a planned restart late.
+func (c *checker) checkConnections() {
+	for _, agent := range sortedAgents(c.crowds) {
+		for _, e := range c.crowds[agent] {
+			if e.Kind == CrowdBegan {
+				c.exercised(Crowds)
+			}
+		}
+	}
+	for _, e := range c.connections {
+		serving, stoppedAt := c.servingAt(e.Agent, e.At)
+		after := e.At - stoppedAt
+		owed := serving || stoppedAt > 0 && after < c.rules.AcceptLeast-c.rules.Slack
+		switch {
+		case !owed || c.crowdedAt(e.Agent, e.At) || c.killedWithin(e.Agent, e.At-c.rules.Slack, e.At+c.rules.AcceptLeast):
+			continue
+		case e.Kind == ConnectionMade && !serving:
+			c.exercised(MadeInDrain)
+			c.exercised(ConnectedIsRead)
+		case e.Kind == ConnectionMade:
+			c.exercised(ConnectedIsRead)
+		case serving:
+			c.violated(ConnectedIsRead, e.At, e.Agent, "", "", "%s while it serves: %s", e.Kind, e.Note)
+		default:
+			c.violated(ConnectedIsRead, e.At, e.Agent, "", "", "%s %v after SIGTERM: %s", e.Kind, after, e.Note)
+		}
+	}
+}
+
+func sortedAgents(m map[int][]Event) []int {
+	agents := make([]int, 0, len(m))
+	for n := range m {
+		agents = append(agents, n)
+	}
+	slices.Sort(agents)
+	return agents
+}
--- a/internal/faulttest/soak/check/history.go
+++ b/internal/faulttest/soak/check/history.go
@@ -17,6 +17,14 @@
 	StallBegan      Kind = "stall_began"      // a client has sent a part of a request, and stays
 	StallEnded      Kind = "stall_ended"      // it got an error, or its connection was closed
 
+	ConnectionMade Kind = "connection_made" // a client has connected; At is when it began to
+	ConnectFailed  Kind = "connect_failed"  // a client could not connect; At is when it began to
+	ConnectionLost Kind = "connection_lost" // a new connection took no request: a write to it failed
+	NoticeRead     Kind = "notice_read"     // a Notice of Disconnection came (RFC 4511, 4.4.1)
+	BehindNotice   Kind = "behind_notice"   // a message came behind it
+	CrowdBegan     Kind = "crowd_began"     // idle clients fill the agent's descriptors
+	CrowdEnded     Kind = "crowd_ended"     // they have gone
+
 	RequestArrived Kind = "request_arrived" // at a server: its last byte came; Began is its first
 	RequestDone    Kind = "request_done"    // the server has answered it, or its connection has ended
 
@@ -52,6 +60,7 @@
 	Left    time.Duration `json:"left,omitempty"`
 	Status  int           `json:"status,omitempty"`
 	Ran     bool          `json:"ran,omitempty"`    // the server did, or may do, what was asked
+	First   bool          `json:"first,omitempty"`  // the first request of its connection
 	Broken  bool          `json:"broken,omitempty"` // an answer that its client can tell is not whole
 	Own     bool          `json:"own,omitempty"`    // a served answer is the one that a server made for this request
 	State   string        `json:"state,omitempty"`
--- a/internal/faulttest/soak/client.go
+++ b/internal/faulttest/soak/client.go
@@ -50,8 +50,10 @@
 	last    atomic.Int64
 	// open ends where no new connection comes any more, 0.4 s after the agent was told to end, and begins anew with the
 	// next process.
-	open atomic.Bool
-	all  sync.WaitGroup
+	open       atomic.Bool
+	quietUntil atomic.Int64  // in the play's time: until then no request is sent
+	deadline   time.Duration // the longest that a client waits
+	all        sync.WaitGroup
 }
 
 // clientConn is a client's connection, with what has come on it.
@@ -68,13 +70,8 @@
 			rng := rand.New(rand.NewPCG(seed, uint64(n)))
 			var conn *clientConn
 			for ctx.Err() == nil {
-				pause := time.Duration(rng.ExpFloat64() * float64(c.pause))
+				c.awaitTurn(rng)
 				trouble := ClientTrouble(c.trouble.Load())
-				if trouble == ClientsBurst {
-					now := c.rec.Now()
-					pause = now.Truncate(300*time.Millisecond) + 300*time.Millisecond - now
-				}
-				time.Sleep(min(pause, 2*time.Second))
 				switch {
 				case trouble == ClientsStall && rng.Float64() < 0.3:
 					c.stall(rng)
@@ -97,14 +94,49 @@
 }
 
 func (c *clients) dial() *clientConn {
+	nc := c.dialAddr(c.addr)
+	if nc == nil {
+		return nil
+	}
+	return &clientConn{Conn: nc, in: bufio.NewReader(nc)}
+}
+
+// dialAddr connects to an address of the agent, and records what became of it; nil: there is no connection.
+func (c *clients) dialAddr(addr string) net.Conn {
 	if !c.open.Load() {
 		return nil
 	}
-	nc, err := net.DialTimeout("tcp", c.addr, time.Second)
+	began := c.rec.Now()
+	nc, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
+		c.rec.Put(check.Event{Kind: check.ConnectFailed, At: began, Agent: c.agent, Note: err.Error()})
 		return nil
 	}
-	return &clientConn{Conn: nc, in: bufio.NewReader(nc)}
+	c.rec.Put(check.Event{Kind: check.ConnectionMade, At: began, Agent: c.agent})
+	return nc
+}
+
+// lostUnread records that a new connection took no request.
+func (c *clients) lostUnread(conn net.Conn) {
+	c.rec.Put(check.Event{Kind: check.ConnectionLost, Agent: c.agent, Note: "from " + conn.LocalAddr().String()})
+}
+
+// nextName is the name of a client's next request.
+func (c *clients) nextName(kind string) string {
+	return fmt.Sprintf("%s%d-%d", kind, c.agent, c.last.Add(1))
+}
+
+// awaitTurn waits until a client is to send its next request.
+func (c *clients) awaitTurn(rng *rand.Rand) {
+	pause := time.Duration(rng.ExpFloat64() * float64(c.pause))
+	if ClientTrouble(c.trouble.Load()) == ClientsBurst {
+		now := c.rec.Now()
+		pause = now.Truncate(300*time.Millisecond) + 300*time.Millisecond - now
+	}
+	time.Sleep(min(pause, 2*time.Second))
+	if rest := time.Duration(c.quietUntil.Load()) - c.rec.Now(); rest > 0 {
+		time.Sleep(rest)
+	}
 }
 
 // request is one that is asked.
@@ -122,7 +154,8 @@
 			break
 		}
 	}
-	r := request{id: fmt.Sprintf("a%d-%d", c.agent, c.last.Add(1)), class: k.name, left: 300*time.Millisecond + time.Duration(rng.Float64()*float64(700*time.Millisecond))}
+	const least = 300 * time.Millisecond
+	r := request{id: c.nextName("a"), class: k.name, left: least + time.Duration(rng.Float64()*float64(c.deadline-least))}
 	if trouble == ClientsHurry {
 		r.left = time.Millisecond + time.Duration(rng.ExpFloat64()*float64(40*time.Millisecond))
 	}
@@ -162,6 +195,9 @@
 				}
 				continue
 			}
+			if !sent {
+				c.lostUnread(conn)
+			}
 			_ = conn.Close()
 			return nil
 		}
--- /dev/null
+++ b/internal/faulttest/soak/ldapclient.go
@@ -0,0 +1,341 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	goldap "github.com/go-ldap/ldap/v3"
+
+	"vetchhaven/internal/faulttest/soak/check"
+	"vetchhaven/internal/protocol/ldapmsg"
+)
+
+// Of the clients of an LDAP instance.
+const (
+	rawLDAPClients     = 3 // that write and read messages by themselves
+	libraryLDAPClients = 1 // that use go-ldap
+	pipelinedMost      = 3 // requests that a raw client writes at once
+	ldapWriteTimeout   = 5 * time.Second
+	maxLDAPMessage     = 1 << 20
+)
+
+// Classes of operations, as the configuration names them.
+const (
+	classSearch = "search"
+	classModify = "modify"
+)
+
+// ldapClients are those of one instance. They connect while the instance's HTTP clients do.
+type ldapClients struct {
+	*clients // of the same process
+	addr     string
+	deadline time.Duration
+}
+
+// ldapConn is a client's connection.
+type ldapConn struct {
+	net.Conn
+	in     *ldapmsg.Reader
+	lastID int32
+	used   bool // a request on it has had its response
+}
+
+// ldapRequest is one operation that a client has asked for.
+type ldapRequest struct {
+	id        int32
+	name      string
+	class     string
+	text      []byte
+	sent      bool // recorded as sent
+	abandoned bool // its client wants no response
+}
+
+// run has the clients ask until ctx ends, and returns once each has its responses.
+func (c *ldapClients) run(ctx context.Context, seed uint64) {
+	for n := range rawLDAPClients {
+		c.all.Go(func() { c.runRaw(ctx, rand.New(rand.NewPCG(seed, 100+uint64(n)))) })
+	}
+	for n := range libraryLDAPClients {
+		c.all.Go(func() { c.runLibrary(ctx, rand.New(rand.NewPCG(seed, 200+uint64(n)))) })
+	}
+}
+
+func (c *ldapClients) runRaw(ctx context.Context, rng *rand.Rand) {
+	var conn *ldapConn
+	for ctx.Err() == nil {
+		c.awaitTurn(rng)
+		conn = c.ask(rng, conn)
+		if conn != nil && rng.Float64() < 0.1 {
+			_, _ = conn.Write(ldapmsg.Unbind(conn.lastID + 1))
+			_ = conn.Close()
+			conn = nil
+		}
+	}
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// connect opens a connection; nil: there is none.
+func (c *ldapClients) connect() *ldapConn {
+	nc := c.dialAddr(c.addr)
+	if nc == nil {
+		return nil
+	}
+	return &ldapConn{Conn: nc, in: ldapmsg.NewReader(nc, maxLDAPMessage)}
+}
+
+// ask writes one to pipelinedMost requests at once and reads their responses. It returns the connection for the next ones;
+// nil: it has ended.
+func (c *ldapClients) ask(rng *rand.Rand, conn *ldapConn) *ldapConn {
+	requests := make([]*ldapRequest, 1+rng.IntN(pipelinedMost))
+	for i := range requests {
+		requests[i] = c.newRequest(rng)
+	}
+	for len(requests) > 0 {
+		if conn == nil {
+			if conn = c.connect(); conn == nil {
+				c.giveUp(requests)
+				return nil
+			}
+		}
+		if !c.write(conn, requests) {
+			if !conn.used {
+				c.lostUnread(conn.Conn)
+				c.giveUp(requests)
+				_ = conn.Close()
+				return nil
+			}
+			_ = conn.Close()
+			conn = nil // an end that crossed them: none was read, or a notice says that none has run
+			continue
+		}
+		if c.disturb(rng, conn, requests) {
+			_ = conn.Close()
+			return nil
+		}
+		var ended bool
+		if requests, ended = c.await(conn, requests); ended {
+			_ = conn.Close()
+			conn = nil
+		}
+	}
+	return conn
+}
+
+func (c *ldapClients) newRequest(rng *rand.Rand) *ldapRequest {
+	r := &ldapRequest{name: c.nextName("l"), class: classSearch}
+	if rng.Float64() < 0.4 {
+		r.class = classModify
+	}
+	return r
+}
+
+// write writes requests under new message IDs in one piece, and records those that were not sent before.
+func (c *ldapClients) write(conn *ldapConn, requests []*ldapRequest) bool {
+	var text []byte
+	for _, r := range requests {
+		conn.lastID++
+		r.id = conn.lastID
+		text = append(text, r.encode()...)
+	}
+	_ = conn.SetWriteDeadline(time.Now().Add(ldapWriteTimeout))
+	if _, err := conn.Write(text); err != nil {
+		return false
+	}
+	for _, r := range requests {
+		if r.sent {
+			c.rec.Put(check.Event{Kind: check.RequestResent, Agent: c.agent, Request: r.name})
+			continue
+		}
+		r.sent = true
+		c.rec.Put(check.Event{Kind: check.RequestSent, Agent: c.agent, Request: r.name, Class: r.class, Left: c.deadline, First: !conn.used})
+	}
+	return true
+}
+
+// encode is a search of the base object, or a modify that replaces a description.
+func (r *ldapRequest) encode() []byte {
+	dn := entryOf(r.name)
+	if r.class == classSearch {
+		body := append([]byte{}, berElement(0x04, []byte(dn))...)
+		body = append(body, 0x0a, 1, 0, 0x0a, 1, 0, 0x02, 1, 0, 0x02, 1, 0, 0x01, 1, 0)
+		body = append(body, berElement(0x87, []byte("objectClass"))...)
+		body = append(body, 0x30, 0)
+		return ldapmsg.WithID(r.id, berElement(ldapmsg.SearchRequest, body))
+	}
+	value := berElement(0x31, berElement(0x04, []byte("x")))
+	attribute := berElement(0x30, append(berElement(0x04, []byte("description")), value...))
+	change := berElement(0x30, append([]byte{0x0a, 1, 2}, attribute...))
+	body := append(berElement(0x04, []byte(dn)), berElement(0x30, change)...)
+	return ldapmsg.WithID(r.id, berElement(ldapmsg.ModifyRequest, body))
+}
+
+// berElement is an element of fewer than 128 bytes of content.
+func berElement(tag byte, content []byte) []byte {
+	return append([]byte{tag, byte(len(content))}, content...)
+}
+
+// disturb may have the client leave, or abandon or cancel a request. It reports whether it has left.
+func (c *ldapClients) disturb(rng *rand.Rand, conn *ldapConn, requests []*ldapRequest) (left bool) {
+	r := requests[rng.IntN(len(requests))]
+	switch draw := rng.Float64(); {
+	case ClientTrouble(c.trouble.Load()) == ClientsLeave && draw < 0.3:
+		time.Sleep(time.Duration(rng.Float64() * float64(50*time.Millisecond)))
+		c.giveUp(requests)
+		if rng.Float64() < 0.5 {
+			abort(conn.Conn)
+		}
+		return true
+	case draw < 0.03:
+		conn.lastID++
+		if _, err := conn.Write(ldapmsg.Abandon(conn.lastID, r.id)); err == nil {
+			r.abandoned = true
+			c.rec.Put(check.Event{Kind: check.ClientLeft, Agent: c.agent, Request: r.name, Note: "abandoned"})
+		}
+	case draw < 0.06:
+		conn.lastID++
+		_, _ = conn.Write(ldapmsg.Cancel(conn.lastID, r.id)) // its response is read and skipped: r has its own
+	}
+	return false
+}
+
+// giveUp records that a client waits no longer.
+func (c *ldapClients) giveUp(requests []*ldapRequest) {
+	for _, r := range requests {
+		if r.sent && !r.abandoned {
+			c.rec.Put(check.Event{Kind: check.ClientLeft, Agent: c.agent, Request: r.name})
+		}
+	}
+}
+
+// await reads the responses to requests. It returns those that are to be asked again on a new connection: a notice came
+// before they had one, so that nothing was done. ended: the connection is over.
+func (c *ldapClients) await(conn *ldapConn, requests []*ldapRequest) (again []*ldapRequest, ended bool) {
+	open := map[int32]*ldapRequest{}
+	for _, r := range requests {
+		if !r.abandoned {
+			open[r.id] = r
+		}
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(answerMost))
+	for len(open) > 0 {
+		m, err := conn.next()
+		switch {
+		case err != nil:
+			for _, r := range open {
+				c.rec.Put(check.Event{Kind: check.ConnectionEnded, Agent: c.agent, Request: r.name, Note: err.Error()})
+			}
+			return nil, true
+		case m.ID == 0:
+			return c.noticed(conn, open), true
+		}
+		r := open[m.ID]
+		code, isResult := m.Code()
+		if r == nil || !isResult || m.Op == ldapmsg.SearchEntry {
+			continue
+		}
+		delete(open, m.ID)
+		c.rec.Put(check.Event{Kind: check.AnswerRead, Agent: c.agent, Request: r.name, Status: statusOf(code), Own: true, Note: string(m.Content)})
+		conn.used = true
+	}
+	return nil, false
+}
+
+// next reads a message.
+func (conn *ldapConn) next() (ldapmsg.Message, error) {
+	raw, err := conn.in.Next()
+	if err != nil {
+		return ldapmsg.Message{}, err
+	}
+	return ldapmsg.Parse(append([]byte{}, raw...))
+}
+
+// noticed handles a Notice of Disconnection: nothing may follow it. Requests on a connection that was used may have crossed
+// it; those on a new one were sent long before.
+func (c *ldapClients) noticed(conn *ldapConn, open map[int32]*ldapRequest) (again []*ldapRequest) {
+	c.rec.Put(check.Event{Kind: check.NoticeRead, Agent: c.agent})
+	for _, r := range open {
+		if conn.used {
+			again = append(again, r)
+			continue
+		}
+		c.rec.Put(check.Event{Kind: check.ConnectionEnded, Agent: c.agent, Request: r.name, Note: "a notice and no response"})
+	}
+	if m, err := conn.next(); err == nil {
+		c.rec.Put(check.Event{Kind: check.BehindNotice, Agent: c.agent, Note: string(m.Content)})
+	}
+	return again
+}
+
+// statusOf is the status of HTTP that says the same as a result code.
+func statusOf(code int) int {
+	switch code {
+	case ldapmsg.Success, goldap.LDAPResultNoSuchObject:
+		return 200
+	case ldapmsg.Busy, ldapmsg.Unavailable:
+		return 503
+	}
+	return 502
+}
+
+// runLibrary asks through go-ldap, one request after the other. What it gives up over a connection that was used it does not
+// ask again: the library does not tell a notice from another end.
+func (c *ldapClients) runLibrary(ctx context.Context, rng *rand.Rand) {
+	var conn *goldap.Conn
+	used := false
+	for ctx.Err() == nil {
+		c.awaitTurn(rng)
+		if conn == nil {
+			nc := c.dialAddr(c.addr)
+			if nc == nil {
+				continue
+			}
+			conn, used = goldap.NewConn(nc, false), false
+			conn.Start()
+			conn.SetTimeout(answerMost)
+		}
+		if !c.askLibrary(rng, conn, used) || rng.Float64() < 0.1 {
+			_ = conn.Close()
+			conn = nil
+			continue
+		}
+		used = true
+	}
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// askLibrary makes one request. It reports whether the connection goes on.
+func (c *ldapClients) askLibrary(rng *rand.Rand, conn *goldap.Conn, used bool) bool {
+	r := c.newRequest(rng)
+	c.rec.Put(check.Event{Kind: check.RequestSent, Agent: c.agent, Request: r.name, Class: r.class, Left: c.deadline, First: !used})
+	var err error
+	if r.class == classSearch {
+		_, err = conn.Search(goldap.NewSearchRequest(entryOf(r.name), goldap.ScopeBaseObject, goldap.NeverDerefAliases, 0, 0, false,
+			"(objectClass=*)", nil, nil))
+	} else {
+		m := goldap.NewModifyRequest(entryOf(r.name), nil)
+		m.Replace("description", []string{"x"})
+		err = conn.Modify(m)
+	}
+	var result *goldap.Error
+	if err == nil || errors.As(err, &result) && result.ResultCode < goldap.ErrorNetwork {
+		code := 0
+		if result != nil {
+			code = int(result.ResultCode)
+		}
+		c.rec.Put(check.Event{Kind: check.AnswerRead, Agent: c.agent, Request: r.name, Status: statusOf(code), Own: true})
+		return true
+	}
+	end := check.Event{Kind: check.ConnectionEnded, Agent: c.agent, Request: r.name, Note: err.Error()}
+	if used {
+		end.Kind = check.ClientLeft
+	}
+	c.rec.Put(end)
+	return false
+}
--- a/internal/faulttest/soak/list.go
+++ b/internal/faulttest/soak/list.go
@@ -32,8 +32,8 @@
 	listWait  = time.Second // of ListSlow and ListBusy
 )
 
-// directory is the one truth about servers, of which each agent has a list service of its own.
-type directory struct {
+// catalog is the one truth about servers, of which each agent has a list service of its own.
+type catalog struct {
 	mu      sync.Mutex
 	version int64
 	members map[string]entry
@@ -47,12 +47,12 @@
 	began   time.Duration // of that process, in the play's time
 }
 
-func newDirectory() *directory {
-	return &directory{members: map[string]entry{}, changed: map[string]int64{}, bump: make(chan struct{})}
+func newCatalog() *catalog {
+	return &catalog{members: map[string]entry{}, changed: map[string]int64{}, bump: make(chan struct{})}
 }
 
 // set tells a server's state.
-func (d *directory) set(e entry) {
+func (d *catalog) set(e entry) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.version++
@@ -65,7 +65,7 @@
 }
 
 // since is what has changed after a version, or the whole list after 0, and what to wait for.
-func (d *directory) since(version int64) (m discovery.Members, entries map[string]entry, bump chan struct{}) {
+func (d *catalog) since(version int64) (m discovery.Members, entries map[string]entry, bump chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m = discovery.Members{Version: d.version, Full: version == 0 || version > d.version, Servers: []discovery.Member{}}
@@ -86,13 +86,13 @@
 }
 
 // known is the whole list.
-func (d *directory) known() discovery.Members {
+func (d *catalog) known() discovery.Members {
 	m, _, _ := d.since(0)
 	return m
 }
 
 // ids are all servers that ever were.
-func (d *directory) ids() (all []string) {
+func (d *catalog) ids() (all []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id := range d.changed {
@@ -104,7 +104,7 @@
 // list is one agent's list service.
 type list struct {
 	agent int
-	dir   *directory
+	dir   *catalog
 	rec   *Recorder
 
 	mu      sync.Mutex
@@ -114,7 +114,7 @@
 	turned  chan struct{} // closed when the trouble changes
 }
 
-func newList(agent int, dir *directory, rec *Recorder) (*list, error) {
+func newList(agent int, dir *catalog, rec *Recorder) (*list, error) {
 	l := &list{agent: agent, dir: dir, rec: rec, turned: make(chan struct{})}
 	l.server = &http.Server{Handler: l, ReadHeaderTimeout: 10 * time.Second}
 	for range listAddrs {
--- a/internal/faulttest/soak/plan.go
+++ b/internal/faulttest/soak/plan.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -26,6 +27,11 @@
 	ServersRejoin    What = "servers-rejoin" // are gone by the list, and come back with a new process
 	ListTroubled     What = "list"
 	ClientsTroubled  What = "clients"
+
+	AgentSignals        What = "agent-signals" // a SignalSeries
+	Crowd               What = "crowd"         // idle clients fill an agent's descriptors
+	Quiet               What = "quiet"         // no client sends anything
+	DirectoriesTroubled What = "directories"   // a DirectoryFault
 )
 
 // Trouble is one trouble of a play.
@@ -34,7 +40,7 @@
 	At    time.Duration `json:"at"`
 	For   time.Duration `json:"for"`
 	Picks []int         `json:"picks"` // the agents or servers that have it
-	Way   int           `json:"way"`   // Misbehaviour, ListTrouble or ClientTrouble
+	Way   int           `json:"way"`   // Misbehaviour, ListTrouble, ClientTrouble, SignalSeries or DirectoryFault
 }
 
 func (t Trouble) String() string {
@@ -48,18 +54,22 @@
 	Daemons  int           `json:"daemons"` // of serve
 	Servers  int           `json:"servers"`
 	Length   time.Duration `json:"length"`
-	Faults   []string      `json:"faults"` // of all processes: the environment of a build with faults
+	Deadline time.Duration `json:"deadline,omitempty"` // the longest of all classes; 0: shortDeadline
+	Faults   []string      `json:"faults"`             // of all processes: the environment of a build with faults
 	Troubles []Trouble     `json:"troubles"`
 }
 
 func (p Plan) String() string {
-	lines := []string{fmt.Sprintf("seed %d: %d agents, %d daemons, %d servers, %v", p.Seed, p.Agents, p.Daemons, p.Servers, p.Length), "  faults: " + strings.Join(p.Faults, " ")}
+	lines := []string{fmt.Sprintf("seed %d: %d agents, %d daemons, %d servers, %v, deadline %v", p.Seed, p.Agents, p.Daemons, p.Servers, p.Length, p.deadline()), "  faults: " + strings.Join(p.Faults, " ")}
 	for _, t := range p.Troubles {
 		lines = append(lines, "  "+t.String())
 	}
 	return strings.Join(lines, "\n")
 }
 
+// deadline is the longest of all classes.
+func (p Plan) deadline() time.Duration { return cmp.Or(p.Deadline, shortDeadline) }
+
 // Size is how large plays are.
 type Size struct {
 	Agents, Daemons, Servers int
@@ -99,6 +109,7 @@
 			p.Troubles = append(p.Troubles, t)
 		}
 	}
+	p.addCrossings(size)
 	slices.SortStableFunc(p.Troubles, func(a, b Trouble) int { return int(a.At - b.At) })
 	return p.WithFaults(p.Faults)
 }
--- a/internal/faulttest/soak/play.go
+++ b/internal/faulttest/soak/play.go
@@ -29,12 +29,14 @@
 type stage struct {
 	plan    Plan
 	rec     *Recorder
-	dir     *directory
+	dir     *catalog
 	servers []*server
 	agents  []*agentProcess
 	files   string
 	release []func()
 
+	directories *directories // nil: no daemon, no LDAP
+
 	mu     sync.Mutex
 	late   time.Duration // the most that this process was run late
 	failed error
@@ -48,7 +50,7 @@
 	if err := unix.Prctl(unix.PR_SET_CHILD_SUBREAPER, 1, 0, 0, 0); err != nil {
 		return nil, rules, fmt.Errorf("soak: %w", err)
 	}
-	s := &stage{plan: p, rec: NewRecorder(), dir: newDirectory(), files: files, busy: map[int]bool{}}
+	s := &stage{plan: p, rec: NewRecorder(), dir: newCatalog(), files: files, busy: map[int]bool{}}
 	defer s.close()
 	if err := s.build(program); err != nil {
 		return nil, rules, err
@@ -65,6 +67,9 @@
 	for _, a := range s.agents {
 		go a.watchScheduling(watching)
 		running.Go(func() { a.clients.run(asking, clientsEach, p.Seed<<8+uint64(a.n)) })
+		if a.ldapClients != nil {
+			running.Go(func() { a.ldapClients.run(asking, p.Seed<<8+uint64(a.n)) })
+		}
 	}
 	begin := s.rec.Now()
 	for _, t := range p.Troubles {
@@ -78,7 +83,7 @@
 	}
 	running.Wait()
 	for _, a := range s.agents {
-		running.Go(a.terminate)
+		running.Go(func() { a.terminate() })
 	}
 	running.Wait()
 	for _, a := range s.agents {
@@ -90,9 +95,11 @@
 }
 
 func (s *stage) rules() check.Rules {
-	r := check.Rules{Slack: measurementSlip, LateMost: 500 * time.Millisecond, LeftMost: 100 * time.Millisecond, StallMost: 3 * time.Second, StopMost: stopMost,
+	r := check.Rules{Slack: measurementSlip, LateMost: 500 * time.Millisecond, LeftMost: 100 * time.Millisecond, StallMost: 3 * time.Second, StopMost: s.plan.deadline() + stopSlack,
+		AcceptLeast: lateConnections, StartLeast: termBeforeReady,
 		ReadyMost: readyMost, DrainGrace: drainGrace, DeadlineOver: 150 * time.Millisecond, Zones: map[string]string{},
-		Classes:   map[string]check.ClassRules{"get": {}, "put": {Effect: check.Keyed, Window: keyedWindow}, "pin": {Effect: check.Keyed, Window: keyedWindow, Zone: true}, "pay": {Effect: check.Once}},
+		Classes: map[string]check.ClassRules{"get": {}, "put": {Effect: check.Keyed, Window: keyedWindow}, "pin": {Effect: check.Keyed, Window: keyedWindow, Zone: true}, "pay": {Effect: check.Once},
+			classSearch: {}, classModify: {Effect: check.Once}},
 		ColdShare: coldShare, RampTime: rampTime, FallMultiple: fallMultiple, FallWindow: fallWindow, Capacity: workers / service.Seconds()}
 	s.mu.Lock()
 	r.Slack += s.late
@@ -128,29 +135,52 @@
 		s.servers = append(s.servers, x)
 		s.list(x, check.Ready)
 	}
+	if s.plan.Daemons > 0 {
+		var err error
+		if s.directories, err = newDirectories(s.rec, s.plan.Seed); err != nil {
+			return err
+		}
+	}
 	for n := range s.plan.Agents + s.plan.Daemons {
-		addr, release, err := reservePort()
+		addr, err := s.reservePort()
 		if err != nil {
 			return err
 		}
-		s.release = append(s.release, release)
 		l, err := newList(n, s.dir, s.rec)
 		if err != nil {
 			return err
 		}
 		a := &agentProcess{n: n, serve: n >= s.plan.Agents, pushed: n%2 == 1, program: program, dir: filepath.Join(s.files, fmt.Sprintf("n%d", n)),
-			listen: addr, env: s.plan.Faults, rec: s.rec, list: l, clients: &clients{agent: n, addr: addr, rec: s.rec, pause: clientPause}}
+			listen: addr, env: s.plan.Faults, rec: s.rec, list: l, deadline: s.plan.deadline(),
+			clients: &clients{agent: n, addr: addr, rec: s.rec, pause: clientPause, deadline: s.plan.deadline()}}
+		a.writeConfig = func() error { return a.configure(s.plan.Agents+s.plan.Daemons, s.dir.known()) }
+		if a.serve {
+			if a.ldapListen, err = s.reservePort(); err != nil {
+				return err
+			}
+			a.directories = s.directories.list.Addr()
+			a.ldapClients = &ldapClients{clients: a.clients, addr: a.ldapListen, deadline: s.plan.deadline()}
+		}
 		s.agents = append(s.agents, a)
 		if err := os.MkdirAll(a.dir, 0o700); err != nil {
 			return err
 		}
-		if err := a.configure(s.plan.Agents+s.plan.Daemons, s.dir.known()); err != nil {
+		if err := a.writeConfig(); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// reservePort holds a port until the play's end.
+func (s *stage) reservePort() (addr string, err error) {
+	addr, release, err := reservePort()
+	if err == nil {
+		s.release = append(s.release, release)
+	}
+	return addr, err
+}
+
 func (s *stage) startAll(ctx context.Context) error {
 	var all sync.WaitGroup
 	for _, a := range s.agents {
@@ -206,7 +236,15 @@
 	for _, n := range t.Picks {
 		all.Go(func() {
 			switch t.What {
-			case AgentTerm, AgentKill, AgentReload, AgentHold, DaemonHand:
+			case Crowd:
+				s.crowd(ctx, s.agents[n], t.For)
+			case Quiet:
+				s.agents[n].clients.quietUntil.Store(int64(s.rec.Now() + t.For))
+			case DirectoriesTroubled:
+				s.directories.servers[n].setFault(DirectoryFault(t.Way))
+				time.Sleep(t.For)
+				s.directories.servers[n].setFault(DirectoryServes)
+			case AgentTerm, AgentKill, AgentReload, AgentHold, DaemonHand, AgentSignals:
 				if !s.take(n) {
 					return
 				}
@@ -239,10 +277,7 @@
 		s.fail(a.start(ctx))
 	case AgentReload:
 		for end := s.rec.Now() + t.For; s.rec.Now() < end; time.Sleep(100 * time.Millisecond) {
-			if !a.serve {
-				a.at++
-				s.fail(a.configure(s.plan.Agents+s.plan.Daemons, s.dir.known()))
-			}
+			a.reconfigure()
 			a.signal(syscall.SIGHUP)
 		}
 	case AgentHold:
@@ -251,6 +286,8 @@
 		}
 	case DaemonHand:
 		s.fail(a.handOver(ctx))
+	case AgentSignals:
+		s.playSeries(ctx, t, a)
 	}
 }
 
@@ -298,6 +335,9 @@
 	for _, x := range s.servers {
 		x.close()
 	}
+	if s.directories != nil {
+		s.directories.close()
+	}
 	for _, f := range s.release {
 		f()
 	}
--- a/internal/faulttest/soak/process.go
+++ b/internal/faulttest/soak/process.go
@@ -35,16 +35,27 @@
 	clients *clients
 	list    *list
 
+	deadline    time.Duration // the longest of all classes
+	ldapListen  string        // of a daemon's LDAP instance; empty: none
+	directories string        // the address of the list of directory servers
+	ldapClients *ldapClients  // nil: none
+
 	mu      sync.Mutex
 	exited  chan struct{}
 	process int
 	pid     int
 	at      int // the list's address that its configuration names
 	config  string
+
+	writeConfig func() error // configures it as its play knows it
 }
 
-// deadline is the longest of all classes; a process has that and a little more to stop.
-const deadline = 1000 * time.Millisecond
+// shortDeadline is the longest of all classes in most plays, pageDeadline in some: those of the pages. A process has that and
+// a little more to stop.
+const (
+	shortDeadline = 1000 * time.Millisecond
+	pageDeadline  = 3 * time.Second
+)
 
 // Of the settings that agents are told.
 const (
@@ -114,8 +125,8 @@
 	}
 	raw, err := json.Marshal(map[string]any{
 		"name": fmt.Sprintf("n%d", a.n), "listen": a.listen, "discovery": a.list.addrs[a.at%listAddrs], "seed": fmt.Sprintf("%016x", a.n+1),
-		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 512}, "known": known,
-		"settings": json.RawMessage(fmt.Sprintf(settings, agents, a.n, a.n%2, mode, deadline.Milliseconds(), keyedWindow.Milliseconds(),
+		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": agentSockets}, "known": known,
+		"settings": json.RawMessage(fmt.Sprintf(settings, agents, a.n, a.n%2, mode, a.deadline.Milliseconds(), keyedWindow.Milliseconds(),
 			connectTimeout.Milliseconds(), idleClose.Milliseconds(), drainGrace.Milliseconds(), coldShare, rampTime.Milliseconds(), fallMultiple,
 			fallWindow.Milliseconds())),
 	})
@@ -132,16 +143,44 @@
 	for _, k := range []struct{ name, repeats, more string }{{"get", "safe", ""},
 		{"put", "keyed", fmt.Sprintf("group = \"all\"\nwindow = %q\n", keyedWindow)},
 		{"pin", "keyed", fmt.Sprintf("group = \"zone\"\nwindow = %q\n", keyedWindow)}, {"pay", "unsafe", ""}} {
-		text += fmt.Sprintf(fleetClass, k.name, k.repeats, deadline) + k.more
+		text += fmt.Sprintf(fleetClass, k.name, k.repeats, a.deadline) + k.more
 	}
-	text += fmt.Sprintf("[[instance]]\nname = \"n%d\"\nlisten = %q\nzone = %q\n", a.n, a.listen, []string{"a", "b"}[a.n%2])
+	text += a.instances()
 	a.config = filepath.Join(a.dir, "fleet.toml")
 	return os.WriteFile(a.config, []byte(text), 0o600)
 }
 
+// instances are those of a daemon's file. A limit of theirs differs from one configuration to the next: they are replaced.
+func (a *agentProcess) instances() string {
+	maxOpen := 300 + a.variant()
+	text := fmt.Sprintf("[[instance]]\nname = \"n%d\"\nsource = \"list\"\nlisten = %q\nzone = %q\nmax_open = %d\n", a.n, a.listen,
+		[]string{"a", "b"}[a.n%2], maxOpen)
+	if a.ldapListen == "" {
+		return text
+	}
+	head := fmt.Sprintf("[[source]]\nname = \"directories\"\nlist = %q\nspread = \"50ms\"\nfirst = \"50ms\"\n", a.directories)
+	for class, repeats := range map[string]string{classSearch: "safe", classModify: "unsafe"} {
+		head += fmt.Sprintf(fleetClass, class, repeats, a.deadline)
+	}
+	return head + text + fmt.Sprintf("[[instance]]\nname = \"dir%d\"\nprotocol = \"ldap\"\nsource = \"directories\"\nlisten = %q\nzone = \"a\"\nmax_open = %d\n",
+		a.n, a.ldapListen, maxOpen)
+}
+
 // start begins a process, and returns once it takes clients.
 func (a *agentProcess) start(ctx context.Context) error {
+	if err := a.launch(); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	exited := a.exited
+	a.mu.Unlock()
+	return a.awaitReady(ctx, exited)
+}
+
+// launch begins a process.
+func (a *agentProcess) launch() error {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	cmd := exec.Command(a.program, "run")
 	if a.serve {
 		cmd = exec.Command(a.program, "serve", "--config", a.config)
@@ -154,12 +193,10 @@
 		_ = log.Close()
 	}
 	if err != nil {
-		a.mu.Unlock()
 		return fmt.Errorf("agent %d: %w", a.n, err)
 	}
-	exited := a.begin(cmd.Process.Pid)
-	a.mu.Unlock()
-	return a.awaitReady(ctx, exited)
+	a.begin(cmd.Process.Pid)
+	return nil
 }
 
 func (a *agentProcess) logPath() string { return filepath.Join(a.dir, "log") }
@@ -196,6 +233,13 @@
 	}
 }
 
+// variant differs between a configuration and the next.
+func (a *agentProcess) variant() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.at % 2
+}
+
 // present is the number of the present process.
 func (a *agentProcess) present() int {
 	a.mu.Lock()
@@ -289,11 +333,15 @@
 // lateConnections is for how long clients still connect after SIGTERM, and stopMost when the platform kills.
 const (
 	lateConnections = 400 * time.Millisecond
-	stopMost        = deadline + 700*time.Millisecond
+	stopSlack       = 700 * time.Millisecond
+	agentSockets    = 512 // descriptors that an agent may hold
 )
 
-// terminate has the present process end, and kills it where it does not.
-func (a *agentProcess) terminate() {
+// stopMost is after SIGTERM when the platform kills, at the earliest.
+func (a *agentProcess) stopMost() time.Duration { return a.deadline + stopSlack }
+
+// terminate has the present process end, and kills it where it does not. Further signals may follow the first.
+func (a *agentProcess) terminate(after ...timedSignal) {
 	a.rec.Put(check.Event{Kind: check.ProcessTerminated, Agent: a.n, Process: a.present()})
 	a.signal(syscall.SIGTERM)
 	late := time.AfterFunc(lateConnections, func() { a.clients.open.Store(false) })
@@ -301,9 +349,12 @@
 	a.mu.Lock()
 	exited := a.exited
 	a.mu.Unlock()
+	killAt := time.NewTimer(a.stopMost())
+	defer killAt.Stop()
+	a.signalAll(after, exited)
 	select {
 	case <-exited:
-	case <-time.After(stopMost):
+	case <-killAt.C:
 		a.rec.Put(check.Event{Kind: check.ProcessKilled, Agent: a.n, Process: a.present()})
 		a.signal(syscall.SIGKILL)
 		<-exited
@@ -311,6 +362,21 @@
 	a.clients.open.Store(false)
 }
 
+// signalAll sends signals one after the other, until the process has ended.
+func (a *agentProcess) signalAll(signals []timedSignal, exited <-chan struct{}) {
+	for _, next := range signals {
+		select {
+		case <-exited:
+			return
+		case <-time.After(next.wait):
+		}
+		if next.reconfigure {
+			a.reconfigure()
+		}
+		a.signal(next.signal)
+	}
+}
+
 // kill ends the present process at once.
 func (a *agentProcess) kill() {
 	a.rec.Put(check.Event{Kind: check.ProcessKilled, Agent: a.n, Process: a.present()})
--- /dev/null
+++ b/internal/faulttest/soak/signals.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"syscall"
+	"time"
+
+	"vetchhaven/internal/faulttest/soak/check"
+)
+
+// SignalSeries is an order of signals to one process.
+type SignalSeries int
+
+// The series.
+const (
+	TermTwice         SignalSeries = 1 + iota
+	TermThrice                     // and two more
+	HangupThenTerm                 // in one instant
+	TermThenHangup                 // in one instant
+	HangupsInDrain                 // with a changed configuration, until its end
+	TermBeforeReady                // of a process that has just been started
+	TermInHandover                 // to the old process, while a successor starts
+	TermAfterHandover              // to the new process, as soon as it is ready
+	ReloadsInARow                  // each with a changed configuration, back to back
+	afterLastSeries
+)
+
+// Of series of signals.
+const (
+	betweenSignals  = 120 * time.Millisecond
+	betweenReloads  = 20 * time.Millisecond
+	hangupsInDrain  = 8
+	termBeforeReady = 250 * time.Millisecond // after the start, at most
+)
+
+// playSeries sends a series to an agent's process, and has a process serve again where that one ends.
+func (s *stage) playSeries(ctx context.Context, t Trouble, a *agentProcess) {
+	var after []timedSignal
+	switch SignalSeries(t.Way) {
+	case TermTwice:
+		after = []timedSignal{{betweenSignals, syscall.SIGTERM, false}}
+	case TermThrice:
+		after = []timedSignal{{betweenSignals, syscall.SIGTERM, false}, {betweenSignals, syscall.SIGTERM, false}}
+	case HangupThenTerm:
+		a.reconfigure()
+		a.signal(syscall.SIGHUP)
+	case TermThenHangup:
+		after = []timedSignal{{0, syscall.SIGHUP, true}}
+	case HangupsInDrain:
+		for range hangupsInDrain {
+			after = append(after, timedSignal{betweenSignals, syscall.SIGHUP, true})
+		}
+	case TermBeforeReady:
+		a.terminate()
+		s.fail(a.launch())
+		time.Sleep(min(t.For, termBeforeReady))
+	case TermInHandover:
+		a.rec.Put(check.Event{Kind: check.ProcessHandedOver, Agent: a.n, Process: a.present()})
+		a.signal(syscall.SIGUSR2)
+		time.Sleep(min(t.For, termBeforeReady))
+		a.terminate()
+		if a.adoptSuccessor() { // it was ready before the old one saw its signal
+			a.terminate()
+		}
+		s.fail(a.start(ctx))
+		return
+	case TermAfterHandover:
+		s.fail(a.handOver(ctx))
+	case ReloadsInARow:
+		for end := s.rec.Now() + t.For; s.rec.Now() < end; time.Sleep(betweenReloads) {
+			a.reconfigure()
+			a.signal(syscall.SIGHUP)
+		}
+		return
+	}
+	a.terminate(after...)
+	s.fail(a.start(ctx))
+}
+
+// timedSignal is a signal some time after the one before.
+type timedSignal struct {
+	wait        time.Duration
+	signal      syscall.Signal
+	reconfigure bool // the configuration is changed before
+}
+
+// reconfigure changes the process's configuration: the address of its list, or a limit of its instances.
+func (a *agentProcess) reconfigure() {
+	a.mu.Lock()
+	a.at++
+	a.mu.Unlock()
+	if err := a.writeConfig(); err != nil {
+		a.rec.Put(check.Event{Kind: check.InvariantLogged, Agent: a.n, Note: "the play could not write a configuration: " + err.Error()})
+	}
+}
+
+// adoptSuccessor takes a successor that serves for the present process. It reports false if there is none.
+func (a *agentProcess) adoptSuccessor() bool {
+	text, err := os.ReadFile(a.logPath())
+	if err != nil {
+		return false
+	}
+	all := readyLine.FindAllSubmatch(text, -1)
+	if len(all) == 0 {
+		return false
+	}
+	pid, err := strconv.Atoi(string(all[len(all)-1][1]))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil || pid == a.pid || syscall.Kill(pid, 0) != nil {
+		return false
+	}
+	a.begin(pid)
+	return true
+}
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -155,6 +155,9 @@
 	for _, i := range check.Invariants {
 		fmt.Fprintf(out, "%-22s at stake %d times\n", i, total[i])
 	}
+	for _, i := range check.Counts {
+		fmt.Fprintf(out, "%-22s %d\n", i, total[i])
+	}
 	if failed > 0 || ctx.Err() != nil {
 		return fmt.Errorf("%d of %d plays failed", failed, played)
 	}
