--- /dev/null
+++ b/internal/core/arrival.go
@@ -0,0 +1,31 @@
+package core
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// SinceArrival is how long ago the last data came to a TCP connection's socket, as the kernel has it (tcp(7), TCP_INFO): a
+// connection may have waited to be accepted, with a request on it. It is 0 where that is not known.
+func SinceArrival(nc net.Conn) time.Duration {
+	sc, ok := nc.(syscall.Conn)
+	if !ok || nc.LocalAddr().Network() != "tcp" {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || infoErr != nil {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
--- a/internal/faulttest/soak/check/history.go
+++ b/internal/faulttest/soak/check/history.go
@@ -13,7 +13,7 @@
 	RequestResent   Kind = "request_resent"   // on a new connection, the old one ended without a byte of an answer
 	AnswerRead      Kind = "answer_read"      // a final answer came, whole or, with Broken, visibly not
 	ClientLeft      Kind = "client_left"      // the client has closed its connection, and waits no longer
-	ConnectionEnded Kind = "connection_ended" // a new connection ended without an answer
+	ConnectionEnded Kind = "connection_ended" // it ended without an answer; Began is when its client last knew that it was alive
 	StallBegan      Kind = "stall_began"      // a client has sent a part of a request, and stays
 	StallEnded      Kind = "stall_ended"      // it got an error, or its connection was closed
 
--- a/internal/faulttest/soak/ldapclient.go
+++ b/internal/faulttest/soak/ldapclient.go
@@ -41,6 +41,8 @@
 	in     *ldapmsg.Reader
 	lastID int32
 	used   bool // a request on it has had its response
+
+	aliveAt time.Duration // in the play's time: the last message came, or it was opened
 }
 
 // ldapRequest is one operation that a client has asked for.
@@ -85,7 +87,7 @@
 	if nc == nil {
 		return nil
 	}
-	return &ldapConn{Conn: nc, in: ldapmsg.NewReader(nc, maxLDAPMessage)}
+	return &ldapConn{Conn: nc, in: ldapmsg.NewReader(nc, maxLDAPMessage), aliveAt: c.rec.Now()}
 }
 
 // ask writes one to pipelinedMost requests at once and reads their responses. It returns the connection for the next ones;
@@ -227,12 +229,13 @@
 		switch {
 		case err != nil:
 			for _, r := range open {
-				c.rec.Put(check.Event{Kind: check.ConnectionEnded, Agent: c.agent, Request: r.name, Note: err.Error()})
+				c.rec.Put(check.Event{Kind: check.ConnectionEnded, Agent: c.agent, Request: r.name, Began: conn.aliveAt, Note: err.Error()})
 			}
 			return nil, true
 		case m.ID == 0:
 			return c.noticed(conn, open), true
 		}
+		conn.aliveAt = c.rec.Now()
 		r := open[m.ID]
 		code, isResult := m.Code()
 		if r == nil || !isResult || m.Op == ldapmsg.SearchEntry {
--- a/internal/protocol/ldap/closing_test.go
+++ b/internal/protocol/ldap/closing_test.go
@@ -1,6 +1,7 @@
 package ldap
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"vetchhaven/internal/core"
 	"vetchhaven/internal/protocol/ldapmsg"
 	"vetchhaven/internal/standin/directory"
 	"vetchhaven/internal/testkit"
@@ -309,3 +311,60 @@
 		t.Errorf("%q", got)
 	}
 }
+
+// heldListener accepts nothing until held is closed: connections wait in the kernel's queue.
+type heldListener struct {
+	*net.TCPListener
+	held chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l heldListener) Accept() (net.Conn, error) {
+	<-l.held
+	return l.TCPListener.Accept()
+}
+
+// An operation's deadline runs while its connection waits to be accepted, as over HTTP (see
+// http1: TestTimeInTheAcceptQueueIsNotTheClientsAnyMore).
+func TestDeadlineRunsInTheAcceptQueue(t *testing.T) {
+	const (
+		deadline = 2 * time.Second
+		queued   = 1500 * time.Millisecond
+	)
+	d := dir(t, "one", directory.Options{})
+	stall := make(chan struct{})
+	defer close(stall)
+	d.Script(func(directory.Op) directory.Fault { return directory.Fault{Stall: stall} })
+	cfg := testConfig(t, d)
+	for i := range cfg.Settings.Classes {
+		cfg.Settings.Classes[i].Objective = deadline
+		cfg.Settings.Classes[i].Deadline = deadline
+	}
+	held := make(chan struct{})
+	l := heldListener{testkit.Listen(t).(*net.TCPListener), held}
+	a, _, err := newAgent(cfg, Options{}, testkit.Quiet, core.Parts{Listener: l, NoLateConnections: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	defer func() { cancel(); testkit.Receive(t, "end", ended) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Write(rawSearch(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	sent := time.Now()
+	time.Sleep(queued)
+	close(held)
+	if _, err := ldapmsg.NewReader(c, 1<<20).Next(); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(sent); took > deadline+queued/2 {
+		t.Errorf("answered after %v, the deadline is %v", took, deadline)
+	}
+}
--- a/internal/protocol/ldap/session.go
+++ b/internal/protocol/ldap/session.go
@@ -28,8 +28,9 @@
 	raw          net.Conn // as the connection limiter accepted it
 	client       *clientReader
 	in           *ldapmsg.Reader
-	lastReceived atomic.Int64 // when a message came, in ns since protocol.startedAt
-	hasRequested atomic.Bool  // a message was received
+	queuedFor    time.Duration // what the present message, if it is the first, waited for the connection to be accepted; the reader's
+	lastReceived atomic.Int64  // when a message came, in ns since protocol.startedAt
+	hasRequested atomic.Bool   // a message was received
 
 	mu          sync.Mutex
 	conn        net.Conn // client, or TLS on it
--- a/internal/protocol/ldap/sessionread.go
+++ b/internal/protocol/ldap/sessionread.go
@@ -34,8 +34,11 @@
 		if err != nil {
 			return err
 		}
+		s.queuedFor = 0
+		if !s.hasRequested.Swap(true) {
+			s.queuedFor = core.SinceArrival(s.raw)
+		}
 		s.markReceived()
-		s.hasRequested.Store(true)
 		m, err := ldapmsg.Parse(raw)
 		if err == nil && m.Op != ldapmsg.BindRequest {
 			err = ldapmsg.CheckDepth(raw)
