membership: six faults of bookkeeping are mended

Symptoms and causes, each with its test of the commit before: - a zone's probe order was refilled with the whole region for a round: the pool was computed ahead, and only while the order was empty; now at the refill; - a remote address was lost with the removal, or a late record, of a member that had left while another one had it: the map knew addresses without their owner; - a name conflict that showed at time 0 was lost, since 0 stands for none: both processes kept the name; - exchange IDs began at 0 again after yielding: the late end of an old exchange ended the present one; - the next step left out the next attempt at a seed, which came with whatever step came next; - an isolated member's changes had the reason of an unreachable region. The fifth changes when a view is stepped, and with that the draws of virtual runs.

--- a/internal/peer/membership/events.go
+++ b/internal/peer/membership/events.go
@@ -128,17 +128,18 @@
 
 // Reasons of MemberChanged and NameConflict.
 const (
-	// ReasonRegionUnreachable and ReasonRegionReachable are given where a member is shown in another state although its
+	// ReasonRegionUnreachable and those up to ReasonIsolationEnded are given where a member is shown in another state although its
 	// record is unchanged.
 	ReasonRegionUnreachable = "it is not reached, and nobody near it either"
 	ReasonRegionReachable   = "it may be reached again"
+	ReasonIsolated          = "this member is cut off"
+	ReasonIsolationEnded    = "this member is no longer cut off"
 
 	reasonGossip        = "gossip"
 	reasonExchange      = "exchange"
 	reasonHandoff       = "taken over"
 	reasonProbeFailed   = "a probe failed"
 	reasonNotRefuted    = "did not refute"
-	reasonIsolated      = "this member is cut off"
 	reasonForgotten     = "an operator said that it is gone"
 	reasonHolderSilent  = "its holder no longer answers"
 	reasonNoAnswer      = "it does not answer"
--- a/internal/peer/membership/isolation.go
+++ b/internal/peer/membership/isolation.go
@@ -84,9 +84,9 @@
 		r := m.Record
 		r.State = Alive
 		r.Reporter = ""
-		v.setRecord(m, r, recordChange{reason: reasonIsolated})
+		v.setRecord(m, r, recordChange{reason: ReasonIsolated})
 	}
-	v.updateReachability(v.live, ReasonRegionUnreachable)
+	v.updateReachability(v.live, ReasonIsolated)
 }
 
 // endIsolation notices a datagram of a member at addr, which ends an isolation.
@@ -97,7 +97,7 @@
 	}
 	v.isolated = false
 	v.emit(Isolated{Ended: true, Members: len(v.live)})
-	v.updateReachability(v.live, ReasonRegionReachable)
+	v.updateReachability(v.live, ReasonIsolationEnded)
 	v.recentMisses = 0
 	v.exchange.requestWith(v, addr)
 }
--- a/internal/peer/membership/leave.go
+++ b/internal/peer/membership/leave.go
@@ -103,7 +103,7 @@
 	m.digest = 0
 	v.updates.removeAbout(func(other *member) bool { return other == m })
 	delete(v.members, m.Name)
-	delete(v.remoteAddrs, m.Addr)
+	v.unindexAddr(m, m.Addr)
 	v.removeName(m.Name)
 	v.saveSoon()
 }
--- a/internal/peer/membership/merge.go
+++ b/internal/peer/membership/merge.go
@@ -152,15 +152,33 @@
 	v.saveSoon()
 }
 
-// indexAddr keeps which addresses are of other regions, and has watchers selected anew where this region changes.
+// indexAddr keeps which addresses are of other regions, and has watchers selected anew where this region changes. An
+// address belongs to the member that was last known there; one that is dead or has left does not take it from one that
+// runs.
 func (v *View) indexAddr(m *member, previousAddr string) {
 	if previousAddr != m.Addr {
-		delete(v.remoteAddrs, previousAddr)
+		v.unindexAddr(m, previousAddr)
+	}
+	if !v.isRemote(m) {
+		v.regionsCheckAt = v.now
+	}
+	owner := v.remoteOwners[m.Addr]
+	if owner != nil && owner != m && owner.State <= Suspect && m.State > Suspect {
+		return
 	}
 	if v.isRemote(m) {
 		v.remoteAddrs[m.Addr] = m.region
-	} else {
-		delete(v.remoteAddrs, m.Addr)
-		v.regionsCheckAt = v.now
+		v.remoteOwners[m.Addr] = m
+		return
+	}
+	delete(v.remoteAddrs, m.Addr)
+	delete(v.remoteOwners, m.Addr)
+}
+
+// unindexAddr takes an address out, unless it is another member's by now.
+func (v *View) unindexAddr(m *member, addr string) {
+	if v.remoteOwners[addr] == m {
+		delete(v.remoteAddrs, addr)
+		delete(v.remoteOwners, addr)
 	}
 }
--- a/internal/peer/membership/nameconflict.go
+++ b/internal/peer/membership/nameconflict.go
@@ -89,7 +89,7 @@
 		backoff = min(maxClaimBackoff, claimBackoff<<min(v.nameClaim.attempts, maxClaimBackoffBits))
 	}
 	v.nameClaim = nameClaim{
-		dueAt:        v.now + backoff,
+		dueAt:        max(v.now+backoff, 1), // 0 stands for no conflict
 		other:        other,
 		attempts:     v.nameClaim.attempts,
 		clearedRunID: v.nameClaim.clearedRunID,
@@ -141,7 +141,7 @@
 	v.probeAt = v.now
 	v.probeOrder = nil
 	v.lastReceivedAt = v.now
-	v.exchange = exchangeState{periodicAt: v.now + periodicExchangeInterval}
+	v.exchange = exchangeState{id: v.exchange.id, periodicAt: v.now + periodicExchangeInterval}
 	v.collectJoinAddrs()
 	v.claimName(reasonHolderSilent)
 }
--- a/internal/peer/membership/probe.go
+++ b/internal/peer/membership/probe.go
@@ -98,15 +98,16 @@
 func (v *View) nextTarget() *member {
 	v.lastProbeInZone = !v.lastProbeInZone && v.settings.Region != ""
 	if v.lastProbeInZone {
-		if m := v.nextInOrder(&v.zoneProbeOrder, v.zonePool()); m != nil {
+		if m := v.nextInOrder(&v.zoneProbeOrder, v.zonePool); m != nil {
 			return m
 		}
 	}
-	return v.nextInOrder(&v.probeOrder, anyMember)
+	return v.nextInOrder(&v.probeOrder, func() func(*member) bool { return anyMember })
 }
 
-// nextInOrder takes the next member from a probe order, which it refills with the members of this region in the pool.
-func (v *View) nextInOrder(order *[]string, inPool func(*member) bool) *member {
+// nextInOrder takes the next member from a probe order, which it refills with the members of this region in the pool. The
+// pool is computed for a refill alone.
+func (v *View) nextInOrder(order *[]string, pool func() func(*member) bool) *member {
 	for range 2 {
 		for len(*order) > 0 {
 			last := len(*order) - 1
@@ -116,6 +117,7 @@
 				return m
 			}
 		}
+		inPool := pool()
 		for _, m := range v.localRegion.live {
 			if inPool(m) {
 				*order = append(*order, m.Name)
@@ -129,13 +131,7 @@
 // zonePool returns whether a member is of this member's zone. A member that is alone in its zone counts in the first zone,
 // by name, that has several: of zones a with 5 members, b with 1 and c with 4, the one of b is probed as if it were in a.
 // All members that know the same others agree on that; otherwise the lone ones would be probed half as often.
-//
-// While the zone's order is not empty the pool is not computed. If none of its remaining members can be probed, the
-// refill therefore takes all of the region, for one round.
 func (v *View) zonePool() func(*member) bool {
-	if len(v.zoneProbeOrder) > 0 {
-		return anyMember
-	}
 	sizes := map[string]int{v.self.Zone: 1}
 	for _, m := range v.localRegion.live {
 		sizes[m.Zone]++
--- a/internal/peer/membership/view.go
+++ b/internal/peer/membership/view.go
@@ -81,6 +81,7 @@
 	streamBudget       tokenBucket        // of streams
 	remoteStreamBudget tokenBucket        // of streams to other regions
 	remoteAddrs        map[string]*region // by address, of members of other regions
+	remoteOwners       map[string]*member // the same addresses: whose record says so
 
 	// Joining, and agreement with others.
 	exchange    exchangeState
@@ -128,6 +129,7 @@
 		regions:            map[string]*region{},
 		localities:         map[locality]*roundTrip{},
 		remoteAddrs:        map[string]*region{},
+		remoteOwners:       map[string]*member{},
 		suspicionsAt:       never,
 		regionsCheckAt:     never,
 		budget:             bytes,
@@ -309,6 +311,7 @@
 	}
 	next.add(v.exchange.nextAt())
 	next.add(v.reconnectAt)
+	next.add(v.seedRetryAt)
 	next.add(v.cleanupAt)
 	next.add(v.sizes.nextStepAt)
 	next.add(v.saveAt)
--- a/internal/peer/transport/memberlog.go
+++ b/internal/peer/transport/memberlog.go
@@ -36,11 +36,13 @@
 	}
 }
 
-// logMember logs a member's new state, but no suspicion, and no change that its region's line covers.
+// logMember logs a member's new state, but no suspicion, and no change that its region's line or that of this member's isolation
+// covers.
 func (tr *Transport) logMember(a membership.MemberChanged) {
 	r := &a.Record
 	switch {
-	case a.Reason == membership.ReasonRegionUnreachable, a.Reason == membership.ReasonRegionReachable:
+	case a.Reason == membership.ReasonRegionUnreachable, a.Reason == membership.ReasonRegionReachable,
+		a.Reason == membership.ReasonIsolated, a.Reason == membership.ReasonIsolationEnded:
 	case r.State == membership.Suspect, r.State == membership.Alive && a.Previous == membership.Suspect && !a.FirstSeen:
 	default:
 		tr.log.Info("fleet: "+r.Name+" is "+r.State.String(), "addr", r.Addr, "zone", r.Zone, "was", a.Previous.String(), "by", r.Reporter, "why", a.Reason)
