--- a/internal/peer/lease/handover.go
+++ b/internal/peer/lease/handover.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -68,7 +69,8 @@
 
 func (l *serverLimit) state(now time.Duration) LimitState {
 	state := LimitState{Fingerprint: l.fingerprint, WaitRemaining: max(0, l.grantsFrom-now)}
-	for key, r := range l.rows {
+	for _, key := range slices.Sorted(maps.Keys(l.rows)) { // the same bytes each time
+		r := l.rows[key]
 		row := RowState{Key: key}
 		for _, id := range r.order {
 			row.Holders = append(row.Holders, r.holders[id].state(now, id))
--- a/internal/peer/lease/server_test.go
+++ b/internal/peer/lease/server_test.go
@@ -1,7 +1,9 @@
 package lease
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -143,3 +145,15 @@
 		}
 	}
 }
+
+// What a successor gets of one state is the same bytes each time. Rows came in a map's order.
+func TestHandedOverRowsAreInOrder(t *testing.T) {
+	l := &serverLimit{rows: map[string]*serverRow{}}
+	for n := range 20 {
+		l.rows[fmt.Sprintf("key%02d", n)] = &serverRow{}
+	}
+	state := l.state(0)
+	if len(state.Rows) != 20 || !slices.IsSortedFunc(state.Rows, func(a, b RowState) int { return strings.Compare(a.Key, b.Key) }) {
+		t.Errorf("%+v", state.Rows)
+	}
+}
--- a/internal/peer/transport/datagrams.go
+++ b/internal/peer/transport/datagrams.go
@@ -70,7 +70,7 @@
 		}
 		tr.offer(p)
 	case policyFormat:
-		_ = tr.handlePolicyMessage(data) // counts what it rejects, but for messages without sender or content
+		tr.handlePolicyMessage(data)
 	default:
 		m := &membership.Message{}
 		if err := decodeMembership(tr.options.Fleet, data, m); err != nil {
--- a/internal/peer/transport/eventlog.go
+++ b/internal/peer/transport/eventlog.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"strconv"
 	"time"
 
@@ -49,6 +50,7 @@
 // eventLog writes event lines in a goroutine of its own. Where that cannot keep up, lines are dropped, and a line says
 // how many. The nil eventLog writes nothing.
 type eventLog struct {
+	log     *slog.Logger
 	member  string
 	pid     int
 	lines   chan eventLine
@@ -60,18 +62,25 @@
 const maxWaitingLines = 4096
 
 // newEventLog returns an event log that writes to w; nil for a nil w.
-func newEventLog(w io.Writer, member string, pid int) *eventLog {
+func newEventLog(w io.Writer, member string, pid int, log *slog.Logger) *eventLog {
 	if w == nil {
 		return nil
 	}
-	l := &eventLog{member: member, pid: pid, lines: make(chan eventLine, maxWaitingLines), ended: make(chan struct{})}
+	l := &eventLog{log: log, member: member, pid: pid, lines: make(chan eventLine, maxWaitingLines), ended: make(chan struct{})}
 	go l.run(w)
 	return l
 }
 
-// run writes lines until close.
+// run writes lines until close. A panic of the writer ends the writing, and nothing else.
 func (l *eventLog) run(w io.Writer) {
 	defer close(l.ended)
+	defer func() {
+		if p := recover(); p != nil {
+			l.log.Error("fleet: events are no longer written", "error", panicError(p))
+			for range l.lines { // nobody waits for room
+			}
+		}
+	}()
 	out := bufio.NewWriter(w)
 	encoder := json.NewEncoder(out)
 	for line := range l.lines {
--- a/internal/peer/transport/lifecycle.go
+++ b/internal/peer/transport/lifecycle.go
@@ -46,7 +46,7 @@
 }
 
 // Freeze stops this member, because another process is about to take its place, and returns what that one continues
-// from; nil: the loop does not respond. It may be frozen later all the same.
+// from; nil: the loop does not respond, and the member goes on.
 func (tr *Transport) Freeze() *Saved {
 	var s *Saved
 	tr.do(func() {
--- a/internal/peer/transport/loop.go
+++ b/internal/peer/transport/loop.go
@@ -35,7 +35,7 @@
 func (policyPersisted) isInput() {}
 
 // Run is a member of the fleet until ctx ends. It returns then, or with what went wrong: a panic of the loop, or of a
-// goroutine that runInBackground starts, is an error here. One of the two writers or of a policy stream ends the process.
+// goroutine that runInBackground starts, is an error here. One of the event log's writer is logged.
 func (tr *Transport) Run(ctx context.Context) (err error) {
 	running, cancel := context.WithCancel(ctx)
 	diskStop := make(chan struct{})
@@ -51,7 +51,8 @@
 		tr.background.Wait()
 		tr.eventLog.close()
 	}()
-	tr.background.Go(func() { tr.viewFile.Run(diskStop) })
+	tr.running = running
+	tr.runInBackground(func() { tr.viewFile.Run(diskStop) })
 	tr.saveBoot()
 	tr.awaitBootSaved()
 	own := tr.view.Local()
@@ -286,15 +287,18 @@
 	}
 }
 
-// do has f run on the loop, and waits up to callTimeout. It reports false if f may not have run: it may still run later, so
-// what f writes must not be read then.
+// do has f run on the loop, and waits up to callTimeout for its turn. It reports false if f has not run, and does not run
+// later; or the loop has ended within it: what f writes must not be read then.
 func (tr *Transport) do(f func()) bool {
+	var claimed atomic.Bool // by whoever is first: the loop, which runs f, or the caller, who gives it up
 	ran := make(chan struct{})
 	timer := time.NewTimer(callTimeout)
 	defer timer.Stop()
 	call := func() {
-		f()
-		close(ran)
+		if claimed.CompareAndSwap(false, true) {
+			f()
+			close(ran)
+		}
 	}
 	select {
 	case tr.calls <- call:
@@ -309,6 +313,14 @@
 	case <-tr.done:
 		return false
 	case <-timer.C:
+	}
+	if claimed.CompareAndSwap(false, true) {
+		return false
+	}
+	select { // it runs: it ends soon, as all that the loop does
+	case <-ran:
+		return true
+	case <-tr.done:
 		return false
 	}
 }
--- a/internal/peer/transport/policydriver.go
+++ b/internal/peer/transport/policydriver.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"math"
 	"net/netip"
 	"sync"
@@ -65,9 +66,9 @@
 	driver      *PolicyDriver // nil: there is no policy
 	started     bool
 	membersAt   time.Duration // the membership was last passed on
-	messages    uint64        // sent
-	bytes       uint64        // of these
-	unsent      uint64        // messages: no address or stream for them, too large, or not encodable
+	messages    atomic.Uint64 // sent
+	bytes       atomic.Uint64 // of these
+	unsent      atomic.Uint64 // messages: no address or stream for them, too large, not encodable, or not taken
 	streamSlots chan struct{} // one for each open stream to another member
 }
 
@@ -198,12 +199,12 @@
 	}
 	to, err := netip.ParseAddrPort(l.tr.view.Addr(s.To))
 	if err != nil {
-		l.unsent++
+		l.unsent.Add(1)
 		return
 	}
 	data, err := encodeEnvelope(policyFormat, l.tr.options.Fleet, p)
 	if err != nil || len(data) > maxStreamBytes {
-		l.unsent++
+		l.unsent.Add(1)
 		return
 	}
 	if !s.Message.Large() && len(data) <= maxDatagramBytes {
@@ -215,38 +216,42 @@
 }
 
 func (l *policyLink) countSent(data []byte) {
-	l.messages++
-	l.bytes += uint64(len(data))
+	l.messages.Add(1)
+	l.bytes.Add(uint64(len(data)))
 }
 
-// sendOnStream sends a message on a stream in a goroutine of its own. That ends within a few streamTimeouts; Run does not
-// wait for it.
+// sendOnStream sends a message on a stream in a goroutine of its own, which ends with Run. The message counts as sent once
+// the other member has read it.
 func (l *policyLink) sendOnStream(to netip.AddrPort, data []byte) {
 	select {
 	case l.streamSlots <- struct{}{}:
 	default:
-		l.unsent++
+		l.unsent.Add(1)
 		return
 	}
-	l.countSent(data)
-	go func() {
+	running := l.tr.running
+	l.tr.runInBackground(func() {
 		defer func() { <-l.streamSlots }()
-		_ = l.tr.sendOnStream(to.String(), data)
-	}()
+		if err := l.tr.sendOnStream(running, to.String(), data); err != nil && !errors.Is(err, io.EOF) {
+			l.unsent.Add(1)
+			return
+		}
+		l.countSent(data)
+	})
 }
 
 // handlePolicyMessage decodes a message about the policy from a stream or a datagram, and hands it to the loop.
-func (tr *Transport) handlePolicyMessage(data []byte) error {
+func (tr *Transport) handlePolicyMessage(data []byte) {
 	p := &policyPacket{}
 	if err := decodeEnvelope(policyFormat, tr.options.Fleet, data, p); err != nil {
 		tr.reject(err)
-		return err
+		return
 	}
 	if p.From == "" || p.Message == nil || p.From == tr.options.Membership.Name {
-		return ErrMalformed
+		tr.reject(ErrMalformed)
+		return
 	}
 	tr.offer(p)
-	return nil
 }
 
 // PolicySize returns the bytes of a message about the policy, without those of UDP and TCP; 0 for one that cannot be
--- a/internal/peer/transport/status.go
+++ b/internal/peer/transport/status.go
@@ -160,9 +160,9 @@
 		OtherFormat:     tr.rejected.unknownFormat.Load(),
 		TooLarge:        tr.rejected.tooLarge.Load(),
 		Malformed:       tr.rejected.malformed.Load(),
-		PolicyMessages:  tr.policy.messages,
-		PolicyBytes:     tr.policy.bytes,
-		PolicyUnsent:    tr.policy.unsent,
+		PolicyMessages:  tr.policy.messages.Load(),
+		PolicyBytes:     tr.policy.bytes.Load(),
+		PolicyUnsent:    tr.policy.unsent.Load(),
 	}
 }
 
--- a/internal/peer/transport/streams.go
+++ b/internal/peer/transport/streams.go
@@ -42,44 +42,50 @@
 			defer tr.releaseStream()
 			defer conn.Close()
 			defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
-			err := tr.serveStream(conn)
-			if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, os.ErrDeadlineExceeded) {
-				tr.rejected.malformed.Add(1)
-			}
+			tr.serveStream(conn)
 		})
 	}
 }
 
-// serveStream takes one message about the policy, or an exchange: a request, the response, and a last message.
-func (tr *Transport) serveStream(conn *net.TCPConn) error {
+// serveStream takes one message about the policy, or an exchange: a request, the response, and a last message. What it
+// rejects is counted once, and a stream that ends without a message is not.
+func (tr *Transport) serveStream(conn *net.TCPConn) {
 	_ = conn.SetDeadline(time.Now().Add(streamTimeout))
 	data, err := readFrame(conn)
 	if err != nil {
-		tr.reject(err)
-		return err
+		tr.rejectRead(err)
+		return
 	}
 	if formatOf(data) == policyFormat {
-		return tr.handlePolicyMessage(data)
+		tr.handlePolicyMessage(data)
+		return
 	}
 	request := &membership.Exchange{}
 	if err := decodeMembership(tr.options.Fleet, data, request); err != nil {
 		tr.reject(err)
-		return err
+		return
 	}
 	response := tr.awaitResponse(request)
 	if response == nil {
-		return nil
+		return
 	}
-	if err := writeExchange(conn, tr.options.Fleet, response); err != nil {
-		return err
+	if writeExchange(conn, tr.options.Fleet, response) != nil {
+		return // the other member has gone: nothing was received
 	}
 	_ = conn.SetDeadline(time.Now().Add(streamTimeout))
 	last, err := readExchange(conn, tr.options.Fleet)
 	if err != nil {
-		return err
+		tr.rejectRead(err)
+		return
 	}
 	tr.post(viewInput{event: membership.ExchangeClosed{Message: last}})
-	return nil
+}
+
+// rejectRead is reject for an error of a read: an end of the stream, or of its time, between two messages is none.
+func (tr *Transport) rejectRead(err error) {
+	if !errors.Is(err, io.EOF) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		tr.reject(err)
+	}
 }
 
 // awaitResponse returns the view's response to a request; nil: there is none, or not in time.
@@ -154,13 +160,14 @@
 	return dialer
 }
 
-// sendOnStream sends one message on a stream of its own, and waits until the other member has read it.
-func (tr *Transport) sendOnStream(to string, data []byte) error {
-	conn, err := tr.newDialer(streamTimeout).Dial("tcp", to)
+// sendOnStream sends one message on a stream of its own, and waits until the other member has read it, or ctx ends.
+func (tr *Transport) sendOnStream(ctx context.Context, to string, data []byte) error {
+	conn, err := tr.newDialer(streamTimeout).DialContext(ctx, "tcp", to)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	_ = conn.SetDeadline(time.Now().Add(streamTimeout))
 	if err := writeFrame(conn, data); err != nil {
 		return err
--- a/internal/peer/transport/transport.go
+++ b/internal/peer/transport/transport.go
@@ -15,6 +15,7 @@
 package transport
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -77,6 +78,7 @@
 	options   Options
 	log       *slog.Logger
 	view      *membership.View
+	running   context.Context      // ends with Run; set there, before the loop
 	base      time.Time            // of all times of the state machines
 	localInfo membership.LocalInfo // as last set
 	eventLog  *eventLog            // nil: none
@@ -153,7 +155,7 @@
 		tr.options.PolicyDriver = o.NewPolicyDriver(settings.RunID)
 	}
 	tr.policy = newPolicyLink(tr)
-	tr.eventLog = newEventLog(o.Events, settings.Name, os.Getpid())
+	tr.eventLog = newEventLog(o.Events, settings.Name, os.Getpid(), o.Log)
 	return tr, nil
 }
 
