policy: active texts that are proposed again are told their numbers

Only the first part's number was taken back. What is recorded of such a change decides nothing: voters of both builds apply the log alike. TestActiveTextsProposedAgainKeepTheirNumbers fails before (y 2 for y 1), passes.

--- a/internal/peer/policy/statemachine.go
+++ b/internal/peer/policy/statemachine.go
@@ -157,6 +157,9 @@
 	switch total := growth + s.partBytes(); {
 	case unchanged:
 		change.Number--
+		for i := range change.AdditionalParts {
+			change.AdditionalParts[i].Number--
+		}
 		s.recordEnd(EndedChange{Document: change, Committed: true, Reason: "it was in force already"})
 	case !change.isGlobalOnly() && total > maxActiveBytes:
 		s.abort(proposed, proposed.Author, fmt.Sprintf("all parts would have %d bytes: up to %d are allowed", total, maxActiveBytes))
