--- a/internal/faulttest/soak/ldapclient.go
+++ b/internal/faulttest/soak/ldapclient.go
@@ -40,7 +40,7 @@
 	net.Conn
 	in     *ldapmsg.Reader
 	lastID int32
-	used   bool // a request on it has had its response
+	used   bool // requests on it have been answered, or abandoned
 
 	aliveAt time.Duration // in the play's time: the last message came, or it was opened
 }
@@ -123,7 +123,9 @@
 		if requests, ended = c.await(conn, requests); ended {
 			_ = conn.Close()
 			conn = nil
+			continue
 		}
+		conn.used = true
 	}
 	return conn
 }
--- a/internal/faulttest/soak/process.go
+++ b/internal/faulttest/soak/process.go
@@ -334,7 +334,8 @@
 const (
 	lateConnections = 400 * time.Millisecond
 	stopSlack       = 700 * time.Millisecond
-	agentSockets    = 512 // descriptors that an agent may hold
+	dumpTime        = 500 * time.Millisecond // for a process that does not end to write its goroutines
+	agentSockets    = 512                    // descriptors that an agent may hold
 )
 
 // stopMost is after SIGTERM when the platform kills, at the earliest.
@@ -356,8 +357,13 @@
 	case <-exited:
 	case <-killAt.C:
 		a.rec.Put(check.Event{Kind: check.ProcessKilled, Agent: a.n, Process: a.present()})
-		a.signal(syscall.SIGKILL)
-		<-exited
+		a.signal(syscall.SIGQUIT) // the log has what it stands at
+		select {
+		case <-exited:
+		case <-time.After(dumpTime):
+			a.signal(syscall.SIGKILL)
+			<-exited
+		}
 	}
 	a.clients.open.Store(false)
 }
--- a/internal/protocol/http1/queue_test.go
+++ b/internal/protocol/http1/queue_test.go
@@ -83,6 +83,13 @@
 // 532 ms where the client had 236 ms left (soak, seeds 3, 4 and 12 with a crowd; 0.15 s is allowed), and its answer could come
 // as much too late.
 func TestTimeInTheAcceptQueueIsNotTheClientsAnyMore(t *testing.T) {
+	for name, readSize := range map[string]int{"in one read": 1 << 20, "in short reads": 20} {
+		t.Run(name, func(t *testing.T) { requestFromTheAcceptQueue(t, readSize) })
+	}
+}
+
+// requestFromTheAcceptQueue has a request wait in the queue; the agent reads it in pieces of at most so many bytes.
+func requestFromTheAcceptQueue(t *testing.T, readSize int) {
 	const (
 		wait  = 400 * time.Millisecond
 		left  = 20.0 // seconds
@@ -93,7 +100,7 @@
 	t.Cleanup(server.Close)
 	member := discovery.Member{ID: "s", Addr: server.Listener.Addr().String(), Zone: "a", Kind: "m1", State: "ready", Weight: 1}
 	held := make(chan struct{})
-	l := heldListener{testkit.Listen(t).(*net.TCPListener), held}
+	l := shortReads{heldListener{testkit.Listen(t).(*net.TCPListener), held}, readSize}
 	startParts(t, testConfig(t, testkit.Setup{Servers: []discovery.Member{member}}), core.Parts{Listener: l, NoLateConnections: true}, nil)
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
@@ -110,3 +117,27 @@
 		t.Errorf("its server was told %v s (%v), at most %v s were left", got, err, most)
 	}
 }
+
+// shortReads accepts connections on which a read returns few bytes.
+type shortReads struct {
+	heldListener
+	most int
+}
+
+// Accept implements net.Listener.
+func (l shortReads) Accept() (net.Conn, error) {
+	c, err := l.heldListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return shortReadConn{c.(*net.TCPConn), l.most}, nil
+}
+
+// shortReadConn is one of these.
+type shortReadConn struct {
+	*net.TCPConn
+	most int
+}
+
+// Read implements net.Conn.
+func (c shortReadConn) Read(p []byte) (int, error) { return c.TCPConn.Read(p[:min(len(p), c.most)]) }
--- a/internal/protocol/http1/requestreader.go
+++ b/internal/protocol/http1/requestreader.go
@@ -110,13 +110,12 @@
 	return true
 }
 
-// received takes note of n bytes that were read to the end of the buffer's content. The first ones may have come while the
-// connection waited to be accepted: their request is timed from then.
+// received takes note of n bytes that were read to the end of the buffer's content. Those of the first request may have come
+// while the connection waited to be accepted: it is timed from then.
 func (c *clientConn) received(n int) {
 	c.end += n
-	first := c.lastReadAt.IsZero()
 	c.lastReadAt = time.Now()
-	if first {
+	if !c.hasRequested {
 		c.lastReadAt = c.lastReadAt.Add(-core.SinceArrival(c.conn))
 	}
 }
