--- a/internal/protocol/http1/sendguard_test.go
+++ b/internal/protocol/http1/sendguard_test.go
@@ -196,3 +196,29 @@
 		t.Errorf("result %v, %d connections", r, b.open)
 	}
 }
+
+// The agent's own answer at a deadline is there in time also where its write is held up by 0.15 s (BENCH, "What production adds").
+// Known to fail: attempts are waited for up to the deadline, less a tick, and the answer that follows is 0.15 s late. Of a build
+// with one write in twenty held up, seed 630002 of the short days breaks `lost` on roll; with own answers 0.15 s before the
+// deadline it passes, 0.05 s before it breaks too. What that costs without the fault, mean of five panels (710001, 13, 25, 37,
+// 49): 0.835 with none, 0.831 with 0.05 s, 0.818 with 0.1 s, 0.818 with 0.15 s; the spread over these seeds is 0.017 (standard
+// deviation), and each seed falls.
+func TestOwnAnswerAllowsForAHeldWrite(t *testing.T) {
+	const (
+		deadline = 600 * time.Millisecond
+		slack    = 100 * time.Millisecond // 0.1 s of the pages
+	)
+	silent := make(chan struct{})
+	defer close(silent)
+	server := serveRaw(t, func(int) string { <-silent; return "" })
+	cfg := testConfig(t, testkit.Setup{Servers: []discovery.Member{server.member("s")}, Deadline: int(deadline.Milliseconds())})
+	r := startParts(t, cfg, core.Parts{Listener: slowWriter{testkit.Listen(t), 150 * time.Millisecond}, NoLateConnections: true}, nil)
+	testkit.WaitFor(t, "clients", r.Accepting)
+	began := time.Now()
+	if got := r.do("GET", "/get/x", ""); got.err != nil || got.status == 200 {
+		t.Errorf("%+v", got)
+	}
+	if took := time.Since(began); took > deadline+slack {
+		t.Errorf("answered after %v, the deadline is %v", took, deadline)
+	}
+}
