--- /dev/null
+++ b/internal/host/daemonconfig/shares_test.go
@@ -0,0 +1,28 @@
+package daemonconfig
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"vetchhaven/internal/core"
+)
+
+// The instances' connections fit into what the process has. Known to fail: an instance with a share of 16 to 39 sockets takes 40,
+// since core works with 64 descriptors at the least (minSockets, less OwnSockets): of 6 instances with 16 each, clients and
+// servers may take 240 where 96 are left for them.
+func TestInstancesTakeNoMoreSocketsThanThereAre(t *testing.T) {
+	const instances = 6 // of validFile
+	for _, share := range []int{MinSocketShare, 39, 40} {
+		total := ProcessSockets + instances*(listenerSockets+share)
+		cfg := loadText(t, strings.Replace(validFile, "sockets = 4000", fmt.Sprintf("sockets = %d", total), 1))
+		taken := 0
+		for i := range cfg.Instances {
+			sockets := cfg.Instances[i].Agent.Sockets
+			taken += core.ClientSockets(sockets) + core.BackendSockets(sockets)
+		}
+		if taken > instances*share {
+			t.Errorf("share %d: %d instances take %d sockets of %d", share, len(cfg.Instances), taken, instances*share)
+		}
+	}
+}
--- a/internal/peer/ejection/state_test.go
+++ b/internal/peer/ejection/state_test.go
@@ -1,6 +1,7 @@
 package ejection
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -79,3 +80,20 @@
 		t.Errorf("after a restart it is %v", h.m.servers["s0"].phase)
 	}
 }
+
+// Whoever follows the log sees a readmission end: a server that fails during its readmission was ejected anew without a line.
+func TestEndOfAReadmissionIsLogged(t *testing.T) {
+	h := newHarness(t)
+	h.receives(failureReports("bcd", 1))
+	h.expectEjected(true, "three reporters")
+	s := h.m.servers["s0"]
+	h.m.beginReadmission(s)
+	h.m.actions = nil
+	h.m.restartEjection(s)
+	for _, a := range h.m.actions {
+		if l, ok := a.(Log); ok && strings.Contains(l.Text, "s0") && strings.Contains(l.Text, "ejected again") {
+			return
+		}
+	}
+	t.Errorf("%+v", h.m.actions)
+}
