policystore, daemon: the policy's file is opened again until it can be; damaged files are kept apart

Symptom: after a handover that failed a voter may write nothing any more, and no policy is agreed on until the daemon is started again; a handover that failed before the file was closed logs that it can't be opened. Cause: abortHandover opened the file once, while a successor that is slow to die may still have it (lock, 5 s); and opened it although it was open. Mend: Reopen, tried each second in the background until the file is open, or was closed by a further handover. A damaged file is set aside under a name of its own; the next one replaced it. Measured: TestPolicyFileIsOpenedAgainAfterAFailedHandover fails with the code before ("never: it is in force"), passes. TestSecondDamagedFileDoesNotReplaceTheFirst passes; not run against the code before.

--- a/internal/host/daemon/handover.go
+++ b/internal/host/daemon/handover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"vetchhaven/internal/host/daemonconfig"
+	"vetchhaven/internal/host/policystore"
 	"vetchhaven/internal/host/snapshot"
 	"vetchhaven/internal/peer/transport"
 )
@@ -15,6 +16,9 @@
 // still has. It learns of no other policy meanwhile.
 const handoverGrace = time.Second
 
+// policyReopenInterval is after which the policy's file is tried again that another process has.
+const policyReopenInterval = time.Second
+
 // Errors of a handover.
 var (
 	// ErrHandedOver says that a successor serves.
@@ -132,9 +136,8 @@
 		close(d.handoverEnded)
 		d.handoverEnded = nil
 		if store := d.policy.store; store != nil {
-			if _, err := store.Open(); err != nil {
-				d.log.Error("the policy's file can't be opened again", "error", err)
-			}
+			closes := store.Closes()
+			d.background.Go(func() { d.reopenPolicy(store, closes) })
 		}
 		d.scheduleSwitch()
 		d.startPeering(nil, 0) // if it failed meanwhile
@@ -144,6 +147,25 @@
 	}
 }
 
+// reopenPolicy opens the policy's file again, and tries until it can: another process may still have it. Until then a voter's
+// writes fail, and are repeated.
+func (d *Daemon) reopenPolicy(store *policystore.Store, closes int) {
+	for failed := false; ; failed = true {
+		err := store.Reopen(closes)
+		if err == nil {
+			return
+		}
+		if !failed {
+			d.log.Error("the policy's file can't be opened again yet; it is tried until it can", "error", err)
+		}
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-time.After(policyReopenInterval):
+		}
+	}
+}
+
 // completeHandover has Run end: the successor serves.
 func (d *Daemon) completeHandover() {
 	d.log.Info("a successor is ready")
--- a/internal/host/daemon/policy_test.go
+++ b/internal/host/daemon/policy_test.go
@@ -1,14 +1,21 @@
 package daemon
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"go.etcd.io/bbolt"
+
 	"vetchhaven/internal/core"
+	"vetchhaven/internal/host/daemonconfig"
 	"vetchhaven/internal/peer/policy"
 	"vetchhaven/internal/standin"
 )
@@ -234,3 +241,33 @@
 		}
 	}
 }
+
+// After a handover that failed the policy's file is opened again, also where another process has it for some seconds more, as a
+// successor that is slow to die. It was tried once: a voter could write nothing from then on, and no policy was agreed on until
+// the daemon was started again.
+func TestPolicyFileIsOpenedAgainAfterAFailedHandover(t *testing.T) {
+	f := standin.NewForm("s-1", nil)
+	defer f.Close()
+	tb := newTestbed(t, f.Member("ready"))
+	tb.head = `state_dir = "state"`
+	addr := freeAddr(t)
+	tb.writeConfig(tb.instanceText("one") + policyText(addr, addr, `"a"`))
+	fail := errors.New("not this time")
+	var taken *bbolt.DB
+	r := tb.start(Options{Upgrade: func(context.Context, map[daemonconfig.Address]*os.File, []byte) (err error) {
+		if taken, err = bbolt.Open(filepath.Join(tb.dir, "state", "policy.db"), 0o600, &bbolt.Options{Timeout: patience}); err != nil {
+			return err
+		}
+		return fail
+	}})
+	r.apply(t, 1, "[rules]\nconnect_timeout = \"9s\"\nidle_close = \"60s\"\n")
+	if err := r.Handover(context.Background()); !errors.Is(err, fail) {
+		t.Fatalf("%v", err)
+	}
+	eventually(t, "the file can't be opened", func() bool { return tb.log.count("can't be opened again") > 0 })
+	if err := taken.Close(); err != nil {
+		t.Fatal(err)
+	}
+	r.apply(t, 2, "[rules]\nconnect_timeout = \"8s\"\nidle_close = \"60s\"\n")
+	tb.expectServed("one")
+}
--- a/internal/host/policystore/store.go
+++ b/internal/host/policystore/store.go
@@ -57,6 +57,7 @@
 
 	mu     sync.Mutex
 	db     *bbolt.DB // nil: it is not open
+	closes int       // counts the calls of Close
 	writer int       // counts the writers: what an earlier one left is not written any more
 
 	failing bool // of Run: the last write failed, and that was logged
@@ -83,7 +84,7 @@
 }
 
 // Open opens the file, and reads what is there. A file that the system can read and bbolt does not accept as a database is
-// set aside and logged, replacing an earlier one that was: its member begins anew. Any other failure, transient or permanent,
+// set aside and logged, beside earlier ones that were: its member begins anew. Any other failure, transient or permanent,
 // also one to read the entries of a database, leaves the file as it is and is returned.
 func (s *Store) Open() (policy.StoredState, error) {
 	s.mu.Lock()
@@ -113,7 +114,7 @@
 	if err == nil || !isDamaged(err) {
 		return db, err
 	}
-	aside := s.path + damagedSuffix
+	aside := unusedName(s.path + damagedSuffix)
 	s.log.Error("the policy's file is damaged: it is set aside, and its content is fetched anew from other members",
 		"file", s.path, "as", aside, "error", err)
 	if err := os.Rename(s.path, aside); err != nil {
@@ -122,6 +123,17 @@
 	return openDatabase(s.path)
 }
 
+// unusedName returns a name that no file has: the given one, or that with a number.
+func unusedName(name string) string {
+	candidate := name
+	for n := 2; ; n++ {
+		if _, err := os.Lstat(candidate); err != nil {
+			return candidate
+		}
+		candidate = fmt.Sprintf("%s.%d", name, n)
+	}
+}
+
 // isDamaged reports whether an error is bbolt's own, for content that it rejects: any error but the system's and a lock that
 // was not free in time. A failure of the system, transient or permanent (no descriptor, no space, a bad sector, another
 // process that has the file), says nothing of the content.
@@ -203,12 +215,42 @@
 func (s *Store) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closes++
 	if s.db != nil {
 		_ = s.db.Close()
 		s.db = nil
 	}
 }
 
+// Closes counts the calls of Close.
+func (s *Store) Closes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closes
+}
+
+func (s *Store) isOpen() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.db != nil
+}
+
+// Reopen opens the file again as it is, unless it is open, or was closed after so many closes: whoever did that needs it
+// closed. What is read is known to the member that goes on.
+func (s *Store) Reopen(closes int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.db != nil || s.closes != closes {
+		return nil
+	}
+	db, err := openDatabase(s.path)
+	if err != nil {
+		return fmt.Errorf("open %s: %w", s.path, err)
+	}
+	s.db = db
+	return nil
+}
+
 // Reload reads again what is there, for a member that begins anew in this process. What its predecessor has queued is not
 // written any more.
 func (s *Store) Reload() (policy.StoredState, error) {
--- a/internal/host/policystore/store_test.go
+++ b/internal/host/policystore/store_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"golang.org/x/sys/unix"
@@ -186,3 +187,46 @@
 		t.Errorf("a damaged file was not set aside: %v", err)
 	}
 }
+
+// A damaged file that was set aside is not overwritten by the next one: it may be all that is left of what a voter promised. The
+// second one took its name.
+func TestSecondDamagedFileDoesNotReplaceTheFirst(t *testing.T) {
+	dir := t.TempDir()
+	for _, damage := range []string{"first", "second", "third"} {
+		if err := os.WriteFile(filepath.Join(dir, fileName), []byte(strings.Repeat(damage, 5000)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s := New(dir, "", "m", slog.New(slog.DiscardHandler))
+		if _, err := s.Open(); err != nil {
+			t.Fatal(err)
+		}
+		s.Close()
+	}
+	kept, err := filepath.Glob(filepath.Join(dir, fileName+damagedSuffix+"*"))
+	if err != nil || len(kept) != 3 {
+		t.Errorf("%v, %v", kept, err)
+	}
+	if text, err := os.ReadFile(filepath.Join(dir, fileName+damagedSuffix)); err != nil || !strings.HasPrefix(string(text), "first") {
+		t.Errorf("the first one: %.10q, %v", text, err)
+	}
+}
+
+// A store is opened again where it was closed, and left alone where it is open: a handover that fails before it closes the store
+// logged that it could not be opened again.
+func TestReopenLeavesAnOpenStoreAlone(t *testing.T) {
+	s := New(t.TempDir(), "", "m", slog.New(slog.DiscardHandler))
+	defer s.Close()
+	for range 2 {
+		if err := s.Reopen(s.Closes()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	before := s.Closes()
+	s.Close()
+	if err := s.Reopen(before); err != nil || s.isOpen() {
+		t.Errorf("open %v, %v, although it was closed since", s.isOpen(), err)
+	}
+	if err := s.Reopen(s.Closes()); err != nil || !s.isOpen() {
+		t.Errorf("open %v, %v", s.isOpen(), err)
+	}
+}
