--- a/internal/faulttest/checker/policy.go
+++ b/internal/faulttest/checker/policy.go
@@ -180,10 +180,14 @@
 	return t
 }
 
-// firstLaterUse is when anything later than a number was first used; 0: never.
+// firstLaterUse is when anything later than a number was first used, and what; 0: never. Of those of one instant it is the
+// earliest number.
 func (q *partChecker) firstLaterUse(n uint64) (at int64, by uint64) {
 	for m, u := range q.used {
-		if m > n && (at == 0 || u.first < at) {
+		if m <= n {
+			continue
+		}
+		if at == 0 || u.first < at || u.first == at && m < by {
 			at, by = u.first, m
 		}
 	}
--- a/internal/peer/ejection/state.go
+++ b/internal/peer/ejection/state.go
@@ -288,6 +288,9 @@
 
 // restartEjection ejects a server anew that failed during its readmission.
 func (m *Member) restartEjection(s *server) {
+	if s.phase == phaseReadmitting {
+		m.emit(Log{fmt.Sprintf("server %s fails again: its readmission ends, and it is ejected again", s.ID)})
+	}
 	s.phase = phaseEjected
 	s.ejectedAt = m.now
 	s.countEjection(m.now)
