--- a/internal/host/daemon/reload_test.go
+++ b/internal/host/daemon/reload_test.go
@@ -212,3 +212,16 @@
 		t.Errorf("%d were sent to a draining server after reloads", two.Got()-n)
 	}
 }
+
+// An operator who sets a key that nothing goes by is told so. `drain` was taken without a word, and no drain went by it.
+func TestKeyWithoutEffectIsNamed(t *testing.T) {
+	s := standin.NewForm("s", nil)
+	defer s.Close()
+	tb := newTestbed(t, s.Member("ready"))
+	tb.head = `drain = "5s"`
+	tb.writeConfig(tb.instanceText("a"))
+	tb.start(Options{})
+	if n := tb.log.count("the key drain has no effect"); n != 1 {
+		t.Errorf("said %d times", n)
+	}
+}
