daemon: the key drain is said to have no effect

It is read, bounded, and nothing goes by it: drains last for the longest deadline and 0.6 s. It stays allowed, so that files of earlier builds load; a start and a reload with it log one line. TestKeyWithoutEffectIsNamed fails before, passes.

--- a/internal/host/daemon/daemon.go
+++ b/internal/host/daemon/daemon.go
@@ -131,6 +131,7 @@
 		servingUpdated: make(chan struct{}, 1),
 	}
 	d.supervisor = supervise.New(o.Config.Supervise, d.rng.Uint64())
+	d.warnOfUnusedKeys(o.Config)
 	d.snapshots = newSnapshotStore(o.Config.StateDir, o.Log)
 	d.restoreSnapshot()
 	d.ownFile.Store(&ownFile{d.cfg.Path, d.cfg.Text()})
@@ -145,6 +146,13 @@
 	return d, nil
 }
 
+// warnOfUnusedKeys names the keys of a file that are read and have no effect: they stay, so that files of earlier builds load.
+func (d *Daemon) warnOfUnusedKeys(cfg *daemonconfig.Config) {
+	if cfg.Drain > 0 {
+		d.log.Warn("the key drain has no effect: a drain lasts for the longest deadline and 0.6 s", "file", cfg.Path, "drain", cfg.Drain)
+	}
+}
+
 // openSockets takes over the inherited sockets, and opens those that are missing.
 func (d *Daemon) openSockets() error {
 	for address, file := range d.options.Inherit {
--- a/internal/host/daemon/reload.go
+++ b/internal/host/daemon/reload.go
@@ -78,6 +78,7 @@
 	}
 	result, err := d.apply(cfg)
 	if err == nil {
+		d.warnOfUnusedKeys(cfg)
 		d.ownFile.Store(&ownFile{cfg.Path, text})
 	}
 	return result, err
