--- a/decide/export_test.go
+++ b/decide/export_test.go
@@ -27,3 +27,21 @@
 	}
 	return nil
 }
+
+// StartAttemptWithdrawn has an attempt of an open request begun at a backend that drains by now, and returns the reason of its
+// final answer.
+func (b *Balancer) StartAttemptWithdrawn(request, backend string) Reason {
+	e := b.byID[backend]
+	e.State = Draining
+	b.actions = nil
+	b.startAttempt(b.requests[request], e)
+	for _, a := range b.actions {
+		switch a := a.(type) {
+		case Refuse:
+			return a.Reason
+		case Fail:
+			return a.Reason
+		}
+	}
+	return ReasonCount
+}
