--- a/internal/faulttest/soak/check/check.go
+++ b/internal/faulttest/soak/check/check.go
@@ -13,22 +13,22 @@
 
 // The invariants, each with the term that it holds.
 const (
-	OneAnswer          Invariant = "one_answer"           // each request read has one final answer, in time
-	OwnAnswer          Invariant = "own_answer"           // a served answer is one that a server made for this request
-	NothingAfterAnswer Invariant = "nothing_after_answer" // nothing is sent for a request behind its final answer
-	NothingForLeft     Invariant = "nothing_for_left"     // no attempt begins over 0.1 s after its client has left
-	EffectOnce         Invariant = "effect_once"          // a request that is not idempotent runs once
-	KeyedScope         Invariant = "keyed_scope"          // a keyed repeat keeps to its scope and window
-	RefusalNoEffect    Invariant = "refusal_no_effect"    // what was refused has not run
-	NothingToWithdrawn Invariant = "nothing_to_withdrawn" // nothing new to a server past the grace after its withdrawal was told
-	SlowStartBudget    Invariant = "slow_start_budget"    // a cold server gets no more than it stands, of all agents
-	DeadlinePassedOn   Invariant = "deadline_passed_on"   // the deadline told to a server is at most what the client has left
-	StalledAnswered    Invariant = "stalled_answered"     // a client that stops within a request gets its error or close
-	CleanStop          Invariant = "clean_stop"           // a process ends by a signal alone, in time, with status 0
-	ReadyInTime        Invariant = "ready_in_time"        // a process that was started takes clients
-	NoGuardViolation   Invariant = "no_guard_violation"   // no guard of the program counted a violation
-	ConnectedIsRead    Invariant = "connected_is_read"    // a process that serves, or ended less than 0.4 s ago, takes connections
-	NothingBehind      Invariant = "nothing_behind"       // no message follows a Notice of Disconnection
+	OneAnswer              Invariant = "one_answer"           // each request read has one final answer, in time
+	OwnAnswer              Invariant = "own_answer"           // a served answer is one that a server made for this request
+	NothingAfterAnswer     Invariant = "nothing_after_answer" // nothing is sent for a request behind its final answer
+	NothingAfterDisconnect Invariant = "nothing_for_left"     // no attempt begins over 0.1 s after its client has left
+	EffectOnce             Invariant = "effect_once"          // a request that is not idempotent runs once
+	KeyedScope             Invariant = "keyed_scope"          // a keyed repeat keeps to its scope and window
+	RefusalNoEffect        Invariant = "refusal_no_effect"    // what was refused has not run
+	NothingToWithdrawn     Invariant = "nothing_to_withdrawn" // nothing new to a server past the grace after its withdrawal was told
+	SlowStartBudget        Invariant = "slow_start_budget"    // a cold server gets no more than it stands, of all agents
+	DeadlinePassedOn       Invariant = "deadline_passed_on"   // the deadline told to a server is at most what the client has left
+	StalledAnswered        Invariant = "stalled_answered"     // a client that stops within a request gets its error or close
+	CleanStop              Invariant = "clean_stop"           // a process ends by a signal alone, in time, with status 0
+	ReadyInTime            Invariant = "ready_in_time"        // a process that was started takes clients
+	NoGuardViolation       Invariant = "no_guard_violation"   // no guard of the program counted a violation
+	ConnectedIsRead        Invariant = "connected_is_read"    // a process that serves, or ended less than 0.4 s ago, takes connections
+	NothingBehind          Invariant = "nothing_behind"       // no message follows a Notice of Disconnection
 )
 
 // What is counted besides, under the same heading of a report.
@@ -44,30 +44,30 @@
 var Counts = []Invariant{DirectoryRequests, FirstRequests, SentInDrain, MadeInDrain, Crowds}
 
 // Invariants are all of them, in the order of reports.
-var Invariants = []Invariant{OneAnswer, OwnAnswer, NothingAfterAnswer, NothingForLeft, EffectOnce, KeyedScope, RefusalNoEffect,
+var Invariants = []Invariant{OneAnswer, OwnAnswer, NothingAfterAnswer, NothingAfterDisconnect, EffectOnce, KeyedScope, RefusalNoEffect,
 	NothingToWithdrawn, SlowStartBudget, DeadlinePassedOn, StalledAnswered, CleanStop, ReadyInTime, NoGuardViolation,
 	ConnectedIsRead, NothingBehind}
 
 // Rules are the figures by which a history is checked.
 type Rules struct {
-	Slack        time.Duration // by which recorded times may be off on a busy machine
-	HoldUp       time.Duration // for which a process may stand still between a look and its act; 0: nothing holds it up
-	LateMost     time.Duration // a final answer may come so long after the deadline; later it is lost
-	LeftMost     time.Duration // an attempt may begin so long after its client has left
-	StallMost    time.Duration // a stalled client has its error or close by then
-	StopMost     time.Duration // after SIGTERM
-	AcceptLeast  time.Duration // after SIGTERM connections are taken for so long
-	StartLeast   time.Duration // a process that gets SIGTERM sooner after its start may end by the signal
-	ReadyMost    time.Duration
-	DrainGrace   time.Duration
-	DeadlineOver time.Duration // the deadline passed on may exceed what is left by so much
-	Classes      map[string]ClassRules
-	Zones        map[string]string // of servers
-	ColdShare    float64           // of a server's capacity at its start
-	RampTime     time.Duration
-	FallMultiple float64
-	FallWindow   time.Duration
-	Capacity     float64 // of a warm server, requests a second
+	Slack                   time.Duration // by which recorded times may be off on a busy machine
+	HoldUp                  time.Duration // for which a process may stand still between a look and its act; 0: nothing holds it up
+	MaxLateAnswer           time.Duration // a final answer may come so long after the deadline; later it is lost
+	MaxStartAfterDisconnect time.Duration // an attempt may begin so long after its client has left
+	MaxStallTime            time.Duration // a stalled client has its error or close by then
+	MaxStopTime             time.Duration // after SIGTERM
+	MinAcceptTime           time.Duration // after SIGTERM connections are taken for so long
+	MinStartTime            time.Duration // a process that gets SIGTERM sooner after its start may end by the signal
+	MaxReadyTime            time.Duration
+	DrainGrace              time.Duration
+	DeadlineOver            time.Duration // the deadline passed on may exceed what is left by so much
+	Classes                 map[string]ClassRules
+	Zones                   map[string]string // of servers
+	ColdShare               float64           // of a server's capacity at its start
+	RampTime                time.Duration
+	FallMultiple            float64
+	FallWindow              time.Duration
+	Capacity                float64 // of a warm server, requests a second
 }
 
 // Effect is what a repeat of a request does.
@@ -113,7 +113,7 @@
 	report   Report
 	requests map[string]*requestHistory
 	agents   map[int][]Event // of processes, in order
-	told     map[toldKey][]Event
+	notified map[notificationKey][]Event
 	arrivals map[string][]Event // by server's process
 	starts   map[string]time.Duration
 
@@ -121,7 +121,7 @@
 	connections []Event
 }
 
-type toldKey struct {
+type notificationKey struct {
 	agent  int
 	server string
 }
@@ -139,7 +139,7 @@
 // Check reads a history.
 func Check(rules Rules, history []Event) Report {
 	c := &checker{rules: rules, report: Report{Exercised: map[Invariant]int{}}, requests: map[string]*requestHistory{}, agents: map[int][]Event{},
-		told: map[toldKey][]Event{}, arrivals: map[string][]Event{}, starts: map[string]time.Duration{}, crowds: map[int][]Event{}}
+		notified: map[notificationKey][]Event{}, arrivals: map[string][]Event{}, starts: map[string]time.Duration{}, crowds: map[int][]Event{}}
 	events := slices.Clone(history)
 	sort.SliceStable(events, func(i, j int) bool { return events[i].At < events[j].At })
 	for _, e := range events {
@@ -184,7 +184,7 @@
 		r.resent = true
 	case AnswerRead:
 		r.answers = append(r.answers, e)
-	case ClientLeft:
+	case ClientDisconnected:
 		r.left = &e
 	case ConnectionEnded:
 		r.ended = &e
@@ -192,12 +192,12 @@
 		r.arrivals = append(r.arrivals, e)
 		key := fmt.Sprintf("%s#%d", e.Server, e.Process)
 		c.arrivals[key] = append(c.arrivals[key], e)
-	case StateTold:
-		k := toldKey{e.Agent, e.Server}
-		if all := c.told[k]; e.State != Ready && len(all) > 0 && all[len(all)-1].State == Ready {
+	case StateNotified:
+		k := notificationKey{e.Agent, e.Server}
+		if all := c.notified[k]; e.State != Ready && len(all) > 0 && all[len(all)-1].State == Ready {
 			c.exercised(NothingToWithdrawn)
 		}
-		c.told[k] = append(c.told[k], e)
+		c.notified[k] = append(c.notified[k], e)
 		if e.Process > 0 && e.State == Ready {
 			key := fmt.Sprintf("%s#%d", e.Server, e.Process)
 			if _, known := c.starts[key]; !known {
@@ -249,7 +249,7 @@
 	c.countRequest(s)
 	c.checkAnswer(r)
 	if r.left != nil {
-		c.exercised(NothingForLeft)
+		c.exercised(NothingAfterDisconnect)
 	}
 	if class.Effect == Once && len(r.arrivals) > 0 {
 		c.exercised(EffectOnce)
@@ -272,7 +272,7 @@
 
 // checkAnswer holds a request to its one final answer.
 func (c *checker) checkAnswer(r *requestHistory) {
-	s, due := r.sent, r.sent.At+r.sent.Left+c.rules.LateMost+c.rules.Slack
+	s, due := r.sent, r.sent.At+r.sent.Left+c.rules.MaxLateAnswer+c.rules.Slack
 	c.exercised(OneAnswer)
 	switch {
 	case len(r.answers) > 1:
@@ -315,8 +315,8 @@
 		}
 	}
 	if r.left != nil && a.Began > r.left.At {
-		if late := a.Began - r.left.At; late > c.rules.LeftMost+slack+c.heldUp(s.Agent, a.Began) {
-			c.violated(NothingForLeft, a.Began, s.Agent, s.Request, a.Server, "an attempt began %v after its client had left", late)
+		if late := a.Began - r.left.At; late > c.rules.MaxStartAfterDisconnect+slack+c.heldUp(s.Agent, a.Began) {
+			c.violated(NothingAfterDisconnect, a.Began, s.Agent, s.Request, a.Server, "an attempt began %v after its client had left", late)
 		}
 	}
 	c.exercised(DeadlinePassedOn)
@@ -335,7 +335,7 @@
 		}
 	}
 	var last *Event
-	for _, e := range c.told[toldKey{s.Agent, a.Server}] {
+	for _, e := range c.notified[notificationKey{s.Agent, a.Server}] {
 		until := a.Began
 		if e.State == Ready { // a word is recorded once it is written: its agent may have acted on it by then
 			until += c.rules.Slack
@@ -394,7 +394,7 @@
 			}
 			delete(open, e.Note)
 			c.exercised(StalledAnswered)
-			if took := e.At - began.At; took > c.rules.StallMost+c.rules.Slack && !c.killedWithin(e.Agent, began.At, e.At) {
+			if took := e.At - began.At; took > c.rules.MaxStallTime+c.rules.Slack && !c.killedWithin(e.Agent, began.At, e.At) {
 				c.violated(StalledAnswered, e.At, e.Agent, "", "", "a client that stopped within a request was left for %v", took)
 			}
 		}
@@ -418,7 +418,7 @@
 			case ProcessReady:
 				l.ready = &e
 				c.exercised(ReadyInTime)
-				if l.started != nil && e.At-l.started.At > c.rules.ReadyMost+c.rules.Slack {
+				if l.started != nil && e.At-l.started.At > c.rules.MaxReadyTime+c.rules.Slack {
 					c.violated(ReadyInTime, e.At, agent, "", "", "ready after %v", e.At-l.started.At)
 				}
 			case ProcessTerminated:
@@ -431,10 +431,10 @@
 				c.exercised(CleanStop)
 				switch terminated, killed := l.terminated, l.killed; {
 				case killed != nil && terminated == nil, l.handedOver != nil && e.Status == 0:
-				case terminated != nil && l.ready == nil && terminated.At-l.started.At < c.rules.StartLeast+c.rules.Slack:
+				case terminated != nil && l.ready == nil && terminated.At-l.started.At < c.rules.MinStartTime+c.rules.Slack:
 				case terminated == nil:
 					c.violated(CleanStop, e.At, agent, "", "", "ended by itself, status %d", e.Status)
-				case killed != nil || e.At-terminated.At > c.rules.StopMost+c.rules.Slack:
+				case killed != nil || e.At-terminated.At > c.rules.MaxStopTime+c.rules.Slack:
 					c.violated(CleanStop, e.At, agent, "", "", "still there %v after SIGTERM", e.At-terminated.At)
 				case e.Status != 0:
 					c.violated(CleanStop, e.At, agent, "", "", "status %d after SIGTERM", e.Status)
@@ -459,7 +459,7 @@
 			if age > c.rules.RampTime {
 				break
 			}
-			if !c.toldOfStart(a) {
+			if !c.notifiedOfStart(a) {
 				continue
 			}
 			window = append(window, a)
@@ -481,10 +481,10 @@
 	}
 }
 
-// toldOfStart reports whether an arrival's agent had been told of the server's present process.
-func (c *checker) toldOfStart(a Event) bool {
+// notifiedOfStart reports whether an arrival's agent had been told of the server's present process.
+func (c *checker) notifiedOfStart(a Event) bool {
 	r := c.requests[a.Request]
-	return slices.ContainsFunc(c.told[toldKey{r.sent.Agent, a.Server}], func(e Event) bool {
+	return slices.ContainsFunc(c.notified[notificationKey{r.sent.Agent, a.Server}], func(e Event) bool {
 		return e.Process == a.Process && e.State == Ready && e.At <= a.Began
 	})
 }
--- a/internal/faulttest/soak/check/check_test.go
+++ b/internal/faulttest/soak/check/check_test.go
@@ -9,7 +9,7 @@
 const ms = time.Millisecond
 
 func testRules() Rules {
-	return Rules{Slack: 10 * ms, LateMost: 500 * ms, LeftMost: 100 * ms, StallMost: 3 * time.Second, StopMost: time.Second, ReadyMost: time.Second,
+	return Rules{Slack: 10 * ms, MaxLateAnswer: 500 * ms, MaxStartAfterDisconnect: 100 * ms, MaxStallTime: 3 * time.Second, MaxStopTime: time.Second, MaxReadyTime: time.Second,
 		DrainGrace: 500 * ms, DeadlineOver: 150 * ms, Zones: map[string]string{"s": "a", "t": "b", "u": "a"},
 		Classes:   map[string]ClassRules{"get": {}, "put": {Effect: Keyed, Window: 300 * ms}, "pin": {Effect: Keyed, Window: 300 * ms, Zone: true}, "pay": {Effect: Once}},
 		ColdShare: 0.5, RampTime: 10 * time.Second, FallMultiple: 2, FallWindow: time.Second, Capacity: 10}
@@ -39,16 +39,16 @@
 	foreign.Own = false
 	broken := foreign
 	broken.Broken = true
-	left := func(at time.Duration) Event { return Event{Kind: ClientLeft, At: at, Request: "r"} }
+	left := func(at time.Duration) Event { return Event{Kind: ClientDisconnected, At: at, Request: "r"} }
 	told := func(at time.Duration, state string) Event {
-		return Event{Kind: StateTold, At: at, Server: "s", State: state}
+		return Event{Kind: StateNotified, At: at, Server: "s", State: state}
 	}
 	process := func(kind Kind, at time.Duration, status int) Event {
 		return Event{Kind: kind, At: at, Process: 1, Status: status}
 	}
 	stall := func(kind Kind, at time.Duration) Event { return Event{Kind: kind, At: at, Note: "one"} }
 	crowd := func(count int) (all []Event) {
-		all = append(all, Event{Kind: StateTold, At: 1 * ms, Server: "s", State: Ready, Process: 2, Began: 1 * ms})
+		all = append(all, Event{Kind: StateNotified, At: 1 * ms, Server: "s", State: Ready, Process: 2, Began: 1 * ms})
 		for n := range count {
 			id := fmt.Sprint("r", n)
 			at := time.Duration(100+n) * ms
@@ -75,7 +75,7 @@
 		{"an answer that is visibly not whole", "", []Event{sent("get"), arrived("s", 1010*ms), broken}},
 		{"sent after the answer", NothingAfterAnswer, []Event{sent("get"), answered(1100*ms, 502), arrived("s", 1150*ms)}},
 		{"read late by its client", "", []Event{sent("get"), answered(1100*ms, 502), arrived("s", 1105*ms)}},
-		{"sent for a client that has left", NothingForLeft, []Event{sent("get"), left(1050 * ms), arrived("s", 1200*ms)}},
+		{"sent for a client that has left", NothingAfterDisconnect, []Event{sent("get"), left(1050 * ms), arrived("s", 1200*ms)}},
 		{"under way as it left", "", []Event{sent("get"), left(1050 * ms), arrived("s", 1140*ms)}},
 		{"run twice", EffectOnce, []Event{sent("pay"), arrived("s", 1010*ms), arrived("t", 1100*ms), answered(1200*ms, 200)}},
 		{"sent again, never having run", "", []Event{sent("pay"), neverRan, arrived("t", 1100*ms), answered(1200*ms, 200)}},
@@ -123,7 +123,7 @@
 // A process that is held up has that much more time, at that moment and no other.
 func TestHeldUpProcessHasItsHold(t *testing.T) {
 	events := func(held time.Duration) []Event {
-		return []Event{sent("get"), {Kind: ClientLeft, At: 1050 * ms, Request: "r"}, {Kind: ProcessHeld, At: held, Left: 150 * ms}, arrived("s", 1250*ms)}
+		return []Event{sent("get"), {Kind: ClientDisconnected, At: 1050 * ms, Request: "r"}, {Kind: ProcessHeld, At: held, Left: 150 * ms}, arrived("s", 1250*ms)}
 	}
 	if got := Check(testRules(), events(1100*ms)).Violations; len(got) > 0 {
 		t.Errorf("held as it happened: %v", got)
--- a/internal/faulttest/soak/check/connections.go
+++ b/internal/faulttest/soak/check/connections.go
@@ -12,7 +12,7 @@
 		switch {
 		case e.Kind == CrowdBegan && e.At <= at:
 			crowded = true
-		case e.Kind == CrowdEnded && e.At+c.rules.StallMost <= at:
+		case e.Kind == CrowdEnded && e.At+c.rules.MaxStallTime <= at:
 			crowded = false
 		}
 	}
@@ -78,9 +78,9 @@
 	for _, e := range c.connections {
 		serving, stoppedAt := c.servingAt(e.Agent, e.At)
 		after := e.At - stoppedAt
-		owed := serving || stoppedAt > 0 && after < c.rules.AcceptLeast-c.rules.Slack
+		owed := serving || stoppedAt > 0 && after < c.rules.MinAcceptTime-c.rules.Slack
 		switch {
-		case !owed || c.crowdedAt(e.Agent, e.At) || c.killedWithin(e.Agent, e.At-c.rules.Slack, e.At+c.rules.AcceptLeast):
+		case !owed || c.crowdedAt(e.Agent, e.At) || c.killedWithin(e.Agent, e.At-c.rules.Slack, e.At+c.rules.MinAcceptTime):
 			continue
 		case e.Kind == ConnectionMade && !serving:
 			c.exercised(MadeInDrain)
--- a/internal/faulttest/soak/check/connections_test.go
+++ b/internal/faulttest/soak/check/connections_test.go
@@ -8,8 +8,8 @@
 // Each check of connections and notices, by a history that breaks it and the nearest one that does not.
 func TestCheckerFindsRefusedConnections(t *testing.T) {
 	rules := testRules()
-	rules.AcceptLeast = 400 * ms
-	rules.StartLeast = 250 * ms
+	rules.MinAcceptTime = 400 * ms
+	rules.MinStartTime = 250 * ms
 	life := func(kind Kind, at time.Duration, process, status int) Event {
 		return Event{Kind: kind, At: at, Process: process, Status: status}
 	}
--- a/internal/faulttest/soak/check/history.go
+++ b/internal/faulttest/soak/check/history.go
@@ -9,13 +9,13 @@
 
 // What clients, servers, lists and the process table record.
 const (
-	RequestSent     Kind = "request_sent"     // by a client: its last byte is written; Left is how long it waits
-	RequestResent   Kind = "request_resent"   // on a new connection, the old one ended without a byte of an answer
-	AnswerRead      Kind = "answer_read"      // a final answer came, whole or, with Broken, visibly not
-	ClientLeft      Kind = "client_left"      // the client has closed its connection, and waits no longer
-	ConnectionEnded Kind = "connection_ended" // it ended without an answer; Began is when its client last knew that it was alive
-	StallBegan      Kind = "stall_began"      // a client has sent a part of a request, and stays
-	StallEnded      Kind = "stall_ended"      // it got an error, or its connection was closed
+	RequestSent        Kind = "request_sent"     // by a client: its last byte is written; Left is how long it waits
+	RequestResent      Kind = "request_resent"   // on a new connection, the old one ended without a byte of an answer
+	AnswerRead         Kind = "answer_read"      // a final answer came, whole or, with Broken, visibly not
+	ClientDisconnected Kind = "client_left"      // the client has closed its connection, and waits no longer
+	ConnectionEnded    Kind = "connection_ended" // it ended without an answer; Began is when its client last knew that it was alive
+	StallBegan         Kind = "stall_began"      // a client has sent a part of a request, and stays
+	StallEnded         Kind = "stall_ended"      // it got an error, or its connection was closed
 
 	ConnectionMade Kind = "connection_made" // a client has connected; At is when it began to
 	ConnectFailed  Kind = "connect_failed"  // a client could not connect; At is when it began to
@@ -28,7 +28,7 @@
 	RequestArrived Kind = "request_arrived" // at a server: its last byte came; Began is its first
 	RequestDone    Kind = "request_done"    // the server has answered it, or its connection has ended
 
-	StateTold Kind = "state_told" // a list has written a server's state to an agent
+	StateNotified Kind = "state_told" // a list has written a server's state to an agent
 
 	ProcessStarted    Kind = "process_started"
 	ProcessReady      Kind = "process_ready"
--- a/internal/faulttest/soak/client.go
+++ b/internal/faulttest/soak/client.go
@@ -16,18 +16,18 @@
 	"vetchhaven/internal/faulttest/soak/check"
 )
 
-// ClientTrouble is what clients do besides asking and waiting.
-type ClientTrouble int
+// ClientFault is what clients do besides asking and waiting.
+type ClientFault int
 
 // The ways of clients.
 const (
-	ClientsBehave  ClientTrouble = iota
-	ClientsLeave                 // close, half close or reset while they wait, at any moment
-	ClientsHurry                 // have milliseconds, or next to nothing, left
-	ClientsStall                 // stop within a request, and stay
-	ClientsRude                  // send what is no request, too much, or leave within it
-	ClientsBurst                 // all ask at once, again and again
-	ClientsDribble               // write requests in small pieces
+	ClientsBehave     ClientFault = iota
+	ClientsDisconnect             // close, half close or reset while they wait, at any moment
+	ClientsHurry                  // have milliseconds, or next to nothing, left
+	ClientsStall                  // stop within a request, and stay
+	ClientsRude                   // send what is no request, too much, or leave within it
+	ClientsBurst                  // all ask at once, again and again
+	ClientsDribble                // write requests in small pieces
 )
 
 // class is one that clients ask for.
@@ -42,12 +42,12 @@
 
 // clients are those of one agent. Each has at most one connection, on which it asks one thing after the other.
 type clients struct {
-	agent   int
-	addr    string
-	rec     *Recorder
-	trouble atomic.Int32
-	pause   time.Duration // between a client's requests, in the mean
-	last    atomic.Int64
+	agent int
+	addr  string
+	rec   *Recorder
+	fault atomic.Int32
+	pause time.Duration // between a client's requests, in the mean
+	last  atomic.Int64
 	// open ends where no new connection comes any more, 0.4 s after the agent was told to end, and begins anew with the
 	// next process.
 	open       atomic.Bool
@@ -71,14 +71,14 @@
 			var conn *clientConn
 			for ctx.Err() == nil {
 				c.awaitTurn(rng)
-				trouble := ClientTrouble(c.trouble.Load())
+				fault := ClientFault(c.fault.Load())
 				switch {
-				case trouble == ClientsStall && rng.Float64() < 0.3:
+				case fault == ClientsStall && rng.Float64() < 0.3:
 					c.stall(rng)
-				case trouble == ClientsRude && rng.Float64() < 0.4:
+				case fault == ClientsRude && rng.Float64() < 0.4:
 					c.rude(rng)
 				default:
-					conn = c.ask(rng, conn, trouble)
+					conn = c.ask(rng, conn, fault)
 				}
 				if conn != nil && rng.Float64() < 0.05 {
 					_ = conn.Close() // between requests
@@ -129,7 +129,7 @@
 // awaitTurn waits until a client is to send its next request.
 func (c *clients) awaitTurn(rng *rand.Rand) {
 	pause := time.Duration(rng.ExpFloat64() * float64(c.pause))
-	if ClientTrouble(c.trouble.Load()) == ClientsBurst {
+	if ClientFault(c.fault.Load()) == ClientsBurst {
 		now := c.rec.Now()
 		pause = now.Truncate(300*time.Millisecond) + 300*time.Millisecond - now
 	}
@@ -146,7 +146,7 @@
 	left      time.Duration
 }
 
-func (c *clients) request(rng *rand.Rand, trouble ClientTrouble) request {
+func (c *clients) request(rng *rand.Rand, fault ClientFault) request {
 	k, draw := classes[0], rng.Float64()
 	for _, x := range classes {
 		if draw -= x.share; draw < 0 {
@@ -156,7 +156,7 @@
 	}
 	const least = 300 * time.Millisecond
 	r := request{id: c.nextName("a"), class: k.name, left: least + time.Duration(rng.Float64()*float64(c.deadline-least))}
-	if trouble == ClientsHurry {
+	if fault == ClientsHurry {
 		r.left = time.Millisecond + time.Duration(rng.ExpFloat64()*float64(40*time.Millisecond))
 	}
 	body := ""
@@ -178,16 +178,16 @@
 }
 
 // ask sends one request and waits for its answer. It returns the connection for the next one; nil: it has ended.
-func (c *clients) ask(rng *rand.Rand, conn *clientConn, trouble ClientTrouble) *clientConn {
+func (c *clients) ask(rng *rand.Rand, conn *clientConn, fault ClientFault) *clientConn {
 	if conn == nil {
 		if conn = c.dial(); conn == nil {
 			return nil
 		}
 	}
-	r := c.request(rng, trouble)
+	r := c.request(rng, fault)
 	sent := false
 	for {
-		if err := c.send(rng, conn, r, trouble); err != nil {
+		if err := c.send(rng, conn, r, fault); err != nil {
 			if conn.used && !sent { // an end that crossed it
 				_ = conn.Close()
 				if conn = c.dial(); conn == nil {
@@ -205,7 +205,7 @@
 			c.rec.Put(check.Event{Kind: check.RequestSent, Agent: c.agent, Request: r.id, Class: r.class, Left: r.left})
 		}
 		sent = true
-		if trouble == ClientsLeave && rng.Float64() < 0.5 {
+		if fault == ClientsDisconnect && rng.Float64() < 0.5 {
 			if c.leave(rng, conn, r) {
 				return nil
 			}
@@ -217,7 +217,7 @@
 		_ = conn.Close()
 		if conn = c.dial(); conn == nil {
 			// Nobody takes it any more: it was never read, and its client knows.
-			c.rec.Put(check.Event{Kind: check.ClientLeft, Agent: c.agent, Request: r.id, Note: "no agent to ask again"})
+			c.rec.Put(check.Event{Kind: check.ClientDisconnected, Agent: c.agent, Request: r.id, Note: "no agent to ask again"})
 			return nil
 		}
 		c.rec.Put(check.Event{Kind: check.RequestResent, Agent: c.agent, Request: r.id})
@@ -225,10 +225,10 @@
 }
 
 // send writes a request.
-func (c *clients) send(rng *rand.Rand, conn *clientConn, r request, trouble ClientTrouble) error {
+func (c *clients) send(rng *rand.Rand, conn *clientConn, r request, fault ClientFault) error {
 	_ = conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
 	text := r.text
-	if trouble == ClientsDribble {
+	if fault == ClientsDribble {
 		for len(text) > 200 && len(r.text) < 2000 {
 			n := 1 + rng.IntN(200)
 			if _, err := io.WriteString(conn, text[:n]); err != nil {
@@ -248,7 +248,7 @@
 	if _, err := conn.in.Peek(1); err == nil {
 		return false // its answer was there first
 	}
-	left := check.Event{Kind: check.ClientLeft, Agent: c.agent, Request: r.id}
+	left := check.Event{Kind: check.ClientDisconnected, Agent: c.agent, Request: r.id}
 	if rng.Float64() < 0.3 {
 		abort(conn.Conn)
 	} else {
@@ -258,12 +258,12 @@
 	return true
 }
 
-// answerMost is how long a client that does not leave waits for the end of an answer.
-const answerMost = 20 * time.Second
+// maxAnswerWait is how long a client that does not leave waits for the end of an answer.
+const maxAnswerWait = 20 * time.Second
 
 // await reads the answer. again: the connection ended without one, as an end between requests may.
 func (c *clients) await(conn *clientConn, r request) (again bool, next *clientConn) {
-	_ = conn.SetReadDeadline(time.Now().Add(answerMost))
+	_ = conn.SetReadDeadline(time.Now().Add(maxAnswerWait))
 	if _, err := conn.in.Peek(1); err != nil {
 		if conn.used {
 			return true, nil
@@ -296,8 +296,8 @@
 	return string(body[:min(len(body), 60)])
 }
 
-// stallMost is when a client that has stopped within a request gives up waiting to be told.
-const stallMost = 6 * time.Second
+// maxStallWait is when a client that has stopped within a request gives up waiting to be told.
+const maxStallWait = 6 * time.Second
 
 // stall sends a part of a request, and stays until it is told or its connection ends.
 func (c *clients) stall(rng *rand.Rand) {
@@ -316,7 +316,7 @@
 	}
 	mark := fmt.Sprintf("stall a%d-%d", c.agent, c.last.Add(1))
 	c.rec.Put(check.Event{Kind: check.StallBegan, Agent: c.agent, Note: mark})
-	_ = conn.SetReadDeadline(time.Now().Add(stallMost))
+	_ = conn.SetReadDeadline(time.Now().Add(maxStallWait))
 	_, _ = conn.in.Peek(1)
 	c.rec.Put(check.Event{Kind: check.StallEnded, Agent: c.agent, Note: mark})
 }
--- a/internal/faulttest/soak/coverage_test.go
+++ b/internal/faulttest/soak/coverage_test.go
@@ -9,14 +9,14 @@
 		if p.deadline() == pageDeadline {
 			have["the pages' deadline"] = true
 		}
-		for _, t := range p.Troubles {
-			switch t.What {
+		for _, t := range p.Incidents {
+			switch t.Kind {
 			case AgentSignals:
 				have[fmt.Sprint("series ", t.Way)] = true
 			case DirectoriesTroubled:
 				have[fmt.Sprint("directory fault ", t.Way)] = true
 			case Crowd, Quiet:
-				have[string(t.What)] = true
+				have[string(t.Kind)] = true
 			}
 		}
 	}
--- a/internal/faulttest/soak/ldapclient.go
+++ b/internal/faulttest/soak/ldapclient.go
@@ -17,7 +17,7 @@
 const (
 	rawLDAPClients     = 3 // that write and read messages by themselves
 	libraryLDAPClients = 1 // that use go-ldap
-	pipelinedMost      = 3 // requests that a raw client writes at once
+	maxPipelined       = 3 // requests that a raw client writes at once
 	ldapWriteTimeout   = 5 * time.Second
 	maxLDAPMessage     = 1 << 20
 )
@@ -90,10 +90,10 @@
 	return &ldapConn{Conn: nc, in: ldapmsg.NewReader(nc, maxLDAPMessage), aliveAt: c.rec.Now()}
 }
 
-// ask writes one to pipelinedMost requests at once and reads their responses. It returns the connection for the next ones;
+// ask writes one to maxPipelined requests at once and reads their responses. It returns the connection for the next ones;
 // nil: it has ended.
 func (c *ldapClients) ask(rng *rand.Rand, conn *ldapConn) *ldapConn {
-	requests := make([]*ldapRequest, 1+rng.IntN(pipelinedMost))
+	requests := make([]*ldapRequest, 1+rng.IntN(maxPipelined))
 	for i := range requests {
 		requests[i] = c.newRequest(rng)
 	}
@@ -187,7 +187,7 @@
 func (c *ldapClients) disturb(rng *rand.Rand, conn *ldapConn, requests []*ldapRequest) (left bool) {
 	r := requests[rng.IntN(len(requests))]
 	switch draw := rng.Float64(); {
-	case ClientTrouble(c.trouble.Load()) == ClientsLeave && draw < 0.3:
+	case ClientFault(c.fault.Load()) == ClientsDisconnect && draw < 0.3:
 		time.Sleep(time.Duration(rng.Float64() * float64(50*time.Millisecond)))
 		c.giveUp(requests)
 		if rng.Float64() < 0.5 {
@@ -198,7 +198,7 @@
 		conn.lastID++
 		if _, err := conn.Write(ldapmsg.Abandon(conn.lastID, r.id)); err == nil {
 			r.abandoned = true
-			c.rec.Put(check.Event{Kind: check.ClientLeft, Agent: c.agent, Request: r.name, Note: "abandoned"})
+			c.rec.Put(check.Event{Kind: check.ClientDisconnected, Agent: c.agent, Request: r.name, Note: "abandoned"})
 		}
 	case draw < 0.06:
 		conn.lastID++
@@ -211,7 +211,7 @@
 func (c *ldapClients) giveUp(requests []*ldapRequest) {
 	for _, r := range requests {
 		if r.sent && !r.abandoned {
-			c.rec.Put(check.Event{Kind: check.ClientLeft, Agent: c.agent, Request: r.name})
+			c.rec.Put(check.Event{Kind: check.ClientDisconnected, Agent: c.agent, Request: r.name})
 		}
 	}
 }
@@ -225,7 +225,7 @@
 			open[r.id] = r
 		}
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(answerMost))
+	_ = conn.SetReadDeadline(time.Now().Add(maxAnswerWait))
 	for len(open) > 0 {
 		m, err := conn.next()
 		switch {
@@ -301,7 +301,7 @@
 			}
 			conn, used = goldap.NewConn(nc, false), false
 			conn.Start()
-			conn.SetTimeout(answerMost)
+			conn.SetTimeout(maxAnswerWait)
 		}
 		if !c.askLibrary(rng, conn, used) || rng.Float64() < 0.1 {
 			_ = conn.Close()
@@ -339,7 +339,7 @@
 	}
 	end := check.Event{Kind: check.ConnectionEnded, Agent: c.agent, Request: r.name, Note: err.Error()}
 	if used {
-		end.Kind = check.ClientLeft
+		end.Kind = check.ClientDisconnected
 	}
 	c.rec.Put(end)
 	return false
--- a/internal/faulttest/soak/list.go
+++ b/internal/faulttest/soak/list.go
@@ -14,17 +14,17 @@
 	"vetchhaven/internal/source/discovery"
 )
 
-// ListTrouble is what a list service does with calls.
-type ListTrouble int
+// ListFault is what a list service does with calls.
+type ListFault int
 
 // The ways of lists.
 const (
-	ListServes ListTrouble = iota
-	ListDown               // calls are reset, watches end
-	ListSilent             // open watches bring nothing, not even empty lines
-	ListSlow               // calls and changes wait for a second
-	ListBusy               // 503 after a wait
-	ListCuts               // watches end within an object
+	ListServes ListFault = iota
+	ListDown             // calls are reset, watches end
+	ListSilent           // open watches bring nothing, not even empty lines
+	ListSlow             // calls and changes wait for a second
+	ListBusy             // 503 after a wait
+	ListCuts             // watches end within an object
 )
 
 const (
@@ -107,11 +107,11 @@
 	dir   *catalog
 	rec   *Recorder
 
-	mu      sync.Mutex
-	server  *http.Server
-	addrs   []string // it listens at each: an agent may be told to go from one to another
-	trouble ListTrouble
-	turned  chan struct{} // closed when the trouble changes
+	mu     sync.Mutex
+	server *http.Server
+	addrs  []string // it listens at each: an agent may be told to go from one to another
+	fault  ListFault
+	turned chan struct{} // closed when the fault changes
 }
 
 func newList(agent int, dir *catalog, rec *Recorder) (*list, error) {
@@ -131,26 +131,26 @@
 const listAddrs = 2
 
 // behave has it do something else from now on.
-func (l *list) behave(t ListTrouble) {
+func (l *list) behave(t ListFault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.trouble = t
+	l.fault = t
 	close(l.turned)
 	l.turned = make(chan struct{})
 }
 
-func (l *list) now() (ListTrouble, chan struct{}) {
+func (l *list) now() (ListFault, chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.trouble, l.turned
+	return l.fault, l.turned
 }
 
 func (l *list) close() { _ = l.server.Close() }
 
 func (l *list) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	out := http.NewResponseController(w)
-	trouble, _ := l.now()
-	switch trouble {
+	fault, _ := l.now()
+	switch fault {
 	case ListDown:
 		l.reset(w)
 		return
@@ -164,8 +164,8 @@
 	version, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
 	for first := true; ; first = false {
 		m, entries, bump := l.dir.since(version)
-		trouble, turned := l.now()
-		switch trouble {
+		fault, turned := l.now()
+		switch fault {
 		case ListDown:
 			l.reset(w)
 			return
@@ -189,7 +189,7 @@
 			if err != nil {
 				return
 			}
-			if trouble == ListCuts && !first {
+			if fault == ListCuts && !first {
 				_, _ = w.Write(raw[:len(raw)/2])
 				_ = out.Flush()
 				l.reset(w)
@@ -232,14 +232,14 @@
 	for _, s := range m.Servers {
 		named[s.ID] = true
 		e := entries[s.ID]
-		l.rec.Put(check.Event{Kind: check.StateTold, Agent: l.agent, Server: s.ID, State: s.State, Process: e.process, Began: e.began})
+		l.rec.Put(check.Event{Kind: check.StateNotified, Agent: l.agent, Server: s.ID, State: s.State, Process: e.process, Began: e.began})
 	}
 	if !m.Full {
 		return
 	}
 	for _, id := range l.dir.ids() {
 		if !named[id] {
-			l.rec.Put(check.Event{Kind: check.StateTold, Agent: l.agent, Server: id, State: check.Gone})
+			l.rec.Put(check.Event{Kind: check.StateNotified, Agent: l.agent, Server: id, State: check.Gone})
 		}
 	}
 }
--- a/internal/faulttest/soak/plan.go
+++ b/internal/faulttest/soak/plan.go
@@ -9,59 +9,59 @@
 	"time"
 )
 
-// What says what kind of trouble one is.
-type What string
+// IncidentKind says what kind of trouble one is.
+type IncidentKind string
 
 // Kinds of trouble. Those of processes hold for one that is drawn, those of servers and lists for some, those of clients for
 // all of some agents.
 const (
-	AgentTerm   What = "agent-term"   // SIGTERM, and a new process
-	AgentKill   What = "agent-kill"   // SIGKILL, and a new process
-	AgentReload What = "agent-reload" // SIGHUPs in a row
-	AgentHold   What = "agent-hold"   // SIGSTOP for up to 0.15 s, again and again
-	DaemonHand  What = "daemon-handover"
-
-	ServersMisbehave What = "servers"
-	ServersCrash     What = "servers-crash"  // and come back at another address, cold
-	ServersDrain     What = "servers-drain"  // by the list, and come back later
-	ServersRejoin    What = "servers-rejoin" // are gone by the list, and come back with a new process
-	ListTroubled     What = "list"
-	ClientsTroubled  What = "clients"
-
-	AgentSignals        What = "agent-signals" // a SignalSeries
-	Crowd               What = "crowd"         // idle clients fill an agent's descriptors
-	Quiet               What = "quiet"         // no client sends anything
-	DirectoriesTroubled What = "directories"   // a DirectoryFault
+	AgentTerm   IncidentKind = "agent-term"   // SIGTERM, and a new process
+	AgentKill   IncidentKind = "agent-kill"   // SIGKILL, and a new process
+	AgentReload IncidentKind = "agent-reload" // SIGHUPs in a row
+	AgentHold   IncidentKind = "agent-hold"   // SIGSTOP for up to 0.15 s, again and again
+	DaemonHand  IncidentKind = "daemon-handover"
+
+	ServersMisbehave IncidentKind = "servers"
+	ServersCrash     IncidentKind = "servers-crash"  // and come back at another address, cold
+	ServersDrain     IncidentKind = "servers-drain"  // by the list, and come back later
+	ServersRejoin    IncidentKind = "servers-rejoin" // are gone by the list, and come back with a new process
+	ListTroubled     IncidentKind = "list"
+	ClientsTroubled  IncidentKind = "clients"
+
+	AgentSignals        IncidentKind = "agent-signals" // a SignalSeries
+	Crowd               IncidentKind = "crowd"         // idle clients fill an agent's descriptors
+	Quiet               IncidentKind = "quiet"         // no client sends anything
+	DirectoriesTroubled IncidentKind = "directories"   // a DirectoryFault
 )
 
-// Trouble is one trouble of a play.
-type Trouble struct {
-	What  What          `json:"what"`
+// Incident is one trouble of a play.
+type Incident struct {
+	Kind  IncidentKind  `json:"what"`
 	At    time.Duration `json:"at"`
 	For   time.Duration `json:"for"`
 	Picks []int         `json:"picks"` // the agents or servers that have it
-	Way   int           `json:"way"`   // Misbehaviour, ListTrouble, ClientTrouble, SignalSeries or DirectoryFault
+	Way   int           `json:"way"`   // Misbehaviour, ListFault, ClientFault, SignalSeries or DirectoryFault
 }
 
-func (t Trouble) String() string {
-	return fmt.Sprintf("%s way %d at %.1f s for %.1f s: %v", t.What, t.Way, t.At.Seconds(), t.For.Seconds(), t.Picks)
+func (t Incident) String() string {
+	return fmt.Sprintf("%s way %d at %.1f s for %.1f s: %v", t.Kind, t.Way, t.At.Seconds(), t.For.Seconds(), t.Picks)
 }
 
 // Plan is a play as its seed draws it.
 type Plan struct {
-	Seed     uint64        `json:"seed"`
-	Agents   int           `json:"agents"`  // processes of run
-	Daemons  int           `json:"daemons"` // of serve
-	Servers  int           `json:"servers"`
-	Length   time.Duration `json:"length"`
-	Deadline time.Duration `json:"deadline,omitempty"` // the longest of all classes; 0: shortDeadline
-	Faults   []string      `json:"faults"`             // of all processes: the environment of a build with faults
-	Troubles []Trouble     `json:"troubles"`
+	Seed      uint64        `json:"seed"`
+	Agents    int           `json:"agents"`  // processes of run
+	Daemons   int           `json:"daemons"` // of serve
+	Servers   int           `json:"servers"`
+	Length    time.Duration `json:"length"`
+	Deadline  time.Duration `json:"deadline,omitempty"` // the longest of all classes; 0: shortDeadline
+	Faults    []string      `json:"faults"`             // of all processes: the environment of a build with faults
+	Incidents []Incident    `json:"troubles"`
 }
 
 func (p Plan) String() string {
 	lines := []string{fmt.Sprintf("seed %d: %d agents, %d daemons, %d servers, %v, deadline %v", p.Seed, p.Agents, p.Daemons, p.Servers, p.Length, p.deadline()), "  faults: " + strings.Join(p.Faults, " ")}
-	for _, t := range p.Troubles {
+	for _, t := range p.Incidents {
 		lines = append(lines, "  "+t.String())
 	}
 	return strings.Join(lines, "\n")
@@ -104,13 +104,13 @@
 	last := size.Length - size.Length/4
 	for at := time.Duration(0.5 * float64(time.Second)); at < last; at += time.Duration((1.5 + 1.5*rng.Float64()) * float64(time.Second)) {
 		for range 2 + rng.IntN(2) {
-			t := drawTrouble(rng, size)
+			t := drawIncident(rng, size)
 			t.At = at + time.Duration(rng.Float64()*0.6*float64(time.Second))
-			p.Troubles = append(p.Troubles, t)
+			p.Incidents = append(p.Incidents, t)
 		}
 	}
 	p.addCrossings(size)
-	slices.SortStableFunc(p.Troubles, func(a, b Trouble) int { return int(a.At - b.At) })
+	slices.SortStableFunc(p.Incidents, func(a, b Incident) int { return int(a.At - b.At) })
 	return p.WithFaults(p.Faults)
 }
 
@@ -119,7 +119,7 @@
 func (p Plan) WithFaults(faults []string) Plan {
 	p.Faults = faults
 	if p.holdsWrites() {
-		p.Troubles = slices.DeleteFunc(slices.Clone(p.Troubles), func(t Trouble) bool { return t.What == AgentHold })
+		p.Incidents = slices.DeleteFunc(slices.Clone(p.Incidents), func(t Incident) bool { return t.Kind == AgentHold })
 	}
 	return p
 }
@@ -129,7 +129,7 @@
 	return slices.ContainsFunc(p.Faults, func(f string) bool { return strings.HasPrefix(f, "VETCHHAVEN_FAULT_WRITE_HOLD_MS") })
 }
 
-func drawTrouble(rng *rand.Rand, size Size) Trouble {
+func drawIncident(rng *rand.Rand, size Size) Incident {
 	span := func(least, most float64) time.Duration {
 		return time.Duration((least + (most-least)*rng.Float64()) * float64(time.Second))
 	}
@@ -137,30 +137,30 @@
 	servers := func() []int { return pick(rng, size.Servers, 1+rng.IntN(max(1, size.Servers/4))) }
 	switch rng.IntN(16) {
 	case 0, 1, 2:
-		return Trouble{What: AgentTerm, For: span(0, 0.5), Picks: agents((size.Agents + size.Daemons) / 4)}
+		return Incident{Kind: AgentTerm, For: span(0, 0.5), Picks: agents((size.Agents + size.Daemons) / 4)}
 	case 3:
-		return Trouble{What: AgentKill, For: span(0, 0.5), Picks: agents(2)}
+		return Incident{Kind: AgentKill, For: span(0, 0.5), Picks: agents(2)}
 	case 4:
-		return Trouble{What: AgentReload, For: span(0.2, 1.5), Picks: agents(3)}
+		return Incident{Kind: AgentReload, For: span(0.2, 1.5), Picks: agents(3)}
 	case 5:
-		return Trouble{What: AgentHold, For: span(0.5, 2), Picks: agents(2)}
+		return Incident{Kind: AgentHold, For: span(0.5, 2), Picks: agents(2)}
 	case 6:
 		if size.Daemons > 0 {
-			return Trouble{What: DaemonHand, Picks: []int{size.Agents + rng.IntN(size.Daemons)}}
+			return Incident{Kind: DaemonHand, Picks: []int{size.Agents + rng.IntN(size.Daemons)}}
 		}
-		return Trouble{What: AgentReload, For: span(0.2, 1.5), Picks: agents(3)}
+		return Incident{Kind: AgentReload, For: span(0.2, 1.5), Picks: agents(3)}
 	case 7:
-		return Trouble{What: ServersCrash, For: span(0.2, 2), Picks: servers()}
+		return Incident{Kind: ServersCrash, For: span(0.2, 2), Picks: servers()}
 	case 8:
-		return Trouble{What: ServersDrain, For: span(1, 4), Picks: servers()}
+		return Incident{Kind: ServersDrain, For: span(1, 4), Picks: servers()}
 	case 9:
-		return Trouble{What: ServersRejoin, For: span(0.3, 1.5), Picks: servers()}
+		return Incident{Kind: ServersRejoin, For: span(0.3, 1.5), Picks: servers()}
 	case 10, 11:
-		return Trouble{What: ServersMisbehave, For: span(0.5, 3), Picks: servers(), Way: 1 + rng.IntN(int(Silent))}
+		return Incident{Kind: ServersMisbehave, For: span(0.5, 3), Picks: servers(), Way: 1 + rng.IntN(int(Silent))}
 	case 12, 13:
-		return Trouble{What: ListTroubled, For: span(0.5, 5), Picks: pick(rng, size.Agents+size.Daemons, size.Agents+size.Daemons), Way: 1 + rng.IntN(int(ListCuts))}
+		return Incident{Kind: ListTroubled, For: span(0.5, 5), Picks: pick(rng, size.Agents+size.Daemons, size.Agents+size.Daemons), Way: 1 + rng.IntN(int(ListCuts))}
 	default:
-		return Trouble{What: ClientsTroubled, For: span(1, 4), Picks: agents(size.Agents + size.Daemons), Way: 1 + rng.IntN(int(ClientsDribble))}
+		return Incident{Kind: ClientsTroubled, For: span(1, 4), Picks: agents(size.Agents + size.Daemons), Way: 1 + rng.IntN(int(ClientsDribble))}
 	}
 }
 
--- a/internal/faulttest/soak/plan_test.go
+++ b/internal/faulttest/soak/plan_test.go
@@ -8,19 +8,19 @@
 // A plan shrinks to the troubles that are needed.
 func TestShrink(t *testing.T) {
 	p := Draw(7, Size{Agents: 4, Servers: 4, Length: 20 * time.Second})
-	if len(p.Troubles) < 6 {
-		t.Fatalf("%d troubles", len(p.Troubles))
+	if len(p.Incidents) < 6 {
+		t.Fatalf("%d troubles", len(p.Incidents))
 	}
-	needed := p.Troubles[3].String()
+	needed := p.Incidents[3].String()
 	has := func(p Plan) bool {
-		for _, x := range p.Troubles {
+		for _, x := range p.Incidents {
 			if x.String() == needed {
 				return true
 			}
 		}
 		return false
 	}
-	if small := Shrink(p, 100, has); len(small.Troubles) != 1 || !has(small) || len(small.Faults) != 0 {
+	if small := Shrink(p, 100, has); len(small.Incidents) != 1 || !has(small) || len(small.Faults) != 0 {
 		t.Errorf("%v", small)
 	}
 	plays := 0
@@ -39,8 +39,8 @@
 		if p.String() != Draw(seed, size).String() {
 			t.Fatalf("seed %d draws two plans", seed)
 		}
-		for i, a := range p.Troubles {
-			for _, b := range p.Troubles[i+1:] {
+		for i, a := range p.Incidents {
+			for _, b := range p.Incidents[i+1:] {
 				if b.At < a.At+a.For {
 					overlaps++
 				}
--- a/internal/faulttest/soak/play.go
+++ b/internal/faulttest/soak/play.go
@@ -40,7 +40,7 @@
 	mu     sync.Mutex
 	late   time.Duration // the most that this process was run late
 	failed error
-	busy   map[int]bool // agents of which one trouble has the process
+	busy   map[int]bool // agents of which one fault has the process
 }
 
 // Play runs a plan's processes under its troubles, with the built program and files in a directory of the play's own. It
@@ -72,11 +72,11 @@
 		}
 	}
 	begin := s.rec.Now()
-	for _, t := range p.Troubles {
+	for _, t := range p.Incidents {
 		running.Go(func() {
 			select {
 			case <-time.After(begin + t.At - s.rec.Now()):
-				s.trouble(ctx, t)
+				s.inject(ctx, t)
 			case <-asking.Done():
 			}
 		})
@@ -95,9 +95,9 @@
 }
 
 func (s *stage) rules() check.Rules {
-	r := check.Rules{Slack: measurementSlip, LateMost: 500 * time.Millisecond, LeftMost: 100 * time.Millisecond, StallMost: 3 * time.Second, StopMost: s.plan.deadline() + stopSlack,
-		AcceptLeast: lateConnections, StartLeast: termBeforeReady,
-		ReadyMost: readyMost, DrainGrace: drainGrace, DeadlineOver: 150 * time.Millisecond, Zones: map[string]string{},
+	r := check.Rules{Slack: measurementSlip, MaxLateAnswer: 500 * time.Millisecond, MaxStartAfterDisconnect: 100 * time.Millisecond, MaxStallTime: 3 * time.Second, MaxStopTime: s.plan.deadline() + stopSlack,
+		MinAcceptTime: lateConnections, MinStartTime: termBeforeReady,
+		MaxReadyTime: maxReadyTime, DrainGrace: drainGrace, DeadlineOver: 150 * time.Millisecond, Zones: map[string]string{},
 		Classes: map[string]check.ClassRules{"get": {}, "put": {Effect: check.Keyed, Window: keyedWindow}, "pin": {Effect: check.Keyed, Window: keyedWindow, Zone: true}, "pay": {Effect: check.Once},
 			classSearch: {}, classModify: {Effect: check.Once}},
 		ColdShare: coldShare, RampTime: rampTime, FallMultiple: fallMultiple, FallWindow: fallWindow, Capacity: workers / service.Seconds()}
@@ -212,7 +212,7 @@
 	s.dir.set(e)
 }
 
-// take books an agent's process for one trouble.
+// take books an agent's process for one fault.
 func (s *stage) take(n int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -229,13 +229,13 @@
 	s.busy[n] = false
 }
 
-// trouble brings one about, and returns when it is over.
-func (s *stage) trouble(ctx context.Context, t Trouble) {
+// inject brings one about, and returns when it is over.
+func (s *stage) inject(ctx context.Context, t Incident) {
 	var all sync.WaitGroup
 	defer all.Wait()
 	for _, n := range t.Picks {
 		all.Go(func() {
-			switch t.What {
+			switch t.Kind {
 			case Crowd:
 				s.crowd(ctx, s.agents[n], t.For)
 			case Quiet:
@@ -249,24 +249,24 @@
 					return
 				}
 				defer s.give(n)
-				s.troubleAgent(ctx, t, s.agents[n])
+				s.disturbAgent(ctx, t, s.agents[n])
 			case ServersMisbehave, ServersCrash, ServersDrain, ServersRejoin:
-				s.troubleServer(t, s.servers[n])
+				s.disturbServer(t, s.servers[n])
 			case ListTroubled:
-				s.agents[n].list.behave(ListTrouble(t.Way))
+				s.agents[n].list.behave(ListFault(t.Way))
 				time.Sleep(t.For)
 				s.agents[n].list.behave(ListServes)
 			case ClientsTroubled:
-				s.agents[n].clients.trouble.Store(int32(t.Way))
+				s.agents[n].clients.fault.Store(int32(t.Way))
 				time.Sleep(t.For)
-				s.agents[n].clients.trouble.Store(int32(ClientsBehave))
+				s.agents[n].clients.fault.Store(int32(ClientsBehave))
 			}
 		})
 	}
 }
 
-func (s *stage) troubleAgent(ctx context.Context, t Trouble, a *agentProcess) {
-	switch t.What {
+func (s *stage) disturbAgent(ctx context.Context, t Incident, a *agentProcess) {
+	switch t.Kind {
 	case AgentTerm:
 		a.terminate()
 		time.Sleep(t.For)
@@ -291,8 +291,8 @@
 	}
 }
 
-func (s *stage) troubleServer(t Trouble, x *server) {
-	switch t.What {
+func (s *stage) disturbServer(t Incident, x *server) {
+	switch t.Kind {
 	case ServersMisbehave:
 		x.behave(Misbehaviour(t.Way))
 		time.Sleep(t.For)
--- a/internal/faulttest/soak/process.go
+++ b/internal/faulttest/soak/process.go
@@ -254,7 +254,7 @@
 	a.mu.Unlock()
 	a.rec.Put(check.Event{Kind: check.ProcessHandedOver, Agent: a.n, Process: a.present()})
 	a.signal(syscall.SIGUSR2)
-	for end := time.Now().Add(readyMost); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(maxReadyTime); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
 		text, err := os.ReadFile(a.logPath())
 		if err != nil {
 			return err
@@ -276,17 +276,17 @@
 	if strings.Contains(strings.Join(a.env, " "), "FAULT_DISK") { // no room for what the successor has to know: the old one goes on
 		return nil
 	}
-	return fmt.Errorf("agent %d has not handed over after %v", a.n, readyMost)
+	return fmt.Errorf("agent %d has not handed over after %v", a.n, maxReadyTime)
 }
 
 var readyLine = regexp.MustCompile(`msg=ready .*pid=([0-9]+)`)
 
-// readyMost is how long a process may take to be ready.
-const readyMost = 10 * time.Second
+// maxReadyTime is how long a process may take to be ready.
+const maxReadyTime = 10 * time.Second
 
 func (a *agentProcess) awaitReady(ctx context.Context, exited chan struct{}) error {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for end := time.Now().Add(2 * readyMost); time.Now().Before(end); {
+	for end := time.Now().Add(2 * maxReadyTime); time.Now().Before(end); {
 		resp, err := client.Get("http://" + a.listen + "/_health")
 		if err == nil {
 			_ = resp.Body.Close()
@@ -305,7 +305,7 @@
 		}
 	}
 	a.rec.Put(check.Event{Kind: check.ProcessReady, Agent: a.n, Process: a.present(), Note: "never"})
-	return fmt.Errorf("agent %d is not ready after %v", a.n, 2*readyMost)
+	return fmt.Errorf("agent %d is not ready after %v", a.n, 2*maxReadyTime)
 }
 
 // readLog records the violations that the guards of its processes counted.
@@ -330,7 +330,7 @@
 	}
 }
 
-// lateConnections is for how long clients still connect after SIGTERM, and stopMost when the platform kills.
+// lateConnections is for how long clients still connect after SIGTERM, and maxStopTime when the platform kills.
 const (
 	lateConnections = 400 * time.Millisecond
 	stopSlack       = 700 * time.Millisecond
@@ -338,8 +338,8 @@
 	agentSockets    = 512                    // descriptors that an agent may hold
 )
 
-// stopMost is after SIGTERM when the platform kills, at the earliest.
-func (a *agentProcess) stopMost() time.Duration { return a.deadline + stopSlack }
+// maxStopTime is after SIGTERM when the platform kills, at the earliest.
+func (a *agentProcess) maxStopTime() time.Duration { return a.deadline + stopSlack }
 
 // terminate has the present process end, and kills it where it does not. Further signals may follow the first.
 func (a *agentProcess) terminate(after ...timedSignal) {
@@ -350,7 +350,7 @@
 	a.mu.Lock()
 	exited := a.exited
 	a.mu.Unlock()
-	killAt := time.NewTimer(a.stopMost())
+	killAt := time.NewTimer(a.maxStopTime())
 	defer killAt.Stop()
 	a.signalAll(after, exited)
 	select {
--- a/internal/faulttest/soak/server.go
+++ b/internal/faulttest/soak/server.go
@@ -234,11 +234,11 @@
 	return s.served(c, way, id)
 }
 
-// queueMost is how long a request waits for a worker.
-const queueMost = 100 * time.Millisecond
+// maxQueueWait is how long a request waits for a worker.
+const maxQueueWait = 100 * time.Millisecond
 
 func (s *server) queue() bool {
-	limit := time.NewTimer(queueMost)
+	limit := time.NewTimer(maxQueueWait)
 	defer limit.Stop()
 	select {
 	case s.workers <- struct{}{}:
--- a/internal/faulttest/soak/shrink.go
+++ b/internal/faulttest/soak/shrink.go
@@ -6,9 +6,9 @@
 // processes. fails plays a plan and reports whether it still fails; it is called at most so many times. Plays with real
 // processes differ from run to run: a trouble that was dropped by luck of one play may be needed in the next.
 func Shrink(p Plan, tries int, fails func(Plan) bool) Plan {
-	for i := len(p.Troubles) - 1; i >= 0 && tries > 0; i-- {
+	for i := len(p.Incidents) - 1; i >= 0 && tries > 0; i-- {
 		smaller := p
-		smaller.Troubles = slices.Delete(slices.Clone(p.Troubles), i, i+1)
+		smaller.Incidents = slices.Delete(slices.Clone(p.Incidents), i, i+1)
 		tries--
 		if fails(smaller) {
 			p = smaller
--- a/internal/faulttest/soak/signals.go
+++ b/internal/faulttest/soak/signals.go
@@ -36,7 +36,7 @@
 )
 
 // playSeries sends a series to an agent's process, and has a process serve again where that one ends.
-func (s *stage) playSeries(ctx context.Context, t Trouble, a *agentProcess) {
+func (s *stage) playSeries(ctx context.Context, t Incident, a *agentProcess) {
 	var after []timedSignal
 	switch SignalSeries(t.Way) {
 	case TermTwice:
