--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -10,7 +10,11 @@
 // the time left.
 func (b *Balancer) startAttempt(request *openRequest, backend *endpoint) {
 	mayStart := backend.State == Up && b.now >= backend.drainedUntil && b.mayAttempt(request, backend)
-	if !mayStart || b.now >= request.deadline {
+	switch {
+	case !mayStart:
+		b.finish(request, NoBackend)
+		return
+	case b.now >= request.deadline:
 		b.finish(request, DeadlineTooClose)
 		return
 	}
