--- a/internal/protocol/http1/queue_test.go
+++ b/internal/protocol/http1/queue_test.go
@@ -16,18 +16,6 @@
 	"vetchhaven/internal/testkit"
 )
 
-// heldListener accepts nothing until held is closed: connections wait in the kernel's queue.
-type heldListener struct {
-	*net.TCPListener
-	held chan struct{}
-}
-
-// Accept implements net.Listener.
-func (l heldListener) Accept() (net.Conn, error) {
-	<-l.held
-	return l.TCPListener.Accept()
-}
-
 // A connection that stands in the kernel's queue as an agent ends accepting is accepted before the listener is closed. It was
 // reset: a client that had connected, and had sent its request, saw "connection reset by peer" or a broken pipe (8 of 1,312
 // connections over 20 stops). The agent closed its listener without a look at the queue, and the last close of a listening
@@ -35,7 +23,7 @@
 func TestQueuedConnectionIsServedBeforeTheListenerCloses(t *testing.T) {
 	s := serveRaw(t, func(int) string { return ok200 })
 	held := make(chan struct{})
-	l := heldListener{testkit.Listen(t).(*net.TCPListener), held}
+	l := testkit.HeldListener{TCPListener: testkit.Listen(t).(*net.TCPListener), Held: held}
 	accept := make(chan time.Time)
 	r := startParts(t, testConfig(t, testkit.Setup{Servers: []discovery.Member{s.member("s")}}),
 		core.Parts{Listener: l, StopAccepting: accept}, nil)
@@ -100,7 +88,7 @@
 	t.Cleanup(server.Close)
 	member := discovery.Member{ID: "s", Addr: server.Listener.Addr().String(), Zone: "a", Kind: "m1", State: "ready", Weight: 1}
 	held := make(chan struct{})
-	l := shortReads{heldListener{testkit.Listen(t).(*net.TCPListener), held}, readSize}
+	l := shortReads{testkit.HeldListener{TCPListener: testkit.Listen(t).(*net.TCPListener), Held: held}, readSize}
 	startParts(t, testConfig(t, testkit.Setup{Servers: []discovery.Member{member}}), core.Parts{Listener: l, NoLateConnections: true}, nil)
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
@@ -120,13 +108,13 @@
 
 // shortReads accepts connections on which a read returns few bytes.
 type shortReads struct {
-	heldListener
+	testkit.HeldListener
 	most int
 }
 
 // Accept implements net.Listener.
 func (l shortReads) Accept() (net.Conn, error) {
-	c, err := l.heldListener.Accept()
+	c, err := l.HeldListener.Accept()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/protocol/ldap/closing_test.go
+++ b/internal/protocol/ldap/closing_test.go
@@ -312,18 +312,6 @@
 	}
 }
 
-// heldListener accepts nothing until held is closed: connections wait in the kernel's queue.
-type heldListener struct {
-	*net.TCPListener
-	held chan struct{}
-}
-
-// Accept implements net.Listener.
-func (l heldListener) Accept() (net.Conn, error) {
-	<-l.held
-	return l.TCPListener.Accept()
-}
-
 // An operation's deadline runs while its connection waits to be accepted, as over HTTP (see
 // http1: TestTimeInTheAcceptQueueIsNotTheClientsAnyMore).
 func TestDeadlineRunsInTheAcceptQueue(t *testing.T) {
@@ -341,7 +329,7 @@
 		cfg.Settings.Classes[i].Deadline = deadline
 	}
 	held := make(chan struct{})
-	l := heldListener{testkit.Listen(t).(*net.TCPListener), held}
+	l := testkit.HeldListener{TCPListener: testkit.Listen(t).(*net.TCPListener), Held: held}
 	a, _, err := newAgent(cfg, Options{}, testkit.Quiet, core.Parts{Listener: l, NoLateConnections: true})
 	if err != nil {
 		t.Fatal(err)
