--- a/internal/faulttest/soak/ldapclient.go
+++ b/internal/faulttest/soak/ldapclient.go
@@ -50,7 +50,6 @@
 	id        int32
 	name      string
 	class     string
-	text      []byte
 	sent      bool // recorded as sent
 	abandoned bool // its client wants no response
 }
