--- a/internal/faulttest/soak/ldapclient.go
+++ b/internal/faulttest/soak/ldapclient.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	goldap "github.com/go-ldap/ldap/v3"
@@ -33,6 +34,7 @@
 	*clients // of the same process
 	addr     string
 	deadline time.Duration
+	all      sync.WaitGroup // its own: those of HTTP have another
 }
 
 // ldapConn is a client's connection.
