--- a/internal/faulttest/soak/ldapclient.go
+++ b/internal/faulttest/soak/ldapclient.go
@@ -64,6 +64,7 @@
 	for n := range libraryLDAPClients {
 		c.all.Go(func() { c.runLibrary(ctx, rand.New(rand.NewPCG(seed, 200+uint64(n)))) })
 	}
+	c.all.Wait()
 }
 
 func (c *ldapClients) runRaw(ctx context.Context, rng *rand.Rand) {
