--- a/internal/host/daemon/handover_test.go
+++ b/internal/host/daemon/handover_test.go
@@ -145,7 +145,13 @@
 	tb.writeConfig(tb.instanceText("a"))
 	stopping := make(chan struct{})
 	started := make(chan struct{})
-	r := tb.start(Options{Upgrade: func(context.Context, map[daemonconfig.Address]*os.File, []byte) error {
+	successors := make(chan net.Listener, 1)
+	r := tb.start(Options{Upgrade: func(_ context.Context, sockets map[daemonconfig.Address]*os.File, _ []byte) error {
+		copied, err := net.FileListener(sockets[daemonconfig.Address{Network: "unix", Addr: tb.socketPath("a")}])
+		if err != nil {
+			return err
+		}
+		successors <- copied
 		close(started)
 		<-stopping
 		return nil // its byte was read before the stop was seen
@@ -167,4 +173,12 @@
 			t.Errorf("the successor's socket: %v", err)
 		}
 	}
+	// Nor is the socket shut down that both have: the old agents took what was in its queue, and ended it for the successor.
+	l := <-successors
+	defer l.Close()
+	c, err := net.DialTimeout("unix", tb.socketPath("a"), patience)
+	if err != nil {
+		t.Fatalf("nobody can connect to the successor: %v", err)
+	}
+	c.Close()
 }
