daemon, core: a successor that gets ready at a stop keeps its listening sockets open

Symptom: the successor's socket refuses connections; its path is there. Mend: stopServing, which looks again for a successor before it closes the sockets, has the agents leave the queue to it. Looked at beside: replaced agents and those of a handover never take the queue; an instance that a reload removes takes it only where no other has its address, and reloads wait for a handover's end. Measured: TestStopAsTheSuccessorGetsReadyLeavesItsSockets, which connects now, fails before, passes; tests of stops and handovers in daemon: ok.

--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -38,6 +38,8 @@
 	serving  atomic.Bool // clients' connections are accepted
 	stopping atomic.Bool
 
+	queueLeft atomic.Bool // see LeaveQueue
+
 	drainMu    sync.Mutex  // of idleCloser and stopAccepting
 	idleCloser *time.Timer // closes idle connections while an operator drains the agent
 }
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -80,10 +80,14 @@
 	a.stopAccepting = func() <-chan time.Time { return closed }
 }
 
+// LeaveQueue has an agent that accepts until a channel is closed leave the listener's queue to another one, which has turned
+// up since. It must be called before that channel is closed.
+func (a *Agent) LeaveQueue() { a.queueLeft.Store(true) }
+
 // acceptQueue accepts the connections in the listener's queue, and closes it. A listener that the platform passed on stays
 // open elsewhere: what is in its queue is accepted there.
 func (a *Agent) acceptQueue(ctx context.Context, served <-chan error) {
-	if a.cfg.InheritedFD != 0 {
+	if a.cfg.InheritedFD != 0 || a.queueLeft.Load() {
 		return
 	}
 	a.limiter.CloseAfterQueue(maxQueueTime)
--- a/internal/host/daemon/run.go
+++ b/internal/host/daemon/run.go
@@ -129,6 +129,9 @@
 		}
 		handedOver = d.successorServes.Load()
 	}
+	if handedOver {
+		d.rangeAgents(func(h agentHandle) { h.agent.LeaveQueue() }) // the successor has it
+	}
 	d.closeListeners(handedOver) // a Unix socket's path goes first: nobody connects while its queue is taken
 	close(acceptEnded)
 	drained := make(chan struct{})
