--- a/review/testdata/kit/kit.go
+++ b/review/testdata/kit/kit.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -208,18 +209,29 @@
 	return path, os.Rename(next, path)
 }
 
-// Ports returns free TCP ports of loopback.
+// Ports returns ports of loopback that are free, for TCP and UDP. They lie below the ports that the system gives to
+// clients.
 func Ports(n int) ([]int, error) {
 	var ports []int
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 1000 {
+		if len(ports) == n {
+			return ports, nil
+		}
+		port := 12000 + rand.IntN(18000)
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", addr)
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		p, err := net.ListenPacket("udp", addr)
+		if err != nil {
+			continue
+		}
+		defer p.Close()
+		ports = append(ports, port)
 	}
-	return ports, nil
+	return nil, fmt.Errorf("there are no %d free ports", n)
 }
 
 // Until waits until a condition holds, and reports whether it did in time.
@@ -362,16 +374,34 @@
 	_ = l.server.Close()
 }
 
-// Children returns the IDs of the processes that a process has started and that have not ended.
-func (p *Process) Children() []int {
+// Child returns the ID of the only process that a process has started and that has not ended.
+func (c *Case) Child(p *Process) (id int, err error) {
+	found := Until(time.Second, func() bool {
+		all := children(p.cmd.Process.Pid)
+		if len(all) == 1 {
+			id = all[0]
+		}
+		return len(all) == 1
+	})
+	if !found {
+		return 0, fmt.Errorf("%s has no successor", p.name)
+	}
+	c.Log("%s has the successor %d", p.name, id)
+	return id, nil
+}
+
+func children(parent int) []int {
 	var all []int
-	paths, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", p.cmd.Process.Pid))
+	paths, _ := filepath.Glob("/proc/[0-9]*/status")
 	for _, path := range paths {
 		text, _ := os.ReadFile(path)
-		for _, field := range strings.Fields(string(text)) {
-			if id, err := strconv.Atoi(field); err == nil {
-				all = append(all, id)
-			}
+		_, rest, _ := strings.Cut(string(text), "\nPPid:")
+		line, _, _ := strings.Cut(rest, "\n")
+		if id, err := strconv.Atoi(strings.TrimSpace(line)); err != nil || id != parent {
+			continue
+		}
+		if id, err := strconv.Atoi(filepath.Base(filepath.Dir(path))); err == nil {
+			all = append(all, id)
 		}
 	}
 	return all
