--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 mkdir -p review/bin
 for name in review/testdata/*/; do
 	name=$(basename "$name")
-	if [ "$name" != kit ]; then
+	if [ -f "review/testdata/$name/main.go" ]; then
 		go build -buildvcs=false -o "review/bin/$name" "./review/testdata/$name"
 	fi
 done
--- a/review/testdata/kit/kit.go
+++ b/review/testdata/kit/kit.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -69,8 +70,12 @@
 	c.Log("case %s, trouble=%v", name, c.Trouble)
 	ended := make(chan error, 1)
 	go func() { ended <- play(c) }()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, os.Interrupt)
 	select {
 	case err = <-ended:
+	case s := <-stopped:
+		err = fmt.Errorf("ended by a signal: %v", s)
 	case <-time.After(maxRun):
 		err = fmt.Errorf("the case did not end within %v", maxRun)
 	}
