--- a/review/testdata/kit/kit.go
+++ b/review/testdata/kit/kit.go
@@ -43,17 +43,18 @@
 	broken    []string
 }
 
-// Run runs a case, whose folder is the program's only argument, and ends the program with the case's exit code.
+// Run runs a case and ends the program with the case's exit code. The program's only argument is the file for the record,
+// such as review/1/record.txt.
 func Run(name string, play func(c *Case) error) {
 	if len(os.Args) != 2 {
-		fmt.Fprintln(os.Stderr, "usage:", name, "FOLDER")
+		fmt.Fprintln(os.Stderr, "usage:", name, "RECORD")
 		os.Exit(CannotRun)
 	}
 	os.Exit(run(name, os.Args[1], play))
 }
 
-func run(name, folder string, play func(c *Case) error) int {
-	record, err := os.Create(filepath.Join(folder, "record.txt"))
+func run(name, path string, play func(c *Case) error) int {
+	record, err := os.Create(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return CannotRun
--- a/review/testdata/known/known_test.go
+++ b/review/testdata/known/known_test.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(filepath.Join("review", "bin", program), t.TempDir())
+	cmd := exec.Command(filepath.Join("review", "bin", program), filepath.Join(t.TempDir(), "record.txt"))
 	cmd.Dir = root
 	out, err := cmd.CombinedOutput()
 	t.Logf("%s", out)
--- a/review/testdata/unknownpod/main.go
+++ b/review/testdata/unknownpod/main.go
@@ -56,6 +56,9 @@
 const (
 	// lateness is how far the list is behind: 2.1 s at most for a new server, and up to 9 s more.
 	lateness = 11 * time.Second
+	// resetFor is how long connections are reset, right before the list has the servers of the release. The daemon reads
+	// the records again after 5 s at most.
+	resetFor = 6 * time.Second
 	// resetOneIn of the requests that a server runs gets no answer: its connection is reset.
 	resetOneIn = 5
 	clients    = 8
@@ -117,8 +120,12 @@
 	if err := publish(c, names, append(first, release...)); err != nil {
 		return err
 	}
+	time.Sleep(lateness - resetFor)
 	resets.Store(c.Trouble)
-	time.Sleep(lateness)
+	c.Log("connections are reset: %v", c.Trouble)
+	time.Sleep(resetFor)
+	resets.Store(false)
+	c.Log("connections are reset no more")
 	list.Set(members(release)...)
 	time.Sleep(2 * time.Second)
 	results := load.Stop()
