core: a debug line for the start of each attempt, with the server's zone and cell

Change: decide.Send has the backend's zone and cell as listed; the loop logs `attempt started` at debug level with request, attempt, endpoint, zone, cell.

For: an unknown pod passes as pod 0, and the scope check takes all of pod 0 for one pod.

go test ./decide ./internal/core ./internal/wire passed.

--- a/decide/actions.go
+++ b/decide/actions.go
@@ -16,6 +16,8 @@
 	Send struct {
 		Request   string
 		Backend   string
+		Zone      int // the backend's zone, as listed
+		Cell      int // the backend's cell, as listed
 		Timeout   time.Duration
 		StartBy   time.Duration // the attempt must start by this time or end as NotSent; 0: no bound
 		ReuseOnly bool          // use only a connection that is already open; without one the attempt ends as NotSent
--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -42,7 +42,13 @@
 		b.beginWork(request, attempt)
 	}
 	backend.slowStartBudget -= attempt.workUnits // has an effect only during slow start
-	send := Send{Request: request.id, Backend: backend.ID, ReuseOnly: attempt.reuseOnly}
+	send := Send{
+		Request:   request.id,
+		Backend:   backend.ID,
+		Zone:      backend.Zone,
+		Cell:      backend.Cell,
+		ReuseOnly: attempt.reuseOnly,
+	}
 	if startBy < math.MaxInt64 { // math.MaxInt64 means that there is no bound
 		send.StartBy = startBy
 	}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -19,6 +19,8 @@
 	*Request
 	N       int // number of the attempt within its request, from 0
 	Server  string
+	zone    int             // the server's zone, as the balancer had it when it decided on the attempt
+	cell    int             // the server's cell, likewise
 	Context context.Context // ends when the attempt must end; its cause is ErrTimedOut or ErrCancelled
 
 	loop           *Loop
@@ -142,6 +144,7 @@
 	}
 	l.counts.attempts++
 	l.totals.attempts.Add(1)
+	l.logStart(a)
 	go l.runAttempt(a)
 }
 
@@ -178,6 +181,8 @@
 		Request:        r,
 		N:              len(r.attempts),
 		Server:         send.Backend,
+		zone:           send.Zone,
+		cell:           send.Cell,
 		loop:           l,
 		start:          start,
 		reuseOnly:      send.ReuseOnly,
--- a/internal/core/invariants.go
+++ b/internal/core/invariants.go
@@ -149,6 +149,14 @@
 	return 0, ""
 }
 
+// logStart logs the start of an attempt, with what decides whether its server drops a repeat.
+func (l *Loop) logStart(a *Attempt) {
+	if l.log.Enabled(context.Background(), slog.LevelDebug) {
+		l.log.Debug("attempt started", "request", a.ID, "attempt", a.N, "endpoint", a.Server,
+			"zone", a.zone, "cell", a.cell)
+	}
+}
+
 // noteResult stores, counts and logs an attempt's result.
 func (l *Loop) noteResult(a *Attempt, result decide.Result) {
 	a.hasResult = true
