An unknown pod is no pod: a keyed request is repeated only where it may have run

Cause: nothing could say "unknown". endpoints.Server.Pod, discovery.Server.Cell and decide.Backend.Cell had 0 both for pod 0 and for a pod that nobody told, on the way from the records to the scope check, which then held all servers of unknown pods (and of pod 0) for servers of one pod. In the same way a list without `cell` made one pod of all its servers, an unknown zone (-1) one zone, and a list's pod 0 gave way to a pod of the records.

Change, where it arises: endpoints.Pod, whose zero value is unknown; discovery.Server.Cell is nil if unknown (the key is left out, as it is read); decide.Unknown for zone and cell. inDedupScope: an unknown scope is that of the first attempt's process alone (the same entry, with no newer zone, cell, start or address), and pick lets that backend have the repeat although others are up. That a pod becomes known is no move, so a move right after it is not delayed. Limits and ejections count unknown pods apart from pod 0. `members` prints "unknown".

Why it works: a repeat goes to another backend only if both zones or cells are known and equal; the check is the one that all attempts go through.

TestWatchReconnects compares the address too, tests that name pods use PodNumber; nothing is left out of them.

--- a/cmd/vetchhaven/members.go
+++ b/cmd/vetchhaven/members.go
@@ -136,7 +136,7 @@
 		case v.In:
 			in = "drains"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%g\t%s\n", in, v.ID, v.Addr, v.Zone, v.Pod, v.Kind, v.Weight, v.Why)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%g\t%s\n", in, v.ID, v.Addr, v.Zone, v.Pod, v.Kind, v.Weight, v.Why)
 	}
 	return w.Flush()
 }
--- a/decide/dedupscope_test.go
+++ b/decide/dedupscope_test.go
@@ -1,7 +1,9 @@
 package decide_test
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -103,6 +105,71 @@
 	}
 }
 
+// Backends whose cells or zones are unknown are not known to share one: a keyed request that may have run at one of them
+// must not be repeated at another, which may be in another cell and execute it a second time. Only the same process may
+// get the repeat, and it must get it although other backends are up.
+func TestRepeatStaysWithTheProcessIfTheScopeIsUnknown(t *testing.T) {
+	unknown := func(b *decide.Backend) { b.Zone, b.Cell = decide.Unknown, decide.Unknown }
+	known := func(n int) func(*decide.Backend) { return func(b *decide.Backend) { b.Zone, b.Cell = n, n } }
+	moved := func(b *decide.Backend) { b.Addr = "10.0.0.9:1" }
+	restarted := func(b *decide.Backend) { b.Started = time.Second }
+	all := []string{"a", "b", "c", "d"}
+	tests := []struct {
+		name    string
+		unknown []string // backends that are listed without zone and cell
+		change  func(*decide.Backend)
+		changes string // the backend that changes between the first attempt and its reset, or "first"
+		want    string // the backend that gets the repeat: "first", or "other" of the first one's cell; empty: the request must fail
+	}{
+		{"all are unknown", all, nil, "", "first"},
+		{"the others are known", []string{"a", "b"}, nil, "", "first"},
+		{"the first is known", []string{"c", "d"}, nil, "", "other"},
+		{"the cell of the first becomes known", all, known(0), "first", ""},
+		{"the cell of another becomes known", all, known(0), "d", "first"},
+		{"the first gets another address", all, moved, "first", ""},
+		{"another gets another address", all, moved, "d", "first"},
+		{"the process of the first is replaced", all, restarted, "first", ""},
+	}
+	for _, tt := range tests {
+		for _, class := range []int{keyedCell, keyedZone} {
+			t.Run(fmt.Sprint(tt.name, ", class ", class), func(t *testing.T) {
+				for seed := uint64(1); seed <= 50; seed++ {
+					s := testSettings()
+					s.Classes[class].DedupWindow = 12 * time.Second
+					list := testBackends(4)
+					for i := range list {
+						if slices.Contains(tt.unknown, list[i].ID) {
+							unknown(&list[i])
+						}
+					}
+					h := newHarness(t, s, seed, list)
+					h.request("q", class)
+					first := h.sent["q"][0]
+					if first != "a" && first != "b" {
+						continue // the test cases require that the first attempt goes to a or b
+					}
+					if tt.change != nil {
+						changes := strings.Replace(tt.changes, "first", first, 1)
+						i := slices.IndexFunc(list, func(b decide.Backend) bool { return b.ID == changes })
+						tt.change(&list[i])
+						h.step(decide.ListUpdate{Kind: decide.ListDelta, Backends: []decide.Backend{list[i]}})
+					}
+					h.now += 10 * ms
+					actions := h.outcome("q", decide.Reset, 10*ms)
+					actions = append(actions, h.advance(1500*ms)...)
+					want := map[string][]string{"": nil, "first": {first}, "other": {map[string]string{"a": "b", "b": "a"}[first]}}[tt.want]
+					if got := h.sent["q"][1:]; !slices.Equal(got, want) {
+						t.Fatalf("seed %d: first attempt sent to %s, repeats to %v, want %v", seed, first, got, want)
+					}
+					if tt.want == "" && finalAnswer("q", actions) != "fail" {
+						t.Fatalf("seed %d: ended with %q, want a failure", seed, finalAnswer("q", actions))
+					}
+				}
+			})
+		}
+	}
+}
+
 // An outcome belongs to the process that the attempt was sent to. After the list has reported a new start, failures
 // of earlier attempts must not count against the new process. Their answers must not make it count as warm either; this
 // test does not check that.
--- a/decide/endpoints.go
+++ b/decide/endpoints.go
@@ -63,6 +63,7 @@
 		slowness:     1,
 		hash:         hashID(entry.ID),
 		rank:         hashID(fmt.Sprint(entry.ID, b.settings.Self)),
+		addrSetAt:    b.listVersion,
 		zoneSetAt:    b.listVersion,
 		cellSetAt:    b.listVersion,
 		processSetAt: b.listVersion,
@@ -82,6 +83,9 @@
 	if entry.Started > backend.Started {
 		b.resetProcess(backend, max(entry.Started, backend.slowStartFrom))
 	}
+	if entry.Addr != backend.Addr {
+		backend.addrSetAt = b.listVersion
+	}
 	if entry.Zone != backend.Zone {
 		backend.zoneSetAt = b.listVersion
 	}
--- a/decide/events.go
+++ b/decide/events.go
@@ -16,12 +16,16 @@
 	Removed               // no longer in the list
 )
 
+// Unknown is the Zone or Cell of a backend whose zone or cell is not known. It may be any.
+const Unknown = -1
+
 // Backend is one entry of the list.
 type Backend struct {
 	ID      string
+	Addr    string // where its process is reached; only compared with the address in earlier lists
 	State   BackendState
-	Zone    int
-	Cell    int
+	Zone    int // or Unknown
+	Cell    int // or Unknown
 	Kind    int
 	Weight  float64
 	Started time.Duration // when its process last started; 0: long ago
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -52,7 +52,7 @@
 	if backend.State != Up || !b.mayAttempt(request, backend) {
 		return false
 	}
-	if backend == request.lastFailed && b.upCount > 1 && request.onlyBackend == "" {
+	if backend == request.lastFailed && b.upCount > 1 && !b.isBoundToBackend(request) {
 		return false
 	}
 	if b.now < max(backend.rejectingUntil, backend.drainedUntil) {
@@ -65,6 +65,15 @@
 	return b.slowStartAllows(backend, request) && b.leaseAllows(request, backend)
 }
 
+// isBoundToBackend reports whether only one backend may get a request, whatever the list contains.
+func (b *Balancer) isBoundToBackend(request *openRequest) bool {
+	if request.onlyBackend != "" {
+		return true
+	}
+	class := &b.classes[request.class]
+	return request.mayHaveRun > 0 && class.Effect == Keyed && request.firstMayHaveRun.hasUnknownScope(class)
+}
+
 // leaseAllows reports whether this agent's leases of the fleet's limits allow a request at a backend, and
 // records the limit that does not. A rejection is counted once per request. The counts are reported, so that
 // the lease servers grant more to the agents that need more.
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -81,15 +81,39 @@
 // inDedupScope reports whether a backend drops repeats of a keyed request. The scope is the zone or cell of
 // the backend of the first attempt that may have run, as listed when that was sent. A backend that has joined
 // the scope since, because it moved or is new, may not have received the key.
+//
+// Backends whose zones or cells are unknown are not known to share one. If the scope is unknown, the only
+// backend that is certain to be in it is that of the first attempt.
 func inDedupScope(request *openRequest, class *classState, backend *endpoint) bool {
 	first := request.firstMayHaveRun
+	isListedIn := false
 	switch class.Scope {
 	case ScopeAll:
 		return true
 	case ScopeZone:
-		return backend.Zone == first.zone && backend.zoneSetAt <= first.listVersion
+		isListedIn = backend.Zone == first.zone && backend.zoneSetAt <= first.listVersion
 	case ScopeCell:
-		return backend.Cell == first.cell && backend.cellSetAt <= first.listVersion
+		isListedIn = backend.Cell == first.cell && backend.cellSetAt <= first.listVersion
+	}
+	return isListedIn && (!first.hasUnknownScope(class) || isSameProcess(first, backend))
+}
+
+// hasUnknownScope reports whether it is unknown which backends drop a repeat of a class's request after this
+// attempt, because the list did not contain the zone or cell of its backend when it was sent.
+func (a *openAttempt) hasUnknownScope(class *classState) bool {
+	switch class.Scope {
+	case ScopeZone:
+		return a.zone == Unknown
+	case ScopeCell:
+		return a.cell == Unknown
 	}
 	return false
 }
+
+// isSameProcess reports whether a backend is that of an earlier attempt, and the list has shown no change of
+// its process or its address since that attempt was sent.
+func isSameProcess(attempt *openAttempt, backend *endpoint) bool {
+	return backend == attempt.backend &&
+		backend.processSetAt <= attempt.listVersion &&
+		backend.addrSetAt <= attempt.listVersion
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -109,6 +109,7 @@
 	listed         BackendState // the state in the list
 	hash           uint32       // identifies the backend in observations for peers
 	rank           uint32       // position in this agent's own order
+	addrSetAt      int          // list version that last changed its address
 	zoneSetAt      int          // list version that last changed its zone
 	cellSetAt      int          // list version that last changed its cell
 	processSetAt   int          // list version that last changed its process
--- a/internal/core/discovery.go
+++ b/internal/core/discovery.go
@@ -236,10 +236,11 @@
 		}
 		b := decide.Backend{
 			ID:     s.ID,
+			Addr:   s.Addr,
 			State:  state,
 			Zone:   slices.Index(cfg.Site.Zones, s.Zone),
 			Kind:   slices.Index(cfg.Site.Kinds, s.Kind),
-			Cell:   s.Cell,
+			Cell:   cellNumber(s.Cell),
 			Weight: s.Weight,
 		}
 		if s.Started > 0 {
@@ -250,3 +251,11 @@
 	}
 	return list
 }
+
+// cellNumber converts a server's cell to the balancer's terms.
+func cellNumber(cell *int) int {
+	if cell == nil || *cell < 0 {
+		return decide.Unknown
+	}
+	return *cell
+}
--- a/internal/core/discovery_test.go
+++ b/internal/core/discovery_test.go
@@ -41,6 +41,28 @@
 	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[{"id":"s","addr":"127.0.0.1:9","zone":"b","kind":"m2","cell":3,"state":%q,"weight":1.5,"started_ms":0}]}`, version, full, state)
 }
 
+// Servers whose cells the list does not tell must not be taken for servers of one cell.
+func TestListEntryWithoutACellHasAnUnknownCell(t *testing.T) {
+	c := testkit.NewScriptedList(t)
+	_, events := runListWatcher(t, testConfig(t, testkit.ConfigOptions{Discovery: c.Addr}), nil)
+	w := testkit.Receive(t, "watch", c.Watch)
+	w.Lines <- `{"version":42,"full":true,"servers":[` +
+		`{"id":"s","addr":"127.0.0.1:9","zone":"b","state":"ready"},` +
+		`{"id":"t","addr":"127.0.0.1:8","zone":"b","cell":null,"state":"ready"},` +
+		`{"id":"u","addr":"127.0.0.1:7","zone":"b","cell":0,"state":"ready"}]}`
+	e := testkit.Receive(t, "list", events)
+	want := []int{decide.Unknown, decide.Unknown, 0}
+	for i, b := range e.Backends {
+		if b.Cell != want[i] {
+			t.Errorf("%s: cell %d, want %d", b.ID, b.Cell, want[i])
+		}
+	}
+	if len(e.Backends) != len(want) {
+		t.Errorf("%+v", e)
+	}
+	close(w.Lines)
+}
+
 // After a failure the next watch must continue from the last version, and each failure must be posted.
 func TestWatchReconnects(t *testing.T) {
 	c := testkit.NewScriptedList(t)
@@ -51,7 +73,7 @@
 	}
 	w.Lines <- listLine(42, true, "ready")
 	e := testkit.Receive(t, "list", events)
-	want := decide.Backend{ID: "s", Zone: 1, Kind: 1, Cell: 3, Weight: 1.5}
+	want := decide.Backend{ID: "s", Addr: "127.0.0.1:9", Zone: 1, Kind: 1, Cell: 3, Weight: 1.5}
 	if e.Kind != decide.ListFull || len(e.Backends) != 1 || e.Backends[0] != want || e.Addrs["s"] != "127.0.0.1:9" {
 		t.Errorf("%+v", e)
 	}
--- a/internal/faulttest/soak/play.go
+++ b/internal/faulttest/soak/play.go
@@ -204,7 +204,7 @@
 // list sets a server's state in the lists of all agents.
 func (s *testbed) list(x *server, state string) {
 	addr, process, started := x.member()
-	e := entry{Server: discovery.Server{ID: x.id, Addr: addr, Zone: x.zone, Kind: "k", Cell: x.cell, State: state, Weight: 1}, process: process}
+	e := entry{Server: discovery.Server{ID: x.id, Addr: addr, Zone: x.zone, Kind: "k", Cell: new(x.cell), State: state, Weight: 1}, process: process}
 	if !started.IsZero() {
 		e.Started, e.began = started.UnixMilli(), started.Sub(s.rec.base)
 	} else {
--- a/internal/host/daemon/ejections.go
+++ b/internal/host/daemon/ejections.go
@@ -42,7 +42,15 @@
 func ejectionServers(source string, m *discovery.Update) []ejection.Server {
 	servers := make([]ejection.Server, 0, len(m.Servers))
 	for _, listed := range m.Servers {
-		server := ejection.Server{ID: fleetServerID(source, listed.ID), StartedMS: listed.Started, Zone: listed.Zone, Pod: listed.Cell}
+		server := ejection.Server{
+			ID:        fleetServerID(source, listed.ID),
+			StartedMS: listed.Started,
+			Zone:      listed.Zone,
+			Pod:       ejection.UnknownPod,
+		}
+		if listed.Cell != nil {
+			server.Pod = *listed.Cell
+		}
 		if listed.State != "ready" {
 			server.State = ejection.Draining
 		}
--- a/internal/host/daemon/merge.go
+++ b/internal/host/daemon/merge.go
@@ -119,7 +119,7 @@
 			Addr:    listed.Addr,
 			Zone:    listed.Zone,
 			Kind:    listed.Kind,
-			Pod:     listed.Cell,
+			Pod:     podOf(listed.Cell),
 			Weight:  listed.Weight,
 			State:   state,
 			Started: listed.Started,
@@ -128,6 +128,23 @@
 	return servers
 }
 
+// podOf translates a list's cell, which is a server's pod.
+func podOf(cell *int) endpoints.Pod {
+	if cell == nil || *cell < 0 {
+		return endpoints.Pod{}
+	}
+	return endpoints.PodNumber(*cell)
+}
+
+// cellOf translates a pod into a list's cell.
+func cellOf(pod endpoints.Pod) *int {
+	number, known := pod.Number()
+	if !known {
+		return nil
+	}
+	return &number
+}
+
 // Run follows the origins until ctx ends. list is the list service's hub, and may be nil.
 func (m *Merger) Run(ctx context.Context, list *discovery.Hub) {
 	var origins sync.WaitGroup
@@ -220,7 +237,7 @@
 	}
 	delta := &discovery.Update{Version: m.version + 1, Full: m.version == 0, Servers: []discovery.Server{}}
 	for id, member := range next {
-		if m.published[id] != member {
+		if !m.published[id].Equal(member) {
 			delta.Servers = append(delta.Servers, member)
 		}
 	}
@@ -247,7 +264,7 @@
 		Addr:    endpoint.Addr,
 		Zone:    endpoint.Zone,
 		Kind:    endpoint.Kind,
-		Cell:    endpoint.Pod,
+		Cell:    cellOf(endpoint.Pod),
 		State:   state,
 		Weight:  endpoint.Weight,
 		Started: endpoint.Started,
--- a/internal/peer/ejection/events.go
+++ b/internal/peer/ejection/events.go
@@ -2,12 +2,16 @@
 
 import "time"
 
+// UnknownPod is the pod of a server whose pod is not known. The bound on the share of a pod's servers that are ejected
+// applies to all these servers of a source together.
+const UnknownPod = -1
+
 // Server is one entry of an endpoint list.
 type Server struct {
 	ID        string // unique in the fleet
 	StartedMS int64  // start of its process as Unix time in ms; 0: long ago
 	Zone      string
-	Pod       int
+	Pod       int // or UnknownPod
 	State     ListedState
 }
 
--- a/internal/simulate/model/virtual/records.go
+++ b/internal/simulate/model/virtual/records.go
@@ -68,7 +68,7 @@
 // endpointOf converts an entry into a source's form, in which a server's place is its address.
 func endpointOf(e model.Entry) endpoints.Server {
 	v := endpoints.Server{ID: e.Server.Name, Addr: "place:" + strconv.Itoa(e.Server.Place), Zone: strconv.Itoa(e.Server.Zone),
-		Kind: strconv.Itoa(e.Server.Kind), Pod: e.Server.Pod, Weight: 1, Started: e.Started.Milliseconds()}
+		Kind: strconv.Itoa(e.Server.Kind), Pod: endpoints.PodNumber(e.Server.Pod), Weight: 1, Started: e.Started.Milliseconds()}
 	switch e.State {
 	case decide.Draining:
 		v.State = endpoints.Draining
@@ -82,7 +82,10 @@
 
 // entryOf converts a merged member back into an entry.
 func entryOf(m endpoints.ListedServer) (model.Entry, error) {
-	e := model.Entry{Server: model.ServerSpec{Name: m.ID, Pod: m.Pod}, Started: time.Duration(m.Started) * time.Millisecond}
+	e := model.Entry{Server: model.ServerSpec{Name: m.ID, Pod: decide.Unknown}, Started: time.Duration(m.Started) * time.Millisecond}
+	if pod, known := m.Pod.Number(); known {
+		e.Server.Pod = pod
+	}
 	if m.State == endpoints.Draining {
 		e.State = decide.Draining
 	}
--- a/internal/source/discovery/discovery.go
+++ b/internal/source/discovery/discovery.go
@@ -36,12 +36,22 @@
 	Addr    string  `json:"addr"` // IP and port
 	Zone    string  `json:"zone"`
 	Kind    string  `json:"kind"`
-	Cell    int     `json:"cell"`
-	State   string  `json:"state"` // "ready", "draining" or "gone"
+	Cell    *int    `json:"cell,omitempty"` // nil: unknown
+	State   string  `json:"state"`          // "ready", "draining" or "gone"
 	Weight  float64 `json:"weight"`
 	Started int64   `json:"started_ms"` // Unix time in ms; 0: unknown, and treated as long ago
 }
 
+// Equal reports whether two entries are the same.
+func (s Server) Equal(other Server) bool {
+	cell, otherCell := s.Cell, other.Cell
+	s.Cell, other.Cell = nil, nil
+	if cell == nil || otherCell == nil {
+		return s == other && cell == otherCell
+	}
+	return s == other && *cell == *otherCell
+}
+
 // States of a server as the list service spells them. "draining" needs no constant here: the hub only checks
 // whether a server is ready and whether it is gone.
 const (
--- a/internal/source/dnssource/dnssource_test.go
+++ b/internal/source/dnssource/dnssource_test.go
@@ -159,7 +159,7 @@
 	o := New(Options{Name: "r", Browse: []string{service}, Resolvers: []string{s.Addr()}, Timeout: 5 * time.Second, Log: slog.New(slog.NewTextHandler(&log, nil))})
 	for range 2 {
 		all, ttl, err := o.Read(t.Context())
-		want := endpoints.Server{ID: "formserver-1", Addr: "10.0.0.1:8001", Zone: "a", Kind: "k", Pod: 3, State: endpoints.Draining, Started: 17}
+		want := endpoints.Server{ID: "formserver-1", Addr: "10.0.0.1:8001", Zone: "a", Kind: "k", Pod: endpoints.PodNumber(3), State: endpoints.Draining, Started: 17}
 		if err != nil || len(all) != 1 || all[0] != want || ttl != 40*time.Second {
 			t.Errorf("%+v, %v, %v", all, ttl, err)
 		}
--- a/internal/source/dnssource/mdns_test.go
+++ b/internal/source/dnssource/mdns_test.go
@@ -173,7 +173,7 @@
 	}
 	until("snapshot with both servers", func(v endpoints.Report) bool {
 		w, ok := v.(endpoints.Snapshot)
-		return ok && len(w.Servers) == 2 && w.Servers[1].Pod == 2 && w.Servers[1].Addr == "10.0.0.2:8002"
+		return ok && len(w.Servers) == 2 && w.Servers[1].Pod == endpoints.PodNumber(2) && w.Servers[1].Addr == "10.0.0.2:8002"
 	})
 	r.Say([]byte("this is no message"))
 	announce(false, instance(1, 0)[0])
--- a/internal/source/dnssource/records.go
+++ b/internal/source/dnssource/records.go
@@ -154,7 +154,7 @@
 		if err != nil {
 			return err
 		}
-		server.Pod = int(pod)
+		server.Pod = endpoints.PodNumber(int(pod))
 	case "zone":
 		server.Zone = value
 	case "kind":
--- a/internal/source/endpoints/endpoints.go
+++ b/internal/source/endpoints/endpoints.go
@@ -30,12 +30,13 @@
 func (s State) String() string { return [...]string{"absent", "up", "draining", "gone"}[s] }
 
 // Server is one server as a source describes it. A zero value of Zone, Kind, Pod, Weight or Started means unknown.
+// Whoever uses the list must not treat two servers whose pods are unknown as servers of one pod.
 type Server struct {
 	ID       string
 	Addr     string // IP and port
 	Zone     string
 	Kind     string
-	Pod      int
+	Pod      Pod
 	Weight   float64
 	Priority int // as in SRV records (RFC 2782): of the servers that are up, those with the lowest value are used
 	State    State
@@ -106,7 +107,7 @@
 	// removals are the reports of draining and removed servers, oldest first. Each applies until there is newer
 	// evidence.
 	removals []*removal
-	pods     map[string]*pod         // by server ID
+	pods     map[string]*podHistory  // by server ID
 	lastList map[string]ListedServer // as returned by the last Step, by server ID
 	latest   time.Duration           // the latest time of a Step
 	logs     []string                // log lines not yet returned by Logs
@@ -114,7 +115,7 @@
 
 // New returns a Module that has no reports.
 func New(s Settings) *Module {
-	m := &Module{settings: s, pods: map[string]*pod{}, lastList: map[string]ListedServer{}}
+	m := &Module{settings: s, pods: map[string]*podHistory{}, lastList: map[string]ListedServer{}}
 	for _, o := range s.Sources {
 		m.sources = append(m.sources, &source{Source: o, entries: map[string]*entry{}})
 	}
--- a/internal/source/endpoints/endpoints_test.go
+++ b/internal/source/endpoints/endpoints_test.go
@@ -207,10 +207,10 @@
 // are two servers.
 func TestEntriesAreMatchedByIDAddressAndStart(t *testing.T) {
 	m := module("list", "records")
-	named := Server{ID: "formserver-7", Addr: "10.0.0.7:80", State: Up, Zone: "a", Pod: 3}
+	named := Server{ID: "formserver-7", Addr: "10.0.0.7:80", State: Up, Zone: "a", Pod: PodNumber(3)}
 	record := Server{ID: "formserver-7.example.org:80", Addr: "10.0.0.7:80", State: Up, Weight: 5}
 	list, _ := m.Step(0, Snapshot{"list", []Server{named}}, Snapshot{"records", []Server{record}})
-	if len(list) != 1 || list[0].ID != "formserver-7" || list[0].Weight != 5 || list[0].Pod != 3 {
+	if len(list) != 1 || list[0].ID != "formserver-7" || list[0].Weight != 5 || list[0].Pod != PodNumber(3) {
 		t.Errorf("%+v", list)
 	}
 	gone := named
@@ -232,9 +232,10 @@
 func TestPodChangesAreDamped(t *testing.T) {
 	m := module("list")
 	at := func(now time.Duration, p int) int {
-		x := Server{ID: "x", Addr: "10.0.0.1:80", State: Up, Pod: p}
+		x := Server{ID: "x", Addr: "10.0.0.1:80", State: Up, Pod: PodNumber(p)}
 		list, _ := m.Step(now, Snapshot{"list", []Server{x}})
-		return find(t, list, "x").Pod
+		pod, _ := find(t, list, "x").Pod.Number()
+		return pod
 	}
 	if at(0, 1) != 1 || at(time.Minute, 2) != 2 {
 		t.Error("the first change of the pod does not take effect at once")
@@ -256,6 +257,32 @@
 	}
 }
 
+// An unknown pod is no pod: it does not hide the pod that another source tells, and pod 0 of the list is not replaced by
+// another source's pod. That a pod becomes known is not a move, so that a move right after it is not delayed.
+func TestUnknownPodIsNoPod(t *testing.T) {
+	m := module("list", "records")
+	pod := func(now time.Duration, reports ...Report) Pod {
+		list, _ := m.Step(now, reports...)
+		return find(t, list, "x").Pod
+	}
+	x := func(pod Pod) []Server { return []Server{{ID: "x", Addr: "10.0.0.1:80", State: Up, Pod: pod}} }
+	if got := pod(0, Snapshot{"records", x(Pod{})}); got != (Pod{}) {
+		t.Errorf("pod %s, though no source tells it", got)
+	}
+	if got := pod(time.Second, Snapshot{"list", x(PodNumber(0))}); got != PodNumber(0) {
+		t.Errorf("pod %s, want 0", got)
+	}
+	if got := pod(2*time.Second, Snapshot{"records", x(PodNumber(3))}); got != PodNumber(0) {
+		t.Errorf("pod %s, though the list has 0", got)
+	}
+	if got := pod(3*time.Second, Snapshot{"list", x(PodNumber(2))}); got != PodNumber(2) {
+		t.Errorf("pod %s: a move after the pod became known is delayed", got)
+	}
+	if got := pod(time.Minute, Snapshot{"list", x(Pod{})}, Snapshot{"records", x(Pod{})}); got != (Pod{}) {
+		t.Errorf("pod %s, though no source tells it any more", got)
+	}
+}
+
 // Servers with a higher priority number are on standby (RFC 2782).
 func TestHigherPriorityNumbersStandBy(t *testing.T) {
 	m := module("list", "records")
@@ -350,7 +377,7 @@
 	m := module("list", "srv", "sd")
 	var all []Server
 	for i := range 1000 {
-		all = append(all, Server{ID: fmt.Sprint("s-", i), Addr: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), State: Up, Pod: i % 7})
+		all = append(all, Server{ID: fmt.Sprint("s-", i), Addr: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), State: Up, Pod: PodNumber(i % 7)})
 	}
 	b.ReportAllocs()
 	for n := 0; b.Loop(); n++ {
--- a/internal/source/endpoints/merge.go
+++ b/internal/source/endpoints/merge.go
@@ -7,7 +7,6 @@
 	"math"
 	"slices"
 	"strings"
-	"time"
 )
 
 // group holds all entries of one server.
@@ -16,13 +15,6 @@
 	sources []*source // the sources of the entries, in the same order
 }
 
-// pod is the effective pod of a server.
-type pod struct {
-	number  int
-	changed time.Duration // when the pod took effect
-	logged  bool          // whether it has been logged that another pod is reported
-}
-
 // reasonSourcesFailed begins the reason for a server whose sources have all failed for longer than their hold.
 const reasonSourcesFailed = "its sources have failed"
 
@@ -173,51 +165,3 @@
 	}
 	return server
 }
-
-// dampPod returns the effective pod of a server, given the reported one. A change takes effect at once unless the
-// last one took effect less than Settings.Settle ago.
-func (m *Module) dampPod(id string, reported int) int {
-	p := m.pods[id]
-	if p == nil {
-		m.pods[id] = &pod{number: reported, changed: m.latest - m.settings.Settle}
-		return reported
-	}
-	switch {
-	case reported == p.number:
-		p.logged = false
-	case m.latest-p.changed >= m.settings.Settle:
-		m.logs = append(m.logs, fmt.Sprintf("server %s moves from pod %d to pod %d", id, p.number, reported))
-		p.number = reported
-		p.changed = m.latest
-		p.logged = false
-	case !p.logged:
-		m.logs = append(m.logs, fmt.Sprintf(
-			"server %s is reported in pod %d too soon after its last move: it stays in pod %d for now",
-			id, reported, p.number))
-		p.logged = true
-	}
-	return p.number
-}
-
-// Bounds of Module.pods: it is pruned when it has more than maxPodsPerServer elements for each listed server and
-// podsSlack more. With larger values it is pruned less often and uses more memory for removed servers.
-const (
-	maxPodsPerServer = 4
-	podsSlack        = 1000
-)
-
-// prunePods drops the pods of servers that no source names any more, once their number exceeds the bounds.
-func (m *Module) prunePods(list []ListedServer) {
-	if len(m.pods) <= maxPodsPerServer*len(list)+podsSlack {
-		return
-	}
-	listed := map[string]bool{}
-	for _, member := range list {
-		listed[member.ID] = true
-	}
-	for id := range m.pods {
-		if !listed[id] {
-			delete(m.pods, id)
-		}
-	}
-}
--- a/internal/standin/directory/directory.go
+++ b/internal/standin/directory/directory.go
@@ -91,7 +91,7 @@
 
 // Member returns the directory as an entry of an endpoint list.
 func (d *Directory) Member(state string) discovery.Server {
-	return discovery.Server{ID: d.ID, Addr: d.listener.Addr().String(), Zone: "a", Kind: "k", State: state, Weight: 1}
+	return discovery.Server{ID: d.ID, Addr: d.listener.Addr().String(), Zone: "a", Kind: "k", Cell: new(0), State: state, Weight: 1}
 }
 
 // Addr returns the address on which the directory listens.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -155,7 +155,7 @@
 
 // Member returns the server as an entry of an endpoint list.
 func (f *FormServer) Member(state string) discovery.Server {
-	return discovery.Server{ID: f.ID, Addr: strings.TrimPrefix(f.server.URL, "http://"), Zone: "a", Kind: "k", State: state, Weight: 1}
+	return discovery.Server{ID: f.ID, Addr: strings.TrimPrefix(f.server.URL, "http://"), Zone: "a", Kind: "k", Cell: new(0), State: state, Weight: 1}
 }
 
 // Requests returns the number of requests received.
--- a/tools/capacity/list.go
+++ b/tools/capacity/list.go
@@ -26,7 +26,7 @@
 // listedServer returns a server as the list service encodes it.
 func listedServer(i int, state string) discovery.Server {
 	return discovery.Server{ID: fmt.Sprintf("s%03d-%05d", i%990, i), Addr: fmt.Sprintf("10.%d.%d.%d:%d", i>>16&255, i>>8&255, i&255, 20000+i%1000),
-		Zone: fmt.Sprintf("zone-%02d", i%15), Kind: "standard", Cell: i % 150, State: state, Weight: 1, Started: 1764633600000 + int64(i)}
+		Zone: fmt.Sprintf("zone-%02d", i%15), Kind: "standard", Cell: new(i % 150), State: state, Weight: 1, Started: 1764633600000 + int64(i)}
 }
 
 // encodedList returns the encoded list of n servers, as it is sent.
@@ -84,7 +84,7 @@
 		decodes = append(decodes, threadTime()-began)
 		list := decide.ListUpdate{Kind: decide.ListFull}
 		for _, s := range m.Servers {
-			list.Backends = append(list.Backends, decide.Backend{ID: s.ID, Zone: s.Cell % 15, Cell: s.Cell})
+			list.Backends = append(list.Backends, decide.Backend{ID: s.ID, Zone: *s.Cell % 15, Cell: *s.Cell})
 		}
 		var err error
 		lb, err = decide.New(decide.Settings{Balancers: 1, MaxAttempts: 3, SlowStartTime: 8600 * time.Millisecond, SlowStartShare: 0.31, OverloadMultiple: 2.5,
--- a/tools/endpoints/main.go
+++ b/tools/endpoints/main.go
@@ -163,7 +163,7 @@
 }
 
 func (s *site) member(n int, started int64) discovery.Server {
-	return discovery.Server{ID: fmt.Sprintf("s-%04d", n), Addr: s.addrs[n], Zone: []string{"a", "b"}[n%2], Kind: "k", Cell: n % 8, State: "ready", Weight: 1, Started: started}
+	return discovery.Server{ID: fmt.Sprintf("s-%04d", n), Addr: s.addrs[n], Zone: []string{"a", "b"}[n%2], Kind: "k", Cell: new(n % 8), State: "ready", Weight: 1, Started: started}
 }
 
 // churn drains a share of the servers each second, until ctx ends; each of them comes back one second later.
--- a/tools/fleet/main.go
+++ b/tools/fleet/main.go
@@ -103,7 +103,7 @@
 func members(n int) []discovery.Server {
 	var all []discovery.Server
 	for i := range n {
-		all = append(all, discovery.Server{ID: fmt.Sprint("s-", i), Addr: fmt.Sprintf("127.1.%d.%d:5000", i/250, 1+i%250), Zone: "a", Kind: "k", State: "ready", Weight: 1})
+		all = append(all, discovery.Server{ID: fmt.Sprint("s-", i), Addr: fmt.Sprintf("127.1.%d.%d:5000", i/250, 1+i%250), Zone: "a", Kind: "k", Cell: new(0), State: "ready", Weight: 1})
 	}
 	return all
 }
--- a/tools/members/main.go
+++ b/tools/members/main.go
@@ -78,7 +78,7 @@
 }
 
 func server(i int, w *world) endpoints.Server {
-	return endpoints.Server{ID: fmt.Sprint("s-", i), Addr: fmt.Sprintf("10.0.0.%d:80", i+1), State: endpoints.Up, Pod: w.pods[i]}
+	return endpoints.Server{ID: fmt.Sprint("s-", i), Addr: fmt.Sprintf("10.0.0.%d:80", i+1), State: endpoints.Up, Pod: endpoints.PodNumber(w.pods[i])}
 }
 
 // tally counts the results of one method of choosing servers.
@@ -220,7 +220,7 @@
 		{Name: "list", Exact: true, Hold: time.Hour}, {Name: "srv", Hold: time.Hour}, {Name: "sd", Hold: time.Hour}}}
 	var all []endpoints.Server
 	for i := range 1000 {
-		all = append(all, endpoints.Server{ID: fmt.Sprint("s-", i), Addr: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), State: endpoints.Up, Pod: i % 7})
+		all = append(all, endpoints.Server{ID: fmt.Sprint("s-", i), Addr: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), State: endpoints.Up, Pod: endpoints.PodNumber(i % 7)})
 	}
 	var before, after runtime.MemStats
 	runtime.GC()
--- a/tools/members/sockets.go
+++ b/tools/members/sockets.go
@@ -117,7 +117,7 @@
 }
 
 func (o *formServer) member(state string) discovery.Server {
-	return discovery.Server{ID: o.id, Addr: o.addr, Zone: "a", Kind: "k", Cell: o.pod, State: state, Weight: 1, Started: o.started}
+	return discovery.Server{ID: o.id, Addr: o.addr, Zone: "a", Kind: "k", Cell: new(o.pod), State: state, Weight: 1, Started: o.started}
 }
 
 const twoSources = `admin = "unix:%[1]s/admin.sock"
