core: zones that the settings do not have are told apart by name

What callers could see: with group = "zone", servers of two zones that are not in the settings (or of one of them and of none) all had the number -1 and passed for one zone: a keyed request that may have run in the one was repeated in the other.

Change: zoneNumber gives a zone that is not configured a negative number of its own, from its name; only a missing name is decide.Unknown. Keys of shared limits keep "-1" for all of them (members have to name the part alike).

Tests: TestDedupScopeIsThatOfTheFirstAttempt has two such zones (repeat to the other server of the zone, never across); TestZonesThatAreNotConfiguredAreToldApart; TestUnknownZonesAndCellsArePartsOfALimit (fails without the bound in demandOf). go test ./decide/... ./internal/core passed.

--- a/decide/dedupscope_test.go
+++ b/decide/dedupscope_test.go
@@ -45,6 +45,8 @@
 		{"a backend is removed and comes back in the scope", keyedCell, nil,
 			[]change{{"other", gone}, {"c", gone}, {"c", cell(0)}}, nil},
 		{"a move before the attempt counts", keyedCell, []change{{"c", cell(0)}}, nil, []string{"other", "c"}},
+		{"others are in another zone that the settings do not have", keyedZone,
+			[]change{{"a", zone(-5)}, {"b", zone(-5)}, {"c", zone(-6)}, {"d", zone(-6)}}, nil, []string{"other"}},
 		{"a change of zone does not affect the cell", keyedCell, nil, []change{{"other", zone(3)}}, []string{"other"}},
 		{"a change of cell does not affect the zone", keyedZone, nil, []change{{"other", cell(3)}}, []string{"other"}},
 	}
--- a/decide/events.go
+++ b/decide/events.go
@@ -24,7 +24,7 @@
 	ID      string
 	Addr    string // where its process is reached; only compared with the address in earlier lists
 	State   BackendState
-	Zone    int // or Unknown
+	Zone    int // its index in the settings, or Unknown; another negative number is a zone that the settings do not have
 	Cell    int // or Unknown
 	Kind    int
 	Weight  float64
--- a/decide/leases_test.go
+++ b/decide/leases_test.go
@@ -70,6 +70,29 @@
 	}
 }
 
+// Members of a fleet must name the part of a limit alike. All zones that the settings do not have are one part, and so
+// are all unknown cells, which must not be counted with cell 0.
+func TestUnknownZonesAndCellsArePartsOfALimit(t *testing.T) {
+	zone, cell := limit("zone", quota.InFlight), limit("cell", quota.InFlight)
+	zone.Partition, cell.Partition = quota.PerZone, quota.PerCell
+	for _, listedZone := range []int{decide.Unknown, -7} { // -7: a zone that the settings do not have
+		list := testBackends(1)
+		list[0].Zone, list[0].Cell = listedZone, decide.Unknown
+		h := newHarness(t, testSettings(), 1, list)
+		h.step(decide.SharedLimits{Limits: []quota.Limit{zone, cell}})
+		if _, ok := findAction[decide.Send](h.request("a", idempotent)); ok {
+			t.Errorf("zone %d: a request was sent without a lease", listedZone)
+		}
+		for _, name := range []string{"zone", "cell"} {
+			h.step(decide.LeasesGranted{Leases: []quota.Lease{
+				{Limit: name, Key: "-1", Grantor: "k", Number: 1, Amount: 2, Expires: h.now + time.Minute, Span: time.Second}}})
+		}
+		if _, ok := findAction[decide.Send](h.request("b", idempotent)); !ok {
+			t.Errorf("zone %d: a request was not sent with the leases of the unknown zones and cells", listedZone)
+		}
+	}
+}
+
 func TestLimitOfOneBackendDoesNotAffectOthers(t *testing.T) {
 	h := newHarness(t, testSettings(), 1, testBackends(3))
 	l := limit("one", quota.InFlight)
--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -73,8 +73,8 @@
 type Demand struct {
 	Class        int
 	Server       string
-	Zone         int
-	Cell         int
+	Zone         int           // negative: not one of the settings' zones
+	Cell         int           // negative: unknown
 	SlowStart    bool          // the server is in slow start
 	FirstAttempt bool          // this is the first attempt of its request
 	EndsBy       time.Duration // time by which the attempt has ended
--- a/decide/state.go
+++ b/decide/state.go
@@ -196,7 +196,7 @@
 	return &quota.Demand{
 		Class:         request.class,
 		Server:        backend.ID,
-		Zone:          backend.Zone,
+		Zone:          max(backend.Zone, Unknown),
 		Cell:          backend.Cell,
 		SlowStart:     backend.inSlowStart,
 		FirstAttempt:  len(request.attempts) == 0,
--- a/internal/core/discovery.go
+++ b/internal/core/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -238,7 +239,7 @@
 			ID:     s.ID,
 			Addr:   s.Addr,
 			State:  state,
-			Zone:   slices.Index(cfg.Site.Zones, s.Zone),
+			Zone:   zoneNumber(cfg.Site.Zones, s.Zone),
 			Kind:   slices.Index(cfg.Site.Kinds, s.Kind),
 			Cell:   cellNumber(s.Cell),
 			Weight: s.Weight,
@@ -252,6 +253,21 @@
 	return list
 }
 
+// zoneNumber converts a zone's name to the balancer's terms: its index in the settings, or decide.Unknown without a
+// name. A zone that the settings do not have gets another negative number, which depends on its name alone: its servers
+// are known to be in one zone, and in another one than all other servers.
+func zoneNumber(zones []string, name string) int {
+	if i := slices.Index(zones, name); i >= 0 {
+		return i
+	}
+	if name == "" {
+		return decide.Unknown
+	}
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(name)) // writing to a hash never fails
+	return decide.Unknown - 1 - int(hash.Sum64()>>2)
+}
+
 // cellNumber converts a server's cell to the balancer's terms.
 func cellNumber(cell *int) int {
 	if cell == nil || *cell < 0 {
--- a/internal/core/discovery_test.go
+++ b/internal/core/discovery_test.go
@@ -41,6 +41,22 @@
 	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[{"id":"s","addr":"127.0.0.1:9","zone":"b","kind":"m2","cell":3,"state":%q,"weight":1.5,"started_ms":0}]}`, version, full, state)
 }
 
+// A zone that the settings do not have is still a zone: the servers of two such zones must not be taken for servers of
+// one, and those of one such zone are known to share it.
+func TestZonesThatAreNotConfiguredAreToldApart(t *testing.T) {
+	zones := []string{"a", "b"}
+	number := func(name string) int { return zoneNumber(zones, name) }
+	if number("a") != 0 || number("b") != 1 || number("") != decide.Unknown {
+		t.Errorf("a is %d, b is %d, no zone is %d", number("a"), number("b"), number(""))
+	}
+	if number("c") >= decide.Unknown || number("d") >= decide.Unknown {
+		t.Errorf("c is %d, d is %d: neither is configured, and both are known", number("c"), number("d"))
+	}
+	if number("c") == number("d") || number("c") != zoneNumber(nil, "c") {
+		t.Errorf("c is %d and %d, d is %d", number("c"), zoneNumber(nil, "c"), number("d"))
+	}
+}
+
 // Servers whose cells the list does not tell must not be taken for servers of one cell.
 func TestListEntryWithoutACellHasAnUnknownCell(t *testing.T) {
 	c := testkit.NewScriptedList(t)
