endpoints: while a move to another pod is delayed, the server's pod is unknown

What callers could see: a server that moves twice within 12 s, with a list and records: the second move is delayed (damped), and until then the server was passed on as one of the pod that it had left. A keyed request that may have run there was repeated in that pod, which does not have its key. Without records there is no damping, and the list's word holds.

Cause: as with the unknown pod: a pod that is not known to be the server's was passed on as if it were, since nothing could say "unknown".

Change: dampPod returns the unknown pod while a change is delayed. The log line says so.

Test: TestPodChangesAreDamped now also asks that a server never counts as one of a pod in which it is not reported; all that it asked before stays (first change at once, at most 10 moves in two minutes, at most 80 lines). It fails without the change: "the server counts as one of pod 2, and is reported in pod 1". go test ./internal/source/endpoints ./internal/simulate/model/virtual passed.

--- a/internal/source/endpoints/endpoints.go
+++ b/internal/source/endpoints/endpoints.go
@@ -63,7 +63,8 @@
 	// missing for a new announcement to overrule a removal. With smaller values truncated answers are accepted,
 	// larger values delay real changes.
 	SuddenLossGuard time.Duration
-	// Settle is the minimum interval between two effective changes of a server's pod.
+	// Settle is the minimum interval between two effective changes of a server's pod. While a change is delayed, the
+	// pod is unknown.
 	Settle time.Duration
 }
 
--- a/internal/source/endpoints/endpoints_test.go
+++ b/internal/source/endpoints/endpoints_test.go
@@ -228,23 +228,28 @@
 }
 
 // The first change of a server's pod takes effect at once, further changes at most once in each settle interval, and
-// each change is logged once.
+// each change is logged once. While a change is delayed, the server must not count as one of the pod that it has left: a
+// request that runs there would be repeated in that pod, which does not have its key.
 func TestPodChangesAreDamped(t *testing.T) {
 	m := module("list")
-	at := func(now time.Duration, p int) int {
-		x := Server{ID: "x", Addr: "10.0.0.1:80", State: Up, Pod: PodNumber(p)}
+	at := func(now time.Duration, reported Pod) Pod {
+		x := Server{ID: "x", Addr: "10.0.0.1:80", State: Up, Pod: reported}
 		list, _ := m.Step(now, Snapshot{"list", []Server{x}})
-		pod, _ := find(t, list, "x").Pod.Number()
-		return pod
+		effective := find(t, list, "x").Pod
+		if effective != reported && effective != (Pod{}) {
+			t.Fatalf("at %v: the server counts as one of pod %s, and is reported in pod %s", now, effective, reported)
+		}
+		return effective
 	}
-	if at(0, 1) != 1 || at(time.Minute, 2) != 2 {
+	if at(0, PodNumber(1)) != PodNumber(1) || at(time.Minute, PodNumber(2)) != PodNumber(2) {
 		t.Error("the first change of the pod does not take effect at once")
 	}
 	m.Logs()
 	moves := 0
-	last := 2
+	last := PodNumber(2)
 	for i := range 120 { // the pod changes every second
-		if p := at(time.Minute+time.Duration(i+1)*time.Second, 1+i%2); p != last {
+		p := at(time.Minute+time.Duration(i+1)*time.Second, PodNumber(1+i%2))
+		if p != last && p != (Pod{}) {
 			moves++
 			last = p
 		}
--- a/internal/source/endpoints/pod.go
+++ b/internal/source/endpoints/pod.go
@@ -36,8 +36,9 @@
 }
 
 // dampPod returns the effective pod of a server, given the reported one. A change takes effect at once unless the
-// last one took effect less than Settings.Settle ago. That a source tells a pod which was unknown, or no longer tells
-// it, is not a change of the pod.
+// last one took effect less than Settings.Settle ago; until it does, the pod is unknown, because the server is no longer
+// known to be in the old one. That a source tells a pod which was unknown, or no longer tells it, is not a change of the
+// pod.
 func (m *Module) dampPod(id string, reported Pod) Pod {
 	p := m.pods[id]
 	if p == nil {
@@ -51,20 +52,29 @@
 		p.pod = reported
 	case reported == p.pod:
 		p.logged = false
-	case m.latest-p.changed >= m.settings.Settle:
+	case m.latest-p.changed < m.settings.Settle:
+		m.logDelayedMove(id, p, reported)
+		return Pod{}
+	default:
 		m.logs = append(m.logs, fmt.Sprintf("server %s moves from pod %s to pod %s", id, p.pod, reported))
 		p.pod = reported
 		p.changed = m.latest
 		p.logged = false
-	case !p.logged:
-		m.logs = append(m.logs, fmt.Sprintf(
-			"server %s is reported in pod %s too soon after its last move: it stays in pod %s for now",
-			id, reported, p.pod))
-		p.logged = true
 	}
 	return p.pod
 }
 
+// logDelayedMove logs once that a move does not take effect yet.
+func (m *Module) logDelayedMove(id string, p *podHistory, reported Pod) {
+	if p.logged {
+		return
+	}
+	m.logs = append(m.logs, fmt.Sprintf(
+		"server %s is reported in pod %s too soon after its last move, to pod %s: its pod is unknown for now",
+		id, reported, p.pod))
+	p.logged = true
+}
+
 // Bounds of Module.pods: it is pruned when it has more than maxPodsPerServer elements for each listed server and
 // podsSlack more. With larger values it is pruned less often and uses more memory for removed servers.
 const (
