core: the guard of repeats checks the deduplication scope too

Need: mayStart is the guard of "no effect twice": it refuses what the balancer must not have decided, and counts it.

It goes by the zone and the cell that each attempt was decided with, and asks less than decide (not whether a server has joined since), so that it refuses nothing that decide sends.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -132,7 +132,7 @@
 		})
 		return
 	}
-	if l.dedupWindowPassed(r) || !l.mayStart(r, send.Backend) {
+	if l.dedupWindowPassed(r) || !l.mayStart(r, send) {
 		l.refuseAttempt(r, send.Backend)
 		return
 	}
--- a/internal/core/invariants.go
+++ b/internal/core/invariants.go
@@ -21,6 +21,7 @@
 	EffectOnce                          // a non-idempotent request is retried only if no attempt can have been executed
 	OneAttemptInFlight                  // no two attempts in flight if the request is non-idempotent or hedging is off
 	DedupWindow                         // a keyed request is retried only within the deduplication window
+	DedupScope                          // a keyed request is retried only within the deduplication scope
 	AttemptBound                        // no more attempts are made than the settings allow
 	WriteMatched                        // each end of a write belongs to a write that was admitted
 	AttemptsClosed                      // no more attempts end than were started
@@ -33,6 +34,7 @@
 	"effect_once",
 	"one_attempt_out",
 	"keyed_window",
+	"keyed_scope",
 	"attempt_bound",
 	"write_matched",
 	"attempts_closed",
@@ -114,17 +116,17 @@
 // mayStart reports whether another attempt of a request obeys the rules on repeated execution, whatever the balancer
 // has decided. It checks the outcomes of the earlier attempts, not the balancer's state. If it reports false, it has
 // counted a violation.
-func (l *Loop) mayStart(r *Request, server string) bool {
+func (l *Loop) mayStart(r *Request, send decide.Send) bool {
 	settings := &l.cfg.Settings
 	if settings.MaxAttempts > 0 && len(r.attempts) >= settings.MaxAttempts {
 		reason := fmt.Sprintf("%d attempts are allowed", settings.MaxAttempts)
-		l.violated(AttemptBound, r.ID, len(r.attempts), server, reason)
+		l.violated(AttemptBound, r.ID, len(r.attempts), send.Backend, reason)
 		return false
 	}
 	class := &settings.Classes[r.Class]
 	for _, earlier := range r.attempts {
-		if invariant, reason := earlier.forbidsRetry(class, settings.Hedging); reason != "" {
-			l.violated(invariant, r.ID, len(r.attempts), server, reason)
+		if invariant, reason := earlier.forbidsRetry(class, settings.Hedging, send); reason != "" {
+			l.violated(invariant, r.ID, len(r.attempts), send.Backend, reason)
 			return false
 		}
 	}
@@ -133,7 +135,7 @@
 
 // forbidsRetry returns the invariant that a further attempt, during or after this one, would violate, and the reason.
 // If the reason is empty, it would violate none.
-func (a *Attempt) forbidsRetry(class *decide.Class, hedging bool) (Invariant, string) {
+func (a *Attempt) forbidsRetry(class *decide.Class, hedging bool, retry decide.Send) (Invariant, string) {
 	switch {
 	case !a.hasResult && (class.Effect == decide.NonIdempotent || !hedging):
 		return OneAttemptInFlight, fmt.Sprintf("attempt %d at %s is still in flight", a.N, a.Server)
@@ -145,10 +147,27 @@
 	case time.Since(a.start) > class.DedupWindow:
 		return DedupWindow, fmt.Sprintf("attempt %d at %s may have been executed %v ago, past its window of %v",
 			a.N, a.Server, time.Since(a.start), class.DedupWindow)
+	case !a.sharesDedupScope(class.Scope, retry):
+		return DedupScope, fmt.Sprintf("attempt %d at %s (zone %d, cell %d) may have been executed, and zone %d, cell %d may not have its key",
+			a.N, a.Server, a.zone, a.cell, retry.Zone, retry.Cell)
 	}
 	return 0, ""
 }
 
+// sharesDedupScope reports whether the servers of the attempt and of a retry are known to drop each other's repeats.
+func (a *Attempt) sharesDedupScope(scope decide.DedupScope, retry decide.Send) bool {
+	isShared := func(own, other int) bool {
+		return own == other && (own != decide.Unknown || a.Server == retry.Backend)
+	}
+	switch scope {
+	case decide.ScopeZone:
+		return isShared(a.zone, retry.Zone)
+	case decide.ScopeCell:
+		return isShared(a.cell, retry.Cell)
+	}
+	return true
+}
+
 // logStart logs the start of an attempt, with what decides whether its server drops a repeat.
 func (l *Loop) logStart(a *Attempt) {
 	if l.log.Enabled(context.Background(), slog.LevelDebug) {
--- a/internal/core/invariants_test.go
+++ b/internal/core/invariants_test.go
@@ -129,6 +129,44 @@
 	}
 }
 
+// Whatever the balancer decides, a request with a key that may have been executed must not be sent to a server that is
+// not known to share the zone or cell of the earlier attempt's server.
+func TestRetriesOutsideTheDedupScopeAreRefused(t *testing.T) {
+	for name, row := range map[string]struct {
+		scope   decide.DedupScope
+		retry   decide.Send
+		earlier decide.Result
+		cell    int // of the earlier attempt's server s, and its zone
+		allowed bool
+	}{
+		"the same cell":                      {decide.ScopeCell, decide.Send{Backend: "t", Cell: 3}, decide.Reset, 3, true},
+		"another cell":                       {decide.ScopeCell, decide.Send{Backend: "t", Cell: 4}, decide.Reset, 3, false},
+		"another cell, not executed":         {decide.ScopeCell, decide.Send{Backend: "t", Cell: 4}, decide.ConnectFailed, 3, true},
+		"unknown cells":                      {decide.ScopeCell, decide.Send{Backend: "t", Cell: decide.Unknown}, decide.Reset, decide.Unknown, false},
+		"the same server of an unknown cell": {decide.ScopeCell, decide.Send{Backend: "s", Cell: decide.Unknown}, decide.Reset, decide.Unknown, true},
+		"the same zone":                      {decide.ScopeZone, decide.Send{Backend: "t", Zone: 1, Cell: 4}, decide.Reset, 1, true},
+		"unknown zones":                      {decide.ScopeZone, decide.Send{Backend: "t", Zone: decide.Unknown}, decide.Reset, decide.Unknown, false},
+		"all servers":                        {decide.ScopeAll, decide.Send{Backend: "t", Zone: 5, Cell: 5}, decide.Reset, 3, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSendingLoop(t, classPut, func(settings *decide.Settings) { settings.Classes[classPut].Scope = row.scope })
+			defer close(s.results)
+			s.execute(decide.Send{Request: "r", Backend: "s", Zone: row.cell, Cell: row.cell}, s.clock.now())
+			s.endAttempt(t, row.earlier)
+			before := s.totals.attempts.Load()
+			row.retry.Request = "r"
+			s.execute(row.retry, s.clock.now())
+			made := s.totals.attempts.Load() - before
+			if wasMade := made == 1; wasMade != row.allowed {
+				t.Errorf("%d attempts were made, allowed is %v", made, row.allowed)
+			}
+			if isCounted := s.violationCount(DedupScope) == 1; isCounted == row.allowed {
+				t.Errorf("%d violations, allowed is %v", s.violationCount(DedupScope), row.allowed)
+			}
+		})
+	}
+}
+
 // A request must get only one final answer, the first one; a second one must be counted as a violation.
 func TestSecondFinalAnswerIsCounted(t *testing.T) {
 	s := newSendingLoop(t, classGet, nil)
