--- a/internal/faulttest/soak/play.go
+++ b/internal/faulttest/soak/play.go
@@ -22,6 +22,7 @@
 	clientsEach      = 4
 	clientPause      = 90 * time.Millisecond
 	serverCells      = 2
+	placedServers    = 2                     // so many servers are listed with their zone and cell, then as many without
 	measurementError = 60 * time.Millisecond // error of recorded times besides the recorder's own lateness
 )
 
@@ -133,6 +134,7 @@
 		if err != nil {
 			return err
 		}
+		x.unplaced = n%(2*placedServers) >= placedServers
 		s.servers = append(s.servers, x)
 		s.list(x, check.Ready)
 	}
@@ -204,7 +206,10 @@
 // list sets a server's state in the lists of all agents.
 func (s *testbed) list(x *server, state string) {
 	addr, process, started := x.member()
-	e := entry{Server: discovery.Server{ID: x.id, Addr: addr, Zone: x.zone, Kind: "k", Cell: new(x.cell), State: state, Weight: 1}, process: process}
+	e := entry{Server: discovery.Server{ID: x.id, Addr: addr, Kind: "k", State: state, Weight: 1}, process: process}
+	if !x.unplaced {
+		e.Zone, e.Cell = x.zone, new(x.cell)
+	}
 	if !started.IsZero() {
 		e.Started, e.began = started.UnixMilli(), started.Sub(s.rec.base)
 	} else {
--- a/internal/faulttest/soak/server.go
+++ b/internal/faulttest/soak/server.go
@@ -34,6 +34,7 @@
 type server struct {
 	id, zone string
 	cell     int
+	unplaced bool // the lists tell neither its zone nor its cell
 	rec      *Recorder
 	workers  chan struct{}
 	service  time.Duration // mean service time
