daemon: a saved cell 0 of a source with records counts as unknown

What callers could see: after an upgrade, while the list service was away, a keyed request could still take effect in two pods: last.state has "cell":0 for each server whose pod an earlier build did not know, and so has the state that an earlier build hands to its successor.

Stored data stays readable, so the new build reads what the earlier ones wrote.

Change: withoutZeroCells, for lists from disk or from a predecessor, of sources with records alone. Its price: where pods are numbered from 0, repeats in pod 0 go to the same server only, from a restart until the list or the records are read (some ms; longer while the list service is away).

--- a/internal/host/daemon/merge_test.go
+++ b/internal/host/daemon/merge_test.go
@@ -111,6 +111,47 @@
 	tb.expectServed("a")
 }
 
+// Earlier builds saved servers of unknown cells as servers of cell 0. While neither the list nor the records can be read
+// after a restart, they must not count as servers of one cell.
+func TestSavedCellZeroOfASourceWithRecordsIsUnknown(t *testing.T) {
+	f := standin.NewFormServer("s", nil)
+	defer f.Close()
+	other := standin.NewFormServer("t", nil)
+	defer other.Close()
+	placed := other.Member("ready")
+	placed.Cell = new(3)
+	tb := newTestbed(t, f.Member("ready"), placed)
+	tb.head = `state_dir = "state"`
+	path := tb.writeConfig(tb.instanceText("a"))
+	data := strings.Replace(readFile(t, path), "name = \"main\"\n", fmt.Sprintf("name = \"main\"\nsrv = [\"_form._tcp.example.org\"]\nresolvers = [%q]\n", unusedUDPAddr(t)), 1)
+	writeFile(t, tb.dir, data)
+	r := tb.start(Options{})
+	tb.expectServed("a")
+	cells := func() map[string]*int {
+		all := map[string]*int{}
+		r.call(func() {
+			for _, server := range r.hubs["main"].Snapshot().Servers {
+				all[server.ID] = server.Cell
+			}
+		})
+		return all
+	}
+	if all := cells(); all["s"] == nil || *all["s"] != 0 || all["t"] == nil {
+		t.Errorf("the list tells cells 0 and 3: %v", all)
+	}
+	r.call(r.saveSnapshot)
+	if err := r.end(); err != nil {
+		t.Fatal(err)
+	}
+	tb.list.SetDown(true)
+	r = tb.start(Options{})
+	if all := cells(); all["s"] != nil || all["t"] == nil || *all["t"] != 3 {
+		t.Errorf("restored cells %v, want an unknown one and 3", all)
+	}
+	tb.list.SetDown(false)
+	eventually(t, "the list's cell is used again", func() bool { cell := cells()["s"]; return cell != nil && *cell == 0 })
+}
+
 func unusedUDPAddr(t *testing.T) string {
 	t.Helper()
 	ln, err := net.ListenPacket("udp", "127.0.0.1:0")
--- a/internal/host/daemon/sources.go
+++ b/internal/host/daemon/sources.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"reflect"
+	"slices"
 
 	"vetchhaven/internal/host/daemonconfig"
 	"vetchhaven/internal/source/discovery"
@@ -35,6 +36,9 @@
 			continue
 		}
 		saved := d.savedLists[source.Key()]
+		if saved != nil && source.HasRecords() {
+			saved = withoutZeroCells(saved)
+		}
 		if previous != nil {
 			dropped = append(dropped, previous)
 			saved = previous.Snapshot() // used until the new list is received
@@ -50,6 +54,19 @@
 	return dropped
 }
 
+// withoutZeroCells returns a copy of a saved list of a source with records, in which the cells of servers of cell 0 are
+// unknown: earlier builds saved an unknown cell as 0. A server that is in cell 0 has it again once the list is read.
+func withoutZeroCells(saved *discovery.Update) *discovery.Update {
+	list := *saved
+	list.Servers = slices.Clone(saved.Servers)
+	for i := range list.Servers {
+		if cell := list.Servers[i].Cell; cell != nil && *cell == 0 {
+			list.Servers[i].Cell = nil
+		}
+	}
+	return &list
+}
+
 // newHub returns a hub that follows a source, and starts it from a saved list, which may be nil.
 func (d *Daemon) newHub(cfg *daemonconfig.Config, source daemonconfig.Source, saved *discovery.Update) *hub {
 	options := discovery.HubOptions{
