decide: the property test plays unknown zones and cells

Its rule checker compared zones and cells as listed, and the random lists always told them, so it could not see a repeat between servers of unknown cells. Now each of the eight backends is listed without zone and cell with a chance of one in three, moves may lead to an unknown one, and a repeat from there to another backend is a violation (TestRuleCheckerRejects has that row).

--- a/decide/anyorder_test.go
+++ b/decide/anyorder_test.go
@@ -44,6 +44,11 @@
 	var open []decide.Outcome // outcomes of the open attempts
 	due := map[string]time.Duration{}
 	pool := testBackends(8)
+	for i := range pool {
+		if rng.IntN(3) == 0 {
+			pool[i].Zone, pool[i].Cell = decide.Unknown, decide.Unknown
+		}
+	}
 	next := 0
 	for range steps {
 		a.now += time.Duration(rng.IntN(30)) * ms / 4
@@ -114,7 +119,7 @@
 				n.State, n.Started = decide.Up, a.now
 			}
 			if rng.IntN(2) == 0 {
-				n.Zone, n.Cell = rng.IntN(4), rng.IntN(4)
+				n.Zone, n.Cell = rng.IntN(5)-1, rng.IntN(5)-1 // may be decide.Unknown
 			}
 			events = append(events, decide.ListUpdate{Kind: decide.ListDelta, Backends: []decide.Backend{*n}})
 		case 1:
@@ -215,6 +220,8 @@
 		{"keyed refused", keyedZone, []any{send("a"), ended(0, decide.Errored), refuse}, "refused though"},
 		{"outside the zone", keyedZone, []any{send("a"), ended(0, decide.Errored), send("c")}, "outside its deduplication scope"},
 		{"outside the cell", keyedCell, []any{send("a"), ended(0, decide.Errored), send("d")}, "outside its deduplication scope"},
+		{"between unknown cells", keyedCell, []any{moved("a", decide.Unknown), moved("b", decide.Unknown), send("a"), ended(0, decide.Errored), send("b")},
+			"not known to be in its deduplication scope"},
 		{"to a backend that moved into the cell", keyedCell, []any{send("a"), moved("d", 0), ended(0, decide.Errored), send("d")},
 			"joined the deduplication scope since"},
 		{"after the backend that moved", keyedCell, []any{send("a"), moved("a", 1), ended(0, decide.Errored), send("d")},
--- a/decide/rulechecker_test.go
+++ b/decide/rulechecker_test.go
@@ -217,6 +217,9 @@
 		case r.class.Effect == decide.Keyed && r.class.Scope == decide.ScopeZone && from.Zone != b.Zone,
 			r.class.Effect == decide.Keyed && r.class.Scope == decide.ScopeCell && from.Cell != b.Cell:
 			a.report("%s sent again outside its deduplication scope", act.Request)
+		case r.class.Effect == decide.Keyed && r.class.Scope == decide.ScopeZone && from.Zone == decide.Unknown && act.Backend != from.ID,
+			r.class.Effect == decide.Keyed && r.class.Scope == decide.ScopeCell && from.Cell == decide.Unknown && act.Backend != from.ID:
+			a.report("%s sent again to %s, which is not known to be in its deduplication scope", act.Request, act.Backend)
 		case r.class.Effect == decide.Keyed && r.class.Scope == decide.ScopeZone && b.zoneSetAt > firstMayHaveRun.listCount,
 			r.class.Effect == decide.Keyed && r.class.Scope == decide.ScopeCell && b.cellSetAt > firstMayHaveRun.listCount:
 			a.report("%s sent again to %s, which has joined the deduplication scope since", act.Request, act.Backend)
