--- a/internal/host/daemon/merge_test.go
+++ b/internal/host/daemon/merge_test.go
@@ -12,6 +12,37 @@
 	"vetchhaven/internal/standin/dns"
 )
 
+// recordsService is the name of the SRV records in these tests.
+const recordsService = "_form._tcp.example.org"
+
+// publishRecords publishes SRV records of the servers, and the addresses of their targets, with a TTL in seconds.
+func publishRecords(t *testing.T, names *dns.Server, ttl int, servers ...*standin.FormServer) {
+	t.Helper()
+	var records []string
+	for i, server := range servers {
+		host, port, err := net.SplitHostPort(server.Member("ready").Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		target := fmt.Sprintf("h%d.example.org", i)
+		records = append(records, fmt.Sprintf("%s. %d IN SRV 0 0 %s %s.", recordsService, ttl, port, target))
+		if err := names.Set(target, "A", fmt.Sprintf("%s. %d IN A %s", target, ttl, host)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := names.Set(recordsService, "SRV", records...); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// writeRecordsConfig writes the settings file of writeConfig, whose source has SRV records in addition to its list.
+func (tb *testbed) writeRecordsConfig(resolver, rest string) {
+	tb.t.Helper()
+	source := fmt.Sprintf("name = \"main\"\nsrv = [%q]\nresolvers = [%q]\n", recordsService, resolver)
+	text := readFile(tb.t, tb.writeConfig(rest))
+	writeFile(tb.t, tb.dir, strings.Replace(text, "name = \"main\"\n", source, 1))
+}
+
 // A list service and SRV records, which the daemon reads over sockets, contradict each other. No new request goes to a
 // server that either of them reports as draining or gone. A failing resolver and truncated answers remove no server. A
 // server that only the records have is used.
@@ -25,26 +56,9 @@
 		t.Fatal(err)
 	}
 	defer names.Close()
-	const service = "_form._tcp.example.org"
-	publish := func(all ...*standin.FormServer) {
-		t.Helper()
-		var records []string
-		for i, f := range all {
-			host, port, _ := net.SplitHostPort(f.Member("ready").Addr)
-			records = append(records, fmt.Sprintf("%s. 1 IN SRV 0 0 %s h%d.example.org.", service, port, i))
-			if err := names.Set(fmt.Sprintf("h%d.example.org", i), "A", fmt.Sprintf("h%d.example.org. 1 IN A %s", i, host)); err != nil {
-				t.Fatal(err)
-			}
-		}
-		if err := names.Set(service, "SRV", records...); err != nil {
-			t.Fatal(err)
-		}
-	}
-	publish(both, recorded)
+	publishRecords(t, names, 1, both, recorded)
 	tb := newTestbed(t, both.Member("ready"), listed.Member("ready"))
-	text := tb.writeConfig(tb.instanceText("a"))
-	data := strings.Replace(readFile(t, text), "name = \"main\"\n", fmt.Sprintf("name = \"main\"\nsrv = [%q]\nresolvers = [%q]\n", service, names.Addr()), 1)
-	writeFile(t, tb.dir, data)
+	tb.writeRecordsConfig(names.Addr(), tb.instanceText("a"))
 	r := tb.start(Options{})
 	// seen are the servers that have answered since it was last cleared. Which server gets a request depends on how
 	// fast each has been: on a busy machine a server may get none of sixty requests.
@@ -97,9 +111,7 @@
 	defer f.Close()
 	tb := newTestbed(t, f.Member("ready"))
 	tb.head = `state_dir = "state"`
-	path := tb.writeConfig(tb.instanceText("a"))
-	data := strings.Replace(readFile(t, path), "name = \"main\"\n", fmt.Sprintf("name = \"main\"\nsrv = [\"_form._tcp.example.org\"]\nresolvers = [%q]\n", unusedUDPAddr(t)), 1)
-	writeFile(t, tb.dir, data)
+	tb.writeRecordsConfig(unusedUDPAddr(t), tb.instanceText("a"))
 	r := tb.start(Options{})
 	tb.expectServed("a")
 	r.call(r.saveSnapshot)
@@ -122,9 +134,7 @@
 	placed.Cell = new(3)
 	tb := newTestbed(t, f.Member("ready"), placed)
 	tb.head = `state_dir = "state"`
-	path := tb.writeConfig(tb.instanceText("a"))
-	data := strings.Replace(readFile(t, path), "name = \"main\"\n", fmt.Sprintf("name = \"main\"\nsrv = [\"_form._tcp.example.org\"]\nresolvers = [%q]\n", unusedUDPAddr(t)), 1)
-	writeFile(t, tb.dir, data)
+	tb.writeRecordsConfig(unusedUDPAddr(t), tb.instanceText("a"))
 	r := tb.start(Options{})
 	tb.expectServed("a")
 	cells := func() map[string]*int {
--- a/internal/host/daemon/podscope_test.go
+++ b/internal/host/daemon/podscope_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 
@@ -20,18 +19,17 @@
 	resets int                 // connections that were reset under a request that had run
 }
 
-// serve records a request. A first request with a key at a server that resets gets no answer: its connection is reset.
-func (l *keyLog) serve(w http.ResponseWriter, r *http.Request, server string, resets bool) {
+// serve records a request. The first request with a key gets no answer: its connection is reset.
+func (l *keyLog) serve(w http.ResponseWriter, r *http.Request, server string) {
 	key := r.Header.Get("Idempotency-Key")
 	l.mu.Lock()
 	isRepeat := len(l.ran[key]) > 0
 	l.ran[key] = append(l.ran[key], server)
-	resets = resets && !isRepeat
-	if resets {
+	if !isRepeat {
 		l.resets++
 	}
 	l.mu.Unlock()
-	if !resets {
+	if isRepeat {
 		_, _ = w.Write([]byte(server))
 		return
 	}
@@ -71,12 +69,10 @@
 worth = 1.0
 `
 
-// playResets starts a daemon with a source of servers, and sends it requests of a keyed class whose scope is the pod,
-// until 20 of them have been reset after they had run.
-func playResets(t *testing.T, tb *testbed, source string, log *keyLog) {
+// playResets starts a daemon and sends it requests of a keyed class whose scope is the pod, until 20 of them have been
+// reset after they had run.
+func playResets(t *testing.T, tb *testbed, log *keyLog) {
 	t.Helper()
-	text := readFile(t, tb.writeConfig(podClassText+tb.instanceText("a")))
-	writeFile(t, tb.dir, strings.Replace(text, "name = \"main\"\n", "name = \"main\"\n"+source, 1))
 	tb.start(Options{})
 	c := client(tb.socketPath("a"), true)
 	for n := 0; ; n++ {
@@ -113,22 +109,17 @@
 		t.Fatal(err)
 	}
 	defer names.Close()
-	const service = "_form._tcp.example.org"
-	var records []string
+	var servers []*standin.FormServer
 	for i := range 4 {
 		f := standin.NewFormServer(fmt.Sprint("recorded-", i), nil)
 		defer f.Close()
-		f.Handle = func(w http.ResponseWriter, r *http.Request) { log.serve(w, r, f.ID, true) }
-		host, port, _ := net.SplitHostPort(f.Member("ready").Addr)
-		records = append(records, fmt.Sprintf("%s. 5 IN SRV 0 0 %s h%d.example.org.", service, port, i))
-		if err := names.Set(fmt.Sprintf("h%d.example.org", i), "A", fmt.Sprintf("h%d.example.org. 5 IN A %s", i, host)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if err := names.Set(service, "SRV", records...); err != nil {
-		t.Fatal(err)
+		f.Handle = func(w http.ResponseWriter, r *http.Request) { log.serve(w, r, f.ID) }
+		servers = append(servers, f)
 	}
-	playResets(t, newTestbed(t), fmt.Sprintf("srv = [%q]\nresolvers = [%q]\n", service, names.Addr()), log)
+	publishRecords(t, names, 5, servers...)
+	tb := newTestbed(t)
+	tb.writeRecordsConfig(names.Addr(), podClassText+tb.instanceText("a"))
+	playResets(t, tb, log)
 	expectRepeatsAtFirstServer(t, log)
 }
 
@@ -139,12 +130,14 @@
 	for i := range 4 {
 		f := standin.NewFormServer(fmt.Sprint("listed-", i), nil)
 		defer f.Close()
-		f.Handle = func(w http.ResponseWriter, r *http.Request) { log.serve(w, r, f.ID, true) }
+		f.Handle = func(w http.ResponseWriter, r *http.Request) { log.serve(w, r, f.ID) }
 		member := f.Member("ready")
 		member.Cell = nil
 		members = append(members, member)
 	}
-	playResets(t, newTestbed(t, members...), "", log)
+	tb := newTestbed(t, members...)
+	tb.writeConfig(podClassText + tb.instanceText("a"))
+	playResets(t, tb, log)
 	expectRepeatsAtFirstServer(t, log)
 }
 
