--- a/decide/dedupscope_test.go
+++ b/decide/dedupscope_test.go
@@ -172,6 +172,38 @@
 	}
 }
 
+// If the only backend that may get a repeat is lost while the repeat waits, the request must fail at once. No other
+// backend may get it, so its client would wait for nothing.
+func TestRepeatWhoseOnlyBackendIsLostFailsAtOnce(t *testing.T) {
+	for name, change := range map[string]func(*decide.Backend){
+		"its cell becomes known": func(b *decide.Backend) { b.Cell = 1 },
+		"it drains":              func(b *decide.Backend) { b.State = decide.Draining },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 20; seed++ {
+				s := testSettings()
+				s.Classes[keyedCell].DedupWindow = 12 * time.Second
+				list := testBackends(4)
+				for i := range list {
+					list[i].Cell = decide.Unknown
+				}
+				h := newHarness(t, s, seed, list)
+				h.request("q", keyedCell)
+				i := slices.IndexFunc(list, func(b decide.Backend) bool { return b.ID == h.sent["q"][0] })
+				h.now += 10 * ms
+				h.outcome("q", decide.Reset, 10*ms)
+				change(&list[i])
+				actions := h.step(decide.ListUpdate{Kind: decide.ListDelta, Backends: []decide.Backend{list[i]}})
+				const longestBackoff = 100 * ms
+				actions = append(actions, h.advance(longestBackoff)...)
+				if len(h.sent["q"]) == 1 && finalAnswer("q", actions) != "fail" {
+					t.Fatalf("seed %d: ended with %q within %v, want a failure", seed, finalAnswer("q", actions), longestBackoff)
+				}
+			}
+		})
+	}
+}
+
 // An outcome belongs to the process that the attempt was sent to. After the list has reported a new start, failures
 // of earlier attempts must not count against the new process. Their answers must not make it count as warm either; this
 // test does not check that.
