decide: a request that is bound from its arrival outlasts a short drain again

A first attempt that is allowed must still be sent.

Change: isBoundToFirstAttempt is that half alone; shedOrWait asks it. pick's rule is as before.

--- a/decide/dedupscope_test.go
+++ b/decide/dedupscope_test.go
@@ -204,6 +204,26 @@
 	}
 }
 
+// A request that is bound to a backend from its arrival, and waits while that backend drains for a moment, must still be
+// sent when the backend is up again.
+func TestBoundRequestOutlastsAShortDrain(t *testing.T) {
+	list := testBackends(4)
+	h := newHarness(t, testSettings(), 1, list)
+	set := func(state decide.BackendState) {
+		list[0].State = state
+		h.step(decide.ListUpdate{Kind: decide.ListDelta, Backends: []decide.Backend{list[0]}})
+	}
+	h.step(decide.Request{ID: "q", Class: idempotent, Remaining: 2 * time.Second, OnlyBackend: "a"})
+	h.outcome("q", decide.Rejected, ms)
+	set(decide.Draining)
+	h.advance(50 * ms)
+	set(decide.Up)
+	h.advance(300 * ms)
+	if got := h.sent["q"]; !slices.Equal(got, []string{"a", "a"}) {
+		t.Errorf("sent to %v, want two attempts at a", got)
+	}
+}
+
 // An outcome belongs to the process that the attempt was sent to. After the list has reported a new start, failures
 // of earlier attempts must not count against the new process. Their answers must not make it count as warm either; this
 // test does not check that.
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -67,9 +67,12 @@
 
 // isBoundToBackend reports whether only one backend may get a request, whatever the list contains.
 func (b *Balancer) isBoundToBackend(request *openRequest) bool {
-	if request.onlyBackend != "" {
-		return true
-	}
+	return request.onlyBackend != "" || b.isBoundToFirstAttempt(request)
+}
+
+// isBoundToFirstAttempt reports whether only the backend of the first attempt that may have run may get a
+// repeat, because the deduplication scope is unknown.
+func (b *Balancer) isBoundToFirstAttempt(request *openRequest) bool {
 	class := &b.classes[request.class]
 	return request.mayHaveRun > 0 && class.Effect == Keyed && request.firstMayHaveRun.hasUnknownScope(class)
 }
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -78,7 +78,7 @@
 // shedOrWait handles a request that found no capacity or no backend in this step. It ends the request if its
 // shed time has come, and otherwise sets a timer for that time. A client's retry does not wait, and neither
 // does a request that lacks a lease, unless it is one of a slow-start limit: waiting does not make a lease
-// available. A request that only one backend may get does not wait if that backend may not get it any more.
+// available. A repeat that is bound to its first attempt's backend does not wait once that may not get it.
 func (b *Balancer) shedOrWait(request *openRequest) {
 	reason := NoCapacity
 	switch {
@@ -89,7 +89,7 @@
 	}
 	request.noBackend = false
 	lacksLease := reason == NoLease && !request.lackingLimit.SlowStart()
-	lostBackend := reason == NoBackend && b.isBoundToBackend(request) && !b.anyMayRetry(request)
+	lostBackend := reason == NoBackend && b.isBoundToFirstAttempt(request) && !b.anyMayRetry(request)
 	shedAt := b.shedAt(request)
 	switch {
 	case request.clientRetry || shedAt <= b.now || lacksLease || lostBackend:
