core, http1: log what is held for peers, and why attempts and client connections end

Change: with each summary a line 'held' with clients, buffered bytes and goroutines; the debug line 'attempt ended' has the error; a debug line 'client connection ends' has its reason. No metric, key or existing line changes but for the added field.

--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -117,6 +117,7 @@
 		}
 	}
 	a.limiter = NewConnLimiter(ln, ClientSockets(cfg.Sockets))
+	a.loop.logHeld = a.logHeld
 	return a, nil
 }
 
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -33,6 +33,7 @@
 	dialed         bool          // see MarkDialed
 	notReplayable  bool          // see MarkNotReplayable
 	responseParts  int           // see StartResponse
+	failure        error         // see NoteFailure
 	hasResult      bool          // the attempt has ended, and result is valid
 	result         decide.Result // see hasResult
 }
@@ -88,6 +89,9 @@
 // MarkNotReplayable records that the part of the request that was sent can't be sent again.
 func (a *Attempt) MarkNotReplayable() { a.notReplayable = true }
 
+// NoteFailure records why the attempt failed, for the debug log. The protocol calls it before the attempt returns.
+func (a *Attempt) NoteFailure(err error) { a.failure = err }
+
 // Sent counts the attempt as sent. It is called when the request's last byte has been written.
 func (a *Attempt) Sent() { a.loop.ClassCounts(a.Class).Sends.Add(1) }
 
--- a/internal/core/bytebudget.go
+++ b/internal/core/bytebudget.go
@@ -28,6 +28,9 @@
 // Release returns acquired bytes to the budget.
 func (b *ByteBudget) Release(n int) { b.free.Add(int64(n)) }
 
+// Used returns the number of bytes that are acquired.
+func (b *ByteBudget) Used() int64 { return b.total.Load() - b.free.Load() }
+
 // Free returns the number of bytes that can be acquired. It is negative after the budget was made smaller than the
 // acquired bytes.
 func (b *ByteBudget) Free() int64 { return b.free.Load() }
--- a/internal/core/invariants.go
+++ b/internal/core/invariants.go
@@ -183,7 +183,7 @@
 	l.counters.results[result].Add(1)
 	if l.log.Enabled(context.Background(), slog.LevelDebug) {
 		l.log.Debug("attempt ended", "request", a.ID, "attempt", a.N, "endpoint", a.Server,
-			"result", resultNames[result], "after", time.Since(a.start))
+			"result", resultNames[result], "after", time.Since(a.start), "error", a.failure)
 	}
 }
 
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -12,6 +12,9 @@
 	l.log.Info("summary", "requests", c.requests, "served", c.served, "refused", c.refused, "failed", c.failed,
 		"gone", c.clientDisconnects, "attempts", c.attempts, "late", c.late, "open", len(l.requests))
 	l.counts = counts{}
+	if l.logHeld != nil {
+		l.logHeld()
+	}
 	for name, n := range l.shedCounts {
 		if reason, isPolicy := strings.CutPrefix(name, policyPrefix); isPolicy {
 			l.log.Warn("requests shed by the policy", "why", reason, "requests", n)
--- a/internal/protocol/http1/attempt.go
+++ b/internal/protocol/http1/attempt.go
@@ -23,6 +23,7 @@
 	UploadCompleted()                                // records that the last byte of an upload was written
 	MarkNotReplayable()                              // records that the request's body can't be sent again
 	StartResponse(core.ServerProgress) bool          // whether the response may begin to be sent to the client
+	NoteFailure(error)                               // records why the attempt failed, for the debug log
 }
 
 // attempt sends m to a server once, and waits for the response until ctx ends at the latest. The result follows the
@@ -42,6 +43,7 @@
 		c, err = p.dial(ctx, id, addr)
 	}
 	if err != nil {
+		owner.NoteFailure(err)
 		result := core.ResultOfConnectError(ctx, err)
 		if result == decide.NotSent {
 			p.log.Warn("attempt not sent", "error", err, "backend", id)
@@ -53,6 +55,9 @@
 		return decide.Incomplete, nil, noLoad // the request never ran, and another server may get it
 	}
 	a, fullyWritten, err := p.exchange(ctx, owner, c, m)
+	if err != nil {
+		owner.NoteFailure(err)
+	}
 	var refused *sendRefusedError
 	if errors.As(err, &refused) && refused.nothingWritten {
 		p.release(id, c, refused.reusable)
--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -1,7 +1,9 @@
 package http1
 
 import (
+	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -63,6 +65,9 @@
 	c.responseDone <- struct{}{}
 	for first := true; ; first = false {
 		headLen, err := c.readHead(first)
+		if err != nil {
+			c.logEnd(err)
+		}
 		if errors.Is(err, errHead) {
 			if c.awaitResponse() {
 				c.respondAndClose(&requestError{
@@ -84,6 +89,9 @@
 			go c.frontend.loop.ContainPanic(c.runWriter)
 		}
 		fail := c.handleRequest(c.buf[c.start : c.start+headLen])
+		if fail != nil {
+			c.logEnd(fail)
+		}
 		c.firstDone = true
 		switch fail {
 		case nil:
@@ -98,6 +106,16 @@
 	}
 }
 
+// logEnd logs why the reader of the connection ends, for the debug log.
+func (c *clientConn) logEnd(reason error) {
+	log := c.frontend.log
+	if !log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	log.Debug("client connection ends", "client", c.conn.RemoteAddr().String(), "reason", reason,
+		"closing", c.isClosing(), "pending", c.hasPending(), "unread", c.end-c.start)
+}
+
 // hasPending reports whether a request waits for its response.
 func (c *clientConn) hasPending() bool {
 	c.mu.Lock()
--- a/internal/protocol/http1/errors.go
+++ b/internal/protocol/http1/errors.go
@@ -17,15 +17,20 @@
 }
 
 // Error implements error.
-func (e *requestError) Error() string { return fmt.Sprintf("status %d: %s", e.status, e.text) }
+func (e *requestError) Error() string {
+	if e.status == 0 {
+		return e.text
+	}
+	return fmt.Sprintf("status %d: %s", e.status, e.text)
+}
 
 // Two errors without a response. They are distinguished by identity.
 var (
 	// errBodyUnread means that the request has its final answer, but a part of its body was not read. The connection
 	// ends.
-	errBodyUnread = &requestError{}
+	errBodyUnread = &requestError{text: "answered before its body was read"}
 	// errNoReader means that the connection is closed or can't be written to.
-	errNoReader = &requestError{}
+	errNoReader = &requestError{text: "the connection is closed"}
 )
 
 // badRequest returns a 400 response (RFC 9110, 15.5.1).
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -70,6 +70,11 @@
 	return p.frontend.openRequests.Load() - p.frontend.openUploads.Load()
 }
 
+// HeldBytes returns the bytes of requests' and of responses' bodies that are buffered. It implements core.Holder.
+func (p *protocol) HeldBytes() (requests, responses int64) {
+	return p.bodyBudget.Used(), p.responseBudget.Used()
+}
+
 // Attempt sends a request to a server once. The second result is the response; it is nil unless the first is
 // decide.OK.
 func (p *protocol) Attempt(a *core.Attempt) (decide.Result, any, decide.Load) {
--- a/internal/protocol/http1/probe.go
+++ b/internal/protocol/http1/probe.go
@@ -81,3 +81,5 @@
 func (probeOwner) MarkNotReplayable() {}
 
 func (probeOwner) StartResponse(core.ServerProgress) bool { return false }
+
+func (probeOwner) NoteFailure(error) {}
