http1: a response that pauses is no longer cut off at the connect timeout

Cause: serverReader.maxGap was the connect timeout, from the first byte of the response on, which says nothing about how long a server may compute between head and body. Now the attempt's own time alone bounds the wait until the response is streamed. The same mistake beside it: a streamed response had the minimum rate of a slow client, 32 kB/s beyond 10 s; a server at 10 kB/s was cut off. It has 4 kB/s now (TestResponseOfASlowServerIsNotCutOff, which failed before).

--- a/internal/protocol/http1/errors.go
+++ b/internal/protocol/http1/errors.go
@@ -69,7 +69,7 @@
 	// errClientFault means that the request's client disconnected, or that its body can't be read. The server is not
 	// at fault.
 	errClientFault = errors.New("the client disconnected, or its body can't be read")
-	// errResponseTooSlow means that a streamed response arrives at less than minClientRate.
+	// errResponseTooSlow means that a streamed response arrives at less than minServerRate.
 	errResponseTooSlow = errors.New("the response arrives too slowly")
 )
 
--- a/internal/protocol/http1/forward.go
+++ b/internal/protocol/http1/forward.go
@@ -15,9 +15,13 @@
 // larger one occupies the client's connection for longer when a server hangs.
 const maxUploadStall = 10 * time.Second
 
-// maxResponseStall is how long a server may send no byte of a streamed response, with the same trade-off as
-// maxUploadStall.
-const maxResponseStall = 10 * time.Second
+const (
+	// maxResponseStall is how long a server may send no byte of a streamed response, with the same trade-off as
+	// maxUploadStall.
+	maxResponseStall = 10 * time.Second
+	// minServerRate is the minimum rate of a streamed response in bytes per second, beyond maxResponseStall.
+	minServerRate = 4 << 10
+)
 
 // exchange writes m on a connection, and reads the response or streams it to the client. fullyWritten reports whether
 // the last byte of m was written. After an error the connection must be closed, unless the error is a sendRefusedError
@@ -51,8 +55,7 @@
 		in.Reset(nil)
 		p.readers.Put(in)
 	}()
-	// Servers write a response without long pauses: one that pauses for longer than the connect timeout is cut off.
-	src := &serverReader{ctx: ctx, conn: c.Conn, maxGap: p.cfg.Settings.ConnectTimeout}
+	src := &serverReader{ctx: ctx, conn: c.Conn}
 	in.Reset(src)
 	if m.upload != nil {
 		owner.MarkNotReplayable()
@@ -126,7 +129,7 @@
 		return errRequestEnded
 	}
 	// The client's deadline no longer ends the attempt. A pause longer than maxStall does, and so does a rate below
-	// minClientRate: the total wait for the server is limited to maxStall plus the time that its bytes take at that
+	// minServerRate: the total wait for the server is limited to maxStall plus the time that its bytes take at that
 	// rate.
 	buf := pieceBuffers.Get().(*[]byte)
 	defer pieceBuffers.Put(buf)
@@ -134,7 +137,7 @@
 	var waited time.Duration
 	received := 0
 	for err == nil {
-		src.maxGap = min(p.maxStall, p.maxStall+time.Duration(received)*time.Second/minClientRate-waited)
+		src.maxGap = min(p.maxStall, p.maxStall+time.Duration(received)*time.Second/minServerRate-waited)
 		if src.maxGap <= 0 {
 			return errResponseTooSlow
 		}
--- a/internal/protocol/http1/responsereader.go
+++ b/internal/protocol/http1/responsereader.go
@@ -52,18 +52,17 @@
 type serverReader struct {
 	ctx       context.Context
 	conn      net.Conn
-	maxGap    time.Duration // the longest pause allowed once the response has begun
-	started   bool          // the response has begun
+	maxGap    time.Duration // the longest pause allowed; 0: only the attempt's end limits it
 	connEnded bool          // the last read failed because the connection ended, not because of a deadline
 	budget    int           // bytes that may still be read
 }
 
-// Read implements io.Reader. From the second read on, each wait is limited to maxGap.
+// Read implements io.Reader. Each wait is limited to maxGap.
 func (s *serverReader) Read(p []byte) (int, error) {
 	if s.budget <= 0 {
 		return 0, errTooLong
 	}
-	if s.started {
+	if s.maxGap > 0 {
 		if err := s.conn.SetReadDeadline(time.Now().Add(s.maxGap)); err != nil {
 			return 0, err
 		}
@@ -72,7 +71,6 @@
 		}
 	}
 	n, err := s.conn.Read(p[:min(len(p), s.budget)])
-	s.started = true
 	s.budget -= n
 	s.connEnded = err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	return n, err
--- a/internal/protocol/http1/responsereader_test.go
+++ b/internal/protocol/http1/responsereader_test.go
@@ -43,6 +43,23 @@
 	testkit.Receive(t, "end at the server", ended)
 }
 
+// A streamed response whose server writes at 10 kB/s is slower than a slow client, and complete all the same.
+func TestResponseOfASlowServerIsNotCutOff(t *testing.T) {
+	const pieces, size = 15, 1 << 10
+	s := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+		for range pieces {
+			time.Sleep(100 * time.Millisecond)
+			_, _ = w.Write(make([]byte, size))
+			_ = http.NewResponseController(w).Flush()
+		}
+	})
+	a := startWith(t, s)
+	a.connPool.maxStall = 200 * time.Millisecond
+	if x := a.do("GET", "/get/x", ""); x.err != nil || len(x.body) != pieces*size {
+		t.Errorf("%d, %d bytes, %v", x.status, len(x.body), x.err)
+	}
+}
+
 // A reset is not the end of a response, not even of one without a length: the part that has arrived is not served as a
 // complete response. If the response is not streamed yet, the attempt fails; if it is, its client can detect that it
 // is incomplete.
