core, http1: an upload's time runs from when its client wrote the last byte

Cause: the deadline of an upload began when the agent had written the last byte to the server, so the bytes in the sockets' buffers delayed it by the time that the server took for them; a server that read nothing was bounded by 10 s of stall for each piece. Now a request knows the latest time at which its client had certainly not written the last byte: nothing unread and nothing decoded (chunked), or fewer bytes than the body lacks while the receive buffer can't be full (with a length). The deadline is that time and the client's wait, for the request as for its attempt, whether or not an attempt reads the body. A client that still writes is asked about when the deadline passes, so it is not cut off. The timer of a request is set before the loop gets the request, so that a rejected request no longer stays in memory, with its body, up to its deadline. The two tests of core that call UploadCompleted now say when the client has written its last byte, which the protocol tells; their bounds stay.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -24,7 +24,7 @@
 	Context context.Context // ends when the attempt must end; its cause is ErrTimedOut or ErrCancelled
 
 	loop           *Loop
-	timer          *time.Timer // ends the context
+	timer          attemptTimer // ends the context
 	cancel         context.CancelCauseFunc
 	start          time.Time     // start of the attempt; of an upload, once sent: when its last byte was sent
 	startBy        time.Time     // latest time at which the first byte may be written, see startExpired; zero: no bound
@@ -54,7 +54,7 @@
 // With ServerDone in the first call the client's deadline no longer ends the attempt, because a client that has begun
 // to read a response waits for its end. The protocol must bound the time of the transfer.
 func (a *Attempt) StartResponse(progress ServerProgress) bool {
-	if progress == ServerDone && a.responseParts == 0 && !a.timer.Stop() {
+	if progress == ServerDone && a.responseParts == 0 && !a.timer.stop() {
 		return false // its deadline has passed
 	}
 	if !a.guard.startResponse(a.N) {
@@ -68,15 +68,11 @@
 	return true
 }
 
-// UploadCompleted records that the last byte of the request has been sent with this attempt. The time limits of the
-// request and of the attempt run from now on.
+// UploadCompleted records that the last byte of the request has been sent with this attempt. The server's time runs
+// from now on; the client's time has run since it wrote that byte.
 func (a *Attempt) UploadCompleted() {
-	now := time.Now()
-	a.start = now
-	if a.timer.Stop() {
-		a.timer.Reset(a.Remaining - a.loop.answerMargin)
-	}
-	a.loop.post(uploadCompleted{a, now})
+	a.start = time.Now()
+	a.loop.post(uploadCompleted{a})
 }
 
 // MayDial reports whether the attempt may open a connection. If it may not, and there is no open connection that it
@@ -181,6 +177,10 @@
 	if send.Timeout > 0 && start.Add(send.Timeout).Before(until) {
 		until = start.Add(send.Timeout)
 	}
+	deadline := func() time.Time { return until }
+	if r.Upload {
+		deadline = func() time.Time { return earlier(until, l.extendedDeadline(r).Add(-l.answerMargin)) }
+	}
 	a := &Attempt{
 		Request:        r,
 		N:              len(r.attempts),
@@ -198,7 +198,17 @@
 	ctx, cancel := context.WithCancelCause(l.attemptsContext)
 	a.Context = attemptContext{ctx, until}
 	a.cancel = cancel
-	a.timer = time.AfterFunc(until.Sub(start), func() { cancel(ErrTimedOut) })
+	a.timer.until = deadline
+	a.timer.expire = func() { cancel(ErrTimedOut) }
+	a.timer.start()
+	return a
+}
+
+// earlier returns the earlier one of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
 	return a
 }
 
@@ -207,7 +217,7 @@
 // goroutines run for each open request.
 func (l *Loop) runAttempt(a *Attempt) {
 	defer a.cancel(nil)
-	defer a.timer.Stop()
+	defer a.timer.stop()
 	e := attemptEnded{Attempt: a, outcome: decide.Outcome{
 		Request: a.ID,
 		Attempt: a.N,
--- a/internal/core/disconnect.go
+++ b/internal/core/disconnect.go
@@ -33,6 +33,24 @@
 	return err != nil || closed // an error means that it is closed on this side
 }
 
+// UnreadBytes returns how many bytes have been received on a connection and not been read. known is false if the system
+// does not tell.
+func UnreadBytes(nc net.Conn) (n int, known bool) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return 0, false // a connection of a test
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var ioctlErr error
+	err = raw.Control(func(fd uintptr) {
+		n, ioctlErr = unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+	})
+	return n, err == nil && ioctlErr == nil
+}
+
 // Disconnected reports whether the request's client has disconnected, and if so notifies the loop. It checks the socket
 // itself, because the goroutine that reads the client's connection may be delayed or waiting for something else.
 func (a *Attempt) Disconnected() bool {
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -22,10 +22,7 @@
 		latency   time.Duration
 	}
 	// uploadCompleted reports that a request's last byte has been written.
-	uploadCompleted struct {
-		*Attempt
-		at time.Time
-	}
+	uploadCompleted struct{ *Attempt }
 	// attemptEnded reports the outcome of an attempt, and the response if the result is OK.
 	attemptEnded struct {
 		*Attempt
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -141,28 +141,11 @@
 // see Stopped.
 func (l *Loop) Submit(r *Request) {
 	r.Deadline = l.capDeadline(r.Deadline)
-	if !r.Upload {
-		l.startDeadlineTimer(r)
-	}
+	r.submittedDeadline = r.Deadline
+	l.startDeadlineTimer(r)
 	l.post(requestArrived{r})
 }
 
-// capDeadline returns a client's deadline, or the time of the last answers if the agent stops before that.
-func (l *Loop) capDeadline(deadline time.Time) time.Time {
-	if end := l.drainDeadline.Load(); end != nil && end.Before(deadline) {
-		return *end
-	}
-	return deadline
-}
-
-// startDeadlineTimer starts the timer that notifies the loop when a request's deadline and half of the answer grace
-// have passed. The grace is for a request that arrives less than a tick before its deadline: it is answered in the step
-// that first handles it.
-func (l *Loop) startDeadlineTimer(r *Request) {
-	after := time.Until(r.Deadline) + l.cfg.Settings.AnswerGrace/2
-	r.deadlineTimer = time.AfterFunc(after, func() { l.post(deadlineExceeded{r}) })
-}
-
 // ClientDisconnected notifies the loop that a request's client has disconnected, or does not need an answer any more.
 // The request's attempts count as in flight until they end.
 func (l *Loop) ClientDisconnected(r *Request) { l.post(clientDisconnected{r}) }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -7,8 +7,8 @@
 )
 
 // Request is a client's request, from Loop.Submit until its attempts have ended. Its exported fields are set before
-// Submit, which may shorten Deadline. The fields from done on belong to the loop, except that Submit may set
-// deadlineTimer.
+// Submit, which may shorten Deadline. The fields from done on belong to the loop, except that Submit sets
+// deadlineTimer and submittedDeadline before the loop receives the request.
 type Request struct {
 	ID          string // unique among the requests of an agent
 	Class       int
@@ -19,21 +19,27 @@
 	ClientRetry bool          // the client marks the request as a retry
 	OnlyServer  string        // the only server that may get the request; empty: any
 	Client      net.Conn      // the client's connection, to notice its disconnect; nil: not checked
-	// Upload is set if the request's last byte has not arrived yet: its attempt reads the rest from the client.
-	// Deadline is then at most Remaining from now, and Attempt.UploadCompleted sets it again, to Remaining from the
-	// last byte.
+	// Upload is set if the request's last byte has not been read yet: its attempt reads the rest from the client.
+	// Deadline is then at most Remaining from now. It is extended while the client is known to be still writing: see
+	// StillWriting.
 	Upload bool
+	// ClientIsWriting reports, for an upload, whether the client has certainly not written the last byte yet. It may be
+	// called from any goroutine, and must not block; nil: not known.
+	ClientIsWriting func() bool
 
 	reply          func(Answer)
 	ended          chan struct{} // closed with the final answer
 	deadlineLifted atomic.Bool   // the deadline has ceased to apply: only the transfer of the response remains
 	guard          sendGuard
+	writingAt      atomic.Pointer[time.Time] // see StillWriting
 
 	done          bool // the request has its final answer, or its client has disconnected
 	open          int  // attempts in flight
 	attempts      []*Attempt
 	timedOut      bool        // an attempt timed out
 	deadlineTimer *time.Timer // see Loop.startDeadlineTimer
+
+	submittedDeadline time.Time // Deadline as Submit has set it
 }
 
 // NewRequest returns a request whose final answer is passed to reply. reply is called at most once, from any
@@ -42,6 +48,11 @@
 	return &Request{ID: id, Class: class, reply: reply, ended: make(chan struct{})}
 }
 
+// StillWriting records that the client of an upload had not written its last byte at a time. The request's deadline is
+// Remaining after the latest such time. A byte that waits in a socket's buffer, because the server reads slowly, counts
+// as written: the client's wait has begun.
+func (r *Request) StillWriting(at time.Time) { r.writingAt.Store(&at) }
+
 // Ended returns a channel that is closed when the request has its final answer or its client has disconnected. Nothing
 // is sent to a server for the request after that.
 func (r *Request) Ended() <-chan struct{} { return r.ended }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -97,13 +97,12 @@
 	}
 }
 
-// onUploadCompleted sets a request's deadline, which is measured from its last byte.
+// onUploadCompleted sets a request's deadline, which has been running since its client wrote the last byte.
 func (l *Loop) onUploadCompleted(e uploadCompleted) {
 	if e.done {
 		return
 	}
-	e.Deadline = l.capDeadline(e.at.Add(e.Remaining))
-	l.startDeadlineTimer(e.Request)
+	e.Deadline = l.deadlineOf(e.Request)
 	l.pending = append(l.pending, decide.UploadCompleted{
 		Request:   e.ID,
 		Attempt:   e.N,
@@ -188,17 +187,15 @@
 		return
 	}
 	r.done = true
-	if r.deadlineTimer != nil {
-		r.deadlineTimer.Stop()
-	}
+	r.stopDeadlineTimer()
 	r.guard.finish(r.ended, func() { r.reply(answer) })
 }
 
 // reject gives the final answer to a request that is not in the table. Later events of its connection and of its timer
-// are ignored because done is set; a disconnect of its client may already have been posted. The timer is not stopped,
-// because Submit may be setting it at this time in another goroutine.
+// are ignored because done is set; a disconnect of its client may already have been posted.
 func (l *Loop) reject(r *Request, answer Answer) {
 	r.done = true
+	r.stopDeadlineTimer() // otherwise the timer would hold the request, with its body, until its deadline
 	r.guard.finish(r.ended, func() { r.reply(answer) })
 }
 
--- a/internal/core/upload_test.go
+++ b/internal/core/upload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,18 +47,30 @@
 	})
 }
 
+// newUpload returns an upload whose client is writing until written is called on it.
 func newUpload(remaining time.Duration) pendingRequest {
 	r := newPendingRequest("1")
 	r.Upload = true
 	r.Remaining = remaining
 	r.Deadline = time.Now().Add(remaining)
+	writing := &atomic.Bool{}
+	writing.Store(true)
+	r.ClientIsWriting = writing.Load
+	r.Message = writing
 	return r
 }
 
+// written makes the client of newUpload write the last byte now.
+func written(r *Request) {
+	r.Message.(*atomic.Bool).Store(false)
+	r.StillWriting(time.Now())
+}
+
 // The deadline of an upload must be measured from its last byte, however late that byte arrives.
 func TestUploadDeadlineRunsFromItsLastByte(t *testing.T) {
 	attempt := func(a *Attempt) (decide.Result, any) {
 		time.Sleep(5 * time.Minute) // the client is slow
+		written(a.Request)
 		a.UploadCompleted()
 		time.Sleep(900 * time.Millisecond)
 		if a.Context.Err() != nil {
@@ -81,6 +94,7 @@
 	attempt := func(a *Attempt) (decide.Result, any) {
 		time.Sleep(time.Minute)
 		end = time.Now().Add(time.Second)
+		written(a.Request)
 		a.UploadCompleted()
 		<-a.Context.Done()
 		return decide.TimedOut, nil
@@ -94,6 +108,26 @@
 	})
 }
 
+// If the client has written its last byte, the upload must be answered by its deadline, although the server has not read
+// all of it, and so no attempt has written that byte.
+func TestUploadThatItsServerDoesNotReadIsAnsweredByItsDeadline(t *testing.T) {
+	var end time.Time
+	attempt := func(a *Attempt) (decide.Result, any) {
+		time.Sleep(time.Minute)
+		end = time.Now().Add(time.Second)
+		written(a.Request)
+		<-a.Context.Done()
+		return decide.TimedOut, nil
+	}
+	runWithLoop(t, 1000, attempt, func(l *Loop) {
+		r := newUpload(time.Second)
+		l.Submit(r.Request)
+		if a := <-r.reply; !a.TimedOut || time.Now().After(end) || time.Until(end) > 100*time.Millisecond {
+			t.Errorf("%+v, %v before its deadline", a, time.Until(end))
+		}
+	})
+}
+
 // An attempt that failed after it had sent bytes that can't be sent again must not be retried. Since the request was
 // not executed, it must be refused at once, so that the client may retry.
 func TestUploadThatCannotBeReplayedIsRefused(t *testing.T) {
--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -46,7 +46,9 @@
 	}
 	if body.upload != nil {
 		r.Upload = true
-		r.Deadline = time.Now().Add(r.Remaining) // has no effect before the upload's last byte
+		r.Deadline = body.upload.body.writingAt.Add(r.Remaining)
+		r.ClientIsWriting = body.upload.clientIsWriting
+		body.upload.body.request = r
 	} else {
 		// The deadline counts from the arrival of the request's last byte. The last byte of a pipelined request
 		// arrived no later than the bytes that were read last.
--- a/internal/protocol/http1/requestbody.go
+++ b/internal/protocol/http1/requestbody.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"vetchhaven/internal/core"
@@ -35,16 +36,48 @@
 type requestBody struct {
 	client          *clientConn
 	length          int64         // the value of Content-Length; -1: the body is chunked
-	remaining       int64         // bytes of length that are still to be read
+	remaining       atomic.Int64  // bytes of length that are still to be read
 	chunks          *chunkedBody  // nil: not chunked
 	expectsContinue bool          // the client waits for a 100 (Continue) response (RFC 9110, 10.1.1)
 	wireBytes       int64         // bytes read so far, including the framing
 	waitedForClient time.Duration // the total of all waits
+	undecoded       atomic.Int64  // bytes that were read from the connection, and not yet returned as a part of the body
+	writingAt       time.Time     // the latest time at which the client is known not to have written the last byte
+	request         *core.Request // the request whose upload this is; nil: none yet
+}
+
+// openWindow is how many unread bytes, at most, never make a receive buffer full: while there are fewer, all that the
+// client has written has arrived.
+const openWindow = 16 << 10
+
+// clientIsWriting reports whether the client has certainly not written the body's last byte yet. It may be called from
+// any goroutine while the body is being read.
+func (b *requestBody) clientIsWriting() bool {
+	unread, known := core.UnreadBytes(b.client.conn)
+	if !known {
+		return true
+	}
+	arrived := int64(unread) + b.undecoded.Load()
+	if b.chunks != nil {
+		return arrived == 0 // any byte may belong to the end
+	}
+	remaining := b.remaining.Load()
+	return arrived < remaining && (unread < openWindow || remaining > maxDropped)
+}
+
+// noteWriting records a time at which the client is known not to have written the last byte.
+func (b *requestBody) noteWriting(at time.Time) {
+	b.writingAt = at
+	if b.request != nil {
+		b.request.StillWriting(at)
+	}
 }
 
 // newRequestBody returns the body that follows a head. Transfer-Encoding overrides Content-Length (RFC 9112, 6.3).
 func newRequestBody(c *clientConn, h *requestHead) *requestBody {
-	b := &requestBody{client: c, length: h.length, remaining: h.length, expectsContinue: h.expectsContinue}
+	b := &requestBody{client: c, length: h.length, expectsContinue: h.expectsContinue, writingAt: c.lastReadAt}
+	b.remaining.Store(h.length)
+	b.undecoded.Store(int64(c.end - c.start))
 	if h.hasTransferCoding {
 		b.length = -1
 		b.chunks = &chunkedBody{in: bufio.NewReaderSize(wireReader{b}, firstBufferSize)}
@@ -54,6 +87,7 @@
 
 // Read implements io.Reader. It returns the bytes that have arrived, and io.EOF once the body is complete.
 func (b *requestBody) Read(p []byte) (int, error) {
+	defer b.countUndecoded()
 	if b.chunks != nil {
 		n, err := b.chunks.Read(p)
 		switch {
@@ -64,14 +98,24 @@
 		}
 		return n, err
 	}
-	if b.remaining == 0 {
+	remaining := b.remaining.Load()
+	if remaining == 0 {
 		return 0, io.EOF
 	}
-	n, err := wireReader{b}.Read(p[:min(int64(len(p)), b.remaining)])
-	b.remaining -= int64(n)
+	n, err := wireReader{b}.Read(p[:min(int64(len(p)), remaining)])
+	b.remaining.Add(-int64(n))
 	return n, unexpectedEOF(err)
 }
 
+// countUndecoded updates undecoded after a read.
+func (b *requestBody) countUndecoded() {
+	n := b.client.end - b.client.start
+	if b.chunks != nil {
+		n += b.chunks.in.Buffered()
+	}
+	b.undecoded.Store(int64(n))
+}
+
 // returnUnread puts bytes that were read beyond the body's end back into the connection's buffer, for the next
 // request.
 func (b *requestBody) returnUnread() {
@@ -108,12 +152,16 @@
 		return 0, errClientTooSlow
 	}
 	startedAt := time.Now()
+	writing := b.clientIsWriting()
 	if err := c.conn.SetReadDeadline(startedAt.Add(limit)); err != nil {
 		return 0, err
 	}
 	n, err := c.conn.Read(p)
 	readAt := time.Now()
 	c.noteArrival(readAt)
+	if writing {
+		b.noteWriting(c.lastReadAt)
+	}
 	b.waitedForClient += readAt.Sub(startedAt)
 	b.wireBytes += int64(n)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/protocol/http1/upload.go
+++ b/internal/protocol/http1/upload.go
@@ -64,6 +64,11 @@
 	return u.state.Load() == uploadReceived
 }
 
+// clientIsWriting reports whether the client has certainly not written the last byte yet.
+func (u *upload) clientIsWriting() bool {
+	return u.state.Load() == uploadReceiving && u.body.clientIsWriting()
+}
+
 // sendTo passes the rest of the body to write, in pieces as they arrive. clientFault reports whether the client caused
 // the error.
 func (u *upload) sendTo(ctx context.Context, owner attemptOwner, write func([]byte) error) (clientFault bool, err error) {
@@ -97,7 +102,7 @@
 				framed = append(framed, lastChunk...)
 			}
 			text = framed
-		} else if u.body.remaining == 0 {
+		} else if u.body.remaining.Load() == 0 {
 			last = true
 		}
 		if last {
