http1: a head of many short fields no longer takes 430 KB of its connection

Cause: each connection kept a parsed field of 80 bytes for each line, up to 5,000, and kept the array for its next head; thousands of options in Connection were compared with each of the fields (12 s of processor time for 500 heads). Field lines are parsed a second time when the request is forwarded, so nothing is kept for a field; 33 options besides close are a 400. A head that comes byte by byte is searched once, no longer again from its start with each read.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -28,8 +28,7 @@
 	lastReadAt time.Time // when the last bytes arrived
 	// firstDone is set once the first request, including its body, has been read.
 	firstDone bool
-	fields    []field // the fields of the current head; reused for the next one
-	writeBuf  []byte  // reused by the goroutine that writes the next response
+	writeBuf  []byte // reused by the goroutine that writes the next response
 	// responseDone holds one token while no response is pending.
 	responseDone chan struct{}
 	finalAnswers chan finalAnswer // buffered, so that posting never blocks
--- a/internal/protocol/http1/field.go
+++ b/internal/protocol/http1/field.go
@@ -2,14 +2,25 @@
 
 import (
 	"bytes"
+	"slices"
 )
 
 // field is one field line.
 type field struct {
-	name         []byte
-	value        []byte // without the surrounding whitespace
-	line         []byte // the whole line, without its line ending
-	notForwarded bool   // the field applies only to this connection, or is rewritten
+	name  []byte
+	value []byte // without the surrounding whitespace
+	line  []byte // the whole line, without its line ending
+}
+
+// isForwarded reports whether a request's field is forwarded. Hop-by-hop fields (RFC 9110, 7.6.1) and fields that are
+// written anew are not.
+func (f *field) isForwarded() bool {
+	return !slices.ContainsFunc(notForwardedFields[:], f.is)
+}
+
+var notForwardedFields = [...]string{
+	"Host", "Content-Length", "Transfer-Encoding", "Connection", "Expect", "X-Expires-In",
+	"Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Upgrade",
 }
 
 // isTokenByte marks the bytes that a token may contain (RFC 9110, 5.6.2).
--- a/internal/protocol/http1/head_test.go
+++ b/internal/protocol/http1/head_test.go
@@ -25,11 +25,16 @@
 	f.Add([]byte("GET /get HTTP/1.1\r\nHost: a\r\n folded: x\r\n\r\n"))
 	f.Add([]byte("GET /get HTTP/1.1\r\nHost: a\r\nX: a\rb\r\nTransfer-Encoding : chunked\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		n := headEnd(raw)
+		n := headEnd(raw, 0)
+		for searched := range raw { // the same end is found however the bytes arrive
+			if headEnd(raw[:searched], 0) == 0 && headEnd(raw, searched) != n {
+				t.Errorf("%q: end at %d, and at %d after %d bytes", raw, n, headEnd(raw, searched), searched)
+			}
+		}
 		if n == 0 {
 			return
 		}
-		h, err := parseHead(raw[:n], nil)
+		h, err := parseHead(raw[:n])
 		if err != nil || h.hasTransferCoding || h.length > 100 {
 			return
 		}
@@ -204,3 +209,15 @@
 	}
 	testkit.WaitFor(t, "the connection to be idle", func() bool { return a.Limiter().Counts().Idle == 1 })
 }
+
+// A request with thousands of options in Connection would cost a comparison for each option and field line.
+func TestTooManyConnectionOptionsAreRejected(t *testing.T) {
+	a := start(t, testConfig(t, testkit.ConfigOptions{}))
+	for n, status := range map[int]int{maxConnectionOptions: http.StatusServiceUnavailable, maxConnectionOptions + 1: http.StatusBadRequest} {
+		options := strings.Repeat("x,", n)
+		in := a.raw(t, "GET /get/x HTTP/1.1\r\nHost: a\r\nX-Trace-Id: "+newID()+"\r\nConnection: "+options+"\r\n\r\n")
+		if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != status {
+			t.Errorf("%d options: %+v, %v", n, resp, err)
+		}
+	}
+}
--- a/internal/protocol/http1/message.go
+++ b/internal/protocol/http1/message.go
@@ -48,7 +48,7 @@
 // message returns the request as it is forwarded, with its body or the beginning of an upload's body. Its version is
 // HTTP/1.1, whatever version the client speaks (RFC 9110, 2.5), and its framing fields are written anew.
 func (h *requestHead) message(target, host string, body []byte, rest *upload) *message {
-	text := make([]byte, 0, len(h.method)+len(target)+len(host)+64+h.size())
+	text := make([]byte, 0, len(h.method)+len(target)+len(host)+64+len(h.fieldLines))
 	text = append(text, h.method...)
 	text = append(text, ' ')
 	text = append(text, target...)
@@ -69,12 +69,12 @@
 		text = appendInt(text, n)
 		text = append(text, "\r\n"...)
 	}
-	for i := range h.fields {
-		f := &h.fields[i]
-		if f.notForwarded || h.isConnectionOption(f) {
+	for line, rest, more := cutLine(h.fieldLines); more; line, rest, more = cutLine(rest) {
+		f, _ := parseField(line) // parseHead has checked it
+		if !f.isForwarded() || h.isConnectionOption(&f) {
 			continue
 		}
-		text = append(text, f.line...)
+		text = append(text, line...)
 		text = append(text, "\r\n"...)
 	}
 	return &message{head: text, body: body, upload: rest}
--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -20,8 +20,7 @@
 	if !c.frontend.limiter.MarkBusy(c.conn) {
 		return errNoReader
 	}
-	h, err := parseHead(text, c.fields)
-	c.fields = h.fields
+	h, err := parseHead(text)
 	if err != nil {
 		return badRequest(err.Error())
 	}
--- a/internal/protocol/http1/requesthead.go
+++ b/internal/protocol/http1/requesthead.go
@@ -12,7 +12,9 @@
 	method []byte
 	target []byte
 	http10 bool // the client speaks HTTP/1.0
-	fields []field
+	// fieldLines are all field lines with their line endings. They are parsed again when the request is forwarded: a
+	// parsed field takes many times the memory of a short line.
+	fieldLines []byte
 
 	host      []byte
 	hostCount int
@@ -42,12 +44,17 @@
 	errVersion = errors.New("the HTTP version must be 1.1 or 1.0")
 	errHost    = errors.New("exactly one Host field is required")
 	errLength  = errors.New("invalid or repeated Content-Length")
+	errOptions = errors.New("too many options in Connection")
 )
 
-// headEnd returns the index in b after the empty line that ends the head, or 0 if the head is not complete. A line may
-// end with LF alone (RFC 9112, 2.2).
-func headEnd(b []byte) int {
-	for at := 0; ; {
+// headEndOverlap is how many bytes of the end of a part without the head's end have to be searched again with the bytes
+// that follow: an LF and the CR after it.
+const headEndOverlap = 2
+
+// headEnd returns the index in b after the empty line that ends the head, or 0 if the head is not complete. The first
+// searched bytes of b are known not to contain the end. A line may end with LF alone (RFC 9112, 2.2).
+func headEnd(b []byte, searched int) int {
+	for at := max(0, searched-headEndOverlap); ; {
 		i := bytes.IndexByte(b[at:], '\n')
 		if i < 0 {
 			return 0
@@ -62,9 +69,8 @@
 	}
 }
 
-// parseHead parses a request line and field lines, up to the empty line (RFC 9112, 3 and 5). fields is reused.
-func parseHead(b []byte, fields []field) (h requestHead, err error) {
-	h.fields = fields[:0]
+// parseHead parses a request line and field lines, up to the empty line (RFC 9112, 3 and 5).
+func parseHead(b []byte) (h requestHead, err error) {
 	requestLine, b, ok := cutLine(b)
 	if !ok {
 		return h, errHead
@@ -72,12 +78,15 @@
 	if err := h.parseRequestLine(requestLine); err != nil {
 		return h, err
 	}
+	h.fieldLines = b
 	for {
 		var fieldLine []byte
+		rest := b
 		if fieldLine, b, ok = cutLine(b); !ok {
 			return h, errHead
 		}
 		if len(fieldLine) == 0 {
+			h.fieldLines = h.fieldLines[:len(h.fieldLines)-len(rest)]
 			break
 		}
 		f, ok := parseField(fieldLine)
@@ -120,28 +129,23 @@
 	case f.is("Host"):
 		h.hostCount++
 		h.host = f.value
-		f.notForwarded = true
 	case f.is("Content-Length"): // only one, of digits only (RFC 9110, 8.6; RFC 9112, 6.3)
 		repeated := h.hasLength
 		h.hasLength = true
-		f.notForwarded = true
 		if repeated || !parseDigits(f.value, &h.length) {
 			return errLength
 		}
 	case f.is("Transfer-Encoding"): // RFC 9112, 6.1
 		h.chunked = !h.hasTransferCoding && strings.EqualFold(string(f.value), "chunked")
 		h.hasTransferCoding = true
-		f.notForwarded = true
 	case f.is("Connection"):
-		h.addConnectionOptions(f.value)
-		f.notForwarded = true
+		return h.addConnectionOptions(f.value)
 	case f.is("Expect"): // RFC 9110, 10.1.1
 		if strings.EqualFold(string(f.value), "100-continue") {
 			h.expectsContinue = true
 		} else {
 			h.unknownExpectation = true
 		}
-		f.notForwarded = true
 	case f.is("X-Trace-Id"):
 		h.idCount++
 		h.id = f.value
@@ -152,30 +156,35 @@
 		if h.expiresIn == nil {
 			h.expiresIn = f.value
 		}
-		f.notForwarded = true
 	case f.is("X-Size-Hint"):
 		if h.sizeHint == nil {
 			h.sizeHint = f.value
 		}
 	case f.is("X-Second-Try"):
 		h.clientRetry = h.clientRetry || string(f.value) == "1"
-	case f.is("Keep-Alive"), f.is("Proxy-Connection"), f.is("Te"), f.is("Trailer"), f.is("Upgrade"):
-		f.notForwarded = true // hop-by-hop fields (RFC 9110, 7.6.1)
 	}
-	h.fields = append(h.fields, f)
 	return nil
 }
 
+// maxConnectionOptions is how many options besides close the Connection fields of a request may have. Each field line
+// is compared with each of them.
+const maxConnectionOptions = 32
+
 // addConnectionOptions parses a Connection field (RFC 9110, 7.6.1).
-func (h *requestHead) addConnectionOptions(value []byte) {
+func (h *requestHead) addConnectionOptions(value []byte) error {
 	for option := range bytes.SplitSeq(value, []byte{','}) {
 		option = bytes.TrimSpace(option)
-		if strings.EqualFold(string(option), "close") {
+		switch {
+		case strings.EqualFold(string(option), "close"):
 			h.closes = true
-		} else if len(option) > 0 {
+		case len(option) == 0:
+		case len(h.connectionOptions) == maxConnectionOptions:
+			return errOptions
+		default:
 			h.connectionOptions = append(h.connectionOptions, option)
 		}
 	}
+	return nil
 }
 
 // hasBody reports whether a body follows, other than one with a Content-Length of 0.
@@ -242,11 +251,3 @@
 	}
 	return false
 }
-
-// size returns the length of the field lines in bytes.
-func (h *requestHead) size() (n int) {
-	for i := range h.fields {
-		n += len(h.fields[i].line) + 2
-	}
-	return n
-}
--- a/internal/protocol/http1/requestreader.go
+++ b/internal/protocol/http1/requestreader.go
@@ -149,6 +149,7 @@
 		}
 	}
 	started := false
+	searched := 0 // bytes from c.start on that don't contain the head's end
 	if first {
 		// The time limit of the first head counts from the start of the connection, whether or not any byte arrives.
 		c.frontend.limiter.SetReadDeadline(c.conn, time.Now().Add(core.HeadTimeout))
@@ -158,14 +159,16 @@
 		// Empty lines before a request line are ignored (RFC 9112, 2.2).
 		for c.start < c.end && (c.buf[c.start] == '\r' || c.buf[c.start] == '\n') {
 			c.start++
+			searched = 0
 		}
-		if n := headEnd(c.buf[c.start:c.end]); n > 0 {
+		if n := headEnd(c.buf[c.start:c.end], searched); n > 0 {
 			if n > maxHead {
 				return 0, errHead
 			}
 			return n, nil
 		}
-		if c.end-c.start >= maxHead {
+		searched = c.end - c.start
+		if searched >= maxHead {
 			return 0, errHead
 		}
 		if c.start > 0 {
