http1: buffers of heads, responses and streams stay within the budgets until written

Now read buffers beyond 2 KB, responses until they are written (core.Discarder) and pieces of streams are acquired from the two budgets. Without budget a head is refused (503, connection ends), a stream goes on in pieces of 4 KB, and a response is streamed, as before. Chunks are framed in place; long heads and bodies are written without a copy. TestOutcomeTable checked that nothing stays reserved after an attempt; a served response stays reserved until it is written now, so it checks the bytes, discards the response and checks the same.

--- a/internal/core/protocol.go
+++ b/internal/core/protocol.go
@@ -37,6 +37,16 @@
 	Shutdown()
 }
 
+// Discarder is implemented by a response that has reserved memory until it was written or is not needed.
+type Discarder interface{ Discard() }
+
+// discard releases a response that is not used.
+func discard(response any) {
+	if d, ok := response.(Discarder); ok {
+		d.Discard()
+	}
+}
+
 // List is an endpoint list, or a change of it, as the balancer represents it, with the servers' addresses and start
 // times.
 type List struct {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -119,14 +119,17 @@
 	}
 	l.noteResult(e.Attempt, e.outcome.Result)
 	e.timedOut = e.timedOut || e.outcome.Result == decide.TimedOut
-	if e.outcome.Result == decide.OK && !e.done {
-		if e.guard.anotherResponds(e.N) {
-			e.outcome.Result = decide.Cancelled
-		} else {
-			l.finish(e.Request, Answer{Response: e.response})
-			l.counts.served++
-			l.totals.served.Add(1)
-		}
+	switch {
+	case e.outcome.Result != decide.OK:
+	case e.done:
+		discard(e.response)
+	case e.guard.anotherResponds(e.N):
+		e.outcome.Result = decide.Cancelled
+		discard(e.response)
+	default:
+		l.finish(e.Request, Answer{Response: e.response})
+		l.counts.served++
+		l.totals.served.Add(1)
 	}
 	e.outcome.Answered = e.done
 	l.pending = append(l.pending, e.outcome)
--- a/internal/protocol/http1/attempt.go
+++ b/internal/protocol/http1/attempt.go
@@ -73,9 +73,11 @@
 	if a.loadReport != "" && p.cfg.Site.LoadInline {
 		load = parseLoad(a.loadReport)
 	}
-	switch {
-	case a.status == http.StatusOK:
+	if a.status == http.StatusOK {
 		return decide.OK, a, load
+	}
+	a.Discard()
+	switch {
 	case (a.status == http.StatusServiceUnavailable || a.status == http.StatusGatewayTimeout) &&
 		a.neverRan:
 		return decide.Rejected, nil, load
--- a/internal/protocol/http1/attempt_test.go
+++ b/internal/protocol/http1/attempt_test.go
@@ -82,6 +82,12 @@
 			if result == decide.Errored && a == nil && strings.HasPrefix(row.answer, "HTTP/1.1 200") && b.open != 0 {
 				t.Error("a connection that brought an invalid response was kept")
 			}
+			if a != nil {
+				if used := b.responseBudget.Used(); used != int64(len(a.body)) && !strings.Contains(row.answer, "chunked") {
+					t.Errorf("%d bytes are reserved for a body of %d that is still to be written", used, len(a.body))
+				}
+				a.Discard()
+			}
 			if b.responseBudget.Free() != int64(b.cfg.BodyMemory()) {
 				t.Error("bytes of the response stay reserved")
 			}
--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -25,7 +24,9 @@
 	conn       net.Conn
 	buf        []byte // the bytes that were read; buf[start:end] is not consumed yet
 	start, end int
-	lastReadAt time.Time // when the last bytes arrived
+	// bufReserved is how many bytes of the body budget buf occupies: those beyond initialReadSize.
+	bufReserved int
+	lastReadAt  time.Time // when the last bytes arrived
 	// firstDone is set once the first request, including its body, has been read.
 	firstDone bool
 	writeBuf  []byte // reused by the goroutine that writes the next response
@@ -56,6 +57,7 @@
 			}
 		}
 		c.endReader(p == nil || c.hasPending())
+		c.frontend.bodyBudget.Release(c.bufReserved)
 		_ = c.conn.Close() // an error of Close can't be handled
 		if p != nil {
 			panic(p)
@@ -67,12 +69,9 @@
 		if err != nil {
 			c.logEnd(err)
 		}
-		if errors.Is(err, errHead) {
+		if fail := headFault(err); fail != nil {
 			if c.awaitResponse() {
-				c.respondAndClose(&requestError{
-					status: http.StatusRequestHeaderFieldsTooLarge,
-					text:   "the request line and header fields are too large",
-				})
+				c.respondAndClose(fail)
 			} else {
 				c.linger()
 			}
--- a/internal/protocol/http1/errors.go
+++ b/internal/protocol/http1/errors.go
@@ -8,7 +8,7 @@
 	"vetchhaven/internal/core"
 )
 
-// requestError is the error response to a client's request that can't be handled. No such response indicates that a
+// requestError is the error response to a client's request that can't be handled. Only errOverloaded indicates that a
 // retry is harmless.
 type requestError struct {
 	status int    // 0: there is no error response
@@ -38,6 +38,23 @@
 	return &requestError{status: http.StatusBadRequest, text: text}
 }
 
+// headFault returns the response for a head that readHead could not read, or nil if there is none.
+func headFault(err error) *requestError {
+	switch {
+	case errors.Is(err, errHead):
+		return &requestError{
+			status: http.StatusRequestHeaderFieldsTooLarge,
+			text:   "the request line and header fields are too large",
+		}
+	case errors.Is(err, errNoMemory):
+		return errOverloaded
+	}
+	return nil
+}
+
+// errOverloaded is the refusal of a request for which there is no memory now. Nothing was forwarded.
+var errOverloaded = &requestError{status: http.StatusServiceUnavailable, text: "refused, try again"}
+
 // bodyFault returns the response for a body that can't be read: 413, 408 or 400 (RFC 9110, 15.5.14, 15.5.9, 15.5.1).
 func bodyFault(err error) *requestError {
 	switch {
@@ -55,6 +72,7 @@
 // Errors of a client's connection.
 var (
 	errConnClosing        = errors.New("the connection accepts no further request")
+	errNoMemory           = errors.New("no memory for a larger head now")
 	errClientTooSlow      = errors.New("the client sends too slowly")
 	errClientDisconnected = errors.New("the client has disconnected")
 )
--- a/internal/protocol/http1/forward.go
+++ b/internal/protocol/http1/forward.go
@@ -34,7 +34,7 @@
 		}
 	}()
 	until, _ := ctx.Deadline()
-	text := m.encode(until)
+	segments := m.segments(until)
 	c.writeStartedAt = time.Now()
 	if reason := owner.BeginWrite(c.interruptWrite); reason != core.SendAllowed {
 		// The end of the request may have set a deadline for this write. It must not affect the connection's next
@@ -42,13 +42,13 @@
 		reusable := stop() && c.SetDeadline(time.Time{}) == nil
 		return nil, false, &sendRefusedError{reason: reason, nothingWritten: true, reusable: reusable}
 	}
-	n, err := c.Write(text)
+	complete, err := c.writeSegments(segments)
 	owner.EndWrite()
-	if err != nil && n < len(text) && hasEnded(owner) {
+	if err != nil && !complete && hasEnded(owner) {
 		err = errRequestEnded
 	}
-	if err != nil || n < len(text) {
-		return nil, n == len(text) && m.upload == nil, err
+	if err != nil {
+		return nil, complete && m.upload == nil, err
 	}
 	in := p.readers.Get().(*bufio.Reader)
 	defer func() {
@@ -68,15 +68,42 @@
 	if a, err = readResponse(in, src, p.responseBudget); err == nil && a.remaining != nil {
 		err = p.streamResponse(ctx, owner, m, a, src)
 	}
+	if err != nil && a != nil {
+		a.Discard()
+	}
 	if err != nil && src.connEnded && !errors.Is(err, errClientFault) {
 		err = fmt.Errorf("%w: %w", errConnectionEnded, err)
 	}
-	if err == nil && a.reusable {
-		err = c.SetDeadline(time.Time{})
+	if err == nil && a.reusable && c.SetDeadline(time.Time{}) != nil {
+		a.reusable = false
 	}
 	return a, true, err
 }
 
+// writeSegments writes the parts of a message. complete reports whether the last byte was written.
+func (c *serverConn) writeSegments(segments [][]byte) (complete bool, err error) {
+	for i, segment := range segments {
+		if len(segment) == 0 {
+			continue
+		}
+		n, err := c.Write(segment)
+		if err != nil {
+			return n == len(segment) && isLastSegment(segments, i), err
+		}
+	}
+	return true, nil
+}
+
+// isLastSegment reports whether no part after part i has a byte.
+func isLastSegment(segments [][]byte, i int) bool {
+	for _, segment := range segments[i+1:] {
+		if len(segment) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // interruptWrite ends a write that waits for its server. Once the client has its response, or has disconnected, the
 // server must not get the request's last byte.
 func (c *serverConn) interruptWrite() { _ = c.SetWriteDeadline(core.PastDeadline) }
@@ -117,6 +144,9 @@
 		rejection.reusable = false
 		return rejection, nil
 	}
+	if readErr == nil {
+		rejection.Discard()
+	}
 	return nil, err
 }
 
@@ -131,9 +161,11 @@
 	// The client's deadline no longer ends the attempt. A pause longer than maxStall does, and so does a rate below
 	// minServerRate: the total wait for the server is limited to maxStall plus the time that its bytes take at that
 	// rate.
-	buf := pieceBuffers.Get().(*[]byte)
-	defer pieceBuffers.Put(buf)
 	out, err := m.client.startStream(a, m.http10)
+	a.body = nil
+	a.Discard()
+	buf := newPiece(p.responseBudget)
+	defer buf.release()
 	var waited time.Duration
 	received := 0
 	for err == nil {
@@ -142,11 +174,11 @@
 			return errResponseTooSlow
 		}
 		readStartedAt := time.Now()
-		n, readErr := a.remaining.Read(*buf)
+		n, readErr := a.remaining.Read(buf.space())
 		waited += time.Since(readStartedAt)
 		received += n
 		if n > 0 {
-			err = out.write((*buf)[:n])
+			err = out.write(buf, n)
 		}
 		if errors.Is(readErr, io.EOF) && err == nil {
 			if err = out.end(); err == nil {
--- a/internal/protocol/http1/frontend_test.go
+++ b/internal/protocol/http1/frontend_test.go
@@ -60,7 +60,7 @@
 		want  string
 	}{{true, 250 * time.Millisecond, "0.250"}, {true, time.Minute, "1.500"}, {true, 0, ""}, {false, time.Second, ""}} {
 		cfg.Settings.RetryAfter = row.shown
-		text := (&frontend{cfg: cfg}).appendAnswer(nil, core.Answer{Refused: true, RetryAfter: row.after}, false)
+		text, _ := (&frontend{cfg: cfg}).appendAnswer(nil, core.Answer{Refused: true, RetryAfter: row.after}, false)
 		resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(text)), nil)
 		if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") != row.want {
 			t.Errorf("%+v: %+v, %v", row, resp, err)
--- a/internal/protocol/http1/head_test.go
+++ b/internal/protocol/http1/head_test.go
@@ -47,7 +47,7 @@
 			body = nil
 		}
 		m := h.message(target, host, body, nil)
-		in := bufio.NewReader(bytes.NewReader(m.encode(time.Time{})))
+		in := bufio.NewReader(bytes.NewReader(bytes.Join(m.segments(time.Time{}), nil)))
 		got, err := http.ReadRequest(in)
 		if err != nil {
 			if string(h.method) == http.MethodGet || string(h.method) == http.MethodPost {
--- a/internal/protocol/http1/message.go
+++ b/internal/protocol/http1/message.go
@@ -27,11 +27,23 @@
 // expiresInSize is the space for the X-Expires-In line, in bytes.
 const expiresInSize = 40
 
-// encode returns the message as an attempt with this deadline writes it. If the deadline is zero, X-Expires-In is left
-// out.
-func (m *message) encode(deadline time.Time) []byte {
-	text := make([]byte, 0, len(m.head)+len(m.body)+expiresInSize)
-	text = append(text, m.head...)
+// maxJoinedMessage is up to how many bytes a message is copied into one buffer, to be written with one call.
+const maxJoinedMessage = 8 << 10
+
+// segments returns the message as an attempt with this deadline writes it, in parts that are written one after the
+// other. If the deadline is zero, X-Expires-In is left out. A long head or body is not copied: it may have to wait for
+// its server.
+func (m *message) segments(deadline time.Time) [][]byte {
+	end := m.appendHeadEnd(make([]byte, 0, expiresInSize), deadline)
+	if len(m.head)+len(m.body) > maxJoinedMessage {
+		return [][]byte{m.head, end, m.body}
+	}
+	text := make([]byte, 0, len(m.head)+len(end)+len(m.body))
+	return [][]byte{append(append(append(text, m.head...), end...), m.body...)}
+}
+
+// appendHeadEnd appends X-Expires-In and the empty line.
+func (m *message) appendHeadEnd(text []byte, deadline time.Time) []byte {
 	if !deadline.IsZero() {
 		remaining := time.Until(deadline)
 		if m.upload != nil { // the time of an upload counts from its last byte
@@ -41,8 +53,7 @@
 		text = strconv.AppendFloat(text, max(0, remaining.Seconds()), 'f', 3, 64)
 		text = append(text, "\r\n"...)
 	}
-	text = append(text, "\r\n"...)
-	return append(text, m.body...)
+	return append(text, "\r\n"...)
 }
 
 // message returns the request as it is forwarded, with its body or the beginning of an upload's body. Its version is
--- a/internal/protocol/http1/probe.go
+++ b/internal/protocol/http1/probe.go
@@ -33,6 +33,9 @@
 	if a != nil && p.cfg.Site.LoadProbed {
 		load = parseLoad(string(a.body))
 	}
+	if a != nil {
+		a.Discard()
+	}
 	return decide.ProbeResult{Backend: id, Result: result, Latency: time.Since(start), Load: load}
 }
 
--- a/internal/protocol/http1/render.go
+++ b/internal/protocol/http1/render.go
@@ -70,22 +70,35 @@
 	return append(b, '\n')
 }
 
-// appendAnswer appends the response that carries a request's final answer. If it can't be written completely, the
+// maxJoinedBody is up to how many bytes a body is copied behind its head, to be written with it.
+const maxJoinedBody = 4 << 10
+
+// appendAnswer appends the response that carries a request's final answer. The body of a served one is returned apart
+// if it is longer than maxJoinedBody. If the response can't be written completely, the
 // connection ends before Content-Length bytes of the body, which shows the client that the response is incomplete (RFC
 // 9112, 8).
-func (f *frontend) appendAnswer(b []byte, a core.Answer, last bool) []byte {
+func (f *frontend) appendAnswer(b []byte, a core.Answer, last bool) (text, body []byte) {
 	served, _ := a.Response.(*response)
+	if served == nil {
+		return f.appendOwnAnswer(b, a, last), nil
+	}
+	b = f.appendStatus(b, http.StatusOK, last)
+	if !served.hasDate {
+		b = appendDate(b)
+	}
+	b = append(b, served.fieldLines...)
+	b = append(b, "Content-Length: "...)
+	b = appendInt(b, len(served.body))
+	b = append(b, "\r\n\r\n"...)
+	if len(served.body) > maxJoinedBody {
+		return b, served.body
+	}
+	return append(b, served.body...), nil
+}
+
+// appendOwnAnswer appends the response for a final answer of the agent's own.
+func (f *frontend) appendOwnAnswer(b []byte, a core.Answer, last bool) []byte {
 	switch {
-	case served != nil:
-		b = f.appendStatus(b, http.StatusOK, last)
-		if !served.hasDate {
-			b = appendDate(b)
-		}
-		b = append(b, served.fieldLines...)
-		b = append(b, "Content-Length: "...)
-		b = appendInt(b, len(served.body))
-		b = append(b, "\r\n\r\n"...)
-		return append(b, served.body...)
 	case a.Refused:
 		return f.appendRefusal(b, a, last)
 	case a.Duplicate:
--- a/internal/protocol/http1/requestbody.go
+++ b/internal/protocol/http1/requestbody.go
@@ -6,7 +6,6 @@
 	"io"
 	"os"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,8 +23,6 @@
 	// firstBufferSize is how many bytes are reserved at first for a body of unknown length; the number doubles as
 	// needed.
 	firstBufferSize = 4 << 10
-	// streamPieceSize is how many bytes of a streamed body are buffered at once.
-	streamPieceSize = 32 << 10
 	// minClientRate is the minimum rate of a client, in bytes per second, while the agent waits for its bytes: half of
 	// the rate of known slow clients. A larger value cuts off slower clients, a smaller one lets them occupy their
 	// slots for longer.
@@ -227,9 +224,3 @@
 		upload:   &upload{body: b, complete: make(chan struct{})},
 	}
 }
-
-// pieceBuffers is a pool of buffers (*[]byte) of streamPieceSize bytes.
-var pieceBuffers = sync.Pool{New: func() any {
-	buf := make([]byte, streamPieceSize)
-	return &buf
-}}
--- a/internal/protocol/http1/requestreader.go
+++ b/internal/protocol/http1/requestreader.go
@@ -15,6 +15,9 @@
 	maxHead = maxHeader + 4<<10
 	// initialReadSize is the initial size of a connection's read buffer, in bytes; the size doubles as needed.
 	initialReadSize = 2 << 10
+	// maxReadBuffer is the largest size of a connection's read buffer. It exceeds maxHead, so that a head that is too
+	// large is recognized as such while a response is pending.
+	maxReadBuffer = 32 << 10
 	// If a client sends more than maxHead bytes after its request, the reader keeps reading and drops the excess, so
 	// that it detects a disconnect. After a disconnect no more bytes can follow than the two systems buffer for a
 	// connection (Linux's defaults: 6 MB received, 4 MB to be sent). These are dropped without pauses, since the
@@ -48,14 +51,11 @@
 func (c *clientConn) watchForDisconnect() bool {
 	var scratch []byte // receives the bytes that are dropped
 	for dropped := 0; ; {
-		var into []byte
-		if c.end-c.start < maxHead {
-			into = c.freeBuffer()
-		} else {
+		into := c.freeBuffer()
+		buffers := into != nil
+		if !buffers {
 			if scratch == nil {
-				buf := pieceBuffers.Get().(*[]byte)
-				defer pieceBuffers.Put(buf)
-				scratch = (*buf)[:floodReadSize]
+				scratch = make([]byte, floodReadSize)
 			}
 			into = scratch
 		}
@@ -63,7 +63,7 @@
 		switch {
 		case n == 0 && err != nil:
 			return errors.Is(err, os.ErrDeadlineExceeded)
-		case c.end-c.start < maxHead:
+		case buffers:
 			c.received(n)
 			continue
 		case dropped == 0 && !c.closeOnOverflow():
@@ -71,10 +71,8 @@
 			c.received(n)
 			return true
 		}
-		scratch = scratch[:cap(scratch)]
 		dropped += n
 		if dropped > maxDropped {
-			scratch = scratch[:floodReadSize]
 			if c.pauseFlood() {
 				return true
 			}
@@ -128,25 +126,51 @@
 	}
 }
 
-// freeBuffer returns the free part of the buffer, for the next bytes. It grows a full buffer.
+// freeBuffer returns the free part of the buffer, for the next bytes. It grows a full buffer. If
+// the buffer is full and may not grow, it returns nil.
 func (c *clientConn) freeBuffer() []byte {
-	if c.end == len(c.buf) {
-		grown := make([]byte, max(initialReadSize, 2*len(c.buf)))
-		copy(grown, c.buf[:c.end])
-		c.buf = grown
+	if c.start > 0 {
+		copy(c.buf, c.buf[c.start:c.end])
+		c.end -= c.start
+		c.start = 0
+	}
+	if c.end == len(c.buf) && !c.growBuffer() {
+		return nil
 	}
 	return c.buf[c.end:]
 }
 
+// growBuffer doubles the buffer. It reports false if the buffer has reached maxReadBuffer, or if the budget does not
+// allow it to grow beyond initialReadSize.
+func (c *clientConn) growBuffer() bool {
+	size := min(max(initialReadSize, 2*len(c.buf)), maxReadBuffer)
+	more := max(0, size-initialReadSize) - c.bufReserved
+	if size <= len(c.buf) || more > 0 && !c.frontend.bodyBudget.Acquire(more) {
+		return false
+	}
+	c.bufReserved += max(0, more)
+	grown := make([]byte, size)
+	copy(grown, c.buf[:c.end])
+	c.buf = grown
+	return true
+}
+
+// dropBuffer releases an empty buffer that has grown: an idle connection should occupy little memory.
+func (c *clientConn) dropBuffer() {
+	c.start = 0
+	c.end = 0
+	if len(c.buf) > initialReadSize {
+		c.buf = nil
+	}
+	c.frontend.bodyBudget.Release(c.bufReserved)
+	c.bufReserved = 0
+}
+
 // readHead reads until a head is complete, and returns the head's length. The head begins at c.start. The error is
-// errHead if the head is too large.
+// errHead if the head is too large, and errNoMemory if there is no memory for it now.
 func (c *clientConn) readHead(first bool) (int, error) {
 	if c.start == c.end {
-		c.start = 0
-		c.end = 0
-		if len(c.buf) > 2*initialReadSize {
-			c.buf = nil // an idle connection should occupy little memory
-		}
+		c.dropBuffer()
 	}
 	started := false
 	searched := 0 // bytes from c.start on that don't contain the head's end
@@ -171,18 +195,17 @@
 		if searched >= maxHead {
 			return 0, errHead
 		}
-		if c.start > 0 {
-			copy(c.buf, c.buf[c.start:c.end])
-			c.end -= c.start
-			c.start = 0
-		}
-		if c.end > 0 && !started {
+		if c.end > c.start && !started {
 			started = true
 			if err := c.startNextRequest(); err != nil {
 				return 0, err
 			}
 		}
-		n, err := c.conn.Read(c.freeBuffer())
+		free := c.freeBuffer()
+		if free == nil {
+			return 0, errNoMemory
+		}
+		n, err := c.conn.Read(free)
 		if n == 0 && err != nil {
 			return 0, err
 		}
--- a/internal/protocol/http1/responsebody.go
+++ b/internal/protocol/http1/responsebody.go
@@ -6,24 +6,20 @@
 	"io"
 	"net/http"
 	"time"
-
-	"vetchhaven/internal/core"
 )
 
 // readBody reads a body to its end if the body is short, arrives soon and fits into the budget. Otherwise the rest is
 // streamed if the response's status is 200. With any other status, the error is errTooLong if the body needs a larger
-// buffer than its limit and the budget allow.
-func (r *response) readBody(body io.Reader, budget *core.ByteBudget) error {
+// buffer than its limit and the budget allow. The reservation lasts until Discard.
+func (r *response) readBody(body io.Reader) error {
 	size := r.firstSize()
-	reserved := 0
-	if budget.Acquire(size) {
-		reserved = size
+	overBudget := size > 0 && !r.reserve(size)
+	if overBudget {
+		size = min(size, smallPieceSize)
 	}
-	defer func() { budget.Release(reserved) }()
 	r.body = make([]byte, 0, size)
 	var startedAt time.Time // when the body's first bytes arrived
 	for {
-		overBudget := reserved == 0 && size > 0
 		if r.status == http.StatusOK && (overBudget || r.isLong(startedAt)) {
 			r.remaining = body
 			return nil
@@ -35,8 +31,7 @@
 		if len(r.body) == cap(r.body) {
 			more := max(cap(r.body), 1)
 			switch {
-			case cap(r.body)+more <= maxBufferedResponse && budget.Acquire(more):
-				reserved += more
+			case cap(r.body)+more <= maxBufferedResponse && r.reserve(more):
 				r.body = append(make([]byte, 0, cap(r.body)+more), r.body...)
 			case r.status != http.StatusOK:
 				return errTooLong // a response with another status is not streamed, so it has to fit into the buffer
@@ -61,6 +56,15 @@
 	}
 }
 
+// reserve acquires n more bytes of the budget, and reports false if there are not enough.
+func (r *response) reserve(n int) bool {
+	if !r.budget.Acquire(n) {
+		return false
+	}
+	r.reserved.Add(int64(n))
+	return true
+}
+
 // firstSize returns how many bytes are reserved at first for a body: the whole length if that is known and short.
 func (r *response) firstSize() int {
 	switch {
--- a/internal/protocol/http1/responsereader.go
+++ b/internal/protocol/http1/responsereader.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"vetchhaven/internal/core"
@@ -28,6 +29,17 @@
 	remaining  io.Reader // the rest of the body; nil: the body is complete
 	finish     func()    // sets reusable; called at the body's end
 	reusable   bool      // the connection may carry another request
+
+	budget   *core.ByteBudget
+	reserved atomic.Int64 // bytes of the budget that body occupies
+}
+
+// Discard releases the memory that the response has reserved. It is called once the response was written or is not
+// needed; a second call has no effect. It implements core.Discarder.
+func (r *response) Discard() {
+	if r.budget != nil {
+		r.budget.Release(int(r.reserved.Swap(0)))
+	}
 }
 
 const (
@@ -82,7 +94,7 @@
 // 9112, 6.3 and 8).
 func readResponse(in *bufio.Reader, src *serverReader, budget *core.ByteBudget) (*response, error) {
 	src.budget = maxResponseHead
-	r := &response{}
+	r := &response{budget: budget}
 	framing, err := r.readHeads(in)
 	if err != nil {
 		return nil, err
@@ -98,7 +110,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := r.readBody(body, budget); err != nil {
+	if err := r.readBody(body); err != nil {
+		r.Discard()
 		return nil, err
 	}
 	return r, nil
--- a/internal/protocol/http1/responsewriter.go
+++ b/internal/protocol/http1/responsewriter.go
@@ -5,7 +5,7 @@
 )
 
 // maxRetainedWriteBuf is the largest write buffer, in bytes, that a connection keeps between responses.
-const maxRetainedWriteBuf = 16 << 10
+const maxRetainedWriteBuf = 1 << 10
 
 // finalAnswer is a message to the writer: a request's final answer, or the notice that no further answer will follow.
 type finalAnswer struct {
@@ -38,11 +38,13 @@
 		if a.last {
 			return
 		}
-		if !c.hasPending() {
-			continue // a second answer to the same request, posted as the agent ended
+		if c.hasPending() { // otherwise it is a second answer to the same request, posted as the agent ended
+			c.writeResponse(a.Answer)
+			c.prepareNext()
+		}
+		if r, ok := a.Response.(*response); ok {
+			r.Discard()
 		}
-		c.writeResponse(a.Answer)
-		c.prepareNext()
 		if c.hasReaderEnded() {
 			return
 		}
@@ -52,21 +54,28 @@
 // writeResponse ends the pending request, and writes the part of its response that is not written yet. After an error
 // the connection is closed.
 func (c *clientConn) writeResponse(a core.Answer) {
-	text, ok := c.finishPending(a)
+	text, body, ok := c.finishPending(a)
 	if ok && len(text) > 0 {
 		ok = c.send(text)
 	}
-	if cap(text) <= maxRetainedWriteBuf {
-		c.writeBuf = text
-	} else {
-		c.writeBuf = nil
+	if ok && len(body) > 0 {
+		ok = c.send(body)
 	}
+	c.retainWriteBuf(text)
 	if !ok {
 		c.setClosing()
 		_ = c.conn.Close()
 	}
 }
 
+// retainWriteBuf keeps a buffer for the next response if it is small.
+func (c *clientConn) retainWriteBuf(buf []byte) {
+	c.writeBuf = nil
+	if cap(buf) <= maxRetainedWriteBuf {
+		c.writeBuf = buf
+	}
+}
+
 func (c *clientConn) hasReaderEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -74,9 +83,9 @@
 }
 
 // finishPending ends the pending request with its final answer, and returns the part of the response that is not
-// written yet. ok is false if a streamed response can't be completed: the connection is then reset, so that the client
+// written yet, with a long body apart. ok is false if a streamed response can't be completed: the connection is then reset, so that the client
 // does not take the part that it has for the complete response (RFC 9112, 8).
-func (c *clientConn) finishPending(a core.Answer) (text []byte, ok bool) {
+func (c *clientConn) finishPending(a core.Answer) (text, body []byte, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var fail *requestError
@@ -100,11 +109,12 @@
 		if t, ok := c.conn.(interface{ SetLinger(int) error }); ok {
 			_ = t.SetLinger(0) // the close will reset the connection
 		}
-		return nil, false
+		return nil, nil, false
 	case streamed:
-		return nil, true
+		return nil, nil, true
 	case fail != nil:
-		return c.frontend.appendError(c.writeBuf[:0], fail.status, fail.text, fail.allow, true), true
+		return c.frontend.appendError(c.writeBuf[:0], fail.status, fail.text, fail.allow, true), nil, true
 	}
-	return c.frontend.appendAnswer(c.writeBuf[:0], a, c.closesAfterResponseLocked()), true
+	text, body = c.frontend.appendAnswer(c.writeBuf[:0], a, c.closesAfterResponseLocked())
+	return text, body, true
 }
--- a/internal/protocol/http1/stream.go
+++ b/internal/protocol/http1/stream.go
@@ -9,8 +9,7 @@
 // goroutine writes on the connection until the request's final answer, which ends the stream.
 type responseStream struct {
 	client  *clientConn
-	chunked bool   // otherwise its length, or the end of the connection, delimits the body
-	chunk   []byte // reused for framing
+	chunked bool // otherwise its length, or the end of the connection, delimits the body
 }
 
 // startStream writes a response's head and the part of its body that was read already. http10 is set if the client
@@ -37,21 +36,19 @@
 		text = append(text, "\r\n"...)
 	}
 	text = append(text, "\r\n"...)
-	if s.chunked {
-		text = appendChunk(text, a.body)
-	} else {
-		text = append(text, a.body...)
+	if !s.chunked || len(a.body) == 0 {
+		return s, s.writeAll(text, a.body)
 	}
-	return s, s.writeAll(text)
+	text = append(appendHex(text, len(a.body)), "\r\n"...)
+	return s, s.writeAll(text, a.body, []byte("\r\n"))
 }
 
-// write sends a piece of the body to the client.
-func (s *responseStream) write(piece []byte) error {
-	if !s.chunked {
-		return s.writeAll(piece)
+// write sends the first n bytes of a piece of the body to the client.
+func (s *responseStream) write(p *piece, n int) error {
+	if s.chunked {
+		return s.writeAll(p.chunk(n, false))
 	}
-	s.chunk = appendChunk(s.chunk[:0], piece)
-	return s.writeAll(s.chunk)
+	return s.writeAll(p.space()[:n])
 }
 
 // end marks the end of a chunked body.
@@ -62,11 +59,18 @@
 	return s.writeAll([]byte(lastChunk))
 }
 
-// writeAll writes bytes. Each piece has the same write timeout as a complete response.
-func (s *responseStream) writeAll(text []byte) error {
-	if err := s.client.conn.SetWriteDeadline(time.Now().Add(s.client.frontend.writeTimeout)); err != nil {
-		return err
+// writeAll writes parts one after the other. Each has the same write timeout as a complete response.
+func (s *responseStream) writeAll(parts ...[]byte) error {
+	for _, part := range parts {
+		if len(part) == 0 {
+			continue
+		}
+		if err := s.client.conn.SetWriteDeadline(time.Now().Add(s.client.frontend.writeTimeout)); err != nil {
+			return err
+		}
+		if _, err := s.client.conn.Write(part); err != nil {
+			return err
+		}
 	}
-	_, err := s.client.conn.Write(text)
-	return err
+	return nil
 }
--- a/internal/protocol/http1/upload.go
+++ b/internal/protocol/http1/upload.go
@@ -78,11 +78,10 @@
 		return false, errors.New("an attempt has consumed the upload's body already")
 	}
 	u.consumed = true
-	buf := pieceBuffers.Get().(*[]byte)
-	defer pieceBuffers.Put(buf)
-	var framed []byte
+	buf := newPiece(u.body.client.frontend.bodyBudget)
+	defer buf.release()
 	for {
-		n, err := u.body.Read(*buf)
+		n, err := u.body.Read(buf.space())
 		last := errors.Is(err, io.EOF)
 		if err != nil && !last {
 			u.fault.Store(bodyFault(err))
@@ -95,13 +94,9 @@
 			return false, context.Cause(ctx)
 		default:
 		}
-		text := (*buf)[:n]
+		text := buf.space()[:n]
 		if u.body.chunks != nil {
-			framed = appendChunk(framed[:0], text)
-			if last {
-				framed = append(framed, lastChunk...)
-			}
-			text = framed
+			text = buf.chunk(n, last)
 		} else if u.body.remaining.Load() == 0 {
 			last = true
 		}
