Memory limit: the runtime, open requests and buffers fit into 32 MB with 1,024 descriptors

The runtime's limit was three quarters of the process's, though the mapped program takes 18 of 32 MB; bodies and responses had an eighth of the limit each; as many requests were open as there were descriptors. memlimit sets the runtime's limit to what the mapped files leave, each second. What may be held for peers (core.HeldMemory) is the limit less 24 MB, at least a quarter; an eighth of it each for requests and responses; a request counts as 32 KB, and requests past that are refused at once, 64 are always possible. Heads beyond 2 KB are reserved while their copy waits. 'attempt not sent' is logged once a second with the number left out, no longer for each attempt. With 192 MB nothing changes but the budgets, 21 in place of 24 MB. Shares of serve's instances follow.

--- a/cmd/vetchhaven/crowd_test.go
+++ b/cmd/vetchhaven/crowd_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -91,17 +93,38 @@
 	}
 }
 
+// mixedCrowd returns a crowd whose clients do what those of the others do, in turn.
+func mixedCrowd(of []crowd) crowd {
+	return crowd{"all of them", func(c net.Conn, n int) { of[n%len(of)].act(c, n) }}
+}
+
 // The process must stay within the least memory that the platform allows while hundreds of clients at once write
 // slowly, stop half way, send heads of very many fields or read slowly, and must answer a usual client afterwards.
 func TestCrowdOfSlowClientsStaysWithinTheLeastMemory(t *testing.T) {
-	server := serveEach(t, answerAll(50*time.Millisecond, strings.Repeat("r", 8<<20)))
-	for _, kind := range crowds() {
+	long := strings.Repeat("r", 8<<20)
+	kinds := crowds()
+	for _, kind := range append(kinds, mixedCrowd(kinds)) {
 		t.Run(strings.ReplaceAll(kind.name, " ", "_"), func(t *testing.T) {
-			s := server
-			if kind.name != "long responses read slowly" {
-				s = serveEach(t, answerAll(50*time.Millisecond, "ok"))
-			}
-			eachCommand(t, 1200*time.Millisecond, s, func(t *testing.T, p *limitedProcess) {
+			server := serveEach(t, func(c net.Conn, in *bufio.Reader) {
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					body := "ok"
+					if r.Header.Get("X-Long") != "" {
+						body = long
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+					time.Sleep(50 * time.Millisecond)
+					if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
+						return
+					}
+				}
+			})
+			eachCommand(t, 1200*time.Millisecond, server, func(t *testing.T, p *limitedProcess) {
 				var clients sync.WaitGroup
 				for n := range crowdSize {
 					c, err := net.Dial("tcp", p.addr)
--- a/cmd/vetchhaven/limited_test.go
+++ b/cmd/vetchhaven/limited_test.go
@@ -117,7 +117,10 @@
 func eachCommand(t *testing.T, deadline time.Duration, server net.Listener, f func(t *testing.T, p *limitedProcess)) {
 	t.Helper()
 	for _, command := range []string{"run", "serve"} {
-		t.Run(command, func(t *testing.T) { f(t, startLimited(t, command, deadline, server.Addr().String())) })
+		t.Run(command, func(t *testing.T) {
+			t.Parallel()
+			f(t, startLimited(t, command, deadline, server.Addr().String()))
+		})
 	}
 }
 
--- a/cmd/vetchhaven/run.go
+++ b/cmd/vetchhaven/run.go
@@ -21,6 +21,7 @@
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/host/admin"
 	"vetchhaven/internal/host/handoff"
+	"vetchhaven/internal/host/memlimit"
 	"vetchhaven/internal/protocol/http1"
 )
 
@@ -68,7 +69,9 @@
 	// The heap is small, so the collector runs less often, but still well before the memory limit at which the process
 	// is killed.
 	debug.SetGCPercent(400)
-	limitMemory(cfg.MemoryMB)
+	memory := &memlimit.Limiter{}
+	memory.Set(cfg.MemoryMB)
+	go memory.Run(stop)
 	ln, err := core.Listen(stop, cfg, log)
 	if stop.Err() != nil {
 		return nil // stopped while it waited for the address
@@ -81,7 +84,7 @@
 		return err
 	}
 	if cfg.Admin != "" {
-		closeAdmin, err := startAdmin(cfg, a, log)
+		closeAdmin, err := startAdmin(cfg, a, memory, log)
 		if err != nil {
 			return err
 		}
@@ -113,11 +116,11 @@
 
 // startAdmin starts the admin endpoint. Changes that operators make there also apply in a process that replaces this
 // one.
-func startAdmin(cfg *core.Config, a *core.Agent, log *slog.Logger) (closeAdmin func(), err error) {
+func startAdmin(cfg *core.Config, a *core.Agent, memory *memlimit.Limiter, log *slog.Logger) (closeAdmin func(), err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	publisher := &changePublisher{}
 	loaded := make(chan struct{})
-	go followChanges(ctx, cfg, a, publisher, loaded, log)
+	go followChanges(ctx, cfg, a, publisher, memory, loaded, log)
 	limit := time.NewTimer(operatorStateTimeout)
 	defer limit.Stop()
 	select {
@@ -164,7 +167,7 @@
 
 // followChanges applies the operators' changes that other processes of the agent store, until ctx ends. It closes
 // loaded once it has read the stored changes for the first time, or has failed to open the directory.
-func followChanges(ctx context.Context, cfg *core.Config, a *core.Agent, publisher *changePublisher, loaded chan<- struct{}, log *slog.Logger) {
+func followChanges(ctx context.Context, cfg *core.Config, a *core.Agent, publisher *changePublisher, memory *memlimit.Limiter, loaded chan<- struct{}, log *slog.Logger) {
 	markLoaded := sync.OnceFunc(func() { close(loaded) })
 	defer markLoaded()
 	path := filepath.Join(os.TempDir(), "vetchhaven-"+url.PathEscape(cfg.Name+"-"+cfg.Listen))
@@ -200,7 +203,7 @@
 	}
 	setOtherProcesses := func(n int) {
 		a.SetOtherProcesses(n)
-		limitMemory(cfg.MemoryMB / (n + 1))
+		memory.Set(cfg.MemoryMB / (n + 1))
 	}
 	if n > 0 {
 		setOtherProcesses(n)
@@ -209,13 +212,6 @@
 	dir.Follow(ctx, n, apply, setOtherProcesses, func(err error) { log.Error("operators' changes could not be read", "error", err) })
 }
 
-// limitMemory keeps the heap well below the limit at which the process is killed.
-func limitMemory(mb int) {
-	if mb > 0 {
-		debug.SetMemoryLimit(int64(mb) << 20 * 3 / 4)
-	}
-}
-
 // A configuration that can't be read or is invalid when SIGHUP arrives may be about to be replaced. It is read again
 // at reloadRetryInterval, for at most reloadRetryTimeout. The new configuration counts as received 4 s after the
 // signal.
--- a/cmd/vetchhaven/serve.go
+++ b/cmd/vetchhaven/serve.go
@@ -17,6 +17,7 @@
 
 	"vetchhaven/internal/host/daemon"
 	"vetchhaven/internal/host/daemonconfig"
+	"vetchhaven/internal/host/memlimit"
 )
 
 // clockEnv is the environment variable that shifts the wall clock from which a member of a fleet derives its boot
@@ -65,9 +66,9 @@
 	}
 	// The instances' heaps are small, so the collector runs less often, but still well before the memory limit.
 	debug.SetGCPercent(400)
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	}
+	memory := &memlimit.Limiter{}
+	memory.Set(cfg.MemoryMB)
+	go memory.Run(stop)
 	var successor *exec.Cmd // set by the StartSuccessor function
 	d, err := daemon.New(daemon.Options{Config: cfg, Log: log, Version: version, WallSkew: clockOff, Inherit: before.Sockets, Snapshot: before.Snapshot,
 		Ready: func() {
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -37,7 +38,7 @@
 	// the client to get the final answer. 0: one tick.
 	Margin time.Duration
 	// BodyBytes bounds the bytes of clients' bodies that are buffered at once, and separately those of servers'
-	// bodies. 0: an eighth of the memory limit.
+	// bodies. 0: it follows from the memory limit.
 	BodyBytes int
 	Weight    float64       // this instance's weight when limits are divided among the instances of a process
 	Learned   *LearnedState // learned by the previous instance of this name; nil: there is none
@@ -226,20 +227,39 @@
 const (
 	// defaultMemoryMB is the memory limit in MiB where none is set: the memory that the platform gives an agent.
 	defaultMemoryMB = 192
-	// bodyMemoryDivisor divides the memory limit: the result bounds the buffered bodies of clients, and separately
-	// those of servers.
+	// processMemoryMB is what the process takes beside what it holds for clients and servers, in MiB. It leaves at
+	// least 1/minHeldDivisor of the memory limit.
+	processMemoryMB = 24
+	minHeldDivisor  = 4
+	// bodyMemoryDivisor divides the memory that the process may hold for clients and servers: the result bounds the
+	// buffered bytes of requests, and separately those of responses.
 	bodyMemoryDivisor = 8
 )
 
-// BodyMemory returns how many bytes of clients' bodies may be buffered at once, and separately of servers' bodies.
+// HeldMemory returns how many bytes a process with a memory limit in MiB may hold for clients and servers.
+func HeldMemory(memoryMB int) int {
+	return max((memoryMB-processMemoryMB)<<20, memoryMB<<20/minHeldDivisor)
+}
+
+const (
+	// requestMemory is about how many bytes an open request takes, with its connections and goroutines, beside what is
+	// buffered of it.
+	requestMemory = 32 << 10
+	// minOpenRequests is how many requests may be open however little memory there is.
+	minOpenRequests = 64
+)
+
+// OpenRequests returns how many requests may be open at once in an agent whose BodyMemory is bodyMemory.
+func OpenRequests(bodyMemory int) int {
+	return max(minOpenRequests, bodyMemory*bodyMemoryDivisor/requestMemory)
+}
+
+// BodyMemory returns how many bytes of requests may be buffered at once, and separately of responses.
 func (c *Config) BodyMemory() int {
 	if c.BodyBytes > 0 {
 		return c.BodyBytes
 	}
-	if c.MemoryMB == 0 {
-		return defaultMemoryMB << 20 / bodyMemoryDivisor
-	}
-	return c.MemoryMB << 20 / bodyMemoryDivisor
+	return HeldMemory(cmp.Or(c.MemoryMB, defaultMemoryMB)) / bodyMemoryDivisor
 }
 
 // MaxDeadline returns the longest deadline of any class.
--- a/internal/host/daemonconfig/shares.go
+++ b/internal/host/daemonconfig/shares.go
@@ -50,6 +50,9 @@
 		agent := &cfg.Instances[i].Agent
 		agent.Sockets = sockets[i] + core.ReservedSockets
 		agent.BodyBytes = memoryKiB[i] << 10 / bodyMemoryShare
+		if cfg.MemoryMB > 0 { // the rest is for the process and its connections
+			agent.BodyBytes = int(int64(agent.BodyBytes) * int64(core.HeldMemory(cfg.MemoryMB)) / (int64(cfg.MemoryMB) << 20))
+		}
 	}
 }
 
--- a/internal/protocol/http1/attempt.go
+++ b/internal/protocol/http1/attempt.go
@@ -46,7 +46,9 @@
 		owner.NoteFailure(err)
 		result := core.ResultOfConnectError(ctx, err)
 		if result == decide.NotSent {
-			p.log.Warn("attempt not sent", "error", err, "backend", id)
+			if skipped, ok := p.notSentLog.Allow(); ok {
+				p.log.Warn("attempt not sent", "error", err, "backend", id, "not_logged", skipped)
+			}
 		}
 		return result, nil, noLoad
 	}
--- a/internal/protocol/http1/forward.go
+++ b/internal/protocol/http1/forward.go
@@ -50,21 +50,17 @@
 	if err != nil {
 		return nil, complete && m.upload == nil, err
 	}
-	in := p.readers.Get().(*bufio.Reader)
-	defer func() {
-		in.Reset(nil)
-		p.readers.Put(in)
-	}()
 	src := &serverReader{ctx: ctx, conn: c.Conn}
-	in.Reset(src)
 	if m.upload != nil {
 		owner.MarkNotReplayable()
-		if early, err := p.sendUpload(ctx, owner, c, m, in, src); early != nil || err != nil {
+		if early, err := p.sendUpload(ctx, owner, c, m, src); early != nil || err != nil {
 			return early, false, err
 		}
 		owner.UploadCompleted()
 	}
 	owner.Sent()
+	in, putBack := p.reader(src)
+	defer putBack()
 	if a, err = readResponse(in, src, p.responseBudget); err == nil && a.remaining != nil {
 		err = p.streamResponse(ctx, owner, m, a, src)
 	}
@@ -80,6 +76,16 @@
 	return a, true, err
 }
 
+// reader returns a buffered reader of a server's response, and the function that puts it back after its use.
+func (p *connPool) reader(src *serverReader) (in *bufio.Reader, putBack func()) {
+	in = p.readers.Get().(*bufio.Reader)
+	in.Reset(src)
+	return in, func() {
+		in.Reset(nil)
+		p.readers.Put(in)
+	}
+}
+
 // writeSegments writes the parts of a message. complete reports whether the last byte was written.
 func (c *serverConn) writeSegments(segments [][]byte) (complete bool, err error) {
 	for i, segment := range segments {
@@ -110,7 +116,7 @@
 
 // sendUpload streams the rest of m's body. A server may reject the request before the body's last byte (RFC 9110,
 // 10.1.1, and RFC 9112, 9.5): early is that response.
-func (p *connPool) sendUpload(ctx context.Context, owner attemptOwner, c *serverConn, m *message, in *bufio.Reader, src *serverReader) (early *response, err error) {
+func (p *connPool) sendUpload(ctx context.Context, owner attemptOwner, c *serverConn, m *message, src *serverReader) (early *response, err error) {
 	clientFault, err := m.upload.sendTo(ctx, owner, func(text []byte) error {
 		if err := c.SetWriteDeadline(time.Now().Add(maxUploadStall)); err != nil {
 			return err
@@ -139,6 +145,8 @@
 	if deadlineErr := c.SetReadDeadline(time.Now().Add(reuseDelay)); deadlineErr != nil {
 		return nil, err
 	}
+	in, putBack := p.reader(src)
+	defer putBack()
 	rejection, readErr := readResponse(in, src, p.responseBudget)
 	if readErr == nil && rejection.neverRan && rejection.remaining == nil {
 		rejection.reusable = false
--- a/internal/protocol/http1/frontend.go
+++ b/internal/protocol/http1/frontend.go
@@ -66,7 +66,7 @@
 
 // resize changes the limits on open requests and on buffered body bytes.
 func (f *frontend) resize(sockets, bytes int) {
-	maxOpen := core.ClientSockets(sockets)
+	maxOpen := min(core.ClientSockets(sockets), core.OpenRequests(bytes))
 	if f.cfg.Site.MaxOpen > 0 {
 		maxOpen = min(maxOpen, f.cfg.Site.MaxOpen)
 	}
--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -33,6 +33,7 @@
 type connPool struct {
 	cfg            *core.Config
 	log            *slog.Logger
+	notSentLog     core.LogThrottle
 	maxIdle        time.Duration    // how long a connection may be idle according to the settings
 	maxStall       time.Duration    // how long a server may send no byte of a streamed response; tests shorten it
 	responseBudget *core.ByteBudget // bytes of responses that are being read
--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -38,9 +38,16 @@
 	if fail != nil {
 		return fail
 	}
+	headReserved := max(0, len(text)-initialReadSize) // for the copy that is forwarded; a small one counts as a part of the request
+	if headReserved > 0 && !c.frontend.bodyBudget.Acquire(headReserved) {
+		c.frontend.loop.ClassCounts(r.Class).CountAnswer(core.Answer{Refused: true})
+		return errOverloaded
+	}
 	c.start += len(text)
 	body, fail := c.receiveBody(&h)
+	body.reserved += headReserved
 	if fail != nil {
+		c.frontend.bodyBudget.Release(body.reserved)
 		return fail
 	}
 	if body.upload != nil {
@@ -72,15 +79,15 @@
 	return c.respondLocally(c.writeBuf)
 }
 
-// receiveBody reads a request's body, or only the part that is buffered.
+// receiveBody reads a request's body, or only the part that is buffered. The reserved bytes have to be released after an
+// error, too.
 func (c *clientConn) receiveBody(h *requestHead) (receivedBody, *requestError) {
 	if !h.hasBody() {
 		return receivedBody{}, nil
 	}
 	received, err := newRequestBody(c, h).readBuffered(c.frontend.bodyBudget)
 	if err != nil {
-		c.frontend.bodyBudget.Release(received.reserved)
-		return receivedBody{}, bodyFault(err)
+		return received, bodyFault(err)
 	}
 	return received, nil
 }
--- a/internal/protocol/ldap/bindserver.go
+++ b/internal/protocol/ldap/bindserver.go
@@ -48,7 +48,9 @@
 	}
 	if err != nil {
 		if errors.Is(err, core.ErrNoSocket) || errors.Is(err, errServerTLS) {
-			p.log.Warn("attempt not sent", "error", err, "server", a.Server)
+			if skipped, ok := p.notSentLog.Allow(); ok {
+				p.log.Warn("attempt not sent", "error", err, "server", a.Server, "not_logged", skipped)
+			}
 		}
 		if errors.Is(err, errMovedWhileDialling) {
 			return nil, decide.Incomplete // the operation was not sent, and may be sent to another server
--- a/internal/protocol/ldap/serverpool.go
+++ b/internal/protocol/ldap/serverpool.go
@@ -36,13 +36,15 @@
 // connPool holds the connections to all servers. Its methods may be called from any goroutine. The caller holds p.mu
 // if the comment of a method requires it.
 type connPool struct {
-	cfg      *core.Config
-	options  *Options
-	tls      *tls.Config
-	log      *slog.Logger
-	maxConns int
-	maxIdle  time.Duration // how long a connection may be idle
-	dialer   func(ctx context.Context, network, addr string) (net.Conn, error)
+	cfg     *core.Config
+	options *Options
+	tls     *tls.Config
+	log     *slog.Logger
+	// notSentLog limits the lines about attempts without a connection.
+	notSentLog core.LogThrottle
+	maxConns   int
+	maxIdle    time.Duration // how long a connection may be idle
+	dialer     func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu        sync.Mutex
 	addresses core.Addresses
