An id that may have been executed is not executed again, by any process of the agent

Cause: an agent remembered ids for one to two longest deadlines (300 ms here: twice after 1.2 s) and for at most 16,384 others, refused ones included; each process, and each agent of an instance that a reload replaces, remembered its own alone. Now the first attempt of a request claims its id in a table of fixed size (core.IDTable), for 30 s; a second claim is answered 409 and nothing is sent. An id whose attempts certainly never ran is released: a refusal still promises nothing. The table is a file that the processes share: run maps it from the directory in $TMPDIR that the processes of an agent share already, serve passes a file without a name to its successor. A word has tag and time, so a claim is one compare-and-swap; of two claims at the same moment at most one succeeds (TestIDIsClaimedByOneOfManyProcesses, also with -race). If the file can't be opened within 0.25 s, a process remembers its own. LDAP has ids of its own making, which nobody can repeat.

--- a/cmd/vetchhaven/run.go
+++ b/cmd/vetchhaven/run.go
@@ -21,6 +21,7 @@
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/host/admin"
 	"vetchhaven/internal/host/handoff"
+	"vetchhaven/internal/host/idfile"
 	"vetchhaven/internal/host/memlimit"
 	"vetchhaven/internal/protocol/http1"
 )
@@ -79,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	a, err := http1.New(cfg, log.With("agent", cfg.Name), core.Options{Listener: ln})
+	a, err := http1.New(cfg, log.With("agent", cfg.Name), core.Options{Listener: ln, IDs: openIDs(cfg, log)})
 	if err != nil {
 		return err
 	}
@@ -162,6 +163,43 @@
 	}, nil
 }
 
+// sharedDir returns the path of the directory that all processes of an agent share.
+func sharedDir(cfg *core.Config) string {
+	return filepath.Join(os.TempDir(), "vetchhaven-"+url.PathEscape(cfg.Name+"-"+cfg.Listen))
+}
+
+const (
+	idsFileName = "ids"
+	// idsTimeout is how long a start waits for the file of IDs.
+	idsTimeout = 250 * time.Millisecond
+)
+
+// openIDs returns the table of the request IDs that any process of the agent has executed, or nil if it can't be opened
+// in time: this process then remembers its own.
+func openIDs(cfg *core.Config, log *slog.Logger) *core.IDTable {
+	opened := make(chan *core.IDTable, 1)
+	go func() {
+		dir := sharedDir(cfg)
+		var ids *core.IDTable
+		err := handoff.MakeDir(dir)
+		if err == nil {
+			ids, err = idfile.Open(filepath.Join(dir, idsFileName), cfg.MemoryMB)
+		}
+		if err != nil {
+			log.Error("the IDs of executed requests can't be shared with the agent's other processes", "error", err)
+		}
+		opened <- ids
+	}()
+	select {
+	case ids := <-opened:
+		return ids
+	case <-time.After(idsTimeout):
+		log.Error("the file with the IDs of executed requests could not be opened in time; this process remembers its own",
+			"waited", idsTimeout)
+		return nil
+	}
+}
+
 // adminRetryInterval is the time between attempts to listen on the admin address while it is in use.
 const adminRetryInterval = 250 * time.Millisecond
 
@@ -170,7 +208,7 @@
 func followChanges(ctx context.Context, cfg *core.Config, a *core.Agent, publisher *changePublisher, memory *memlimit.Limiter, loaded chan<- struct{}, log *slog.Logger) {
 	markLoaded := sync.OnceFunc(func() { close(loaded) })
 	defer markLoaded()
-	path := filepath.Join(os.TempDir(), "vetchhaven-"+url.PathEscape(cfg.Name+"-"+cfg.Listen))
+	path := sharedDir(cfg)
 	dir, err := handoff.Open(path)
 	if err != nil { // clients are served nevertheless
 		log.Error("operators' changes apply in this process only, until the directory for sharing them can be opened",
--- a/cmd/vetchhaven/serve.go
+++ b/cmd/vetchhaven/serve.go
@@ -15,8 +15,10 @@
 
 	"github.com/spf13/cobra"
 
+	"vetchhaven/internal/core"
 	"vetchhaven/internal/host/daemon"
 	"vetchhaven/internal/host/daemonconfig"
+	"vetchhaven/internal/host/idfile"
 	"vetchhaven/internal/host/memlimit"
 )
 
@@ -69,8 +71,9 @@
 	memory := &memlimit.Limiter{}
 	memory.Set(cfg.MemoryMB)
 	go memory.Run(stop)
+	idsFile, ids := sharedIDs(before.IDs, cfg.MemoryMB, log)
 	var successor *exec.Cmd // set by the StartSuccessor function
-	d, err := daemon.New(daemon.Options{Config: cfg, Log: log, Version: version, WallSkew: clockOff, Inherit: before.Sockets, Snapshot: before.Snapshot,
+	d, err := daemon.New(daemon.Options{Config: cfg, Log: log, Version: version, WallSkew: clockOff, Inherit: before.Sockets, IDs: ids, Snapshot: before.Snapshot,
 		Ready: func() {
 			log.Info("ready", "instances", len(cfg.Instances), "pid", os.Getpid())
 			if err := before.Ready(); err != nil {
@@ -87,6 +90,9 @@
 			defer context.AfterFunc(stop, end)()
 			cmd := exec.Command(self, os.Args[1:]...)
 			cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+			if idsFile != nil {
+				cmd.ExtraFiles = []*os.File{idsFile}
+			}
 			successor = cmd
 			return daemon.StartSuccessor(either, cmd, sockets, state, daemon.ReadyTimeout)
 		},
@@ -111,3 +117,22 @@
 	}
 	return nil
 }
+
+// sharedIDs returns the table of the request IDs that this daemon or its predecessor has executed, and the file that a
+// successor inherits. inherited is the predecessor's file, or nil. Without a table each agent has one of its own, and a
+// successor may execute an ID again.
+func sharedIDs(inherited *os.File, memoryMB int, log *slog.Logger) (*os.File, *core.IDTable) {
+	file, err := inherited, error(nil)
+	if file == nil {
+		file, err = idfile.New()
+	}
+	var ids *core.IDTable
+	if err == nil {
+		ids, err = idfile.Map(file, memoryMB)
+	}
+	if err != nil {
+		log.Error("the IDs of executed requests can't be shared with a successor", "error", err)
+		return nil, nil
+	}
+	return file, ids
+}
--- a/internal/core/admission_test.go
+++ b/internal/core/admission_test.go
@@ -17,6 +17,7 @@
 		requests:   map[string]*Request{},
 		shedCounts: map[string]int{},
 		recent:     newRecentIDs(time.Second),
+		ids:        newTestIDs(idTableWords),
 	}
 }
 
--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -61,6 +61,9 @@
 	// StopAccepting, if set, ends the time in which a stopping agent still accepts connections. Without it that time
 	// is AcceptAfterStop.
 	StopAccepting <-chan time.Time
+	// IDs holds the IDs of requests that may have been executed, for all agents and processes that share it; nil: the
+	// agent has a table of its own.
+	IDs *IDTable
 	// ReportUsage receives the usage of the agent's leases. The agent's loop calls it; it must not block.
 	ReportUsage func([]quota.Usage)
 	// ReportOutcomes receives the outcomes of attempts at each server since the last call. The agent's loop calls
@@ -96,6 +99,7 @@
 		return nil, err
 	}
 	a.loop.containPanic = a.containPanic
+	a.loop.ids = cmp.Or(options.IDs, a.loop.ids)
 	a.loop.reportUsage = options.ReportUsage
 	a.loop.outcomes.report = options.ReportOutcomes
 	a.protocol = newProtocol(a.loop)
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -132,6 +132,10 @@
 		})
 		return
 	}
+	if !r.claimed && !l.claim(r) {
+		l.rejectRepeated(r, send.Backend)
+		return
+	}
 	if l.dedupWindowPassed(r) || !l.mayStart(r, send) {
 		l.refuseAttempt(r, send.Backend)
 		return
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -34,6 +34,7 @@
 	writingAt      atomic.Pointer[time.Time] // see StillWriting
 
 	done          bool // the request has its final answer, or its client has disconnected
+	claimed       bool // see Loop.claim
 	open          int  // attempts in flight
 	attempts      []*Attempt
 	timedOut      bool        // an attempt timed out
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -207,6 +207,7 @@
 func (l *Loop) forget(r *Request) {
 	if r.done && r.open == 0 {
 		delete(l.requests, r.ID)
+		l.releaseClaim(r)
 		l.recent.add(r.ID, l.clock.now())
 	}
 }
--- a/internal/host/daemon/daemon.go
+++ b/internal/host/daemon/daemon.go
@@ -35,6 +35,7 @@
 	Config   *daemonconfig.Config
 	Log      *slog.Logger
 	Inherit  map[daemonconfig.Address]*os.File // listening sockets of the predecessor
+	IDs      *core.IDTable                     // IDs that this daemon or its predecessor has executed; nil: each agent has its own
 	Snapshot []byte                            // the predecessor's snapshot; nil: the one in the state directory is read
 	// Ready is called once every instance runs and has a list, or readyTimeout has passed.
 	Ready func()
--- a/internal/host/daemon/instances.go
+++ b/internal/host/daemon/instances.go
@@ -108,6 +108,7 @@
 	}
 	log := d.log.With("instance", spec.Name)
 	if spec.LDAP != nil {
+		parts.IDs = nil // its IDs are the agent's own, and start anew in each process
 		return ldap.New(&cfg, *spec.LDAP, log, parts)
 	}
 	return http1.New(&cfg, log, parts)
@@ -121,6 +122,7 @@
 		Hub:               d.hubs[source].Hub,
 		NoLateConnections: true,
 		ListWait:          readyTimeout,
+		IDs:               d.options.IDs,
 		ReportUsage: func(usage []quota.Usage) {
 			if p := d.activePeering.Load(); p != nil {
 				p.transport.ReportUsage(number, usage)
--- a/internal/host/daemon/successor.go
+++ b/internal/host/daemon/successor.go
@@ -9,7 +9,9 @@
 	"os"
 	"os/exec"
 	"slices"
+	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"vetchhaven/internal/host/daemonconfig"
@@ -21,8 +23,11 @@
 // opened: an address that a reload removes would continue to accept connections that no instance handles.
 const (
 	handoverVariable = "VETCHHAVEN_HANDOVER"
+	// idsVariable names the descriptor of the file with the IDs that the predecessor has executed.
+	idsVariable = "VETCHHAVEN_HANDOVER_IDS"
 
-	readyDescriptor       = 3
+	firstDescriptor       = 3
+	readyDescriptor       = firstDescriptor
 	stateDescriptor       = 4
 	firstSocketDescriptor = 5
 )
@@ -31,7 +36,8 @@
 // successor that hangs.
 const ReadyTimeout = 30 * time.Second
 
-// StartSuccessor starts a successor with the given command and waits until it is ready. If StartSuccessor returns an error, no
+// StartSuccessor starts a successor with the given command and waits until it is ready. The first of cmd.ExtraFiles, if
+// any, is the file with the IDs that this daemon has executed. If StartSuccessor returns an error, no
 // successor is running.
 func StartSuccessor(ctx context.Context, cmd *exec.Cmd, sockets map[daemonconfig.Address]*os.File, state []byte, timeout time.Duration) error {
 	ready, readyWriter, err := os.Pipe()
@@ -91,6 +97,7 @@
 		addresses = append(addresses, address)
 	}
 	slices.SortFunc(addresses, func(a, b daemonconfig.Address) int { return strings.Compare(a.String(), b.String()) })
+	ids := cmd.ExtraFiles
 	cmd.ExtraFiles = []*os.File{ready, state}
 	for _, address := range addresses {
 		cmd.ExtraFiles = append(cmd.ExtraFiles, sockets[address])
@@ -103,6 +110,10 @@
 		cmd.Env = os.Environ()
 	}
 	cmd.Env = append(cmd.Env, handoverVariable+"="+string(list))
+	if len(ids) > 0 {
+		cmd.Env = append(cmd.Env, fmt.Sprintf("%s=%d", idsVariable, firstDescriptor+len(cmd.ExtraFiles)))
+		cmd.ExtraFiles = append(cmd.ExtraFiles, ids[0])
+	}
 	return nil
 }
 
@@ -132,7 +143,9 @@
 type Inherited struct {
 	Sockets  map[daemonconfig.Address]*os.File
 	Snapshot []byte // the predecessor's snapshot
-	ready    *os.File
+	// IDs is the file with the IDs that the predecessor has executed; nil: an earlier build, which passes none.
+	IDs   *os.File
+	ready *os.File
 }
 
 // Inherit takes over what the predecessor passed to this process. Processes that this one starts do not inherit it.
@@ -144,7 +157,15 @@
 	if err := os.Unsetenv(handoverVariable); err != nil {
 		return nil, err
 	}
+	ids := os.Getenv(idsVariable)
+	if err := os.Unsetenv(idsVariable); err != nil {
+		return nil, err
+	}
 	inherited, err := inherit(text)
+	if fd, atoiErr := strconv.Atoi(ids); err == nil && atoiErr == nil {
+		syscall.CloseOnExec(fd)
+		inherited.IDs = os.NewFile(uintptr(fd), "ids")
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", handoverVariable, err)
 	}
--- a/internal/host/handoff/dir.go
+++ b/internal/host/handoff/dir.go
@@ -55,10 +55,7 @@
 // process is alive. Otherwise it is left over from an earlier run and is removed. Open returns an error if the
 // directory can't be used or belongs to another user.
 func Open(path string) (d *Dir, err error) {
-	if err := os.Mkdir(path, 0o700); err != nil && !errors.Is(err, fs.ErrExist) {
-		return nil, err
-	}
-	if err := checkPrivate(path); err != nil {
+	if err := MakeDir(path); err != nil {
 		return nil, err
 	}
 	d = &Dir{path: path, ackTimeout: AckTimeout}
@@ -80,6 +77,14 @@
 	return d, nil
 }
 
+// MakeDir creates the directory at path if it is missing. It returns an error if another user can access it.
+func MakeDir(path string) error {
+	if err := os.Mkdir(path, 0o700); err != nil && !errors.Is(err, fs.ErrExist) {
+		return err
+	}
+	return checkPrivate(path)
+}
+
 // checkPrivate rejects a directory that another user may have created, since the parent may be writable by everyone.
 func checkPrivate(path string) error {
 	info, err := os.Lstat(path)
