ldap: what one client, or a crowd, makes the agent hold is bounded

Callers saw: memory that grew without end, and lookups of others that took 5 s, while one client sent Cancel requests or searches at full speed and read nothing. Causes: responses that the agent makes itself were queued without a bound; a Cancel request was no open operation, so thousands were; each Abandon of one operation started a goroutine; messages of up to 1 MB a client were in no budget; attempts whose client does not read counted as load on their server for 10 s, and others found it busy. Now the reader waits for space before it answers; Cancel requests count to max_open; a repeated Abandon does nothing; messages beyond 512 bytes that are read, and those of open operations beyond 2 KB, are in the instance's budgets (busy, or an end with a notice, otherwise); a response that waits for its client is no load on its server (Attempt.WaitForClient); a client that takes no 16 KB in 2.2 s is closed, in place of none in 10 s.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -33,6 +33,7 @@
 	dialed         bool          // see MarkDialed
 	notReplayable  bool          // see MarkNotReplayable
 	responseParts  int           // see StartResponse
+	waitsForClient bool          // see WaitForClient
 	failure        error         // see NoteFailure
 	hasResult      bool          // the attempt has ended, and result is valid
 	result         decide.Result // see hasResult
@@ -75,6 +76,16 @@
 	a.loop.post(uploadCompleted{a})
 }
 
+// WaitForClient records that the attempt's response waits for its client to read. From now on the attempt is no load on
+// its server: a client that does not read must not take the server's capacity from others. The deadline stays. It may be
+// called only after StartResponse has reported true.
+func (a *Attempt) WaitForClient() {
+	if !a.waitsForClient {
+		a.waitsForClient = true
+		a.loop.post(responseStarted{a, true, time.Since(a.start)})
+	}
+}
+
 // MayDial reports whether the attempt may open a connection. If it may not, and there is no open connection that it
 // can use, the protocol must end it as NotSent.
 func (a *Attempt) MayDial() bool { return !a.reuseOnly }
--- a/internal/protocol/ldap/cancel.go
+++ b/internal/protocol/ldap/cancel.go
@@ -15,10 +15,14 @@
 		return
 	}
 	o.mu.Lock()
+	repeated := o.abandoned
 	o.abandoned = true
 	c := o.attemptConn
 	attemptID := o.attemptID
 	o.mu.Unlock()
+	if repeated {
+		return
+	}
 	if c != nil {
 		c.sendAbandon(attemptID)
 	}
--- a/internal/protocol/ldap/ldap.go
+++ b/internal/protocol/ldap/ldap.go
@@ -49,9 +49,10 @@
 	secret            [32]byte    // HMAC key for identity.key; random, and kept in memory only
 	lastID            atomic.Uint64
 	openOperations    atomic.Int64
-	maxOpen           atomic.Int64  // limit on open operations, on all client connections together
-	startedAt         time.Time     // the zero point of session.lastReceived
-	firstRequestGrace time.Duration // see defaultFirstRequestGrace; tests change it
+	requestBudget     *core.ByteBudget // bytes of clients' messages: those that are being read, and those of open operations
+	maxOpen           atomic.Int64     // limit on open operations, on all client connections together
+	startedAt         time.Time        // the zero point of session.lastReceived
+	firstRequestGrace time.Duration    // see defaultFirstRequestGrace; tests change it
 
 	mu        sync.Mutex
 	sessions  map[*session]bool
@@ -99,6 +100,7 @@
 		sessions:          map[*session]bool{},
 		firstRequestGrace: defaultFirstRequestGrace,
 		startedAt:         time.Now(),
+		requestBudget:     core.NewByteBudget(cfg.BodyMemory()),
 	}
 	p.maxOpen.Store(operationsPerSocket * int64(core.ClientSockets(cfg.Sockets)))
 	if cfg.Site.MaxOpen > 0 {
@@ -174,9 +176,10 @@
 	}
 }
 
-// Resize sets the limit on sockets. There is no limit on bytes in total: each connection bounds its own, by the size
-// of its messages and the number of its operations.
-func (p *protocol) Resize(sockets, _ int) {
+// Resize sets the limit on sockets, and on the bytes of clients' messages, and separately of servers' messages.
+func (p *protocol) Resize(sockets, bytes int) {
+	p.requestBudget.Resize(bytes)
+	p.pool.responseBudget.Resize(bytes)
 	if p.cfg.Site.MaxOpen == 0 {
 		p.maxOpen.Store(operationsPerSocket * int64(core.ClientSockets(sockets)))
 	}
--- a/internal/protocol/ldap/operation.go
+++ b/internal/protocol/ldap/operation.go
@@ -24,6 +24,7 @@
 	paged        bool          // a search with a paged results control
 	cookie       string        // the cookie of a request for a further page, by which requiredConn was found
 	done         chan struct{} // closed when the operation has ended; nil if no goroutine waits for that
+	reserved     int           // bytes of the request budget that raw occupies
 	refs         atomic.Int32  // references of the session and of attempts; passwords are wiped at 0
 
 	mu             sync.Mutex
@@ -82,6 +83,7 @@
 	}
 	o.identity.release()
 	o.newIdentity.release()
+	o.session.protocol.requestBudget.Release(o.reserved)
 }
 
 // discard ends an operation that was not submitted to the loop, and that gets no response.
--- a/internal/protocol/ldap/request.go
+++ b/internal/protocol/ldap/request.go
@@ -33,7 +33,7 @@
 	}
 	s.mu.Lock()
 	_, used := s.operations[m.ID]
-	open := len(s.operations)
+	open := len(s.operations) + s.cancels
 	stickyConn := s.stickyConn
 	s.mu.Unlock()
 	switch {
@@ -81,6 +81,12 @@
 	return true, nil
 }
 
+// smallMessage is up to how many bytes a message counts as a part of its operation, without a reservation of its own.
+const smallMessage = 2 << 10
+
+// noMemoryText is the diagnostic message for a message that the request budget does not allow.
+const noMemoryText = "no memory for a message of this size now: nothing was done"
+
 // handleOperation submits an operation that is to be forwarded to a server.
 func (s *session) handleOperation(raw []byte, m ldapmsg.Message) {
 	kind, timeLimit, err := kindOf(&m)
@@ -88,10 +94,17 @@
 		s.respond(m.ID, m.Op, ldapmsg.ProtocolErrorCode, err.Error())
 		return
 	}
+	reserved := max(0, len(raw)-smallMessage)
+	if reserved > 0 && !s.protocol.requestBudget.Acquire(reserved) {
+		s.respond(m.ID, m.Op, ldapmsg.Busy, noMemoryText)
+		return
+	}
 	own := slices.Clone(raw)
 	m, _ = ldapmsg.Parse(own) // it was parsed before
-	o := &operation{session: s, id: m.ID, message: m, raw: own, kind: kind}
+	o := &operation{session: s, id: m.ID, message: m, raw: own, kind: kind, reserved: reserved}
+	o.refs.Store(1)
 	if !s.assignPagedConn(o) {
+		o.release()
 		s.respond(m.ID, m.Op, ldapmsg.UnwillingToPerform,
 			"the server connection of this paged search is closed: restart the search")
 		return
@@ -100,6 +113,7 @@
 	if s.identity != nil && s.identity.rejected.Load() {
 		s.enqueue(ldapmsg.Response(m.ID, ldapmsg.ResponseTo(m.Op), ldapmsg.StrongerAuthRequired, rebindText))
 		s.mu.Unlock()
+		o.release()
 		return
 	}
 	o.identity = s.identity.retain()
--- a/internal/protocol/ldap/responsestream.go
+++ b/internal/protocol/ldap/responsestream.go
@@ -38,7 +38,7 @@
 			return false
 		}
 		s.started = true
-		if !s.unwanted && !s.operation.session.forward(s.operation, m.Rest) {
+		if !s.unwanted && !s.operation.session.forward(s.attempt, s.operation, m.Rest) {
 			s.unwanted = true
 		}
 	}
--- a/internal/protocol/ldap/serverconn.go
+++ b/internal/protocol/ldap/serverconn.go
@@ -75,6 +75,9 @@
 // malformed bytes, end the connection, because the bytes that follow can't be trusted.
 func (c *serverConn) read() {
 	in := ldapmsg.NewReader(c.conn, c.pool.options.MaxMessage)
+	in.Reserve = c.pool.responseBudget.Acquire
+	in.Release = c.pool.responseBudget.Release
+	defer in.Close()
 	var err error
 	for err == nil {
 		var raw []byte
--- a/internal/protocol/ldap/serverpool.go
+++ b/internal/protocol/ldap/serverpool.go
@@ -43,8 +43,10 @@
 	// notSentLog limits the lines about attempts without a connection.
 	notSentLog core.LogThrottle
 	maxConns   int
-	maxIdle    time.Duration // how long a connection may be idle
-	dialer     func(ctx context.Context, network, addr string) (net.Conn, error)
+	// responseBudget bounds the bytes of servers\' messages that are being read.
+	responseBudget *core.ByteBudget
+	maxIdle        time.Duration // how long a connection may be idle
+	dialer         func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu        sync.Mutex
 	addresses core.Addresses
@@ -55,11 +57,12 @@
 
 func newConnPool(cfg *core.Config, o *Options, t *tls.Config, log *slog.Logger) *connPool {
 	return &connPool{
-		cfg:      cfg,
-		options:  o,
-		tls:      t,
-		log:      log,
-		maxConns: core.BackendSockets(cfg.Sockets),
+		cfg:            cfg,
+		options:        o,
+		tls:            t,
+		log:            log,
+		maxConns:       core.BackendSockets(cfg.Sockets),
+		responseBudget: core.NewByteBudget(cfg.BodyMemory()),
 		// Servers may close an idle connection after IdleClose. The margin of a quarter of that time is far longer
 		// than any network delay.
 		maxIdle: cfg.Site.IdleClose * 3 / 4,
--- a/internal/protocol/ldap/session.go
+++ b/internal/protocol/ldap/session.go
@@ -14,8 +14,7 @@
 	// maxQueuedBytes is how many bytes are queued for a client before attempts wait for the client to read. A larger
 	// value takes more memory; a smaller one slows down server connections.
 	maxQueuedBytes = 256 << 10
-	// writeTimeout is how long a write may take: each write to a client, and writes to a server that have no deadline
-	// of their own.
+	// writeTimeout is how long a write to a server may take that has no deadline of its own.
 	writeTimeout = 10 * time.Second
 	// lingerTime is how long a client has to read the last message before its connection is closed. Closing a socket
 	// that has unread received bytes resets the connection, and the client could lose the message.
@@ -84,6 +83,7 @@
 		}
 	}
 	s.startReader()
+	defer func() { s.in.Close() }()
 	if draining {
 		go s.drain()
 	}
--- a/internal/protocol/ldap/sessionread.go
+++ b/internal/protocol/ldap/sessionread.go
@@ -115,7 +115,12 @@
 // Options.MaxIdle.
 func (s *session) startReader() {
 	first := s.in == nil
+	if s.in != nil {
+		s.in.Close()
+	}
 	s.in = ldapmsg.NewReader(s.conn, s.protocol.options.MaxMessage)
+	s.in.Reserve = s.protocol.requestBudget.Acquire
+	s.in.Release = s.protocol.requestBudget.Release
 	s.in.OnWait = func() {
 		wait := s.protocol.options.MaxIdle
 		if first {
@@ -152,6 +157,8 @@
 		s.protocol.log.Warn("client sent a malformed message; closing its connection",
 			"client", s.raw.RemoteAddr().String(), "error", err)
 		s.endWithNotice(ldapmsg.ProtocolErrorCode, err.Error())
+	case errors.Is(err, ldapmsg.ErrNoMemory):
+		s.endWithNotice(ldapmsg.Busy, noMemoryText)
 	case isTimeout(err):
 		s.endReading()
 		<-s.done
--- a/internal/protocol/ldap/sessionwrite.go
+++ b/internal/protocol/ldap/sessionwrite.go
@@ -2,28 +2,34 @@
 
 import (
 	"bytes"
+	"net"
+	"slices"
 	"time"
 
+	"vetchhaven/internal/core"
 	"vetchhaven/internal/protocol/ldapmsg"
 )
 
-// respond queues a response that the agent makes itself, without a server.
+// respond queues a response that the agent makes itself, without a server. Only the reader calls it: it waits while too
+// many bytes are queued, so that a client that reads no responses gets no more requests read.
 func (s *session) respond(id int32, op byte, code int, text string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.awaitSpace()
 	s.enqueue(ldapmsg.Response(id, ldapmsg.ResponseTo(op), code, text))
 }
 
 // forward queues a message of a server's response for the client, under the client's message ID. It waits while too
 // many bytes are queued for the client. It returns false if the client has disconnected, or if the operation has had
 // its final answer.
-func (s *session) forward(o *operation, rest []byte) bool {
+func (s *session) forward(a *core.Attempt, o *operation, rest []byte) bool {
 	encoded := ldapmsg.WithID(o.id, rest)
+	if s.isQueueFull() {
+		a.WaitForClient()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.queuedBytes > maxQueuedBytes && !s.closed {
-		s.writeSpace.Wait()
-	}
+	s.awaitSpace()
 	if s.closed {
 		return false
 	}
@@ -34,6 +40,20 @@
 	return true
 }
 
+func (s *session) isQueueFull() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queuedBytes > maxQueuedBytes
+}
+
+// awaitSpace waits while too many bytes are queued for the client, until the session is closed at the latest: a client
+// that reads nothing for maxWriteStall is closed. The caller holds s.mu.
+func (s *session) awaitSpace() {
+	for s.queuedBytes > maxQueuedBytes && !s.closed {
+		s.writeSpace.Wait()
+	}
+}
+
 // enqueue queues an encoded message for the client, and starts the writer if none is running. Messages after the
 // Notice of Disconnection are dropped. The caller holds s.mu.
 func (s *session) enqueue(encoded []byte) {
@@ -48,6 +68,26 @@
 	}
 }
 
+const (
+	// writePieceSize is how many bytes of a client's queue are written at once, and maxWriteStall how long a client may
+	// take for them: one that does not read holds messages of servers.
+	writePieceSize = 16 << 10
+	maxWriteStall  = core.HeadTimeout
+)
+
+// writePieces writes bytes to a client.
+func writePieces(conn net.Conn, encoded []byte) error {
+	for piece := range slices.Chunk(encoded, writePieceSize) {
+		if err := conn.SetWriteDeadline(time.Now().Add(maxWriteStall)); err != nil {
+			return err
+		}
+		if _, err := conn.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // runWriter writes the queued messages, until the queue is empty or the session is closed.
 func (s *session) runWriter() {
 	for {
@@ -70,10 +110,7 @@
 		if len(batch) > 1 {
 			encoded = bytes.Join(batch, nil) // one write instead of many, and fewer TLS records
 		}
-		err := conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if err == nil {
-			_, err = conn.Write(encoded)
-		}
+		err := writePieces(conn, encoded)
 		s.mu.Lock()
 		s.queuedBytes -= n
 		s.writeSpace.Broadcast()
--- a/internal/protocol/ldapmsg/reader.go
+++ b/internal/protocol/ldapmsg/reader.go
@@ -1,6 +1,7 @@
 package ldapmsg
 
 import (
+	"errors"
 	"io"
 )
 
@@ -16,7 +17,12 @@
 	MaxMessage int    // maximum size of a message in bytes; a larger message is malformed
 	OnWait     func() // called before a read for the first byte of a message
 	OnPartial  func() // called before the first read for the rest of a message that has begun
+	// Reserve is called before the buffer grows beyond minBuffer, with the number of bytes more. If it returns false,
+	// Next fails with ErrNoMemory. Release is called with the bytes that are not needed any more. Both are nil, or none.
+	Reserve func(n int) bool
+	Release func(n int)
 
+	reserved   int // bytes that were reserved and not released
 	in         io.Reader
 	buf        []byte
 	start, end int // buf[start:end] was read, and not yet returned
@@ -36,6 +42,7 @@
 		r.buf = nil
 		r.start = 0
 		r.end = 0
+		r.Close()
 	}
 	partial := false
 	for {
@@ -48,7 +55,9 @@
 			r.start += need
 			return have[:need], nil
 		}
-		r.makeSpace(have, need)
+		if !r.makeSpace(have, need) {
+			return nil, ErrNoMemory
+		}
 		switch {
 		case r.end == 0:
 			r.OnWait()
@@ -90,8 +99,33 @@
 	return need, nil
 }
 
-// makeSpace moves have to the beginning of the buffer, and grows the buffer if it is full or too small for need bytes.
-func (r *Reader) makeSpace(have []byte, need int) {
+// ErrNoMemory means that Reader.Reserve did not allow the buffer to grow.
+var ErrNoMemory = errors.New("no memory for a larger message now")
+
+// Close releases the reserved bytes. The reader must not be used any more, unless its buffer is empty.
+func (r *Reader) Close() {
+	if r.Release != nil && r.reserved > 0 {
+		r.Release(r.reserved)
+		r.reserved = 0
+	}
+}
+
+// reserve reserves the bytes for a buffer of a size, and reports false if they are not available.
+func (r *Reader) reserve(size int) bool {
+	more := size - minBuffer - r.reserved
+	if r.Reserve == nil || more <= 0 {
+		return true
+	}
+	if !r.Reserve(more) {
+		return false
+	}
+	r.reserved += more
+	return true
+}
+
+// makeSpace moves have to the beginning of the buffer, and grows the buffer if it is full or too small for need bytes. It
+// reports false if there is no memory for that.
+func (r *Reader) makeSpace(have []byte, need int) bool {
 	if r.start > 0 {
 		copy(r.buf, have)
 		r.start = 0
@@ -100,10 +134,15 @@
 	if len(r.buf) < need || len(r.buf) == r.end {
 		// The buffer grows with the bytes that were received, not with the announced length: otherwise a sender could
 		// make the agent allocate memory by announcing a length, without sending anything.
-		grown := make([]byte, max(minBuffer, min(need, 2*len(r.buf))))
+		size := max(minBuffer, min(need, 2*len(r.buf)))
+		if !r.reserve(size) {
+			return false
+		}
+		grown := make([]byte, size)
 		copy(grown, r.buf[:r.end])
 		r.buf = grown
 	}
+	return true
 }
 
 // Buffered returns how many bytes were read after the end of the last message.
