core, http1: an attempt waits while unread bytes may hide its client's close

Now an attempt waits, up to 0.1 s and before it holds the answer back, while 16 KB or more are unread and no end has come: the reader reads on meanwhile. Fewer bytes leave the window open, so the end has come. Uploads are looked at before their last piece, as before.

--- a/internal/core/disconnect.go
+++ b/internal/core/disconnect.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -51,6 +52,29 @@
 	return n, err == nil && ioctlErr == nil
 }
 
+const (
+	// hidingBytes is how many unread bytes, at least, may hide a client's close: with fewer, the receive buffer is not
+	// full, and the close has arrived.
+	hidingBytes = 16 << 10
+	// maxSettle is how long an attempt waits for such bytes to be read, and settleInterval how often it looks.
+	maxSettle      = 100 * time.Millisecond
+	settleInterval = time.Millisecond
+)
+
+// SettleClient waits while so much that the request's client has sent is unread that a close may stand behind it. The
+// reader of the client's connection reads on meanwhile. A protocol calls it before the first write of an attempt, while
+// it holds nothing that others wait for. It has no effect on an upload, whose rest is unread until its attempt reads it.
+func (a *Attempt) SettleClient() {
+	if a.Client == nil || a.Upload {
+		return
+	}
+	for end := time.Now().Add(maxSettle); time.Now().Before(end) && a.Context.Err() == nil; time.Sleep(settleInterval) {
+		if unread, known := UnreadBytes(a.Client); !known || unread < hidingBytes || Disconnected(a.Client) {
+			return
+		}
+	}
+}
+
 // Disconnected reports whether the request's client has disconnected, and if so notifies the loop. It checks the socket
 // itself, because the goroutine that reads the client's connection may be delayed or waiting for something else.
 func (a *Attempt) Disconnected() bool {
--- a/internal/protocol/http1/attempt.go
+++ b/internal/protocol/http1/attempt.go
@@ -15,6 +15,7 @@
 	BeginWrite(interrupt func()) core.SendRefusal    // admits the first write; interrupt ends a write that was admitted
 	ContinueWrite(interrupt func()) core.SendRefusal // admits the write of a further piece of the body
 	EndWrite()                                       // ends a write that was admitted
+	SettleClient()                                   // waits while unread bytes may hide the client's disconnect
 	Ended() <-chan struct{}                          // closed once the request has its final answer; no further byte is sent
 	Disconnected() bool                              // whether the client has disconnected, even if its reader has not detected it yet
 	MayDial() bool                                   // whether the attempt may open a connection
@@ -56,6 +57,7 @@
 		p.release(id, c, true)
 		return decide.Incomplete, nil, noLoad // the request never ran, and another server may get it
 	}
+	owner.SettleClient()
 	a, fullyWritten, err := p.exchange(ctx, owner, c, m)
 	if err != nil {
 		owner.NoteFailure(err)
--- a/internal/protocol/http1/probe.go
+++ b/internal/protocol/http1/probe.go
@@ -69,6 +69,8 @@
 
 func (probeOwner) EndWrite() {}
 
+func (probeOwner) SettleClient() {}
+
 func (probeOwner) Ended() <-chan struct{} { return nil }
 
 func (probeOwner) Disconnected() bool { return false }
