http1: requests that the agent answers itself are paced on each connection

Past 100 of them in a row the connection gets one each 5 ms. A client that goes on sending after its last answer is read slowly past 16 MB, as one that waits for an answer is.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -29,6 +29,7 @@
 	lastReadAt  time.Time // when the last bytes arrived
 	// firstDone is set once the first request, including its body, has been read.
 	firstDone bool
+	pace      pacer
 	writeBuf  []byte // reused by the goroutine that writes the next response
 	// responseDone holds one token while no response is pending.
 	responseDone chan struct{}
@@ -65,6 +66,7 @@
 	}()
 	c.responseDone <- struct{}{}
 	for first := true; ; first = false {
+		c.pace.wait()
 		headLen, err := c.readHead(first)
 		if err != nil {
 			c.logEnd(err)
@@ -188,14 +190,19 @@
 }
 
 // linger reads and drops the bytes that the client still sends, until the client closes its side or lingerTime has
-// passed, so that the close that follows does not reset the connection.
+// passed, so that the close that follows does not reset the connection. A client that sends more than the two systems
+// buffer does not read either, and is read slowly.
 func (c *clientConn) linger() {
-	buf := make([]byte, 1024)
+	buf := make([]byte, floodReadSize)
 	c.frontend.limiter.SetReadDeadline(c.conn, time.Now().Add(lingerTime))
-	for {
-		if _, err := c.conn.Read(buf); err != nil {
+	for dropped := 0; ; {
+		n, err := c.conn.Read(buf)
+		if err != nil {
 			return
 		}
+		if dropped += n; dropped > maxDropped {
+			time.Sleep(floodPause)
+		}
 	}
 }
 
--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -141,6 +141,7 @@
 
 // respondLocally writes a response of the agent itself, and goes on to the next request. An error ends the reader.
 func (c *clientConn) respondLocally(text []byte) *requestError {
+	c.pace.count()
 	if !c.send(text) {
 		return errNoReader
 	}
--- a/internal/protocol/http1/responsewriter.go
+++ b/internal/protocol/http1/responsewriter.go
@@ -38,6 +38,9 @@
 		if a.last {
 			return
 		}
+		if a.Response == nil {
+			c.pace.count()
+		}
 		if c.hasPending() { // otherwise it is a second answer to the same request, posted as the agent ended
 			c.writeResponse(a.Answer)
 			c.prepareNext()
--- a/internal/protocol/ldap/flood_test.go
+++ b/internal/protocol/ldap/flood_test.go
@@ -50,6 +50,7 @@
 			}
 			go writeUntilBlocked(c, flood)
 			slowest := slowestLookup(t, a)
+			t.Logf("the slowest lookup of another client took %v", slowest)
 			if grown := liveHeap() - heap; grown > maxFloodHeap {
 				t.Errorf("the agent holds %d KB more", grown>>10)
 			}
