core: a keyed repeat does not go to an address whose process has ended

The agent knows that the listed process has ended where a connection to it was refused. From then on such a repeat is refused (the request fails at once) until the list shows another process of the server, or 6 s have passed, in which it must have. First attempts, repeats of requests that never ran, idempotent ones and group = "all" are as before. Result: TestRepeatDoesNotGoToAnAddressWhoseProcessHasEnded. Where no connection was refused in between, nothing shows the change: listed as open.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -147,7 +147,7 @@
 		l.rejectRepeated(r, send.Backend)
 		return
 	}
-	if l.dedupWindowPassed(r) || !l.mayStart(r, send) {
+	if l.dedupWindowPassed(r) || l.mayReachAnotherProcess(r, send) || !l.mayStart(r, send) {
 		l.refuseAttempt(r, send.Backend)
 		return
 	}
--- /dev/null
+++ b/internal/core/endedprocess_test.go
@@ -0,0 +1,61 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"vetchhaven/decide"
+)
+
+// A refused connection shows that a server's listed process has ended. Whatever answers at its address before the list
+// shows it may be in another cell, and must not get the repeat of a keyed request that may have been executed.
+func TestRepeatDoesNotGoToAnAddressWhoseProcessHasEnded(t *testing.T) {
+	const keyedCell, keyedAll = 0, 1
+	for name, row := range map[string]struct {
+		class   int
+		result  decide.Result // of the attempt before
+		refused bool          // a connection to the server was refused
+		shift   time.Duration // how long ago
+		listed  int64         // the server's start in a later list; 0: none came
+		want    bool          // the repeat is not sent
+	}{
+		"refused":                       {keyedCell, decide.Reset, true, 0, 0, true},
+		"not refused":                   {keyedCell, decide.Reset, false, 0, 0, false},
+		"never ran":                     {keyedCell, decide.Incomplete, true, 0, 0, false},
+		"all servers drop it":           {keyedAll, decide.Reset, true, 0, 0, false},
+		"the list shows a new process":  {keyedCell, decide.Reset, true, 0, 1000, false},
+		"the list must have shown one":  {keyedCell, decide.Reset, true, listDelay, 0, false},
+		"just before it must have done": {keyedCell, decide.Reset, true, listDelay - time.Second, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newBareLoop()
+			l.cfg.Settings.Classes = []decide.Class{
+				{Effect: decide.Keyed, Scope: decide.ScopeCell, DedupWindow: time.Hour},
+				{Effect: decide.Keyed, Scope: decide.ScopeAll, DedupWindow: time.Hour},
+			}
+			r := NewRequest("r", row.class, func(Answer) {})
+			r.claimed = true
+			r.attempts = []*Attempt{{Request: r, Server: "first", start: time.Now(), hasResult: true, result: row.result, cancel: func(error) {}}}
+			l.requests["r"] = r
+			if row.refused {
+				l.noteRefusedConnection(&Attempt{Request: r, Server: "s"}, decide.ConnectFailed)
+				ended := l.endedProcesses["s"]
+				ended.at -= row.shift
+				l.endedProcesses["s"] = ended
+			}
+			if row.listed > 0 {
+				l.starts.restore("s", row.listed, l.clock.now(), l.clock.now())
+			}
+			if got := l.mayReachAnotherProcess(r, decide.Send{Request: "r", Backend: "s"}); got != row.want {
+				t.Fatalf("%v, want %v", got, row.want)
+			}
+			if !row.want {
+				return
+			}
+			l.startAttempt(decide.Send{Request: "r", Backend: "s"})
+			if outcome, ok := l.pending[len(l.pending)-1].(decide.Outcome); !ok || outcome.Result != decide.NotSent {
+				t.Errorf("%+v: the repeat was sent", l.pending)
+			}
+		})
+	}
+}
--- a/internal/core/idtable.go
+++ b/internal/core/idtable.go
@@ -130,13 +130,7 @@
 
 // releaseClaim forgets the ID of a request that has ended, if none of its attempts can have been executed.
 func (l *Loop) releaseClaim(r *Request) {
-	if !r.claimed {
-		return
+	if r.claimed && !r.mayHaveRun() {
+		l.ids.Release(l.cfg.Name, r.ID)
 	}
-	for _, a := range r.attempts {
-		if !a.hasResult || !a.result.NeverRan() {
-			return
-		}
-	}
-	l.ids.Release(l.cfg.Name, r.ID)
 }
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -39,7 +39,8 @@
 	attemptsContext context.Context // parent of all attempts' contexts; ends with the loop
 	answerMargin    time.Duration   // time kept free before a client's deadline for the final answer
 	probing         map[string]bool // servers with a health check in progress
-	pending         []decide.Event  // for the next step
+	endedProcesses  map[string]endedProcess
+	pending         []decide.Event // for the next step
 	timers          timerHeap
 
 	// State from operators, the endpoint list and the fleet.
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -118,6 +118,7 @@
 		l.violated(AttemptsClosed, e.ID, e.N, e.Server, "more attempts have ended than were begun")
 	}
 	l.noteResult(e.Attempt, e.outcome.Result)
+	l.noteRefusedConnection(e.Attempt, e.outcome.Result)
 	e.timedOut = e.timedOut || e.outcome.Result == decide.TimedOut
 	switch {
 	case e.outcome.Result != decide.OK:
