--- a/cmd/vetchhaven/limited_test.go
+++ b/cmd/vetchhaven/limited_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -146,12 +145,8 @@
 		p.cmd = exec.Command(program, "serve", "--config", path)
 	}
 	const known = `{"id":"s","addr":%q,"zone":"a","kind":"m","state":"ready","weight":1}`
-	text := fmt.Sprintf(format+"%[8]s", p.addr, list.Addr(), leastMemoryMB, mostSockets, fmt.Sprintf(known, server),
-		deadline.Milliseconds(), dir, "")
-	if command == "run" {
-		text = fmt.Sprintf(format, p.addr, list.Addr(), leastMemoryMB, mostSockets, fmt.Sprintf(known, server), deadline.Milliseconds())
-	}
-	write(t, path, strings.TrimSuffix(text, "%!(EXTRA string=)"))
+	write(t, path, fmt.Sprintf(format, p.addr, list.Addr(), leastMemoryMB, mostSockets, fmt.Sprintf(known, server),
+		deadline.Milliseconds(), dir))
 	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path, "TMPDIR="+dir)
 	p.cmd.Stderr = p.log
 	p.cmd.WaitDelay = time.Second // a successor has the same standard error
@@ -272,12 +267,3 @@
 	}
 	return resp.StatusCode, nil
 }
-
-// ended reports whether the peer has ended a connection within a time, whatever it has sent before.
-func ended(c net.Conn, within time.Duration) bool {
-	if c.SetReadDeadline(time.Now().Add(within)) != nil {
-		return true
-	}
-	_, err := io.Copy(io.Discard, c)
-	return !errors.Is(err, os.ErrDeadlineExceeded)
-}
