--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -31,9 +31,10 @@
 	hubMu       sync.Mutex     // guards unsubscribe
 	unsubscribe func()         // unsubscribes from the hub; nil: not subscribed
 
-	stopAccepting func() <-chan time.Time // see stopAcceptingOf
-	listWait      time.Duration           // see Options.ListWait
-	firstListWait time.Duration           // firstPushedListWait, except in tests
+	stopAccepting   func() <-chan time.Time // see stopAcceptingOf
+	maxStopDeadline time.Duration           // see Options.MaxStopDeadline
+	listWait        time.Duration           // see Options.ListWait
+	firstListWait   time.Duration           // firstPushedListWait, except in tests
 
 	serving  atomic.Bool // clients' connections are accepted
 	stopping atomic.Bool
@@ -58,6 +59,9 @@
 	// connections wait in the kernel's queue; if they were accepted, their requests would be refused for lack of a
 	// server.
 	ListWait time.Duration
+	// MaxStopDeadline is the longest deadline that a stop waits for, because the process may be killed drainSlack and 0.1 s
+	// after it; 0: the longest deadline of any class.
+	MaxStopDeadline time.Duration
 	// StopAccepting, if set, ends the time in which a stopping agent still accepts connections. Without it that time
 	// is AcceptAfterStop.
 	StopAccepting <-chan time.Time
@@ -85,13 +89,14 @@
 // newProtocol makes the protocol, which submits its requests to the given loop.
 func New(cfg *Config, log *slog.Logger, options Options, newProtocol func(*Loop) Protocol) (*Agent, error) {
 	a := &Agent{
-		cfg:           cfg,
-		log:           log,
-		hub:           options.Hub,
-		listWait:      options.ListWait,
-		firstListWait: firstPushedListWait,
-		panics:        make(chan error, 1),
-		stopAccepting: stopAcceptingOf(options),
+		cfg:             cfg,
+		log:             log,
+		hub:             options.Hub,
+		listWait:        options.ListWait,
+		firstListWait:   firstPushedListWait,
+		panics:          make(chan error, 1),
+		stopAccepting:   stopAcceptingOf(options),
+		maxStopDeadline: options.MaxStopDeadline,
 	}
 	clk := newClock()
 	var err error
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -49,6 +49,8 @@
 	defer cancel()
 	finalAnswers := end.Add(-finalAnswersReserve)
 	a.loop.drainDeadline.Store(&finalAnswers)
+	unanswered := time.AfterFunc(time.Until(finalAnswers), func() { a.loop.post(stopEnds{}) })
+	defer unanswered.Stop()
 	// Idle connections are closed at once: a client that sends a request just before it receives the close opens a new
 	// connection, which is still accepted.
 	a.stopping.Store(true)
@@ -103,9 +105,15 @@
 	}
 }
 
-// maxDrain returns how long a drain may take: the longest deadline plus drainSlack. With a fixed bound of 3 s, requests
-// were lost at sites with longer deadlines.
-func (a *Agent) maxDrain() time.Duration { return a.cfg.MaxDeadline() + drainSlack }
+// maxDrain returns how long a drain may take: the longest deadline, or Options.MaxStopDeadline if that is shorter, plus
+// drainSlack. Requests with later deadlines are answered as failed before its end.
+func (a *Agent) maxDrain() time.Duration {
+	longest := a.cfg.MaxDeadline()
+	if a.maxStopDeadline > 0 {
+		longest = min(longest, a.maxStopDeadline)
+	}
+	return longest + drainSlack
+}
 
 // closeConnections closes the listener, and returns when all connections have had their answers and are closed, or with
 // an error when ctx ends. A connection whose request has been read but not yet submitted to the loop is not closed
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -33,6 +33,8 @@
 
 // These events are posted by the loop's own timers and by the end of its context.
 type (
-	stopping   struct{}
+	stopping struct{}
+	// stopEnds is posted when a stopping agent has to answer the requests that are still open.
+	stopEnds   struct{}
 	summaryDue struct{}
 )
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -39,6 +39,8 @@
 		l.onLeasesGranted(e)
 	case decide.PeerMessage:
 		l.pending = append(l.pending, e)
+	case stopEnds:
+		l.onStopEnds()
 	case stopping:
 		l.stopRequested = true
 	case summaryDue:
@@ -172,6 +174,21 @@
 	l.forget(r)
 }
 
+// onStopEnds answers the open requests as failed, because the process may be killed before their deadlines. A response
+// that is being sent to its client goes on.
+func (l *Loop) onStopEnds() {
+	for _, r := range l.requests {
+		if r.done || r.deadlineLifted.Load() {
+			continue
+		}
+		l.counts.failed++
+		l.totals.failed.Add(1)
+		l.finish(r, Answer{TimedOut: true})
+		l.pending = append(l.pending, decide.RequestCancelled{Request: r.ID})
+		l.forget(r)
+	}
+}
+
 // onList applies an endpoint list or a change of it.
 func (l *Loop) onList(list List) {
 	l.starts.observe(&list, l.clock.now())
