serve: a stop answers every request before the platform's earliest kill, as run does

Need: the same fault as in run, on serve (20.5 s with a deadline of 20 s). The daemon bounds the stop of its agents on SIGTERM, not for a handover.

--- a/cmd/vetchhaven/earlykill_test.go
+++ b/cmd/vetchhaven/earlykill_test.go
@@ -15,27 +15,28 @@
 // answer must have its final answer by then.
 func TestRequestIsAnsweredBeforeTheEarliestKill(t *testing.T) {
 	const earliestKill = 3700 * time.Millisecond
-	arrived := make(chan struct{}, 1)
+	arrived := make(chan struct{}, 2)
 	server := serveEach(t, func(c net.Conn, in *bufio.Reader) {
 		if _, err := in.ReadByte(); err == nil {
 			arrived <- struct{}{}
 			_, _ = io.Copy(io.Discard, in) // until the agent closes it
 		}
 	})
-	p := startLimited(t, "run", 20*time.Second, server.Addr().String())
-	c := p.dial()
-	send(c, payHead("held"))
-	testkit.Receive(t, "the request at the server", arrived)
-	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	stopped := time.Now()
-	status, err := readResponse(c, testTimeout)
-	if after := time.Since(stopped); err != nil || status < 500 || after > earliestKill {
-		t.Errorf("%d, %v, %v after SIGTERM; log %s", status, err, after, p.log)
-	}
-	_ = p.cmd.Wait()
-	if after := time.Since(stopped); after > earliestKill {
-		t.Errorf("the process ended %v after SIGTERM", after)
-	}
+	eachCommand(t, 20*time.Second, server, func(t *testing.T, p *limitedProcess) {
+		c := p.dial()
+		send(c, payHead("held"))
+		testkit.Receive(t, "the request at the server", arrived)
+		if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		stopped := time.Now()
+		status, err := readResponse(c, testTimeout)
+		if after := time.Since(stopped); err != nil || status < 500 || after > earliestKill {
+			t.Errorf("%d, %v, %v after SIGTERM; log %s", status, err, after, p.log)
+		}
+		_ = p.cmd.Wait()
+		if after := time.Since(stopped); after > earliestKill {
+			t.Errorf("the process ended %v after SIGTERM", after)
+		}
+	})
 }
--- a/cmd/vetchhaven/run.go
+++ b/cmd/vetchhaven/run.go
@@ -80,10 +80,11 @@
 	if err != nil {
 		return err
 	}
-	a, err := http1.New(cfg, log.With("agent", cfg.Name), core.Options{Listener: ln, IDs: openIDs(cfg, log), MaxStopDeadline: maxStopDeadline})
+	a, err := http1.New(cfg, log.With("agent", cfg.Name), core.Options{Listener: ln, IDs: openIDs(cfg, log)})
 	if err != nil {
 		return err
 	}
+	a.BoundStop(core.MaxStopDeadline)
 	if cfg.Admin != "" {
 		closeAdmin, err := startAdmin(cfg, a, memory, log)
 		if err != nil {
@@ -168,10 +169,6 @@
 	return filepath.Join(os.TempDir(), "vetchhaven-"+url.PathEscape(cfg.Name+"-"+cfg.Listen))
 }
 
-// maxStopDeadline is the longest deadline that the platform waits for before it may kill a process that it has told to
-// stop.
-const maxStopDeadline = 3 * time.Second
-
 const (
 	idsFileName = "ids"
 	// idsTimeout is how long a start waits for the file of IDs.
--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -31,18 +31,19 @@
 	hubMu       sync.Mutex     // guards unsubscribe
 	unsubscribe func()         // unsubscribes from the hub; nil: not subscribed
 
-	stopAccepting   func() <-chan time.Time // see stopAcceptingOf
-	maxStopDeadline time.Duration           // see Options.MaxStopDeadline
-	listWait        time.Duration           // see Options.ListWait
-	firstListWait   time.Duration           // firstPushedListWait, except in tests
+	stopAccepting func() <-chan time.Time // see stopAcceptingOf
+	listWait      time.Duration           // see Options.ListWait
+	firstListWait time.Duration           // firstPushedListWait, except in tests
 
 	serving  atomic.Bool // clients' connections are accepted
 	stopping atomic.Bool
 
 	queueLeft atomic.Bool // see LeaveQueue
 
-	drainMu    sync.Mutex  // guards idleCloser and stopAccepting
-	idleCloser *time.Timer // closes idle connections while an operator drains the agent; nil: none is scheduled
+	drainMu sync.Mutex // guards idleCloser, stopAccepting and maxStopDeadline
+	// maxStopDeadline is the longest deadline that a stop waits for; 0: the longest one of any class.
+	maxStopDeadline time.Duration
+	idleCloser      *time.Timer // closes idle connections while an operator drains the agent; nil: none is scheduled
 }
 
 // Options replace an agent's own listener, endpoint list and other defaults. The zero value is for an agent that runs
@@ -59,9 +60,6 @@
 	// connections wait in the kernel's queue; if they were accepted, their requests would be refused for lack of a
 	// server.
 	ListWait time.Duration
-	// MaxStopDeadline is the longest deadline that a stop waits for, because the process may be killed drainSlack and 0.1 s
-	// after it; 0: the longest deadline of any class.
-	MaxStopDeadline time.Duration
 	// StopAccepting, if set, ends the time in which a stopping agent still accepts connections. Without it that time
 	// is AcceptAfterStop.
 	StopAccepting <-chan time.Time
@@ -89,14 +87,13 @@
 // newProtocol makes the protocol, which submits its requests to the given loop.
 func New(cfg *Config, log *slog.Logger, options Options, newProtocol func(*Loop) Protocol) (*Agent, error) {
 	a := &Agent{
-		cfg:             cfg,
-		log:             log,
-		hub:             options.Hub,
-		listWait:        options.ListWait,
-		firstListWait:   firstPushedListWait,
-		panics:          make(chan error, 1),
-		stopAccepting:   stopAcceptingOf(options),
-		maxStopDeadline: options.MaxStopDeadline,
+		cfg:           cfg,
+		log:           log,
+		hub:           options.Hub,
+		listWait:      options.ListWait,
+		firstListWait: firstPushedListWait,
+		panics:        make(chan error, 1),
+		stopAccepting: stopAcceptingOf(options),
 	}
 	clk := newClock()
 	var err error
--- a/internal/core/agent_test.go
+++ b/internal/core/agent_test.go
@@ -164,8 +164,8 @@
 			if drain := a.maxDrain(); drain <= longest || drain >= longest+700*time.Millisecond {
 				t.Errorf("a drain may take %v", drain)
 			}
-			a.maxStopDeadline = 3 * time.Second // the platform may kill the process 0.7 s after that
-			bound := min(longest, a.maxStopDeadline)
+			a.BoundStop(MaxStopDeadline) // the platform may kill the process 0.7 s after that
+			bound := min(longest, MaxStopDeadline)
 			if drain := a.maxDrain(); drain <= bound || drain >= bound+700*time.Millisecond {
 				t.Errorf("a drain of a process that may be killed may take %v", drain)
 			}
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -105,9 +105,23 @@
 	}
 }
 
-// maxDrain returns how long a drain may take: the longest deadline, or Options.MaxStopDeadline if that is shorter, plus
-// drainSlack. Requests with later deadlines are answered as failed before its end.
+// MaxStopDeadline is the longest deadline that the platform waits for before it may kill a process that it has told to
+// stop.
+const MaxStopDeadline = 3 * time.Second
+
+// BoundStop bounds the deadlines that the agent's stop waits for, because its process may be killed drainSlack and 0.1 s
+// after them. It must be called before the agent is stopped.
+func (a *Agent) BoundStop(longest time.Duration) {
+	a.drainMu.Lock()
+	defer a.drainMu.Unlock()
+	a.maxStopDeadline = longest
+}
+
+// maxDrain returns how long a drain may take: the longest deadline that it waits for, plus drainSlack. Requests with
+// later deadlines are answered as failed before its end.
 func (a *Agent) maxDrain() time.Duration {
+	a.drainMu.Lock()
+	defer a.drainMu.Unlock()
 	longest := a.cfg.MaxDeadline()
 	if a.maxStopDeadline > 0 {
 		longest = min(longest, a.maxStopDeadline)
--- a/internal/host/daemon/run.go
+++ b/internal/host/daemon/run.go
@@ -118,6 +118,7 @@
 		}
 		if !handedOver {
 			instance.agent.AcceptUntil(acceptEnded)
+			instance.agent.BoundStop(core.MaxStopDeadline)
 		}
 		instance.stop()
 	}
