--- a/cmd/vetchhaven/limited_test.go
+++ b/cmd/vetchhaven/limited_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -91,25 +90,7 @@
 	t    *testing.T
 	addr string // where clients connect
 	cmd  *exec.Cmd
-	log  *lockedBuffer
-}
-
-// lockedBuffer is a buffer that a process's output may be copied to while it is read.
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *lockedBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
+	log  *syncLog
 }
 
 // eachCommand runs a test on an agent of run and on one of serve, whose only server is handled by serve.
@@ -137,7 +118,7 @@
 	}
 	t.Cleanup(list.Close)
 	dir := t.TempDir()
-	p := &limitedProcess{t: t, addr: freeAddr(t), log: &lockedBuffer{}}
+	p := &limitedProcess{t: t, addr: freeAddr(t), log: &syncLog{}}
 	format, path := limitedRunConfig, filepath.Join(dir, "config.json")
 	p.cmd = exec.Command(program, "run")
 	if command == "serve" {
--- a/cmd/vetchhaven/repeated_test.go
+++ b/cmd/vetchhaven/repeated_test.go
@@ -159,7 +159,7 @@
 	const known = `{"id":"s","addr":%q,"zone":"a","kind":"m","state":"ready","weight":1}`
 	path := filepath.Join(dir, "config.json")
 	write(t, path, fmt.Sprintf(limitedRunConfig, listen, testkit.RefusingAddr(t), 2*leastMemoryMB, mostSockets, fmt.Sprintf(known, server), 10_000))
-	log := &lockedBuffer{}
+	log := &syncLog{}
 	cmd := exec.Command(program, "run")
 	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path, "TMPDIR="+dir, "PROXY_INHERITED_FD=3")
 	cmd.ExtraFiles = []*os.File{socket}
