core: an agent's own table of executed ids is created with its first attempt

Need: a daemon of many instances shares one table; 64 KB for each of its agents were allocated and dropped. Result: tests of core and of repeated ids pass.

--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -101,7 +101,7 @@
 		return nil, err
 	}
 	a.loop.containPanic = a.containPanic
-	a.loop.ids = cmp.Or(options.IDs, a.loop.ids)
+	a.loop.ids = options.IDs
 	a.loop.reportUsage = options.ReportUsage
 	a.loop.outcomes.report = options.ReportOutcomes
 	a.protocol = newProtocol(a.loop)
--- a/internal/core/idtable.go
+++ b/internal/core/idtable.go
@@ -115,6 +115,9 @@
 // claim records that a request may be executed from now on. It reports false if this process, or another process of the
 // agent, may have executed a request of its ID.
 func (l *Loop) claim(r *Request) bool {
+	if l.ids == nil {
+		l.ids = NewIDTable(make([]atomic.Uint64, idTableWords))
+	}
 	r.claimed = l.ids.Claim(l.cfg.Name, r.ID)
 	return r.claimed
 }
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -35,7 +35,7 @@
 	// The request table.
 	requests        map[string]*Request
 	recent          recentIDs       // IDs of requests that have ended
-	ids             *IDTable        // IDs of requests that may have been executed, by any process of the agent
+	ids             *IDTable        // see claim; nil: the agent's own table is created with its first attempt
 	attemptsContext context.Context // parent of all attempts' contexts; ends with the loop
 	answerMargin    time.Duration   // time kept free before a client's deadline for the final answer
 	probing         map[string]bool // servers with a health check in progress
@@ -106,7 +106,6 @@
 		answerMargin: cmp.Or(cfg.Margin, cfg.Settings.Tick),
 		requests:     map[string]*Request{},
 		recent:       newRecentIDs(cfg.MaxDeadline()),
-		ids:          NewIDTable(make([]atomic.Uint64, idTableWords)),
 		probing:      map[string]bool{},
 		starts:       starts,
 		classCounts:  make([]ClassCounts, len(cfg.Settings.Classes)),
