Memory limit: an open request counts as 40 KB, and 3 MB are left unmeasured

A request counts as 40 KB (204 open ones at 32 MB), the runtime's limit leaves 3 MB, and the framing of a chunked body has a buffer of 2 KB in place of 4. The test, its crowds and its bound are as they were.

--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -244,7 +244,7 @@
 const (
 	// requestMemory is about how many bytes an open request takes, with its connections and goroutines, beside what is
 	// buffered of it.
-	requestMemory = 32 << 10
+	requestMemory = 40 << 10
 	// minOpenRequests is how many requests may be open however little memory there is.
 	minOpenRequests = 64
 )
--- a/internal/host/memlimit/memlimit.go
+++ b/internal/host/memlimit/memlimit.go
@@ -18,7 +18,7 @@
 const (
 	// unmeasured is reserved, in bytes, for memory that is neither the runtime's nor mapped from files, and for growth
 	// between two adjustments.
-	unmeasured = 5 << 19
+	unmeasured = 3 << 20
 	// minLimit is the smallest limit of the runtime, in bytes: below it the collector would do nothing but run.
 	minLimit = 4 << 20
 	// adjustInterval is the time between two adjustments: parts of the program become resident as they are used.
--- a/internal/protocol/http1/requestbody.go
+++ b/internal/protocol/http1/requestbody.go
@@ -23,6 +23,8 @@
 	// firstBufferSize is how many bytes are reserved at first for a body of unknown length; the number doubles as
 	// needed.
 	firstBufferSize = 4 << 10
+	// chunkBufferSize is the size of the buffer for the framing of chunks, in bytes: more than maxChunkLine.
+	chunkBufferSize = 2 << 10
 	// minClientRate is the minimum rate of a client, in bytes per second, while the agent waits for its bytes: half of
 	// the rate of known slow clients. A larger value cuts off slower clients, a smaller one lets them occupy their
 	// slots for longer.
@@ -77,7 +79,7 @@
 	b.undecoded.Store(int64(c.end - c.start))
 	if h.hasTransferCoding {
 		b.length = -1
-		b.chunks = &chunkedBody{in: bufio.NewReaderSize(wireReader{b}, firstBufferSize)}
+		b.chunks = &chunkedBody{in: bufio.NewReaderSize(wireReader{b}, chunkBufferSize)}
 	}
 	return b
 }
