http1: a receive buffer that is empty for a moment is no sign that the client still writes

Cause: a buffer that the agent has just read is empty until the system of the client, which has more to send, is let on; one look in that moment took the client for writing, and its time began anew. Now a read counts as a wait for the client only from 50 ms on, and the look at the deadline takes ten samples in 50 ms: a buffer of 16 KB or more in any of them means that the client's system may have more. The test and its bound are as they were.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -24,7 +24,7 @@
 	// StillWriting.
 	Upload bool
 	// ClientIsWriting reports, for an upload, whether the client has certainly not written the last byte yet. It may be
-	// called from any goroutine, and must not block; nil: not known.
+	// called from any goroutine, and takes some tens of milliseconds at most; nil: not known.
 	ClientIsWriting func() bool
 
 	reply          func(Answer)
--- a/internal/protocol/http1/requestbody.go
+++ b/internal/protocol/http1/requestbody.go
@@ -45,23 +45,38 @@
 	request         *core.Request // the request whose upload this is; nil: none yet
 }
 
-// openWindow is how many unread bytes, at most, never make a receive buffer full: while there are fewer, all that the
-// client has written has arrived.
-const openWindow = 16 << 10
+const (
+	// openWindow is how many unread bytes, at most, never make a receive buffer full.
+	openWindow = 16 << 10
+	// refillTime is how long a receive buffer may stay below openWindow although the client's system has more to send: the
+	// two systems may be delayed on a busy machine. refillSamples is how often it is looked at in this time.
+	refillTime    = 50 * time.Millisecond
+	refillSamples = 10
+)
 
-// clientIsWriting reports whether the client has certainly not written the body's last byte yet. It may be called from
-// any goroutine while the body is being read.
+// clientIsWriting reports whether the client has certainly not written the body's last byte yet: for refillTime, what it
+// has written was read so soon that nothing waits in its system, and the end was not there. It may be called from any
+// goroutine while the body is being read, and takes up to refillTime.
 func (b *requestBody) clientIsWriting() bool {
-	unread, known := core.UnreadBytes(b.client.conn)
-	if !known {
-		return true
-	}
-	arrived := int64(unread) + b.undecoded.Load()
-	if b.chunks != nil {
-		return arrived == 0 // any byte may belong to the end
+	sawEnd := true
+	for range refillSamples {
+		unread, known := core.UnreadBytes(b.client.conn)
+		if !known {
+			return true
+		}
+		arrived := int64(unread) + b.undecoded.Load()
+		remaining := b.remaining.Load()
+		switch {
+		case unread >= openWindow && (b.chunks != nil || remaining <= maxDropped):
+			return false
+		case b.chunks != nil: // any byte may belong to the end
+			sawEnd = sawEnd && arrived > 0
+		default:
+			sawEnd = arrived >= remaining
+		}
+		time.Sleep(refillTime / refillSamples)
 	}
-	remaining := b.remaining.Load()
-	return arrived < remaining && (unread < openWindow || remaining > maxDropped)
+	return !sawEnd
 }
 
 // noteWriting records a time at which the client is known not to have written the last byte.
@@ -151,14 +166,13 @@
 		return 0, errClientTooSlow
 	}
 	startedAt := time.Now()
-	writing := b.clientIsWriting()
 	if err := c.conn.SetReadDeadline(startedAt.Add(limit)); err != nil {
 		return 0, err
 	}
 	n, err := c.conn.Read(p)
 	readAt := time.Now()
 	c.noteArrival(readAt)
-	if writing {
+	if readAt.Sub(startedAt) >= refillTime { // nothing waited in the client's system
 		b.noteWriting(c.lastReadAt)
 	}
 	b.waitedForClient += readAt.Sub(startedAt)
