--- a/cmd/vetchhaven/closedclient_test.go
+++ b/cmd/vetchhaven/closedclient_test.go
@@ -54,8 +54,7 @@
 	return late
 }
 
-// A client that has sent much more than its first request, read nothing, and closed has left: an attempt for it that
-// begins later than 0.1 s after the close is one too many.
+// Guards against attempts for a client whose close stands behind bytes that nobody has read.
 func TestRequestsOfAClientThatHasClosedAreNotSent(t *testing.T) {
 	const answerTime, slack = 30 * time.Millisecond, 150 * time.Millisecond
 	pipelined := func(n int) string {
--- a/cmd/vetchhaven/crowd_test.go
+++ b/cmd/vetchhaven/crowd_test.go
@@ -98,8 +98,7 @@
 	return crowd{"all of them", func(c net.Conn, n int) { of[n%len(of)].act(c, n) }}
 }
 
-// The process must stay within the least memory that the platform allows while hundreds of clients at once write
-// slowly, stop half way, send heads of very many fields or read slowly, and must answer a usual client afterwards.
+// Guards against memory that hundreds of slow clients make the process hold beside its budgets.
 func TestCrowdOfSlowClientsStaysWithinTheLeastMemory(t *testing.T) {
 	long := strings.Repeat("r", 8<<20)
 	kinds := crowds()
--- a/cmd/vetchhaven/earlykill_test.go
+++ b/cmd/vetchhaven/earlykill_test.go
@@ -11,8 +11,7 @@
 	"vetchhaven/internal/testkit"
 )
 
-// The platform may kill a process 3.7 s after SIGTERM although its deadlines are longer. A request whose server does not
-// answer must have its final answer by then.
+// Guards against a stop that outlasts the platform's earliest SIGKILL, 3.7 s after SIGTERM.
 func TestRequestIsAnsweredBeforeTheEarliestKill(t *testing.T) {
 	const earliestKill = 3700 * time.Millisecond
 	arrived := make(chan struct{}, 2)
--- a/cmd/vetchhaven/flood_test.go
+++ b/cmd/vetchhaven/flood_test.go
@@ -20,8 +20,7 @@
 	text func(n int) string
 }
 
-// While one client sends small or unsound requests at full speed, also under ever new IDs and names, other clients must
-// get their answers in time, and the process must stay within its memory.
+// Guards against one client that takes the processor or the memory from others.
 func TestFloodOfOneClientDoesNotDelayOthers(t *testing.T) {
 	server := serveEach(t, answerAll(0, "ok"))
 	for _, kind := range []flood{
--- a/cmd/vetchhaven/repeated_test.go
+++ b/cmd/vetchhaven/repeated_test.go
@@ -61,8 +61,7 @@
 
 func payHead(id string) string { return requestHead("POST", "pay", id, "Content-Length: 0\r\n") }
 
-// A request whose client has left may have been executed. Its ID must not be executed again when it comes back some time
-// after the longest deadline.
+// Guards against IDs that are forgotten after the longest deadline.
 func TestIDOfADisconnectedClientIsNotExecutedAgain(t *testing.T) {
 	const deadline = 300 * time.Millisecond
 	server := newCountingServer(t, 50*time.Millisecond)
@@ -86,8 +85,7 @@
 	})
 }
 
-// While a successor serves beside its predecessor, a request whose client has left the one must not be executed by the
-// other.
+// Guards against IDs that only one of the processes remembers.
 func TestIDIsNotExecutedByBothProcessesOfAnUpgrade(t *testing.T) {
 	t.Run("serve", func(t *testing.T) {
 		server := newCountingServer(t, 2*time.Second)
--- a/cmd/vetchhaven/slowserver_test.go
+++ b/cmd/vetchhaven/slowserver_test.go
@@ -122,8 +122,7 @@
 	}
 }
 
-// A request that its server reads slowly, or not at all, must have its final answer in time, counted from when its
-// client wrote the last byte: what the sockets buffer is no reason to be late.
+// Guards against a deadline that starts only when the server has read what the sockets buffer.
 func TestSlowlyReadRequestIsAnsweredInTime(t *testing.T) {
 	for _, rate := range []int{75_000, 0} {
 		for _, size := range []int{200 << 10, 300 << 10, 900 << 10} {
@@ -148,7 +147,7 @@
 	}
 }
 
-// A client that writes slowly must not be cut off while it keeps writing, however long its server waits for the rest.
+// Guards against a deadline that cuts off a client which is still writing.
 func TestSlowlyWrittenRequestIsServed(t *testing.T) {
 	server := serveEach(t, answerAll(0, "ok"))
 	eachCommand(t, time.Second, server, func(t *testing.T, p *limitedProcess) {
--- a/internal/core/disconnect_test.go
+++ b/internal/core/disconnect_test.go
@@ -9,8 +9,7 @@
 	"vetchhaven/internal/testkit"
 )
 
-// A client that has sent more than a receive buffer takes, and has closed, is known to have left before the first byte of
-// an attempt, although its end is still behind unread bytes when the attempt begins.
+// Guards against an attempt for a client whose close is behind unread bytes as the attempt begins.
 func TestCloseBehindUnreadBytesIsNoticed(t *testing.T) {
 	ln := testkit.Listen(t)
 	client, err := net.Dial("tcp", ln.Addr().String())
--- a/internal/core/endedprocess_test.go
+++ b/internal/core/endedprocess_test.go
@@ -7,8 +7,7 @@
 	"vetchhaven/decide"
 )
 
-// A refused connection shows that a server's listed process has ended. Whatever answers at its address before the list
-// shows it may be in another cell, and must not get the repeat of a keyed request that may have been executed.
+// Guards against a keyed repeat at a process of another cell that has taken over the address.
 func TestRepeatDoesNotGoToAnAddressWhoseProcessHasEnded(t *testing.T) {
 	const keyedCell, keyedAll = 0, 1
 	for name, row := range map[string]struct {
--- a/internal/core/upload_test.go
+++ b/internal/core/upload_test.go
@@ -108,8 +108,7 @@
 	})
 }
 
-// If the client has written its last byte, the upload must be answered by its deadline, although the server has not read
-// all of it, and so no attempt has written that byte.
+// Guards against an upload without a deadline while its server does not read.
 func TestUploadThatItsServerDoesNotReadIsAnsweredByItsDeadline(t *testing.T) {
 	var end time.Time
 	attempt := func(a *Attempt) (decide.Result, any) {
--- a/internal/protocol/http1/pacer_test.go
+++ b/internal/protocol/http1/pacer_test.go
@@ -8,8 +8,7 @@
 	"vetchhaven/internal/testkit"
 )
 
-// One client that sends requests which the agent answers itself, at full speed on one connection, must not keep the
-// processor busy: health checks, and requests with an ID that is taken.
+// Guards against a client that keeps the processor busy with requests which cost it nothing.
 func TestRequestsThatAreNotServedArePaced(t *testing.T) {
 	const length = 2 * time.Second
 	for name, text := range map[string]string{
--- a/internal/protocol/ldap/flood_test.go
+++ b/internal/protocol/ldap/flood_test.go
@@ -20,9 +20,7 @@
 	maxFloodDelay = 500 * time.Millisecond // how long another client's lookup may take meanwhile
 )
 
-// A client that sends requests at full speed and reads no response must not make the agent's memory grow, nor delay other
-// clients: requests past the connection's limit, Cancel and Abandon requests for one operation, and messages that the
-// agent answers itself.
+// Guards against queues and goroutines that grow with the requests of a client that reads nothing.
 func TestFloodOfOneClientIsBounded(t *testing.T) {
 	for name, flood := range map[string]func(n int32) []byte{
 		"requests past the limit": func(n int32) []byte { return rawSearch(n, 2) },
@@ -106,8 +104,7 @@
 	return int(m.HeapAlloc + m.StackInuse)
 }
 
-// Hundreds of clients that each send the greater part of a large message and stop must not make the agent hold all of
-// it, and each must be answered or closed in time.
+// Guards against partial messages that are in no budget.
 func TestCrowdOfLargePartialMessagesIsBounded(t *testing.T) {
 	const clients, size = 100, 900 << 10
 	d := startDirectory(t, "one", directory.Options{})
