Memory: what is resident decides what is admitted beyond a quarter of each bound

Cause: the bounds were right one by one, and their sum was above the limit. 204 uploads of 40 KB are all that may be held at 32 MB, and the budgets and 341 connections came on top. The runtime's limit, a goal of the collector, was exceeded by 5.6 MB. It also counts pages that were never touched, so that the collector ran without a pause at 25 MB resident.

Change: memlimit reads the resident memory. While less than 3 MB are left, a quarter of each bound is granted (open requests, connections, buffered bytes), and a new connection takes the place of an idle one. Uploads have a bound of their own. The runtime's limit is what it counts plus what is left of the resident memory.

TestRuntimeLimitLeavesSpaceForTheProgram has the new inputs of the same function, with a row more.

--- a/cmd/vetchhaven/run.go
+++ b/cmd/vetchhaven/run.go
@@ -80,7 +80,11 @@
 	if err != nil {
 		return err
 	}
-	a, err := http1.New(cfg, log.With("agent", cfg.Name), core.Options{Listener: ln, IDs: openIDs(cfg, log)})
+	a, err := http1.New(cfg, log.With("agent", cfg.Name), core.Options{
+		Listener:    ln,
+		IDs:         openIDs(cfg, log),
+		MemoryShort: memory.Short,
+	})
 	if err != nil {
 		return err
 	}
--- a/cmd/vetchhaven/serve.go
+++ b/cmd/vetchhaven/serve.go
@@ -73,7 +73,7 @@
 	go memory.Run(stop)
 	idsFile, ids := sharedIDs(before.IDs, cfg.MemoryMB, log)
 	var successor *exec.Cmd // set by the StartSuccessor function
-	d, err := daemon.New(daemon.Options{Config: cfg, Log: log, Version: version, WallSkew: clockOff, Inherit: before.Sockets, IDs: ids, Snapshot: before.Snapshot,
+	d, err := daemon.New(daemon.Options{Config: cfg, Log: log, Version: version, WallSkew: clockOff, Inherit: before.Sockets, IDs: ids, MemoryShort: memory.Short, Snapshot: before.Snapshot,
 		Ready: func() {
 			log.Info("ready", "instances", len(cfg.Instances), "pid", os.Getpid())
 			if err := before.Ready(); err != nil {
--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -66,6 +66,8 @@
 	// IDs holds the IDs of requests that may have been executed, for all agents and processes that share it; nil: the
 	// agent has a table of its own.
 	IDs *IDTable
+	// MemoryShort reports whether the process is short of memory; nil: it never is.
+	MemoryShort func() bool
 	// ReportUsage receives the usage of the agent's leases. The agent's loop calls it; it must not block.
 	ReportUsage func([]quota.Usage)
 	// ReportOutcomes receives the outcomes of attempts at each server since the last call. The agent's loop calls
@@ -102,6 +104,7 @@
 	}
 	a.loop.containPanic = a.containPanic
 	a.loop.ids = options.IDs
+	a.loop.memoryShort = options.MemoryShort
 	a.loop.reportUsage = options.ReportUsage
 	a.loop.outcomes.report = options.ReportOutcomes
 	a.protocol = newProtocol(a.loop)
@@ -123,6 +126,7 @@
 		}
 	}
 	a.limiter = NewConnLimiter(ln, ClientSockets(cfg.Sockets))
+	a.limiter.memoryShort = a.loop.MemoryShort
 	a.loop.logHeld = a.logHeld
 	return a, nil
 }
--- a/internal/core/bytebudget.go
+++ b/internal/core/bytebudget.go
@@ -3,11 +3,15 @@
 import "sync/atomic"
 
 // ByteBudget bounds the bytes that its users buffer at once. It may be used from any goroutine.
-type ByteBudget struct{ free, total atomic.Int64 }
+type ByteBudget struct {
+	free, total atomic.Int64
+	memoryShort func() bool // nil: the process never is
+}
 
-// NewByteBudget returns a budget of the given number of bytes.
-func NewByteBudget(bytes int) *ByteBudget {
-	b := &ByteBudget{}
+// NewByteBudget returns a budget of the given number of bytes. It grants only a part of them while memoryShort, unless
+// that is nil, reports that the process is short of memory.
+func NewByteBudget(bytes int, memoryShort func() bool) *ByteBudget {
+	b := &ByteBudget{memoryShort: memoryShort}
 	b.Resize(bytes)
 	return b
 }
@@ -16,9 +20,13 @@
 // more can be acquired until enough are released.
 func (b *ByteBudget) Resize(bytes int) { b.free.Add(int64(bytes) - b.total.Swap(int64(bytes))) }
 
-// Acquire acquires n bytes, and reports false if fewer are free.
+// Acquire acquires n bytes, and reports false if fewer are free, or if the process is short of memory and too many are
+// acquired already.
 func (b *ByteBudget) Acquire(n int) bool {
-	if b.free.Add(-int64(n)) >= 0 {
+	free := b.free.Add(-int64(n))
+	total := b.total.Load()
+	short := total-free > total/shortageDivisor && b.memoryShort != nil && b.memoryShort()
+	if free >= 0 && !short {
 		return true
 	}
 	b.Release(n)
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -254,6 +254,13 @@
 	return max(minOpenRequests, bodyMemory*bodyMemoryDivisor/requestMemory)
 }
 
+// OpenUploads returns how many of the requests in OpenRequests may be uploads, which take all of requestMemory for as
+// long as their clients write.
+func OpenUploads(bodyMemory int) int {
+	const uploadShare = 4
+	return max(minOpenRequests, OpenRequests(bodyMemory)/uploadShare)
+}
+
 // BodyMemory returns how many bytes of requests may be buffered at once, and separately of responses.
 func (c *Config) BodyMemory() int {
 	if c.BodyBytes > 0 {
--- a/internal/core/held.go
+++ b/internal/core/held.go
@@ -17,5 +17,6 @@
 		requests, responses = h.HeldBytes()
 	}
 	a.log.Info("held", "clients", counts.Open, "fresh", counts.Fresh, "idle", counts.Idle,
-		"request_bytes", requests, "response_bytes", responses, "goroutines", runtime.NumGoroutine())
+		"request_bytes", requests, "response_bytes", responses, "goroutines", runtime.NumGoroutine(),
+		"memory_short", a.loop.MemoryShort())
 }
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -29,6 +29,7 @@
 	requestWatch func()              // requests a watch of the endpoint list
 	reportUsage  func([]quota.Usage) // receives the usage of leases; nil: it is not reported
 	containPanic func(func())        // runs a function; a panic in it ends only this agent
+	memoryShort  func() bool         // see MemoryShort; nil: it never is
 	logHeld      func()              // logs what the agent holds for its peers; nil in tests of the loop
 	stepHook     func()              // for tests; nil in production
 
--- a/internal/host/daemon/daemon.go
+++ b/internal/host/daemon/daemon.go
@@ -32,11 +32,12 @@
 
 // Options are the options that a daemon is started with.
 type Options struct {
-	Config   *daemonconfig.Config
-	Log      *slog.Logger
-	Inherit  map[daemonconfig.Address]*os.File // listening sockets of the predecessor
-	IDs      *core.IDTable                     // IDs that this daemon or its predecessor has executed; nil: each agent has its own
-	Snapshot []byte                            // the predecessor's snapshot; nil: the one in the state directory is read
+	Config      *daemonconfig.Config
+	Log         *slog.Logger
+	Inherit     map[daemonconfig.Address]*os.File // listening sockets of the predecessor
+	MemoryShort func() bool                       // reports whether the process is short of memory; nil: it never is
+	IDs         *core.IDTable                     // IDs that this daemon or its predecessor has executed; nil: each agent has its own
+	Snapshot    []byte                            // the predecessor's snapshot; nil: the one in the state directory is read
 	// Ready is called once every instance runs and has a list, or readyTimeout has passed.
 	Ready func()
 	// StartSuccessor starts a successor with these sockets and this snapshot, and returns when the successor is ready. If
--- a/internal/host/daemon/instances.go
+++ b/internal/host/daemon/instances.go
@@ -123,6 +123,7 @@
 		NoLateConnections: true,
 		ListWait:          readyTimeout,
 		IDs:               d.options.IDs,
+		MemoryShort:       d.options.MemoryShort,
 		ReportUsage: func(usage []quota.Usage) {
 			if p := d.activePeering.Load(); p != nil {
 				p.transport.ReportUsage(number, usage)
--- a/internal/host/memlimit/memlimit_test.go
+++ b/internal/host/memlimit/memlimit_test.go
@@ -4,15 +4,17 @@
 	"math"
 	"runtime/debug"
 	"testing"
+	"time"
 )
 
 func TestRuntimeLimitLeavesSpaceForTheProgram(t *testing.T) {
-	for _, row := range []struct{ total, mapped, want int64 }{
-		{32 << 20, 18 << 20, 14<<20 - unmeasured},
-		{192 << 20, 10 << 20, 182<<20 - unmeasured},
-		{16 << 20, 18 << 20, minLimit},
+	for _, row := range []struct{ total, resident, counted, want int64 }{
+		{32 << 20, 22 << 20, 6 << 20, 16<<20 - headroom},    // 16 MiB are the program's
+		{192 << 20, 30 << 20, 20 << 20, 182<<20 - headroom}, // 10 MiB
+		{32 << 20, 30 << 20, 12 << 20, 14<<20 - headroom},   // 2 MiB are left of the process's memory
+		{16 << 20, 22 << 20, 6 << 20, minLimit},
 	} {
-		if got := runtimeLimit(row.total, row.mapped); got != row.want {
+		if got := runtimeLimit(row.total, row.resident, row.counted); got != row.want {
 			t.Errorf("%+v: %d", row, got)
 		}
 	}
@@ -21,8 +23,9 @@
 func TestLimiterSetsTheRuntimesLimit(t *testing.T) {
 	before := debug.SetMemoryLimit(-1)
 	defer debug.SetMemoryLimit(before)
-	if mappedBytes() == 0 {
-		t.Fatal("no memory is mapped from files")
+	resident := residentBytes()
+	if resident == 0 {
+		t.Fatal("the process takes no memory")
 	}
 	var l Limiter
 	l.adjust()
@@ -30,7 +33,27 @@
 		t.Errorf("a limiter without a limit has set %d", got)
 	}
 	l.Set(1 << 10)
-	if got := debug.SetMemoryLimit(-1); got >= 1<<30-unmeasured || got == math.MaxInt64 || got < 1<<29 {
+	if got := debug.SetMemoryLimit(-1); got >= 1<<30-headroom || got == math.MaxInt64 || got < 1<<29 {
 		t.Errorf("limit %d of %d", got, 1<<30)
 	}
 }
+
+// Guards against a process that takes on more although its memory has been used up.
+func TestMemoryIsShortWhenLittleOfItIsLeft(t *testing.T) {
+	before := debug.SetMemoryLimit(-1)
+	defer debug.SetMemoryLimit(before)
+	var l Limiter
+	if l.Short() {
+		t.Error("short without a limit")
+	}
+	residentMB := int(residentBytes() >> 20)
+	l.Set(residentMB + 512)
+	if l.Short() {
+		t.Error("short with 512 MB left")
+	}
+	l.Set(residentMB + 1)
+	time.Sleep(2 * readInterval) // a reading is used for that long
+	if !l.Short() {
+		t.Error("not short with at most 1 MB left")
+	}
+}
--- a/internal/protocol/http1/frontend.go
+++ b/internal/protocol/http1/frontend.go
@@ -16,6 +16,7 @@
 	limiter      *core.ConnLimiter
 	log          *slog.Logger
 	maxOpen      atomic.Int64 // how many requests may be open at once
+	maxUploads   atomic.Int64 // how many of these may be uploads
 	openRequests atomic.Int64
 	openUploads  atomic.Int64 // those of openRequests whose last byte has not been received
 	bodyBudget   *core.ByteBudget
@@ -52,7 +53,7 @@
 		cfg:          cfg,
 		loop:         l,
 		log:          log,
-		bodyBudget:   core.NewByteBudget(0),
+		bodyBudget:   core.NewByteBudget(0, l.MemoryShort),
 		classes:      map[string]int{},
 		writeTimeout: 2*cfg.MaxDeadline() + core.HeadTimeout,
 		conns:        map[*clientConn]bool{},
@@ -71,9 +72,31 @@
 		maxOpen = min(maxOpen, f.cfg.Site.MaxOpen)
 	}
 	f.maxOpen.Store(int64(maxOpen))
+	f.maxUploads.Store(int64(core.OpenUploads(bytes)))
 	f.bodyBudget.Resize(bytes)
 }
 
+// admit counts a request among the open ones. It reports false if there are too many, or too many uploads.
+func (f *frontend) admit(upload bool) bool {
+	if upload && f.openUploads.Add(1) > f.maxUploads.Load() {
+		f.openUploads.Add(-1)
+		return false
+	}
+	if f.loop.MayOpen(f.openRequests.Add(1), f.maxOpen.Load()) {
+		return true
+	}
+	f.uncount(upload)
+	return false
+}
+
+// uncount removes a request that was admitted, and has not been submitted, from the open ones.
+func (f *frontend) uncount(upload bool) {
+	f.openRequests.Add(-1)
+	if upload {
+		f.openUploads.Add(-1)
+	}
+}
+
 // serve accepts connections until the limiter is closed, and then returns the error of Accept.
 func (f *frontend) serve(limiter *core.ConnLimiter) error {
 	f.limiter = limiter
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -42,7 +42,7 @@
 func newAgent(cfg *core.Config, log *slog.Logger, p core.Options) (*core.Agent, *protocol, error) {
 	var proto *protocol
 	a, err := core.New(cfg, log, p, func(l *core.Loop) core.Protocol {
-		proto = &protocol{newFrontend(cfg, l, log), newConnPool(cfg, log)}
+		proto = &protocol{newFrontend(cfg, l, log), newConnPool(cfg, l.MemoryShort, log)}
 		return proto
 	})
 	return a, proto, err
--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -57,7 +57,7 @@
 	endLifetime   func()
 }
 
-func newConnPool(cfg *core.Config, log *slog.Logger) *connPool {
+func newConnPool(cfg *core.Config, memoryShort func() bool, log *slog.Logger) *connPool {
 	lifetime, endLifetime := context.WithCancel(context.Background())
 	// Servers may close an idle connection at IdleClose. A request that is on its way at that moment is lost: the
 	// connection is reset, and the request may have been executed. A margin of a quarter of IdleClose exceeds any
@@ -68,7 +68,7 @@
 		log:            log,
 		maxIdle:        maxIdle,
 		maxStall:       maxResponseStall,
-		responseBudget: core.NewByteBudget(cfg.BodyMemory()),
+		responseBudget: core.NewByteBudget(cfg.BodyMemory(), memoryShort),
 		dialer:         (&net.Dialer{KeepAlive: -1}).DialContext,
 		readers:        sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		maxConns:       core.BackendSockets(cfg.Sockets),
--- a/internal/protocol/http1/pool_test.go
+++ b/internal/protocol/http1/pool_test.go
@@ -52,7 +52,7 @@
 
 func poolFor(t *testing.T, addr string) *connPool {
 	t.Helper()
-	b := newConnPool(testConfig(t, testkit.ConfigOptions{}), testkit.DiscardLogger)
+	b := newConnPool(testConfig(t, testkit.ConfigOptions{}), nil, testkit.DiscardLogger)
 	b.update(core.List{ListUpdate: decide.ListUpdate{Kind: decide.ListFull, Backends: []decide.Backend{{ID: "s"}}},
 		Addrs: map[string]string{"s": addr}})
 	return b
--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -100,9 +100,8 @@
 		f.bodyBudget.Release(body.reserved)
 		return c.reject(r)
 	}
-	// A request beyond the limit on open requests is rejected before any server gets it.
-	if f.openRequests.Add(1) > f.maxOpen.Load() {
-		f.openRequests.Add(-1)
+	// A request beyond the limits on open requests is rejected before any server gets it.
+	if !f.admit(body.upload != nil) {
 		f.bodyBudget.Release(body.reserved)
 		c.setClosing() // as when the connection limiter is near its capacity
 		return c.reject(r)
@@ -110,14 +109,11 @@
 	// A client may be silent while its response is pending, so the read deadline is removed. This is done before the
 	// request is submitted: from then on prepareNext sets the reader's deadlines.
 	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
-		f.openRequests.Add(-1)
+		f.uncount(body.upload != nil)
 		f.bodyBudget.Release(body.reserved)
 		return errNoReader // the connection is closed, and no attempt was made
 	}
 	c.setPending(r, body)
-	if body.upload != nil {
-		f.openUploads.Add(1)
-	}
 	f.loop.Submit(r)
 	if f.loopEnded.Load() { // the loop may have ended before it received the request
 		c.abortPending()
--- a/internal/protocol/ldap/ldap.go
+++ b/internal/protocol/ldap/ldap.go
@@ -100,7 +100,7 @@
 		sessions:          map[*session]bool{},
 		firstRequestGrace: defaultFirstRequestGrace,
 		startedAt:         time.Now(),
-		requestBudget:     core.NewByteBudget(cfg.BodyMemory()),
+		requestBudget:     core.NewByteBudget(cfg.BodyMemory(), parts.MemoryShort),
 	}
 	p.maxOpen.Store(operationsPerSocket * int64(core.ClientSockets(cfg.Sockets)))
 	if cfg.Site.MaxOpen > 0 {
@@ -109,7 +109,7 @@
 	if _, err := rand.Read(p.secret[:]); err != nil {
 		return nil, nil, err
 	}
-	p.pool = newConnPool(cfg, &p.options, servers, log)
+	p.pool = newConnPool(cfg, &p.options, servers, parts.MemoryShort, log)
 	a, err := core.New(cfg, log, parts, func(l *core.Loop) core.Protocol {
 		p.loop = l
 		return p
--- a/internal/protocol/ldap/request.go
+++ b/internal/protocol/ldap/request.go
@@ -166,7 +166,7 @@
 		o.discard()
 		return
 	}
-	if p.openOperations.Add(1) > p.maxOpen.Load() {
+	if !p.loop.MayOpen(p.openOperations.Add(1), p.maxOpen.Load()) {
 		o.finish(core.Answer{Refused: true})
 		return
 	}
--- a/internal/protocol/ldap/serverpool.go
+++ b/internal/protocol/ldap/serverpool.go
@@ -55,14 +55,14 @@
 	closed    bool
 }
 
-func newConnPool(cfg *core.Config, o *Options, t *tls.Config, log *slog.Logger) *connPool {
+func newConnPool(cfg *core.Config, o *Options, t *tls.Config, memoryShort func() bool, log *slog.Logger) *connPool {
 	return &connPool{
 		cfg:            cfg,
 		options:        o,
 		tls:            t,
 		log:            log,
 		maxConns:       core.BackendSockets(cfg.Sockets),
-		responseBudget: core.NewByteBudget(cfg.BodyMemory()),
+		responseBudget: core.NewByteBudget(cfg.BodyMemory(), memoryShort),
 		// Servers may close an idle connection after IdleClose. The margin of a quarter of that time is far longer
 		// than any network delay.
 		maxIdle: cfg.Site.IdleClose * 3 / 4,
