http1: the remaining time is taken right before the write that tells it

Change: message.writeTo takes the time right before the call that writes it, and joins it with a head of up to 8 KB, so that such a message is two calls.

TestRemainingTimeIsToldOfOneHeldWriteAtMost fails with the time taken first (0.1 s before the write that tells it, for long heads); as it was written until now, in three calls, the same holds for long bodies.

--- a/internal/protocol/http1/forward.go
+++ b/internal/protocol/http1/forward.go
@@ -34,7 +34,6 @@
 		}
 	}()
 	until, _ := ctx.Deadline()
-	segments := m.segments(until)
 	c.writeStartedAt = time.Now()
 	if reason := owner.BeginWrite(c.interruptWrite); reason != core.SendAllowed {
 		// The end of the request may have set a deadline for this write. It must not affect the connection's next
@@ -42,7 +41,7 @@
 		reusable := stop() && c.SetDeadline(time.Time{}) == nil
 		return nil, false, &sendRefusedError{reason: reason, nothingWritten: true, reusable: reusable}
 	}
-	complete, err := c.writeSegments(segments)
+	complete, err := m.writeTo(c, until)
 	owner.EndWrite()
 	if err != nil && !complete && hasEnded(owner) {
 		err = errRequestEnded
@@ -86,30 +85,6 @@
 	}
 }
 
-// writeSegments writes the parts of a message. complete reports whether the last byte was written.
-func (c *serverConn) writeSegments(segments [][]byte) (complete bool, err error) {
-	for i, segment := range segments {
-		if len(segment) == 0 {
-			continue
-		}
-		n, err := c.Write(segment)
-		if err != nil {
-			return n == len(segment) && isLastSegment(segments, i), err
-		}
-	}
-	return true, nil
-}
-
-// isLastSegment reports whether no part after part i has a byte.
-func isLastSegment(segments [][]byte, i int) bool {
-	for _, segment := range segments[i+1:] {
-		if len(segment) > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // interruptWrite ends a write that waits for its server. Once the client has its response, or has disconnected, the
 // server must not get the request's last byte.
 func (c *serverConn) interruptWrite() { _ = c.SetWriteDeadline(core.PastDeadline) }
--- a/internal/protocol/http1/message.go
+++ b/internal/protocol/http1/message.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,16 +31,29 @@
 // maxJoinedMessage is up to how many bytes a message is copied into one buffer, to be written with one call.
 const maxJoinedMessage = 8 << 10
 
-// segments returns the message as an attempt with this deadline writes it, in parts that are written one after the
-// other. If the deadline is zero, X-Expires-In is left out. A long head or body is not copied: it may have to wait for
-// its server.
-func (m *message) segments(deadline time.Time) [][]byte {
-	end := m.appendHeadEnd(make([]byte, 0, expiresInSize), deadline)
-	if len(m.head)+len(m.body) > maxJoinedMessage {
-		return [][]byte{m.head, end, m.body}
+// writeTo writes the message as an attempt with this deadline sends it; if the deadline is zero, X-Expires-In is left
+// out. complete reports whether the last byte was written. A long head or body is not copied: it may have to wait for its
+// server. The remaining time is taken right before the call that writes it, because each call may be delayed.
+func (m *message) writeTo(w io.Writer, deadline time.Time) (complete bool, err error) {
+	head, body := m.head, m.body
+	if len(head) > maxJoinedMessage {
+		if _, err := w.Write(head); err != nil {
+			return false, err
+		}
+		head = nil
+	}
+	text := make([]byte, 0, len(head)+expiresInSize+min(len(body), maxJoinedMessage))
+	text = m.appendHeadEnd(append(text, head...), deadline)
+	if len(text)+len(body) <= maxJoinedMessage {
+		text = append(text, body...)
+		body = nil
+	}
+	n, err := w.Write(text)
+	if err != nil || len(body) == 0 {
+		return n == len(text) && len(body) == 0, err
 	}
-	text := make([]byte, 0, len(m.head)+len(end)+len(m.body))
-	return [][]byte{append(append(append(text, m.head...), end...), m.body...)}
+	n, err = w.Write(body)
+	return n == len(body), err
 }
 
 // appendHeadEnd appends X-Expires-In and the empty line.
