--- a/cmd/vetchhaven/limited_test.go
+++ b/cmd/vetchhaven/limited_test.go
@@ -85,6 +85,38 @@
 listen = "%[1]s"
 `
 
+const limitedLDAPConfig = `admin = "unix:%[7]s/admin.sock"
+[limits]
+memory_mb = %[3]d
+sockets = %[4]d
+[[source]]
+name = "main"
+list = "%[2]s"
+spread = "1ms"
+first = "1ms"
+[site]
+zones = ["a"]
+kinds = ["m"]
+[rules]
+max_attempts = 3
+connect_timeout = "250ms"
+[[class]]
+name = "search"
+repeats = "safe"
+aim = "%[6]dms"
+deadline = "%[6]dms"
+worth = 1.0
+[[class]]
+name = "modify"
+aim = "%[6]dms"
+deadline = "%[6]dms"
+worth = 1.0
+[[instance]]
+name = "one"
+protocol = "ldap"
+listen = "%[1]s"
+`
+
 // limitedProcess is an agent in a process of its own with the least memory: one of run, or an instance of serve.
 type limitedProcess struct {
 	t    *testing.T
@@ -104,7 +136,8 @@
 	}
 }
 
-// startLimited starts a process that serves a list with one server.
+// startLimited starts a process that serves a list with one server: of run, of serve, or of serve with an instance that
+// speaks LDAP.
 func startLimited(t *testing.T, command string, deadline time.Duration, server string) *limitedProcess {
 	t.Helper()
 	program, err := builtProgram()
@@ -121,10 +154,17 @@
 	p := &limitedProcess{t: t, addr: freeAddr(t), log: &syncLog{}}
 	format, path := limitedRunConfig, filepath.Join(dir, "config.json")
 	p.cmd = exec.Command(program, "run")
-	if command == "serve" {
+	ready := waitReady
+	if command != "run" {
 		format, path = limitedServeConfig, filepath.Join(dir, "fleet.toml")
 		p.cmd = exec.Command(program, "serve", "--config", path)
 	}
+	if command == "ldap" {
+		format = limitedLDAPConfig
+		ready = func(t *testing.T, _ string) {
+			testkit.WaitFor(t, "the instance", func() bool { return strings.Contains(p.log.String(), "msg=ready") })
+		}
+	}
 	const known = `{"id":"s","addr":%q,"zone":"a","kind":"m","state":"ready","weight":1}`
 	write(t, path, fmt.Sprintf(format, p.addr, list.Addr(), leastMemoryMB, mostSockets, fmt.Sprintf(known, server),
 		deadline.Milliseconds(), dir))
@@ -142,7 +182,7 @@
 	if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_NOFILE, &most, nil); err != nil {
 		t.Fatal(err)
 	}
-	waitReady(t, p.addr)
+	ready(t, p.addr)
 	return p
 }
 
