decide: a client with many requests at once does not keep others out of the queue

Cause: among requests of equal value the queue starts the newest first. A client that sends on and on always has a newer one, and the lookup waits until it is shed. HTTP has one request a connection at once and does not show it.

Change: among equal values, a request of the client with the fewest open attempts goes first; the newest of these, as before. LDAP sessions are numbered for it; requests without a number (HTTP) are decided as before.

--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -63,6 +63,7 @@
 ) time.Duration {
 	request.attempts = append(request.attempts, attempt)
 	request.openCount++
+	b.countClientAttempt(request.client, 1)
 	request.mayHaveRun++
 	if request.firstMayHaveRun == nil {
 		request.firstMayHaveRun = attempt
@@ -106,6 +107,7 @@
 	request.notReplayable = request.notReplayable || e.NotReplayable
 	b.ledger.Release(attempt.reservations, e.Dialed)
 	request.openCount--
+	b.countClientAttempt(request.client, -1)
 	b.endWork(attempt)
 	if !e.Result.NeverRan() {
 		return
@@ -116,6 +118,16 @@
 	}
 }
 
+// countClientAttempt adds to the number of a client's attempts that have not ended.
+func (b *Balancer) countClientAttempt(client uint64, change int) {
+	if client == 0 {
+		return
+	}
+	if b.clientAttempts[client] += change; b.clientAttempts[client] == 0 {
+		delete(b.clientAttempts, client)
+	}
+}
+
 // beginWork counts an attempt as in flight. It is called when the request is sent, or once the last byte of
 // an upload has been sent.
 func (b *Balancer) beginWork(request *openRequest, attempt *openAttempt) {
--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -33,6 +33,7 @@
 		byHash:          map[uint32]*endpoint{},
 		disabledByHand:  map[string]time.Duration{},
 		requests:        map[string]*openRequest{},
+		clientAttempts:  map[uint64]int{},
 		requestTimers:   map[int64]*openRequest{},
 		overdueTimers:   map[int64]*openAttempt{},
 		slownessByKind:  make([][]float64, len(s.Classes)),
--- a/decide/events.go
+++ b/decide/events.go
@@ -59,6 +59,7 @@
 		Work        time.Duration // expected work; 0: unknown
 		ClientRetry bool          // the client marks it as a retry
 		OnlyBackend string        // the only backend that may get it; empty: any
+		Client      uint64        // the client that sent it, of several requests at once; 0: sends one at a time
 		Upload      bool          // its last byte is still to come; Remaining counts from then, see UploadCompleted
 	}
 	// UploadCompleted reports that the last byte of an upload has been sent with an attempt. The time limits
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -50,11 +50,13 @@
 
 // nextQueued returns the queued request to start next: the one whose unit of work has the highest value,
 // where clients' retries and requests that are expected to be answered late count less. Of requests with
-// equal values it returns the one that was queued last. Requests that found no backend in this step are left
-// out. It returns nil if no request remains.
+// equal values it returns one of the client with the fewest open attempts, so that a client that sends many
+// requests at once does not keep others out, and of these the one that was queued last. Requests that found
+// no backend in this step are left out. It returns nil if no request remains.
 func (b *Balancer) nextQueued() *openRequest {
 	var best *openRequest
 	bestValue := 0.0
+	bestAttempts := 0
 	for _, request := range b.queue {
 		if request.noBackend {
 			continue
@@ -67,9 +69,11 @@
 		if request.objectiveAt-b.now < time.Duration(b.expectedLatency(request)/2) {
 			value *= class.LateValue
 		}
-		if best == nil || value >= bestValue {
+		attempts := b.clientAttempts[request.client]
+		if best == nil || value > bestValue || value == bestValue && attempts <= bestAttempts {
 			best = request
 			bestValue = value
+			bestAttempts = attempts
 		}
 	}
 	return best
--- a/decide/requests.go
+++ b/decide/requests.go
@@ -24,6 +24,7 @@
 		deadline:     b.now + e.Remaining,
 		clientRetry:  e.ClientRetry,
 		onlyBackend:  e.OnlyBackend,
+		client:       e.Client,
 		uploading:    e.Upload,
 		expectedWork: float64(e.Work),
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -28,6 +28,7 @@
 	// Requests and timers.
 	requests       map[string]*openRequest
 	queue          []*openRequest // waiting for capacity, in the order in which they were queued
+	clientAttempts map[uint64]int // by client: its attempts that have not ended
 	requestTimers  map[int64]*openRequest
 	overdueTimers  map[int64]*openAttempt // by the token of the timer that checks whether the attempt is overdue
 	lastTimerToken int64
@@ -165,6 +166,7 @@
 	id              string
 	class           int
 	onlyBackend     string        // the only backend that may get it; empty: any
+	client          uint64        // see Request.Client
 	objectiveAt     time.Duration // answers after this time earn less
 	halfTimeAt      time.Duration // when half of the client's waiting time is over
 	deadline        time.Duration
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -18,6 +18,7 @@
 	Work        time.Duration // expected work, as given by the client; 0: unknown
 	ClientRetry bool          // the client marks the request as a retry
 	OnlyServer  string        // the only server that may get the request; empty: any
+	ClientID    uint64        // the client, of several requests at once; 0: it sends one at a time
 	Client      net.Conn      // the client's connection, to notice its disconnect; nil: not checked
 	// Upload is set if the request's last byte has not been read yet: its attempt reads the rest from the client.
 	// Deadline is then at most Remaining from now. It is extended while the client is known to be still writing: see
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -79,6 +79,7 @@
 		Work:        r.Work,
 		ClientRetry: r.ClientRetry,
 		OnlyBackend: r.OnlyServer,
+		Client:      r.ClientID,
 		Upload:      r.Upload,
 	})
 }
--- a/internal/protocol/ldap/ldap.go
+++ b/internal/protocol/ldap/ldap.go
@@ -48,6 +48,7 @@
 	tls               *tls.Config // the TLS configuration of client connections; nil: TLS is not offered
 	secret            [32]byte    // HMAC key for identity.key; random, and kept in memory only
 	lastID            atomic.Uint64
+	lastSession       atomic.Uint64 // number of the session that began last
 	openOperations    atomic.Int64
 	requestBudget     *core.ByteBudget // bytes of clients' messages: those that are being read, and those of open operations
 	maxOpen           atomic.Int64     // limit on open operations, on all client connections together
--- a/internal/protocol/ldap/request.go
+++ b/internal/protocol/ldap/request.go
@@ -157,6 +157,7 @@
 	o.request = core.NewRequest(strconv.FormatUint(p.lastID.Add(1), 36), class, o.finish)
 	o.request.Message = o
 	o.request.Client = s.raw
+	o.request.ClientID = s.number
 	o.request.Remaining = wait - s.queuedFor
 	o.request.Deadline = time.Now().Add(o.request.Remaining)
 	if o.requiredConn != nil {
--- a/internal/protocol/ldap/session.go
+++ b/internal/protocol/ldap/session.go
@@ -25,6 +25,7 @@
 // session is one client's connection.
 type session struct {
 	protocol     *protocol
+	number       uint64   // unique among the sessions of the protocol
 	raw          net.Conn // as the connection limiter accepted it
 	client       *clientReader
 	in           *ldapmsg.Reader
@@ -58,6 +59,7 @@
 func (p *protocol) serve(nc net.Conn) {
 	s := &session{
 		protocol:   p,
+		number:     p.lastSession.Add(1),
 		raw:        nc,
 		client:     &clientReader{Conn: nc},
 		operations: map[int32]*operation{},
