core, http1: idle connections that a server closes early tell that its process may have ended

Cause: only a refused connection told that a process had ended. A process that comes up at once refuses none.

Change: an idle connection that the server has closed before a quarter of its idle time, with no older one open, counts as the same evidence. The pool notices it when it looks for a connection, also among those that are too recent to be used; the loop's record (core.endedProcesses) may be used from any goroutine, and the guard before the first byte reads it too.

--- a/cmd/vetchhaven/limited_test.go
+++ b/cmd/vetchhaven/limited_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -45,9 +46,10 @@
 })
 
 const limitedRunConfig = `{"name":"n0","listen":%[1]q,"discovery":%[2]q,"seed":"1f","limits":{"cores":1,"memory_mb":%[3]d,"sockets":%[4]d},
- "known":{"version":1,"full":true,"servers":[%[5]s]},
+ "known":{"version":1,"full":true,"servers":%[5]s},
  "settings":{"Balancers":1,"Dcs":["a"],"Kinds":["m"],"MembershipMode":"automatic","TickMs":1,
   "Profiles":[{"Name":"get","AimMs":%[6]d,"DeadlineMs":%[6]d,"Worth":1,"Semantics":"repeatable"},
+   {"Name":"put","AimMs":%[6]d,"DeadlineMs":%[6]d,"Worth":1,"Semantics":"by_key","Group":"zone","WindowMs":12000},
    {"Name":"pay","AimMs":%[6]d,"DeadlineMs":%[6]d,"Worth":1,"Semantics":"once"}],
   "PolicyLimits":{"TryLimit":3,"ConnectTimeoutMs":250,"IdleCloseMs":60000,"Cancel":true},"Contract":{"AskWithinMs":1000,"GraceToAnswerMs":20}}}`
 
@@ -75,6 +77,14 @@
 deadline = "%[6]dms"
 worth = 1.0
 [[class]]
+name = "put"
+repeats = "keyed"
+group = "zone"
+window = "12s"
+aim = "%[6]dms"
+deadline = "%[6]dms"
+worth = 1.0
+[[class]]
 name = "pay"
 repeats = "unsafe"
 aim = "%[6]dms"
@@ -136,16 +146,23 @@
 	}
 }
 
-// startLimited starts a process that serves a list with one server: of run, of serve, or of serve with an instance that
-// speaks LDAP.
-func startLimited(t *testing.T, command string, deadline time.Duration, server string) *limitedProcess {
+// startLimited starts a process that serves a list of servers in one zone: of run, of serve, or of serve with an instance
+// that speaks LDAP.
+func startLimited(t *testing.T, command string, deadline time.Duration, servers ...string) *limitedProcess {
 	t.Helper()
 	program, err := builtProgram()
 	if err != nil {
 		t.Fatal(err)
 	}
-	entry := discovery.Server{ID: "s", Addr: server, Zone: "a", Kind: "m", State: "ready", Weight: 1}
-	list, err := standin.NewList("", entry)
+	var entries []discovery.Server
+	for n, addr := range servers {
+		entries = append(entries, discovery.Server{ID: fmt.Sprint("s", n), Addr: addr, Zone: "a", Kind: "m", State: "ready", Weight: 1})
+	}
+	known, err := json.Marshal(entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := standin.NewList("", entries...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -165,8 +182,7 @@
 			testkit.WaitFor(t, "the instance", func() bool { return strings.Contains(p.log.String(), "msg=ready") })
 		}
 	}
-	const known = `{"id":"s","addr":%q,"zone":"a","kind":"m","state":"ready","weight":1}`
-	write(t, path, fmt.Sprintf(format, p.addr, list.Addr(), leastMemoryMB, mostSockets, fmt.Sprintf(known, server),
+	write(t, path, fmt.Sprintf(format, p.addr, list.Addr(), leastMemoryMB, mostSockets, known,
 		deadline.Milliseconds(), dir))
 	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path, "TMPDIR="+dir)
 	p.cmd.Stderr = p.log
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -29,6 +29,8 @@
 	start          time.Time     // start of the attempt; of an upload, once sent: when its last byte was sent
 	startBy        time.Time     // latest time at which the first byte may be written, see startExpired; zero: no bound
 	reuseOnly      bool          // see MayDial
+	listedMS       int64         // listed start of the server's process, Unix milliseconds
+	scopedRepeat   bool          // see Loop.isScopedRepeat
 	processStarted int64         // listed start of the server's process, Unix milliseconds
 	dialed         bool          // see MarkDialed
 	notReplayable  bool          // see MarkNotReplayable
@@ -205,6 +207,8 @@
 		loop:           l,
 		start:          start,
 		reuseOnly:      send.ReuseOnly,
+		listedMS:       l.starts.listedMS(send.Backend),
+		scopedRepeat:   l.isScopedRepeat(r),
 		processStarted: l.outcomes.starts[send.Backend],
 	}
 	if send.StartBy > 0 {
--- a/internal/core/endedprocess_test.go
+++ b/internal/core/endedprocess_test.go
@@ -38,9 +38,9 @@
 			l.requests["r"] = r
 			if row.refused {
 				l.noteRefusedConnection(&Attempt{Request: r, Server: "s"}, decide.ConnectFailed)
-				ended := l.endedProcesses["s"]
+				ended := l.endedProcesses.byServer["s"]
 				ended.at -= row.shift
-				l.endedProcesses["s"] = ended
+				l.endedProcesses.byServer["s"] = ended
 			}
 			if row.listed > 0 {
 				l.starts.restore("s", row.listed, l.clock.now(), l.clock.now())
@@ -58,3 +58,34 @@
 		})
 	}
 }
+
+// Guards against a keyed repeat that was decided on before its server was seen to have closed its connections.
+func TestRepeatIsNotWrittenToAServerThatHasClosedItsConnections(t *testing.T) {
+	for name, row := range map[string]struct {
+		scoped bool
+		before int64 // listed start of the process that closed them
+		now    int64 // listed start of the process that is to get the attempt
+		ago    time.Duration
+		want   bool
+	}{
+		"closed":                       {true, 5, 5, 0, true},
+		"start not known":              {true, 0, 0, 0, true},
+		"no repeat in a limited scope": {false, 5, 5, 0, false},
+		"a newer process is listed":    {true, 5, 6, 0, false},
+		"the list must have shown one": {true, 5, 5, listDelay, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newBareLoop()
+			closing := &Attempt{loop: l, Server: "s", listedMS: row.before}
+			closing.NoteServerClosed(time.Now().Add(-row.ago))
+			a := &Attempt{loop: l, Server: "s", listedMS: row.now, scopedRepeat: row.scoped}
+			if got := a.mayReachAnotherProcess(); got != row.want {
+				t.Errorf("%v, want %v", got, row.want)
+			}
+			other := &Attempt{loop: l, Server: "t", scopedRepeat: true}
+			if other.mayReachAnotherProcess() {
+				t.Error("another server is not used either")
+			}
+		})
+	}
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -40,7 +40,7 @@
 	attemptsContext context.Context // parent of all attempts' contexts; ends with the loop
 	answerMargin    time.Duration   // time kept free before a client's deadline for the final answer
 	probing         map[string]bool // servers with a health check in progress
-	endedProcesses  map[string]endedProcess
+	endedProcesses  endedProcesses
 	pending         []decide.Event // for the next step
 	timers          timerHeap
 
--- a/internal/core/sendguard.go
+++ b/internal/core/sendguard.go
@@ -17,7 +17,7 @@
 	SendAllowed        SendRefusal = iota
 	RequestAnswered                // the request has its final answer, or another attempt's response has begun
 	AttemptEnded                   // the attempt timed out or was cancelled, or the agent has ended
-	ServerWithdrawn                // see Attempt.serverWithdrawn
+	ServerWithdrawn                // see Attempt.serverWithdrawn and Attempt.mayReachAnotherProcess
 	WindowClosed                   // the deduplication window or the lease within which the attempt must begin has ended
 	ClientDisconnected             // the client has disconnected
 	sendRefusalCount
@@ -185,7 +185,7 @@
 	switch {
 	case a.Context.Err() != nil:
 		return AttemptEnded
-	case a.serverWithdrawn():
+	case a.serverWithdrawn(), a.mayReachAnotherProcess():
 		return ServerWithdrawn
 	case a.startExpired():
 		return WindowClosed
--- a/internal/protocol/http1/attempt.go
+++ b/internal/protocol/http1/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"vetchhaven/decide"
 	"vetchhaven/internal/core"
@@ -18,6 +19,7 @@
 	SettleClient()                                   // waits while unread bytes may hide the client's disconnect
 	Ended() <-chan struct{}                          // closed once the request has its final answer; no further byte is sent
 	Disconnected() bool                              // whether the client has disconnected, even if its reader has not detected it yet
+	NoteServerClosed(at time.Time)                   // records that the server has closed idle connections early
 	MayDial() bool                                   // whether the attempt may open a connection
 	MarkDialed()                                     // records that the attempt opens a connection
 	Sent()                                           // records that the request's last byte was written
@@ -32,7 +34,11 @@
 // response is nil unless the result is decide.OK.
 func (p *connPool) attempt(ctx context.Context, owner attemptOwner, id string, m *message) (decide.Result, *response, decide.Load) {
 	noLoad := wire.Load(nil)
-	c, addr, err := p.acquire(id)
+	got, err := p.acquire(id)
+	c := got.conn
+	if !got.closedAt.IsZero() {
+		owner.NoteServerClosed(got.closedAt)
+	}
 	if err == nil && c == nil && !owner.MayDial() {
 		p.mu.Lock()
 		p.open-- // acquire counted the connection that was to be dialled
@@ -41,7 +47,7 @@
 	}
 	if err == nil && c == nil {
 		owner.MarkDialed()
-		c, err = p.dial(ctx, id, addr)
+		c, err = p.dial(ctx, id, got.addr)
 	}
 	if err != nil {
 		owner.NoteFailure(err)
--- a/internal/protocol/http1/dial.go
+++ b/internal/protocol/http1/dial.go
@@ -45,7 +45,8 @@
 		c, err := p.dialer(dialCtx, "tcp", addr)
 		result := dialResult{err: err}
 		if err == nil {
-			result.conn = &serverConn{Conn: c, addr: addr, dialTime: time.Since(startedAt)}
+			openedAt := time.Now()
+			result.conn = &serverConn{Conn: c, addr: addr, openedAt: openedAt, dialTime: openedAt.Sub(startedAt)}
 		}
 		select {
 		case done <- result:
--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -25,6 +25,9 @@
 	idleGrowthDivisor = 100
 	idleCutDivisor    = 4
 	minIdleDivisor    = 64
+	// earlyCloseDivisor divides learnedMaxIdle: a server that closes a connection which was idle for less than that has
+	// probably ended. A smaller value also takes servers for ended that drop idle connections.
+	earlyCloseDivisor = 4
 )
 
 // connPool holds the connections to all servers. It makes only the attempts that the loop starts: each attempt writes
@@ -52,9 +55,11 @@
 	// abandonTokens is how many attempts may be abandoned because of late dials. Responses add tokens.
 	abandonTokens float64
 	lateDials     map[string]bool // by server ID: a dial continues although its attempt was abandoned
-	closed        bool            // the agent has ended: no connection is kept
-	lifetime      context.Context // ends with the agent; dials that no attempt waits for end with it
-	endLifetime   func()
+	// closedEarly is, by server ID, when it was last seen that the server had closed an idle connection early.
+	closedEarly map[string]time.Time
+	closed      bool            // the agent has ended: no connection is kept
+	lifetime    context.Context // ends with the agent; dials that no attempt waits for end with it
+	endLifetime func()
 }
 
 func newConnPool(cfg *core.Config, memoryShort func() bool, log *slog.Logger) *connPool {
@@ -77,15 +82,23 @@
 		usualDialTime:  cfg.Settings.ConnectTimeout,
 		abandonTokens:  maxAbandonTokens,
 		lateDials:      map[string]bool{},
+		closedEarly:    map[string]time.Time{},
 		lifetime:       lifetime,
 		endLifetime:    endLifetime,
 	}
 }
 
-// isUnusable reports whether a connection that has been idle for idleFor must not be used any more. The caller holds
-// p.mu.
-func (p *connPool) isUnusable(c *serverConn, idleFor time.Duration) bool {
-	return idleFor >= p.learnedMaxIdle || !c.isQuiet()
+// isUnusable reports whether a connection to a server that has been idle for idleFor must not be used any more. The
+// caller holds p.mu.
+func (p *connPool) isUnusable(id string, c *serverConn, idleFor time.Duration) bool {
+	if idleFor >= p.learnedMaxIdle {
+		return true
+	}
+	state := c.idleState()
+	if state == idleClosed && idleFor < p.learnedMaxIdle/earlyCloseDivisor {
+		p.closedEarly[id] = time.Now()
+	}
+	return state != idleQuiet
 }
 
 // resize sets how many connections may be open, as a share of all sockets, and how many bytes of responses may be
@@ -109,6 +122,7 @@
 			p.closeLocked(c)
 		}
 		delete(p.idle, id)
+		delete(p.closedEarly, id)
 	})
 }
 
@@ -118,13 +132,22 @@
 	c.Close()
 }
 
+// acquired is a connection to a server that may be used, or what is needed to open one.
+type acquired struct {
+	conn *serverConn // nil: a connection is to be opened
+	addr string
+	// closedAt is when it was last seen that the server had closed an idle connection early; zero if it has not, or if
+	// conn is older.
+	closedAt time.Time
+}
+
 // acquire returns an idle connection to a server, or the address at which to dial one.
-func (p *connPool) acquire(id string) (*serverConn, string, error) {
+func (p *connPool) acquire(id string) (acquired, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	addr, ok := p.addresses.Addr(id)
 	if !ok {
-		return nil, "", core.ErrNoAddress
+		return acquired{}, core.ErrNoAddress
 	}
 	// Connections are in the order in which they were put back: under load, reuseDelay has not passed yet for the last
 	// ones.
@@ -135,19 +158,30 @@
 		c := idle[i]
 		idleFor := now.Sub(c.idleSince)
 		idle = slices.Delete(idle, i, i+1)
-		if !p.isUnusable(c, idleFor) {
+		if !p.isUnusable(id, c, idleFor) {
 			c.idleBefore = idleFor
 			p.setIdle(id, idle)
-			return c, addr, nil
+			if c.openedAt.Before(p.closedEarly[id]) {
+				delete(p.closedEarly, id) // its process has not ended
+			}
+			return acquired{conn: c, addr: addr, closedAt: p.closedEarly[id]}, nil
 		}
 		p.closeLocked(c)
 	}
+	// Those that are too recent to be used may show that the server has closed its connections.
+	idle = slices.DeleteFunc(idle, func(c *serverConn) bool {
+		unusable := p.isUnusable(id, c, now.Sub(c.idleSince))
+		if unusable {
+			p.closeLocked(c)
+		}
+		return unusable
+	})
 	p.setIdle(id, idle)
 	if p.open >= p.maxConns && !p.evictOldest() {
-		return nil, "", core.ErrNoSocket
+		return acquired{}, core.ErrNoSocket
 	}
 	p.open++
-	return nil, addr, nil
+	return acquired{addr: addr, closedAt: p.closedEarly[id]}, nil
 }
 
 // setIdle stores a server's idle connections. The caller holds p.mu.
@@ -243,7 +277,7 @@
 	defer p.mu.Unlock()
 	for id, list := range p.idle {
 		p.setIdle(id, slices.DeleteFunc(list, func(c *serverConn) bool {
-			unusable := p.isUnusable(c, time.Since(c.idleSince))
+			unusable := p.isUnusable(id, c, time.Since(c.idleSince))
 			if unusable {
 				p.closeLocked(c)
 			}
--- a/internal/protocol/http1/pool_test.go
+++ b/internal/protocol/http1/pool_test.go
@@ -184,7 +184,7 @@
 	}
 	first := b.idle["s"][0]
 	more <- ok200 // while it is idle
-	testkit.WaitFor(t, "the second response", func() bool { return !first.isQuiet() })
+	testkit.WaitFor(t, "the second response", func() bool { return first.idleState() != idleQuiet })
 	passReuseDelay(b)
 	ask("")
 	more <- ""
@@ -224,9 +224,9 @@
 		}
 	}
 	b.idle["s"][0].idleSince = time.Now().Add(-15 * time.Millisecond)
-	c, _, err := b.acquire("s")
-	if err != nil || c != nil {
-		t.Errorf("%v %v: reused before reuseDelay had passed", c, err)
+	got, err := b.acquire("s")
+	if err != nil || got.conn != nil {
+		t.Errorf("%v %v: reused before reuseDelay had passed", got.conn, err)
 	}
 }
 
--- a/internal/protocol/http1/probe.go
+++ b/internal/protocol/http1/probe.go
@@ -75,6 +75,8 @@
 
 func (probeOwner) Disconnected() bool { return false }
 
+func (probeOwner) NoteServerClosed(time.Time) {}
+
 func (probeOwner) MayDial() bool { return true }
 
 func (probeOwner) MarkDialed() {}
--- a/internal/protocol/http1/serverconn.go
+++ b/internal/protocol/http1/serverconn.go
@@ -19,28 +19,47 @@
 type serverConn struct {
 	net.Conn
 	addr           string
+	openedAt       time.Time
 	dialTime       time.Duration // how long opening it took
 	idleSince      time.Time
 	idleBefore     time.Duration // how long it was idle before its current use; 0: it is new
 	writeStartedAt time.Time     // when its current use began
 }
 
-// isQuiet reports whether an idle connection is open and has no unread bytes, which would belong to no request.
-func (c *serverConn) isQuiet() (quiet bool) {
+// idleState is the state of a connection on which no request is open.
+type idleState int
+
+const (
+	idleQuiet  idleState = iota // open, without unread bytes
+	idleClosed                  // closed or reset by the server
+	idleUnread                  // has unread bytes, which belong to no request
+)
+
+// idleState returns the state of an idle connection.
+func (c *serverConn) idleState() idleState {
 	syscallConn, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true // a connection of a test, without a file descriptor
+		return idleQuiet // a connection of a test, without a file descriptor
 	}
 	raw, err := syscallConn.SyscallConn()
 	if err != nil {
-		return false
+		return idleUnread
 	}
+	state := idleClosed
 	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			state = idleQuiet
+		case err == nil && n > 0:
+			state = idleUnread
+		}
 	})
-	return err == nil && quiet
+	if err != nil {
+		return idleUnread // closed by this side
+	}
+	return state
 }
 
 // wasDead reports whether a connection may have been dead before its current use, given how long after the start of
