--- a/internal/protocol/http1/attempt.go
+++ b/internal/protocol/http1/attempt.go
@@ -34,21 +34,10 @@
 // response is nil unless the result is decide.OK.
 func (p *connPool) attempt(ctx context.Context, owner attemptOwner, id string, m *message) (decide.Result, *response, decide.Load) {
 	noLoad := wire.Load(nil)
-	got, err := p.acquire(id)
-	c := got.conn
-	if !got.closedAt.IsZero() {
-		owner.NoteServerClosed(got.closedAt)
-	}
-	if err == nil && c == nil && !owner.MayDial() {
-		p.mu.Lock()
-		p.open-- // acquire counted the connection that was to be dialled
-		p.mu.Unlock()
+	c, err := p.connect(ctx, owner, id)
+	if errors.Is(err, errMayNotDial) {
 		return decide.NotSent, nil, noLoad
 	}
-	if err == nil && c == nil {
-		owner.MarkDialed()
-		c, err = p.dial(ctx, id, got.addr)
-	}
 	if err != nil {
 		owner.NoteFailure(err)
 		result := core.ResultOfConnectError(ctx, err)
@@ -95,6 +84,28 @@
 	return decide.Errored, nil, load
 }
 
+// errMayNotDial is returned for an attempt that needs a new connection and may not open one.
+var errMayNotDial = errors.New("the attempt may only use an open connection")
+
+// connect returns a connection to a server: an idle one, or a new one.
+func (p *connPool) connect(ctx context.Context, owner attemptOwner, id string) (*serverConn, error) {
+	got, err := p.acquire(id)
+	if !got.closedAt.IsZero() {
+		owner.NoteServerClosed(got.closedAt)
+	}
+	if err != nil || got.conn != nil {
+		return got.conn, err
+	}
+	if !owner.MayDial() {
+		p.mu.Lock()
+		p.open-- // acquire counted the connection that was to be dialled
+		p.mu.Unlock()
+		return nil, errMayNotDial
+	}
+	owner.MarkDialed()
+	return p.dial(ctx, id, got.addr)
+}
+
 // failureResult returns the result of an attempt that received no valid response. cause is the cause with which the
 // attempt's context ended, or nil if it has not ended. fullyWritten reports whether the request's last byte was
 // written, so that the server may have executed it.
