Tests: the process that ends closes its connections before another one takes its address

TestKeyedRepeatDoesNotGoToAProcessThatTookOverAnAddress closed them in goroutines, so that the old process might still have run a request; it also waited without a bound for the agent to use both servers.

--- a/cmd/vetchhaven/replaced_test.go
+++ b/cmd/vetchhaven/replaced_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -48,11 +47,40 @@
 	}
 }
 
+// endingProcess is the listener and the connections of a process that ends before the test does.
+type endingProcess struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (p *endingProcess) add(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns = append(p.conns, c)
+}
+
+func (p *endingProcess) hasClient() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns) > 0
+}
+
+func (p *endingProcess) end() {
+	p.Listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.Close()
+	}
+}
+
 // Guards against a keyed repeat at a new process, of another zone, at the address of one that has ended.
 func TestKeyedRepeatDoesNotGoToAProcessThatTookOverAnAddress(t *testing.T) {
 	const (
-		requests = 40
-		unlisted = 5 * time.Second // a list may take 6 s to show the new process
+		requests    = 40
+		maxRequests = 10000
+		unlisted    = 5 * time.Second // a list may take 6 s to show the new process
 	)
 	for n, row := range []struct {
 		command string
@@ -62,21 +90,16 @@
 			t.Parallel()
 			executed := executions{count: map[string]int{}}
 			losing := serveEach(t, executed.serve(true))
-			ended := make(chan struct{})
 			// The host is the process's own: no connection of another test takes the port between the two processes.
-			old, err := net.Listen("tcp", fmt.Sprintf("127.77.0.%d:0", n+1))
+			listener, err := net.Listen("tcp", fmt.Sprintf("127.77.0.%d:0", n+1))
 			if err != nil {
 				t.Fatal(err)
 			}
-			addr := old.Addr().String()
-			var known atomic.Bool // the agent has a connection to the old process
+			addr := listener.Addr().String()
+			old := &endingProcess{Listener: listener}
 			serveOld := executed.serve(false)
 			serveOn(t, old, func(c net.Conn, in *bufio.Reader) {
-				known.Store(true)
-				go func() {
-					<-ended
-					c.Close()
-				}()
+				old.add(c)
 				serveOld(c, in)
 			})
 			p := startLimited(t, row.command, 2*time.Second, losing.Addr().String(), addr)
@@ -87,11 +110,13 @@
 					t.Fatalf("%v; log %s", err, p.log)
 				}
 			}
-			for n := 0; n < requests || !known.Load(); n++ {
+			for n := 0; n < requests || !old.hasClient(); n++ {
+				if n > maxRequests {
+					t.Fatal("the agent uses one server only")
+				}
 				get(fmt.Sprint("before-", n))
 			}
-			old.Close()
-			close(ended)
+			old.end()
 			endedAt := time.Now()
 			for n := 0; row.refused && n < requests; n++ { // one of them finds that connections are refused
 				get(fmt.Sprint("refused-", n))
