Memory: a shortage doesn't keep new connections waiting, and uploads leave places for others

A connection costs about 10 KB and has its own bound, the slots; a request that can't be admitted is refused at once either way.

--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -126,7 +126,6 @@
 		}
 	}
 	a.limiter = NewConnLimiter(ln, ClientSockets(cfg.Sockets))
-	a.limiter.memoryShort = a.loop.MemoryShort
 	a.loop.logHeld = a.logHeld
 	return a, nil
 }
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -255,10 +255,10 @@
 }
 
 // OpenUploads returns how many of the requests in OpenRequests may be uploads, which take all of requestMemory for as
-// long as their clients write.
+// long as their clients write. It is less than minOpenRequests where that is the bound on all.
 func OpenUploads(bodyMemory int) int {
 	const uploadShare = 4
-	return max(minOpenRequests, OpenRequests(bodyMemory)/uploadShare)
+	return max(minOpenRequests/2, OpenRequests(bodyMemory)/uploadShare)
 }
 
 // BodyMemory returns how many bytes of requests may be buffered at once, and separately of responses.
--- a/internal/core/connlimiter.go
+++ b/internal/core/connlimiter.go
@@ -51,9 +51,6 @@
 	// connection's start or, for later requests, from the first byte. It is longer than minQuiet, so that a connection
 	// is evicted before its time limit.
 	HeadTimeout = minQuiet + 200*time.Millisecond
-	// shortageCheckInterval is how often it is checked whether the process is still short of memory while connections
-	// wait for that.
-	shortageCheckInterval = 10 * time.Millisecond
 	// emptyCheckInterval is how often waitUntilEmpty evicts connections that have become idle.
 	emptyCheckInterval = 20 * time.Millisecond
 )
@@ -105,8 +102,7 @@
 	slotFreed    chan struct{} // buffers one: a slot may have become free
 	closed       chan struct{}
 	closeOnce    sync.Once
-	closing      bool        // see CloseAfterQueue
-	memoryShort  func() bool // nil: the process never is
+	closing      bool // see CloseAfterQueue
 }
 
 // NewConnLimiter returns a limiter that accepts at most maxConns connections of a listener at once.
@@ -257,15 +253,10 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	wait := min(minQuiet, cl.evictQuiet(cl.idle, now), cl.evictQuiet(cl.fresh, now))
-	slots := cl.maxConns
-	if len(cl.conns) > cl.maxConns/shortageDivisor && cl.memoryShort != nil && cl.memoryShort() {
-		slots = len(cl.conns)
-		wait = min(wait, shortageCheckInterval)
-	}
-	if len(cl.conns)-cl.evicting >= slots {
+	if len(cl.conns)-cl.evicting >= cl.maxConns {
 		wait = min(wait, cl.evictQuietest(now))
 	}
-	if len(cl.conns) < slots {
+	if len(cl.conns) < cl.maxConns {
 		return 0
 	}
 	return wait
--- a/internal/core/memoryshortage.go
+++ b/internal/core/memoryshortage.go
@@ -1,7 +1,7 @@
 package core
 
-// shortageDivisor divides the bounds on open requests, on connections and on buffered bytes while the process is short
-// of memory. What is left keeps usual clients served where the limit is too small for the process itself.
+// shortageDivisor divides the bounds on open requests and on buffered bytes while the process is short of memory.
+// What is left keeps usual clients served where the limit is too small for the process itself.
 const shortageDivisor = 4
 
 // MemoryShort reports whether the process has so little memory left that it should take on no more than it has to. It
