http1: an early close of idle connections is forgotten once the list must have shown the server's end

The pool kept it until the server's address changed, so that each later attempt at a server that had been restarted took the lock of core.endedProcesses. It keeps it for core.ListDelay now; what the guard decides is the same.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -29,7 +29,7 @@
 	start          time.Time     // start of the attempt; of an upload, once sent: when its last byte was sent
 	startBy        time.Time     // latest time at which the first byte may be written, see startExpired; zero: no bound
 	reuseOnly      bool          // see MayDial
-	listedMS       int64         // listed start of the server's process, Unix milliseconds
+	listedMS       int64         // latest listed start of the server, Unix milliseconds; 0: not known
 	scopedRepeat   bool          // see Loop.isScopedRepeat
 	processStarted int64         // listed start of the server's process, Unix milliseconds
 	dialed         bool          // see MarkDialed
--- a/internal/core/endedprocess.go
+++ b/internal/core/endedprocess.go
@@ -8,8 +8,8 @@
 	"vetchhaven/decide"
 )
 
-// listDelay is how long after a change the list shows it, at the latest.
-const listDelay = 6 * time.Second
+// ListDelay is how long after a change of the servers the list shows it, at the latest.
+const ListDelay = 6 * time.Second
 
 // endedProcess is a server's process that has ended, or may have: a connection to its address was refused, or it has
 // closed its connections.
@@ -28,7 +28,7 @@
 func (e *endedProcesses) note(server string, listedMS int64, at time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	maps.DeleteFunc(e.byServer, func(_ string, p endedProcess) bool { return at-p.at > listDelay })
+	maps.DeleteFunc(e.byServer, func(_ string, p endedProcess) bool { return at-p.at > ListDelay })
 	if e.byServer == nil {
 		e.byServer = map[string]endedProcess{}
 	}
@@ -43,7 +43,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	ended, known := e.byServer[server]
-	return known && now-ended.at < listDelay && listedMS <= ended.listedMS
+	return known && now-ended.at < ListDelay && listedMS <= ended.listedMS
 }
 
 // noteRefusedConnection records that a server's listed process has ended, if an attempt's connection was refused.
--- a/internal/core/endedprocess_test.go
+++ b/internal/core/endedprocess_test.go
@@ -23,8 +23,8 @@
 		"never ran":                     {keyedCell, decide.Incomplete, true, 0, 0, false},
 		"all servers drop it":           {keyedAll, decide.Reset, true, 0, 0, false},
 		"the list shows a new process":  {keyedCell, decide.Reset, true, 0, 1000, false},
-		"the list must have shown one":  {keyedCell, decide.Reset, true, listDelay, 0, false},
-		"just before it must have done": {keyedCell, decide.Reset, true, listDelay - time.Second, 0, true},
+		"the list must have shown one":  {keyedCell, decide.Reset, true, ListDelay, 0, false},
+		"just before it must have done": {keyedCell, decide.Reset, true, ListDelay - time.Second, 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newBareLoop()
@@ -72,7 +72,7 @@
 		"start not known":              {true, 0, 0, 0, true},
 		"no repeat in a limited scope": {false, 5, 5, 0, false},
 		"a newer process is listed":    {true, 5, 6, 0, false},
-		"the list must have shown one": {true, 5, 5, listDelay, false},
+		"the list must have shown one": {true, 5, 5, ListDelay, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newBareLoop()
--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -164,7 +164,7 @@
 			if c.openedAt.Before(p.closedEarly[id]) {
 				delete(p.closedEarly, id) // its process has not ended
 			}
-			return acquired{conn: c, addr: addr, closedAt: p.closedEarly[id]}, nil
+			return acquired{conn: c, addr: addr, closedAt: p.recentClose(id, now)}, nil
 		}
 		p.closeLocked(c)
 	}
@@ -181,7 +181,18 @@
 		return acquired{}, core.ErrNoSocket
 	}
 	p.open++
-	return acquired{addr: addr, closedAt: p.closedEarly[id]}, nil
+	return acquired{addr: addr, closedAt: p.recentClose(id, now)}, nil
+}
+
+// recentClose returns when it was last seen that a server had closed an idle connection early, or zero if the list must
+// have shown since then what became of the server. The caller holds p.mu.
+func (p *connPool) recentClose(id string, now time.Time) time.Time {
+	at := p.closedEarly[id]
+	if now.Sub(at) < core.ListDelay {
+		return at
+	}
+	delete(p.closedEarly, id)
+	return time.Time{}
 }
 
 // setIdle stores a server's idle connections. The caller holds p.mu.
