--- a/cmd/vetchhaven/repeated_test.go
+++ b/cmd/vetchhaven/repeated_test.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	const known = `{"id":"s","addr":%q,"zone":"a","kind":"m","state":"ready","weight":1}`
+	const known = `[{"id":"s","addr":%q,"zone":"a","kind":"m","state":"ready","weight":1}]`
 	path := filepath.Join(dir, "config.json")
 	write(t, path, fmt.Sprintf(limitedRunConfig, listen, testkit.RefusingAddr(t), 2*leastMemoryMB, mostSockets, fmt.Sprintf(known, server), 10_000))
 	log := &syncLog{}
--- a/internal/layers/wallclock_test.go
+++ b/internal/layers/wallclock_test.go
@@ -29,7 +29,7 @@
 	"internal/faulttest/soak/play.go UnixMilli":         "a stand-in's list",
 	"internal/simulate/model/sockets/list.go UnixMilli": "a stand-in's list",
 	"cmd/vetchhaven/rehearse.go UnixMilli":              "how often progress is printed",
-	"cmd/vetchhaven/policy.go UnixMilli":                "printed",
+	"cmd/vetchhaven/policyprint.go UnixMilli":           "printed",
 }
 
 // Durations are measured with a monotonic clock: only the files in wallClockUses convert to or from Unix time.
