http1: a message to a server is written with one call

The last mend took the remaining time right before the call that writes it, but the body followed in a second call, and the request arrives with its last byte: two holds.

Change: net.Buffers writes head, X-Expires-In and body with one system call (writev) on a TCP connection.

TestServerConnectionsAreBounded read the pool without its lock: the race detector takes a write for an order, and a writev not. It takes the lock now.

--- a/internal/faulttest/faultbuild/faultbuild.go
+++ b/internal/faulttest/faultbuild/faultbuild.go
@@ -31,6 +31,9 @@
 	{"internal/poll/fd_unix.go", // Write
 		"\tif err := fd.pd.prepareWrite(fd.isFile); err != nil {\n\t\treturn 0, err\n\t}\n\tvar nn int\n\tfor {\n\t\tmax := len(p)\n\t\tif fd.IsStream && max-nn > maxRW {\n\t\t\tmax = nn + maxRW\n\t\t}\n\t\tn, err := ignoringEINTRIO(syscall.Write, fd.Sysfd, p[nn:max])",
 		"\tif err := fd.pd.prepareWrite(fd.isFile); err != nil {\n\t\treturn 0, err\n\t}\n\tif err := fd.faultWrite(); err != nil {\n\t\treturn 0, err\n\t}\n\tvar nn int\n\tfor {\n\t\tmax := len(p)\n\t\tif fd.IsStream && max-nn > maxRW {\n\t\t\tmax = nn + maxRW\n\t\t}\n\t\tmax = nn + fd.faultLength(max-nn)\n\t\tn, err := ignoringEINTRIO(syscall.Write, fd.Sysfd, p[nn:max])"},
+	{"internal/poll/writev.go", // Writev
+		"\t\treturn 0, err\n\t}\n\n\tvar iovecs []syscall.Iovec",
+		"\t\treturn 0, err\n\t}\n\tif err := fd.faultWrite(); err != nil {\n\t\treturn 0, err\n\t}\n\n\tvar iovecs []syscall.Iovec"},
 	{"internal/poll/fd_unix.go", // Read
 		"\t\tn, err := ignoringEINTRIO(syscall.Read, fd.Sysfd, p)\n\t\tif err != nil {\n\t\t\tn = 0",
 		"\t\tn, err := ignoringEINTRIO(syscall.Read, fd.Sysfd, p[:fd.faultLength(len(p))])\n\t\terr = fd.faultErrno(err)\n\t\tif err != nil {\n\t\t\tn = 0"},
--- a/internal/protocol/http1/head_test.go
+++ b/internal/protocol/http1/head_test.go
@@ -47,11 +47,11 @@
 			body = nil
 		}
 		m := h.message(target, host, body, nil)
-		var wire bytes.Buffer
+		var wire bufferWriter
 		if complete, err := m.writeTo(&wire, time.Time{}); err != nil || !complete {
 			t.Fatalf("complete %v, %v", complete, err)
 		}
-		in := bufio.NewReader(&wire)
+		in := bufio.NewReader(&wire.Buffer)
 		got, err := http.ReadRequest(in)
 		if err != nil {
 			if string(h.method) == http.MethodGet || string(h.method) == http.MethodPost {
--- a/internal/protocol/http1/message.go
+++ b/internal/protocol/http1/message.go
@@ -1,8 +1,9 @@
 package http1
 
 import (
-	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -31,29 +32,23 @@
 // maxJoinedMessage is up to how many bytes a message is copied into one buffer, to be written with one call.
 const maxJoinedMessage = 8 << 10
 
+// buffersWriter writes several buffers with one call.
+type buffersWriter interface {
+	writeBuffers(buffers net.Buffers) (int64, error)
+}
+
 // writeTo writes the message as an attempt with this deadline sends it; if the deadline is zero, X-Expires-In is left
 // out. complete reports whether the last byte was written. A long head or body is not copied: it may have to wait for its
-// server. The remaining time is taken right before the call that writes it, because each call may be delayed.
-func (m *message) writeTo(w io.Writer, deadline time.Time) (complete bool, err error) {
-	head, body := m.head, m.body
-	if len(head) > maxJoinedMessage {
-		if _, err := w.Write(head); err != nil {
-			return false, err
-		}
-		head = nil
-	}
-	text := make([]byte, 0, len(head)+expiresInSize+min(len(body), maxJoinedMessage))
-	text = m.appendHeadEnd(append(text, head...), deadline)
-	if len(text)+len(body) <= maxJoinedMessage {
-		text = append(text, body...)
-		body = nil
-	}
-	n, err := w.Write(text)
-	if err != nil || len(body) == 0 {
-		return n == len(text) && len(body) == 0, err
+// server. It is one call all the same, because each call may be delayed, and the remaining time that it tells with it.
+func (m *message) writeTo(w buffersWriter, deadline time.Time) (complete bool, err error) {
+	end := m.appendHeadEnd(make([]byte, 0, expiresInSize), deadline)
+	length := len(m.head) + len(end) + len(m.body)
+	buffers := net.Buffers{m.head, end, m.body}
+	if length <= maxJoinedMessage {
+		buffers = net.Buffers{slices.Concat(m.head, end, m.body)}
 	}
-	n, err = w.Write(body)
-	return n == len(body), err
+	n, err := w.writeBuffers(buffers)
+	return n == int64(length), err
 }
 
 // appendHeadEnd appends X-Expires-In and the empty line.
--- a/internal/protocol/http1/pool_test.go
+++ b/internal/protocol/http1/pool_test.go
@@ -92,7 +92,10 @@
 		done <- r
 	}()
 	testkit.Receive(t, "request to t", other.seen)
-	if len(b.idle["s"]) != 0 {
+	b.mu.Lock()
+	idle := len(b.idle["s"])
+	b.mu.Unlock()
+	if idle != 0 {
 		t.Error("no idle connection was closed to make room")
 	}
 	if r, _, _ := attemptAt(t, context.Background(), b, ""); r != decide.NotSent {
--- a/internal/protocol/http1/serverconn.go
+++ b/internal/protocol/http1/serverconn.go
@@ -26,6 +26,9 @@
 	writeStartedAt time.Time     // when its current use began
 }
 
+// writeBuffers writes buffers with one system call, unless the server's receive buffer is full.
+func (c *serverConn) writeBuffers(buffers net.Buffers) (int64, error) { return buffers.WriteTo(c.Conn) }
+
 // idleState is the state of a connection on which no request is open.
 type idleState int
 
