ldap: what is queued for clients that read slowly is in a budget

Cause: each session may queue 256 KB for its client, and no bound counted the sessions together.

Change: queued messages are reserved in a budget of the size of the response budget, until they are written. Past it, and while memory is short, one message may be queued for a client; an attempt waits for the client as it did at 256 KB, and is no load on its server meanwhile. The agent's own responses wait in the same way.

Beside it: the tests' two files of serve share their beginning, and one test's comment has one line.

--- a/cmd/vetchhaven/limited_test.go
+++ b/cmd/vetchhaven/limited_test.go
@@ -53,7 +53,8 @@
    {"Name":"pay","AimMs":%[6]d,"DeadlineMs":%[6]d,"Worth":1,"Semantics":"once"}],
   "PolicyLimits":{"TryLimit":3,"ConnectTimeoutMs":250,"IdleCloseMs":60000,"Cancel":true},"Contract":{"AskWithinMs":1000,"GraceToAnswerMs":20}}}`
 
-const limitedServeConfig = `admin = "unix:%[7]s/admin.sock"
+// limitedFleet is the part that all files of serve have in common.
+const limitedFleet = `admin = "unix:%[7]s/admin.sock"
 [limits]
 memory_mb = %[3]d
 sockets = %[4]d
@@ -68,7 +69,9 @@
 [rules]
 max_attempts = 3
 connect_timeout = "250ms"
-idle_close = "60s"
+`
+
+const limitedServeConfig = limitedFleet + `idle_close = "60s"
 answer_slack = "20ms"
 [[class]]
 name = "get"
@@ -95,22 +98,7 @@
 listen = "%[1]s"
 `
 
-const limitedLDAPConfig = `admin = "unix:%[7]s/admin.sock"
-[limits]
-memory_mb = %[3]d
-sockets = %[4]d
-[[source]]
-name = "main"
-list = "%[2]s"
-spread = "1ms"
-first = "1ms"
-[site]
-zones = ["a"]
-kinds = ["m"]
-[rules]
-max_attempts = 3
-connect_timeout = "250ms"
-[[class]]
+const limitedLDAPConfig = limitedFleet + `[[class]]
 name = "search"
 repeats = "safe"
 aim = "%[6]dms"
--- a/cmd/vetchhaven/servercrowd_test.go
+++ b/cmd/vetchhaven/servercrowd_test.go
@@ -12,8 +12,7 @@
 	"time"
 )
 
-// Guards against memory that servers make the process hold, by heads of many fields and by bodies that stop or never end,
-// for hundreds of clients that read nothing.
+// Guards against memory that servers make the process hold for hundreds of clients that read nothing.
 func TestCrowdAtBadServersStaysWithinTheLeastMemory(t *testing.T) {
 	fields := strings.Repeat("a:\r\n", 3500)
 	body := strings.Repeat("b", 60<<10)
--- a/internal/protocol/ldap/flood_test.go
+++ b/internal/protocol/ldap/flood_test.go
@@ -1,8 +1,10 @@
 package ldap
 
 import (
+	"fmt"
 	"net"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -127,3 +129,46 @@
 		t.Errorf("the agent holds %d KB more, %d KB are allowed", peak>>10, limit>>10)
 	}
 }
+
+// Guards against search results that are queued for clients which read nothing, beside the budgets.
+func TestResultsOfClientsThatReadNothingAreBounded(t *testing.T) {
+	const clients, entries, entrySize = 60, 600, 10 << 10
+	d := startDirectory(t, "one", directory.Options{})
+	for n := range entries {
+		d.Add(fmt.Sprintf("cn=long%d,dc=ward", n), map[string][]string{"long": {strings.Repeat("r", entrySize)}})
+	}
+	cfg := testConfig(t, d)
+	cfg.MemoryMB = 32
+	a := startAgent(t, cfg, Options{})
+	var conns []net.Conn
+	for range clients {
+		c := a.dialRaw(t)
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		if _, err := c.Write(rawSearch(1, 2)); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	queued := func() (bytes int) {
+		a.p.mu.Lock()
+		defer a.p.mu.Unlock()
+		for s := range a.p.sessions {
+			s.mu.Lock()
+			bytes += s.queuedBytes
+			s.mu.Unlock()
+		}
+		return bytes
+	}
+	peak := 0
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		peak = max(peak, queued())
+	}
+	t.Logf("%d KB were queued", peak>>10)
+	if limit := cfg.BodyMemory() + clients*2*entrySize; peak > limit {
+		t.Errorf("%d KB were queued, %d KB are allowed", peak>>10, limit>>10)
+	}
+	for _, c := range conns {
+		c.Close()
+	}
+	testkit.WaitFor(t, "the release of the queues", func() bool { return a.p.queueBudget.Used() == 0 })
+}
--- a/internal/protocol/ldap/ldap.go
+++ b/internal/protocol/ldap/ldap.go
@@ -51,6 +51,7 @@
 	lastSession       atomic.Uint64 // number of the session that began last
 	openOperations    atomic.Int64
 	requestBudget     *core.ByteBudget // bytes of clients' messages: those that are being read, and those of open operations
+	queueBudget       *core.ByteBudget // bytes that are queued for clients
 	maxOpen           atomic.Int64     // limit on open operations, on all client connections together
 	startedAt         time.Time        // the zero point of session.lastReceived
 	firstRequestGrace time.Duration    // see defaultFirstRequestGrace; tests change it
@@ -102,6 +103,7 @@
 		firstRequestGrace: defaultFirstRequestGrace,
 		startedAt:         time.Now(),
 		requestBudget:     core.NewByteBudget(cfg.BodyMemory(), parts.MemoryShort),
+		queueBudget:       core.NewByteBudget(cfg.BodyMemory(), parts.MemoryShort),
 	}
 	p.maxOpen.Store(operationsPerSocket * int64(core.ClientSockets(cfg.Sockets)))
 	if cfg.Site.MaxOpen > 0 {
@@ -180,6 +182,7 @@
 // Resize sets the limit on sockets, and on the bytes of clients' messages, and separately of servers' messages.
 func (p *protocol) Resize(sockets, bytes int) {
 	p.requestBudget.Resize(bytes)
+	p.queueBudget.Resize(bytes)
 	p.pool.responseBudget.Resize(bytes)
 	if p.cfg.Site.MaxOpen == 0 {
 		p.maxOpen.Store(operationsPerSocket * int64(core.ClientSockets(sockets)))
--- a/internal/protocol/ldap/serverpool.go
+++ b/internal/protocol/ldap/serverpool.go
@@ -43,7 +43,7 @@
 	// notSentLog limits the lines about attempts without a connection.
 	notSentLog core.LogThrottle
 	maxConns   int
-	// responseBudget bounds the bytes of servers\' messages that are being read.
+	// responseBudget bounds the bytes of servers' messages that are being read.
 	responseBudget *core.ByteBudget
 	maxIdle        time.Duration // how long a connection may be idle
 	dialer         func(ctx context.Context, network, addr string) (net.Conn, error)
--- a/internal/protocol/ldap/session.go
+++ b/internal/protocol/ldap/session.go
@@ -44,15 +44,17 @@
 	cancels     int // Cancel requests that were sent to a server, and have no response yet
 	writeQueue  [][]byte
 	queuedBytes int
-	writing     bool
-	identity    *identity
-	stickyConn  *serverConn            // the connection of a SASL bind, to which all operations go; nil: none
-	pagedConns  map[string]*serverConn // the connections that are reserved for paged searches, by cookie
-	closing     bool                   // requests that have arrived are served, later ones are rejected
-	notice      []byte                 // the Notice of Disconnection that a closing session has yet to send
-	noticeSent  bool                   // no response can follow, so no further operation may be executed
-	closed      bool
-	done        chan struct{} // closed when the session is closed
+	// queueReserved is how many bytes of the queue budget writeQueue occupies.
+	queueReserved int
+	writing       bool
+	identity      *identity
+	stickyConn    *serverConn            // the connection of a SASL bind, to which all operations go; nil: none
+	pagedConns    map[string]*serverConn // the connections that are reserved for paged searches, by cookie
+	closing       bool                   // requests that have arrived are served, later ones are rejected
+	notice        []byte                 // the Notice of Disconnection that a closing session has yet to send
+	noticeSent    bool                   // no response can follow, so no further operation may be executed
+	closed        bool
+	done          chan struct{} // closed when the session is closed
 }
 
 // serve runs the session of a client's connection: it reads the client's messages until the connection ends.
--- a/internal/protocol/ldap/sessionwrite.go
+++ b/internal/protocol/ldap/sessionwrite.go
@@ -13,23 +13,27 @@
 // respond queues a response that the agent makes itself, without a server. Only the reader calls it: it waits while too
 // many bytes are queued, so that a client that reads no responses gets no more requests read.
 func (s *session) respond(id int32, op byte, code int, text string) {
+	encoded := ldapmsg.Response(id, ldapmsg.ResponseTo(op), code, text)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.awaitSpace()
-	s.enqueue(ldapmsg.Response(id, ldapmsg.ResponseTo(op), code, text))
+	defer s.dropUnusedSpace()
+	s.awaitSpace(len(encoded))
+	s.enqueue(encoded)
 }
 
 // forward queues a message of a server's response for the client, under the client's message ID. It waits while too
-// many bytes are queued for the client. It returns false if the client has disconnected, or if the operation has had
-// its final answer.
+// many bytes are queued. It returns false if the client has disconnected, or if the operation has had its final answer.
 func (s *session) forward(a *core.Attempt, o *operation, rest []byte) bool {
 	encoded := ldapmsg.WithID(o.id, rest)
-	if s.isQueueFull() {
-		a.WaitForClient()
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.awaitSpace()
+	defer s.dropUnusedSpace()
+	if !s.reserveSpace(len(encoded)) {
+		s.mu.Unlock()
+		a.WaitForClient()
+		s.mu.Lock()
+		s.awaitSpace(len(encoded))
+	}
 	if s.closed {
 		return false
 	}
@@ -40,16 +44,37 @@
 	return true
 }
 
-func (s *session) isQueueFull() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.queuedBytes > maxQueuedBytes
+// reserveSpace reserves n bytes of the queue for a message, until the queue is written. It reports false if too many are
+// queued for the client, or for all clients together; one message may always be queued. The caller holds s.mu.
+func (s *session) reserveSpace(n int) bool {
+	if s.queuedBytes > maxQueuedBytes {
+		return false
+	}
+	if s.protocol.queueBudget.Acquire(n) {
+		s.queueReserved += n
+		return true
+	}
+	return s.queuedBytes == 0
+}
+
+// releaseSpace returns what is reserved for the queue. The caller holds s.mu.
+func (s *session) releaseSpace() {
+	s.protocol.queueBudget.Release(s.queueReserved)
+	s.queueReserved = 0
 }
 
-// awaitSpace waits while too many bytes are queued for the client, until the session is closed at the latest: a client
-// that reads nothing for maxWriteStall is closed. The caller holds s.mu.
-func (s *session) awaitSpace() {
-	for s.queuedBytes > maxQueuedBytes && !s.closed {
+// dropUnusedSpace returns what is reserved for a message that was not queued after all, unless a writer will. The caller
+// holds s.mu.
+func (s *session) dropUnusedSpace() {
+	if s.closed || !s.writing {
+		s.releaseSpace()
+	}
+}
+
+// awaitSpace waits until n bytes of the queue are reserved, or the session is closed: a client that reads nothing for
+// maxWriteStall is closed. The caller holds s.mu.
+func (s *session) awaitSpace(n int) {
+	for !s.closed && !s.reserveSpace(n) {
 		s.writeSpace.Wait()
 	}
 }
@@ -98,25 +123,32 @@
 				s.writeQueue = nil
 				s.queuedBytes = 0
 			}
+			s.releaseSpace()
 			s.mu.Unlock()
 			return
 		}
 		batch := s.writeQueue
 		conn := s.conn
 		n := s.queuedBytes
+		reserved := s.queueReserved
 		s.writeQueue = nil
+		s.queueReserved = 0
 		s.mu.Unlock()
 		encoded := batch[0]
 		if len(batch) > 1 {
 			encoded = bytes.Join(batch, nil) // one write instead of many, and fewer TLS records
 		}
 		err := writePieces(conn, encoded)
+		s.protocol.queueBudget.Release(reserved)
 		s.mu.Lock()
 		s.queuedBytes -= n
 		s.writeSpace.Broadcast()
 		s.mu.Unlock()
 		if err != nil {
 			s.closeNow()
+			s.mu.Lock()
+			s.releaseSpace()
+			s.mu.Unlock()
 			return
 		}
 	}
