--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -73,6 +73,6 @@
 wait "$outside"
 status=$?
 outside=''
-bin/vetchhaven status --config "$dir/fleet.toml" 2>&1 | sed 's/^/status: /' >>"$record"
-sed 's/^/log: /' "$dir/log" >>"$record"
+bin/vetchhaven status --config "$dir/fleet.toml" >>"$record" 2>&1
+while IFS= read -r line; do echo "log: $line"; done <"$dir/log" >>"$record"
 exit $status
