Sources: a removal by the list outlives restart, handover and reload

Cause: removals were state of one endpoints.Module. last.state had the merged list alone, and each new module (start, successor, source that a reload changes, renames or brings back) took the record for that of a new server.

Change: endpoints.SavedState, part of last.state (key "merges", beside the bytes of earlier builds, which stay under test) and of what a reload passes on. Its ages count from the save; the time between processes counts by the boot's clock only.

--- a/cmd/vetchhaven/members.go
+++ b/cmd/vetchhaven/members.go
@@ -67,7 +67,7 @@
 		if s.List != "" {
 			list = discovery.NewHub(discovery.HubOptions{Addr: s.List, ConnectTimeout: wait, Log: log})
 		}
-		m := daemon.NewMerger(s, hub, nil, log, func([]endpoints.ListedServer) {
+		m := daemon.NewMerger(s, hub, daemon.EarlierSource{}, log, func([]endpoints.ListedServer) {
 			select {
 			case changed <- n:
 			default:
--- a/internal/host/daemon/daemon.go
+++ b/internal/host/daemon/daemon.go
@@ -27,7 +27,6 @@
 	"vetchhaven/internal/host/supervise"
 	"vetchhaven/internal/peer/membership"
 	"vetchhaven/internal/peer/transport"
-	"vetchhaven/internal/source/discovery"
 )
 
 // Options are the options that a daemon is started with.
@@ -92,7 +91,7 @@
 	// Snapshots.
 	snapshots  *snapshotStore
 	memories   map[string]*core.LearnedState // by instance: what its agent returned last, or what the last snapshot contained
-	savedLists map[string]*discovery.Update  // from the last snapshot, by daemonconfig.Source.Key
+	remembered map[string]*rememberedSource  // by daemonconfig.Source.Key: sources of the last snapshot, and dropped ones
 
 	// Membership of the fleet.
 	peering       *peering                // nil: the daemon is not in a fleet, or its peering is being started
@@ -130,7 +129,7 @@
 		instances:      map[string]*hostedInstance{},
 		hubs:           map[string]*hub{},
 		memories:       map[string]*core.LearnedState{},
-		savedLists:     map[string]*discovery.Update{},
+		remembered:     map[string]*rememberedSource{},
 		sizeChanged:    make(chan struct{}, 1),
 		servingUpdated: make(chan struct{}, 1),
 	}
--- /dev/null
+++ b/internal/host/daemon/earliersources_test.go
@@ -0,0 +1,232 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"vetchhaven/internal/host/daemonconfig"
+	"vetchhaven/internal/source/endpoints"
+	"vetchhaven/internal/standin"
+	"vetchhaven/internal/standin/dns"
+)
+
+// transition replaces a daemon by another one, or its source by another one.
+type transition struct {
+	name string
+	// apply is called with the daemon and returns the one that runs from then on. meanwhile is called while no
+	// process follows the sources, or just before the transition if there is no such time.
+	apply func(tb *testbed, r *testDaemon, meanwhile func()) *testDaemon
+}
+
+// transitions are the ways in which a daemon comes to follow a source anew.
+var transitions = []transition{
+	{"stop", restartAfterStop},
+	{"kill", restartAfterKill},
+	{"handover", handOver},
+	{"failed handover", failToHandOver},
+	{"reload that renames the source", reloadWith(`name = "main"`, `name = "other"`)},
+	{"reload that replaces the source", reloadWith(`name = "main"`, "name = \"main\"\nhold = \"30m\"")},
+	{"reload that adds multicast", reloadWith(`name = "main"`, "name = \"main\"\nmulticast = \"_form._tcp.local\"\ngroup = \"127.0.0.1:9\"")},
+	{"reload that removes the source for a while", removeSourceForAWhile},
+}
+
+func restartAfterStop(tb *testbed, r *testDaemon, meanwhile func()) *testDaemon {
+	if err := r.end(); err != nil {
+		tb.t.Fatal(err)
+	}
+	meanwhile()
+	return tb.start(Options{})
+}
+
+// restartAfterKill starts a daemon with the file that was saved before the stop, as a kill leaves it.
+func restartAfterKill(tb *testbed, r *testDaemon, meanwhile func()) *testDaemon {
+	r.call(r.saveSnapshot)
+	r.snapshots.Flush()
+	saved := filepath.Join(tb.dir, "state", snapshotFile)
+	data := readFile(tb.t, saved)
+	if err := r.end(); err != nil {
+		tb.t.Fatal(err)
+	}
+	if err := os.WriteFile(saved, []byte(data), 0o600); err != nil {
+		tb.t.Fatal(err)
+	}
+	meanwhile()
+	return tb.start(Options{})
+}
+
+// handOver lets a daemon hand over to a successor in this process, which gets copies of its sockets.
+func handOver(tb *testbed, r *testDaemon, meanwhile func()) *testDaemon {
+	var successor *testDaemon
+	r.options.StartSuccessor = func(_ context.Context, sockets map[daemonconfig.Address]*os.File, state []byte) error {
+		meanwhile()
+		copies, err := copySockets(sockets)
+		if err == nil {
+			successor = tb.start(Options{Inherit: copies, Snapshot: state})
+		}
+		return err
+	}
+	if err := r.Handover(context.Background()); err != nil {
+		tb.t.Fatal(err)
+	}
+	return successor
+}
+
+func failToHandOver(tb *testbed, r *testDaemon, meanwhile func()) *testDaemon {
+	injected := errors.New("injected failure")
+	r.options.StartSuccessor = func(context.Context, map[daemonconfig.Address]*os.File, []byte) error {
+		meanwhile()
+		return injected
+	}
+	if err := r.Handover(context.Background()); !errors.Is(err, injected) {
+		tb.t.Fatalf("the handover: %v, want the injected failure", err)
+	}
+	return r
+}
+
+// reloadWith returns a transition that replaces a text in the settings file.
+func reloadWith(old, text string) func(*testbed, *testDaemon, func()) *testDaemon {
+	return func(tb *testbed, r *testDaemon, meanwhile func()) *testDaemon {
+		meanwhile()
+		tb.reload(r, strings.Replace(readFile(tb.t, r.options.Config.Path), old, text, 1))
+		return r
+	}
+}
+
+// removeSourceForAWhile lets the instances follow another source, and then the first one again.
+func removeSourceForAWhile(tb *testbed, r *testDaemon, meanwhile func()) *testDaemon {
+	elsewhere, err := standin.NewList("")
+	if err != nil {
+		tb.t.Fatal(err)
+	}
+	tb.t.Cleanup(elsewhere.Close)
+	text := readFile(tb.t, r.options.Config.Path)
+	before, rest, _ := strings.Cut(text, "[[source]]\n")
+	_, after, _ := strings.Cut(rest, "[site]\n")
+	tb.reload(r, before+"[[source]]\nname = \"elsewhere\"\nlist = \""+elsewhere.Addr()+"\"\n[site]\n"+after)
+	meanwhile()
+	tb.reload(r, text)
+	return r
+}
+
+// reload applies a settings file.
+func (tb *testbed) reload(r *testDaemon, text string) {
+	tb.t.Helper()
+	writeFile(tb.t, tb.dir, text)
+	if _, err := r.Reload(); err != nil {
+		tb.t.Fatal(err)
+	}
+}
+
+// copySockets returns copies of sockets, as a successor in another process inherits them.
+func copySockets(sockets map[daemonconfig.Address]*os.File) (map[daemonconfig.Address]*os.File, error) {
+	copies := map[daemonconfig.Address]*os.File{}
+	for address, file := range sockets {
+		ln, err := net.FileListener(file)
+		if err != nil {
+			return nil, err
+		}
+		if copies[address], err = fileOf(ln, address.String()); err != nil {
+			return nil, err
+		}
+		_ = ln.Close()
+	}
+	return copies, nil
+}
+
+// mergedServer returns a server as the daemon's only merged source has it, and whether all origins have reported.
+func (d *testDaemon) mergedServer(server *standin.FormServer) (merged endpoints.ListedServer, complete bool) {
+	d.call(func() {
+		for _, h := range d.hubs {
+			if h.merger == nil {
+				continue
+			}
+			var list []endpoints.ListedServer
+			list, complete = h.merger.Members()
+			for _, listed := range list {
+				if listed.Addr == server.Member("").Addr {
+					merged = listed
+				}
+			}
+		}
+	})
+	return merged, complete
+}
+
+// A daemon forgot a removal by the list when it, or its source, was replaced, and used the server's old record.
+func TestRemovalHoldsAgainstOldRecordsAfterRestartAndReload(t *testing.T) {
+	for _, tt := range transitions {
+		t.Run(tt.name, func(t *testing.T) {
+			kept, removed := standin.NewFormServer("kept", nil), standin.NewFormServer("removed", nil)
+			defer kept.Close()
+			defer removed.Close()
+			names, err := dns.New()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer names.Close()
+			publishRecords(t, names, 1, kept, removed)
+			tb := newTestbed(t, kept.Member("ready"), removed.Member("ready"))
+			tb.head = `state_dir = "state"`
+			tb.writeRecordsConfig(names.Addr(), tb.instanceText("a"))
+			r := tb.start(Options{})
+			eventually(t, "list and records are read", func() bool { _, complete := r.mergedServer(kept); return complete })
+			tb.list.Set(removed.Member("gone"))
+			isRemoved := func() bool {
+				merged, _ := r.mergedServer(removed)
+				return !merged.In && merged.State == endpoints.Removed
+			}
+			eventually(t, "the server is removed", isRemoved)
+			lookups := 0
+			r = tt.apply(tb, r, func() { lookups = names.Asked() })
+			eventually(t, "the records are read again", func() bool { return names.Asked() >= lookups+3 })
+			eventually(t, "the list is read again", func() bool { merged, _ := r.mergedServer(kept); return merged.In })
+			for range 50 {
+				tb.expectServed("a")
+			}
+			if !isRemoved() || removed.Requests() > 0 {
+				merged, _ := r.mergedServer(removed)
+				t.Errorf("the removed server is %s (%s) after the transition, and got %d requests",
+					merged.State, merged.Why, removed.Requests())
+			}
+			tb.list.Set(removed.Member("ready"))
+			eventually(t, "a server that the list names again is used", func() bool {
+				merged, _ := r.mergedServer(removed)
+				return merged.In && merged.State == endpoints.Up
+			})
+		})
+	}
+}
+
+// A renamed source began with its list of before the daemon's last restart, so that a draining server got requests
+// until the list was read.
+func TestRenamedSourceKeepsItsDrains(t *testing.T) {
+	ready, drained := standin.NewFormServer("ready", nil), standin.NewFormServer("drained", nil)
+	defer ready.Close()
+	defer drained.Close()
+	tb := newTestbed(t, ready.Member("ready"), drained.Member("ready"))
+	tb.head = `state_dir = "state"`
+	tb.writeConfig(tb.instanceText("a"))
+	r := restartAfterStop(tb, tb.start(Options{}), func() {})
+	tb.list.Set(drained.Member("draining"))
+	stateOf := func(source string) (state string) {
+		r.call(func() {
+			for _, server := range r.hubs[source].Snapshot().Servers {
+				if server.ID == "drained" {
+					state = server.State
+				}
+			}
+		})
+		return state
+	}
+	eventually(t, "the server drains", func() bool { return stateOf("main") == "draining" })
+	tb.list.SetDown(true)
+	reloadWith(`name = "main"`, `name = "other"`)(tb, r, func() {})
+	if got := stateOf("other"); got != "draining" {
+		t.Errorf("the draining server is %q in the renamed source, whose list is not read yet", got)
+	}
+}
--- a/internal/host/daemon/handover_test.go
+++ b/internal/host/daemon/handover_test.go
@@ -31,16 +31,9 @@
 		if upgrades++; upgrades == 1 {
 			return fail
 		}
-		copies := map[daemonconfig.Address]*os.File{}
-		for a, f := range sockets { // makes copies, as a successor in another process would inherit them
-			ln, err := net.FileListener(f)
-			if err != nil {
-				return err
-			}
-			if copies[a], err = fileOf(ln, a.String()); err != nil {
-				return err
-			}
-			ln.Close()
+		copies, err := copySockets(sockets)
+		if err != nil {
+			return err
 		}
 		tb.list.SetDown(true) // the successor has to use the old daemon's list
 		r := tb.start(Options{Inherit: copies, Snapshot: state})
--- a/internal/host/daemon/merge.go
+++ b/internal/host/daemon/merge.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -55,9 +57,9 @@
 	usesSaved bool                        // the saved list is used, until all origins have reported
 }
 
-// NewMerger returns a merger that does not run yet. saved is an earlier list, and may be nil. onChange, which may be
-// nil, is called with each new list.
-func NewMerger(source daemonconfig.Source, hub *discovery.Hub, saved *discovery.Update, log *slog.Logger, onChange func([]endpoints.ListedServer)) *Merger {
+// NewMerger returns a merger that does not run yet and continues from the source's earlier state. onChange, which may
+// be nil, is called with each new list.
+func NewMerger(source daemonconfig.Source, hub *discovery.Hub, earlier EarlierSource, log *slog.Logger, onChange func([]endpoints.ListedServer)) *Merger {
 	origins := originsOf(source)
 	var required []string
 	for _, origin := range origins {
@@ -76,9 +78,12 @@
 		reported:  map[string]bool{},
 		published: map[string]discovery.Server{},
 	}
-	if saved != nil {
+	if earlier.Merge != nil {
+		m.module.Restore(earlier.Merge, earlier.Elapsed)
+	}
+	if earlier.List != nil {
 		m.usesSaved = true
-		m.apply(endpoints.Snapshot{Source: fromSaved, Servers: endpointsOf(saved)})
+		m.apply(endpoints.Snapshot{Source: fromSaved, Servers: endpointsOf(earlier.List)})
 		m.apply(endpoints.Failed{Source: fromSaved})
 	}
 	return m
@@ -88,13 +93,13 @@
 func originsOf(source daemonconfig.Source) []endpoints.Source {
 	var origins []endpoints.Source
 	if source.List != "" {
-		origins = append(origins, endpoints.Source{Name: fromList, Exact: true, Hold: unlimitedHold})
+		origins = append(origins, endpoints.Source{Name: fromList, Origin: source.List, Exact: true, Hold: unlimitedHold})
 	}
 	if len(source.SRV)+len(source.Browse) > 0 {
-		origins = append(origins, endpoints.Source{Name: fromRecords, Hold: source.Hold})
+		origins = append(origins, endpoints.Source{Name: fromRecords, Origin: strings.Join(slices.Concat(source.SRV, source.Browse), " "), Hold: source.Hold})
 	}
 	if source.Multicast != "" {
-		origins = append(origins, endpoints.Source{Name: fromMulticast, Hold: source.Hold})
+		origins = append(origins, endpoints.Source{Name: fromMulticast, Origin: source.Multicast + " " + source.Group, Hold: source.Hold})
 	}
 	return origins
 }
@@ -278,6 +283,13 @@
 	return m.list, m.isComplete()
 }
 
+// Save returns what the origins have reported, for a merger that continues later.
+func (m *Merger) Save() *endpoints.SavedState {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.module.Save()
+}
+
 // isComplete reports whether every origin has reported. The caller holds the lock.
 func (m *Merger) isComplete() bool {
 	for _, name := range m.required {
--- a/internal/host/daemon/snapshots.go
+++ b/internal/host/daemon/snapshots.go
@@ -71,9 +71,7 @@
 	} else {
 		s.DropTransient()
 	}
-	for list, endpoints := range s.Sources {
-		d.savedLists[list] = endpoints
-	}
+	d.rememberSnapshot(s)
 	for name, memory := range s.Instances {
 		if memory != nil {
 			d.memories[name] = memory
@@ -112,10 +110,16 @@
 		SinceBootMS: moment.SinceBoot.Milliseconds(),
 		Sources:     map[string]*discovery.Update{},
 		Instances:   map[string]*core.LearnedState{},
+		Merges:      map[string]*snapshot.Merge{},
 	}
-	for _, h := range d.hubs {
-		if endpoints := h.Snapshot(); endpoints != nil {
-			s.Sources[h.source.Key()] = endpoints
+	for name, h := range d.hubs {
+		list := h.Snapshot()
+		if list == nil {
+			continue
+		}
+		s.Sources[h.source.Key()] = list
+		if h.merger != nil {
+			s.Merges[name] = &snapshot.Merge{Key: h.source.Key(), List: h.source.List, State: h.merger.Save()}
 		}
 	}
 	deadline := time.Now().Add(memoryTimeout)
--- a/internal/host/daemon/sources.go
+++ b/internal/host/daemon/sources.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"reflect"
-	"slices"
 
 	"vetchhaven/internal/host/daemonconfig"
 	"vetchhaven/internal/source/discovery"
@@ -13,6 +12,7 @@
 type hub struct {
 	*discovery.Hub
 	source  daemonconfig.Source
+	merger  *Merger // nil: the source has no records
 	stop    func()
 	unwatch func() // ends the reports of list changes to the transport; nil: changes are not reported
 }
@@ -30,20 +30,16 @@
 // followSources makes d.hubs match the sources of a configuration: one hub for each. It returns the hubs that it
 // dropped. The caller moves the instances that follow a dropped hub, and then stops the hub.
 func (d *Daemon) followSources(cfg *daemonconfig.Config) (dropped []*hub) {
+	d.rememberSources()
 	for name, source := range cfg.Sources {
 		previous := d.hubs[name]
 		if previous != nil && reflect.DeepEqual(previous.source, source) {
 			continue
 		}
-		saved := d.savedLists[source.Key()]
-		if saved != nil && source.HasRecords() {
-			saved = withoutZeroCells(saved)
-		}
 		if previous != nil {
 			dropped = append(dropped, previous)
-			saved = previous.Snapshot() // used until the new list is received
 		}
-		d.hubs[name] = d.newHub(cfg, source, saved)
+		d.hubs[name] = d.newHub(cfg, source, d.earlierSource(name, source, previous != nil))
 	}
 	for name, h := range d.hubs {
 		if _, ok := cfg.Sources[name]; !ok {
@@ -54,21 +50,8 @@
 	return dropped
 }
 
-// withoutZeroCells returns a copy of a saved list of a source with records, in which the cells of servers of cell 0 are
-// unknown: earlier builds saved an unknown cell as 0. A server that is in cell 0 has it again once the list is read.
-func withoutZeroCells(saved *discovery.Update) *discovery.Update {
-	list := *saved
-	list.Servers = slices.Clone(saved.Servers)
-	for i := range list.Servers {
-		if cell := list.Servers[i].Cell; cell != nil && *cell == 0 {
-			list.Servers[i].Cell = nil
-		}
-	}
-	return &list
-}
-
-// newHub returns a hub that follows a source, and starts it from a saved list, which may be nil.
-func (d *Daemon) newHub(cfg *daemonconfig.Config, source daemonconfig.Source, saved *discovery.Update) *hub {
+// newHub returns a hub that follows a source, and starts it from the source's earlier state, if there is one.
+func (d *Daemon) newHub(cfg *daemonconfig.Config, source daemonconfig.Source, earlier EarlierSource) *hub {
 	options := discovery.HubOptions{
 		Addr:            source.List,
 		Spread:          source.Spread,
@@ -78,8 +61,8 @@
 		OnUrgent:        func() { go d.post(d.saveSnapshot) },
 	}
 	h := &hub{source: source, Hub: discovery.NewHub(options)}
-	if saved != nil {
-		h.Restore(saved)
+	if earlier.List != nil {
+		h.Restore(earlier.List)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = func() {
@@ -98,7 +81,7 @@
 		options.OnUrgent = nil
 		list = discovery.NewHub(options)
 	}
-	merger := NewMerger(source, h.Hub, saved, d.log, nil)
-	d.background.Go(func() { merger.Run(ctx, list) })
+	h.merger = NewMerger(source, h.Hub, earlier, d.log, nil)
+	d.background.Go(func() { h.merger.Run(ctx, list) })
 	return h
 }
--- a/internal/host/snapshot/snapshot.go
+++ b/internal/host/snapshot/snapshot.go
@@ -2,8 +2,8 @@
 // and decides which parts of the state the next daemon may use. It does no I/O: internal/host/daemon reads and writes
 // the file.
 //
-// The file contains the last valid endpoint lists, which are used until the list service has been read, and the
-// measured durations. It does not contain retry tokens, slow-start budgets, failure counts and ejections: these were
+// The file contains the last valid endpoint lists, which are used until the list service has been read, what each
+// origin of a merged list has reported, and the measured durations. It does not contain retry tokens, slow-start budgets, failure counts and ejections: these were
 // valid only at the time of saving, and restoring them could break a rule (a slow-start budget that was spent would be
 // spent again) or keep a recovered endpoint out of use. The limit on requests in flight is passed only to a successor
 // that immediately serves the same clients: see State.DropTransient.
@@ -19,6 +19,7 @@
 
 	"vetchhaven/internal/core"
 	"vetchhaven/internal/source/discovery"
+	"vetchhaven/internal/source/endpoints"
 )
 
 // State is the content of the file.
@@ -30,6 +31,16 @@
 	Instances   map[string]*core.LearnedState `json:"instances"`         // by name
 	// Peers is the daemon's membership state (transport.EncodeSaved), for a successor that takes over without a pause.
 	Peers []byte `json:"peers,omitempty"`
+	// Merges are the states of the sources that merge several origins, by the source's name. Earlier builds do not
+	// write them.
+	Merges map[string]*Merge `json:"merges,omitempty"`
+}
+
+// Merge is the state of a source that merges several origins.
+type Merge struct {
+	Key   string                `json:"key"`            // names the merged list in State.Sources
+	List  string                `json:"list,omitempty"` // address of the list service
+	State *endpoints.SavedState `json:"state"`
 }
 
 // DropTransient removes the state that may be used only by a successor that takes over immediately, without a pause in
@@ -71,6 +82,15 @@
 	return age
 }
 
+// Elapsed returns the time since the state was saved, as far as a clock that is never stepped shows it: 0 if the
+// machine's boot is another one, or unknown.
+func (s *State) Elapsed(now Moment) time.Duration {
+	if now.BootID == "" || now.BootID != s.BootID {
+		return 0
+	}
+	return max(0, s.age(now))
+}
+
 var crcTable = crc64.MakeTable(crc64.ECMA)
 
 // Encode returns the file's content: a line with the name, the version, and the CRC-64 and length of the body, then
@@ -121,6 +141,11 @@
 		}
 		list.Full, list.Version = true, 0
 	}
+	for name, merge := range s.Merges {
+		if merge == nil || merge.State == nil {
+			delete(s.Merges, name)
+		}
+	}
 }
 
 // openEnvelope checks the first line of a file and returns the body.
--- a/internal/source/endpoints/endpoints.go
+++ b/internal/source/endpoints/endpoints.go
@@ -46,6 +46,9 @@
 // Source describes a source and how far its reports are trusted.
 type Source struct {
 	Name string
+	// Origin identifies what the source reads, such as the address of a list service. Two sources of one name and
+	// one origin report the same list.
+	Origin string
 	// Exact means that a server missing from a snapshot has been removed. A server missing from the snapshot of
 	// a source that is not exact, such as DNS, has only been withdrawn: another source may still have it.
 	Exact bool
--- a/tools/members/main.go
+++ b/tools/members/main.go
@@ -306,7 +306,7 @@
 	}
 	lists := make(chan int, 1000)
 	hub := discovery.NewHub(discovery.HubOptions{Log: slog.New(slog.DiscardHandler)})
-	m := daemon.NewMerger(daemonconfig.Source{Name: "s", Multicast: "_form._tcp.local", Group: r.Addr(), Hold: time.Hour}, hub, nil, slog.New(slog.DiscardHandler),
+	m := daemon.NewMerger(daemonconfig.Source{Name: "s", Multicast: "_form._tcp.local", Group: r.Addr(), Hold: time.Hour}, hub, daemon.EarlierSource{}, slog.New(slog.DiscardHandler),
 		func(list []endpoints.ListedServer) {
 			in := 0
 			for _, v := range list {
