Sources: the complete list overrules what was saved of it, with or without records

Cause: the saved list was the merged one, and counted as an origin of its own until all origins had reported. Which origin had named a server was lost, so the complete list could not show what had left it; where resolvers answered, an old record had the same effect, since no removal was recorded.

Change: each origin goes on from its own last report, as one that has just failed; its next report is compared with that as in a process that goes on. A file of an earlier build serves until the list service has reported. Of another list or other names, the report serves until the new one is read.

--- a/internal/host/daemon/earliersources.go
+++ b/internal/host/daemon/earliersources.go
@@ -14,7 +14,7 @@
 // is that of a source that was never followed.
 type EarlierSource struct {
 	List  *discovery.Update     // the list that the instances followed, used until the source has been read
-	Merge *endpoints.SavedState // nil: the source had no records, or an earlier build saved the list
+	Merge *endpoints.SavedState // what each origin had reported; nil: an earlier build saved the list
 	// Elapsed is the time since Merge was saved.
 	Elapsed time.Duration
 }
@@ -44,6 +44,8 @@
 		r := &rememberedSource{name: name, list: h.source.List, servers: list, at: d.now()}
 		if h.merger != nil {
 			r.merge = h.merger.Save()
+		} else {
+			r.merge = mergeOfList(h.source.List, list)
 		}
 		d.remembered[h.source.Key()] = r
 	}
@@ -53,7 +55,12 @@
 func (d *Daemon) rememberSnapshot(s *snapshot.State) {
 	at := d.now() - s.Elapsed(currentMoment())
 	for key, list := range s.Sources {
-		d.remembered[key] = &rememberedSource{servers: list, at: at, fromDisk: true}
+		r := &rememberedSource{servers: list, at: at, fromDisk: true}
+		if daemonconfig.IsListKey(key) {
+			r.list = key
+			r.merge = mergeOfList(key, list)
+		}
+		d.remembered[key] = r
 	}
 	for name, merge := range s.Merges {
 		if r := d.remembered[merge.Key]; r != nil {
@@ -64,6 +71,13 @@
 	}
 }
 
+// mergeOfList returns the state of a merger whose only origin is a list service with this list.
+func mergeOfList(addr string, list *discovery.Update) *endpoints.SavedState {
+	module := endpoints.New(endpoints.Settings{Sources: originsOf(daemonconfig.Source{List: addr})})
+	module.Step(0, endpoints.Snapshot{Source: fromList, Servers: endpointsOf(list)})
+	return module.Save()
+}
+
 // earlierSource returns what is remembered of a source. It may have had another name, or have the same name and read
 // other lists or records now; replaces reports whether a source of this name was followed until now.
 func (d *Daemon) earlierSource(name string, source daemonconfig.Source, replaces bool) EarlierSource {
@@ -110,5 +124,19 @@
 		}
 		e.List = &list
 	}
+	if e.Merge != nil {
+		merge := *e.Merge
+		merge.Sources = slices.Clone(e.Merge.Sources)
+		for i := range merge.Sources {
+			servers := slices.Clone(merge.Sources[i].Servers)
+			for j := range servers {
+				if pod := servers[j].Pod; pod != nil && *pod == 0 {
+					servers[j].Pod = nil
+				}
+			}
+			merge.Sources[i].Servers = servers
+		}
+		e.Merge = &merge
+	}
 	return e
 }
--- a/internal/host/daemon/earliersources_test.go
+++ b/internal/host/daemon/earliersources_test.go
@@ -8,8 +8,10 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"vetchhaven/internal/host/daemonconfig"
+	"vetchhaven/internal/host/snapshot"
 	"vetchhaven/internal/source/endpoints"
 	"vetchhaven/internal/standin"
 	"vetchhaven/internal/standin/dns"
@@ -161,6 +163,7 @@
 func TestRemovalHoldsAgainstOldRecordsAfterRestartAndReload(t *testing.T) {
 	for _, tt := range transitions {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			kept, removed := standin.NewFormServer("kept", nil), standin.NewFormServer("removed", nil)
 			defer kept.Close()
 			defer removed.Close()
@@ -230,3 +233,116 @@
 		t.Errorf("the draining server is %q in the renamed source, whose list is not read yet", got)
 	}
 }
+
+// A saved list counted as a further origin until all origins had reported, so that servers which the complete list no
+// longer names were used for as long as no resolver answered.
+func TestCompleteListOverrulesWhatWasSavedOfIt(t *testing.T) {
+	for _, tt := range transitions {
+		for _, resolver := range []string{"answers", "fails"} {
+			t.Run(tt.name+", the resolver "+resolver, func(t *testing.T) {
+				t.Parallel()
+				kept, removed, recorded, added := standin.NewFormServer("kept", nil), standin.NewFormServer("removed", nil),
+					standin.NewFormServer("recorded", nil), standin.NewFormServer("added", nil)
+				removedWithRecord := standin.NewFormServer("removed-with-record", nil)
+				for _, f := range []*standin.FormServer{kept, removed, recorded, added, removedWithRecord} {
+					defer f.Close()
+				}
+				names, err := dns.New()
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer names.Close()
+				publishRecords(t, names, 1, kept, recorded, removedWithRecord)
+				tb := newTestbed(t, kept.Member("ready"), removed.Member("ready"), removedWithRecord.Member("ready"))
+				tb.head = `state_dir = "state"`
+				tb.writeRecordsConfig(names.Addr(), tb.instanceText("a"))
+				r := tb.start(Options{})
+				eventually(t, "list and records are read", func() bool { _, complete := r.mergedServer(kept); return complete })
+				lookups := 0
+				r = tt.apply(tb, r, func() {
+					if resolver == "fails" {
+						names.Script(func(string, string, string) dns.Fault { return dns.Fault{Rcode: 2} })
+					}
+					lookups = names.Asked()
+					tb.list.Set(removed.Member("gone"), removedWithRecord.Member("gone"), added.Member("ready"))
+				})
+				isIn := func(server *standin.FormServer) bool {
+					merged, _ := r.mergedServer(server)
+					return merged.In && merged.State == endpoints.Up
+				}
+				if !isIn(recorded) {
+					t.Error("a server that only the records name is out before they are read again")
+				}
+				eventually(t, "the list is read again", func() bool { return isIn(added) })
+				eventually(t, "the resolver is asked", func() bool { return names.Asked() > lookups })
+				for _, server := range []*standin.FormServer{removed, removedWithRecord} {
+					merged, _ := r.mergedServer(server)
+					if merged.In {
+						t.Errorf("%s, which the complete list does not name, is in: %s", server.ID, merged.Why)
+					}
+				}
+				if !isIn(kept) || !isIn(recorded) {
+					t.Errorf("kept is in: %v; recorded, which only the records name, is in: %v", isIn(kept), isIn(recorded))
+				}
+			})
+		}
+	}
+}
+
+// While the list service is away, what was saved of its list is used, also where the resolvers answer. The list that it
+// has when it is back overrules that.
+func TestSavedListServesUntilTheListServiceIsBack(t *testing.T) {
+	kept, removed, recorded := standin.NewFormServer("kept", nil), standin.NewFormServer("removed", nil), standin.NewFormServer("recorded", nil)
+	for _, f := range []*standin.FormServer{kept, removed, recorded} {
+		defer f.Close()
+	}
+	names, err := dns.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer names.Close()
+	publishRecords(t, names, 1, recorded)
+	for _, saved := range []string{"by this build", "by an earlier build"} {
+		t.Run(saved, func(t *testing.T) {
+			tb := newTestbed(t, kept.Member("ready"), removed.Member("ready"))
+			tb.head = `state_dir = "state"`
+			tb.writeRecordsConfig(names.Addr(), tb.instanceText("a"))
+			r := tb.start(Options{})
+			eventually(t, "list and records are read", func() bool { _, complete := r.mergedServer(kept); return complete })
+			if err := r.end(); err != nil {
+				t.Fatal(err)
+			}
+			if saved == "by an earlier build" {
+				tb.forgetMerges()
+			}
+			tb.list.SetDown(true)
+			r = tb.start(Options{})
+			isIn := func(server *standin.FormServer) bool { merged, _ := r.mergedServer(server); return merged.In }
+			if !isIn(kept) || !isIn(removed) || !isIn(recorded) {
+				t.Errorf("kept is in: %v; removed: %v; recorded: %v", isIn(kept), isIn(removed), isIn(recorded))
+			}
+			tb.list.Set(removed.Member("gone"))
+			tb.list.SetDown(false)
+			eventually(t, "the list that lacks the server is read", func() bool { return !isIn(removed) })
+			eventually(t, "the other servers are in", func() bool { return isIn(kept) && isIn(recorded) })
+		})
+	}
+}
+
+// forgetMerges takes what earlier builds did not write out of the saved snapshot.
+func (tb *testbed) forgetMerges() {
+	tb.t.Helper()
+	path := filepath.Join(tb.dir, "state", snapshotFile)
+	state, err := snapshot.Decode([]byte(readFile(tb.t, path)), currentMoment(), time.Hour)
+	if err != nil {
+		tb.t.Fatal(err)
+	}
+	state.Merges = nil
+	data, err := snapshot.Encode(state)
+	if err != nil {
+		tb.t.Fatal(err)
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		tb.t.Fatal(err)
+	}
+}
--- a/internal/host/daemon/merge.go
+++ b/internal/host/daemon/merge.go
@@ -54,7 +54,8 @@
 	reported  map[string]bool             // origins that have reported a complete view
 	version   int64                       // the version of the published list
 	published map[string]discovery.Server // by ID
-	usesSaved bool                        // the saved list is used, until all origins have reported
+	continues bool                        // the merger began with what was known earlier
+	usesSaved bool                        // the saved list is used: see needsSaved
 }
 
 // NewMerger returns a merger that does not run yet and continues from the source's earlier state. onChange, which may
@@ -78,15 +79,25 @@
 		reported:  map[string]bool{},
 		published: map[string]discovery.Server{},
 	}
-	if earlier.Merge != nil {
-		m.module.Restore(earlier.Merge, earlier.Elapsed)
+	switch {
+	case earlier.Merge != nil:
+		m.continueWith(m.module.Restore(earlier.Merge, earlier.Elapsed))
+	case earlier.List != nil: // which of its servers came from which origin is not known
+		m.continueWith(endpointsOf(earlier.List))
 	}
-	if earlier.List != nil {
-		m.usesSaved = true
-		m.apply(endpoints.Snapshot{Source: fromSaved, Servers: endpointsOf(earlier.List)})
+	return m
+}
+
+// continueWith publishes the list of what was restored, and of servers that no present origin has reported.
+func (m *Merger) continueWith(saved []endpoints.Server) {
+	m.continues = true
+	m.usesSaved = len(saved) > 0
+	if m.usesSaved {
+		m.apply(endpoints.Snapshot{Source: fromSaved, Servers: saved})
 		m.apply(endpoints.Failed{Source: fromSaved})
+		return
 	}
-	return m
+	m.apply(nil)
 }
 
 // originsOf returns the origins of a source's endpoints.
@@ -214,7 +225,7 @@
 	if view, ok := r.(endpoints.Snapshot); ok {
 		m.reported[view.Source] = true
 	}
-	if m.usesSaved && m.isComplete() { // all origins have reported: the saved list is no longer needed
+	if m.usesSaved && !m.needsSaved() {
 		m.usesSaved = false
 		reports = append(reports, endpoints.Reset{Source: fromSaved})
 	}
@@ -223,7 +234,7 @@
 		m.log.Info(line, "source", m.source.Name)
 	}
 	m.list = list
-	if len(m.reported) == 0 || !changed && m.version > 0 {
+	if len(m.reported) == 0 && !m.continues || !changed && m.version > 0 {
 		return
 	}
 	m.publish(list)
@@ -290,6 +301,10 @@
 	return m.module.Save()
 }
 
+// needsSaved reports whether servers of the saved list may still be in use: until the list service, whose complete list
+// shows what has been removed, has reported, or else all origins have. The caller holds the lock.
+func (m *Merger) needsSaved() bool { return !m.reported[fromList] && !m.isComplete() }
+
 // isComplete reports whether every origin has reported. The caller holds the lock.
 func (m *Merger) isComplete() bool {
 	for _, name := range m.required {
--- a/internal/host/daemonconfig/config.go
+++ b/internal/host/daemonconfig/config.go
@@ -83,6 +83,9 @@
 	return strings.Join(parts, " ")
 }
 
+// IsListKey reports whether a key is that of a source with a list service alone: the service's address.
+func IsListKey(key string) bool { return !strings.Contains(key, " ") }
+
 // Instance is the configuration of one agent.
 type Instance struct {
 	Name   string
--- a/internal/source/endpoints/endpoints.go
+++ b/internal/source/endpoints/endpoints.go
@@ -163,8 +163,7 @@
 		}
 	case Reset:
 		if s := m.source(r.Source); s != nil {
-			s.entries = map[string]*entry{}
-			s.known = false
+			s.forgetReports(m.latest)
 			m.removals = slices.DeleteFunc(m.removals, func(removal *removal) bool { return removal.source == s.Name })
 		}
 	case Failed:
--- a/internal/source/endpoints/saved.go
+++ b/internal/source/endpoints/saved.go
@@ -120,28 +120,98 @@
 
 func (m *Module) ageMS(at time.Duration) int64 { return (m.latest - at).Milliseconds() }
 
-// Restore sets the removals of an earlier module in a module that has had no Step yet. elapsed is the time since the
-// state was saved, as far as it is known.
-func (m *Module) Restore(saved *SavedState, elapsed time.Duration) {
-	at := func(ageMS int64) time.Duration { return restoredTime(ageMS, elapsed) }
-	for _, r := range saved.Removals {
-		state := Removed
-		if r.Draining {
-			state = Draining
+// Restore continues from the state of an earlier module. The module must have had no Step yet. elapsed is the time since
+// the state was saved, as far as it is known.
+//
+// Each source continues as one that fails, until it reports: its last reports are used for Source.Hold, and its next
+// snapshot shows what was removed or withdrawn in the meantime. If the source's Origin has changed, its next snapshot
+// replaces them instead, since another list that lacks a server does not report its removal. Restore returns the servers
+// of sources that the module does not have.
+func (m *Module) Restore(saved *SavedState, elapsed time.Duration) (others []Server) {
+	r := restorer{elapsed: elapsed}
+	for _, savedSource := range saved.Sources {
+		if s := m.source(savedSource.Name); s != nil {
+			r.restoreSource(s, savedSource)
+			continue
 		}
-		m.removals = append(m.removals, &removal{
-			id:      r.ID,
-			addr:    r.Addr,
-			state:   state,
-			source:  r.Source,
-			at:      at(r.AgeMS),
-			started: r.Started,
-		})
+		for _, server := range savedSource.Servers {
+			others = append(others, r.entry(server).Server)
+		}
+	}
+	for _, removal := range saved.Removals {
+		m.removals = append(m.removals, r.removal(removal))
 	}
+	return others
 }
 
-// restoredTime returns the time of a saved age in a module whose time begins now.
-func restoredTime(ageMS int64, elapsed time.Duration) time.Duration {
+// restorer converts a saved state for a module whose time begins now.
+type restorer struct{ elapsed time.Duration }
+
+// at returns the time of a saved age.
+func (r restorer) at(ageMS int64) time.Duration {
 	age := time.Duration(min(max(ageMS, 0), maxSavedAge.Milliseconds())) * time.Millisecond
-	return -age - min(max(elapsed, 0), maxSavedAge)
+	return -age - min(max(r.elapsed, 0), maxSavedAge)
+}
+
+func (r restorer) restoreSource(s *source, saved SavedSource) {
+	s.known = true
+	s.failing = true
+	s.failingSince = 0
+	if saved.FailingMS != nil {
+		s.failingSince = r.at(*saved.FailingMS)
+	}
+	s.replaced = s.Origin != saved.Origin
+	s.lastReceived = r.at(saved.LastReceivedMS)
+	s.withdrawnSince = r.at(saved.WithdrawnSinceMS)
+	s.withdrawn = map[string]time.Duration{}
+	for id, ageMS := range saved.Withdrawn {
+		s.withdrawn[id] = r.at(ageMS)
+	}
+	for _, server := range saved.Servers {
+		s.entries[server.ID] = r.entry(server)
+	}
+}
+
+func (r restorer) entry(saved SavedServer) *entry {
+	e := &entry{
+		Server: Server{
+			ID:       saved.ID,
+			Addr:     saved.Addr,
+			Zone:     saved.Zone,
+			Kind:     saved.Kind,
+			Weight:   saved.Weight,
+			Priority: saved.Priority,
+			State:    Up,
+			Started:  saved.Started,
+		},
+		announced:    r.at(saved.AnnouncedMS),
+		lastMissing:  r.at(saved.LastMissingMS),
+		missingSince: r.at(saved.MissingSinceMS),
+	}
+	if saved.Draining {
+		e.State = Draining
+	}
+	if saved.Pod != nil {
+		e.Pod = PodNumber(*saved.Pod)
+	}
+	if saved.LostMS != nil {
+		e.lost = true
+		e.lostAt = r.at(*saved.LostMS)
+	}
+	return e
+}
+
+func (r restorer) removal(saved SavedRemoval) *removal {
+	restored := &removal{
+		id:      saved.ID,
+		addr:    saved.Addr,
+		state:   Removed,
+		source:  saved.Source,
+		at:      r.at(saved.AgeMS),
+		started: saved.Started,
+	}
+	if saved.Draining {
+		restored.state = Draining
+	}
+	return restored
 }
--- a/internal/source/endpoints/source.go
+++ b/internal/source/endpoints/source.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -19,6 +21,7 @@
 	known          bool // whether a report has been received since the start or the last reset
 	failing        bool // whether the source has failed and no report has been received since
 	failingSince   time.Duration
+	replaced       bool                     // whether entries are reports of another origin, which the next snapshot replaces
 	entries        map[string]*entry        // the servers that the source names, by ID
 	lastReceived   time.Duration            // when its last report was received
 	withdrawnSince time.Duration            // since when servers that are not in withdrawn are missing
@@ -48,6 +51,17 @@
 	s.lastReceived = now
 }
 
+// forgetReports discards what the source has reported. A server that it names after that does not count as announced
+// anew.
+func (s *source) forgetReports(now time.Duration) {
+	s.known = false
+	s.replaced = false
+	s.entries = map[string]*entry{}
+	s.lastReceived = now
+	s.withdrawnSince = now
+	s.withdrawn = map[string]time.Duration{}
+}
+
 // withdraw records that the source no longer names a server.
 func (s *source) withdraw(id string, now time.Duration) {
 	delete(s.entries, id)
@@ -77,12 +91,16 @@
 
 // applySnapshot applies the complete list of a source's servers.
 func (m *Module) applySnapshot(s *source, servers []Server) {
+	if s.replaced {
+		s.forgetReports(m.latest)
+	}
 	named := map[string]bool{}
 	for _, server := range servers {
 		named[server.ID] = true
 	}
 	isSudden := m.checkSuddenLoss(s, named)
-	for id, e := range s.entries {
+	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
+		e := s.entries[id]
 		switch {
 		case named[id]:
 		case s.Exact:
