ldap: the connection of a SASL bind stays reserved beside many paged searches

Cause: the cookie past the limit ended the reservation of the connection that the search ran on. For a SASL client that is the connection of its bind.

Change: only the connection of a paged search alone is released.

Measured: TestManyPagedSearchesKeepTheConnectionOfASASLBind fails at ("a client that is not bound is served as dn:sasl") and at the parent ("the server connection of this SASL bind has ended"), and passes now.

--- a/internal/protocol/ldap/identity.go
+++ b/internal/protocol/ldap/identity.go
@@ -73,14 +73,16 @@
 }
 
 // keepPagedConn keeps a reserved server connection for the next page of a paged search, or unreserves it if the
-// session has too many such searches or is closed. The caller holds s.mu.
+// session has too many such searches or is closed. The connection of a SASL bind stays reserved in any case. The caller
+// holds s.mu.
 func (s *session) keepPagedConn(cookie string, c *serverConn) {
 	if s.pagedConns == nil {
 		s.pagedConns = map[string]*serverConn{}
 	}
-	if len(s.pagedConns) < maxPagedSearches && !s.closed {
+	switch {
+	case len(s.pagedConns) < maxPagedSearches && !s.closed:
 		s.pagedConns[cookie] = c
-	} else {
+	case c != s.stickyConn:
 		go c.unreserve()
 	}
 }
