ldap: a response that its client does not get reserves no server connection

What callers saw: each SASL bind whose client left before the directory ended it kept a server connection open for good, until no socket was left for others.

Cause: the attempt reserves the connection with the response, and the session ends the reservation. A response that comes after the request's end, or to an abandoned or cancelled operation, reaches no session.

Change: finalResponse is a core.Discarder, which ends the reservation that it made itself; an abandoned further page frees its connection, too.

--- a/internal/protocol/ldap/attempt.go
+++ b/internal/protocol/ldap/attempt.go
@@ -120,20 +120,14 @@
 	r := &finalResponse{rest: got.Rest, code: code}
 	switch {
 	case o.message.Op == ldapmsg.BindRequest && o.sasl && (code == ldapmsg.Success || code == ldapmsg.SASLBindInProgress):
-		p.mu.Lock()
-		c.reserved = true
-		p.mu.Unlock()
-		r.conn = c
+		p.reserve(c, r)
 	case o.message.Op == ldapmsg.BindRequest && code == ldapmsg.Success:
 		p.setIdentity(c, o.newIdentity)
 	case o.message.Op == ldapmsg.BindRequest:
 		p.markSuspect(c)
 	case o.paged:
 		if r.cookie, _ = ldapmsg.PagedCookie(got.Controls); len(r.cookie) > 0 {
-			p.mu.Lock()
-			c.reserved = true
-			p.mu.Unlock()
-			r.conn = c
+			p.reserve(c, r)
 		}
 	}
 	return decide.OK, r
--- a/internal/protocol/ldap/call.go
+++ b/internal/protocol/ldap/call.go
@@ -31,6 +31,16 @@
 	code   int         // the result code
 	cookie []byte      // the cookie of a paged search that has further pages
 	conn   *serverConn // the connection that is reserved for further pages or for a SASL bind; nil: none
+	// reservedFirst is whether conn was not reserved before the response.
+	reservedFirst bool
+}
+
+// Discard ends the reservation that the response has made, if the client does not get the response. It implements
+// core.Discarder.
+func (r *finalResponse) Discard() {
+	if r.reservedFirst {
+		r.conn.unreserve()
+	}
 }
 
 // maxQueuedMessages is how many messages of one response are queued before the connection's reader waits. A larger
--- a/internal/protocol/ldap/operation.go
+++ b/internal/protocol/ldap/operation.go
@@ -156,6 +156,12 @@
 	var response []byte
 	op := ldapmsg.ResponseTo(o.message.Op)
 	got, served := a.Response.(*finalResponse)
+	if abandoned || cancelled {
+		if served {
+			go got.Discard()
+		}
+		got, served = nil, false
+	}
 	switch {
 	case abandoned:
 	case cancelled:
--- a/internal/protocol/ldap/reserved_test.go
+++ b/internal/protocol/ldap/reserved_test.go
@@ -8,6 +8,7 @@
 
 	"vetchhaven/internal/protocol/ldapmsg"
 	"vetchhaven/internal/standin/directory"
+	"vetchhaven/internal/testkit"
 )
 
 // bindSASL binds a raw connection by a SASL bind of two steps.
@@ -53,3 +54,29 @@
 		}
 	}
 }
+
+// The server connection of a SASL bind stayed reserved, and open, for good if the response came after its client had
+// left.
+func TestLateResponseOfASASLBindReservesNoConnection(t *testing.T) {
+	d := startDirectory(t, "one", directory.Options{})
+	hold, arrived := make(chan struct{}), make(chan struct{}, 1)
+	d.Script(func(directory.Op) directory.Fault {
+		arrived <- struct{}{}
+		return directory.Fault{Stall: hold}
+	})
+	a := startAgent(t, testConfig(t, d), Options{})
+	c := a.dialRaw(t)
+	const bindID = 7
+	if _, err := c.Write(saslBindStep(bindID)); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Receive(t, "the bind at the server", arrived)
+	a.closeSessionOf(bindID)
+	testkit.WaitFor(t, "the client's end", func() bool { return a.Totals().ClientDisconnects == 1 })
+	close(hold)
+	testkit.WaitFor(t, "the connection to be closed", func() bool {
+		a.p.pool.mu.Lock()
+		defer a.p.pool.mu.Unlock()
+		return a.p.pool.open == 0
+	})
+}
--- a/internal/protocol/ldap/serverconn.go
+++ b/internal/protocol/ldap/serverconn.go
@@ -56,7 +56,8 @@
 	c.pool.closeIfUnused(c)
 }
 
-// unreserve ends the reservation for a paged search's next page.
+// unreserve ends the reservation for a paged search's next page, or for a SASL bind whose client does not get the
+// connection. The connection of a SASL bind, which has no known identity, is then closed.
 func (c *serverConn) unreserve() {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
--- a/internal/protocol/ldap/serverpool.go
+++ b/internal/protocol/ldap/serverpool.go
@@ -188,6 +188,15 @@
 	p.closeIfUnused(c)
 }
 
+// reserve reserves a connection for the client that gets a response.
+func (p *connPool) reserve(c *serverConn, r *finalResponse) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r.conn = c
+	r.reservedFirst = !c.reserved
+	c.reserved = true
+}
+
 // markSuspect makes a connection take no further operation, and close once no operation uses it.
 func (p *connPool) markSuspect(c *serverConn) {
 	p.mu.Lock()
