Sources: a list without records remembers what it has removed

What callers saw: a server that the list has removed got requests once records that still name it were added to the source, by a reload or at a restart.

Cause: only a merger kept removals; a source with a list alone has none, and its hub dropped the servers.

Change: a hub remembers the last 1000 servers that its list removed and has not named since. They are in last.state beside the list, and go over to a merger.

--- a/internal/host/daemon/earliersources.go
+++ b/internal/host/daemon/earliersources.go
@@ -24,9 +24,9 @@
 	name     string // the source's name in the configuration; empty if unknown
 	list     string // address of its list service; empty if it has none, or unknown
 	servers  *discovery.Update
-	merge    *endpoints.SavedState
-	at       time.Duration // when it was saved, as Daemon.now counts
-	fromDisk bool          // saved by another process, maybe of an earlier build
+	merge    *endpoints.SavedState // nil: an earlier build saved the list of a source with records
+	at       time.Duration         // when it was saved, as Daemon.now counts
+	fromDisk bool                  // saved by another process, maybe of an earlier build
 }
 
 // rememberSources remembers the present state of all sources that are followed and have a list.
@@ -45,7 +45,7 @@
 		if h.merger != nil {
 			r.merge = h.merger.Save()
 		} else {
-			r.merge = mergeOfList(h.source.List, list)
+			r.merge = mergeOfList(h.source.List, list, h.Removed())
 		}
 		d.remembered[h.source.Key()] = r
 	}
@@ -58,26 +58,56 @@
 		r := &rememberedSource{servers: list, at: at, fromDisk: true}
 		if daemonconfig.IsListKey(key) {
 			r.list = key
-			r.merge = mergeOfList(key, list)
+			r.merge = mergeOfList(key, list, nil)
 		}
 		d.remembered[key] = r
 	}
 	for name, merge := range s.Merges {
-		if r := d.remembered[merge.Key]; r != nil {
-			r.name = name
-			r.list = merge.List
+		r := d.remembered[merge.Key]
+		if r == nil {
+			continue
+		}
+		r.name = name
+		r.list = merge.List
+		if daemonconfig.IsListKey(merge.Key) { // the snapshot has the removals beside the list
+			r.merge = mergeOfList(merge.Key, r.servers, removedServers(merge.State))
+		} else {
 			r.merge = merge.State
 		}
 	}
 }
 
-// mergeOfList returns the state of a merger whose only origin is a list service with this list.
-func mergeOfList(addr string, list *discovery.Update) *endpoints.SavedState {
+// mergeOfList returns the state of a merger whose only origin is a list service, which has removed some servers and has
+// this list now.
+func mergeOfList(addr string, list *discovery.Update, removed []discovery.Server) *endpoints.SavedState {
 	module := endpoints.New(endpoints.Settings{Sources: originsOf(daemonconfig.Source{List: addr})})
+	var before []endpoints.Server
+	for _, server := range removed {
+		before = append(before, endpoints.Server{
+			ID:      server.ID,
+			Addr:    server.Addr,
+			State:   endpoints.Up,
+			Started: server.Started,
+		})
+	}
+	module.Step(0, endpoints.Snapshot{Source: fromList, Servers: before})
 	module.Step(0, endpoints.Snapshot{Source: fromList, Servers: endpointsOf(list)})
 	return module.Save()
 }
 
+// removedServers returns the servers that the list service has removed. merge may be nil.
+func removedServers(merge *endpoints.SavedState) (servers []discovery.Server) {
+	if merge == nil {
+		return nil
+	}
+	for _, removal := range merge.Removals {
+		if removal.Source == fromList && !removal.Draining {
+			servers = append(servers, discovery.Server{ID: removal.ID, Addr: removal.Addr, Started: removal.Started})
+		}
+	}
+	return servers
+}
+
 // earlierSource returns what is remembered of a source. It may have had another name, or have the same name and read
 // other lists or records now; replaces reports whether a source of this name was followed until now.
 func (d *Daemon) earlierSource(name string, source daemonconfig.Source, replaces bool) EarlierSource {
--- a/internal/host/daemon/earliersources_test.go
+++ b/internal/host/daemon/earliersources_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
@@ -346,3 +347,57 @@
 		tb.t.Fatal(err)
 	}
 }
+
+// A list without records remembered no removal, so that records which were added to its source brought the server back.
+// The file changes while no process runs, or after that.
+func TestRecordsThatAreAddedToAListBringNoRemovedServerBack(t *testing.T) {
+	none := transition{"none", func(_ *testbed, r *testDaemon, _ func()) *testDaemon { return r }}
+	type row struct {
+		transition
+		meanwhile bool // whether the file changes while no process runs
+	}
+	rows := []row{{none, false}}
+	for _, tt := range transitions[:4] {
+		rows = append(rows, row{tt, false}, row{tt, true})
+	}
+	for _, tt := range rows {
+		t.Run(fmt.Sprintf("%s, meanwhile %v", tt.name, tt.meanwhile), func(t *testing.T) {
+			t.Parallel()
+			kept, removed := standin.NewFormServer("kept", nil), standin.NewFormServer("removed", nil)
+			defer kept.Close()
+			defer removed.Close()
+			names, err := dns.New()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer names.Close()
+			publishRecords(t, names, 1, kept, removed)
+			tb := newTestbed(t, kept.Member("ready"), removed.Member("ready"))
+			tb.head = `state_dir = "state"`
+			path := tb.writeConfig(tb.instanceText("a"))
+			r := tb.start(Options{})
+			tb.list.Set(removed.Member("gone"))
+			eventually(t, "the server is removed", func() (isRemoved bool) {
+				r.call(func() { isRemoved = len(r.hubs["main"].Snapshot().Servers) == 1 })
+				return isRemoved
+			})
+			addRecords := func() { tb.writeRecordsConfig(names.Addr(), tb.instanceText("a")) }
+			if tt.meanwhile {
+				r = tt.apply(tb, r, addRecords)
+			} else {
+				r = tt.apply(tb, r, func() {})
+				addRecords()
+			}
+			tb.reload(r, readFile(t, path))
+			eventually(t, "list and records are read", func() bool { _, complete := r.mergedServer(kept); return complete })
+			if merged, _ := r.mergedServer(removed); merged.In || merged.State != endpoints.Removed {
+				t.Errorf("the removed server is %s: %s", merged.State, merged.Why)
+			}
+			tb.list.Set(removed.Member("ready"))
+			eventually(t, "a server that the list names again is used", func() bool {
+				merged, _ := r.mergedServer(removed)
+				return merged.In && merged.State == endpoints.Up
+			})
+		})
+	}
+}
--- a/internal/host/daemon/snapshots.go
+++ b/internal/host/daemon/snapshots.go
@@ -118,8 +118,8 @@
 			continue
 		}
 		s.Sources[h.source.Key()] = list
-		if h.merger != nil {
-			s.Merges[name] = &snapshot.Merge{Key: h.source.Key(), List: h.source.List, State: h.merger.Save()}
+		if merge := h.savedMerge(); merge != nil {
+			s.Merges[name] = &snapshot.Merge{Key: h.source.Key(), List: h.source.List, State: merge}
 		}
 	}
 	deadline := time.Now().Add(memoryTimeout)
--- a/internal/host/daemon/sources.go
+++ b/internal/host/daemon/sources.go
@@ -6,6 +6,7 @@
 
 	"vetchhaven/internal/host/daemonconfig"
 	"vetchhaven/internal/source/discovery"
+	"vetchhaven/internal/source/endpoints"
 )
 
 // hub follows one source for the instances.
@@ -27,6 +28,26 @@
 	}
 }
 
+// savedMerge returns what a snapshot has to hold of the hub beside its list; nil if there is nothing.
+func (h *hub) savedMerge() *endpoints.SavedState {
+	if h.merger != nil {
+		return h.merger.Save()
+	}
+	var removals []endpoints.SavedRemoval
+	for _, server := range h.Removed() {
+		removals = append(removals, endpoints.SavedRemoval{
+			ID:      server.ID,
+			Addr:    server.Addr,
+			Source:  fromList,
+			Started: server.Started,
+		})
+	}
+	if len(removals) == 0 {
+		return nil
+	}
+	return &endpoints.SavedState{Removals: removals}
+}
+
 // followSources makes d.hubs match the sources of a configuration: one hub for each. It returns the hubs that it
 // dropped. The caller moves the instances that follow a dropped hub, and then stops the hub.
 func (d *Daemon) followSources(cfg *daemonconfig.Config) (dropped []*hub) {
@@ -63,6 +84,7 @@
 	h := &hub{source: source, Hub: discovery.NewHub(options)}
 	if earlier.List != nil {
 		h.Restore(earlier.List)
+		h.RestoreRemoved(removedServers(earlier.Merge))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = func() {
--- a/internal/source/discovery/hub.go
+++ b/internal/source/discovery/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -15,6 +16,9 @@
 	// failuresPerLog is how many failed watches in a row share one log line. A smaller value floods the log while
 	// the list service is down; with a larger value a long outage is rarely logged again.
 	failuresPerLog = 20
+	// maxRemovedServers bounds the servers of Hub.Removed. With a smaller value a hub whose list changes much forgets
+	// removals while records may still name the servers.
+	maxRemovedServers = 1000
 	// maxBackoffDoublings prevents an overflow of the backoff's shift; MaxReconnectBackoff is reached much earlier.
 	maxBackoffDoublings = 10
 )
@@ -46,6 +50,7 @@
 	mu          sync.Mutex
 	version     int64             // version of the last update, from which the next watch resumes
 	servers     map[string]Server // the current list, by ID
+	removed     []Server          // see Removed
 	loaded      bool              // whether a list has been received or restored
 	subscribers map[*subscriber]struct{}
 	watchCount  int           // number of watches started
@@ -91,6 +96,51 @@
 	h.apply(&full, 0)
 }
 
+// RestoreRemoved sets the servers that the list had removed before the process started, oldest first. It is called
+// before the first update.
+func (h *Hub) RestoreRemoved(servers []Server) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.removed = slices.Clone(servers)
+	h.trimRemoved()
+}
+
+// Removed returns the servers that the list has removed and not named since, oldest first, as it named them last. It
+// returns the last maxRemovedServers of them.
+func (h *Hub) Removed() []Server {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.removed)
+}
+
+// noteRemoved brings h.removed up to date with an update. missing are the servers that a snapshot no longer names. The
+// caller holds h.mu.
+func (h *Hub) noteRemoved(m *Update, missing map[string]Server) {
+	if len(h.removed) > 0 {
+		named := map[string]bool{}
+		for _, server := range m.Servers {
+			named[server.ID] = true
+		}
+		h.removed = slices.DeleteFunc(h.removed, func(server Server) bool { return named[server.ID] })
+	}
+	for _, server := range m.Servers {
+		if server.State == stateRemoved {
+			h.removed = append(h.removed, server)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(missing)) {
+		h.removed = append(h.removed, missing[id])
+	}
+	h.trimRemoved()
+}
+
+// trimRemoved drops the oldest of h.removed beyond the bound. The caller holds h.mu.
+func (h *Hub) trimRemoved() {
+	if excess := len(h.removed) - maxRemovedServers; excess > 0 {
+		h.removed = slices.Delete(h.removed, 0, excess)
+	}
+}
+
 // Apply merges a snapshot or a delta into the list. The hub's watch calls it, and so may other code.
 func (h *Hub) Apply(m *Update) { h.apply(m, m.Version) }
 
@@ -151,7 +201,9 @@
 	if version > 0 {
 		h.watchError = nil
 	}
+	var missing map[string]Server // servers that a snapshot does not name
 	if m.Full {
+		missing = h.servers
 		h.servers = map[string]Server{}
 	}
 	for _, server := range m.Servers {
@@ -160,7 +212,9 @@
 		} else {
 			h.servers[server.ID] = server
 		}
+		delete(missing, server.ID)
 	}
+	h.noteRemoved(m, missing)
 	immediate := h.loaded && isUrgent(m) // the very first list can't remove a server
 	if !h.loaded {
 		h.loaded = true
--- a/internal/source/discovery/hub_test.go
+++ b/internal/source/discovery/hub_test.go
@@ -182,3 +182,37 @@
 	cancel()
 	running.Wait()
 }
+
+// A hub remembers the servers that the list has removed, by a change or by a snapshot without them, until the list names
+// them again. It remembers no more than the last of them.
+func TestHubRemembersRemovedServers(t *testing.T) {
+	h := NewHub(HubOptions{Log: quiet})
+	removed := func() (ids []string) {
+		for _, server := range h.Removed() {
+			ids = append(ids, server.ID)
+		}
+		return ids
+	}
+	for _, step := range []struct {
+		update Update
+		want   string
+	}{
+		{Update{Full: true, Servers: []Server{up("a"), up("b"), up("c")}}, "[]"},
+		{Update{Servers: []Server{state("b", "gone")}}, "[b]"},
+		{Update{Full: true, Servers: []Server{up("c")}}, "[b a]"},
+		{Update{Servers: []Server{state("b", "draining")}}, "[a]"},
+		{Update{Full: true}, "[a b c]"},
+		{Update{Servers: []Server{state("a", "gone"), up("c")}}, "[b a]"},
+	} {
+		h.Apply(&step.update)
+		if got := fmt.Sprint(removed()); got != step.want {
+			t.Errorf("after %+v: %s, want %s", step.update, got, step.want)
+		}
+	}
+	for i := range maxRemovedServers + 1 {
+		h.Apply(&Update{Servers: []Server{state(fmt.Sprint(i), "gone")}})
+	}
+	if got := removed(); len(got) != maxRemovedServers || got[0] != "1" {
+		t.Errorf("%d servers, the first is %s", len(got), got[0])
+	}
+}
