Sources: each origin goes on from the last state of the same list or names

What callers would see: a reload to another list or other records and back (or two sources of one list) started from the state of when that configuration was dropped, or from that of the wrong one; a removal in between was unknown until the list was read.

Cause: what was remembered was chosen as a whole, by the source's key first.

Change: each origin takes the last state with its identity, or else that of the source with its name, and its own removals (mergeFor). Ages are brought up to date when a state is taken (SavedState.Aged), in place of a time beside it. A reload that changes no source computes nothing.

--- a/internal/host/daemon/earliersources.go
+++ b/internal/host/daemon/earliersources.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,29 +11,58 @@
 	"vetchhaven/internal/source/endpoints"
 )
 
-// EarlierSource is what an earlier process, or an earlier configuration of this one, knew of a source. The zero value
-// is that of a source that was never followed.
-type EarlierSource struct {
-	List  *discovery.Update     // the list that the instances followed, used until the source has been read
-	Merge *endpoints.SavedState // what each origin had reported; nil: an earlier build saved the list
-	// Elapsed is the time since Merge was saved.
-	Elapsed time.Duration
-}
-
 // rememberedSource is the state of a source that was followed, for sources that are followed later.
 type rememberedSource struct {
 	name     string // the source's name in the configuration; empty if unknown
-	list     string // address of its list service; empty if it has none, or unknown
 	servers  *discovery.Update
-	merge    *endpoints.SavedState // nil: an earlier build saved the list of a source with records
-	at       time.Duration         // when it was saved, as Daemon.now counts
-	fromDisk bool                  // saved by another process, maybe of an earlier build
+	at       time.Duration // when the state was saved, as Daemon.now counts
+	fromDisk bool          // saved by another process, maybe of an earlier build
+	// list is the address of the list service of a source without records; empty: it has records.
+	list string
+	// removed are the servers that the list service of a source without records has removed.
+	removed []discovery.Server
+	// merge is the state of a source with records; nil: an earlier build saved it.
+	merge *endpoints.SavedState
+}
+
+// mergeAt returns what each origin had reported, with ages at a time of Daemon.now.
+func (r *rememberedSource) mergeAt(now time.Duration) *endpoints.SavedState {
+	merge := r.merge
+	switch {
+	case r.list != "":
+		merge = mergeOfList(r.list, r.servers, r.removed)
+	case merge == nil:
+		merge = &endpoints.SavedState{}
+	}
+	if r.fromDisk {
+		merge = withoutZeroPods(merge)
+	}
+	return merge.Aged(now - r.at)
+}
+
+// hasAnyOf reports whether the source had one of these origins.
+func (r *rememberedSource) hasAnyOf(origins []endpoints.Source) bool {
+	for _, origin := range origins {
+		if origin.Name == fromList && origin.Origin == r.list {
+			return true
+		}
+		if r.merge != nil && slices.ContainsFunc(r.merge.Sources, func(s endpoints.SavedSource) bool { return isOrigin(s, origin) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// isOrigin reports whether a saved state is that of an origin: it has the same name, and read the same.
+func isOrigin(saved endpoints.SavedSource, origin endpoints.Source) bool {
+	return saved.Name == origin.Name && saved.Origin == origin.Origin
 }
 
 // rememberSources remembers the present state of all sources that are followed and have a list.
 func (d *Daemon) rememberSources() {
+	now := d.now()
 	for key, r := range d.remembered {
-		if d.now()-r.at > d.cfg.MaxStateAge {
+		if now-r.at > d.cfg.MaxStateAge {
 			delete(d.remembered, key)
 		}
 	}
@@ -41,11 +71,12 @@
 		if list == nil {
 			continue
 		}
-		r := &rememberedSource{name: name, list: h.source.List, servers: list, at: d.now()}
+		r := &rememberedSource{name: name, servers: list, at: now}
 		if h.merger != nil {
 			r.merge = h.merger.Save()
 		} else {
-			r.merge = mergeOfList(h.source.List, list, h.Removed())
+			r.list = h.source.List
+			r.removed = h.Removed()
 		}
 		d.remembered[h.source.Key()] = r
 	}
@@ -58,20 +89,18 @@
 		r := &rememberedSource{servers: list, at: at, fromDisk: true}
 		if daemonconfig.IsListKey(key) {
 			r.list = key
-			r.merge = mergeOfList(key, list, nil)
 		}
 		d.remembered[key] = r
 	}
 	for name, merge := range s.Merges {
 		r := d.remembered[merge.Key]
-		if r == nil {
-			continue
-		}
-		r.name = name
-		r.list = merge.List
-		if daemonconfig.IsListKey(merge.Key) { // the snapshot has the removals beside the list
-			r.merge = mergeOfList(merge.Key, r.servers, removedServers(merge.State))
-		} else {
+		switch {
+		case r == nil:
+		case r.list != "": // the snapshot has the removals beside the list
+			r.name = name
+			r.removed = removedServers(merge.State)
+		default:
+			r.name = name
 			r.merge = merge.State
 		}
 	}
@@ -108,65 +137,165 @@
 	return servers
 }
 
+// EarlierSource is what an earlier process, or an earlier configuration of this one, knew of a source. The zero value
+// is that of a source that was never followed.
+type EarlierSource struct {
+	List    *discovery.Update     // the list that the instances followed, used until the source has been read
+	Merge   *endpoints.SavedState // what each origin had reported; nil: unknown, or the source has no records
+	Removed []discovery.Server    // the servers that the list service had removed
+}
+
 // earlierSource returns what is remembered of a source. It may have had another name, or have the same name and read
 // other lists or records now; replaces reports whether a source of this name was followed until now.
 func (d *Daemon) earlierSource(name string, source daemonconfig.Source, replaces bool) EarlierSource {
-	r := d.remembered[source.Key()]
-	if r == nil {
-		r = d.similarSource(name, source, replaces)
+	now := d.now()
+	same := d.remembered[source.Key()]
+	if !source.HasRecords() {
+		if same == nil && replaces {
+			same = d.lastNamed(name)
+		}
+		if same == nil {
+			return EarlierSource{}
+		}
+		return EarlierSource{List: same.servers, Removed: same.removedByList()}
 	}
-	if r == nil {
-		return EarlierSource{}
+	if same != nil && same.merge == nil { // of an earlier build
+		return EarlierSource{List: withoutZeroCells(same.servers)}
 	}
-	earlier := EarlierSource{List: r.servers, Merge: r.merge, Elapsed: d.now() - r.at}
-	if r.fromDisk && source.HasRecords() {
-		earlier = earlier.withoutZeroPods()
+	origins := originsOf(source)
+	var candidates []mergeCandidate
+	for _, r := range d.remembered {
+		hasName := r.name == name
+		if hasName || r.hasAnyOf(origins) {
+			candidates = append(candidates, mergeCandidate{r.mergeAt(now), hasName, r == same, r.at})
+		}
 	}
-	return earlier
+	return EarlierSource{Merge: mergeFor(origins, candidates)}
 }
 
-// similarSource returns the source that was saved last of those that had the same name or the same list service; nil
-// if there is none. A source without records starts only from the list of the one that it replaces.
-func (d *Daemon) similarSource(name string, source daemonconfig.Source, replaces bool) *rememberedSource {
-	var similar *rememberedSource
+// lastNamed returns the source with a name that was saved last; nil if there is none.
+func (d *Daemon) lastNamed(name string) (last *rememberedSource) {
 	for _, r := range d.remembered {
-		isSimilar := r.name == name && replaces
-		if source.HasRecords() {
-			isSimilar = isSimilar || r.name == name || source.List != "" && r.list == source.List
+		if r.name == name && (last == nil || r.at > last.at) {
+			last = r
+		}
+	}
+	return last
+}
+
+// removedByList returns the servers that the source's list service has removed.
+func (r *rememberedSource) removedByList() []discovery.Server {
+	if r.list != "" {
+		return r.removed
+	}
+	return removedServers(r.merge)
+}
+
+// mergeCandidate is the state of a source that was followed, from which the origins of another one may continue.
+type mergeCandidate struct {
+	*endpoints.SavedState
+	hasName bool // the source had the same name
+	hasKey  bool // the source read the same list and records
+	at      time.Duration
+}
+
+// mergeFor returns the state from which origins continue. Each continues from the last state of an origin with the same
+// identity, whatever source that was of, or else from that of the source with the same name, together with the removals that
+// this origin had reported. Where the source with the same name had further origins, their last reports are included.
+// It returns nil if there is no state for any origin.
+func mergeFor(origins []endpoints.Source, candidates []mergeCandidate) *endpoints.SavedState {
+	slices.SortFunc(candidates, func(a, b mergeCandidate) int {
+		return cmp.Or(cmp.Compare(b.at, a.at), compareBool(b.hasKey, a.hasKey), compareBool(b.hasName, a.hasName))
+	})
+	merge := &endpoints.SavedState{}
+	for _, origin := range origins {
+		if from, saved, found := findOrigin(origin, candidates); found {
+			merge.Sources = append(merge.Sources, saved)
+			merge.Removals = append(merge.Removals, removalsBy(origin.Name, from)...)
 		}
-		if isSimilar && (similar == nil || r.at > similar.at) {
-			similar = r
+	}
+	if named := slices.IndexFunc(candidates, func(c mergeCandidate) bool { return c.hasName }); named >= 0 {
+		for _, saved := range candidates[named].Sources {
+			isPresent := slices.ContainsFunc(origins, func(o endpoints.Source) bool { return o.Name == saved.Name })
+			if !isPresent {
+				merge.Sources = append(merge.Sources, saved)
+				merge.Removals = append(merge.Removals, removalsBy(saved.Name, candidates[named])...)
+			}
 		}
 	}
-	return similar
+	if len(merge.Sources) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(merge.Removals, func(a, b endpoints.SavedRemoval) int { return cmp.Compare(b.AgeMS, a.AgeMS) })
+	return merge
 }
 
-// withoutZeroPods returns a copy in which the pods of servers of pod 0 are unknown: earlier builds saved an unknown
-// pod as 0. A server that is in pod 0 has it again once its source is read.
-func (e EarlierSource) withoutZeroPods() EarlierSource {
-	if e.List != nil {
-		list := *e.List
-		list.Servers = slices.Clone(e.List.Servers)
-		for i := range list.Servers {
-			if cell := list.Servers[i].Cell; cell != nil && *cell == 0 {
-				list.Servers[i].Cell = nil
+// findOrigin returns the candidate from which an origin continues, and its state there. The candidates are sorted, the
+// preferred one first.
+func findOrigin(origin endpoints.Source, candidates []mergeCandidate) (from mergeCandidate, saved endpoints.SavedSource, found bool) {
+	for _, c := range candidates {
+		for _, s := range c.Sources {
+			if isOrigin(s, origin) {
+				return c, s, true
+			}
+		}
+	}
+	for _, c := range candidates {
+		for _, s := range c.Sources {
+			if c.hasName && s.Name == origin.Name {
+				return c, s, true
 			}
 		}
-		e.List = &list
-	}
-	if e.Merge != nil {
-		merge := *e.Merge
-		merge.Sources = slices.Clone(e.Merge.Sources)
-		for i := range merge.Sources {
-			servers := slices.Clone(merge.Sources[i].Servers)
-			for j := range servers {
-				if pod := servers[j].Pod; pod != nil && *pod == 0 {
-					servers[j].Pod = nil
-				}
+	}
+	return from, saved, false
+}
+
+// removalsBy returns the removals that an origin had reported.
+func removalsBy(origin string, from mergeCandidate) (removals []endpoints.SavedRemoval) {
+	for _, removal := range from.Removals {
+		if removal.Source == origin {
+			removals = append(removals, removal)
+		}
+	}
+	return removals
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// withoutZeroCells returns a copy of a saved list in which the cells of servers of cell 0 are unknown: earlier builds
+// saved an unknown cell as 0. A server that is in cell 0 has it again once its source is read.
+func withoutZeroCells(saved *discovery.Update) *discovery.Update {
+	list := *saved
+	list.Servers = slices.Clone(saved.Servers)
+	for i := range list.Servers {
+		if cell := list.Servers[i].Cell; cell != nil && *cell == 0 {
+			list.Servers[i].Cell = nil
+		}
+	}
+	return &list
+}
+
+// withoutZeroPods does for the state of a merge what withoutZeroCells does for its list.
+func withoutZeroPods(saved *endpoints.SavedState) *endpoints.SavedState {
+	merge := *saved
+	merge.Sources = slices.Clone(saved.Sources)
+	for i := range merge.Sources {
+		servers := slices.Clone(merge.Sources[i].Servers)
+		for j := range servers {
+			if pod := servers[j].Pod; pod != nil && *pod == 0 {
+				servers[j].Pod = nil
 			}
-			merge.Sources[i].Servers = servers
 		}
-		e.Merge = &merge
+		merge.Sources[i].Servers = servers
 	}
-	return e
+	return &merge
 }
--- a/internal/host/daemon/earliersources_test.go
+++ b/internal/host/daemon/earliersources_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -36,6 +37,7 @@
 	{"reload that replaces the source", reloadWith(`name = "main"`, "name = \"main\"\nhold = \"30m\"")},
 	{"reload that adds multicast", reloadWith(`name = "main"`, "name = \"main\"\nmulticast = \"_form._tcp.local\"\ngroup = \"127.0.0.1:9\"")},
 	{"reload that removes the source for a while", removeSourceForAWhile},
+	{"reload to another list and back", replaceListForAWhile},
 }
 
 func restartAfterStop(tb *testbed, r *testDaemon, meanwhile func()) *testDaemon {
@@ -116,6 +118,21 @@
 	return r
 }
 
+// replaceListForAWhile lets the source read another list, which has no servers, and then the first one again.
+func replaceListForAWhile(tb *testbed, r *testDaemon, meanwhile func()) *testDaemon {
+	elsewhere, err := standin.NewList("")
+	if err != nil {
+		tb.t.Fatal(err)
+	}
+	tb.t.Cleanup(elsewhere.Close)
+	text := readFile(tb.t, r.options.Config.Path)
+	tb.reload(r, strings.Replace(text, tb.list.Addr(), elsewhere.Addr(), 1))
+	eventually(tb.t, "the other list is read", func() bool { return elsewhere.Calls() > 0 })
+	meanwhile()
+	tb.reload(r, text)
+	return r
+}
+
 // reload applies a settings file.
 func (tb *testbed) reload(r *testDaemon, text string) {
 	tb.t.Helper()
@@ -401,3 +418,47 @@
 		})
 	}
 }
+
+// Each origin continues from the last state of an origin that read the same, with its removals, or else from that of the
+// source with its name.
+func TestOriginsContinueFromTheLastStateOfTheirIdentity(t *testing.T) {
+	state := func(removed string, sources ...endpoints.SavedSource) *endpoints.SavedState {
+		saved := &endpoints.SavedState{Sources: sources}
+		for _, s := range sources {
+			saved.Removals = append(saved.Removals, endpoints.SavedRemoval{ID: removed + " by " + s.Origin, Source: s.Name})
+		}
+		return saved
+	}
+	list := func(origin string) endpoints.SavedSource {
+		return endpoints.SavedSource{Name: fromList, Origin: origin}
+	}
+	records := func(origin string) endpoints.SavedSource {
+		return endpoints.SavedSource{Name: fromRecords, Origin: origin}
+	}
+	candidates := []mergeCandidate{
+		{SavedState: state("old", list("l1"), records("r1")), hasKey: true, at: 1},
+		{SavedState: state("other", list("l1"), records("r3")), at: 2},
+		{SavedState: state("named", list("l2"), records("r2"), endpoints.SavedSource{Name: fromMulticast, Origin: "m"}), hasName: true, at: 3},
+	}
+	for _, tt := range []struct{ list, records, want string }{
+		{"l1", "r1", "l1 r1 m: other by l1, old by r1, named by m"},
+		{"l2", "r1", "l2 r1 m: named by l2, old by r1, named by m"},
+		{"l3", "r3", "l2 r3 m: named by l2, other by r3, named by m"},
+		{"l3", "r4", "l2 r2 m: named by l2, named by r2, named by m"},
+	} {
+		merge := mergeFor([]endpoints.Source{{Name: fromList, Origin: tt.list}, {Name: fromRecords, Origin: tt.records}}, slices.Clone(candidates))
+		var origins, removals []string
+		for _, s := range merge.Sources {
+			origins = append(origins, s.Origin)
+		}
+		for _, removal := range merge.Removals {
+			removals = append(removals, removal.ID)
+		}
+		if got := strings.Join(origins, " ") + ": " + strings.Join(removals, ", "); got != tt.want {
+			t.Errorf("list %s, records %s: %s, want %s", tt.list, tt.records, got, tt.want)
+		}
+	}
+	if merge := mergeFor([]endpoints.Source{{Name: fromList, Origin: "l1"}}, nil); merge != nil {
+		t.Errorf("%+v without a candidate", merge)
+	}
+}
--- a/internal/host/daemon/merge.go
+++ b/internal/host/daemon/merge.go
@@ -81,7 +81,7 @@
 	}
 	switch {
 	case earlier.Merge != nil:
-		m.continueWith(m.module.Restore(earlier.Merge, earlier.Elapsed))
+		m.continueWith(m.module.Restore(earlier.Merge))
 	case earlier.List != nil: // which of its servers came from which origin is not known
 		m.continueWith(endpointsOf(earlier.List))
 	}
--- a/internal/host/daemon/sources.go
+++ b/internal/host/daemon/sources.go
@@ -51,6 +51,9 @@
 // followSources makes d.hubs match the sources of a configuration: one hub for each. It returns the hubs that it
 // dropped. The caller moves the instances that follow a dropped hub, and then stops the hub.
 func (d *Daemon) followSources(cfg *daemonconfig.Config) (dropped []*hub) {
+	if !d.sourcesChange(cfg) {
+		return nil
+	}
 	d.rememberSources()
 	for name, source := range cfg.Sources {
 		previous := d.hubs[name]
@@ -71,6 +74,16 @@
 	return dropped
 }
 
+// sourcesChange reports whether the sources of a configuration differ from those that are followed.
+func (d *Daemon) sourcesChange(cfg *daemonconfig.Config) bool {
+	for name, source := range cfg.Sources {
+		if h := d.hubs[name]; h == nil || !reflect.DeepEqual(h.source, source) {
+			return true
+		}
+	}
+	return len(cfg.Sources) != len(d.hubs)
+}
+
 // newHub returns a hub that follows a source, and starts it from the source's earlier state, if there is one.
 func (d *Daemon) newHub(cfg *daemonconfig.Config, source daemonconfig.Source, earlier EarlierSource) *hub {
 	options := discovery.HubOptions{
@@ -83,8 +96,8 @@
 	}
 	h := &hub{source: source, Hub: discovery.NewHub(options)}
 	if earlier.List != nil {
+		h.RestoreRemoved(earlier.Removed)
 		h.Restore(earlier.List)
-		h.RestoreRemoved(removedServers(earlier.Merge))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = func() {
--- a/internal/source/endpoints/saved.go
+++ b/internal/source/endpoints/saved.go
@@ -120,59 +120,96 @@
 
 func (m *Module) ageMS(at time.Duration) int64 { return (m.latest - at).Milliseconds() }
 
-// Restore continues from the state of an earlier module. The module must have had no Step yet. elapsed is the time since
-// the state was saved, as far as it is known.
+// Aged returns a copy of the state as it would have been saved a time later, without further reports.
+func (saved *SavedState) Aged(elapsed time.Duration) *SavedState {
+	ms := elapsed.Milliseconds()
+	later := &SavedState{}
+	for _, s := range saved.Sources {
+		later.Sources = append(later.Sources, s.aged(ms))
+	}
+	for _, r := range saved.Removals {
+		r.AgeMS += ms
+		later.Removals = append(later.Removals, r)
+	}
+	return later
+}
+
+func (s SavedSource) aged(ms int64) SavedSource {
+	s.FailingMS = addMS(s.FailingMS, ms)
+	s.LastReceivedMS += ms
+	s.WithdrawnSinceMS += ms
+	withdrawn := map[string]int64{}
+	for id, ageMS := range s.Withdrawn {
+		withdrawn[id] = ageMS + ms
+	}
+	s.Withdrawn = withdrawn
+	s.Servers = slices.Clone(s.Servers)
+	for i := range s.Servers {
+		server := &s.Servers[i]
+		server.AnnouncedMS += ms
+		server.LastMissingMS += ms
+		server.MissingSinceMS += ms
+		server.LostMS = addMS(server.LostMS, ms)
+	}
+	return s
+}
+
+// addMS adds to an optional age.
+func addMS(ageMS *int64, ms int64) *int64 {
+	if ageMS == nil {
+		return nil
+	}
+	return new(*ageMS + ms)
+}
+
+// Restore continues from the state of an earlier module. The module must have had no Step yet.
 //
 // Each source continues as one that fails, until it reports: its last reports are used for Source.Hold, and its next
 // snapshot shows what was removed or withdrawn in the meantime. If the source's Origin has changed, its next snapshot
 // replaces them instead, since another list that lacks a server does not report its removal. Restore returns the servers
 // of sources that the module does not have.
-func (m *Module) Restore(saved *SavedState, elapsed time.Duration) (others []Server) {
-	r := restorer{elapsed: elapsed}
+func (m *Module) Restore(saved *SavedState) (others []Server) {
 	for _, savedSource := range saved.Sources {
 		if s := m.source(savedSource.Name); s != nil {
-			r.restoreSource(s, savedSource)
+			s.restore(savedSource)
 			continue
 		}
 		for _, server := range savedSource.Servers {
-			others = append(others, r.entry(server).Server)
+			others = append(others, restoredEntry(server).Server)
 		}
 	}
 	for _, removal := range saved.Removals {
-		m.removals = append(m.removals, r.removal(removal))
+		m.removals = append(m.removals, restoredRemoval(removal))
 	}
 	return others
 }
 
-// restorer converts a saved state for a module whose time begins now.
-type restorer struct{ elapsed time.Duration }
-
-// at returns the time of a saved age.
-func (r restorer) at(ageMS int64) time.Duration {
-	age := time.Duration(min(max(ageMS, 0), maxSavedAge.Milliseconds())) * time.Millisecond
-	return -age - min(max(r.elapsed, 0), maxSavedAge)
+// restoredTime returns the time of a saved age in a module whose time begins now.
+func restoredTime(ageMS int64) time.Duration {
+	return -time.Duration(min(max(ageMS, 0), maxSavedAge.Milliseconds())) * time.Millisecond
 }
 
-func (r restorer) restoreSource(s *source, saved SavedSource) {
+// restore sets a source's state to a saved one.
+func (s *source) restore(saved SavedSource) {
 	s.known = true
 	s.failing = true
 	s.failingSince = 0
 	if saved.FailingMS != nil {
-		s.failingSince = r.at(*saved.FailingMS)
+		s.failingSince = restoredTime(*saved.FailingMS)
 	}
 	s.replaced = s.Origin != saved.Origin
-	s.lastReceived = r.at(saved.LastReceivedMS)
-	s.withdrawnSince = r.at(saved.WithdrawnSinceMS)
+	s.lastReceived = restoredTime(saved.LastReceivedMS)
+	s.withdrawnSince = restoredTime(saved.WithdrawnSinceMS)
 	s.withdrawn = map[string]time.Duration{}
 	for id, ageMS := range saved.Withdrawn {
-		s.withdrawn[id] = r.at(ageMS)
+		s.withdrawn[id] = restoredTime(ageMS)
 	}
 	for _, server := range saved.Servers {
-		s.entries[server.ID] = r.entry(server)
+		s.entries[server.ID] = restoredEntry(server)
 	}
 }
 
-func (r restorer) entry(saved SavedServer) *entry {
+func restoredEntry(saved SavedServer) *entry {
 	e := &entry{
 		Server: Server{
 			ID:       saved.ID,
@@ -184,9 +221,9 @@
 			State:    Up,
 			Started:  saved.Started,
 		},
-		announced:    r.at(saved.AnnouncedMS),
-		lastMissing:  r.at(saved.LastMissingMS),
-		missingSince: r.at(saved.MissingSinceMS),
+		announced:    restoredTime(saved.AnnouncedMS),
+		lastMissing:  restoredTime(saved.LastMissingMS),
+		missingSince: restoredTime(saved.MissingSinceMS),
 	}
 	if saved.Draining {
 		e.State = Draining
@@ -196,18 +233,18 @@
 	}
 	if saved.LostMS != nil {
 		e.lost = true
-		e.lostAt = r.at(*saved.LostMS)
+		e.lostAt = restoredTime(*saved.LostMS)
 	}
 	return e
 }
 
-func (r restorer) removal(saved SavedRemoval) *removal {
+func restoredRemoval(saved SavedRemoval) *removal {
 	restored := &removal{
 		id:      saved.ID,
 		addr:    saved.Addr,
 		state:   Removed,
 		source:  saved.Source,
-		at:      r.at(saved.AgeMS),
+		at:      restoredTime(saved.AgeMS),
 		started: saved.Started,
 	}
 	if saved.Draining {
--- a/internal/source/endpoints/saved_test.go
+++ b/internal/source/endpoints/saved_test.go
@@ -19,7 +19,7 @@
 	before.Step(time.Second, Snapshot{"list", servers[:1]})
 	restored := func() *Module {
 		m := module("list", "records")
-		m.Restore(before.Save(), time.Minute)
+		m.Restore(before.Save().Aged(time.Minute))
 		return m
 	}
 	serves := func(m *Module, at time.Duration, r ...Report) bool {
@@ -43,7 +43,7 @@
 	draining[1].State = Draining
 	m.Step(0, Snapshot{"list", draining}, Snapshot{"records", servers})
 	again := module("list", "records")
-	again.Restore(m.Save(), 0)
+	again.Restore(m.Save())
 	if list, _ := again.Step(0, Snapshot{"records", servers}); find(t, list, "x").State != Draining {
 		t.Errorf("the draining server is %s after the second restart", find(t, list, "x").State)
 	}
@@ -109,7 +109,7 @@
 			t.Fatal(err)
 		}
 		restored := module(names...)
-		restored.Restore(saved, 0)
+		restored.Restore(saved)
 		for range rapid.IntRange(1, 12).Draw(t, "reports after") {
 			at, report := step()
 			want, _ := running.Step(at, report)
@@ -133,7 +133,7 @@
 	before.Step(0, Snapshot{"list", up("a", "b", "x")}, Snapshot{"records", up("a", "b", "x")})
 	before.Step(time.Minute, Snapshot{"list", up("a", "b")})
 	after := build("two")
-	after.Restore(before.Save(), time.Minute)
+	after.Restore(before.Save().Aged(time.Minute))
 	serves := func(at time.Duration, id string, reports ...Report) bool {
 		list, _ := after.Step(at, reports...)
 		return find(t, list, id).serves()
