endpoints: removals are found by ID and address

What callers would see: a daemon whose list has removed thousands of servers falls behind.

Change: removalSet, with an index by ID and one by address.

A property test compares the set with a look at all removals; the tests of the module pass.

--- a/internal/source/endpoints/endpoints.go
+++ b/internal/source/endpoints/endpoints.go
@@ -9,7 +9,6 @@
 package endpoints
 
 import (
-	"slices"
 	"time"
 )
 
@@ -108,9 +107,8 @@
 type Module struct {
 	settings Settings
 	sources  []*source // in the order of Settings.Sources
-	// removals are the reports of draining and removed servers, oldest first. Each applies until there is newer
-	// evidence.
-	removals []*removal
+	// removals are the reports of draining and removed servers. Each applies until there is newer evidence.
+	removals *removalSet
 	pods     map[string]*podHistory  // by server ID
 	lastList map[string]ListedServer // as returned by the last Step, by server ID
 	latest   time.Duration           // the latest time of a Step
@@ -119,7 +117,12 @@
 
 // New returns a Module that has no reports.
 func New(s Settings) *Module {
-	m := &Module{settings: s, pods: map[string]*podHistory{}, lastList: map[string]ListedServer{}}
+	m := &Module{
+		settings: s,
+		removals: newRemovalSet(),
+		pods:     map[string]*podHistory{},
+		lastList: map[string]ListedServer{},
+	}
 	for _, o := range s.Sources {
 		m.sources = append(m.sources, &source{Source: o, entries: map[string]*entry{}})
 	}
@@ -164,7 +167,7 @@
 	case Reset:
 		if s := m.source(r.Source); s != nil {
 			s.forgetReports(m.latest)
-			m.removals = slices.DeleteFunc(m.removals, func(removal *removal) bool { return removal.source == s.Name })
+			m.removals.removeOf(s.Name)
 		}
 	case Failed:
 		if s := m.source(r.Source); s != nil && !s.failing {
--- a/internal/source/endpoints/removal.go
+++ b/internal/source/endpoints/removal.go
@@ -12,6 +12,7 @@
 
 // removal is a source's report that a server is draining or was removed.
 type removal struct {
+	number  int // in a removalSet: a later removal has a larger one
 	id      string
 	addr    string
 	state   State  // Draining or Removed
@@ -25,15 +26,15 @@
 	if state != Draining && state != Removed {
 		return
 	}
-	for _, r := range m.removals {
-		if r.matches(e.Server) && r.source == s.Name {
+	for _, r := range m.removals.matching(e.Server) {
+		if r.source == s.Name {
 			r.state = state
 			r.at = m.latest // a repeated report counts as new
 			r.started = max(r.started, e.Started)
 			return
 		}
 	}
-	m.removals = append(m.removals, &removal{
+	m.removals.add(&removal{
 		id:      e.ID,
 		addr:    e.Addr,
 		state:   state,
@@ -41,21 +42,17 @@
 		at:      m.latest,
 		started: e.Started,
 	})
-	if len(m.removals) > maxRemovals {
-		m.removals = m.removals[1:]
-	}
 }
 
 // revokeRemoval drops a source's own removals of a server that it reports as up.
 func (m *Module) revokeRemoval(s *source, server Server) {
-	m.removals = slices.DeleteFunc(m.removals, func(r *removal) bool {
-		return r.matches(server) && r.source == s.Name
-	})
-}
-
-// matches reports whether a removal is of a server, by its ID or by its address.
-func (r *removal) matches(server Server) bool {
-	return r.id == server.ID || r.addr != "" && r.addr == server.Addr
+	var revoked []*removal
+	for _, r := range m.removals.matching(server) {
+		if r.source == s.Name {
+			revoked = append(revoked, r)
+		}
+	}
+	m.removals.remove(revoked)
 }
 
 // isOverruledBy reports whether a source's entry is newer evidence than the removal: a later start of the server,
@@ -77,16 +74,18 @@
 // with the largest state; nil if there is none.
 func (m *Module) removalOf(entries []*entry) *removal {
 	var result *removal
-	for _, r := range m.removals {
-		isMatch := false
-		isOverruled := false
-		for _, e := range entries {
-			isMatch = isMatch || r.matches(e.Server)
-			isOverruled = isOverruled || r.isOverruledBy(e, m.settings.SuddenLossGuard)
-		}
-		if isMatch && !isOverruled && (result == nil || r.state > result.state) {
-			result = r
+	for _, e := range entries {
+		for _, r := range m.removals.matching(e.Server) {
+			isStronger := result == nil || r.state > result.state || r.state == result.state && r.number < result.number
+			if isStronger && !m.isOverruled(r, entries) {
+				result = r
+			}
 		}
 	}
 	return result
 }
+
+// isOverruled reports whether any entry of a server is newer evidence than a removal of it.
+func (m *Module) isOverruled(r *removal, entries []*entry) bool {
+	return slices.ContainsFunc(entries, func(e *entry) bool { return r.isOverruledBy(e, m.settings.SuddenLossGuard) })
+}
--- a/internal/source/endpoints/saved.go
+++ b/internal/source/endpoints/saved.go
@@ -62,7 +62,7 @@
 			saved.Sources = append(saved.Sources, m.saveSource(s))
 		}
 	}
-	for _, r := range m.removals {
+	for _, r := range m.removals.all {
 		saved.Removals = append(saved.Removals, SavedRemoval{
 			ID:       r.id,
 			Addr:     r.addr,
@@ -179,7 +179,7 @@
 		}
 	}
 	for _, removal := range saved.Removals {
-		m.removals = append(m.removals, restoredRemoval(removal))
+		m.removals.add(restoredRemoval(removal))
 	}
 	return others
 }
--- a/internal/source/endpoints/saved_test.go
+++ b/internal/source/endpoints/saved_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -151,3 +152,56 @@
 		t.Error("a server of the earlier list alone is used after the other list was read")
 	}
 }
+
+// The indexes of a set find the same removals as a look at all of them.
+func TestRemovalSetFindsWhatMatches(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := newRemovalSet()
+		drawServer := func() Server {
+			return Server{
+				ID:   rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"),
+				Addr: rapid.SampledFrom([]string{"", "1", "2", "3"}).Draw(t, "addr"),
+			}
+		}
+		for range rapid.IntRange(0, 30).Draw(t, "steps") {
+			server := drawServer()
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0:
+				set.remove(slices.Clone(set.matching(server)))
+			case 1:
+				set.removeOf(rapid.SampledFrom([]string{"s", "t"}).Draw(t, "removed source"))
+			default:
+				set.add(&removal{id: server.ID, addr: server.Addr, source: rapid.SampledFrom([]string{"s", "t"}).Draw(t, "source")})
+			}
+			wanted := drawServer()
+			var want []*removal
+			for _, r := range set.all {
+				if r.id == wanted.ID || r.addr != "" && r.addr == wanted.Addr {
+					want = append(want, r)
+				}
+			}
+			if got := set.matching(wanted); !slices.Equal(got, want) {
+				t.Fatalf("%+v: %v, want %v", wanted, got, want)
+			}
+		}
+	})
+}
+
+func BenchmarkStepOfAThousandWithRemovals(b *testing.B) {
+	for _, removed := range []int{200, 2000, maxRemovals} {
+		b.Run(fmt.Sprint(removed), func(b *testing.B) {
+			m := module("list", "records")
+			var servers, old []Server
+			for i := range 1000 {
+				servers = append(servers, Server{ID: fmt.Sprint("s-", i), Addr: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), State: Up})
+			}
+			for i := range removed {
+				old = append(old, Server{ID: fmt.Sprint("old-", i), Addr: fmt.Sprintf("10.2.%d.%d:80", i/250, i%250), State: Up})
+			}
+			m.Step(0, Snapshot{"list", old})
+			for n := 1; b.Loop(); n++ {
+				m.Step(time.Duration(n)*time.Second, Snapshot{"list", servers}, Snapshot{"records", servers})
+			}
+		})
+	}
+}
