ldap: a session that is closed keeps no password of a bind that ends just then

What could be seen: a password in the memory of the process after its client has left. A bind's response that reaches a session between its close and the mark on its operations set the session's identity, which nothing released.

Change: a closed session releases an identity at once.

Measured: TestIdentityOfAClosedSessionIsWiped fails without the change and passes with it. The race itself: by reading, not forced.

--- a/internal/protocol/ldap/bind_test.go
+++ b/internal/protocol/ldap/bind_test.go
@@ -106,6 +106,17 @@
 	}
 }
 
+// A bind whose response came just as its session was closed kept the password in memory.
+func TestIdentityOfAClosedSessionIsWiped(t *testing.T) {
+	p := &protocol{}
+	s := &session{protocol: p, closed: true}
+	ident := p.identity([]byte("cn=admin"), []byte("secret-1"))
+	s.setIdentity(ident.retain(), nil)
+	if s.identity != nil || ident.password[0] != 0 {
+		t.Errorf("the session has the identity %+v; the password begins with %q", s.identity, ident.password[0])
+	}
+}
+
 // If an operation's server connection has ended, the agent opens a new one and binds it with the client's identity.
 func TestBindIsRepeatedOnNewServerConnection(t *testing.T) {
 	d := startDirectory(t, "one", directory.Options{})
--- a/internal/protocol/ldap/identity.go
+++ b/internal/protocol/ldap/identity.go
@@ -91,6 +91,10 @@
 // holds s.mu, and has retained ident for the session.
 func (s *session) setIdentity(ident *identity, stickyConn *serverConn) {
 	s.identity.release()
+	if s.closed { // nothing releases the identity of a closed session later
+		ident.release()
+		ident = nil
+	}
 	s.identity = ident
 	if s.stickyConn != nil && s.stickyConn != stickyConn {
 		go s.stickyConn.retire()
