--- a/internal/host/daemon/earliersources_test.go
+++ b/internal/host/daemon/earliersources_test.go
@@ -102,13 +102,20 @@
 	}
 }
 
-// removeSourceForAWhile lets the instances follow another source, and then the first one again.
-func removeSourceForAWhile(tb *testbed, r *testDaemon, meanwhile func()) *testDaemon {
-	elsewhere, err := standin.NewList("")
+// newEmptyList starts another list service, which has no servers.
+func (tb *testbed) newEmptyList() *standin.List {
+	tb.t.Helper()
+	list, err := standin.NewList("")
 	if err != nil {
 		tb.t.Fatal(err)
 	}
-	tb.t.Cleanup(elsewhere.Close)
+	tb.t.Cleanup(list.Close)
+	return list
+}
+
+// removeSourceForAWhile lets the instances follow another source, and then the first one again.
+func removeSourceForAWhile(tb *testbed, r *testDaemon, meanwhile func()) *testDaemon {
+	elsewhere := tb.newEmptyList()
 	text := readFile(tb.t, r.options.Config.Path)
 	before, rest, _ := strings.Cut(text, "[[source]]\n")
 	_, after, _ := strings.Cut(rest, "[site]\n")
@@ -120,11 +127,7 @@
 
 // replaceListForAWhile lets the source read another list, which has no servers, and then the first one again.
 func replaceListForAWhile(tb *testbed, r *testDaemon, meanwhile func()) *testDaemon {
-	elsewhere, err := standin.NewList("")
-	if err != nil {
-		tb.t.Fatal(err)
-	}
-	tb.t.Cleanup(elsewhere.Close)
+	elsewhere := tb.newEmptyList()
 	text := readFile(tb.t, r.options.Config.Path)
 	tb.reload(r, strings.Replace(text, tb.list.Addr(), elsewhere.Addr(), 1))
 	eventually(tb.t, "the other list is read", func() bool { return elsewhere.Calls() > 0 })
