discovery: a hub forgets after an hour what its list removed

What callers would see: records that are added to the source of a list name a new server at the address of one that the list removed weeks ago; it would get nothing until its record had been away for 30 s or the list named it.

Cause: the hub's memory of removals had a bound in number only.

Measured: TestHubForgetsRemovalsOfLongAgo; the tests of added records pass.

--- a/internal/host/daemon/earliersources.go
+++ b/internal/host/daemon/earliersources.go
@@ -19,7 +19,7 @@
 	// list is the address of the list service of a source without records; empty: it has records.
 	list string
 	// removed are the servers that the list service of a source without records has removed.
-	removed []discovery.Server
+	removed []discovery.RemovedServer
 	// merge is the state of a source with records; nil: an earlier build saved it.
 	merge *endpoints.SavedState
 }
@@ -102,10 +102,12 @@
 
 // mergeOfList returns the state of a merger whose only origin is a list service, which has removed some servers and has
 // this list now.
-func mergeOfList(addr string, list *discovery.Update, removed []discovery.Server) *endpoints.SavedState {
+func mergeOfList(addr string, list *discovery.Update, removed []discovery.RemovedServer) *endpoints.SavedState {
 	module := endpoints.New(endpoints.Settings{Sources: originsOf(daemonconfig.Source{List: addr})})
 	var before []endpoints.Server
+	ages := map[string]time.Duration{}
 	for _, server := range removed {
+		ages[server.ID] = server.Age
 		before = append(before, endpoints.Server{
 			ID:      server.ID,
 			Addr:    server.Addr,
@@ -115,17 +117,25 @@
 	}
 	module.Step(0, endpoints.Snapshot{Source: fromList, Servers: before})
 	module.Step(0, endpoints.Snapshot{Source: fromList, Servers: endpointsOf(list)})
-	return module.Save()
+	merge := module.Save()
+	for i := range merge.Removals {
+		removal := &merge.Removals[i]
+		removal.AgeMS = ages[removal.ID].Milliseconds()
+	}
+	return merge
 }
 
 // removedServers returns the servers that the list service has removed. merge may be nil.
-func removedServers(merge *endpoints.SavedState) (servers []discovery.Server) {
+func removedServers(merge *endpoints.SavedState) (servers []discovery.RemovedServer) {
 	if merge == nil {
 		return nil
 	}
 	for _, removal := range merge.Removals {
 		if removal.Source == fromList && !removal.Draining {
-			servers = append(servers, discovery.Server{ID: removal.ID, Addr: removal.Addr, Started: removal.Started})
+			servers = append(servers, discovery.RemovedServer{
+				Server: discovery.Server{ID: removal.ID, Addr: removal.Addr, Started: removal.Started},
+				Age:    time.Duration(removal.AgeMS) * time.Millisecond,
+			})
 		}
 	}
 	return servers
@@ -134,9 +144,9 @@
 // EarlierSource is what an earlier process, or an earlier configuration of this one, knew of a source. The zero value
 // is that of a source that was never followed.
 type EarlierSource struct {
-	List    *discovery.Update     // the list that the instances followed, used until the source has been read
-	Merge   *endpoints.SavedState // what each origin had reported; nil: unknown, or the source has no records
-	Removed []discovery.Server    // the servers that the list service had removed
+	List    *discovery.Update         // the list that the instances followed, used until the source has been read
+	Merge   *endpoints.SavedState     // what each origin had reported; nil: unknown, or the source has no records
+	Removed []discovery.RemovedServer // the servers that the list service had removed
 }
 
 // earlierSource returns what is remembered of a source. It may have had another name, or have the same name and read
@@ -151,7 +161,7 @@
 		if same == nil {
 			return EarlierSource{}
 		}
-		return EarlierSource{List: same.servers, Removed: same.removedByList()}
+		return EarlierSource{List: same.servers, Removed: same.removedByList(now)}
 	}
 	if same != nil && same.merge == nil { // of an earlier build
 		return EarlierSource{List: withoutZeroCells(same.servers)}
@@ -177,12 +187,16 @@
 	return last
 }
 
-// removedByList returns the servers that the source's list service has removed.
-func (r *rememberedSource) removedByList() []discovery.Server {
-	if r.list != "" {
-		return r.removed
+// removedByList returns the servers that the source's list service has removed, with ages at a time of Daemon.now.
+func (r *rememberedSource) removedByList(now time.Duration) []discovery.RemovedServer {
+	removed := slices.Clone(r.removed)
+	if r.list == "" {
+		removed = removedServers(r.merge)
+	}
+	for i := range removed {
+		removed[i].Age += now - r.at
 	}
-	return removedServers(r.merge)
+	return removed
 }
 
 // withoutZeroCells returns a copy of a saved list in which the cells of servers of cell 0 are unknown: earlier builds
--- a/internal/host/daemon/sources.go
+++ b/internal/host/daemon/sources.go
@@ -39,6 +39,7 @@
 			ID:      server.ID,
 			Addr:    server.Addr,
 			Source:  fromList,
+			AgeMS:   server.Age.Milliseconds(),
 			Started: server.Started,
 		})
 	}
--- a/internal/source/discovery/hub.go
+++ b/internal/source/discovery/hub.go
@@ -19,6 +19,9 @@
 	// maxRemovedServers bounds the servers of Hub.Removed. With a smaller value a hub whose list changes much forgets
 	// removals while records may still name the servers.
 	maxRemovedServers = 1000
+	// removedRetention is for how long a server is one of Hub.Removed. A larger value keeps out a server that records
+	// name at the address of one that was removed long ago, a smaller one forgets removals while records still stand.
+	removedRetention = time.Hour
 	// maxBackoffDoublings prevents an overflow of the backoff's shift; MaxReconnectBackoff is reached much earlier.
 	maxBackoffDoublings = 10
 )
@@ -50,7 +53,7 @@
 	mu          sync.Mutex
 	version     int64             // version of the last update, from which the next watch resumes
 	servers     map[string]Server // the current list, by ID
-	removed     []Server          // see Removed
+	removed     []removedServer   // see Removed
 	loaded      bool              // whether a list has been received or restored
 	subscribers map[*subscriber]struct{}
 	watchCount  int           // number of watches started
@@ -70,6 +73,18 @@
 	closed    bool
 }
 
+// removedServer is a server that the list has removed, and when.
+type removedServer struct {
+	Server
+	at time.Time
+}
+
+// RemovedServer is a server that the list has removed.
+type RemovedServer struct {
+	Server
+	Age time.Duration // the time since the removal
+}
+
 // NewHub returns a hub without a list. Call Run to follow the list.
 func NewHub(options HubOptions) *Hub {
 	if options.HeartbeatTimeout == 0 {
@@ -98,19 +113,29 @@
 
 // RestoreRemoved sets the servers that the list had removed before the process started, oldest first. It is called
 // before the first update.
-func (h *Hub) RestoreRemoved(servers []Server) {
+func (h *Hub) RestoreRemoved(servers []RemovedServer) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.removed = slices.Clone(servers)
-	h.trimRemoved()
+	now := time.Now()
+	h.removed = nil
+	for _, server := range servers {
+		h.removed = append(h.removed, removedServer{server.Server, now.Add(-server.Age)})
+	}
+	h.trimRemoved(now)
 }
 
-// Removed returns the servers that the list has removed and not named since, oldest first, as it named them last. It
-// returns the last maxRemovedServers of them.
-func (h *Hub) Removed() []Server {
+// Removed returns the servers that the list has removed within removedRetention and not named since, oldest first, as
+// it named them last. It returns the last maxRemovedServers of them.
+func (h *Hub) Removed() []RemovedServer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return slices.Clone(h.removed)
+	now := time.Now()
+	h.trimRemoved(now)
+	var removed []RemovedServer
+	for _, server := range h.removed {
+		removed = append(removed, RemovedServer{server.Server, now.Sub(server.at)})
+	}
+	return removed
 }
 
 // noteRemoved brings h.removed up to date with an update. missing are the servers that a snapshot no longer names. The
@@ -121,24 +146,27 @@
 		for _, server := range m.Servers {
 			named[server.ID] = true
 		}
-		h.removed = slices.DeleteFunc(h.removed, func(server Server) bool { return named[server.ID] })
+		h.removed = slices.DeleteFunc(h.removed, func(server removedServer) bool { return named[server.ID] })
 	}
+	now := time.Now()
 	for _, server := range m.Servers {
 		if server.State == stateRemoved {
-			h.removed = append(h.removed, server)
+			h.removed = append(h.removed, removedServer{server, now})
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(missing)) {
-		h.removed = append(h.removed, missing[id])
+		h.removed = append(h.removed, removedServer{missing[id], now})
 	}
-	h.trimRemoved()
+	h.trimRemoved(now)
 }
 
-// trimRemoved drops the oldest of h.removed beyond the bound. The caller holds h.mu.
-func (h *Hub) trimRemoved() {
-	if excess := len(h.removed) - maxRemovedServers; excess > 0 {
-		h.removed = slices.Delete(h.removed, 0, excess)
+// trimRemoved drops the oldest of h.removed beyond the bounds. The caller holds h.mu.
+func (h *Hub) trimRemoved(now time.Time) {
+	excess := max(0, len(h.removed)-maxRemovedServers)
+	for excess < len(h.removed) && now.Sub(h.removed[excess].at) > removedRetention {
+		excess++
 	}
+	h.removed = slices.Delete(h.removed, 0, excess)
 }
 
 // Apply merges a snapshot or a delta into the list. The hub's watch calls it, and so may other code.
--- a/internal/source/discovery/hub_test.go
+++ b/internal/source/discovery/hub_test.go
@@ -216,3 +216,23 @@
 		t.Errorf("%d servers, the first is %s", len(got), got[0])
 	}
 }
+
+// A removal is forgotten after removedRetention, over restarts too: the server's address may be another's by then.
+func TestHubForgetsRemovalsOfLongAgo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := NewHub(HubOptions{Log: quiet})
+		h.Apply(&Update{Full: true, Servers: []Server{up("a"), up("b")}})
+		h.Apply(&Update{Servers: []Server{state("a", "gone")}})
+		time.Sleep(removedRetention - time.Minute)
+		h.Apply(&Update{Servers: []Server{state("b", "gone")}})
+		next := NewHub(HubOptions{Log: quiet})
+		next.RestoreRemoved(h.Removed())
+		if got := next.Removed(); len(got) != 2 || got[0].ID != "a" || got[0].Age != removedRetention-time.Minute {
+			t.Errorf("%+v", got)
+		}
+		time.Sleep(2 * time.Minute)
+		if got := next.Removed(); len(got) != 1 || got[0].ID != "b" {
+			t.Errorf("%+v", got)
+		}
+	})
+}
