Sources: the saved list of an earlier build ends with the complete one after two restarts, too

What callers would see: a daemon starts with a file of an earlier build while the list service is away, and is restarted once more: servers that the complete list then lacks get requests for as long as no resolver answers, at most hold.

Cause: the second process restored "the saved list" as an origin, but did not know that it was in use, and so did not drop it.

Change: that origin is transient: a restart gets its servers as those of no present origin, as the first one did.

Measured: the case "by an earlier build, and again" of TestSavedListServesUntilTheListServiceIsBack timed out before (21 s) and passes.

--- a/internal/host/daemon/earliersources_test.go
+++ b/internal/host/daemon/earliersources_test.go
@@ -323,7 +323,7 @@
 	}
 	defer names.Close()
 	publishRecords(t, names, 1, recorded)
-	for _, saved := range []string{"by this build", "by an earlier build"} {
+	for _, saved := range []string{"by this build", "by an earlier build", "by an earlier build, and again"} {
 		t.Run(saved, func(t *testing.T) {
 			tb := newTestbed(t, kept.Member("ready"), removed.Member("ready"))
 			tb.head = `state_dir = "state"`
@@ -333,11 +333,15 @@
 			if err := r.end(); err != nil {
 				t.Fatal(err)
 			}
-			if saved == "by an earlier build" {
+			if saved != "by this build" {
 				tb.forgetMerges()
 			}
 			tb.list.SetDown(true)
 			r = tb.start(Options{})
+			if saved == "by an earlier build, and again" {
+				r = restartAfterStop(tb, r, func() {})
+				names.Script(func(string, string, string) dns.Fault { return dns.Fault{Rcode: 2} })
+			}
 			isIn := func(server *standin.FormServer) bool { merged, _ := r.mergedServer(server); return merged.In }
 			if !isIn(kept) || !isIn(removed) || !isIn(recorded) {
 				t.Errorf("kept is in: %v; removed: %v; recorded: %v", isIn(kept), isIn(removed), isIn(recorded))
--- a/internal/host/daemon/merge.go
+++ b/internal/host/daemon/merge.go
@@ -66,7 +66,7 @@
 	for _, origin := range origins {
 		required = append(required, origin.Name)
 	}
-	origins = append(origins, endpoints.Source{Name: fromSaved, Hold: source.Hold})
+	origins = append(origins, endpoints.Source{Name: fromSaved, Transient: true, Hold: source.Hold})
 	m := &Merger{
 		source:    source,
 		log:       log,
--- a/internal/host/daemon/mergestate.go
+++ b/internal/host/daemon/mergestate.go
@@ -18,7 +18,7 @@
 
 // mergeFor returns the state from which origins continue. Each continues from the last state of an origin with the same
 // identity, whatever source that was of, or else from that of the source with the same name, together with the removals that
-// this origin had reported. Where the source with the same name had further origins, their last reports are included.
+// this origin had reported. Where the source with the same key or name had further origins, their last reports are included.
 // It returns nil if there is no state for any origin.
 func mergeFor(origins []endpoints.Source, candidates []mergeCandidate) *endpoints.SavedState {
 	slices.SortFunc(candidates, func(a, b mergeCandidate) int {
@@ -31,12 +31,12 @@
 			merge.Removals = append(merge.Removals, removalsBy(origin.Name, from)...)
 		}
 	}
-	if named := slices.IndexFunc(candidates, func(c mergeCandidate) bool { return c.hasName }); named >= 0 {
-		for _, saved := range candidates[named].Sources {
+	if last := slices.IndexFunc(candidates, func(c mergeCandidate) bool { return c.hasKey || c.hasName }); last >= 0 {
+		for _, saved := range candidates[last].Sources {
 			isPresent := slices.ContainsFunc(origins, func(o endpoints.Source) bool { return o.Name == saved.Name })
 			if !isPresent {
 				merge.Sources = append(merge.Sources, saved)
-				merge.Removals = append(merge.Removals, removalsBy(saved.Name, candidates[named])...)
+				merge.Removals = append(merge.Removals, removalsBy(saved.Name, candidates[last])...)
 			}
 		}
 	}
--- a/internal/source/endpoints/endpoints.go
+++ b/internal/source/endpoints/endpoints.go
@@ -48,6 +48,8 @@
 	// Origin identifies what the source reads, such as the address of a list service. Two sources of one name and
 	// one origin report the same list.
 	Origin string
+	// Transient means that the source stands for what is known from before: no module continues its reports.
+	Transient bool
 	// Exact means that a server missing from a snapshot has been removed. A server missing from the snapshot of
 	// a source that is not exact, such as DNS, has only been withdrawn: another source may still have it.
 	Exact bool
--- a/internal/source/endpoints/saved.go
+++ b/internal/source/endpoints/saved.go
@@ -167,10 +167,10 @@
 // Each source continues as one that fails, until it reports: its last reports are used for Source.Hold, and its next
 // snapshot shows what was removed or withdrawn in the meantime. If the source's Origin has changed, its next snapshot
 // replaces them instead, since another list that lacks a server does not report its removal. Restore returns the servers
-// of sources that the module does not have.
+// of sources that the module does not have, or that are transient.
 func (m *Module) Restore(saved *SavedState) (others []Server) {
 	for _, savedSource := range saved.Sources {
-		if s := m.source(savedSource.Name); s != nil {
+		if s := m.source(savedSource.Name); s != nil && !s.Transient {
 			s.restore(savedSource)
 			continue
 		}
