--- a/internal/host/daemon/earliersources_test.go
+++ b/internal/host/daemon/earliersources_test.go
@@ -226,8 +226,7 @@
 	}
 }
 
-// A renamed source began with its list of before the daemon's last restart, so that a draining server got requests
-// until the list was read.
+// A renamed source began with the list of before the last restart, in which a server that drains was ready.
 func TestRenamedSourceKeepsItsDrains(t *testing.T) {
 	ready, drained := standin.NewFormServer("ready", nil), standin.NewFormServer("drained", nil)
 	defer ready.Close()
@@ -255,8 +254,7 @@
 	}
 }
 
-// A saved list counted as a further origin until all origins had reported, so that servers which the complete list no
-// longer names were used for as long as no resolver answered.
+// A server that the complete list no longer names was used for as long as no resolver answered.
 func TestCompleteListOverrulesWhatWasSavedOfIt(t *testing.T) {
 	for _, tt := range transitions {
 		for _, resolver := range []string{"answers", "fails"} {
@@ -310,8 +308,7 @@
 	}
 }
 
-// While the list service is away, what was saved of its list is used, also where the resolvers answer. The list that it
-// has when it is back overrules that.
+// What was saved of a list that is away serves until the list is back, and no longer.
 func TestSavedListServesUntilTheListServiceIsBack(t *testing.T) {
 	kept, removed, recorded := standin.NewFormServer("kept", nil), standin.NewFormServer("removed", nil), standin.NewFormServer("recorded", nil)
 	for _, f := range []*standin.FormServer{kept, removed, recorded} {
@@ -372,8 +369,7 @@
 	}
 }
 
-// A list without records remembered no removal, so that records which were added to its source brought the server back.
-// The file changes while no process runs, or after that.
+// Records that were added to the source of a list alone brought back a server that the list had removed.
 func TestRecordsThatAreAddedToAListBringNoRemovedServerBack(t *testing.T) {
 	none := transition{"none", func(_ *testbed, r *testDaemon, _ func()) *testDaemon { return r }}
 	type row struct {
--- a/internal/protocol/ldap/reserved_test.go
+++ b/internal/protocol/ldap/reserved_test.go
@@ -30,8 +30,7 @@
 	}
 }
 
-// The paged searches of a SASL client beyond the limit gave its server connection, bound as it is, to clients that are
-// not bound.
+// Paged searches of a SASL client beyond the limit gave its bound connection to clients that are not bound.
 func TestManyPagedSearchesKeepTheConnectionOfASASLBind(t *testing.T) {
 	d := startDirectory(t, "one", directory.Options{})
 	a := startAgent(t, testConfig(t, d), Options{})
@@ -55,8 +54,7 @@
 	}
 }
 
-// The server connection of a SASL bind stayed reserved, and open, for good if the response came after its client had
-// left.
+// A SASL bind that ended after its client had left kept its server connection open for good.
 func TestLateResponseOfASASLBindReservesNoConnection(t *testing.T) {
 	d := startDirectory(t, "one", directory.Options{})
 	hold, arrived := make(chan struct{}), make(chan struct{}, 1)
--- a/internal/protocol/ldap/unansweredbind_test.go
+++ b/internal/protocol/ldap/unansweredbind_test.go
@@ -43,8 +43,7 @@
 // intermediate is an IntermediateResponse without fields, which may precede any final response (RFC 4511, 4.13).
 var intermediate = []byte{ldapmsg.Intermediate, 0}
 
-// A bind that had no response in its time left its server connection to clients that are not bound, who were served as
-// its user once the server had executed it.
+// The server connection of a bind without a response served clients that are not bound, as the bind's user.
 func TestConnectionOfUnansweredBindServesNobodyElse(t *testing.T) {
 	const (
 		bindID       = 7
